Lay out the workspace and its shared vocabulary

Cause: parts built side by side need one set of words and bodies first. Change: six crates by concern, the typed outcomes and templates, the bodies exchanged with targets and the platform, frames and greetings between nodes, and the check script. Ruled out: one crate with modules, since the core must build without I/O. Conclusion: parts can start against these types.

--- /dev/null
+++ b/filbertpaddle-core/src/name.rs
@@ -0,0 +1,6 @@
+//! Shared immutable names.
+
+/// The name of a customer, template, VM, target, data centre or model.
+///
+/// Cloning is cheap: short names are stored inline, long ones are shared.
+pub type Name = smol_str::SmolStr;
--- /dev/null
+++ b/filbertpaddle-platform/src/lib.rs
@@ -0,0 +1,3 @@
+//! Client for the platform's table, object store, weight store and VM list.
+
+pub mod protocol;
--- /dev/null
+++ b/filbertpaddle-target/src/lib.rs
@@ -0,0 +1,3 @@
+//! Client for model engines and plain services.
+
+pub mod protocol;
--- /dev/null
+++ b/filbertpaddle-wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! Messages between the system's own processes.
+//!
+//! A connection starts with a [`greeting::Greeting`] in each direction and
+//! then carries frames, each a batch of [`message::Message`] values as CBOR.
+
+pub mod claim;
+pub mod config;
+pub mod frame;
+pub mod grant;
+pub mod greeting;
+pub mod member;
+pub mod message;
--- /dev/null
+++ b/filbertpaddle/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
