Add the platform's client and its stand-in with faults

Cause: every part needs a platform to talk to, and must tell a refusal from an answer that was lost. Ruled out: repeating failed requests inside the client, since only the caller knows whether repeating is harmless. Conclusion: other parts can start against the stand-in.

--- /dev/null
+++ b/filbertpaddle-platform/src/client.rs
@@ -0,0 +1,148 @@
+//! HTTP client of the platform.
+
+use std::time::Duration;
+
+use reqwest::Response;
+use reqwest::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+use crate::error::NotDone;
+use crate::protocol::Read;
+use crate::protocol::Rows;
+use crate::protocol::Scan;
+use crate::protocol::TransactAnswer;
+use crate::protocol::Transaction;
+use crate::protocol::VmList;
+use crate::protocol::WeightAnswer;
+use crate::protocol::WeightAsk;
+
+/// Part of the whole timeout that may be spent on connecting.
+const CONNECT_SHARE: u32 = 2;
+
+/// Client of one platform; clones share their connections.
+///
+/// The client never repeats a request by itself.
+#[derive(Clone, Debug)]
+pub struct Client {
+    base: String,
+    http: reqwest::Client,
+}
+
+impl Client {
+    /// Makes a client of the platform at `base`, such as `http://127.0.0.1:80`.
+    ///
+    /// `timeout` bounds each request as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NotDone::Invalid`] if the HTTP library cannot be set up.
+    pub fn new(base: impl Into<String>, timeout: Duration) -> Result<Self, Error> {
+        let http = reqwest::Client::builder()
+            .timeout(timeout)
+            // Shorter than the whole, so that a connect that hangs is known as such.
+            .connect_timeout(timeout / CONNECT_SHARE)
+            .no_proxy()
+            .build()?;
+        Ok(Self {
+            base: base.into(),
+            http,
+        })
+    }
+
+    /// Performs a transaction.
+    ///
+    /// # Errors
+    ///
+    /// After [`Error::Unknown`] the transaction may have taken effect.
+    pub async fn transact(&self, transaction: &Transaction) -> Result<TransactAnswer, Error> {
+        self.post("table/transact", transaction).await
+    }
+
+    /// Reads rows by key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the rows could not be read.
+    pub async fn read(&self, keys: Vec<String>) -> Result<Rows, Error> {
+        self.post("table/read", &Read { keys }).await
+    }
+
+    /// Reads rows in key order.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the rows could not be read.
+    pub async fn scan(&self, scan: &Scan) -> Result<Rows, Error> {
+        self.post("table/scan", scan).await
+    }
+
+    /// Reads an object; `None` means that there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the object could not be read.
+    pub async fn get_object(&self, key: &str) -> Result<Option<Vec<u8>>, Error> {
+        let response = self.http.get(self.url(&["object/", key])).send().await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let bytes = check(response)?.bytes().await?;
+        Ok(Some(bytes.to_vec()))
+    }
+
+    /// Writes an object.
+    ///
+    /// # Errors
+    ///
+    /// After [`Error::Unknown`] the object may have been written.
+    pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> Result<(), Error> {
+        let url = self.url(&["object/", key]);
+        let response = self.http.put(url).body(bytes).send().await?;
+        check(response)?;
+        Ok(())
+    }
+
+    /// Asks the weight store for permission to load a model.
+    ///
+    /// # Errors
+    ///
+    /// After [`Error::Unknown`] the permission may have been used up.
+    pub async fn ask_weights(&self, ask: &WeightAsk) -> Result<WeightAnswer, Error> {
+        self.post("weights/leases", ask).await
+    }
+
+    /// Reads the list of VMs, which may lag.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the list could not be read.
+    pub async fn vms(&self) -> Result<VmList, Error> {
+        let response = self.http.get(self.url(&["vms"])).send().await?;
+        Ok(check(response)?.json().await?)
+    }
+
+    async fn post<B, A>(&self, path: &str, body: &B) -> Result<A, Error>
+    where
+        B: Serialize,
+        A: DeserializeOwned,
+    {
+        let url = self.url(&[path]);
+        let response = self.http.post(url).json(body).send().await?;
+        Ok(check(response)?.json().await?)
+    }
+
+    fn url(&self, path: &[&str]) -> String {
+        format!("{}/{}", self.base, path.concat())
+    }
+}
+
+fn check(response: Response) -> Result<Response, Error> {
+    match response.status() {
+        status if status.is_success() => Ok(response),
+        StatusCode::TOO_MANY_REQUESTS => Err(Error::NotDone(NotDone::RateLimited)),
+        StatusCode::SERVICE_UNAVAILABLE => Err(Error::NotDone(NotDone::Down)),
+        status => Err(Error::Unknown(format!("status {status}"))),
+    }
+}
--- a/filbertpaddle-standins/src/lib.rs
+++ b/filbertpaddle-standins/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Stand-ins for development: what surrounds the system, with faults on demand.
+
+pub mod faults;
+pub mod limiter;
+pub mod platform;
+mod platform_http;
+pub mod server;
+pub mod table;
+pub mod vms;
