Add the fault-injecting proxy

Cause: failure tests need links that break in each of the ways listed for the product, switched while processes run. Change: a TCP proxy as a library and a subcommand, with cut, one-way cut, stall, half-open and delay; held bytes arrive late after healing, as TCP would resend them; it counts bytes for measurements. Ruled out: dropping bytes on a one-way cut, since a healed TCP connection never has a gap.

--- a/filbertpaddle-standins/src/lib.rs
+++ b/filbertpaddle-standins/src/lib.rs
@@ -4,6 +4,8 @@
 pub mod limiter;
 pub mod platform;
 mod platform_http;
+pub mod proxy;
+mod pump;
 pub mod server;
 pub mod table;
 pub mod vms;
--- a/filbertpaddle-standins/src/main.rs
+++ b/filbertpaddle-standins/src/main.rs
@@ -3,6 +3,7 @@
 use eyre::bail;
 
 mod command_platform;
+mod command_proxy;
 
 /// One subcommand: its name and what runs it with the rest of the arguments.
 struct Command {
@@ -10,10 +11,16 @@
     run: fn(lexopt::Parser) -> eyre::Result<()>,
 }
 
-const COMMANDS: &[Command] = &[Command {
-    name: "platform",
-    run: command_platform::run,
-}];
+const COMMANDS: &[Command] = &[
+    Command {
+        name: "platform",
+        run: command_platform::run,
+    },
+    Command {
+        name: "proxy",
+        run: command_proxy::run,
+    },
+];
 
 fn main() -> eyre::Result<()> {
     let mut parser = lexopt::Parser::from_env();
