Fix the interface between a pool's owner and its scheduler

Cause: the owner needs the calls of the scheduler before the policy is done. Ruled out: passing load and cache knowledge in each target view, since the views would be rebuilt in full for each event; reports and cache events are told once instead. A trait for policies, since plain functions suffice. Change: asks, placements, endings and refusals as types; a scheduler that serves arrivals in order by round robin or least connections. Conclusion: the owner can build on it; the policy follows behind the same calls.

--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -7,4 +7,6 @@
 pub mod clock;
 pub mod name;
 pub mod outcome;
+pub mod policy;
+pub mod scheduler;
 pub mod template;
