Add the target client and the engine and service stand-ins

Cause: nothing could be served; nodes need targets to talk to. Ruled out: a channel per stream in the engine, as a count of tokens and a watch serve resuming at any index without keeping texts. Change: a client whose errors tell what provably did nothing from what is unknown; an engine with a pure scheduler (pages, preemption, prefix cache, cold start, faults on a control port); a counting plain service; both as library and as subcommands of filbertpaddle-standin.

--- /dev/null
+++ b/filbertpaddle-standins/src/engine.rs
@@ -0,0 +1,192 @@
+//! The engine stand-in: a simulated engine behind the targets' protocol.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filbertpaddle_core::clock::Millis;
+use tokio::task::JoinHandle;
+
+use crate::engine_http;
+use crate::engine_state::Counters;
+use crate::engine_state::State;
+use crate::fault::Fault;
+use crate::scheduler;
+use crate::server::Server;
+
+/// How often load snapshots are taken.
+const SNAPSHOT_INTERVAL: Duration = Duration::from_millis(25);
+
+/// How an engine stand-in behaves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Address to serve on; port zero picks one.
+    pub listen: SocketAddr,
+    /// Address of the control port; port zero picks one.
+    pub control: SocketAddr,
+    /// Seed of the output lengths.
+    pub seed: u64,
+    /// How many times faster than real time the engine works.
+    pub speed: f64,
+    /// Memory, limits and pace.
+    pub scheduler: scheduler::Settings,
+    /// Whether the engine starts warm.
+    pub starts_warm: bool,
+    /// Whether submissions and orders with an old fencing number are refused.
+    pub checks_fence: bool,
+    /// Whether submissions are refused once the reclaim notice is given.
+    pub refuses_when_leaving: bool,
+    /// Prompts that contain this text crash the engine.
+    pub poison: Option<String>,
+    /// Whether a crash ends the process instead of restarting the engine.
+    pub exits_on_crash: bool,
+    /// Time from a crash until the engine serves again, in wall-clock time.
+    pub restart_ms: Millis,
+    /// Age of load reports, in wall-clock time.
+    pub report_lag_ms: Millis,
+    /// Age of cache events, in wall-clock time.
+    pub cache_lag_ms: Millis,
+    /// One in this many cache events is lost; zero loses none.
+    pub cache_gap: u64,
+    /// Time without a reader after which an attempt is cancelled.
+    pub orphan_ms: Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            listen: any_port,
+            control: any_port,
+            seed: 1,
+            speed: 1.0,
+            scheduler: scheduler::Settings::default(),
+            starts_warm: true,
+            checks_fence: true,
+            refuses_when_leaving: false,
+            poison: None,
+            exits_on_crash: false,
+            restart_ms: Millis(1_000),
+            report_lag_ms: Millis(250),
+            cache_lag_ms: Millis(1_000),
+            cache_gap: 20,
+            orphan_ms: Millis(20_000),
+        }
+    }
+}
+
+/// A running engine stand-in.
+#[derive(Debug)]
+pub struct Engine {
+    /// Address that it serves on.
+    pub address: SocketAddr,
+    /// Address of its control port.
+    pub control: SocketAddr,
+    state: Arc<State>,
+    control_server: Server,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn start(settings: Settings) -> io::Result<Self> {
+        let listen = settings.listen;
+        let control = settings.control;
+        let state = Arc::new(State::new(settings));
+        let server = Server::start(listen, engine_http::target(state.clone())).await?;
+        let address = server.address;
+        let control_server = Server::start(control, engine_http::control(state.clone())).await?;
+        let tasks = vec![
+            tokio::spawn(run_lives(state.clone(), server)),
+            tokio::spawn(run_steps(state.clone())),
+            tokio::spawn(run_snapshots(state.clone())),
+        ];
+        Ok(Self {
+            address,
+            control: control_server.address,
+            state,
+            control_server,
+            tasks,
+        })
+    }
+
+    /// Brings about a fault.
+    pub fn fault(&self, fault: Fault) {
+        engine_http::apply(&self.state, fault);
+    }
+
+    /// Returns what the engine has counted.
+    pub fn counters(&self) -> Counters {
+        self.state.counters()
+    }
+
+    /// Stops the engine; streams break off.
+    pub async fn close(mut self) {
+        self.state.stop();
+        self.control_server.close().await;
+        if !self.tasks.is_empty() {
+            let lives = self.tasks.remove(0);
+            // The task ends by itself once the state is stopped.
+            let _ = lives.await;
+        }
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Serves one life of the engine after the other.
+async fn run_lives(state: Arc<State>, server: Server) {
+    let address = server.address;
+    let mut server = server;
+    loop {
+        state.life_ends().await;
+        server.close().await;
+        if state.is_over() {
+            return;
+        }
+        if state.settings.exits_on_crash {
+            std::process::exit(101);
+        }
+        tokio::time::sleep(Duration::from_millis(state.settings.restart_ms.0)).await;
+        state.restart();
+        server = loop {
+            match Server::start(address, engine_http::target(state.clone())).await {
+                Ok(server) => break server,
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        };
+    }
+}
+
+async fn run_steps(state: Arc<State>) {
+    let mut due = tokio::time::Instant::now();
+    loop {
+        let frozen = state.frozen_for();
+        if !frozen.is_zero() {
+            tokio::time::sleep(frozen).await;
+        }
+        let Some(step) = state.begin_step() else {
+            state.wait_for_work().await;
+            due = tokio::time::Instant::now();
+            continue;
+        };
+        due += state.wall_clock(step.duration_us);
+        tokio::time::sleep_until(due).await;
+        // A pause must not be caught up with afterwards.
+        due = due.max(tokio::time::Instant::now() - Duration::from_millis(20));
+        state.finish_step(step);
+    }
+}
+
+async fn run_snapshots(state: Arc<State>) {
+    let mut interval = tokio::time::interval(SNAPSHOT_INTERVAL);
+    loop {
+        interval.tick().await;
+        state.snapshot();
+    }
+}
--- /dev/null
+++ b/filbertpaddle-standins/src/lengths.rs
@@ -0,0 +1,79 @@
+//! Output lengths of simulated generations.
+
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand_distr::Distribution;
+use rand_distr::LogNormal;
+use rand_distr::Pareto;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Longest output, in tokens.
+const MAX_OUTPUT_TOKENS: f64 = 32_768.0;
+
+/// A lognormal body with a Pareto tail.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mix {
+    /// Median of the body, in tokens.
+    pub median_tokens: f64,
+    /// Standard deviation of the body's logarithm.
+    pub sigma: f64,
+    /// Share of outputs that come from the tail.
+    pub tail_share: f64,
+    /// Shortest output of the tail, in tokens.
+    pub tail_tokens: f64,
+    /// Exponent of the tail; smaller is heavier.
+    pub tail_exponent: f64,
+}
+
+/// Lengths by the first word of the prompt; the last entry serves the rest.
+pub const MIXES: &[(&str, Mix)] = &[
+    ("stock", mix(24.0, 0.5, 0.01, 200.0, 1.5)),
+    ("topics", mix(60.0, 0.6, 0.03, 400.0, 1.4)),
+    ("menu", mix(500.0, 0.7, 0.10, 1_500.0, 1.3)),
+    ("summary", mix(220.0, 0.8, 0.08, 1_200.0, 1.2)),
+    ("", mix(120.0, 0.9, 0.05, 800.0, 1.3)),
+];
+
+const fn mix(
+    median_tokens: f64,
+    sigma: f64,
+    tail_share: f64,
+    tail_tokens: f64,
+    tail_exponent: f64,
+) -> Mix {
+    Mix {
+        median_tokens,
+        sigma,
+        tail_share,
+        tail_tokens,
+        tail_exponent,
+    }
+}
+
+/// Draws the output length of a prompt, in tokens, at least one.
+///
+/// The same seed and prompt always give the same length.
+pub fn draw(seed: u64, prompt: &str) -> u32 {
+    let word = prompt.split_whitespace().next().unwrap_or_default();
+    let mix = MIXES
+        .iter()
+        .find(|(name, _)| *name == word || name.is_empty())
+        .map_or(MIXES[0].1, |(_, mix)| *mix);
+    let mut rng = SmallRng::seed_from_u64(xxh3_64_with_seed(prompt.as_bytes(), seed));
+    let tokens = sample(&mix, &mut rng);
+    tokens.clamp(1.0, MAX_OUTPUT_TOKENS) as u32
+}
+
+fn sample<R>(mix: &Mix, rng: &mut R) -> f64
+where
+    R: Rng,
+{
+    if rng.random::<f64>() < mix.tail_share {
+        return Pareto::new(mix.tail_tokens, mix.tail_exponent)
+            .map_or(mix.tail_tokens, |tail| tail.sample(rng));
+    }
+    LogNormal::new(mix.median_tokens.ln(), mix.sigma)
+        .map_or(mix.median_tokens, |body| body.sample(rng))
+}
--- /dev/null
+++ b/filbertpaddle-standins/src/server.rs
@@ -0,0 +1,64 @@
+//! An HTTP server that can be closed.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use warp::Filter;
+use warp::Rejection;
+use warp::Reply;
+
+/// Longest wait for requests in progress when a server is closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// A running HTTP server.
+#[derive(Debug)]
+pub struct Server {
+    /// Address that the server is bound to.
+    pub address: SocketAddr,
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Binds `address` and serves `filter`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn start<F>(address: SocketAddr, filter: F) -> io::Result<Self>
+    where
+        F: Filter<Error = Rejection> + Clone + Send + Sync + 'static,
+        F::Extract: Reply,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let stopped = async move {
+            // A dropped sender stops the server as well.
+            let _ = stopped.await;
+        };
+        let server = warp::serve(filter).incoming(listener).graceful(stopped);
+        let task = tokio::spawn(server.run());
+        Ok(Self {
+            address,
+            stop,
+            task,
+        })
+    }
+
+    /// Stops accepting and gives requests in progress a moment to end.
+    pub async fn close(self) {
+        let _ = self.stop.send(());
+        let mut task = self.task;
+        if tokio::time::timeout(CLOSE_TIMEOUT, &mut task)
+            .await
+            .is_err()
+        {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/filbertpaddle-target/src/client.rs
@@ -0,0 +1,224 @@
+//! Requests to targets over kept connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use reqwest::StatusCode;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+use crate::error::Unknown;
+use crate::protocol::CacheEvents;
+use crate::protocol::CallAnswer;
+use crate::protocol::LoadReport;
+use crate::protocol::LoadedState;
+use crate::protocol::Order;
+use crate::protocol::OrderAnswer;
+use crate::protocol::Refusal;
+use crate::protocol::Submit;
+use crate::stream::Tokens;
+
+/// How long a client waits for targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Longest wait for a connection.
+    pub connect_timeout_ms: Millis,
+    /// Longest wait for the head of an answer, and for a whole short answer.
+    pub answer_timeout_ms: Millis,
+    /// Longest wait for the answer of a plain call.
+    pub call_timeout_ms: Millis,
+    /// Longest silence within a token stream.
+    pub idle_timeout_ms: Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: Millis(1_000),
+            answer_timeout_ms: Millis(5_000),
+            call_timeout_ms: Millis(30_000),
+            idle_timeout_ms: Millis(30_000),
+        }
+    }
+}
+
+/// A client of any number of targets; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: reqwest::Client,
+    settings: Settings,
+}
+
+impl Client {
+    /// Creates a client.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the HTTP client cannot be set up.
+    pub fn new(settings: Settings) -> Result<Self, Error> {
+        let http = reqwest::Client::builder()
+            .connect_timeout(duration(settings.connect_timeout_ms))
+            .tcp_nodelay(true)
+            .no_proxy()
+            .retry(reqwest::retry::never())
+            .build()?;
+        Ok(Self { http, settings })
+    }
+
+    /// Starts a generation.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotStarted`] only if the target did nothing.
+    pub async fn submit(&self, address: SocketAddr, submit: &Submit) -> Result<Tokens, Error> {
+        let request = self.http.post(url(address, "generations")).json(submit);
+        self.stream(request, submit.attempt.clone(), 0).await
+    }
+
+    /// Continues the stream of an attempt with the token at index `from`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the target does not know the attempt or fails.
+    pub async fn resume(
+        &self,
+        address: SocketAddr,
+        attempt: &Name,
+        from: u32,
+    ) -> Result<Tokens, Error> {
+        let path = format!("generations/{attempt}?from={from}");
+        let request = self.http.get(url(address, &path));
+        self.stream(request, attempt.clone(), from).await
+    }
+
+    /// Cancels an attempt; cancelling one that has ended does nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the target does not know the attempt or fails.
+    pub async fn cancel(&self, address: SocketAddr, attempt: &Name) -> Result<(), Error> {
+        let path = format!("generations/{attempt}");
+        let request = self.http.delete(url(address, &path));
+        self.send(request, self.settings.answer_timeout_ms).await?;
+        Ok(())
+    }
+
+    /// Runs a call of a plain service.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotStarted`] only if the target did nothing.
+    pub async fn call(&self, address: SocketAddr, submit: &Submit) -> Result<CallAnswer, Error> {
+        let request = self.http.post(url(address, "calls")).json(submit);
+        let answer: CallAnswer = self.json(request, self.settings.call_timeout_ms).await?;
+        if answer.attempt != submit.attempt {
+            return Err(Error::Unknown(Unknown::Foreign(answer.attempt)));
+        }
+        Ok(answer)
+    }
+
+    /// Reads the load of a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the target cannot be reached or fails.
+    pub async fn load(&self, address: SocketAddr) -> Result<LoadReport, Error> {
+        self.get(address, "load").await
+    }
+
+    /// Reads what a target serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the target cannot be reached or fails.
+    pub async fn state(&self, address: SocketAddr) -> Result<LoadedState, Error> {
+        self.get(address, "state").await
+    }
+
+    /// Reads the changes of a target's prefix cache after a sequence number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the target cannot be reached or fails.
+    pub async fn cache(&self, address: SocketAddr, after: u64) -> Result<CacheEvents, Error> {
+        self.get(address, &format!("cache?after={after}")).await
+    }
+
+    /// Gives a target an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotStarted`] only if the target did nothing.
+    pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderAnswer, Error> {
+        let request = self.http.post(url(address, "orders")).json(order);
+        self.json(request, self.settings.answer_timeout_ms).await
+    }
+
+    async fn get<T>(&self, address: SocketAddr, path: &str) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let request = self.http.get(url(address, path));
+        self.json(request, self.settings.answer_timeout_ms).await
+    }
+
+    async fn stream(
+        &self,
+        request: RequestBuilder,
+        attempt: Name,
+        from: u32,
+    ) -> Result<Tokens, Error> {
+        let response = self.send(request, self.settings.answer_timeout_ms).await?;
+        let idle_timeout = duration(self.settings.idle_timeout_ms);
+        Ok(Tokens::new(response, attempt, from, idle_timeout))
+    }
+
+    async fn json<T>(&self, request: RequestBuilder, timeout_ms: Millis) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let answer = async {
+            let response = self.send(request, timeout_ms).await?;
+            Ok(response.json().await?)
+        };
+        match tokio::time::timeout(duration(timeout_ms), answer).await {
+            Ok(answer) => answer,
+            Err(_) => Err(Error::Unknown(Unknown::Timeout)),
+        }
+    }
+
+    async fn send(&self, request: RequestBuilder, timeout_ms: Millis) -> Result<Response, Error> {
+        let sent = tokio::time::timeout(duration(timeout_ms), request.send()).await;
+        let response = sent.map_err(|_| Error::Unknown(Unknown::Timeout))??;
+        match response.status() {
+            status if status.is_success() => Ok(response),
+            StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE | StatusCode::NOT_FOUND => {
+                Err(self.refusal(response).await)
+            }
+            status => Err(Error::Unknown(Unknown::Status(status.as_u16()))),
+        }
+    }
+
+    /// Reads a refusal; only a well-formed one proves that nothing ran.
+    async fn refusal(&self, response: Response) -> Error {
+        let status = response.status().as_u16();
+        let timeout = duration(self.settings.answer_timeout_ms);
+        match tokio::time::timeout(timeout, response.json::<Refusal>()).await {
+            Ok(Ok(refusal)) => refusal.cause.into(),
+            Ok(Err(_)) => Error::Unknown(Unknown::Status(status)),
+            Err(_) => Error::Unknown(Unknown::Timeout),
+        }
+    }
+}
+
+fn url(address: SocketAddr, path: &str) -> String {
+    format!("http://{address}/v1/{path}")
+}
+
+fn duration(span_ms: Millis) -> Duration {
+    Duration::from_millis(span_ms.0)
+}
--- /dev/null
+++ b/filbertpaddle-target/src/stream.rs
@@ -0,0 +1,166 @@
+//! Token streams.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::BytesMut;
+use filbertpaddle_core::name::Name;
+use reqwest::Response;
+
+use crate::error::Error;
+use crate::error::Unknown;
+use crate::protocol::Body;
+use crate::protocol::EndCause;
+use crate::protocol::Event;
+
+/// Longest line of a token stream, in bytes.
+const MAX_LINE_BYTES: usize = 64 * 1024;
+
+/// What arrived on a token stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// The next token.
+    Token {
+        /// Position of the token, from zero.
+        index: u32,
+        /// Text of the token.
+        text: String,
+    },
+    /// The generation has ended; nothing follows.
+    End {
+        /// Number of tokens in all.
+        tokens: u32,
+        /// Why it ended.
+        cause: EndCause,
+    },
+    /// A line of another attempt; to be counted, never passed on.
+    Foreign {
+        /// Attempt that the line belongs to.
+        attempt: Name,
+    },
+    /// A token that came before; to be counted, never passed on.
+    Repeated {
+        /// Position of the token.
+        index: u32,
+    },
+}
+
+/// The tokens of one attempt, in order.
+pub struct Tokens {
+    response: Response,
+    attempt: Name,
+    next_index: u32,
+    buffer: BytesMut,
+    idle_timeout: Duration,
+    ended: bool,
+}
+
+impl fmt::Debug for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Tokens")
+            .field("attempt", &self.attempt)
+            .field("next_index", &self.next_index)
+            .field("ended", &self.ended)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Tokens {
+    pub(crate) fn new(
+        response: Response,
+        attempt: Name,
+        from: u32,
+        idle_timeout: Duration,
+    ) -> Self {
+        Self {
+            response,
+            attempt,
+            next_index: from,
+            buffer: BytesMut::new(),
+            idle_timeout,
+            ended: false,
+        }
+    }
+
+    /// Returns the index of the next token.
+    pub const fn next_index(&self) -> u32 {
+        self.next_index
+    }
+
+    /// Waits for the next arrival; `None` once the generation has ended.
+    ///
+    /// Cancel safe: dropping the future loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream breaks off, is silent for too long,
+    /// leaves out a token or is malformed. The attempt may then be resumed.
+    pub async fn next(&mut self) -> Result<Option<Received>, Error> {
+        if self.ended {
+            return Ok(None);
+        }
+        let event = self.event().await?;
+        self.accept(event).map(Some)
+    }
+
+    fn accept(&mut self, event: Event) -> Result<Received, Error> {
+        if event.attempt != self.attempt {
+            let attempt = event.attempt;
+            return Ok(Received::Foreign { attempt });
+        }
+        let index = event.index;
+        if index > self.next_index {
+            let expected = self.next_index;
+            let gap = Unknown::Gap {
+                expected,
+                got: index,
+            };
+            return Err(Error::Unknown(gap));
+        }
+        match event.body {
+            Body::Token { .. } if index < self.next_index => Ok(Received::Repeated { index }),
+            Body::Token { text } => {
+                self.next_index += 1;
+                Ok(Received::Token { index, text })
+            }
+            Body::End { .. } if index < self.next_index => {
+                Err(Error::Unknown(Unknown::Malformed("early end".to_owned())))
+            }
+            Body::End { cause } => {
+                self.ended = true;
+                let tokens = index;
+                Ok(Received::End { tokens, cause })
+            }
+        }
+    }
+
+    async fn event(&mut self) -> Result<Event, Error> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.split_to(end);
+                self.buffer.advance(1);
+                return serde_json::from_slice(&line).map_err(|error| malformed(&error));
+            }
+            if self.buffer.len() > MAX_LINE_BYTES {
+                let text = "line too long".to_owned();
+                return Err(Error::Unknown(Unknown::Malformed(text)));
+            }
+            self.read().await?;
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), Error> {
+        let chunk = tokio::time::timeout(self.idle_timeout, self.response.chunk()).await;
+        let chunk = chunk.map_err(|_| Error::Unknown(Unknown::Timeout))??;
+        match chunk {
+            Some(chunk) => self.buffer.extend_from_slice(&chunk),
+            None => return Err(Error::Unknown(Unknown::Cut("end of stream".to_owned()))),
+        }
+        Ok(())
+    }
+}
+
+fn malformed(error: &serde_json::Error) -> Error {
+    Error::Unknown(Unknown::Malformed(error.to_string()))
+}
