--- a/filbertpaddle-standins/tests/engine.rs
+++ b/filbertpaddle-standins/tests/engine.rs
@@ -1,5 +1,7 @@
 //! The target client against the engine and service stand-ins.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
