Serve a generation end to end over separate processes

Cause: everything else needs a path from caller to target to stand on. Ruled out: resuming through state kept by nodes, since a killed node takes it along; a signed ticket carries what any node needs instead.

--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! knows which transport carries its messages.
 
 pub mod clock;
+pub mod delivery;
 pub mod name;
 pub mod outcome;
 pub mod policy;
--- a/filbertpaddle-standins/src/lib.rs
+++ b/filbertpaddle-standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod platform;
 mod platform_http;
 pub mod prefix_cache;
+pub mod process;
 pub mod proxy;
 mod pump;
 pub mod scheduler;
--- /dev/null
+++ b/filbertpaddle-standins/src/process.rs
@@ -0,0 +1,144 @@
+//! Child processes of tests and experiments.
+
+use std::ffi::OsStr;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde::de::DeserializeOwned;
+
+/// Set this variable to see what child processes write to standard error.
+const SHOW_LOG: &str = "FILBERTPADDLE_TEST_LOG";
+
+/// A process that printed one JSON line when it was ready.
+///
+/// Dropping it kills the process, so that a failed test leaves none behind.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    ready: String,
+}
+
+impl Process {
+    /// Starts a program and waits for the line that says it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program cannot be started or ends before that line.
+    pub fn start<I, S>(program: &Path, args: I) -> io::Result<Self>
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<OsStr>,
+    {
+        let log = match std::env::var_os(SHOW_LOG) {
+            Some(_) => Stdio::inherit(),
+            None => Stdio::null(),
+        };
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .map_err(|error| io::Error::other(format!("{}: {error}", program.display())))?;
+        let mut ready = String::new();
+        if let Some(stdout) = child.stdout.take() {
+            BufReader::new(stdout).read_line(&mut ready)?;
+        }
+        let process = Self { child, ready };
+        if process.ready.is_empty() {
+            let path = program.display();
+            return Err(io::Error::other(format!(
+                "{path} ended before it was ready"
+            )));
+        }
+        Ok(process)
+    }
+
+    /// Reads the line that said the process was ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the line has another form.
+    pub fn ready<T>(&self) -> io::Result<T>
+    where
+        T: DeserializeOwned,
+    {
+        Ok(serde_json::from_str(&self.ready)?)
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Freezes the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has gone.
+    pub fn pause(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has gone.
+    pub fn wake(&self) -> io::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks the process to drain and stop.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has gone.
+    pub fn terminate(&self) -> io::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Waits until the process has ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its state cannot be read.
+    pub fn wait(&mut self) -> io::Result<ExitStatus> {
+        self.child.wait()
+    }
+
+    /// Returns whether the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its state cannot be read.
+    pub fn has_ended(&mut self) -> io::Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
+    /// Kills the process at once.
+    pub fn close(self) {
+        drop(self);
+    }
+
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        kill_process(Pid::from_child(&self.child), signal)?;
+        Ok(())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
--- /dev/null
+++ b/filbertpaddle/src/caller.rs
@@ -0,0 +1,293 @@
+//! HTTP for callers.
+
+use std::sync::Arc;
+
+use bytes::Buf;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::delivery::Delivery;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Outcome;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::template;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::oneshot;
+use warp::Filter;
+use warp::Rejection;
+use warp::Reply;
+use warp::http::StatusCode;
+use warp::reply::Response;
+
+use crate::clock;
+use crate::front::Front;
+use crate::generation::Attempt;
+use crate::generation::Step;
+use crate::output::Output;
+use crate::pools::Grant;
+use crate::reply;
+use crate::request::Body;
+use crate::request::Invalid;
+use crate::request::Request;
+use crate::request::Started;
+use crate::run;
+use crate::ticket;
+use crate::ticket::Ticket;
+
+/// When a caller that met a full node may come back.
+const FULL_RETRY_AFTER_MS: Millis = Millis(1_000);
+
+/// Body of a request to go on with a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Resume {
+    ticket: String,
+    from: u32,
+}
+
+/// Body of a request to cancel a generation.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Cancel {
+    ticket: String,
+}
+
+/// Returns the routes for callers.
+pub fn routes(
+    front: Arc<Front>,
+) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + Send + Sync + 'static {
+    let with_front = warp::any().map(move || Arc::clone(&front));
+    let requests = warp::path!("v1" / "requests")
+        .and(warp::post())
+        .and(with_front.clone())
+        .and(warp::header::optional("authorization"))
+        .and(warp::header::optional("idempotency-key"))
+        .and(warp::body::stream())
+        .then(request);
+    let resume = warp::path!("v1" / "resume")
+        .and(warp::post())
+        .and(with_front.clone())
+        .and(warp::header::optional("authorization"))
+        .and(warp::body::stream())
+        .then(resume);
+    let cancel = warp::path!("v1" / "cancel")
+        .and(warp::post())
+        .and(with_front)
+        .and(warp::header::optional("authorization"))
+        .and(warp::body::stream())
+        .then(cancel);
+    requests.or(resume).unify().or(cancel).unify()
+}
+
+async fn request<S, B>(
+    front: Arc<Front>,
+    authorization: Option<String>,
+    key: Option<String>,
+    body: S,
+) -> Response
+where
+    S: Stream<Item = Result<B, warp::Error>> + Send + Unpin,
+    B: Buf,
+{
+    let permit = match enter(&front) {
+        Ok(permit) => permit,
+        Err(outcome) => return reply::ended(&outcome, None),
+    };
+    let request = match checked(&front, authorization, key.as_deref(), body).await {
+        Ok(request) => request,
+        Err(invalid) => {
+            front.metrics.count("request.invalid");
+            return reply::invalid(&invalid);
+        }
+    };
+    let delivery = request.template.delivery;
+    let started = run::start(front, request, permit).await;
+    match delivery {
+        template::Delivery::Stream => reply::streamed(started),
+        template::Delivery::Whole => reply::whole(started).await,
+    }
+}
+
+fn enter(front: &Front) -> Result<OwnedSemaphorePermit, Outcome> {
+    let refuse = |reason, retry_after_ms| Outcome::NotRun {
+        reason,
+        retry_after_ms: Some(retry_after_ms),
+    };
+    if front.is_draining() {
+        // Another node takes the request now; the balancer knows which.
+        return Err(refuse(Reason::Draining, Millis::ZERO));
+    }
+    front
+        .enter()
+        .ok_or_else(|| refuse(Reason::Overloaded, FULL_RETRY_AFTER_MS))
+}
+
+async fn checked<S, B>(
+    front: &Front,
+    authorization: Option<String>,
+    key: Option<&str>,
+    body: S,
+) -> Result<Request, Invalid>
+where
+    S: Stream<Item = Result<B, warp::Error>> + Send + Unpin,
+    B: Buf,
+{
+    let customer = customer(front, authorization)?;
+    let body: Body = read(front, body).await?;
+    let template = front
+        .templates
+        .current()
+        .and_then(|current| current.template(&customer, &body.template))
+        .ok_or_else(|| bad_request(format!("template {} is unknown", body.template)))?;
+    Request::check(customer, template, body, key, clock::unix_now())
+}
+
+fn customer(front: &Front, authorization: Option<String>) -> Result<Name, Invalid> {
+    let current = front.templates.current();
+    let key = authorization
+        .as_deref()
+        .and_then(|value| value.strip_prefix("Bearer "));
+    current
+        .zip(key)
+        .and_then(|(current, key)| current.authenticate(key))
+        .ok_or_else(|| Invalid {
+            reason: Reason::Unauthorized,
+            detail: "the customer's key is missing or wrong".to_owned(),
+        })
+}
+
+async fn read<T, S, B>(front: &Front, body: S) -> Result<T, Invalid>
+where
+    T: DeserializeOwned,
+    S: Stream<Item = Result<B, warp::Error>> + Send + Unpin,
+    B: Buf,
+{
+    let timeout = clock::duration(front.limits.send_timeout_ms);
+    let bytes = tokio::time::timeout(timeout, collect(body, front.limits.body_bytes))
+        .await
+        .map_err(|_| bad_request("the request was not sent in time".to_owned()))??;
+    serde_json::from_slice(&bytes).map_err(|error| bad_request(error.to_string()))
+}
+
+async fn collect<S, B>(mut body: S, limit_bytes: u64) -> Result<Vec<u8>, Invalid>
+where
+    S: Stream<Item = Result<B, warp::Error>> + Send + Unpin,
+    B: Buf,
+{
+    let mut bytes = Vec::new();
+    while let Some(chunk) = body.next().await {
+        let mut chunk = chunk.map_err(|error| bad_request(error.to_string()))?;
+        if bytes.len() as u64 + chunk.remaining() as u64 > limit_bytes {
+            return Err(bad_request(format!("the body is over {limit_bytes} bytes")));
+        }
+        while chunk.has_remaining() {
+            let part = chunk.chunk();
+            bytes.extend_from_slice(part);
+            let read_bytes = part.len();
+            chunk.advance(read_bytes);
+        }
+    }
+    Ok(bytes)
+}
+
+async fn resume<S, B>(front: Arc<Front>, authorization: Option<String>, body: S) -> Response
+where
+    S: Stream<Item = Result<B, warp::Error>> + Send + Unpin,
+    B: Buf,
+{
+    // A resume is running work, so a draining node still takes it.
+    let Some(permit) = front.enter() else {
+        let outcome = Outcome::NotRun {
+            reason: Reason::Overloaded,
+            retry_after_ms: Some(FULL_RETRY_AFTER_MS),
+        };
+        return reply::ended(&outcome, None);
+    };
+    let asked: Result<(Ticket, u32), Invalid> = async {
+        let customer = customer(&front, authorization)?;
+        let resume: Resume = read(&front, body).await?;
+        Ok((
+            check_ticket(&front, &customer, &resume.ticket)?,
+            resume.from,
+        ))
+    }
+    .await;
+    let (ticket, from) = match asked {
+        Ok(asked) => asked,
+        Err(invalid) => return reply::invalid(&invalid),
+    };
+    front.metrics.count("request.resumed");
+    let (answer, started) = oneshot::channel();
+    tokio::spawn(async move {
+        go_on(&front, ticket, from, Output::new(answer)).await;
+        drop(permit);
+    });
+    let gone = Started::Ended(Outcome::Incomplete {
+        tokens: from,
+        reason: Reason::TargetFailed,
+    });
+    reply::streamed(started.await.unwrap_or(gone))
+}
+
+// The slot stays with the node that asked for it, or with the pool's owner
+// if that node has gone; a resume only reads.
+async fn go_on(front: &Front, ticket: Ticket, from: u32, mut output: Output) {
+    let mut delivery = Delivery::resumed(ticket.promise(), ticket.attempt.clone(), from);
+    let grant = Grant::to_resume(ticket.target.clone(), ticket.address);
+    let attempt = Attempt {
+        front,
+        ticket,
+        grant: &grant,
+        delivery: &mut delivery,
+        output: &mut output,
+    };
+    let outcome = match attempt.resume().await.step {
+        Step::Ended(outcome) => outcome,
+        Step::Restart | Step::Unsent => Outcome::Incomplete {
+            tokens: from,
+            reason: Reason::TargetFailed,
+        },
+    };
+    output.close(outcome);
+}
+
+async fn cancel<S, B>(front: Arc<Front>, authorization: Option<String>, body: S) -> Response
+where
+    S: Stream<Item = Result<B, warp::Error>> + Send + Unpin,
+    B: Buf,
+{
+    let asked: Result<Ticket, Invalid> = async {
+        let customer = customer(&front, authorization)?;
+        let cancel: Cancel = read(&front, body).await?;
+        check_ticket(&front, &customer, &cancel.ticket)
+    }
+    .await;
+    let ticket = match asked {
+        Ok(ticket) => ticket,
+        Err(invalid) => return reply::invalid(&invalid),
+    };
+    front.metrics.count("request.cancelled");
+    match front.targets.cancel(ticket.address, &ticket.attempt).await {
+        Ok(()) => StatusCode::NO_CONTENT.into_response(),
+        Err(_) => StatusCode::BAD_GATEWAY.into_response(),
+    }
+}
+
+fn check_ticket(front: &Front, customer: &str, text: &str) -> Result<Ticket, Invalid> {
+    let secret = front.ticket_secret.as_bytes();
+    let ticket = ticket::verify(text, secret, clock::unix_now())
+        .map_err(|error| bad_request(error.to_string()))?;
+    if ticket.customer != customer {
+        return Err(bad_request(ticket::Error::Invalid.to_string()));
+    }
+    Ok(ticket)
+}
+
+fn bad_request(detail: String) -> Invalid {
+    Invalid {
+        reason: Reason::BadRequest,
+        detail,
+    }
+}
--- /dev/null
+++ b/filbertpaddle/src/health.rs
@@ -0,0 +1,31 @@
+//! Health checks for the balancer and the platform.
+
+use std::sync::Arc;
+
+use warp::Filter;
+use warp::Rejection;
+use warp::Reply;
+use warp::http::StatusCode;
+use warp::reply::Response;
+
+use crate::front::Front;
+
+/// Returns `GET /healthz` (the process runs) and `GET /readyz` (send work here).
+pub fn routes(
+    front: Arc<Front>,
+) -> impl Filter<Extract = (Response,), Error = Rejection> + Clone + Send + Sync + 'static {
+    let healthz = warp::path!("healthz")
+        .and(warp::get())
+        .map(|| StatusCode::OK.into_response());
+    let readyz = warp::path!("readyz")
+        .and(warp::get())
+        .map(move || ready(&front).into_response());
+    healthz.or(readyz).unify()
+}
+
+fn ready(front: &Front) -> StatusCode {
+    if front.is_draining() || front.templates.current().is_none() {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    }
+    StatusCode::OK
+}
--- /dev/null
+++ b/filbertpaddle/src/log.rs
@@ -0,0 +1,45 @@
+//! Structured logs to standard error.
+
+use std::io;
+
+use slog::Drain;
+use slog::Level;
+use slog::Logger;
+use slog::o;
+
+use crate::settings;
+
+/// Most log lines that wait to be written.
+const QUEUE_LINES: usize = 4_096;
+
+/// Opens the log.
+pub fn open(settings: settings::Log) -> Logger {
+    let level = match settings.level {
+        settings::LogLevel::Debug => Level::Debug,
+        settings::LogLevel::Info => Level::Info,
+        settings::LogLevel::Warning => Level::Warning,
+    };
+    match settings.format {
+        settings::LogFormat::Terminal => {
+            let decorator = slog_term::PlainSyncDecorator::new(io::stderr());
+            root(slog_term::FullFormat::new(decorator).build(), level)
+        }
+        settings::LogFormat::Json => root(slog_json::Json::default(io::stderr()), level),
+    }
+}
+
+/// Returns the log of one part, whose lines start with its prefix.
+pub fn part(log: &Logger, prefix: &'static str) -> Logger {
+    log.new(o!("part" => prefix))
+}
+
+fn root<D>(drain: D, level: Level) -> Logger
+where
+    D: Drain<Ok = (), Err: std::fmt::Debug> + Send + 'static,
+{
+    let leveled = drain.filter_level(level).ignore_res();
+    let queue = slog_async::Async::new(leveled)
+        .chan_size(QUEUE_LINES)
+        .build();
+    Logger::root(queue.fuse(), o!())
+}
--- /dev/null
+++ b/filbertpaddle/src/node.rs
@@ -0,0 +1,187 @@
+//! One node: its parts, its listeners and its graceful stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use eyre::WrapErr;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_platform::client::Client;
+use filbertpaddle_target::client as target;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::Logger;
+use slog::info;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use warp::Filter;
+
+use crate::caller;
+use crate::claims::Claims;
+use crate::clock;
+use crate::front::Front;
+use crate::front::Parts;
+use crate::health;
+use crate::inbox;
+use crate::log;
+use crate::metrics::Metrics;
+use crate::peers::Identity;
+use crate::peers::Peer;
+use crate::peers::Peers;
+use crate::pools::Pools;
+use crate::settings::Settings;
+use crate::templates::Templates;
+
+/// Most messages from peers that wait to be handled.
+const INBOX_MESSAGES: usize = 16_384;
+
+/// Addresses a node listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators and health checks.
+    pub operators: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    addresses: Addresses,
+    front: Arc<Front>,
+    servers: Vec<Server>,
+    log: Logger,
+}
+
+#[derive(Debug)]
+struct Server {
+    stop: oneshot::Sender<()>,
+    task: JoinHandle<()>,
+}
+
+impl Node {
+    /// Binds the listeners and starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a listener cannot be bound.
+    pub async fn start(settings: Settings, log: Logger) -> eyre::Result<Self> {
+        let callers = bind(settings.listen.callers).await?;
+        let operators = bind(settings.listen.operators).await?;
+        let peers = bind(settings.listen.peers).await?;
+        let addresses = Addresses {
+            callers: callers.local_addr()?,
+            operators: operators.local_addr()?,
+            peers: peers.local_addr()?,
+        };
+        let metrics = Arc::new(Metrics::open(settings.metrics)?);
+        let identity = identity(&settings, addresses.peers);
+        let front = Arc::new(front(&settings, &identity.own, &metrics, &log)?);
+        let links = start_peers(&settings, identity, peers, &metrics, &log);
+        let servers = vec![
+            serve(
+                callers,
+                caller::routes(Arc::clone(&front)).or(health::routes(Arc::clone(&front))),
+            ),
+            serve(operators, health::routes(Arc::clone(&front))),
+        ];
+        drop(links);
+        let log = log::part(&log, "node");
+        info!(log, "Node started."; "name" => %settings.node.name);
+        Ok(Self {
+            addresses,
+            front,
+            servers,
+            log,
+        })
+    }
+
+    /// Returns where the node listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Refuses new work, lets all that runs end, and stops.
+    pub async fn close(self) {
+        info!(self.log, "Node drains.");
+        self.front.drain().await;
+        for server in self.servers {
+            server.stop.send(()).ok();
+            server.task.await.ok();
+        }
+        info!(self.log, "Node stopped.");
+    }
+}
+
+fn identity(settings: &Settings, address: SocketAddr) -> Identity {
+    Identity {
+        own: Peer {
+            name: settings.node.name.clone(),
+            incarnation: clock::unix_now().0,
+            data_centre: settings.node.data_centre.clone(),
+            address: address.to_string().into(),
+        },
+        secret: settings.secrets.peer.as_str().into(),
+    }
+}
+
+fn front(
+    settings: &Settings,
+    own: &Peer,
+    metrics: &Arc<Metrics>,
+    log: &Logger,
+) -> eyre::Result<Front> {
+    let base = format!("http://{}", settings.platform.address);
+    let platform = Client::new(base, clock::duration(settings.platform.timeout_ms))?;
+    let attempt_prefix: Name = format!("{}-{:x}", own.name, own.incarnation).into();
+    Ok(Front::new(Parts {
+        templates: Templates::start(platform.clone(), log::part(log, "config")),
+        claims: Claims,
+        pools: Pools::start(platform, log::part(log, "pool")),
+        targets: target::Client::new(target::Settings::default())?,
+        ticket_secret: settings.secrets.ticket.as_str().into(),
+        limits: settings.limits.clone(),
+        metrics: Arc::clone(metrics),
+        log: log::part(log, "request"),
+        attempt_prefix,
+    }))
+}
+
+fn start_peers(
+    settings: &Settings,
+    identity: Identity,
+    listener: TcpListener,
+    metrics: &Arc<Metrics>,
+    log: &Logger,
+) -> Peers {
+    let (inbox, received) = mpsc::channel(INBOX_MESSAGES);
+    let log = log::part(log, "peer");
+    let peers = Peers::start(identity, listener, inbox, Arc::clone(metrics), log);
+    for address in &settings.peers {
+        peers.learn(*address);
+    }
+    tokio::spawn(inbox::dispatch(received));
+    peers
+}
+
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {address}"))
+}
+
+fn serve<F>(listener: TcpListener, routes: F) -> Server
+where
+    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
+    F::Extract: warp::Reply,
+{
+    let (stop, stopped) = oneshot::channel::<()>();
+    let server = warp::serve(routes).incoming(listener).graceful(async {
+        stopped.await.ok();
+    });
+    let task = tokio::spawn(server.run());
+    Server { stop, task }
+}
--- /dev/null
+++ b/filbertpaddle/src/peers.rs
@@ -0,0 +1,357 @@
+//! Links to other nodes.
+//!
+//! A node sends on the connections it dials and receives on those it
+//! accepts, so that a link cut one way is cut for one direction only.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_wire::frame;
+use filbertpaddle_wire::greeting::Greeting;
+use filbertpaddle_wire::greeting::VERSION;
+use filbertpaddle_wire::message::Message;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use indexmap::IndexMap;
+use slog::Logger;
+use slog::debug;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+use crate::metrics::Metrics;
+
+/// Most messages that wait for one link.
+const QUEUE_MESSAGES: usize = 4_096;
+/// Most messages in one frame.
+const BATCH_MESSAGES: usize = 256;
+/// Time between two attempts to dial.
+const REDIAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for a connection and its greeting.
+const GREETING_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait for a frame to be taken by the other side.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+const CHALLENGE_BYTES: usize = 16;
+
+/// A node as its greeting names it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Peer {
+    /// Name of the node.
+    pub name: Name,
+    /// Distinguishes two lives of the node.
+    pub incarnation: u64,
+    /// Data centre of the node.
+    pub data_centre: Name,
+    /// Address on which the node accepts peers.
+    pub address: Name,
+}
+
+/// A message and the node that sent it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Received {
+    /// Sender.
+    pub from: Peer,
+    /// What was sent.
+    pub message: Message,
+}
+
+/// What every link needs to know of its own node.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name, incarnation, data centre and address of this node.
+    pub own: Peer,
+    /// Secret that peers share.
+    pub secret: Arc<str>,
+}
+
+/// Sends to and receives from other nodes.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    identity: Identity,
+    links: Mutex<IndexMap<SocketAddr, Link>>,
+    inbox: mpsc::Sender<Received>,
+    metrics: Arc<Metrics>,
+    log: Logger,
+}
+
+#[derive(Debug)]
+struct Link {
+    peer: Option<Peer>,
+    queue: mpsc::Sender<Message>,
+}
+
+impl Peers {
+    /// Accepts peers on `listener` and passes what they send to `inbox`.
+    pub fn start(
+        identity: Identity,
+        listener: TcpListener,
+        inbox: mpsc::Sender<Received>,
+        metrics: Arc<Metrics>,
+        log: Logger,
+    ) -> Self {
+        let peers = Self {
+            shared: Arc::new(Shared {
+                identity,
+                links: Mutex::new(IndexMap::new()),
+                inbox,
+                metrics,
+                log,
+            }),
+        };
+        tokio::spawn(accept(peers.clone(), listener));
+        peers
+    }
+
+    /// Dials a node and keeps the link, if it is not there yet.
+    pub fn learn(&self, address: SocketAddr) {
+        if address.to_string() == self.shared.identity.own.address {
+            return;
+        }
+        let mut links = self.links();
+        if links.contains_key(&address) {
+            return;
+        }
+        let (queue, messages) = mpsc::channel(QUEUE_MESSAGES);
+        links.insert(address, Link { peer: None, queue });
+        tokio::spawn(dial(self.clone(), address, messages));
+    }
+
+    /// Drops the link to an address; nothing more is sent there.
+    pub fn forget(&self, address: SocketAddr) {
+        self.links().swap_remove(&address);
+    }
+
+    /// Returns the nodes that can be sent to now.
+    pub fn connected(&self) -> Vec<Peer> {
+        self.links()
+            .values()
+            .filter_map(|link| link.peer.clone())
+            .collect()
+    }
+
+    /// Queues a message; returns whether the node is connected and has room.
+    ///
+    /// A queued message may still be lost.
+    pub fn send(&self, node: &str, message: Message) -> bool {
+        let links = self.links();
+        let link = links
+            .values()
+            .find(|link| link.peer.as_ref().is_some_and(|peer| peer.name == node));
+        let sent = link.is_some_and(|link| link.queue.try_send(message).is_ok());
+        if !sent {
+            self.shared.metrics.count("peer.unsent");
+        }
+        sent
+    }
+
+    fn links(&self) -> MutexGuard<'_, IndexMap<SocketAddr, Link>> {
+        self.shared
+            .links
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_peer(&self, address: SocketAddr, peer: Option<Peer>) {
+        if let Some(link) = self.links().get_mut(&address) {
+            link.peer = peer;
+        }
+    }
+
+    fn greeting(&self, challenge: Vec<u8>) -> Greeting {
+        let own = &self.shared.identity.own;
+        let greeting = Greeting {
+            version: VERSION,
+            node: own.name.clone(),
+            incarnation: own.incarnation,
+            data_centre: own.data_centre.clone(),
+            address: own.address.clone(),
+            challenge,
+            proof: Vec::new(),
+        };
+        greeting.sign(self.shared.identity.secret.as_bytes())
+    }
+
+    fn check(&self, bytes: &[u8], challenge: &[u8]) -> eyre::Result<Peer> {
+        let greeting: Greeting = ciborium::from_reader(bytes)?;
+        eyre::ensure!(greeting.version == VERSION, "unknown protocol version");
+        eyre::ensure!(greeting.challenge == challenge, "wrong challenge");
+        let secret = self.shared.identity.secret.as_bytes();
+        eyre::ensure!(greeting.verify(secret), "wrong peer secret");
+        Ok(Peer {
+            name: greeting.node,
+            incarnation: greeting.incarnation,
+            data_centre: greeting.data_centre,
+            address: greeting.address,
+        })
+    }
+}
+
+async fn accept(peers: Peers, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(peers.clone(), stream));
+            }
+            Err(error) => {
+                warn!(peers.shared.log, "Cannot accept peers."; "error" => %error);
+                tokio::time::sleep(REDIAL_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn serve(peers: Peers, stream: TcpStream) {
+    stream.set_nodelay(true).ok();
+    let greeted = tokio::time::timeout(GREETING_TIMEOUT, greet_dialler(&peers, stream)).await;
+    let (from, mut socket) = match greeted.unwrap_or_else(|_| Err(eyre::eyre!("timeout"))) {
+        Ok(greeted) => greeted,
+        Err(error) => {
+            peers.shared.metrics.count("peer.refused");
+            warn!(peers.shared.log, "Peer refused."; "error" => %error);
+            return;
+        }
+    };
+    if let Ok(address) = from.address.parse() {
+        peers.learn(address);
+    }
+    while let Some(Ok(received)) = socket.next().await {
+        let tungstenite::Message::Binary(bytes) = received else {
+            continue;
+        };
+        let Ok(messages) = frame::decode(&bytes) else {
+            warn!(peers.shared.log, "Malformed frame."; "peer" => %from.name);
+            return;
+        };
+        for message in messages {
+            let from = from.clone();
+            let received = Received { from, message };
+            if peers.shared.inbox.send(received).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn greet_dialler(
+    peers: &Peers,
+    stream: TcpStream,
+) -> eyre::Result<(Peer, WebSocketStream<TcpStream>)> {
+    let mut socket = tokio_tungstenite::accept_async_with_config(stream, Some(config())).await?;
+    let challenge = rand::random::<[u8; CHALLENGE_BYTES]>().to_vec();
+    send_greeting(&mut socket, &peers.greeting(challenge.clone())).await?;
+    let bytes = receive_bytes(&mut socket).await?;
+    let peer = peers.check(&bytes, &challenge)?;
+    Ok((peer, socket))
+}
+
+async fn dial(peers: Peers, address: SocketAddr, mut messages: mpsc::Receiver<Message>) {
+    while !messages.is_closed() {
+        let connected = tokio::time::timeout(GREETING_TIMEOUT, greet_listener(&peers, address));
+        match connected.await {
+            Ok(Ok((peer, socket))) => {
+                info!(peers.shared.log, "Peer connected."; "peer" => %peer.name);
+                peers.set_peer(address, Some(peer.clone()));
+                write(&peers, socket, &mut messages).await;
+                peers.set_peer(address, None);
+                info!(peers.shared.log, "Peer disconnected."; "peer" => %peer.name);
+            }
+            Ok(Err(error)) => {
+                debug!(peers.shared.log, "Peer not reached."; "address" => %address, "error" => %error);
+            }
+            Err(_) => debug!(peers.shared.log, "Peer silent."; "address" => %address),
+        }
+        tokio::time::sleep(REDIAL_INTERVAL).await;
+    }
+}
+
+async fn greet_listener(
+    peers: &Peers,
+    address: SocketAddr,
+) -> eyre::Result<(Peer, WebSocketStream<TcpStream>)> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let url = format!("ws://{address}/");
+    let (mut socket, _) =
+        tokio_tungstenite::client_async_with_config(url, stream, Some(config())).await?;
+    let bytes = receive_bytes(&mut socket).await?;
+    let greeting: Greeting = ciborium::from_reader(bytes.as_slice())?;
+    let peer = peers.check(&bytes, &greeting.challenge)?;
+    send_greeting(&mut socket, &peers.greeting(greeting.challenge)).await?;
+    Ok((peer, socket))
+}
+
+// What is queued while one frame is being written goes into the next.
+async fn write(
+    peers: &Peers,
+    mut socket: WebSocketStream<TcpStream>,
+    messages: &mut mpsc::Receiver<Message>,
+) {
+    let mut batch = Vec::with_capacity(BATCH_MESSAGES);
+    loop {
+        tokio::select! {
+            count = messages.recv_many(&mut batch, BATCH_MESSAGES) => {
+                if count == 0 {
+                    break;
+                }
+            }
+            // The listener sends nothing; its end shows that the link is gone.
+            received = socket.next() => match received {
+                Some(Ok(_)) => continue,
+                _ => break,
+            },
+        }
+        match frame::encode(&batch) {
+            Ok(bytes) => {
+                let frame = tungstenite::Message::Binary(bytes.into());
+                let sent = tokio::time::timeout(WRITE_TIMEOUT, socket.send(frame)).await;
+                if !matches!(sent, Ok(Ok(()))) {
+                    break;
+                }
+            }
+            Err(error) => warn!(peers.shared.log, "Frame not sent."; "error" => %error),
+        }
+        batch.clear();
+    }
+    socket.close(None).await.ok();
+}
+
+async fn send_greeting(
+    socket: &mut WebSocketStream<TcpStream>,
+    greeting: &Greeting,
+) -> eyre::Result<()> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(greeting, &mut bytes)?;
+    let message = tungstenite::Message::Binary(bytes.into());
+    socket.send(message).await.wrap_err("cannot greet")
+}
+
+async fn receive_bytes(socket: &mut WebSocketStream<TcpStream>) -> eyre::Result<Vec<u8>> {
+    match socket.next().await {
+        Some(Ok(tungstenite::Message::Binary(bytes))) => Ok(bytes.to_vec()),
+        Some(Ok(_)) => Err(eyre::eyre!("unexpected message")),
+        Some(Err(error)) => Err(error.into()),
+        None => Err(eyre::eyre!("connection closed")),
+    }
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(frame::MAX_FRAME_BYTES))
+        .max_frame_size(Some(frame::MAX_FRAME_BYTES))
+}
--- /dev/null
+++ b/filbertpaddle/src/reply.rs
@@ -0,0 +1,191 @@
+//! HTTP answers to callers.
+
+use std::convert::Infallible;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::outcome::Outcome;
+use filbertpaddle_core::outcome::Reason;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use warp::Reply;
+use warp::http::StatusCode;
+use warp::http::header::RETRY_AFTER;
+use warp::reply::Response;
+use warp::sse;
+
+use crate::claims::Finished;
+use crate::request::Invalid;
+use crate::request::Item;
+use crate::request::Started;
+
+const MS_PER_SECOND: u64 = 1_000;
+/// Answers that were stored for an idempotency key carry this header.
+const REPLAYED: &str = "idempotent-replayed";
+
+#[derive(Serialize)]
+struct Refused<'a> {
+    #[serde(flatten)]
+    outcome: &'a Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    detail: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct Whole<'a> {
+    #[serde(flatten)]
+    outcome: &'a Outcome,
+    text: &'a str,
+}
+
+#[derive(Serialize)]
+struct Start<'a> {
+    generation: &'a str,
+    ticket: &'a str,
+}
+
+#[derive(Serialize)]
+struct Token<'a> {
+    index: u32,
+    text: &'a str,
+}
+
+/// Answers a streaming request.
+pub(crate) fn streamed(started: Started) -> Response {
+    match started {
+        Started::Ended(outcome) => ended(&outcome, None),
+        Started::Replay(finished) => {
+            let items = replayed_items(finished);
+            marked_replayed(sse::reply(events(futures_util::stream::iter(items))).into_response())
+        }
+        Started::Running(items) => running(items),
+    }
+}
+
+/// Answers with events while a generation runs.
+pub(crate) fn running(items: mpsc::UnboundedReceiver<Item>) -> Response {
+    sse::reply(events(UnboundedReceiverStream::new(items))).into_response()
+}
+
+/// Answers a request whose caller wants the whole answer at once.
+pub(crate) async fn whole(started: Started) -> Response {
+    let mut items = match started {
+        Started::Ended(outcome) => return ended(&outcome, None),
+        Started::Replay(finished) => {
+            return marked_replayed(whole_body(&finished.outcome, &finished.text));
+        }
+        Started::Running(items) => items,
+    };
+    let mut text = String::new();
+    while let Some(item) = items.recv().await {
+        match item {
+            Item::Start { .. } => {}
+            Item::Token { text: more, .. } => text.push_str(&more),
+            Item::Restart => text.clear(),
+            Item::End(outcome) => return whole_body(&outcome, &text),
+        }
+    }
+    // The task that ran the request has died.
+    ended(
+        &Outcome::MayHaveRun {
+            reason: Reason::HolderGone,
+        },
+        None,
+    )
+}
+
+/// Answers a request that was refused before anything was done for it.
+pub(crate) fn invalid(invalid: &Invalid) -> Response {
+    let outcome = Outcome::NotRun {
+        reason: invalid.reason,
+        retry_after_ms: None,
+    };
+    ended(&outcome, Some(&invalid.detail))
+}
+
+/// Answers a request that ended without tokens.
+pub(crate) fn ended(outcome: &Outcome, detail: Option<&str>) -> Response {
+    let body = warp::reply::json(&Refused { outcome, detail });
+    let status = status(outcome);
+    let mut response = warp::reply::with_status(body, status).into_response();
+    if let Outcome::NotRun {
+        retry_after_ms: Some(retry_after_ms),
+        ..
+    } = outcome
+    {
+        let seconds = whole_seconds(*retry_after_ms);
+        response.headers_mut().insert(RETRY_AFTER, seconds.into());
+    }
+    response
+}
+
+fn whole_body(outcome: &Outcome, text: &str) -> Response {
+    let body = warp::reply::json(&Whole { outcome, text });
+    warp::reply::with_status(body, status(outcome)).into_response()
+}
+
+fn marked_replayed(mut response: Response) -> Response {
+    let yes = warp::http::HeaderValue::from_static("true");
+    response.headers_mut().insert(REPLAYED, yes);
+    response
+}
+
+fn replayed_items(finished: Finished) -> Vec<Item> {
+    let token = Item::Token {
+        index: 0,
+        text: finished.text,
+    };
+    vec![token, Item::End(finished.outcome)]
+}
+
+fn events<S>(items: S) -> impl Stream<Item = Result<sse::Event, Infallible>>
+where
+    S: Stream<Item = Item> + Send,
+{
+    items.map(|item| Ok(event(&item)))
+}
+
+fn event(item: &Item) -> sse::Event {
+    match item {
+        Item::Start { generation, ticket } => json("start", &Start { generation, ticket }),
+        Item::Token { index, text } => json(
+            "token",
+            &Token {
+                index: *index,
+                text,
+            },
+        )
+        .id(index.to_string()),
+        Item::Restart => sse::Event::default().event("restart"),
+        Item::End(outcome) => json("end", outcome),
+    }
+}
+
+fn json<T>(name: &str, body: &T) -> sse::Event
+where
+    T: Serialize,
+{
+    // These bodies have text keys only, so they always have a JSON form.
+    let data = serde_json::to_string(body).unwrap_or_default();
+    sse::Event::default().event(name).data(data)
+}
+
+fn status(outcome: &Outcome) -> StatusCode {
+    match outcome {
+        Outcome::Complete { .. } => StatusCode::OK,
+        Outcome::MayHaveRun { .. } | Outcome::Incomplete { .. } => StatusCode::BAD_GATEWAY,
+        Outcome::NotRun { reason, .. } => match reason {
+            Reason::BadRequest | Reason::KeyRequired => StatusCode::BAD_REQUEST,
+            Reason::Unauthorized => StatusCode::UNAUTHORIZED,
+            Reason::KeyReused | Reason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+            Reason::KeyInUse => StatusCode::CONFLICT,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        },
+    }
+}
+
+fn whole_seconds(span: Millis) -> u64 {
+    span.0.div_ceil(MS_PER_SECOND)
+}
--- /dev/null
+++ b/filbertpaddle/src/request.rs
@@ -0,0 +1,231 @@
+//! One caller's request and what the caller gets of it.
+
+use std::sync::Arc;
+
+use data_encoding::HEXLOWER;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Outcome;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::template::Template;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use sha2::Digest;
+use sha2::Sha256;
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::claims;
+
+/// Bytes of text that one token stands for, as an estimate.
+const TOKEN_BYTES: usize = 4;
+/// Longest idempotency key.
+const MAX_KEY_BYTES: usize = 128;
+
+/// Body of a request as the caller sends it.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Body {
+    /// Name of one of the customer's templates.
+    pub template: Name,
+    /// Value of each parameter of the template.
+    #[serde(default)]
+    pub parameters: IndexMap<Name, String>,
+    /// Unix time after which an answer is of no use.
+    #[serde(default)]
+    pub deadline_unix_ms: Option<Millis>,
+}
+
+/// A request whose parts have been checked against its template.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Customer that sent the request.
+    pub customer: Name,
+    /// Name of the template.
+    pub template_name: Name,
+    /// The template in force when the request came.
+    pub template: Arc<Template>,
+    /// Prompt or call body for the target.
+    pub prompt: String,
+    /// The caller's idempotency key, if any.
+    pub key: Option<Name>,
+    /// How long the request may wait for a target.
+    pub wait_ms: Millis,
+}
+
+/// Why a request was refused before anything was done for it.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{detail}")]
+pub struct Invalid {
+    /// Machine-readable reason.
+    pub reason: Reason,
+    /// What is wrong, for people.
+    pub detail: String,
+}
+
+/// What a caller gets, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Item {
+    /// The first token follows; the ticket resumes this generation.
+    Start {
+        /// Id of the generation.
+        generation: Name,
+        /// Signed ticket.
+        ticket: String,
+    },
+    /// One token.
+    Token {
+        /// Position, from zero.
+        index: u32,
+        /// Text of the token.
+        text: String,
+    },
+    /// What was kept for a whole answer is void; another generation starts.
+    Restart,
+    /// Nothing follows.
+    End(Outcome),
+}
+
+/// First answer to a request.
+#[derive(Debug)]
+pub enum Started {
+    /// The request was not run, or may have run and its result is unknown.
+    Ended(Outcome),
+    /// The request was run before.
+    Replay(claims::Finished),
+    /// The request runs.
+    Running(mpsc::UnboundedReceiver<Item>),
+}
+
+impl Request {
+    /// Checks a body against its template.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Invalid`] with the first thing that is wrong.
+    pub fn check(
+        customer: Name,
+        template: Arc<Template>,
+        body: Body,
+        key: Option<&str>,
+        now_unix_ms: Millis,
+    ) -> Result<Self, Invalid> {
+        check_parameters(&template, &body.parameters)?;
+        let key = check_key(&template, key)?;
+        let wait_ms = check_deadline(&template, body.deadline_unix_ms, now_unix_ms)?;
+        let prompt = prompt(&template, &body.parameters);
+        Ok(Self {
+            customer,
+            template_name: body.template,
+            template,
+            prompt,
+            key,
+            wait_ms,
+        })
+    }
+
+    /// Returns customer and template as one name.
+    pub fn template_key(&self) -> Name {
+        format!("{}/{}", self.customer, self.template_name).into()
+    }
+
+    /// Returns an estimate of the prompt's length.
+    pub fn prompt_tokens(&self) -> u32 {
+        u32::try_from(self.prompt.len() / TOKEN_BYTES + 1).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the digest of the part of the prompt that the template fixes.
+    pub fn prefix(&self) -> u64 {
+        if self.template.prompt.is_empty() {
+            return 0;
+        }
+        xxh3_64(self.template.prompt.as_bytes())
+    }
+
+    /// Returns a digest that is the same for a resend.
+    pub fn digest(&self) -> u64 {
+        xxh3_64(self.identity().as_bytes())
+    }
+
+    /// Returns a collision-resistant digest that is the same for a resend.
+    pub fn digest_hex(&self) -> Name {
+        HEXLOWER
+            .encode(&Sha256::digest(self.identity().as_bytes()))
+            .into()
+    }
+
+    fn identity(&self) -> String {
+        format!("{}\n{}", self.template_key(), self.prompt)
+    }
+}
+
+fn check_parameters(
+    template: &Template,
+    parameters: &IndexMap<Name, String>,
+) -> Result<(), Invalid> {
+    let missing = template
+        .parameters
+        .iter()
+        .find(|name| !parameters.contains_key(*name));
+    if let Some(name) = missing {
+        return Err(bad_request(format!("parameter {name} is missing")));
+    }
+    let unknown = parameters
+        .keys()
+        .find(|name| !template.parameters.contains(name));
+    if let Some(name) = unknown {
+        return Err(bad_request(format!("parameter {name} is unknown")));
+    }
+    Ok(())
+}
+
+fn check_key(template: &Template, key: Option<&str>) -> Result<Option<Name>, Invalid> {
+    let Some(key) = key else {
+        if template.idempotent {
+            return Ok(None);
+        }
+        return Err(Invalid {
+            reason: Reason::KeyRequired,
+            detail: "the template is non-idempotent: send an Idempotency-Key".to_owned(),
+        });
+    };
+    let printable = key.bytes().all(|byte| byte.is_ascii_graphic());
+    if key.is_empty() || key.len() > MAX_KEY_BYTES || !printable {
+        let detail = format!("an Idempotency-Key has 1 to {MAX_KEY_BYTES} printable characters");
+        return Err(bad_request(detail));
+    }
+    Ok(Some(key.into()))
+}
+
+fn check_deadline(
+    template: &Template,
+    deadline_unix_ms: Option<Millis>,
+    now_unix_ms: Millis,
+) -> Result<Millis, Invalid> {
+    let Some(deadline) = deadline_unix_ms else {
+        return Ok(template.max_wait_ms);
+    };
+    if deadline <= now_unix_ms {
+        return Err(Invalid {
+            reason: Reason::Deadline,
+            detail: "the deadline has passed".to_owned(),
+        });
+    }
+    Ok(template.max_wait_ms.min(deadline.since(now_unix_ms)))
+}
+
+fn prompt(template: &Template, parameters: &IndexMap<Name, String>) -> String {
+    let mut prompt = template.prompt.clone();
+    for name in &template.parameters {
+        let value = parameters.get(name).map_or("", String::as_str);
+        prompt.push_str(&format!("\n{name}: {value}"));
+    }
+    prompt
+}
+
+fn bad_request(detail: String) -> Invalid {
+    Invalid {
+        reason: Reason::BadRequest,
+        detail,
+    }
+}
--- /dev/null
+++ b/filbertpaddle/tests/common/mod.rs
@@ -0,0 +1,12 @@
+//! Real processes for tests: stand-ins and nodes on loopback.
+
+#![expect(
+    clippy::unwrap_used,
+    dead_code,
+    unreachable_pub,
+    reason = "each test file uses a part of this module"
+)]
+
+pub mod caller;
+pub mod fleet;
+pub mod wait;
--- /dev/null
+++ b/filbertpaddle/tests/common/wait.rs
@@ -0,0 +1,27 @@
+//! Waiting on conditions.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// Longest wait for a condition; far beyond what any needs.
+pub const LIMIT: Duration = Duration::from_secs(90);
+const INTERVAL: Duration = Duration::from_millis(20);
+
+/// Waits until `condition` yields a value.
+///
+/// # Panics
+///
+/// Panics with `what` if it never does.
+pub async fn until<T, F>(what: &str, mut condition: F) -> T
+where
+    F: AsyncFnMut() -> Option<T>,
+{
+    let start = Instant::now();
+    loop {
+        if let Some(value) = condition().await {
+            return value;
+        }
+        assert!(start.elapsed() < LIMIT, "waited in vain: {what}");
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/filbertpaddle/tests/thin_path.rs
@@ -0,0 +1,79 @@
+//! A request goes from a caller over a node to a target and comes back whole.
+
+mod common;
+
+use common::caller;
+use common::caller::Event;
+use common::caller::Stream;
+use common::fleet;
+use common::fleet::Node;
+use common::fleet::NodeSettings;
+use common::fleet::Platform;
+use common::fleet::StandIn;
+use filbertpaddle_core::outcome::Outcome;
+
+async fn start() -> (Platform, StandIn, Vec<Node>) {
+    let mut platform = Platform::start();
+    let engine = StandIn::start(&["engine", "--seed", "7", "--speed", "20"]);
+    platform
+        .seed(&[("summary", fleet::template("teacher"))])
+        .await;
+    platform
+        .list_target("engine-1", "north", "teacher", engine.address)
+        .await;
+    let mut nodes: Vec<Node> = Vec::new();
+    for name in ["entry-1", "entry-2"] {
+        let settings = NodeSettings {
+            name: name.to_owned(),
+            data_centre: "north".to_owned(),
+            platform: platform.standin.address,
+            peers: nodes.iter().map(|node| node.addresses.peers).collect(),
+            more: String::new(),
+        };
+        nodes.push(Node::start(&settings));
+    }
+    for node in &nodes {
+        node.ready().await;
+    }
+    (platform, engine, nodes)
+}
+
+async fn stream(node: &Node, text: &str) -> Stream {
+    let response = common::wait::until("a target is known", async || {
+        let response = caller::send(node.addresses.callers, "summary", text, None).await;
+        (response.status() == 200).then_some(response)
+    })
+    .await;
+    Stream::open(response)
+}
+
+#[tokio::test]
+async fn each_node_streams_a_whole_answer() {
+    let (_platform, _engine, nodes) = start().await;
+    for node in &nodes {
+        let (tokens, outcome) = stream(node, "a short summary").await.rest().await;
+        assert!(!tokens.is_empty());
+        let count = u32::try_from(tokens.len()).unwrap();
+        assert_eq!(outcome, Some(Outcome::Complete { tokens: count }));
+    }
+}
+
+#[tokio::test]
+async fn a_stream_outlives_the_node_it_started_on() {
+    let (_platform, _engine, mut nodes) = start().await;
+    let (whole, _) = stream(&nodes[1], "the same prompt").await.rest().await;
+    let mut first = stream(&nodes[0], "the same prompt").await;
+    let Some(Event::Start { ticket, .. }) = first.next().await else {
+        panic!("the first event starts the stream");
+    };
+    let Some(Event::Token { index: 0, text }) = first.next().await else {
+        panic!("the second event is the first token");
+    };
+    nodes.remove(0).process.close();
+    let response = caller::resume(nodes[0].addresses.callers, &ticket, 1).await;
+    let (rest, outcome) = Stream::open(response).rest().await;
+    let count = u32::try_from(rest.len() + 1).unwrap();
+    assert_eq!(outcome, Some(Outcome::Complete { tokens: count }));
+    assert_eq!(whole.len(), rest.len() + 1);
+    assert!(!text.is_empty());
+}
