Give each part of a node its own inbox

Cause: claims, grants, membership and configuration each need what peers send them, and all of them wire themselves in node.rs at the same time. Ruled out: one actor that knows every part, since it would hold the slowest part's backlog for all. Change: a bounded inbox for each part; a part that falls behind loses its own messages only. Conclusion: parts can be wired in independently.

--- a/filbertpaddle/src/inbox.rs
+++ b/filbertpaddle/src/inbox.rs
@@ -1,15 +1,84 @@
 //! Hands what peers send to the part it is for.
 
+use filbertpaddle_wire::claim;
+use filbertpaddle_wire::config;
+use filbertpaddle_wire::grant;
+use filbertpaddle_wire::member;
 use filbertpaddle_wire::message::Message;
 use tokio::sync::mpsc;
 
+use crate::peers::Peer;
 use crate::peers::Received;
 
+/// Most messages that wait for one part.
+const PART_MESSAGES: usize = 8_192;
+
+/// A message for one part and the node that sent it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct From<M> {
+    /// Sender.
+    pub peer: Peer,
+    /// What was sent.
+    pub message: M,
+}
+
+/// Where each part receives its messages.
+#[derive(Debug)]
+pub struct Inboxes {
+    /// For membership.
+    pub member: mpsc::Receiver<From<member::Message>>,
+    /// For slots on targets.
+    pub grant: mpsc::Receiver<From<grant::Message>>,
+    /// For configuration.
+    pub config: mpsc::Receiver<From<config::Message>>,
+    /// For claims.
+    pub claim: mpsc::Receiver<From<claim::Message>>,
+}
+
+/// The other ends of [`Inboxes`].
+#[derive(Debug)]
+pub struct Outlets {
+    member: mpsc::Sender<From<member::Message>>,
+    grant: mpsc::Sender<From<grant::Message>>,
+    config: mpsc::Sender<From<config::Message>>,
+    claim: mpsc::Sender<From<claim::Message>>,
+}
+
+/// Opens one inbox for each part.
+pub fn open() -> (Outlets, Inboxes) {
+    let (member, member_inbox) = mpsc::channel(PART_MESSAGES);
+    let (grant, grant_inbox) = mpsc::channel(PART_MESSAGES);
+    let (config, config_inbox) = mpsc::channel(PART_MESSAGES);
+    let (claim, claim_inbox) = mpsc::channel(PART_MESSAGES);
+    let outlets = Outlets {
+        member,
+        grant,
+        config,
+        claim,
+    };
+    let inboxes = Inboxes {
+        member: member_inbox,
+        grant: grant_inbox,
+        config: config_inbox,
+        claim: claim_inbox,
+    };
+    (outlets, inboxes)
+}
+
 /// Hands messages on until all links are gone.
-pub async fn dispatch(mut received: mpsc::Receiver<Received>) {
-    while let Some(received) = received.recv().await {
-        match received.message {
-            Message::Member(_) | Message::Grant(_) | Message::Config(_) | Message::Claim(_) => {}
+///
+/// A part that does not keep up loses messages; every part tolerates that.
+pub async fn dispatch(mut received: mpsc::Receiver<Received>, outlets: Outlets) {
+    while let Some(Received { from, message }) = received.recv().await {
+        match message {
+            Message::Member(message) => pass(&outlets.member, from, message),
+            Message::Grant(message) => pass(&outlets.grant, from, message),
+            Message::Config(message) => pass(&outlets.config, from, message),
+            Message::Claim(message) => pass(&outlets.claim, from, message),
         }
     }
 }
+
+fn pass<M>(outlet: &mpsc::Sender<From<M>>, peer: Peer, message: M) {
+    outlet.try_send(From { peer, message }).ok();
+}
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -24,6 +24,7 @@
 use crate::front::Parts;
 use crate::health;
 use crate::inbox;
+use crate::inbox::Inboxes;
 use crate::log;
 use crate::metrics::Metrics;
 use crate::peers::Identity;
@@ -79,8 +80,14 @@
         };
         let metrics = Arc::new(Metrics::open(settings.metrics)?);
         let identity = identity(&settings, addresses.peers);
-        let front = Arc::new(front(&settings, &identity.own, &metrics, &log)?);
-        let links = start_peers(&settings, identity, peers, &metrics, &log);
+        let common = Common {
+            own: identity.own.clone(),
+            platform: platform(&settings)?,
+            metrics,
+            log: log.clone(),
+        };
+        let (peers, inboxes) = start_peers(&settings, identity, peers, &common);
+        let front = Arc::new(front(&settings, &common, peers, inboxes)?);
         let servers = vec![
             serve(
                 callers,
@@ -88,7 +95,6 @@
             ),
             serve(operators, health::routes(Arc::clone(&front))),
         ];
-        drop(links);
         let log = log::part(&log, "node");
         info!(log, "Node started."; "name" => %settings.node.name);
         Ok(Self {
@@ -128,23 +134,37 @@
     }
 }
 
+/// What most parts of a node use.
+struct Common {
+    own: Peer,
+    platform: Client,
+    metrics: Arc<Metrics>,
+    log: Logger,
+}
+
+fn platform(settings: &Settings) -> eyre::Result<Client> {
+    let base = format!("http://{}", settings.platform.address);
+    let timeout = clock::duration(settings.platform.timeout_ms);
+    Ok(Client::new(base, timeout)?)
+}
+
 fn front(
     settings: &Settings,
-    own: &Peer,
-    metrics: &Arc<Metrics>,
-    log: &Logger,
+    common: &Common,
+    _peers: Peers,
+    _inboxes: Inboxes,
 ) -> eyre::Result<Front> {
-    let base = format!("http://{}", settings.platform.address);
-    let platform = Client::new(base, clock::duration(settings.platform.timeout_ms))?;
+    let own = &common.own;
+    let log = &common.log;
     let attempt_prefix: Name = format!("{}-{:x}", own.name, own.incarnation).into();
     Ok(Front::new(Parts {
-        templates: Templates::start(platform.clone(), log::part(log, "config")),
+        templates: Templates::start(common.platform.clone(), log::part(log, "config")),
         claims: Claims,
-        pools: Pools::start(platform, log::part(log, "pool")),
+        pools: Pools::start(common.platform.clone(), log::part(log, "pool")),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
-        metrics: Arc::clone(metrics),
+        metrics: Arc::clone(&common.metrics),
         log: log::part(log, "request"),
         attempt_prefix,
     }))
@@ -154,17 +174,18 @@
     settings: &Settings,
     identity: Identity,
     listener: TcpListener,
-    metrics: &Arc<Metrics>,
-    log: &Logger,
-) -> Peers {
+    common: &Common,
+) -> (Peers, Inboxes) {
     let (inbox, received) = mpsc::channel(INBOX_MESSAGES);
-    let log = log::part(log, "peer");
-    let peers = Peers::start(identity, listener, inbox, Arc::clone(metrics), log);
+    let metrics = Arc::clone(&common.metrics);
+    let log = log::part(&common.log, "peer");
+    let peers = Peers::start(identity, listener, inbox, metrics, log);
     for address in &settings.peers {
         peers.learn(*address);
     }
-    tokio::spawn(inbox::dispatch(received));
-    peers
+    let (outlets, inboxes) = inbox::open();
+    tokio::spawn(inbox::dispatch(received, outlets));
+    (peers, inboxes)
 }
 
 async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
