--- a/filbertpaddle-standins/src/engine_state.rs
+++ b/filbertpaddle-standins/src/engine_state.rs
@@ -29,7 +29,7 @@
 use crate::batch::Totals;
 use crate::batch::Work;
 use crate::engine::Settings;
-use crate::fault::Fault;
+use crate::engine_fault::Fault;
 use crate::lengths;
 use crate::marker::marker;
 use crate::scheduler::Scheduler;
--- a/filbertpaddle-standins/src/main.rs
+++ b/filbertpaddle-standins/src/main.rs
@@ -3,6 +3,8 @@
 use eyre::bail;
 
 mod command_engine;
+mod command_platform;
+mod command_proxy;
 mod command_service;
 
 /// One subcommand: its name and what runs it with the rest of the arguments.
@@ -20,6 +22,14 @@
         name: "service",
         run: command_service::run,
     },
+    Command {
+        name: "platform",
+        run: command_platform::run,
+    },
+    Command {
+        name: "proxy",
+        run: command_proxy::run,
+    },
 ];
 
 fn main() -> eyre::Result<()> {
--- a/filbertpaddle-standins/tests/engine.rs
+++ b/filbertpaddle-standins/tests/engine.rs
@@ -9,7 +9,7 @@
 use filbertpaddle_core::template::Priority;
 use filbertpaddle_standins::engine;
 use filbertpaddle_standins::engine::Engine;
-use filbertpaddle_standins::fault::Fault;
+use filbertpaddle_standins::engine_fault::Fault;
 use filbertpaddle_standins::scheduler;
 use filbertpaddle_standins::service;
 use filbertpaddle_standins::service::Service;
