Test the engine's scheduler by itself

Cause: measurements rest on the stand-in's memory and preemption. Ruled out: testing only over HTTP, where timing hides a lost page.

--- /dev/null
+++ b/filbertpaddle-standins/tests/scheduler.rs
@@ -0,0 +1,250 @@
+//! The engine's scheduler: memory, preemption, priorities and cold starts.
+
+use std::collections::BTreeMap;
+
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::template::Priority;
+use filbertpaddle_standins::batch::Submitted;
+use filbertpaddle_standins::batch::Work;
+use filbertpaddle_standins::scheduler::BLOCK_TOKENS;
+use filbertpaddle_standins::scheduler::Scheduler;
+use filbertpaddle_standins::scheduler::Settings;
+use filbertpaddle_target::protocol::EndCause;
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn settings() -> Settings {
+    Settings {
+        total_pages: 96,
+        warm_limit: 16,
+        cold_limit: 2,
+        warm_up_us: 1_000_000,
+        cold_grace_us: 100_000,
+        ..Settings::default()
+    }
+}
+
+fn work(attempt: &str, priority: u8, output_tokens: u32) -> Work {
+    Work {
+        attempt: attempt.into(),
+        priority: Priority(priority),
+        prompt_tokens: 20,
+        blocks: Vec::new(),
+        output_tokens,
+        max_tokens: 10_000,
+        poison: false,
+    }
+}
+
+fn warm() -> Scheduler {
+    let mut scheduler = Scheduler::new(settings(), 0);
+    scheduler.turn_warm(0);
+    scheduler
+}
+
+fn random_work<R>(rng: &mut R, id: u32) -> Work
+where
+    R: Rng,
+{
+    let shared = rng.random_range(0..3);
+    let blocks: Vec<u64> = (0..shared)
+        .map(|block| u64::from(block) + 10 * rng.random_range(0..2))
+        .collect();
+    Work {
+        prompt_tokens: shared * BLOCK_TOKENS + rng.random_range(1..60),
+        blocks,
+        ..work(
+            &format!("w{id}"),
+            rng.random_range(0..3),
+            rng.random_range(1..400),
+        )
+    }
+}
+
+/// Steps until nothing is left; returns the tokens of each attempt.
+fn run(scheduler: &mut Scheduler, mut now_us: u64) -> BTreeMap<Name, u32> {
+    let mut tokens = BTreeMap::new();
+    while let Some(step) = scheduler.step(now_us) {
+        now_us += step.duration_us;
+        for attempt in step.tokens {
+            *tokens.entry(attempt).or_default() += 1;
+        }
+    }
+    tokens
+}
+
+#[test]
+fn pages_never_exceed_the_total_and_every_token_comes_once() {
+    for seed in 0..40 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut scheduler = warm();
+        let mut expected = BTreeMap::new();
+        let mut tokens: BTreeMap<Name, u32> = BTreeMap::new();
+        let mut cut = Vec::new();
+        let mut now_us = 0;
+        for id in 0..60 {
+            let work = random_work(&mut rng, id);
+            expected.insert(work.attempt.clone(), work.output_tokens);
+            assert_eq!(scheduler.submit(now_us, work), Submitted::Waiting);
+            for _ in 0..rng.random_range(0..30) {
+                let Some(step) = scheduler.step(now_us) else {
+                    break;
+                };
+                now_us += step.duration_us;
+                assert!(scheduler.used_pages() <= 96, "seed {seed}");
+                step.tokens
+                    .into_iter()
+                    .for_each(|attempt| *tokens.entry(attempt).or_default() += 1);
+                cut.extend(step.ended);
+            }
+        }
+        while let Some(step) = scheduler.step(now_us) {
+            now_us += step.duration_us;
+            assert!(scheduler.used_pages() <= 96, "seed {seed}");
+            step.tokens
+                .into_iter()
+                .for_each(|attempt| *tokens.entry(attempt).or_default() += 1);
+            cut.extend(step.ended);
+        }
+        assert_eq!(cut.len(), 60, "seed {seed}");
+        for ended in cut {
+            let got = tokens.get(&ended.attempt).copied().unwrap_or_default();
+            match ended.cause {
+                EndCause::Stop => assert_eq!(got, expected[&ended.attempt], "seed {seed}"),
+                _ => assert!(got < expected[&ended.attempt], "seed {seed}"),
+            }
+        }
+        assert_eq!(scheduler.pinned_pages(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_run_is_the_same_every_time() {
+    let result = || {
+        let mut rng = SmallRng::seed_from_u64(5);
+        let mut scheduler = warm();
+        for id in 0..40 {
+            scheduler.submit(0, random_work(&mut rng, id));
+        }
+        (run(&mut scheduler, 0), scheduler.totals())
+    };
+    assert_eq!(result(), result());
+}
+
+#[test]
+fn preemption_recomputes_and_loses_no_token() {
+    let mut scheduler = warm();
+    for id in 0..4 {
+        scheduler.submit(0, work(&format!("w{id}"), 1, 600));
+    }
+    let tokens = run(&mut scheduler, 0);
+    assert!(tokens.values().all(|count| *count == 600));
+    let totals = scheduler.totals();
+    assert!(totals.preemptions > 0);
+    assert!(totals.recomputed_tokens > 0);
+    assert!(totals.stall_us > 0);
+    assert_eq!(totals.tokens, 4 * 600);
+}
+
+#[test]
+fn the_lowest_priority_is_preempted_and_waits_longest() {
+    let mut scheduler = warm();
+    scheduler.submit(0, work("low", 0, 1_000));
+    scheduler.submit(0, work("high", 9, 1_000));
+    let mut now_us = 0;
+    let mut order = Vec::new();
+    while let Some(step) = scheduler.step(now_us) {
+        now_us += step.duration_us;
+        order.extend(step.ended.into_iter().map(|ended| ended.attempt));
+    }
+    assert!(scheduler.totals().preemptions > 0);
+    assert_eq!(order, ["high", "low"]);
+}
+
+#[test]
+fn a_waiting_attempt_of_higher_priority_goes_first() {
+    let mut scheduler = Scheduler::new(
+        Settings {
+            warm_limit: 1,
+            ..settings()
+        },
+        0,
+    );
+    scheduler.turn_warm(0);
+    for (attempt, priority) in [("a", 1), ("b", 1), ("c", 7)] {
+        scheduler.submit(0, work(attempt, priority, 3));
+    }
+    let first = scheduler.step(0).unwrap();
+    assert_eq!(first.tokens, ["c"]);
+}
+
+#[test]
+fn a_cold_engine_bears_its_limit_and_no_more() {
+    let mut scheduler = Scheduler::new(settings(), 0);
+    assert_eq!(scheduler.submit(0, work("a", 1, 50)), Submitted::Waiting);
+    assert_eq!(scheduler.submit(0, work("b", 1, 50)), Submitted::Waiting);
+    assert_eq!(scheduler.submit(0, work("c", 1, 50)), Submitted::Collapsed);
+    assert_eq!(scheduler.totals().cold_excess, 1);
+}
+
+#[test]
+fn a_warm_engine_that_turns_cold_bears_an_excess_only_for_the_grace() {
+    let mut scheduler = warm();
+    for id in 0..8 {
+        scheduler.submit(0, work(&format!("w{id}"), 1, 50));
+    }
+    scheduler.turn_cold(500);
+    let late = |scheduler: &mut Scheduler, now_us| scheduler.submit(now_us, work("late", 1, 5));
+    assert_eq!(late(&mut scheduler, 600), Submitted::Waiting);
+    assert_eq!(late(&mut scheduler, 200_000), Submitted::Collapsed);
+    assert_eq!(scheduler.totals().cold_excess_in_grace, 1);
+}
+
+#[test]
+fn a_cold_step_takes_longer() {
+    let duration_us = |warm: bool| {
+        let mut scheduler = Scheduler::new(settings(), 0);
+        if warm {
+            scheduler.turn_warm(0);
+        }
+        scheduler.submit(0, work("a", 1, 5));
+        scheduler.step(0).unwrap().duration_us
+    };
+    assert!(duration_us(false) > duration_us(true));
+}
+
+#[test]
+fn a_shared_prefix_is_computed_once_and_evicted_when_room_is_needed() {
+    let mut scheduler = warm();
+    let shared = |attempt: &str, block: u64| Work {
+        prompt_tokens: BLOCK_TOKENS + 8,
+        blocks: vec![block],
+        ..work(attempt, 1, 5)
+    };
+    scheduler.submit(0, shared("a", 1));
+    run(&mut scheduler, 0);
+    scheduler.submit(0, shared("b", 1));
+    run(&mut scheduler, 0);
+    assert_eq!(scheduler.totals().cached_tokens, u64::from(BLOCK_TOKENS));
+    for block in 2..9 {
+        scheduler.submit(0, shared(&format!("c{block}"), block));
+        run(&mut scheduler, 0);
+    }
+    assert_eq!(scheduler.cache().lookup(1), None);
+    let changes = scheduler.cache().changes_after(0);
+    let lost = changes.filter(|change| change.event.prefix == 1 && !change.event.held);
+    assert_eq!(lost.count(), 1);
+}
+
+#[test]
+fn a_cancelled_attempt_frees_its_pages() {
+    let mut scheduler = warm();
+    scheduler.submit(0, work("a", 1, 500));
+    scheduler.step(0);
+    assert!(scheduler.pinned_pages() > 0);
+    assert!(scheduler.cancel(1, &"a".into()));
+    assert!(!scheduler.cancel(1, &"a".into()));
+    assert_eq!(scheduler.pinned_pages(), 0);
+}
