--- a/filbertpaddle-standins/src/main.rs
+++ b/filbertpaddle-standins/src/main.rs
@@ -14,14 +14,6 @@
 }
 
 const COMMANDS: &[Command] = &[
-    Command {
-        name: "engine",
-        run: command_engine::run,
-    },
-    Command {
-        name: "service",
-        run: command_service::run,
-    },
     Command {
         name: "platform",
         run: command_platform::run,
@@ -30,6 +22,14 @@
         name: "proxy",
         run: command_proxy::run,
     },
+    Command {
+        name: "engine",
+        run: command_engine::run,
+    },
+    Command {
+        name: "service",
+        run: command_service::run,
+    },
 ];
 
 fn main() -> eyre::Result<()> {
