--- a/filbertpaddle-standins/src/engine.rs
+++ b/filbertpaddle-standins/src/engine.rs
@@ -9,10 +9,10 @@
 use filbertpaddle_core::clock::Millis;
 use tokio::task::JoinHandle;
 
+use crate::engine_fault::Fault;
 use crate::engine_http;
 use crate::engine_state::Counters;
 use crate::engine_state::State;
-use crate::fault::Fault;
 use crate::scheduler;
 use crate::server::Server;
 
--- a/filbertpaddle-standins/src/engine_http.rs
+++ b/filbertpaddle-standins/src/engine_http.rs
@@ -25,9 +25,9 @@
 use warp::http::StatusCode;
 use warp::reply::Response;
 
+use crate::engine_fault::Fault;
 use crate::engine_state::Admission;
 use crate::engine_state::Shared;
-use crate::fault::Fault;
 
 /// Lines buffered for a slow reader.
 const BUFFERED_CHUNKS: usize = 64;
--- a/filbertpaddle-standins/src/lengths.rs
+++ b/filbertpaddle-standins/src/lengths.rs
@@ -9,6 +9,8 @@
 use rand_distr::Pareto;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::marker::marker;
+
 /// Longest output, in tokens.
 const MAX_OUTPUT_TOKENS: f64 = 32_768.0;
 
@@ -54,14 +56,17 @@
 
 /// Draws the output length of a prompt, in tokens, at least one.
 ///
-/// The same seed and prompt always give the same length.
+/// The same seed and prompt always give the same length. A marker in the
+/// prompt stands for the whole of it, so that one request has one length
+/// however its prompt is put together.
 pub fn draw(seed: u64, prompt: &str) -> u32 {
     let word = prompt.split_whitespace().next().unwrap_or_default();
     let mix = MIXES
         .iter()
         .find(|(name, _)| *name == word || name.is_empty())
         .map_or(MIXES[0].1, |(_, mix)| *mix);
-    let mut rng = SmallRng::seed_from_u64(xxh3_64_with_seed(prompt.as_bytes(), seed));
+    let identity = marker(prompt).unwrap_or_else(|| prompt.to_owned());
+    let mut rng = SmallRng::seed_from_u64(xxh3_64_with_seed(identity.as_bytes(), seed));
     let tokens = sample(&mix, &mut rng);
     tokens.clamp(1.0, MAX_OUTPUT_TOKENS) as u32
 }
