Place by predicted memory and token gap, with fair shares and quarantine

Cause: output lengths are unknown, so a count of attempts says little about the memory they will take; arrivals in order let one customer starve others; a request that crashes targets must stop. Ruled out: a mean length for each template (says nothing of the tail), a histogram of waiting times (needs the queue's future), taking prefix sizes into the ask (a few bytes on each message for little).

--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -4,9 +4,20 @@
 //! yields typed actions. Nothing here performs I/O, reads a wall clock or
 //! knows which transport carries its messages.
 
+pub mod apart;
+pub mod ask;
+pub mod backlog;
 pub mod clock;
+pub mod engine;
+pub mod length;
+pub mod memory;
 pub mod name;
 pub mod outcome;
+pub mod pace;
+pub mod placement;
 pub mod policy;
+pub mod prefix;
+pub mod queue;
 pub mod scheduler;
+pub mod suspect;
 pub mod template;
--- a/filbertpaddle-core/src/scheduler.rs
+++ b/filbertpaddle-core/src/scheduler.rs
@@ -1,118 +1,39 @@
 //! Order of queued work and choice of its target, for one pool.
 
 use indexmap::IndexMap;
-use serde::Deserialize;
-use serde::Serialize;
 
+use crate::apart::Apart;
+pub use crate::ask::Ask;
+pub use crate::ask::Ending;
+pub use crate::ask::Id as AskId;
+pub use crate::ask::Load;
+pub use crate::ask::Placement;
+pub use crate::ask::Refusal;
+pub use crate::ask::SlotId;
+pub use crate::ask::TargetView;
+use crate::backlog::Backlog;
 use crate::clock::Millis;
+use crate::engine::Engine;
+use crate::length::Lengths;
 use crate::name::Name;
 use crate::outcome::Reason;
+use crate::pace::Line;
+use crate::placement;
+use crate::placement::Knowledge;
+use crate::placement::Limits;
 use crate::policy::Policy;
 use crate::policy::Settings;
-use crate::template::Priority;
-
-/// Identifies an ask among all asks of one pool.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct AskId(pub u64);
-
-/// Identifies a granted slot among all slots of one pool.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct SlotId(pub u64);
-
-/// A request for one slot.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Ask {
-    /// Chosen by the owner of the pool.
-    pub id: AskId,
-    /// Customer whose share is charged.
-    pub customer: Name,
-    /// Template whose output lengths are learned; unique among customers.
-    pub template: Name,
-    /// Scheduling priority.
-    pub priority: Priority,
-    /// Relative share of tokens of the customer, at least one.
-    pub weight: u32,
-    /// Length of the prompt.
-    pub prompt_tokens: u32,
-    /// Most tokens the generation may produce.
-    pub max_tokens: u32,
-    /// Digest of the prompt's shared prefix; zero if it has none.
-    pub prefix: u64,
-    /// Digest of the whole request, equal for a resend.
-    pub digest: u64,
-    /// When the ask reached the owner.
-    pub arrived_ms: Millis,
-    /// When a slot is of no use any more.
-    pub deadline_ms: Millis,
-}
-
-/// What the owner knows of one target.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct TargetView {
-    /// Name of the target.
-    pub name: Name,
-    /// Slots that may be granted now; zero keeps the target out.
-    pub free_slots: u32,
-    /// Tokens that the target's memory holds; zero if not known.
-    pub capacity_tokens: u64,
-    /// Whether the target has warmed up.
-    pub warm: bool,
-}
-
-/// A target's report of its load, as of the time it was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Load {
-    /// When the numbers were taken, on the owner's clock.
-    pub taken_ms: Millis,
-    /// Tokens in memory.
-    pub used_tokens: u64,
-    /// Attempts in the batch.
-    pub running: u32,
-    /// Attempts waiting for the batch.
-    pub waiting: u32,
-    /// Preemptions since the target started.
-    pub preemptions: u64,
-}
+use crate::queue::Entry;
+use crate::queue::Queue;
+use crate::suspect;
+use crate::suspect::Standing;
+use crate::suspect::Suspects;
 
-/// A queued ask and the target chosen for it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Placement {
-    /// The ask, removed from the queue.
-    pub ask: Ask,
-    /// Name of the target.
-    pub target: Name,
-}
-
-/// An ask that gets no slot. Nothing was sent to a target for it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Refusal {
-    /// The refused ask.
-    pub id: AskId,
-    /// Why it is refused.
-    pub reason: Reason,
-    /// How long to wait before asking again; `None` if repeating cannot help.
-    pub retry_after_ms: Option<Millis>,
-}
-
-/// How the use of a slot ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Ending {
-    /// The target ended the work by itself.
-    Complete,
-    /// The work was cancelled while it ran.
-    Cancelled,
-    /// Nothing was sent to the target.
-    Unsent,
-    /// The target refused the work before starting it.
-    Refused,
-    /// The target died or broke the stream while it ran the work.
-    Failed,
-    /// Nothing is known of the work; the slot was taken back.
-    Unknown,
-}
+/// Asks that are tried before a call yields nothing.
+const LOOKAHEAD: usize = 4;
+/// How often queued work is tried again while nothing else happens, since the
+/// memory of what runs is predicted to change.
+const POLL: Millis = Millis(50);
 
 /// Orders the asks of one pool and chooses their targets.
 ///
@@ -122,18 +43,38 @@
 #[derive(Clone, Debug)]
 pub struct Scheduler {
     settings: Settings,
-    queue: IndexMap<AskId, Ask>,
-    running: IndexMap<SlotId, Name>,
+    queue: Queue,
+    apart: Apart,
+    refused: Vec<Refusal>,
+    backlog: Backlog,
+    line: Line,
+    lengths: Lengths,
+    suspects: Suspects,
+    engines: IndexMap<Name, Engine>,
+    slots: IndexMap<SlotId, Name>,
+    copies: IndexMap<u64, usize>,
     turn: usize,
 }
 
 impl Scheduler {
     /// Creates a scheduler with an empty queue.
     pub fn new(settings: Settings) -> Self {
+        let queue = match settings.policy {
+            Policy::Predictive => Queue::new(settings.ageing_ms),
+            Policy::RoundRobin | Policy::LeastConnections => Queue::in_order(),
+        };
         Self {
             settings,
-            queue: IndexMap::new(),
-            running: IndexMap::new(),
+            queue,
+            apart: Apart::default(),
+            refused: Vec::new(),
+            backlog: Backlog::default(),
+            line: Line::new(),
+            lengths: Lengths::new(),
+            suspects: Suspects::new(),
+            engines: IndexMap::new(),
+            slots: IndexMap::new(),
+            copies: IndexMap::new(),
             turn: 0,
         }
     }
@@ -142,102 +83,358 @@
     ///
     /// # Errors
     ///
-    /// Refuses at once, with when to come back, if the queue is full or the
-    /// deadline cannot be met.
+    /// Refuses at once, with when to come back, if the queue is full, the
+    /// deadline cannot be met or the request has crashed too many targets.
     pub fn push(&mut self, now: Millis, ask: Ask) -> Result<(), Refusal> {
-        let refuse = |reason| Refusal {
-            id: ask.id,
-            reason,
-            retry_after_ms: Some(Millis::from_secs(1)),
-        };
-        if ask.deadline_ms <= now {
-            return Err(refuse(Reason::Deadline));
+        let ahead_tokens = self
+            .queue
+            .ahead_tokens(&ask.customer, ask.priority, ask.weight);
+        let patience = ask.deadline_ms.since(now);
+        if let Err(reason) = self.admit(now, &ask, ahead_tokens, patience) {
+            let retry = reason != Reason::Quarantined;
+            return Err(Refusal {
+                id: ask.id,
+                reason,
+                retry_after_ms: retry.then(|| self.backlog.retry_after(ahead_tokens, patience)),
+            });
+        }
+        let cost_tokens = self.cost_tokens(&ask);
+        let entry = Entry { ask, cost_tokens };
+        if self.suspects.standing(entry.ask.digest) == Standing::Suspect {
+            self.apart.push(entry);
+        } else {
+            self.queue.push(entry);
+        }
+        Ok(())
+    }
+
+    fn admit(
+        &mut self,
+        now: Millis,
+        ask: &Ask,
+        ahead_tokens: u64,
+        patience: Millis,
+    ) -> Result<(), Reason> {
+        self.suspects.seen(now, ask.digest);
+        let standing = self.suspects.standing(ask.digest);
+        if standing == Standing::Condemned {
+            return Err(Reason::Quarantined);
+        }
+        if standing == Standing::Suspect && self.apart.count(ask.digest) > 0 {
+            return Err(Reason::Overloaded);
         }
-        if self.queue.len() >= self.settings.queue_limit as usize {
-            return Err(refuse(Reason::Overloaded));
+        if self.queued() >= self.settings.queue_limit as usize {
+            return Err(Reason::Overloaded);
+        }
+        if patience == Millis::ZERO {
+            return Err(Reason::Deadline);
+        }
+        let predicted = self.settings.policy == Policy::Predictive;
+        if predicted && self.backlog.wait(ahead_tokens) > patience {
+            return Err(Reason::Overloaded);
         }
-        self.queue.insert(ask.id, ask);
         Ok(())
     }
 
+    fn cost_tokens(&self, ask: &Ask) -> u64 {
+        let curve = self.lengths.curve(&ask.template);
+        let out_tokens = curve.remaining_tokens(0, ask.max_tokens) as u64;
+        u64::from(ask.prompt_tokens) + out_tokens
+    }
+
     /// Removes a queued ask whose asker has gone; `None` if it is not queued.
     pub fn cancel(&mut self, id: AskId) -> Option<Ask> {
-        self.queue.shift_remove(&id)
+        self.queue
+            .remove(id)
+            .or_else(|| self.apart.remove(id))
+            .map(|entry| entry.ask)
     }
 
     /// Takes the next ask that can be placed now.
     pub fn next(&mut self, now: Millis, targets: &[TargetView]) -> Option<Placement> {
-        let id = self
+        if targets.iter().all(|view| view.free_slots == 0) {
+            return None;
+        }
+        self.set_apart(now);
+        self.next_apart(now, targets)
+            .or_else(|| self.next_queued(now, targets))
+    }
+
+    fn next_apart(&mut self, now: Millis, targets: &[TargetView]) -> Option<Placement> {
+        let heads: Vec<Ask> = self
+            .apart
+            .heads(LOOKAHEAD)
+            .into_iter()
+            .filter(|entry| self.may_copy(&entry.ask) && entry.ask.deadline_ms > now)
+            .map(|entry| entry.ask.clone())
+            .collect();
+        for head in heads {
+            let Some(target) = self.choose(now, &head, targets) else {
+                continue;
+            };
+            let entry = self.apart.take(head.digest)?;
+            let ask = entry.ask;
+            self.queue
+                .charge(&ask.customer, ask.weight, entry.cost_tokens);
+            return Some(Placement { ask, target });
+        }
+        None
+    }
+
+    fn next_queued(&mut self, now: Millis, targets: &[TargetView]) -> Option<Placement> {
+        let heads: Vec<Ask> = self
             .queue
-            .values()
-            .find(|ask| ask.deadline_ms > now)
-            .map(|ask| ask.id)?;
-        let target = self.choose(targets)?;
-        let ask = self.queue.shift_remove(&id)?;
-        Some(Placement { ask, target })
+            .heads(now, LOOKAHEAD)
+            .into_iter()
+            .filter(|entry| entry.ask.deadline_ms > now)
+            .map(|entry| entry.ask.clone())
+            .collect();
+        for head in heads {
+            let Some(target) = self.choose(now, &head, targets) else {
+                continue;
+            };
+            let entry = self.queue.take(now, head.id)?;
+            let waiting = !self.queue.is_empty();
+            self.backlog.placed(now, entry.cost_tokens, waiting);
+            return Some(Placement {
+                ask: entry.ask,
+                target,
+            });
+        }
+        None
     }
 
-    fn choose(&mut self, targets: &[TargetView]) -> Option<Name> {
-        let open = || targets.iter().filter(|target| target.free_slots > 0);
-        if self.settings.policy == Policy::RoundRobin {
-            let count = open().count();
-            self.turn = self.turn.wrapping_add(1);
-            return open()
-                .nth(self.turn.checked_rem(count)?)
-                .map(|target| target.name.clone());
+    /// Moves asks aside that must not run beside just any other work.
+    fn set_apart(&mut self, now: Millis) {
+        loop {
+            let aside: Vec<AskId> = self
+                .queue
+                .heads(now, LOOKAHEAD)
+                .into_iter()
+                .filter(|entry| !self.may_run(&entry.ask))
+                .map(|entry| entry.ask.id)
+                .collect();
+            if aside.is_empty() {
+                return;
+            }
+            for entry in aside.into_iter().filter_map(|id| self.queue.remove(id)) {
+                if self.suspects.standing(entry.ask.digest) == Standing::Condemned {
+                    self.refused.push(quarantined(entry.ask.id));
+                } else {
+                    self.apart.push(entry);
+                }
+            }
         }
-        open()
-            .min_by_key(|target| self.running.values().filter(|n| **n == target.name).count())
-            .map(|target| target.name.clone())
+    }
+
+    fn may_run(&self, ask: &Ask) -> bool {
+        let standing = self.suspects.standing(ask.digest);
+        let free = matches!(standing, Standing::Unknown | Standing::Cleared);
+        free && self.may_copy(ask)
+    }
+
+    fn may_copy(&self, ask: &Ask) -> bool {
+        let running = self.copies.get(&ask.digest).copied().unwrap_or(0);
+        ask.digest == 0 || running < self.suspects.copies(ask.digest)
+    }
+
+    fn choose(&mut self, now: Millis, ask: &Ask, targets: &[TargetView]) -> Option<Name> {
+        let suspect = self.suspects.standing(ask.digest) == Standing::Suspect;
+        let open: Vec<&TargetView> = targets
+            .iter()
+            .filter(|view| view.free_slots > 0)
+            .filter(|view| !suspect || !self.runs_suspect(&view.name))
+            .collect();
+        let view = match self.settings.policy {
+            Policy::RoundRobin => placement::round_robin(&mut self.turn, &open),
+            Policy::LeastConnections => placement::least_connections(&open, &self.engines),
+            Policy::Predictive => {
+                let known = Knowledge {
+                    line: &self.line,
+                    lengths: &self.lengths,
+                    limits: Limits::new(&self.settings),
+                };
+                placement::predictive(now, ask, &open, &mut self.engines, &known)
+            }
+        };
+        view.map(|view| view.name.clone())
+    }
+
+    fn runs_suspect(&self, target: &Name) -> bool {
+        self.engines.get(target).is_some_and(|engine| {
+            engine
+                .running()
+                .any(|running| self.suspects.level(running.ask.digest) > 0)
+        })
     }
 
     /// Records that a slot was granted for a placement.
     ///
     /// A successor also records what it learns to be running this way.
-    pub fn started(&mut self, _now: Millis, slot: SlotId, placement: &Placement) {
-        self.running.insert(slot, placement.target.clone());
+    pub fn started(&mut self, now: Millis, slot: SlotId, placement: &Placement) {
+        let ask = placement.ask.clone();
+        let cost_tokens = self.cost_tokens(&ask);
+        if ask.digest != 0 {
+            *self.copies.entry(ask.digest).or_insert(0) += 1;
+        }
+        self.slots.insert(slot, placement.target.clone());
+        self.engines
+            .entry(placement.target.clone())
+            .or_insert_with(|| Engine::new(now))
+            .start(now, slot, ask, cost_tokens, &self.line, &self.lengths);
     }
 
     /// Records that a slot's use has ended after `tokens` tokens of output.
-    pub fn ended(&mut self, _now: Millis, slot: SlotId, _tokens: u32, _ending: Ending) {
-        self.running.swap_remove(&slot);
+    pub fn ended(&mut self, now: Millis, slot: SlotId, tokens: u32, ending: Ending) {
+        let Some(target) = self.slots.swap_remove(&slot) else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(&target) else {
+            return;
+        };
+        let Some(running) = engine.end(now, slot, tokens, &self.line) else {
+            return;
+        };
+        let ask = &running.ask;
+        match ending {
+            Ending::Complete => {
+                engine.learn_gap(&running, tokens, &mut self.line);
+                self.lengths.ended(&ask.template, tokens);
+                self.suspects.answered(now, ask.digest);
+            }
+            Ending::Cancelled | Ending::Unknown if tokens > 0 => {
+                self.lengths.cut(&ask.template, tokens);
+            }
+            Ending::Failed => {
+                let crash = suspect::crash_id(&target, engine.crash(now, &running));
+                self.suspects.crashed(now, ask.digest, crash);
+            }
+            Ending::Cancelled | Ending::Unknown | Ending::Unsent | Ending::Refused => {}
+        }
+        let taken_tokens = match ending {
+            Ending::Unsent | Ending::Refused => 0,
+            _ => u64::from(ask.prompt_tokens) + u64::from(tokens),
+        };
+        self.queue
+            .settle(&ask.customer, ask.weight, running.cost_tokens, taken_tokens);
+        self.release_copy(ask.digest);
+        self.refuse_condemned(ask.digest);
+    }
+
+    fn release_copy(&mut self, digest: u64) {
+        let Some(count) = self.copies.get_mut(&digest) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.copies.swap_remove(&digest);
+        }
+    }
+
+    fn refuse_condemned(&mut self, digest: u64) {
+        if self.suspects.standing(digest) != Standing::Condemned {
+            return;
+        }
+        let refused = self.apart.take_all(digest);
+        self.refused
+            .extend(refused.iter().map(|entry| quarantined(entry.ask.id)));
     }
 
     /// Records a load report, which may be late or repeated.
-    pub fn reported(&mut self, _now: Millis, _target: &Name, _load: Load) {}
+    pub fn reported(&mut self, now: Millis, target: &Name, load: &Load) {
+        if let Some(engine) = self.engines.get_mut(target) {
+            engine.report(now, load, &self.line);
+        }
+    }
 
     /// Records a cache event, which may be late or follow a gap.
-    pub fn cached(&mut self, _now: Millis, _target: &Name, _prefix: u64, _held: bool) {}
+    pub fn cached(&mut self, now: Millis, target: &Name, prefix: u64, held: bool) {
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        if held {
+            engine.prefixes.insert(now, prefix);
+        } else {
+            engine.prefixes.remove(prefix);
+        }
+    }
 
     /// Forgets what was learned of a target that left or began a new life.
     ///
     /// Slots that run there stay recorded until they end.
-    pub fn forget(&mut self, _target: &Name) {}
+    pub fn forget(&mut self, now: Millis, target: &Name) {
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        if engine.batch() == 0 {
+            self.engines.swap_remove(target);
+        } else {
+            engine.reset(now);
+        }
+    }
+
+    /// Joins what another node knows of a request that was part of crashes.
+    pub fn suspected(&mut self, now: Millis, digest: u64, record: &suspect::Record) {
+        self.suspects.merge(now, digest, record);
+        self.refuse_condemned(digest);
+    }
+
+    /// The requests that were part of crashes, to pass them on.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
 
-    /// Removes the asks whose deadline has passed or can no longer be met.
+    /// Removes the asks that get no slot any more: their deadline has come or
+    /// their request has crashed too many targets.
     pub fn expired(&mut self, now: Millis) -> Vec<Refusal> {
-        self.queue
-            .extract_if(.., |_, ask| ask.deadline_ms <= now)
-            .map(|(id, _)| Refusal {
-                id,
+        let late = self.queue.expire(now).into_iter();
+        let late_apart = self.apart.expire(now).into_iter();
+        let refusals: Vec<_> = late
+            .chain(late_apart)
+            .map(|entry| Refusal {
+                id: entry.ask.id,
                 reason: Reason::Deadline,
-                retry_after_ms: Some(Millis::from_secs(1)),
+                retry_after_ms: Some(self.retry_after(&entry.ask)),
             })
-            .collect()
+            .collect();
+        self.refused.extend(refusals);
+        std::mem::take(&mut self.refused)
+    }
+
+    fn retry_after(&self, ask: &Ask) -> Millis {
+        let ahead_tokens = self
+            .queue
+            .ahead_tokens(&ask.customer, ask.priority, ask.weight);
+        let patience = ask.deadline_ms.since(ask.arrived_ms);
+        self.backlog.retry_after(ahead_tokens, patience)
     }
 
     /// Returns when to call [`Self::expired`] and [`Self::next`] without an
     /// event in between; `None` if nothing is queued.
     pub fn next_wake(&self, now: Millis) -> Option<Millis> {
-        self.queue
-            .values()
-            .map(|ask| ask.deadline_ms)
-            .min()
-            .map(|deadline_ms| deadline_ms.max(now))
+        if !self.refused.is_empty() {
+            return Some(now);
+        }
+        [
+            self.queue.first_deadline_ms(),
+            self.apart.first_deadline_ms(),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+        .map(|deadline_ms| deadline_ms.clamp(now, now + POLL))
     }
 
     /// Number of queued asks.
     pub fn queued(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.apart.len()
+    }
+}
+
+fn quarantined(id: AskId) -> Refusal {
+    Refusal {
+        id,
+        reason: Reason::Quarantined,
+        retry_after_ms: None,
     }
 }
