--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod policy;
 pub mod prefix;
 pub mod queue;
+pub mod retry;
 pub mod scheduler;
+pub mod spill;
 pub mod suspect;
 pub mod template;
