--- a/filbertpaddle-standins/src/lib.rs
+++ b/filbertpaddle-standins/src/lib.rs
@@ -1,11 +1,21 @@
 //! Stand-ins for development: what surrounds the system, with faults on demand.
 
+pub mod batch;
+pub mod engine;
+pub mod engine_fault;
+mod engine_http;
+pub mod engine_state;
 pub mod faults;
+pub mod lengths;
 pub mod limiter;
+pub mod marker;
 pub mod platform;
 mod platform_http;
+pub mod prefix_cache;
 pub mod proxy;
 mod pump;
+pub mod scheduler;
 pub mod server;
+pub mod service;
 pub mod table;
 pub mod vms;
--- a/filbertpaddle-standins/src/main.rs
+++ b/filbertpaddle-standins/src/main.rs
@@ -2,8 +2,10 @@
 
 use eyre::bail;
 
+mod command_engine;
 mod command_platform;
 mod command_proxy;
+mod command_service;
 
 /// One subcommand: its name and what runs it with the rest of the arguments.
 struct Command {
@@ -12,6 +14,14 @@
 }
 
 const COMMANDS: &[Command] = &[
+    Command {
+        name: "engine",
+        run: command_engine::run,
+    },
+    Command {
+        name: "service",
+        run: command_service::run,
+    },
     Command {
         name: "platform",
         run: command_platform::run,
