Order configuration changes under one head and model check them

Cause: an accepted change must never revert and a lost answer must not apply it twice. Ruled out: a table condition on the head alone (the later of two operators would silently overwrite the first); repeating after a lost answer with new conditions (the checker finds the second application); trusting a page transfer's first head (a peer that restarts between pages proves less). Change: revision, config, edit and replica, with an exhaustive check of the very structs and two broken variants that it must catch. Conclusion: holds for two and three operators, two nodes and three changes.

--- /dev/null
+++ b/filbertpaddle-core/src/config.rs
@@ -0,0 +1,310 @@
+//! What operators configure, and the record of each change.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Millis;
+use crate::name::Name;
+use crate::revision::Revision;
+use crate::template::Template;
+
+/// Longest name, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+/// Longest prompt of a template, in bytes.
+pub const MAX_PROMPT_BYTES: usize = 16 * 1024;
+/// Most parameters of a template.
+pub const MAX_PARAMETERS: usize = 64;
+/// Most key digests of a customer.
+pub const MAX_DIGESTS: usize = 8;
+/// Length of a hexadecimal SHA-256 digest, in bytes.
+pub const DIGEST_BYTES: usize = 64;
+
+/// What a setting is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Key {
+    /// A customer's account.
+    Customer(Name),
+    /// Whether a data centre is in service.
+    DataCentre(Name),
+    /// One customer's template.
+    Template {
+        /// Customer that uses the template.
+        customer: Name,
+        /// Name of the template.
+        name: Name,
+    },
+    /// Whether a VM is in service.
+    Vm(Name),
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Customer(name) => write!(f, "customer/{name}"),
+            Self::DataCentre(name) => write!(f, "data_centre/{name}"),
+            Self::Template { customer, name } => write!(f, "template/{customer}/{name}"),
+            Self::Vm(name) => write!(f, "vm/{name}"),
+        }
+    }
+}
+
+/// The text is not a [`Key`].
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{0}` is not a configuration key")]
+pub struct UnknownKey(Name);
+
+impl FromStr for Key {
+    type Err = UnknownKey;
+
+    fn from_str(text: &str) -> Result<Self, UnknownKey> {
+        let mut parts = text.split('/');
+        let key = match (parts.next(), parts.next(), parts.next(), parts.next()) {
+            (Some("customer"), Some(name), None, None) => Self::Customer(name.into()),
+            (Some("data_centre"), Some(name), None, None) => Self::DataCentre(name.into()),
+            (Some("vm"), Some(name), None, None) => Self::Vm(name.into()),
+            (Some("template"), Some(customer), Some(name), None) => Self::Template {
+                customer: customer.into(),
+                name: name.into(),
+            },
+            _ => return Err(UnknownKey(text.into())),
+        };
+        Ok(key)
+    }
+}
+
+/// Whether operators let a data centre or VM take new work.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Service {
+    /// New work may be sent.
+    #[default]
+    In,
+    /// Running work finishes and no new work is sent.
+    Out,
+}
+
+/// A customer's account.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    /// Hexadecimal SHA-256 digests of the customer's keys.
+    pub key_digests: Vec<Name>,
+    /// Relative share of tokens between customers.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Most requests of the customer at once on one entry VM.
+    #[serde(default = "default_max_running")]
+    pub max_running: u32,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+fn default_max_running() -> u32 {
+    1_000
+}
+
+/// One configured thing with its value.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
+pub enum Setting {
+    /// A customer's account.
+    Customer {
+        /// Name of the customer.
+        name: Name,
+        /// The account.
+        customer: Customer,
+    },
+    /// Whether a data centre is in service.
+    DataCentre {
+        /// Name of the data centre.
+        name: Name,
+        /// The operators' decision.
+        service: Service,
+    },
+    /// One customer's template.
+    Template {
+        /// Customer that uses the template.
+        customer: Name,
+        /// Name of the template.
+        name: Name,
+        /// The template.
+        template: Box<Template>,
+    },
+    /// Whether a VM is in service.
+    Vm {
+        /// Name of the VM.
+        name: Name,
+        /// The operators' decision.
+        service: Service,
+    },
+}
+
+/// Why a setting is refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Invalid {
+    /// A name is empty, too long or has a character outside `a-z A-Z 0-9 . _ -`.
+    #[error("`{0}` is not a name of 1 to 64 letters, digits, `.`, `_` or `-`")]
+    Name(Name),
+    /// The prompt is too long.
+    #[error("the prompt has {0} bytes, the most is {MAX_PROMPT_BYTES}")]
+    Prompt(usize),
+    /// There are too many parameters.
+    #[error("the template has {0} parameters, the most is {MAX_PARAMETERS}")]
+    Parameters(usize),
+    /// A number that must be positive is zero.
+    #[error("`{0}` must be at least 1")]
+    Zero(&'static str),
+    /// There are too many key digests.
+    #[error("the customer has {0} key digests, the most is {MAX_DIGESTS}")]
+    Digests(usize),
+    /// A key digest is not a hexadecimal SHA-256 digest.
+    #[error("a key digest must be 64 lower-case hexadecimal digits")]
+    Digest,
+}
+
+impl Setting {
+    /// Returns what the setting is about.
+    pub fn key(&self) -> Key {
+        match self {
+            Self::Customer { name, .. } => Key::Customer(name.clone()),
+            Self::DataCentre { name, .. } => Key::DataCentre(name.clone()),
+            Self::Template { customer, name, .. } => Key::Template {
+                customer: customer.clone(),
+                name: name.clone(),
+            },
+            Self::Vm { name, .. } => Key::Vm(name.clone()),
+        }
+    }
+
+    /// Checks names, sizes and values.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first reason why the setting is refused.
+    pub fn check(&self) -> Result<(), Invalid> {
+        match self {
+            Self::Customer { name, customer } => {
+                check_name(name)?;
+                check_customer(customer)
+            }
+            Self::DataCentre { name, .. } | Self::Vm { name, .. } => check_name(name),
+            Self::Template {
+                customer,
+                name,
+                template,
+            } => {
+                check_name(customer)?;
+                check_name(name)?;
+                check_template(template)
+            }
+        }
+    }
+
+    /// Returns about how many bytes the setting takes in a message.
+    pub fn size_bytes(&self) -> usize {
+        const FIXED_BYTES: usize = 64;
+        let variable = match self {
+            Self::Customer { customer, .. } => customer.key_digests.len() * DIGEST_BYTES,
+            Self::DataCentre { .. } | Self::Vm { .. } => 0,
+            Self::Template { template, .. } => {
+                let parameters: usize = template.parameters.iter().map(|name| name.len()).sum();
+                template.prompt.len() + parameters + MAX_NAME_BYTES
+            }
+        };
+        FIXED_BYTES + variable
+    }
+}
+
+fn check_name(name: &Name) -> Result<(), Invalid> {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.bytes().all(plain) {
+        return Err(Invalid::Name(name.clone()));
+    }
+    Ok(())
+}
+
+fn check_customer(customer: &Customer) -> Result<(), Invalid> {
+    let hexadecimal = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    let digest = |text: &Name| text.len() == DIGEST_BYTES && text.bytes().all(hexadecimal);
+    if customer.key_digests.len() > MAX_DIGESTS {
+        return Err(Invalid::Digests(customer.key_digests.len()));
+    }
+    if !customer.key_digests.iter().all(digest) {
+        return Err(Invalid::Digest);
+    }
+    check_positive("weight", customer.weight)?;
+    check_positive("max_running", customer.max_running)
+}
+
+fn check_template(template: &Template) -> Result<(), Invalid> {
+    check_name(&template.model)?;
+    let optional = [Some(&template.version), template.adapter.as_ref()];
+    for name in optional.into_iter().flatten() {
+        if !name.is_empty() {
+            check_name(name)?;
+        }
+    }
+    if template.prompt.len() > MAX_PROMPT_BYTES {
+        return Err(Invalid::Prompt(template.prompt.len()));
+    }
+    if template.parameters.len() > MAX_PARAMETERS {
+        return Err(Invalid::Parameters(template.parameters.len()));
+    }
+    template.parameters.iter().try_for_each(check_name)?;
+    check_positive("max_tokens", template.max_tokens)?;
+    check_positive("weight", template.weight)
+}
+
+fn check_positive(field: &'static str, value: u32) -> Result<(), Invalid> {
+    if value == 0 {
+        return Err(Invalid::Zero(field));
+    }
+    Ok(())
+}
+
+/// Tells one attempt to change the configuration from every other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ChangeId(pub u64);
+
+/// One accepted change; also the value of the row of the entry it changed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Change {
+    /// Place in the order of changes.
+    pub revision: Revision,
+    /// Chosen by whoever asked for the change.
+    pub id: ChangeId,
+    /// Who changed it.
+    pub by: Name,
+    /// When it was asked for, in Unix time.
+    pub at_ms: Millis,
+    /// The new value.
+    pub setting: Setting,
+}
+
+/// One row of the audit trail, which is also the log that nodes follow.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Record {
+    /// The change.
+    pub change: Change,
+    /// The value it replaced; `None` if there was none.
+    pub before: Option<Setting>,
+}
--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -5,6 +5,10 @@
 //! knows which transport carries its messages.
 
 pub mod clock;
+pub mod config;
+pub mod edit;
 pub mod name;
 pub mod outcome;
+pub mod replica;
+pub mod revision;
 pub mod template;
