Spread configuration by pushes down a tree and by asking for news

Cause: a change must be in force on every reachable node within 6 s, also where the platform's table cannot be reached but peers can. Ruled out: each node polling the table (740 nodes at 1.5 s take 493 of the about 2,000 reads a second); a relay pushing to all of its 61 members (about 18 KB/s at one change a second); heads spread by heartbeats as proof of recency (a stalled link makes them old, so only answered questions count). Change: gossip, relay, spread and transfer. Relays ask the table, members ask their relay, stand-bys take over for a silent or stale relay.

--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -7,8 +7,12 @@
 pub mod clock;
 pub mod config;
 pub mod edit;
+pub mod gossip;
 pub mod name;
 pub mod outcome;
+pub mod relay;
 pub mod replica;
 pub mod revision;
+pub mod spread;
 pub mod template;
+pub mod transfer;
