--- a/filbertpaddle-standins/src/workload.rs
+++ b/filbertpaddle-standins/src/workload.rs
@@ -199,13 +199,7 @@
     asks
 }
 
-fn ask<F, R>(
-    settings: &Settings<F>,
-    rng: &mut R,
-    at_ms: u64,
-    customer: &str,
-    number: usize,
-) -> Ask
+fn ask<F, R>(settings: &Settings<F>, rng: &mut R, at_ms: u64, customer: &str, number: usize) -> Ask
 where
     F: Fn(f64) -> f64,
     R: Rng,
