--- a/filbertpaddle/src/bounds.rs
+++ b/filbertpaddle/src/bounds.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::de::Error;
+use serde_saphyr::Spanned;
 
 const MAX_NAME_BYTES: usize = 64;
 const MIN_SECRET_BYTES: usize = 16;
@@ -17,72 +18,76 @@
 where
     D: Deserializer<'de>,
 {
-    let name = Name::deserialize(deserializer)?;
+    let reason = "a name has 1 to 64 letters, digits, hyphens, underscores or dots";
     let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.chars().all(plain) {
-        return Err(D::Error::custom(
-            "a name has 1 to 64 letters, digits, hyphens, underscores or dots",
-        ));
-    }
-    Ok(name)
+    checked(deserializer, reason, |name: &Name| {
+        !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(plain)
+    })
 }
 
 pub(crate) fn secret<'de, D>(deserializer: D) -> Result<String, D::Error>
 where
     D: Deserializer<'de>,
 {
-    let secret = String::deserialize(deserializer)?;
-    if secret.len() < MIN_SECRET_BYTES {
-        return Err(D::Error::custom("a secret has at least 16 bytes"));
-    }
-    Ok(secret)
+    let reason = "a secret has at least 16 bytes";
+    checked(deserializer, reason, |secret: &String| {
+        secret.len() >= MIN_SECRET_BYTES
+    })
 }
 
 pub(crate) fn sha256_hex<'de, D>(deserializer: D) -> Result<String, D::Error>
 where
     D: Deserializer<'de>,
 {
-    let digest = String::deserialize(deserializer)?;
-    let hex = digest
-        .bytes()
-        .all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
-    if digest.len() != SHA256_HEX_DIGITS || !hex {
-        return Err(D::Error::custom(
-            "a digest has 64 lower-case hexadecimal digits",
-        ));
-    }
-    Ok(digest)
+    let reason = "a digest has 64 lower-case hexadecimal digits";
+    let hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    checked(deserializer, reason, |digest: &String| {
+        digest.len() == SHA256_HEX_DIGITS && digest.bytes().all(hex)
+    })
 }
 
 pub(crate) fn timeout_ms<'de, D>(deserializer: D) -> Result<Millis, D::Error>
 where
     D: Deserializer<'de>,
 {
-    let timeout_ms = u64::deserialize(deserializer)?;
-    if timeout_ms == 0 || timeout_ms > MAX_TIMEOUT_MS {
-        return Err(D::Error::custom("a timeout is from 1 to 600000 ms"));
-    }
-    Ok(Millis(timeout_ms))
+    let reason = "a timeout is from 1 to 600000 ms";
+    checked(deserializer, reason, |timeout_ms: &u64| {
+        (1..=MAX_TIMEOUT_MS).contains(timeout_ms)
+    })
+    .map(Millis)
 }
 
 pub(crate) fn body_bytes<'de, D>(deserializer: D) -> Result<u64, D::Error>
 where
     D: Deserializer<'de>,
 {
-    let bytes = u64::deserialize(deserializer)?;
-    if bytes == 0 || bytes > MAX_BODY_BYTES {
-        return Err(D::Error::custom("a body limit is from 1 byte to 64 MiB"));
-    }
-    Ok(bytes)
+    let reason = "a body limit is from 1 byte to 64 MiB";
+    checked(deserializer, reason, |bytes: &u64| {
+        (1..=MAX_BODY_BYTES).contains(bytes)
+    })
 }
 
 pub(crate) fn requests<'de, D>(deserializer: D) -> Result<usize, D::Error>
 where
     D: Deserializer<'de>,
 {
-    let requests = usize::deserialize(deserializer)?;
-    if requests == 0 || requests > MAX_REQUESTS {
-        return Err(D::Error::custom("a request limit is from 1 to 1048576"));
+    let reason = "a request limit is from 1 to 1048576";
+    checked(deserializer, reason, |requests: &usize| {
+        (1..=MAX_REQUESTS).contains(requests)
+    })
+}
+
+// Errors made inside a value carry no location of their own.
+fn checked<'de, D, T, F>(deserializer: D, reason: &str, valid: F) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+    F: FnOnce(&T) -> bool,
+{
+    let spanned = Spanned::<T>::deserialize(deserializer)?;
+    if valid(&spanned.value) {
+        return Ok(spanned.value);
     }
-    Ok(requests)
+    let line = spanned.referenced.line();
+    Err(D::Error::custom(format!("line {line}: {reason}")))
 }
--- a/filbertpaddle/src/reply.rs
+++ b/filbertpaddle/src/reply.rs
@@ -176,8 +176,13 @@
     match outcome {
         Outcome::Complete { .. } => StatusCode::OK,
         Outcome::MayHaveRun { .. } | Outcome::Incomplete { .. } => StatusCode::BAD_GATEWAY,
-        Outcome::NotRun { reason, .. } => match reason {
+        Outcome::NotRun {
+            reason,
+            retry_after_ms,
+        } => match reason {
             Reason::BadRequest | Reason::KeyRequired => StatusCode::BAD_REQUEST,
+            // Without a time to come back, the caller's own deadline is at fault.
+            Reason::Deadline if retry_after_ms.is_none() => StatusCode::BAD_REQUEST,
             Reason::Unauthorized => StatusCode::UNAUTHORIZED,
             Reason::KeyReused | Reason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
             Reason::KeyInUse => StatusCode::CONFLICT,
--- a/filbertpaddle/src/settings.rs
+++ b/filbertpaddle/src/settings.rs
@@ -221,7 +221,35 @@
 ///
 /// Returns [`Error::Invalid`] with line and reason.
 pub fn parse(text: &str) -> Result<Settings, Error> {
-    serde_saphyr::from_str(text).map_err(|error| Error::Invalid(error.to_string()))
+    serde_saphyr::from_str(text).map_err(|error| Error::Invalid(describe(text, &error)))
+}
+
+// The library's own rendering shows neighbouring lines, which may hold secrets.
+fn describe(text: &str, error: &serde_saphyr::Error) -> String {
+    let plain = error.without_snippet().to_string();
+    let reason = plain
+        .rsplit_once(" at line ")
+        .map_or(plain.as_str(), |(reason, _)| reason);
+    if reason.starts_with("line ") {
+        return reason.to_owned();
+    }
+    let from = error.location().map_or(1, |location| location.line());
+    format!("line {}: {reason}", line_of_key(text, reason, from))
+}
+
+// An unknown key is reported at the start of the mapping that holds it.
+fn line_of_key(text: &str, reason: &str, from: u64) -> u64 {
+    let Some(key) = reason
+        .strip_prefix("unknown field `")
+        .and_then(|rest| rest.split('`').next())
+    else {
+        return from;
+    };
+    (1..)
+        .zip(text.lines())
+        .filter(|(line, _)| *line >= from)
+        .find(|(_, content)| content.trim_start().starts_with(&format!("{key}:")))
+        .map_or(from, |(line, _)| line)
 }
 
 fn default_platform_timeout_ms() -> Millis {
--- /dev/null
+++ b/filbertpaddle/tests/drain.rs
@@ -0,0 +1,111 @@
+//! A planned stop cuts no request.
+
+mod common;
+
+use common::caller;
+use common::caller::Event;
+use common::caller::Stream;
+use common::fleet;
+use common::fleet::Node;
+use common::fleet::NodeSettings;
+use common::fleet::Platform;
+use common::fleet::StandIn;
+use filbertpaddle_core::outcome::Outcome;
+use filbertpaddle_core::outcome::Reason;
+
+const STREAMS: usize = 20;
+
+#[tokio::test]
+async fn a_terminated_node_finishes_what_runs_and_refuses_the_rest() {
+    let mut platform = Platform::start();
+    let engine = StandIn::start(&["engine", "--seed", "7", "--speed", "10"]);
+    platform
+        .seed(&[("summary", fleet::template("teacher"))])
+        .await;
+    platform
+        .list_target("engine-1", "north", "teacher", engine.address)
+        .await;
+    let mut node = Node::start(&NodeSettings {
+        name: "entry-1".to_owned(),
+        data_centre: "north".to_owned(),
+        platform: platform.standin.address,
+        peers: Vec::new(),
+        more: String::new(),
+    });
+    node.ready().await;
+    let address = node.addresses.callers;
+    let mut streams = Vec::new();
+    while streams.len() < STREAMS {
+        let text = format!("summary {}", streams.len());
+        let response = caller::send(address, "summary", &text, None).await;
+        if response.status() == 200 {
+            streams.push(Stream::open(response));
+        }
+    }
+    let idle = reqwest::Client::new();
+    let readyz = format!("http://{address}/readyz");
+    idle.get(&readyz).send().await.unwrap();
+
+    node.process.terminate().unwrap();
+    common::wait::until("the balancer is told", async || {
+        let response = idle.get(&readyz).send().await.ok()?;
+        (response.status() == 503).then_some(())
+    })
+    .await;
+    let refused = caller::send(address, "summary", "late", None).await;
+    assert!(refused.headers().contains_key("retry-after"));
+    let outcome = caller::outcome(refused).await;
+    assert!(
+        matches!(
+            outcome,
+            Outcome::NotRun {
+                reason: Reason::Draining,
+                ..
+            }
+        ),
+        "{outcome:?}"
+    );
+
+    for stream in streams {
+        let (tokens, outcome) = stream.rest().await;
+        let tokens = u32::try_from(tokens.len()).unwrap();
+        assert_eq!(outcome, Some(Outcome::Complete { tokens }));
+    }
+    let status = tokio::task::spawn_blocking(move || node.process.wait().unwrap())
+        .await
+        .unwrap();
+    assert!(status.success(), "{status:?}");
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_does_not_hold_up_the_stop() {
+    let mut platform = Platform::start();
+    let engine = StandIn::start(&["engine", "--seed", "7", "--speed", "20"]);
+    platform
+        .seed(&[("summary", fleet::template("teacher"))])
+        .await;
+    platform
+        .list_target("engine-1", "north", "teacher", engine.address)
+        .await;
+    let mut node = Node::start(&NodeSettings {
+        name: "entry-1".to_owned(),
+        data_centre: "north".to_owned(),
+        platform: platform.standin.address,
+        peers: Vec::new(),
+        more: String::new(),
+    });
+    node.ready().await;
+    let address = node.addresses.callers;
+    let mut stream = common::wait::until("a stream", async || {
+        let response = caller::send(address, "summary", "left", None).await;
+        (response.status() == 200).then(|| Stream::open(response))
+    })
+    .await;
+    assert!(matches!(stream.next().await, Some(Event::Start { .. })));
+    drop(stream);
+    node.process.terminate().unwrap();
+    let status = tokio::task::spawn_blocking(move || node.process.wait().unwrap())
+        .await
+        .unwrap();
+    assert!(status.success(), "{status:?}");
+}
