--- /dev/null
+++ b/filbertpaddle-core/src/attempt.rs
@@ -0,0 +1,300 @@
+//! One request with effects on the node that holds it, from its claim to its end.
+
+use crate::batch::Change;
+use crate::batch::Done;
+use crate::batch::Fate;
+use crate::claim::Ending;
+use crate::claim::Id;
+use crate::claim::Record;
+use crate::claim::Row;
+use crate::claim::State;
+use crate::claim::Status;
+use crate::name::Name;
+use crate::outcome::Outcome;
+use crate::outcome::Reason;
+
+/// What the caller's request may do or is told.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Verdict {
+    /// The claim is held: the request may be sent once.
+    Held,
+    /// An earlier request with the same key and body ended like this.
+    Replay(Ending),
+    /// The request is refused.
+    Refused(Outcome),
+    /// The platform cannot be used now, and this request was not sent.
+    Unavailable,
+}
+
+/// What an attempt wants done.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Step {
+    /// Write a claim.
+    Claim(Change),
+    /// Write a change that no caller waits for.
+    Rest(Change),
+    /// Ask the holder of the row.
+    Ask(Row),
+    /// Tell the caller.
+    Decide(Verdict),
+    /// Forget the attempt.
+    Forget,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    /// The claim is being written.
+    Claiming { expected: Option<u64> },
+    /// The holder of this row is being asked.
+    Asking { row: Row },
+    /// The request may be sent, or has been.
+    Held { revision: u64 },
+    /// The request has ended and its ending is being written.
+    Finishing { ending: Ending },
+    /// The request will never be sent; a write of its claim is in flight.
+    Abandoned { expected: Option<u64> },
+    /// The request will never be sent; its row is being cleared.
+    Releasing,
+}
+
+/// One attempt to run a request with effects.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Attempt {
+    id: Id,
+    record: Record,
+    phase: Phase,
+}
+
+impl Attempt {
+    /// Makes an attempt and the first write of its claim.
+    pub fn start(id: Id, record: Record) -> (Self, Vec<Step>) {
+        let attempt = Self {
+            id,
+            record,
+            phase: Phase::Claiming { expected: None },
+        };
+        let steps = vec![attempt.claim(None)];
+        (attempt, steps)
+    }
+
+    /// Names the claim.
+    pub fn id(&self) -> &Id {
+        &self.id
+    }
+
+    /// Returns the digest of the request's body.
+    pub fn digest(&self) -> &Name {
+        &self.record.digest
+    }
+
+    /// Returns what another node may be told about the attempt.
+    ///
+    /// `Unsent` and `Ended` never change again.
+    pub fn status(&self) -> Status {
+        match &self.phase {
+            Phase::Claiming { .. } | Phase::Asking { .. } | Phase::Held { .. } => Status::Running,
+            Phase::Finishing { ending } => Status::Ended(ending.clone()),
+            Phase::Abandoned { .. } | Phase::Releasing => Status::Unsent,
+        }
+    }
+
+    /// Returns whether the attempt only waits for its row to be cleared.
+    pub fn is_releasing(&self) -> bool {
+        matches!(self.phase, Phase::Releasing)
+    }
+
+    /// Takes in the fate of the attempt's last change.
+    pub fn on_done(&mut self, done: Done) -> Vec<Step> {
+        match self.phase.clone() {
+            Phase::Claiming { expected } => self.on_claim_done(expected, done),
+            Phase::Abandoned { expected } => self.on_abandoned_done(expected, done),
+            Phase::Finishing { .. } | Phase::Releasing => self.on_end_done(done),
+            Phase::Asking { .. } | Phase::Held { .. } => Vec::new(),
+        }
+    }
+
+    /// Takes in what the holder of the row says about the attempt `about`.
+    pub fn on_status(&mut self, about: &Name, status: Status) -> Vec<Step> {
+        let Phase::Asking { row } = &self.phase else {
+            return Vec::new();
+        };
+        if row.record.attempt != *about {
+            return Vec::new();
+        }
+        let same_body = row.record.digest == self.record.digest;
+        let verdict = match status {
+            Status::Unsent => {
+                // The holder itself says that it will never send; the write
+                // still takes effect only if the row has not changed since.
+                let expected = Some(row.revision);
+                self.phase = Phase::Claiming { expected };
+                return vec![self.claim(expected)];
+            }
+            _ if !same_body => Verdict::Refused(key_reused()),
+            Status::Ended(ending) => Verdict::Replay(ending),
+            Status::Running => Verdict::Refused(may_have_run(Reason::KeyInUse)),
+            Status::Gone => Verdict::Refused(may_have_run(Reason::HolderGone)),
+        };
+        vec![Step::Decide(verdict), Step::Forget]
+    }
+
+    /// Gives up on a request that is not held yet: its caller waits no longer.
+    ///
+    /// `queued` is the attempt's claim if it was taken back from the batch.
+    pub fn give_up(&mut self, queued: Option<Change>) -> Vec<Step> {
+        let Phase::Claiming { expected } = self.phase else {
+            return match self.phase {
+                Phase::Asking { .. } => vec![Step::Decide(Verdict::Unavailable), Step::Forget],
+                _ => Vec::new(),
+            };
+        };
+        let decide = Step::Decide(Verdict::Unavailable);
+        match queued {
+            Some(change) if change.tries == 0 => vec![decide, Step::Forget],
+            Some(_) => vec![decide, self.bury(expected)],
+            None => {
+                self.phase = Phase::Abandoned { expected };
+                vec![decide]
+            }
+        }
+    }
+
+    /// Ends a request that was held.
+    pub fn finish(&mut self, ending: Ending) -> Vec<Step> {
+        let Phase::Held { revision } = self.phase else {
+            return Vec::new();
+        };
+        let step = self.write_ending(revision, ending.clone());
+        self.phase = Phase::Finishing { ending };
+        vec![step]
+    }
+
+    /// Gives back a claim whose request was not sent and never will be.
+    pub fn release(&mut self) -> Vec<Step> {
+        let Phase::Held { revision } = self.phase else {
+            return Vec::new();
+        };
+        vec![self.delete(revision)]
+    }
+
+    fn on_claim_done(&mut self, expected: Option<u64>, done: Done) -> Vec<Step> {
+        let unavailable = Step::Decide(Verdict::Unavailable);
+        match done.fate {
+            Fate::Committed { revision } => self.hold(revision),
+            Fate::Conflict { row } => self.judge(row),
+            Fate::Pending => vec![Step::Claim(done.change)],
+            Fate::NotDone if done.change.tries == 0 => vec![unavailable, Step::Forget],
+            Fate::NotDone | Fate::Unknown => vec![unavailable, self.bury(expected)],
+        }
+    }
+
+    fn on_abandoned_done(&mut self, expected: Option<u64>, done: Done) -> Vec<Step> {
+        match done.fate {
+            Fate::Committed { revision } => vec![self.delete(revision)],
+            Fate::Conflict { row } => self.clear(row),
+            Fate::NotDone if done.change.tries == 0 => vec![Step::Forget],
+            Fate::NotDone | Fate::Pending | Fate::Unknown => vec![self.bury(expected)],
+        }
+    }
+
+    fn on_end_done(&mut self, done: Done) -> Vec<Step> {
+        match (done.fate, self.phase.clone()) {
+            (Fate::Committed { .. }, _) => vec![Step::Forget],
+            (Fate::Conflict { row: Some(row) }, Phase::Finishing { ending })
+                if row.record.is_claimed_by(&self.record.attempt) =>
+            {
+                vec![self.write_ending(row.revision, ending)]
+            }
+            (Fate::Conflict { .. }, Phase::Finishing { .. }) => vec![Step::Forget],
+            (Fate::Conflict { row }, _) => self.clear(row),
+            (Fate::NotDone | Fate::Pending | Fate::Unknown, _) => vec![Step::Rest(done.change)],
+        }
+    }
+
+    /// Decides about a claim whose row was not as expected.
+    fn judge(&mut self, row: Option<Row>) -> Vec<Step> {
+        let Some(row) = row else {
+            self.phase = Phase::Claiming { expected: None };
+            return vec![self.claim(None)];
+        };
+        if row.record.is_claimed_by(&self.record.attempt) {
+            return self.hold(row.revision);
+        }
+        let same_body = row.record.digest == self.record.digest;
+        match &row.record.state {
+            State::Released => {
+                let expected = Some(row.revision);
+                self.phase = Phase::Claiming { expected };
+                vec![self.claim(expected)]
+            }
+            // An unsent claim is free for any body, so the holder is asked first.
+            State::Claimed => {
+                self.phase = Phase::Asking { row: row.clone() };
+                vec![Step::Ask(row)]
+            }
+            State::Finished(_) if !same_body => {
+                vec![Step::Decide(Verdict::Refused(key_reused())), Step::Forget]
+            }
+            State::Finished(ending) => {
+                vec![Step::Decide(Verdict::Replay(ending.clone())), Step::Forget]
+            }
+        }
+    }
+
+    fn hold(&mut self, revision: u64) -> Vec<Step> {
+        self.phase = Phase::Held { revision };
+        vec![Step::Decide(Verdict::Held)]
+    }
+
+    /// Clears the row if it still shows this attempt, which was never sent.
+    fn clear(&mut self, row: Option<Row>) -> Vec<Step> {
+        match row {
+            Some(row) if row.record.is_claimed_by(&self.record.attempt) => {
+                vec![self.delete(row.revision)]
+            }
+            _ => vec![Step::Forget],
+        }
+    }
+
+    /// Marks the row released, so that a claim still on its way cannot take effect.
+    fn bury(&mut self, expected: Option<u64>) -> Step {
+        self.phase = Phase::Releasing;
+        Step::Rest(self.change(expected, Some(State::Released)))
+    }
+
+    fn delete(&mut self, revision: u64) -> Step {
+        self.phase = Phase::Releasing;
+        Step::Rest(self.change(Some(revision), None))
+    }
+
+    fn claim(&self, expected: Option<u64>) -> Step {
+        Step::Claim(self.change(expected, Some(State::Claimed)))
+    }
+
+    fn write_ending(&self, revision: u64, ending: Ending) -> Step {
+        Step::Rest(self.change(Some(revision), Some(State::Finished(ending))))
+    }
+
+    fn change(&self, expected: Option<u64>, state: Option<State>) -> Change {
+        Change {
+            attempt: self.record.attempt.clone(),
+            id: self.id.clone(),
+            expected,
+            record: state.map(|state| self.record.with_state(state)),
+            tries: 0,
+        }
+    }
+}
+
+/// The refusal of a key that was used with another body.
+pub fn key_reused() -> Outcome {
+    Outcome::NotRun {
+        reason: Reason::KeyReused,
+        retry_after_ms: None,
+    }
+}
+
+/// The refusal of a request that may be running or have run elsewhere.
+pub fn may_have_run(reason: Reason) -> Outcome {
+    Outcome::MayHaveRun { reason }
+}
--- /dev/null
+++ b/filbertpaddle-core/src/batch.rs
@@ -0,0 +1,338 @@
+//! Group commit: many row changes in one transaction, one transaction at a time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use crate::claim::Id;
+use crate::claim::Record;
+use crate::claim::Row;
+use crate::clock::Millis;
+use crate::name::Name;
+
+/// Part of a transaction kept for changes that are not claims, so that a
+/// stream of claims cannot hold them up for ever.
+const REST_SHARE: usize = 4;
+
+/// One conditional change of a claim's row.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Change {
+    /// Attempt that wants the change.
+    pub attempt: Name,
+    /// Row to change.
+    pub id: Id,
+    /// Revision that the row must have; `None` means absent.
+    pub expected: Option<u64>,
+    /// New content; `None` deletes the row.
+    pub record: Option<Record>,
+    /// Transactions so far that may have made the change.
+    pub tries: u32,
+}
+
+/// What became of one change.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Fate {
+    /// The change was made.
+    Committed {
+        /// Table revision of the row, zero if it was deleted.
+        revision: u64,
+    },
+    /// The change was not made, since the row was otherwise.
+    Conflict {
+        /// The row as it is.
+        row: Option<Row>,
+    },
+    /// The change was not made, since the platform refused or was not reached.
+    NotDone,
+    /// The answer was lost; the change was not there when read back, but may come.
+    Pending,
+    /// The answer was lost and nothing could be read back.
+    Unknown,
+}
+
+/// A change with its fate.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Done {
+    /// The change.
+    pub change: Change,
+    /// What became of it.
+    pub fate: Fate,
+}
+
+/// What the platform said about the transaction in flight.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Answer {
+    /// All changes were made.
+    Committed {
+        /// Table revision of the writes.
+        revision: u64,
+    },
+    /// No change was made, since these rows were not as expected.
+    Conflict {
+        /// The rows as they are, by claim.
+        rows: BTreeMap<Id, Option<Row>>,
+    },
+    /// No change was made.
+    NotDone,
+    /// Nothing is known.
+    Unknown,
+}
+
+/// How often and how large transactions are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Settings {
+    /// Most rows in one transaction.
+    pub max_rows: usize,
+    /// Shortest time between the starts of two transactions.
+    pub pace_ms: Millis,
+    /// Pause after a transaction that failed.
+    pub backoff_ms: Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            max_rows: 128,
+            pace_ms: Millis(20),
+            backoff_ms: Millis(500),
+        }
+    }
+}
+
+/// What the batch is waiting for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Stage {
+    Idle,
+    Writing(Vec<Change>),
+    Reading(Vec<Change>),
+}
+
+/// Changes that wait for a transaction, and the one in flight.
+///
+/// The next transaction starts when the one before is settled, so its size
+/// follows the load and an idle node adds no delay.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Batch {
+    settings: Settings,
+    claims: VecDeque<Change>,
+    rest: VecDeque<Change>,
+    stage: Stage,
+    earliest_ms: Millis,
+    failing: bool,
+}
+
+impl Batch {
+    /// Makes an empty batch.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            claims: VecDeque::new(),
+            rest: VecDeque::new(),
+            stage: Stage::Idle,
+            earliest_ms: Millis::ZERO,
+            failing: false,
+        }
+    }
+
+    /// Adds a claim, which goes before other changes.
+    pub fn push_claim(&mut self, change: Change) {
+        self.claims.push_back(change);
+    }
+
+    /// Adds a change that no caller waits for.
+    pub fn push_rest(&mut self, change: Change) {
+        self.rest.push_back(change);
+    }
+
+    /// Takes back the claim of an attempt unless it is in flight.
+    pub fn cancel_claim(&mut self, attempt: &Name) -> Option<Change> {
+        let index = self
+            .claims
+            .iter()
+            .position(|change| change.attempt == *attempt)?;
+        self.claims.remove(index)
+    }
+
+    /// Takes back all claims that are not in flight.
+    pub fn cancel_claims(&mut self) -> Vec<Change> {
+        self.claims.drain(..).collect()
+    }
+
+    /// Returns how long a new claim would better wait, `None` if the platform answers.
+    pub fn outage(&self, now: Millis) -> Option<Millis> {
+        if !self.failing {
+            return None;
+        }
+        // One claim may go ahead and probe once the pause is over.
+        let idle = self.stage == Stage::Idle && self.claims.is_empty();
+        if idle && now >= self.earliest_ms {
+            return None;
+        }
+        Some(self.earliest_ms.since(now).max(self.settings.backoff_ms))
+    }
+
+    /// Returns when [`Batch::start`] should be called next, if anything waits.
+    pub fn next_start(&self) -> Option<Millis> {
+        let waiting = !self.claims.is_empty() || !self.rest.is_empty();
+        (self.stage == Stage::Idle && waiting).then_some(self.earliest_ms)
+    }
+
+    /// Returns the changes of the next transaction if it may start now.
+    pub fn start(&mut self, now: Millis) -> Option<Vec<Change>> {
+        if self.next_start()? > now {
+            return None;
+        }
+        let mut ids = BTreeSet::new();
+        let reserve = (self.settings.max_rows / REST_SHARE).min(self.rest.len());
+        let mut changes = Vec::new();
+        take(
+            &mut self.claims,
+            &mut changes,
+            &mut ids,
+            self.settings.max_rows.saturating_sub(reserve).max(1),
+        );
+        take(
+            &mut self.rest,
+            &mut changes,
+            &mut ids,
+            self.settings.max_rows,
+        );
+        self.earliest_ms = now + self.settings.pace_ms;
+        self.stage = Stage::Writing(changes.clone());
+        Some(changes)
+    }
+
+    /// Takes in the platform's answer to the transaction in flight.
+    ///
+    /// After [`Answer::Unknown`] the rows must be read back: the caller reads
+    /// [`Batch::unsettled`] and passes what it found to [`Batch::read_back`].
+    pub fn answered(&mut self, now: Millis, answer: Answer) -> Vec<Done> {
+        let Stage::Writing(changes) = std::mem::replace(&mut self.stage, Stage::Idle) else {
+            return Vec::new();
+        };
+        self.failing = matches!(answer, Answer::NotDone | Answer::Unknown);
+        if self.failing {
+            self.earliest_ms = now + self.settings.backoff_ms;
+        }
+        match answer {
+            Answer::Committed { revision } => settle(changes, |change| {
+                let revision = change.record.as_ref().map_or(0, |_| revision);
+                Fate::Committed { revision }
+            }),
+            Answer::Conflict { rows } => self.take_out(changes, &rows),
+            Answer::NotDone => settle(without_try(changes), |_| Fate::NotDone),
+            Answer::Unknown => {
+                self.stage = Stage::Reading(changes);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Returns the claims whose rows must be read back.
+    pub fn unsettled(&self) -> Vec<Id> {
+        match &self.stage {
+            Stage::Reading(changes) => changes.iter().map(|change| change.id.clone()).collect(),
+            Stage::Idle | Stage::Writing(_) => Vec::new(),
+        }
+    }
+
+    /// Takes in the rows read back, absent ones left out; `None` if they could not be read.
+    pub fn read_back(&mut self, rows: Option<&BTreeMap<Id, Row>>) -> Vec<Done> {
+        let Stage::Reading(changes) = std::mem::replace(&mut self.stage, Stage::Idle) else {
+            return Vec::new();
+        };
+        let Some(rows) = rows else {
+            return settle(changes, |_| Fate::Unknown);
+        };
+        settle(changes, |change| {
+            let row = rows.get(&change.id);
+            if let Some(fate) = made(change, row) {
+                return fate;
+            }
+            if row.map(|row| row.revision) == change.expected {
+                return Fate::Pending;
+            }
+            Fate::Conflict { row: row.cloned() }
+        })
+    }
+
+    /// Settles the changes whose row was not as expected and puts the others back in front.
+    fn take_out(&mut self, changes: Vec<Change>, rows: &BTreeMap<Id, Option<Row>>) -> Vec<Done> {
+        // The transaction did nothing, so it does not count as a try.
+        let (out, kept): (Vec<_>, Vec<_>) = without_try(changes)
+            .into_iter()
+            .partition(|change| rows.contains_key(&change.id));
+        if out.is_empty() {
+            return settle(kept, |_| Fate::NotDone);
+        }
+        for change in kept.into_iter().rev() {
+            if change.is_claim() {
+                self.claims.push_front(change);
+            } else {
+                self.rest.push_front(change);
+            }
+        }
+        settle(out, |change| {
+            let row = rows.get(&change.id).and_then(Option::as_ref);
+            made(change, row).unwrap_or_else(|| Fate::Conflict { row: row.cloned() })
+        })
+    }
+}
+
+impl Change {
+    /// Returns whether the change makes a claim.
+    pub fn is_claim(&self) -> bool {
+        self.record
+            .as_ref()
+            .is_some_and(|record| record.is_claimed_by(&self.attempt))
+    }
+}
+
+/// Moves changes of distinct rows until there are `limit`.
+fn take(from: &mut VecDeque<Change>, to: &mut Vec<Change>, ids: &mut BTreeSet<Id>, limit: usize) {
+    let mut skipped = Vec::new();
+    while to.len() < limit {
+        let Some(mut change) = from.pop_front() else {
+            break;
+        };
+        if ids.insert(change.id.clone()) {
+            change.tries += 1;
+            to.push(change);
+        } else {
+            skipped.push(change);
+        }
+    }
+    for change in skipped.into_iter().rev() {
+        from.push_front(change);
+    }
+}
+
+/// Returns the fate of a change that an earlier try is seen to have made.
+fn made(change: &Change, row: Option<&Row>) -> Option<Fate> {
+    if row.map(|row| &row.record) != change.record.as_ref() {
+        return None;
+    }
+    Some(Fate::Committed {
+        revision: row.map_or(0, |row| row.revision),
+    })
+}
+
+fn settle<F>(changes: Vec<Change>, fate: F) -> Vec<Done>
+where
+    F: Fn(&Change) -> Fate,
+{
+    changes
+        .into_iter()
+        .map(|change| Done {
+            fate: fate(&change),
+            change,
+        })
+        .collect()
+}
+
+fn without_try(mut changes: Vec<Change>) -> Vec<Change> {
+    for change in &mut changes {
+        change.tries -= 1;
+    }
+    changes
+}
--- /dev/null
+++ b/filbertpaddle-core/src/claims.rs
@@ -0,0 +1,442 @@
+//! All claims of one node: its requests with effects, and its answers to other nodes.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::attempt;
+use crate::attempt::Attempt;
+use crate::attempt::Step;
+use crate::attempt::Verdict;
+use crate::batch;
+use crate::batch::Batch;
+use crate::batch::Change;
+use crate::batch::Done;
+use crate::claim::Ending;
+use crate::claim::Id;
+use crate::claim::Question;
+use crate::claim::Record;
+use crate::claim::Reply;
+use crate::claim::Row;
+use crate::claim::State;
+use crate::claim::Status;
+use crate::clock::Millis;
+use crate::name::Name;
+use crate::outcome::Outcome;
+use crate::outcome::Reason;
+
+/// How a node treats its claims.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Settings {
+    /// How often and how large transactions are.
+    pub batch: batch::Settings,
+    /// Most abandoned claims whose rows wait to be cleared.
+    pub max_backlog: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            batch: batch::Settings::default(),
+            max_backlog: 4_096,
+        }
+    }
+}
+
+/// A request with effects.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Request {
+    /// Names the claim.
+    pub id: Id,
+    /// Unique among all attempts of all nodes.
+    pub attempt: Name,
+    /// Digest of the request's body.
+    pub digest: Name,
+    /// Unix time of the request.
+    pub now_unix_ms: Millis,
+}
+
+/// What happens to the claims of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// A caller's request must be claimed.
+    Claim(Request),
+    /// The caller of a request that is not held yet waits no longer.
+    GiveUp {
+        /// The request's attempt.
+        attempt: Name,
+    },
+    /// A request that was held has not been sent and never will be.
+    Release {
+        /// The request's attempt.
+        attempt: Name,
+    },
+    /// A request that was held has ended.
+    Finish {
+        /// The request's attempt.
+        attempt: Name,
+        /// How it ended.
+        ending: Ending,
+    },
+    /// The platform answered the transaction in flight, or failed to.
+    Answered(batch::Answer),
+    /// The rows asked for were read, absent ones left out; `None` if that failed.
+    ReadBack(Option<BTreeMap<Id, Row>>),
+    /// Another node asks about an attempt of this one.
+    Asked {
+        /// The node that asks.
+        from: Name,
+        /// The question.
+        question: Question,
+    },
+    /// Another node answered a question, or [`Status::Gone`] stands for its silence.
+    Told(Reply),
+    /// Rows that are kept no longer were found.
+    Expired(Vec<(Id, Row)>),
+    /// Time has passed.
+    Tick,
+}
+
+/// What must be done for the claims of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Action {
+    /// Perform a transaction and report with [`Event::Answered`].
+    Transact(Vec<Change>),
+    /// Read rows and report with [`Event::ReadBack`].
+    Read(Vec<Id>),
+    /// Ask a node and report with [`Event::Told`].
+    Ask {
+        /// The node to ask.
+        holder: Name,
+        /// The question.
+        question: Question,
+    },
+    /// Answer another node.
+    Tell {
+        /// The node that asked.
+        to: Name,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Tell a caller's request what it may do.
+    Decide {
+        /// The request's attempt.
+        attempt: Name,
+        /// What it may do or is told.
+        verdict: Verdict,
+    },
+}
+
+/// The claims of one node.
+///
+/// An attempt stays here until it can no longer be sent, or until its ending
+/// is in the table. So an attempt of this life of the node that is not here
+/// was never sent and never will be, unless its row has changed since.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Claims {
+    node: Name,
+    incarnation: u64,
+    settings: Settings,
+    // Ordered maps, since a model checker hashes them.
+    attempts: BTreeMap<Name, Attempt>,
+    live: BTreeMap<Id, Name>,
+    releasing: BTreeSet<Name>,
+    dropped: u64,
+    batch: Batch,
+}
+
+impl Claims {
+    /// Makes the claims of a node's new life.
+    pub fn new(node: Name, incarnation: u64, settings: Settings) -> Self {
+        Self {
+            node,
+            incarnation,
+            settings,
+            attempts: BTreeMap::new(),
+            live: BTreeMap::new(),
+            releasing: BTreeSet::new(),
+            dropped: 0,
+            batch: Batch::new(settings.batch),
+        }
+    }
+
+    /// Returns when [`Event::Tick`] is needed next, if at all.
+    pub fn next_tick(&self) -> Option<Millis> {
+        self.batch.next_start()
+    }
+
+    /// Returns the number of attempts that are not settled.
+    pub fn len(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Returns whether all attempts are settled.
+    pub fn is_empty(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// Returns the number of abandoned claims whose rows wait to be cleared.
+    pub fn backlog(&self) -> usize {
+        self.releasing.len()
+    }
+
+    /// Returns the number of abandoned claims that did not fit the backlog.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// Takes in an event and returns what must be done.
+    pub fn on(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Claim(request) => self.claim(now, request, &mut actions),
+            Event::GiveUp { attempt } => self.give_up(&attempt, &mut actions),
+            Event::Release { attempt } => self.release(&attempt, &mut actions),
+            Event::Finish { attempt, ending } => self.finish(&attempt, ending, &mut actions),
+            Event::Answered(answer) => self.answered(now, answer, &mut actions),
+            Event::ReadBack(rows) => {
+                let done = self.batch.read_back(rows.as_ref());
+                self.settle(done, &mut actions);
+            }
+            Event::Asked { from, question } => actions.push(self.tell(from, question)),
+            Event::Told(reply) => self.told(&reply, &mut actions),
+            Event::Expired(rows) => self.expire(rows),
+            Event::Tick => {}
+        }
+        actions.extend(self.batch.start(now).map(Action::Transact));
+        actions
+    }
+
+    fn claim(&mut self, now: Millis, request: Request, actions: &mut Vec<Action>) {
+        if let Some(verdict) = self.judge_local(now, &request) {
+            actions.push(Action::Decide {
+                attempt: request.attempt,
+                verdict,
+            });
+            return;
+        }
+        let record = Record {
+            attempt: request.attempt.clone(),
+            digest: request.digest,
+            holder: self.node.clone(),
+            incarnation: self.incarnation,
+            claimed_at_ms: request.now_unix_ms,
+            state: State::Claimed,
+        };
+        self.live
+            .insert(request.id.clone(), request.attempt.clone());
+        let (attempt, steps) = Attempt::start(request.id, record);
+        self.attempts.insert(request.attempt.clone(), attempt);
+        self.perform(&request.attempt, steps, actions);
+    }
+
+    /// Decides about a request without the table, if that is possible.
+    fn judge_local(&self, now: Millis, request: &Request) -> Option<Verdict> {
+        let other = self
+            .live
+            .get(&request.id)
+            .and_then(|attempt| self.attempts.get(attempt));
+        if let Some(other) = other {
+            if *other.digest() != request.digest {
+                return Some(Verdict::Refused(attempt::key_reused()));
+            }
+            return Some(match other.status() {
+                Status::Ended(ending) => Verdict::Replay(ending),
+                _ => Verdict::Refused(attempt::may_have_run(Reason::KeyInUse)),
+            });
+        }
+        let retry_after_ms = self.batch.outage(now)?;
+        Some(Verdict::Refused(unavailable(retry_after_ms)))
+    }
+
+    fn give_up(&mut self, name: &Name, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.get_mut(name) else {
+            return;
+        };
+        let queued = self.batch.cancel_claim(name);
+        let steps = attempt.give_up(queued);
+        self.perform(name, steps, actions);
+    }
+
+    fn release(&mut self, name: &Name, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.get_mut(name) else {
+            return;
+        };
+        let steps = attempt.release();
+        self.perform(name, steps, actions);
+    }
+
+    fn finish(&mut self, name: &Name, ending: Ending, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.get_mut(name) else {
+            return;
+        };
+        let steps = match ending.outcome {
+            Outcome::NotRun { .. } => attempt.release(),
+            _ => attempt.finish(ending),
+        };
+        self.perform(name, steps, actions);
+    }
+
+    fn answered(&mut self, now: Millis, answer: batch::Answer, actions: &mut Vec<Action>) {
+        let done = self.batch.answered(now, answer);
+        self.settle(done, actions);
+        let unsettled = self.batch.unsettled();
+        if !unsettled.is_empty() {
+            actions.push(Action::Read(unsettled));
+        }
+        if self.batch.outage(now).is_some() {
+            self.refuse_queued(actions);
+        }
+    }
+
+    /// Refuses at once what waits for a platform that has just failed.
+    fn refuse_queued(&mut self, actions: &mut Vec<Action>) {
+        for change in self.batch.cancel_claims() {
+            let name = change.attempt.clone();
+            let Some(attempt) = self.attempts.get_mut(&name) else {
+                continue;
+            };
+            let steps = attempt.give_up(Some(change));
+            self.perform(&name, steps, actions);
+        }
+    }
+
+    fn settle(&mut self, done: Vec<Done>, actions: &mut Vec<Action>) {
+        for done in done {
+            let name = done.change.attempt.clone();
+            let Some(attempt) = self.attempts.get_mut(&name) else {
+                continue;
+            };
+            let steps = attempt.on_done(done);
+            self.perform(&name, steps, actions);
+        }
+    }
+
+    fn tell(&self, from: Name, question: Question) -> Action {
+        let status = self.status(&question);
+        Action::Tell {
+            to: from,
+            reply: Reply {
+                asker: question.asker,
+                attempt: question.attempt,
+                status,
+            },
+        }
+    }
+
+    fn status(&self, question: &Question) -> Status {
+        if question.incarnation != self.incarnation {
+            return Status::Gone;
+        }
+        self.attempts
+            .get(&question.attempt)
+            .map_or(Status::Unsent, Attempt::status)
+    }
+
+    fn told(&mut self, reply: &Reply, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.attempts.get_mut(&reply.asker) else {
+            return;
+        };
+        let steps = attempt.on_status(&reply.attempt, reply.status.clone());
+        self.perform(&reply.asker, steps, actions);
+    }
+
+    fn expire(&mut self, rows: Vec<(Id, Row)>) {
+        for (id, row) in rows {
+            self.batch.push_rest(Change {
+                // No attempt waits for the fate of the row.
+                attempt: Name::default(),
+                id,
+                expected: Some(row.revision),
+                record: None,
+                tries: 0,
+            });
+        }
+    }
+
+    fn perform(&mut self, name: &Name, steps: Vec<Step>, actions: &mut Vec<Action>) {
+        self.unlist_unsent(name);
+        for step in steps {
+            match step {
+                Step::Claim(change) => self.batch.push_claim(change),
+                Step::Rest(change) => self.push_rest(name, change),
+                Step::Ask(row) => self.ask(name, &row, actions),
+                Step::Decide(verdict) => actions.push(self.decide(name, verdict)),
+                Step::Forget => self.forget(name),
+            }
+        }
+    }
+
+    /// Makes room for a new request with the key of an attempt that will never be sent.
+    fn unlist_unsent(&mut self, name: &Name) {
+        if let Some(attempt) = self.attempts.get(name)
+            && attempt.status() == Status::Unsent
+            && self.live.get(attempt.id()) == Some(name)
+        {
+            self.live.remove(attempt.id());
+        }
+    }
+
+    fn push_rest(&mut self, name: &Name, change: Change) {
+        let releasing = self.attempts.get(name).is_some_and(Attempt::is_releasing);
+        if releasing && !self.releasing.contains(name) {
+            if self.releasing.len() >= self.settings.max_backlog {
+                // Whoever meets the row still learns here that it was not sent.
+                self.dropped += 1;
+                self.forget(name);
+                return;
+            }
+            self.releasing.insert(name.clone());
+        }
+        self.batch.push_rest(change);
+    }
+
+    fn ask(&mut self, asker: &Name, row: &Row, actions: &mut Vec<Action>) {
+        let question = Question {
+            asker: asker.clone(),
+            attempt: row.record.attempt.clone(),
+            incarnation: row.record.incarnation,
+        };
+        if row.record.holder != self.node {
+            actions.push(Action::Ask {
+                holder: row.record.holder.clone(),
+                question,
+            });
+            return;
+        }
+        let reply = Reply {
+            asker: question.asker.clone(),
+            attempt: question.attempt.clone(),
+            status: self.status(&question),
+        };
+        self.told(&reply, actions);
+    }
+
+    fn decide(&self, name: &Name, verdict: Verdict) -> Action {
+        let verdict = match verdict {
+            Verdict::Unavailable => Verdict::Refused(unavailable(self.settings.batch.backoff_ms)),
+            verdict => verdict,
+        };
+        Action::Decide {
+            attempt: name.clone(),
+            verdict,
+        }
+    }
+
+    fn forget(&mut self, name: &Name) {
+        let Some(attempt) = self.attempts.remove(name) else {
+            return;
+        };
+        if self.live.get(attempt.id()) == Some(name) {
+            self.live.remove(attempt.id());
+        }
+        self.releasing.remove(name);
+    }
+}
+
+/// The refusal of a request while the platform cannot be used.
+fn unavailable(retry_after_ms: Millis) -> Outcome {
+    Outcome::NotRun {
+        reason: Reason::PlatformUnavailable,
+        retry_after_ms: Some(retry_after_ms),
+    }
+}
--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -4,6 +4,10 @@
 //! yields typed actions. Nothing here performs I/O, reads a wall clock or
 //! knows which transport carries its messages.
 
+pub mod attempt;
+pub mod batch;
+pub mod claim;
+pub mod claims;
 pub mod clock;
 pub mod name;
 pub mod outcome;
--- /dev/null
+++ b/filbertpaddle-core/tests/claims.rs
@@ -0,0 +1,250 @@
+//! Group commit and outages of one node's claims.
+
+use std::collections::BTreeMap;
+
+use filbertpaddle_core::attempt::Verdict;
+use filbertpaddle_core::batch::Answer;
+use filbertpaddle_core::batch::Change;
+use filbertpaddle_core::claim;
+use filbertpaddle_core::claim::Ending;
+use filbertpaddle_core::claim::Id;
+use filbertpaddle_core::claim::Record;
+use filbertpaddle_core::claim::Row;
+use filbertpaddle_core::claim::State;
+use filbertpaddle_core::claims::Action;
+use filbertpaddle_core::claims::Claims;
+use filbertpaddle_core::claims::Event;
+use filbertpaddle_core::claims::Request;
+use filbertpaddle_core::claims::Settings;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Outcome;
+use filbertpaddle_core::outcome::Reason;
+
+fn claims() -> Claims {
+    Claims::new("node".into(), 7, Settings::default())
+}
+
+fn id(key: u32) -> Id {
+    Id {
+        customer: "customer".into(),
+        key: format!("key {key}").into(),
+    }
+}
+
+fn attempt(key: u32) -> Name {
+    format!("attempt {key}").into()
+}
+
+fn claim(key: u32) -> Event {
+    Event::Claim(Request {
+        id: id(key),
+        attempt: attempt(key),
+        digest: "digest".into(),
+        now_unix_ms: Millis(1),
+    })
+}
+
+fn transaction(actions: &[Action]) -> Vec<Change> {
+    actions
+        .iter()
+        .find_map(|action| match action {
+            Action::Transact(changes) => Some(changes.clone()),
+            _ => None,
+        })
+        .unwrap_or_default()
+}
+
+fn verdicts(actions: &[Action]) -> Vec<(&Name, &Verdict)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Decide { attempt, verdict } => Some((attempt, verdict)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn is_unavailable(verdict: &Verdict) -> bool {
+    matches!(
+        verdict,
+        Verdict::Refused(Outcome::NotRun {
+            reason: Reason::PlatformUnavailable,
+            retry_after_ms: Some(_),
+        })
+    )
+}
+
+/// Starts a transaction with claim 0 and queues claims 1 to `last` behind it.
+fn queued(claims: &mut Claims, last: u32) {
+    for key in 0..=last {
+        claims.on(Millis(0), claim(key));
+    }
+}
+
+#[test]
+fn claims_that_wait_share_the_next_transaction() {
+    let mut claims = claims();
+    queued(&mut claims, 100);
+    claims.on(
+        Millis(15),
+        Event::Answered(Answer::Committed { revision: 1 }),
+    );
+    let actions = claims.on(Millis(20), Event::Tick);
+    assert_eq!(transaction(&actions).len(), 100);
+    let committed = Event::Answered(Answer::Committed { revision: 2 });
+    let actions = claims.on(Millis(30), committed);
+    let held = verdicts(&actions);
+    assert_eq!(held.len(), 100);
+    assert!(held.iter().all(|(_, verdict)| **verdict == Verdict::Held));
+}
+
+#[test]
+fn conflicting_row_is_taken_out_and_the_rest_is_retried() {
+    let mut claims = claims();
+    queued(&mut claims, 3);
+    claims.on(
+        Millis(20),
+        Event::Answered(Answer::Committed { revision: 1 }),
+    );
+    let ending = Ending {
+        outcome: Outcome::Complete { tokens: 1 },
+        answer: claim::Answer::Absent,
+    };
+    let row = Row {
+        record: Record {
+            attempt: "earlier".into(),
+            digest: "digest".into(),
+            holder: "other".into(),
+            incarnation: 1,
+            claimed_at_ms: Millis(0),
+            state: State::Finished(ending.clone()),
+        },
+        revision: 1,
+    };
+    let rows = BTreeMap::from([(id(2), Some(row))]);
+    let actions = claims.on(Millis(40), Event::Answered(Answer::Conflict { rows }));
+    let replay = Verdict::Replay(ending);
+    assert_eq!(verdicts(&actions), [(&attempt(2), &replay)]);
+    let retried = transaction(&actions);
+    let ids = retried.iter().map(|change| change.id.clone());
+    assert_eq!(ids.collect::<Vec<_>>(), [id(1), id(3)]);
+}
+
+#[test]
+fn failed_transaction_refuses_all_that_wait_at_once() {
+    for (answer, unsettled) in [(Answer::NotDone, 0), (Answer::Unknown, 1)] {
+        let mut claims = claims();
+        queued(&mut claims, 10);
+        let actions = claims.on(Millis(1_000), Event::Answered(answer));
+        let refused = verdicts(&actions);
+        assert_eq!(refused.len(), 11 - unsettled);
+        assert!(refused.iter().all(|(_, verdict)| is_unavailable(verdict)));
+        let actions = claims.on(Millis(1_001), claim(20));
+        assert!(is_unavailable(verdicts(&actions)[0].1));
+        assert_eq!(claims.len(), unsettled);
+    }
+}
+
+#[test]
+fn one_claim_probes_after_the_pause() {
+    let mut claims = claims();
+    queued(&mut claims, 0);
+    claims.on(Millis(0), Event::Answered(Answer::NotDone));
+    let actions = claims.on(Millis(500), claim(1));
+    assert_eq!(transaction(&actions).len(), 1);
+    let actions = claims.on(Millis(500), claim(2));
+    assert!(is_unavailable(verdicts(&actions)[0].1));
+    claims.on(
+        Millis(501),
+        Event::Answered(Answer::Committed { revision: 1 }),
+    );
+    let actions = claims.on(Millis(520), claim(3));
+    assert_eq!(transaction(&actions).len(), 1);
+}
+
+#[test]
+fn claim_seen_after_a_lost_answer_is_held() {
+    let mut claims = claims();
+    let sent = transaction(&claims.on(Millis(0), claim(0)));
+    let actions = claims.on(Millis(10), Event::Answered(Answer::Unknown));
+    assert_eq!(actions, [Action::Read(vec![id(0)])]);
+    let row = Row {
+        record: sent[0].record.clone().unwrap(),
+        revision: 5,
+    };
+    let rows = BTreeMap::from([(id(0), row)]);
+    let actions = claims.on(Millis(11), Event::ReadBack(Some(rows)));
+    assert_eq!(verdicts(&actions), [(&attempt(0), &Verdict::Held)]);
+}
+
+#[test]
+fn abandoned_claims_are_cleared_from_a_bounded_backlog() {
+    let settings = Settings {
+        max_backlog: 2,
+        ..Settings::default()
+    };
+    let mut claims = Claims::new("node".into(), 7, settings);
+    for round in 0..4 {
+        let now = Millis(u64::from(round) * 1_000);
+        claims.on(now, claim(round));
+        claims.on(now, Event::Answered(Answer::Unknown));
+        claims.on(now, Event::ReadBack(None));
+    }
+    assert_eq!((claims.backlog(), claims.dropped()), (2, 2));
+    let actions = claims.on(Millis(10_000), Event::Tick);
+    let cleared = transaction(&actions);
+    assert!(cleared.iter().all(|change| {
+        change
+            .record
+            .as_ref()
+            .is_some_and(|record| record.state == State::Released)
+    }));
+    claims.on(
+        Millis(10_001),
+        Event::Answered(Answer::Committed { revision: 1 }),
+    );
+    assert!(claims.is_empty());
+}
+
+#[test]
+fn ending_is_kept_until_it_is_in_the_table() {
+    let mut claims = claims();
+    claims.on(Millis(0), claim(0));
+    claims.on(
+        Millis(1),
+        Event::Answered(Answer::Committed { revision: 1 }),
+    );
+    let ending = Ending {
+        outcome: Outcome::Complete { tokens: 1 },
+        answer: claim::Answer::Inline("answer".into()),
+    };
+    let finish = Event::Finish {
+        attempt: attempt(0),
+        ending: ending.clone(),
+    };
+    let actions = claims.on(Millis(100), finish);
+    assert_eq!(transaction(&actions).len(), 1);
+    claims.on(Millis(100), Event::Answered(Answer::NotDone));
+    let resent = Event::Claim(Request {
+        id: id(0),
+        attempt: attempt(9),
+        digest: "digest".into(),
+        now_unix_ms: Millis(2),
+    });
+    let actions = claims.on(Millis(101), resent);
+    assert_eq!(
+        verdicts(&actions),
+        [(&attempt(9), &Verdict::Replay(ending))]
+    );
+    assert_eq!(claims.next_tick(), Some(Millis(600)));
+    assert_eq!(
+        transaction(&claims.on(Millis(600), Event::Tick))[0].expected,
+        Some(1)
+    );
+    claims.on(
+        Millis(601),
+        Event::Answered(Answer::Committed { revision: 2 }),
+    );
+    assert!(claims.is_empty());
+}
