--- a/filbertpaddle-standins/src/main.rs
+++ b/filbertpaddle-standins/src/main.rs
@@ -2,8 +2,10 @@
 
 use eyre::bail;
 
+mod command_engine;
 mod command_platform;
 mod command_proxy;
+mod command_service;
 
 /// One subcommand: its name and what runs it with the rest of the arguments.
 struct Command {
@@ -20,6 +22,14 @@
         name: "proxy",
         run: command_proxy::run,
     },
+    Command {
+        name: "engine",
+        run: command_engine::run,
+    },
+    Command {
+        name: "service",
+        run: command_service::run,
+    },
 ];
 
 fn main() -> eyre::Result<()> {
--- /dev/null
+++ b/filbertpaddle-standins/src/workload.rs
@@ -0,0 +1,247 @@
+//! Open-loop workloads: who asks for what and when, from a seed.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::template::Priority;
+use rand::Rng;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::marker;
+
+/// Customers and their shares of the requests; the first few are large.
+pub const CUSTOMERS: &[(&str, f64)] = &[
+    ("c0", 0.30),
+    ("c1", 0.20),
+    ("c2", 0.14),
+    ("c3", 0.08),
+    ("c4", 0.07),
+    ("c5", 0.06),
+    ("c6", 0.05),
+    ("c7", 0.04),
+    ("c8", 0.03),
+    ("c9", 0.03),
+];
+
+/// Span over which the arrival rate is taken as constant, in milliseconds.
+const SLICE_MS: u64 = 10;
+
+/// Mean length of a calm spell, in slices.
+const CALM_SLICES: f64 = 400.0;
+
+/// Mean length of a burst, in slices.
+const BURST_SLICES: f64 = 100.0;
+
+/// Rate within calm spells, relative to the mean.
+const CALM_RATE: f64 = 0.7;
+
+/// Rate within bursts, relative to the mean.
+const BURST_RATE: f64 = 2.2;
+
+/// One kind of request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Kind {
+    /// Name of the template, and the first word of the prompt.
+    pub name: &'static str,
+    /// Share of the requests.
+    pub share: f64,
+    /// Scheduling priority.
+    pub priority: u8,
+    /// Length of the shared prefix, in bytes.
+    pub prefix_bytes: usize,
+    /// Most tokens to generate; zero for calls of a plain service.
+    pub max_tokens: u32,
+    /// Whether running it twice is harmless.
+    pub idempotent: bool,
+}
+
+/// The kinds of a usual day.
+pub const USUAL: &[Kind] = &[
+    kind("stock", 0.35, 5, 1_100, 400, true),
+    kind("topics", 0.18, 4, 1_100, 1_500, true),
+    kind("menu", 0.12, 3, 2_100, 4_000, true),
+    kind("summary", 0.20, 2, 2_100, 4_000, true),
+    kind("letter", 0.05, 3, 0, 1_000, false),
+    kind("booking", 0.10, 6, 0, 0, false),
+];
+
+/// The kinds when long outputs crowd the engines' memory.
+pub const LONG: &[Kind] = &[
+    kind("stock", 0.10, 5, 1_100, 400, true),
+    kind("menu", 0.40, 3, 2_100, 4_000, true),
+    kind("summary", 0.40, 2, 2_100, 4_000, true),
+    kind("letter", 0.05, 3, 0, 1_000, false),
+    kind("booking", 0.05, 6, 0, 0, false),
+];
+
+const fn kind(
+    name: &'static str,
+    share: f64,
+    priority: u8,
+    prefix_bytes: usize,
+    max_tokens: u32,
+    idempotent: bool,
+) -> Kind {
+    Kind {
+        name,
+        share,
+        priority,
+        prefix_bytes,
+        max_tokens,
+        idempotent,
+    }
+}
+
+impl Kind {
+    /// Returns the text that all requests of a customer share.
+    pub fn prefix(&self, customer: &str) -> String {
+        let mut text = format!("{} {customer} ", self.name);
+        while text.len() < self.prefix_bytes {
+            text.push_str("as agreed with ");
+            text.push_str(customer);
+            text.push(' ');
+        }
+        text
+    }
+
+    /// Returns whether a plain service runs it.
+    pub const fn is_call(&self) -> bool {
+        self.max_tokens == 0
+    }
+}
+
+/// One request of a workload.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// When it is sent, from the start of the run.
+    pub at_ms: Millis,
+    /// Who sends it.
+    pub customer: Name,
+    /// What it asks for.
+    pub kind: Kind,
+    /// Marker by which targets' counters name it.
+    pub marker: String,
+    /// The part that is its own.
+    pub parameter: String,
+}
+
+impl Ask {
+    /// Returns the whole prompt.
+    pub fn prompt(&self) -> String {
+        self.kind.prefix(&self.customer) + &self.parameter
+    }
+
+    /// Returns the scheduling priority.
+    pub const fn priority(&self) -> Priority {
+        Priority(self.kind.priority)
+    }
+}
+
+/// What a workload is drawn from.
+pub struct Settings<F>
+where
+    F: Fn(f64) -> f64,
+{
+    /// Seed of everything drawn.
+    pub seed: u64,
+    /// Length of the run.
+    pub duration_ms: Millis,
+    /// Mean requests a second.
+    pub rate: f64,
+    /// Relative rate by the share of the run that has passed.
+    pub shape: F,
+    /// Kinds of requests.
+    pub kinds: &'static [Kind],
+    /// Share of the run in which the first customer sends more, if any.
+    pub burst: Option<Burst>,
+}
+
+/// Additional requests of the first customer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Burst {
+    /// Start, as a share of the run.
+    pub from: f64,
+    /// End, as a share of the run.
+    pub to: f64,
+    /// Additional requests a second, relative to the mean rate of all.
+    pub rate: f64,
+}
+
+/// Draws a workload, in order of time.
+pub fn draw<F>(settings: &Settings<F>) -> Vec<Ask>
+where
+    F: Fn(f64) -> f64,
+{
+    let mut rng = SmallRng::seed_from_u64(settings.seed);
+    let mut asks = Vec::new();
+    let mut bursting = false;
+    for at_ms in (0..settings.duration_ms.0).step_by(SLICE_MS as usize) {
+        let spell_slices = if bursting { BURST_SLICES } else { CALM_SLICES };
+        bursting ^= rng.random::<f64>() < 1.0 / spell_slices;
+        let passed = at_ms as f64 / settings.duration_ms.0 as f64;
+        let swing = if bursting { BURST_RATE } else { CALM_RATE };
+        let per_slice = settings.rate * SLICE_MS as f64 / 1_000.0;
+        let usual = per_slice * swing * (settings.shape)(passed);
+        for _ in 0..arrivals(&mut rng, usual) {
+            let customer = pick(&mut rng, CUSTOMERS, |(_, share)| *share).0;
+            asks.push(ask(settings, &mut rng, at_ms, customer, asks.len()));
+        }
+        let Some(burst) = settings.burst else {
+            continue;
+        };
+        if (burst.from..burst.to).contains(&passed) {
+            for _ in 0..arrivals(&mut rng, per_slice * burst.rate) {
+                asks.push(ask(settings, &mut rng, at_ms, CUSTOMERS[0].0, asks.len()));
+            }
+        }
+    }
+    asks
+}
+
+fn ask<F, R>(settings: &Settings<F>, rng: &mut R, at_ms: u64, customer: &str, number: usize) -> Ask
+where
+    F: Fn(f64) -> f64,
+    R: Rng,
+{
+    let marker = format!("{}-{number}", settings.seed);
+    let filler = "x".repeat(rng.random_range(0..400));
+    Ask {
+        at_ms: Millis(at_ms + rng.random_range(0..SLICE_MS)),
+        customer: customer.into(),
+        kind: *pick(rng, settings.kinds, |kind| kind.share),
+        parameter: format!("{}{marker}; {filler}", marker::START),
+        marker,
+    }
+}
+
+/// Draws a Poisson number by Knuth's method; the mean is small.
+fn arrivals<R>(rng: &mut R, mean: f64) -> u32
+where
+    R: Rng,
+{
+    let limit = (-mean).exp();
+    let mut product = rng.random::<f64>();
+    let mut count = 0;
+    while product > limit {
+        product *= rng.random::<f64>();
+        count += 1;
+    }
+    count
+}
+
+fn pick<'a, T, F, R>(rng: &mut R, items: &'a [T], share: F) -> &'a T
+where
+    F: Fn(&T) -> f64,
+    R: Rng,
+{
+    let total: f64 = items.iter().map(&share).sum();
+    let mut point = rng.random::<f64>() * total;
+    for item in items {
+        point -= share(item);
+        if point < 0.0 {
+            return item;
+        }
+    }
+    &items[items.len() - 1]
+}
