Decide what is in service and put configuration on the wire

Cause: out must mean out on every node, and what returns must not be flooded. Ruled out: one flag per VM (the platform's list lags behind a reclaim notice and would undo it); steps started only by a leave that was seen here (a node that missed the leave would send the whole share at once); keeping the sign of an unseen return (a trial restarted the steps with every list, now tested). Change: the registry with shares in steps, and compact messages.

--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod replica;
 pub mod revision;
 pub mod scheduler;
+pub mod service;
 pub mod spread;
 pub mod template;
 pub mod transfer;
--- /dev/null
+++ b/filbertpaddle-core/tests/service.rs
@@ -0,0 +1,222 @@
+//! What may get new work.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::config::Change;
+use filbertpaddle_core::config::ChangeId;
+use filbertpaddle_core::config::Service;
+use filbertpaddle_core::config::Setting;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::replica::Replica;
+use filbertpaddle_core::service::Action;
+use filbertpaddle_core::service::FIRST_SHARE;
+use filbertpaddle_core::service::Listed;
+use filbertpaddle_core::service::RECLAIM_MS;
+use filbertpaddle_core::service::Registry;
+use filbertpaddle_core::service::STEP_MS;
+use filbertpaddle_core::service::STEP_SHARE;
+use filbertpaddle_core::service::Share;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::proptest;
+
+const T0: Millis = Millis(1_000);
+
+fn listed(vm: &str, data_centre: &str) -> Listed {
+    Listed {
+        vm: vm.into(),
+        data_centre: data_centre.into(),
+        leaving: false,
+    }
+}
+
+fn list() -> Vec<Listed> {
+    vec![listed("vm-1", "north"), listed("vm-2", "south")]
+}
+
+fn apply(replica: &mut Replica, setting: Setting) {
+    let change = Change {
+        revision: replica.head().next(),
+        id: ChangeId(1),
+        by: "operator".into(),
+        at_ms: Millis::ZERO,
+        setting,
+    };
+    replica.apply(&change);
+}
+
+fn data_centre(name: &str, service: Service) -> Setting {
+    Setting::DataCentre {
+        name: name.into(),
+        service,
+    }
+}
+
+fn vm(name: &str, service: Service) -> Setting {
+    Setting::Vm {
+        name: name.into(),
+        service,
+    }
+}
+
+fn share(registry: &Registry, now: Millis, vm: &str) -> u16 {
+    registry.vm_share(now, &vm.into()).per_mille()
+}
+
+fn started() -> (Registry, Replica) {
+    let replica = Replica::default();
+    let mut registry = Registry::default();
+    registry.on_list(T0, &replica, &list());
+    (registry, replica)
+}
+
+#[test]
+fn what_is_listed_at_the_start_gets_its_whole_share() {
+    let (registry, _) = started();
+    assert_eq!(share(&registry, T0, "vm-1"), 1_000);
+    assert_eq!(share(&registry, T0, "unknown"), 0);
+}
+
+#[test]
+fn a_data_centre_that_is_out_gets_nothing_and_returns_by_steps() {
+    let (mut registry, mut replica) = started();
+    apply(&mut replica, data_centre("north", Service::Out));
+    let left = registry.on_config(T0, &replica);
+    assert_eq!(left, [Action::DataCentreLeft("north".into())]);
+    assert_eq!(share(&registry, T0, "vm-1"), 0);
+    assert_eq!(share(&registry, T0, "vm-2"), 1_000);
+
+    apply(&mut replica, data_centre("north", Service::In));
+    let returned = registry.on_config(T0, &replica);
+    assert_eq!(returned, [Action::DataCentreReturned("north".into())]);
+    assert_eq!(share(&registry, T0, "vm-1"), FIRST_SHARE);
+    let next = T0 + STEP_MS;
+    assert_eq!(share(&registry, next, "vm-1"), FIRST_SHARE + STEP_SHARE);
+    let later = T0 + Millis(STEP_MS.0 * 100);
+    assert_eq!(share(&registry, later, "vm-1"), 1_000);
+}
+
+#[test]
+fn a_return_whose_leave_was_missed_still_goes_by_steps() {
+    let (mut registry, mut replica) = started();
+    registry.on_config(T0, &replica);
+    apply(&mut replica, data_centre("north", Service::Out));
+    apply(&mut replica, data_centre("north", Service::In));
+    apply(&mut replica, vm("vm-2", Service::Out));
+    apply(&mut replica, vm("vm-2", Service::In));
+    registry.on_config(T0, &replica);
+    let listed_next = registry.on_list(T0 + Millis(1), &replica, &list());
+    assert!(listed_next.is_empty());
+    assert_eq!(share(&registry, T0, "vm-1"), FIRST_SHARE);
+    assert_eq!(share(&registry, T0, "vm-2"), FIRST_SHARE);
+    // The same configuration again does not start the steps over.
+    let next = T0 + STEP_MS;
+    assert!(registry.on_config(next, &replica).is_empty());
+    // Nor does a new list.
+    assert!(registry.on_list(next, &replica, &list()).is_empty());
+    assert_eq!(share(&registry, next, "vm-1"), FIRST_SHARE + STEP_SHARE);
+}
+
+#[test]
+fn a_start_after_a_return_takes_the_whole_share() {
+    let (mut registry, mut replica) = started();
+    apply(&mut replica, data_centre("north", Service::Out));
+    apply(&mut replica, data_centre("north", Service::In));
+    registry.on_config(T0, &replica);
+    assert_eq!(share(&registry, T0, "vm-1"), 1_000);
+}
+
+#[test]
+fn out_wins_over_every_other_word() {
+    let (mut registry, mut replica) = started();
+    apply(&mut replica, vm("vm-1", Service::Out));
+    registry.on_config(T0, &replica);
+    registry.on_list(T0, &replica, &list());
+    assert_eq!(share(&registry, T0, "vm-1"), 0);
+    apply(&mut replica, data_centre("north", Service::In));
+    registry.on_config(T0, &replica);
+    assert_eq!(share(&registry, T0, "vm-1"), 0);
+}
+
+#[test]
+fn a_reclaim_outweighs_a_list_that_lags() {
+    let (mut registry, replica) = started();
+    let left = registry.on_reclaim(T0, &"vm-1".into());
+    assert_eq!(left, [Action::VmLeft("vm-1".into())]);
+    let listed_next = registry.on_list(T0 + Millis(1), &replica, &list());
+    assert!(listed_next.is_empty());
+    assert_eq!(share(&registry, T0 + Millis(1), "vm-1"), 0);
+    registry.on_list(T0 + Millis(2), &replica, &list()[1..]);
+    let later = T0 + RECLAIM_MS + Millis(3);
+    registry.on_list(later, &replica, &list()[1..]);
+    // A new VM of the same name starts from the first step.
+    registry.on_list(later, &replica, &list());
+    assert_eq!(share(&registry, later, "vm-1"), FIRST_SHARE);
+}
+
+#[test]
+fn a_vm_that_the_platform_takes_away_is_out() {
+    let (mut registry, replica) = started();
+    let mut leaving = list();
+    leaving[0].leaving = true;
+    registry.on_list(T0, &replica, &leaving);
+    assert_eq!(share(&registry, T0, "vm-1"), 0);
+    registry.on_list(T0, &replica, &list()[..1]);
+    assert_eq!(share(&registry, T0, "vm-2"), 0);
+}
+
+#[test]
+fn an_operators_out_outlives_an_absence_from_the_list() {
+    let (mut registry, mut replica) = started();
+    apply(&mut replica, vm("vm-1", Service::Out));
+    registry.on_config(T0, &replica);
+    registry.on_list(T0, &replica, &[]);
+    registry.on_list(T0, &replica, &list());
+    assert_eq!(share(&registry, T0, "vm-1"), 0);
+}
+
+#[test]
+fn a_share_scales_a_limit_without_closing_it() {
+    let (mut registry, mut replica) = started();
+    apply(&mut replica, vm("vm-1", Service::Out));
+    registry.on_config(T0, &replica);
+    apply(&mut replica, vm("vm-1", Service::In));
+    registry.on_config(T0, &replica);
+    let share = registry.vm_share(T0, &"vm-1".into());
+    assert_eq!(share.of(100), 10);
+    assert_eq!(share.of(4), 1);
+    assert_eq!(Share::NONE.of(u32::MAX), 0);
+}
+
+proptest! {
+    #[test]
+    fn nothing_out_ever_gets_work(steps in prop::collection::vec((0_u8..7, any::<bool>()), 1..60)) {
+        let name: Name = "vm-1".into();
+        let (mut registry, mut replica) = started();
+        let mut now = T0;
+        let (mut vm_out, mut dc_out, mut gone) = (false, false, false);
+        for (step, out) in steps {
+            now = now + Millis(500);
+            let service = if out { Service::Out } else { Service::In };
+            match step {
+                0 | 1 => {
+                    vm_out = out;
+                    apply(&mut replica, vm("vm-1", service));
+                }
+                2 | 3 => {
+                    dc_out = out;
+                    apply(&mut replica, data_centre("north", service));
+                }
+                4 => {
+                    gone = out;
+                    let from = usize::from(out);
+                    registry.on_list(now, &replica, &list()[from..]);
+                }
+                _ => now = now + STEP_MS,
+            }
+            registry.on_config(now, &replica);
+            let is_none = registry.vm_share(now, &name).is_none();
+            prop_assert!(is_none == (vm_out || dc_out || gone));
+        }
+    }
+}
--- a/filbertpaddle-wire/src/config.rs
+++ b/filbertpaddle-wire/src/config.rs
@@ -1,12 +1,224 @@
 //! Messages that spread configuration.
 
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::gossip;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::replica;
+use filbertpaddle_core::revision::Revision;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// A message about configuration.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+use crate::setting::Change;
+use crate::setting::Key;
+
+/// A message about configuration; see [`gossip::Message`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// Measures the link and keeps it alive.
+    /// A change that was new to the sender.
     #[serde(rename = "p")]
-    Ping(u64),
+    Push(Box<Change>),
+    /// Asks for what is newer.
+    #[serde(rename = "q")]
+    Ask {
+        /// Chosen by the asker.
+        #[serde(rename = "s")]
+        seq: u64,
+        /// The asker's head.
+        #[serde(rename = "h")]
+        head: u64,
+        /// Age of the asker's copy, in milliseconds.
+        #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
+    },
+    /// Answers [`Message::Ask`].
+    #[serde(rename = "a")]
+    Answer {
+        /// From the question.
+        #[serde(rename = "s")]
+        seq: u64,
+        /// The sender's head.
+        #[serde(rename = "h")]
+        head: u64,
+        /// Age of the sender's copy, in milliseconds.
+        #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+        age_ms: Option<u64>,
+        /// Changes after the asker's head.
+        #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+        changes: Vec<Change>,
+    },
+    /// Asks for a page of the whole configuration.
+    #[serde(rename = "x")]
+    AskPage {
+        /// Chosen by the asker.
+        #[serde(rename = "s")]
+        seq: u64,
+        /// Last key of the page before.
+        #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
+        after: Option<Key>,
+    },
+    /// Answers [`Message::AskPage`].
+    #[serde(rename = "y")]
+    Page {
+        /// From the question.
+        #[serde(rename = "s")]
+        seq: u64,
+        /// Everything up to here is in the sender's copy.
+        #[serde(rename = "h")]
+        head: u64,
+        /// The last change of each key.
+        #[serde(rename = "c")]
+        changes: Vec<Change>,
+        /// Whether no keys follow.
+        #[serde(rename = "l")]
+        last: bool,
+    },
+    /// Asks a relay about its data centre.
+    #[serde(rename = "u")]
+    AskStatus {
+        /// Chosen by the asker.
+        #[serde(rename = "s")]
+        seq: u64,
+    },
+    /// Answers [`Message::AskStatus`].
+    #[serde(rename = "v")]
+    Status {
+        /// From the question.
+        #[serde(rename = "s")]
+        seq: u64,
+        /// The nodes.
+        #[serde(rename = "n")]
+        nodes: Vec<NodeStatus>,
+    },
+}
+
+/// What one node says is in force there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Name of the node.
+    #[serde(rename = "n")]
+    pub node: Name,
+    /// Its head.
+    #[serde(rename = "h")]
+    pub head: Option<u64>,
+    /// Age of its copy, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: Option<u64>,
+    /// How long ago it was heard from, in milliseconds.
+    #[serde(rename = "t")]
+    pub heard_ms: Option<u64>,
+}
+
+impl From<gossip::NodeStatus> for NodeStatus {
+    fn from(status: gossip::NodeStatus) -> Self {
+        Self {
+            node: status.node,
+            head: status.head.map(|head| head.0),
+            age_ms: status.age_ms.map(|age_ms| age_ms.0),
+            heard_ms: status.heard_ms.map(|heard_ms| heard_ms.0),
+        }
+    }
+}
+
+impl From<NodeStatus> for gossip::NodeStatus {
+    fn from(status: NodeStatus) -> Self {
+        Self {
+            node: status.node,
+            head: status.head.map(Revision),
+            age_ms: status.age_ms.map(Millis),
+            heard_ms: status.heard_ms.map(Millis),
+        }
+    }
+}
+
+impl From<gossip::Message> for Message {
+    fn from(message: gossip::Message) -> Self {
+        use gossip::Message as Core;
+        match message {
+            Core::Push(change) => Self::Push(Box::new(change.into())),
+            Core::Ask { seq, head, age_ms } => Self::Ask {
+                seq,
+                head: head.0,
+                age_ms: age_ms.map(|age_ms| age_ms.0),
+            },
+            Core::Answer {
+                seq,
+                head,
+                age_ms,
+                changes,
+            } => Self::Answer {
+                seq,
+                head: head.0,
+                age_ms: age_ms.map(|age_ms| age_ms.0),
+                changes: convert(changes),
+            },
+            Core::AskPage { seq, after } => Self::AskPage {
+                seq,
+                after: after.map(Key::from),
+            },
+            Core::Page { seq, page } => Self::Page {
+                seq,
+                head: page.head.0,
+                changes: convert(page.changes),
+                last: page.last,
+            },
+            Core::AskStatus { seq } => Self::AskStatus { seq },
+            Core::Status { seq, nodes } => Self::Status {
+                seq,
+                nodes: convert(nodes),
+            },
+        }
+    }
+}
+
+impl From<Message> for gossip::Message {
+    fn from(message: Message) -> Self {
+        match message {
+            Message::Push(change) => Self::Push((*change).into()),
+            Message::Ask { seq, head, age_ms } => Self::Ask {
+                seq,
+                head: Revision(head),
+                age_ms: age_ms.map(Millis),
+            },
+            Message::Answer {
+                seq,
+                head,
+                age_ms,
+                changes,
+            } => Self::Answer {
+                seq,
+                head: Revision(head),
+                age_ms: age_ms.map(Millis),
+                changes: convert(changes),
+            },
+            Message::AskPage { seq, after } => Self::AskPage {
+                seq,
+                after: after.map(Into::into),
+            },
+            Message::Page {
+                seq,
+                head,
+                changes,
+                last,
+            } => Self::Page {
+                seq,
+                page: replica::Page {
+                    head: Revision(head),
+                    changes: convert(changes),
+                    last,
+                },
+            },
+            Message::AskStatus { seq } => Self::AskStatus { seq },
+            Message::Status { seq, nodes } => Self::Status {
+                seq,
+                nodes: convert(nodes),
+            },
+        }
+    }
+}
+
+fn convert<T, U>(items: Vec<T>) -> Vec<U>
+where
+    U: From<T>,
+{
+    items.into_iter().map(U::from).collect()
 }
--- a/filbertpaddle-wire/src/lib.rs
+++ b/filbertpaddle-wire/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod greeting;
 pub mod member;
 pub mod message;
+pub mod setting;
