--- /dev/null
+++ b/filbertpaddle-standins/src/scenario.rs
@@ -0,0 +1,154 @@
+//! Named scenarios: a workload and what happens to the system meanwhile.
+
+use filbertpaddle_core::clock::Millis;
+
+use crate::engine_fault::Fault;
+use crate::workload;
+use crate::workload::Ask;
+use crate::workload::Burst;
+use crate::workload::Kind;
+
+/// Start of the disturbance, as a share of the run.
+const DISTURBED_FROM: f64 = 0.3;
+
+/// End of the disturbance, as a share of the run.
+const DISTURBED_TO: f64 = 0.65;
+
+/// What a run puts the system through.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    strum::Display,
+    strum::EnumString,
+    strum::IntoStaticStr,
+    strum::VariantArray,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Scenario {
+    /// The usual load.
+    Steady,
+    /// A rise above capacity and back.
+    EveningRush,
+    /// The largest customer sends far more for a while.
+    CustomerBurst,
+    /// Long outputs fill the engines' memory.
+    MemoryCrowding,
+    /// Half of the engines start cold.
+    ColdStart,
+    /// A third of the engines turn cold without warning.
+    TurningCold,
+    /// Operators take a data centre out and bring it back.
+    DataCentre,
+    /// The platform is down for a while.
+    PlatformOutage,
+}
+
+/// Something that happens during a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    /// A fault at every n-th engine.
+    Engines {
+        /// Engines from one chosen engine to the next.
+        every: usize,
+        /// The fault.
+        fault: Fault,
+    },
+    /// Operators take the first data centre out.
+    DataCentreOut,
+    /// Operators bring the first data centre back.
+    DataCentreIn,
+    /// The platform stops answering.
+    PlatformDown,
+    /// The platform answers again.
+    PlatformUp,
+}
+
+/// An act and its time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Timed {
+    /// When it happens, from the start of the run.
+    pub at_ms: Millis,
+    /// What happens.
+    pub act: Act,
+}
+
+impl Scenario {
+    /// Draws the workload for a run.
+    pub fn workload(self, seed: u64, duration_ms: Millis, rate: f64) -> Vec<Ask> {
+        let settings = workload::Settings {
+            seed,
+            duration_ms,
+            rate,
+            shape: move |passed| self.shape(passed),
+            kinds: self.kinds(),
+            burst: self.burst(),
+        };
+        workload::draw(&settings)
+    }
+
+    /// Returns what happens during a run, in order of time.
+    pub fn timeline(self, duration_ms: Millis) -> Vec<Timed> {
+        let timed = |share: f64, act| Timed {
+            at_ms: Millis((duration_ms.0 as f64 * share) as u64),
+            act,
+        };
+        let cold = |every| Act::Engines {
+            every,
+            fault: Fault::Cold,
+        };
+        match self {
+            Self::Steady | Self::EveningRush | Self::CustomerBurst | Self::MemoryCrowding => {
+                Vec::new()
+            }
+            Self::ColdStart => vec![timed(0.0, cold(2))],
+            Self::TurningCold => vec![timed(DISTURBED_FROM, cold(3))],
+            Self::DataCentre => vec![
+                timed(DISTURBED_FROM, Act::DataCentreOut),
+                timed(DISTURBED_TO, Act::DataCentreIn),
+            ],
+            Self::PlatformOutage => vec![
+                timed(DISTURBED_FROM, Act::PlatformDown),
+                timed(DISTURBED_TO, Act::PlatformUp),
+            ],
+        }
+    }
+
+    /// Returns the time between the first acts and the load.
+    ///
+    /// What is cold from the start can be known before the first request.
+    pub const fn lead_ms(self) -> Millis {
+        match self {
+            Self::ColdStart => Millis(2_500),
+            _ => Millis::ZERO,
+        }
+    }
+
+    fn shape(self, passed: f64) -> f64 {
+        match self {
+            Self::EveningRush => 0.6 + (std::f64::consts::PI * passed).sin(),
+            Self::CustomerBurst => 0.8,
+            _ => 1.0,
+        }
+    }
+
+    const fn kinds(self) -> &'static [Kind] {
+        match self {
+            Self::MemoryCrowding => workload::LONG,
+            _ => workload::USUAL,
+        }
+    }
+
+    const fn burst(self) -> Option<Burst> {
+        match self {
+            Self::CustomerBurst => Some(Burst {
+                from: DISTURBED_FROM,
+                to: DISTURBED_TO,
+                rate: 1.5,
+            }),
+            _ => None,
+        }
+    }
+}
--- a/filbertpaddle-standins/src/server.rs
+++ b/filbertpaddle-standins/src/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use warp::Filter;
@@ -14,6 +15,9 @@
 /// Longest wait for requests in progress when a server is closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// A running HTTP server.
 #[derive(Debug)]
 pub struct Server {
@@ -34,7 +38,7 @@
         F: Filter<Error = Rejection> + Clone + Send + Sync + 'static,
         F::Extract: Reply,
     {
-        let listener = TcpListener::bind(address).await?;
+        let listener = bind(address)?;
         let address = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
         let stopped = async move {
@@ -62,3 +66,17 @@
         }
     }
 }
+
+/// Binds a listener whose connections send small writes without delay.
+///
+/// Accepted connections inherit the option from the listener.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
