Read entries where the log has a gap; leave what is so already

Cause: a node whose table no longer held the oldest audit rows asked for the same rows for ever (test `a_trimmed_log_is_made_good_by_entries` failed first by design of the reader); bringing in what is in service already would have restarted its steps. Ruled out: never trimming the audit trail; answering a conflict for a change that changes nothing. Change: a log read without progress turns into a transfer of entries; an edit that changes nothing is answered `Unchanged`; the registry keeps the decisions, so that the VM list needs no configuration at hand.

--- a/filbertpaddle-core/src/config.rs
+++ b/filbertpaddle-core/src/config.rs
@@ -104,7 +104,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Customer {
     /// Hexadecimal SHA-256 digests of the customer's keys.
-    pub key_digests: Vec<Name>,
+    pub key_sha256: Vec<Name>,
     /// Relative share of tokens between customers.
     #[serde(default = "default_weight")]
     pub weight: u32,
@@ -218,11 +218,23 @@
         }
     }
 
+    /// Returns whether setting this over `entry` changes nothing.
+    ///
+    /// A data centre or VM without an entry is in service.
+    pub fn is_already(&self, entry: Option<&Self>) -> bool {
+        match (self, entry) {
+            (Self::DataCentre { service, .. } | Self::Vm { service, .. }, None) => {
+                *service == Service::In
+            }
+            (_, entry) => Some(self) == entry,
+        }
+    }
+
     /// Returns about how many bytes the setting takes in a message.
     pub fn size_bytes(&self) -> usize {
         const FIXED_BYTES: usize = 64;
         let variable = match self {
-            Self::Customer { customer, .. } => customer.key_digests.len() * DIGEST_BYTES,
+            Self::Customer { customer, .. } => customer.key_sha256.len() * DIGEST_BYTES,
             Self::DataCentre { .. } | Self::Vm { .. } => 0,
             Self::Template { template, .. } => {
                 let parameters: usize = template.parameters.iter().map(|name| name.len()).sum();
@@ -244,10 +256,10 @@
 fn check_customer(customer: &Customer) -> Result<(), Invalid> {
     let hexadecimal = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
     let digest = |text: &Name| text.len() == DIGEST_BYTES && text.bytes().all(hexadecimal);
-    if customer.key_digests.len() > MAX_DIGESTS {
-        return Err(Invalid::Digests(customer.key_digests.len()));
+    if customer.key_sha256.len() > MAX_DIGESTS {
+        return Err(Invalid::Digests(customer.key_sha256.len()));
     }
-    if !customer.key_digests.iter().all(digest) {
+    if !customer.key_sha256.iter().all(digest) {
         return Err(Invalid::Digest);
     }
     check_positive("weight", customer.weight)?;
--- a/filbertpaddle-core/src/edit.rs
+++ b/filbertpaddle-core/src/edit.rs
@@ -100,6 +100,11 @@
 pub enum Answer {
     /// The change is accepted.
     Accepted(Revision),
+    /// Nothing was changed: it is so already.
+    Unchanged {
+        /// Revision that set the entry; `None` if it never was.
+        revision: Option<Revision>,
+    },
     /// Nothing was changed: the entry is not as expected.
     Conflict {
         /// The change that stands instead; `None` if there is no entry.
@@ -166,6 +171,10 @@
         }
         let current = seen.entry.as_ref().map(|entry| entry.value.revision);
         if current == self.request.expected {
+            let entry = seen.entry.as_ref().map(|entry| &entry.value.setting);
+            if self.tried.is_none() && self.request.setting.is_already(entry) {
+                return Action::Finish(Answer::Unchanged { revision: current });
+            }
             return self.commit(seen);
         }
         if self.tried.is_some() {
--- a/filbertpaddle-core/src/service.rs
+++ b/filbertpaddle-core/src/service.rs
@@ -10,7 +10,6 @@
 
 use crate::clock::Millis;
 use crate::config::Change;
-use crate::config::Key;
 use crate::config::Service;
 use crate::config::Setting;
 use crate::name::Name;
@@ -186,6 +185,7 @@
 pub struct Registry {
     data_centres: IndexMap<Name, DataCentre>,
     vms: IndexMap<Name, Vm>,
+    vm_decisions: IndexMap<Name, Decision>,
     has_list: bool,
     has_config: bool,
 }
@@ -197,16 +197,14 @@
     pub fn on_config(&mut self, now: Millis, replica: &Replica) -> Vec<Action> {
         let mut actions = Vec::new();
         for change in replica.entries() {
-            if let Setting::DataCentre { name, .. } = &change.setting {
-                self.decide_data_centre(now, name, change, &mut actions);
+            match &change.setting {
+                Setting::DataCentre { name, .. } => {
+                    self.decide_data_centre(now, name, change, &mut actions);
+                }
+                Setting::Vm { name, .. } => self.decide_vm(now, name, change, &mut actions),
+                Setting::Customer { .. } | Setting::Template { .. } => {}
             }
         }
-        for (name, vm) in &mut self.vms {
-            if let Some(change) = replica.get(&Key::Vm(name.clone())) {
-                vm.decision = Decision::after(vm.decision, change, self.has_config);
-            }
-            settle(now, name, vm, &mut actions);
-        }
         self.has_config = true;
         actions
     }
@@ -215,16 +213,17 @@
     ///
     /// A VM that was listed and is missing now is out, as is one listed as
     /// leaving. A reclaim notice outweighs a list that lags behind it.
-    pub fn on_list(&mut self, now: Millis, replica: &Replica, list: &[Listed]) -> Vec<Action> {
+    pub fn on_list(&mut self, now: Millis, list: &[Listed]) -> Vec<Action> {
         let mut actions = Vec::new();
         for vm in self.vms.values_mut() {
             vm.platform_out = true;
         }
         for listed in list {
             let first_list = !self.has_list;
+            let decisions = &self.vm_decisions;
             let new = || Vm {
                 data_centre: listed.data_centre.clone(),
-                decision: decision_on(replica, &listed.vm),
+                decision: decisions.get(&listed.vm).copied().unwrap_or_default(),
                 platform_out: false,
                 reclaimed_at: None,
                 standing: if first_list {
@@ -296,6 +295,16 @@
         });
     }
 
+    fn decide_vm(&mut self, now: Millis, name: &Name, change: &Change, actions: &mut Vec<Action>) {
+        let known = self.vm_decisions.entry(name.clone()).or_default();
+        let decision = Decision::after(*known, change, self.has_config);
+        *known = decision;
+        if let Some(vm) = self.vms.get_mut(name) {
+            vm.decision = decision;
+            settle(now, name, vm, actions);
+        }
+    }
+
     /// Drops VMs that are no longer listed and whose reclaim is long past.
     fn forget(&mut self) {
         self.vms
@@ -303,13 +312,6 @@
     }
 }
 
-fn decision_on(replica: &Replica, vm: &Name) -> Decision {
-    let change = replica.get(&Key::Vm(vm.clone()));
-    change.map_or_else(Decision::default, |change| {
-        Decision::after(Decision::default(), change, false)
-    })
-}
-
 fn settle(now: Millis, name: &Name, vm: &mut Vm, actions: &mut Vec<Action>) {
     let is_out = vm.is_out();
     if !move_standing(now, &mut vm.standing, is_out, &mut vm.decision) {
--- a/filbertpaddle-core/src/spread.rs
+++ b/filbertpaddle-core/src/spread.rs
@@ -49,6 +49,7 @@
     reading_since: Option<Millis>,
     next_at: Millis,
     failed: bool,
+    head: Revision,
 }
 
 /// One node's part in spreading configuration.
@@ -136,7 +137,7 @@
             Event::Accepted(change) => self.on_accepted(&change, &mut actions),
             Event::Message { from, message } => self.on_message(now, from, message, &mut actions),
             Event::TableHead(head) => self.on_table_head(now, head, &mut actions),
-            Event::TableLog(changes) => self.take_changes(&changes, &mut actions),
+            Event::TableLog(changes) => self.on_table_log(now, &changes, &mut actions),
             Event::TablePage(page) => self.on_page(now, &page, &mut actions),
             Event::TableFailed => self.on_table_failed(now),
             Event::Tick => self.on_tick(now, &mut actions),
@@ -249,11 +250,25 @@
         };
         self.table.failed = false;
         self.replica.confirm(head, asked_at);
+        self.table.head = head;
+        self.catch_up_with_table(now, true, actions);
+    }
+
+    fn on_table_log(&mut self, now: Millis, changes: &[Change], actions: &mut Vec<Action>) {
+        let before = self.replica.head();
+        self.take_changes(changes, actions);
+        let progressed = self.replica.head() > before;
+        self.catch_up_with_table(now, progressed, actions);
+    }
+
+    /// Reads on; without progress the log has a gap and only entries help.
+    fn catch_up_with_table(&mut self, now: Millis, progressed: bool, actions: &mut Vec<Action>) {
+        let head = self.table.head;
         let known = self.replica.head();
         if known >= head {
             return;
         }
-        if head.0 - known.0 <= MAX_RECENT as u64 {
+        if progressed && head.0 - known.0 <= MAX_RECENT as u64 {
             actions.push(Action::ReadLog { after: known });
         } else {
             self.start_transfer(now, Source::Table(head), actions);
--- a/filbertpaddle-core/tests/spread.rs
+++ b/filbertpaddle-core/tests/spread.rs
@@ -33,6 +33,8 @@
     table_cut: Vec<Name>,
     /// Data centres that no other one reaches.
     peers_cut: Vec<Name>,
+    /// Audit rows up to here are no longer in the table.
+    trimmed: Revision,
 }
 
 fn member(node: &str, data_centre: &str) -> Member {
@@ -72,6 +74,7 @@
             dead: Vec::new(),
             table_cut: Vec::new(),
             peers_cut: Vec::new(),
+            trimmed: Revision::ZERO,
         };
         members.into_iter().for_each(|member| net.add(member));
         net
@@ -138,6 +141,7 @@
     fn read(&self, read: Action) -> Event {
         match read {
             Action::ReadLog { after } => {
+                let after = after.max(self.trimmed);
                 let newer = self.log.iter().filter(|change| change.revision > after);
                 Event::TableLog(newer.cloned().collect())
             }
@@ -274,6 +278,16 @@
     assert!(restarted.replica().current_at() < Some(Millis(net.now.0 - 50_000)));
 }
 
+#[test]
+fn a_trimmed_log_is_made_good_by_entries() {
+    let mut net = Net::new(1, 1);
+    net.log = (1..=5).map(change).collect();
+    net.trimmed = Revision(3);
+    net.pass(BOUND_MS);
+    assert!(net.nodes["node-0"].is_ready());
+    assert!(net.behind().is_empty());
+}
+
 #[test]
 fn a_node_with_nothing_to_learn_from_is_not_ready() {
     let mut net = Net::new(1, 1);
--- a/filbertpaddle-wire/src/setting.rs
+++ b/filbertpaddle-wire/src/setting.rs
@@ -47,7 +47,7 @@
 pub struct Customer {
     /// Hexadecimal digests of the customer's keys.
     #[serde(rename = "k")]
-    pub key_digests: Vec<Name>,
+    pub key_sha256: Vec<Name>,
     /// Relative share of tokens.
     #[serde(rename = "w")]
     pub weight: u32,
@@ -199,7 +199,7 @@
 impl From<config::Customer> for Customer {
     fn from(customer: config::Customer) -> Self {
         Self {
-            key_digests: customer.key_digests,
+            key_sha256: customer.key_sha256,
             weight: customer.weight,
             max_running: customer.max_running,
         }
@@ -209,7 +209,7 @@
 impl From<Customer> for config::Customer {
     fn from(customer: Customer) -> Self {
         Self {
-            key_digests: customer.key_digests,
+            key_sha256: customer.key_sha256,
             weight: customer.weight,
             max_running: customer.max_running,
         }
