--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod retry;
 pub mod revision;
 pub mod scheduler;
+pub mod service;
 pub mod spill;
 pub mod spread;
 pub mod suspect;
