--- a/filbertpaddle-core/src/ask.rs
+++ b/filbertpaddle-core/src/ask.rs
@@ -37,6 +37,8 @@
     pub max_tokens: u32,
     /// Digest of the prompt's shared prefix; zero if it has none.
     pub prefix: u64,
+    /// Length of the shared prefix, in whole blocks of the target's cache.
+    pub prefix_tokens: u32,
     /// Digest of the whole request, equal for a resend.
     pub digest: u64,
     /// When the ask reached the owner.
--- a/filbertpaddle-core/src/engine.rs
+++ b/filbertpaddle-core/src/engine.rs
@@ -43,6 +43,13 @@
     tokens: u64,
 }
 
+/// A prefix that running work shares.
+#[derive(Clone, Copy, Debug, Default)]
+struct Shared {
+    users: usize,
+    tokens: u32,
+}
+
 /// One target as the scheduler sees it.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -51,6 +58,7 @@
     crashed_ms: Option<Millis>,
     progress: Progress,
     running: IndexMap<SlotId, Running>,
+    shared: IndexMap<u64, Shared>,
     ended: VecDeque<Ended>,
     forecast: Forecast,
     forecast_ms: Option<Millis>,
@@ -65,6 +73,7 @@
             crashed_ms: None,
             progress: Progress::new(now),
             running: IndexMap::new(),
+            shared: IndexMap::new(),
             ended: VecDeque::new(),
             forecast: Forecast::default(),
             forecast_ms: None,
@@ -75,10 +84,12 @@
     /// Forgets all but the work that runs.
     pub fn reset(&mut self, now: Millis) {
         let running = std::mem::take(&mut self.running);
+        let shared = std::mem::take(&mut self.shared);
         let crashed_ms = self.crashed_ms;
         *self = Self::new(now);
         self.crashed_ms = crashed_ms;
         self.running = running;
+        self.shared = shared;
         let restarted = self.progress.mark();
         for running in self.running.values_mut() {
             let at_ms = running.start.at_ms;
@@ -109,6 +120,7 @@
     ) {
         self.advance(now, line);
         self.prefixes.insert(now, ask.prefix);
+        self.share(&ask);
         self.forecast.add(&attempt(&ask, 0, lengths));
         let start = self.progress.mark();
         let running = Running {
@@ -124,13 +136,14 @@
         self.advance(now, line);
         let running = self.running.swap_remove(&slot)?;
         self.forecast_ms = None;
+        self.unshare(&running.ask);
         if self.ended.len() >= ENDED {
             self.ended.pop_front();
         }
         self.ended.push_back(Ended {
             start_ms: running.start.at_ms,
             end_ms: now,
-            tokens: u64::from(running.ask.prompt_tokens) + u64::from(tokens),
+            tokens: u64::from(own_tokens(&running.ask)) + u64::from(tokens),
         });
         Some(running)
     }
@@ -175,6 +188,40 @@
         &self.forecast
     }
 
+    /// Tokens of the prefixes that running work and an added ask share.
+    pub fn shared_tokens_with(&self, ask: &Ask) -> f32 {
+        let more = if ask.prefix == 0 || self.shared.contains_key(&ask.prefix) {
+            0
+        } else {
+            ask.prefix_tokens
+        };
+        self.shared_tokens(more)
+    }
+
+    fn shared_tokens(&self, more: u32) -> f32 {
+        let tokens: u32 = self.shared.values().map(|shared| shared.tokens).sum();
+        (tokens + more) as f32
+    }
+
+    fn share(&mut self, ask: &Ask) {
+        if ask.prefix == 0 {
+            return;
+        }
+        let shared = self.shared.entry(ask.prefix).or_default();
+        shared.users += 1;
+        shared.tokens = ask.prefix_tokens;
+    }
+
+    fn unshare(&mut self, ask: &Ask) {
+        let Some(shared) = self.shared.get_mut(&ask.prefix) else {
+            return;
+        };
+        shared.users -= 1;
+        if shared.users == 0 {
+            self.shared.swap_remove(&ask.prefix);
+        }
+    }
+
     /// Tokens in memory beyond those of the work known here, by late reports.
     pub fn correction_tokens(&self) -> f32 {
         self.correction_tokens
@@ -195,7 +242,7 @@
             .map(|running| {
                 let out_tokens = self.progress.tokens_since(&running.start);
                 let then = out_tokens.saturating_sub(gained_since);
-                u64::from(running.ask.prompt_tokens) + u64::from(then)
+                u64::from(own_tokens(&running.ask)) + u64::from(then)
             })
             .sum();
         let ended: u64 = self
@@ -204,7 +251,7 @@
             .filter(|ended| ended.start_ms <= load.taken_ms && load.taken_ms < ended.end_ms)
             .map(|ended| ended.tokens)
             .sum();
-        let known = (running + ended) as f32;
+        let known = (running + ended) as f32 + self.shared_tokens(0);
         let excess = (load.used_tokens as f32 - known).max(-0.5 * known);
         self.correction_tokens += CORRECTION_PART * (excess - self.correction_tokens);
     }
@@ -224,9 +271,16 @@
 /// Returns the memory of an ask's work after `out_tokens` tokens.
 pub fn attempt<'a>(ask: &Ask, out_tokens: u32, lengths: &'a Lengths) -> memory::Attempt<'a> {
     memory::Attempt {
-        prompt_tokens: ask.prompt_tokens,
+        prompt_tokens: own_tokens(ask),
         out_tokens: out_tokens.min(ask.max_tokens.saturating_sub(1)),
         max_tokens: ask.max_tokens,
         curve: lengths.curve(&ask.template),
     }
 }
+
+fn own_tokens(ask: &Ask) -> u32 {
+    if ask.prefix == 0 {
+        return ask.prompt_tokens;
+    }
+    ask.prompt_tokens.saturating_sub(ask.prefix_tokens)
+}
--- a/filbertpaddle-core/src/placement.rs
+++ b/filbertpaddle-core/src/placement.rs
@@ -71,7 +71,7 @@
         let engine = engines
             .entry(view.name.clone())
             .or_insert_with(|| Engine::new(now));
-        let Some(fill) = fill(now, &more, view, engine, known) else {
+        let Some(fill) = fill(now, ask, &more, view, engine, known) else {
             continue;
         };
         if best.is_none_or(|(least, _)| fill < least) {
@@ -94,6 +94,7 @@
 /// room, since work that is too large for it will not fit later either.
 fn fill(
     now: Millis,
+    ask: &Ask,
     more: &Forecast,
     view: &TargetView,
     engine: &mut Engine,
@@ -103,9 +104,9 @@
     let memory = match view.capacity_tokens {
         0 => 0.0,
         capacity => {
-            let correction = engine.correction_tokens();
+            let fixed = engine.correction_tokens() + engine.shared_tokens_with(ask);
             let forecast = engine.forecast(now, known.line, known.lengths).with(more);
-            let peak = forecast.peak_tokens(known.limits.deviations) + correction;
+            let peak = forecast.peak_tokens(known.limits.deviations) + fixed;
             peak.max(0.0) / capacity as f32
         }
     };
--- a/filbertpaddle-core/tests/quarantine.rs
+++ b/filbertpaddle-core/tests/quarantine.rs
@@ -77,6 +77,7 @@
             prompt_tokens: 100,
             max_tokens: 1_000,
             prefix: 0,
+            prefix_tokens: 0,
             digest,
             arrived_ms: self.now,
             deadline_ms: self.now + Millis::from_secs(600),
--- a/filbertpaddle-core/tests/queue.rs
+++ b/filbertpaddle-core/tests/queue.rs
@@ -21,6 +21,7 @@
             prompt_tokens: 10,
             max_tokens: 1_000,
             prefix: 0,
+            prefix_tokens: 0,
             digest: 0,
             arrived_ms: Millis(arrived_ms),
             deadline_ms: Millis(arrived_ms + 1_000_000),
