--- a/filbertpaddle-standins/examples/placement/report.rs
+++ b/filbertpaddle-standins/examples/placement/report.rs
@@ -103,7 +103,7 @@
     }
 }
 
+#[expect(clippy::expect_used, reason = "the bounds are constant")]
 fn histogram() -> Histogram<u64> {
-    Histogram::new_with_max(3_600_000_000, 3)
-        .unwrap_or_else(|_| Histogram::new(3).expect("three digits are allowed"))
+    Histogram::new_with_max(3_600_000_000, 3).expect("three digits are allowed")
 }
--- a/filbertpaddle/tests/bad_input.rs
+++ b/filbertpaddle/tests/bad_input.rs
@@ -1,5 +1,7 @@
 //! Bad input gets a clear answer with a reason and loses nothing else.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 mod common;
 
 use std::io::Read;
--- a/filbertpaddle/tests/settings.rs
+++ b/filbertpaddle/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings are checked, and errors name the line and the reason.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 use expect_test::Expect;
 use expect_test::expect;
 use filbertpaddle::settings;
@@ -23,7 +25,9 @@
     let text = EXAMPLE.replace("peers: [", "pears: [");
     refused(
         &text,
-        &expect!["line 16: unknown field `pears`, expected one of node, listen, peers, platform, secrets, operators, targets, limits, log, metrics"],
+        &expect![
+            "line 16: unknown field `pears`, expected one of node, listen, peers, platform, secrets, operators, targets, limits, log, metrics"
+        ],
     );
 }
 
@@ -55,6 +59,8 @@
     let text = EXAMPLE.replace("platform:", "platforms:");
     refused(
         &text,
-        &expect!["line 19: unknown field `platforms`, expected one of node, listen, peers, platform, secrets, operators, targets, limits, log, metrics"],
+        &expect![
+            "line 19: unknown field `platforms`, expected one of node, listen, peers, platform, secrets, operators, targets, limits, log, metrics"
+        ],
     );
 }
--- a/filbertpaddle/tests/ticket.rs
+++ b/filbertpaddle/tests/ticket.rs
@@ -1,5 +1,7 @@
 //! Resume tickets are valid for a time and only as signed.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
 use filbertpaddle::ticket;
 use filbertpaddle::ticket::Error;
 use filbertpaddle::ticket::Ticket;
