Order targets to serve what the templates want

Cause: models, versions and adapters change by templates, weight loads are limited, and some targets obey a deposed owner's order. Ruled out: giving orders on each change without reading first, since a lost answer would then be repeated blindly. Change: per pool, the owner reads each target, compares, asks the weight store and orders a part of the pool at a time under its epoch; for targets that ignore the number it waits out what may be in flight and reads back. Conclusion: the decision is whole in the core; wiring follows ownership.

--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod length;
 pub mod memory;
 pub mod name;
+pub mod orders;
 pub mod outcome;
 pub mod pace;
 pub mod placement;
