Add the load and experiment tool with uncoordinated baselines

Cause: the four measures need honest baselines before any policy. Ruled out: waiting for the daemon's policies, as baselines need none. Change: open-loop workloads from a seed, eight named scenarios, entry VMs that choose targets in turn or by their own connections, the same load through node processes, checks while measuring (order, splicing, executions at the targets), one JSON line and one table per run, medians over seeds and a plot. Conclusion: baselines run; the path through nodes is not yet tried.

--- /dev/null
+++ b/filbertpaddle-standins/src/balancer.rs
@@ -0,0 +1,115 @@
+//! Baselines: entry VMs that choose targets by themselves.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Time during which a target that failed is passed over.
+const SUSPENSION: Duration = Duration::from_secs(1);
+
+/// How a target is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Each target in turn.
+    RoundRobin,
+    /// The target with the fewest requests in flight from this entry VM.
+    LeastConnections,
+}
+
+#[derive(Debug)]
+struct Target {
+    address: SocketAddr,
+    data_centre: usize,
+    in_flight: u32,
+    suspended_until: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    targets: Vec<Target>,
+    out: Option<usize>,
+    turn: usize,
+}
+
+/// The targets as one entry VM sees them.
+#[derive(Debug)]
+pub struct Balancer {
+    choice: Choice,
+    inner: Mutex<Inner>,
+}
+
+impl Balancer {
+    /// Creates a balancer over targets, given with their data centres.
+    pub fn new(choice: Choice, targets: &[(SocketAddr, usize)], turn: usize) -> Self {
+        let targets = targets.iter().map(|(address, data_centre)| Target {
+            address: *address,
+            data_centre: *data_centre,
+            in_flight: 0,
+            suspended_until: None,
+        });
+        let inner = Inner {
+            targets: targets.collect(),
+            out: None,
+            turn,
+        };
+        Self {
+            choice,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a data centre out, or brings all back.
+    pub fn set_out(&self, data_centre: Option<usize>) {
+        self.lock().out = data_centre;
+    }
+
+    /// Chooses a target and counts a request in flight; `None` if there is none.
+    pub fn choose(&self) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let out = inner.out;
+        inner.turn += 1;
+        let turn = inner.turn;
+        let count = inner.targets.len();
+        let open = |target: &Target| {
+            Some(target.data_centre) != out && target.suspended_until.is_none_or(|end| end <= now)
+        };
+        // The search starts at another target each time, so that ties rotate.
+        let mut candidates = (0..count)
+            .map(|step| (turn + step) % count)
+            .filter(|index| open(&inner.targets[*index]));
+        let index = match self.choice {
+            Choice::RoundRobin => candidates.next(),
+            Choice::LeastConnections => {
+                candidates.min_by_key(|index| inner.targets[*index].in_flight)
+            }
+        }?;
+        inner.turn = match self.choice {
+            Choice::RoundRobin => index,
+            Choice::LeastConnections => turn,
+        };
+        inner.targets[index].in_flight += 1;
+        Some(inner.targets[index].address)
+    }
+
+    /// Counts a request as ended; a target that failed is passed over for a while.
+    pub fn release(&self, address: SocketAddr, failed: bool) {
+        let mut inner = self.lock();
+        let target = inner
+            .targets
+            .iter_mut()
+            .find(|target| target.address == address);
+        let Some(target) = target else { return };
+        target.in_flight = target.in_flight.saturating_sub(1);
+        if failed {
+            target.suspended_until = Some(Instant::now() + SUSPENSION);
+        }
+    }
+}
--- /dev/null
+++ b/filbertpaddle-standins/src/caller.rs
@@ -0,0 +1,150 @@
+//! Requests sent to nodes, as callers do.
+
+use std::net::SocketAddr;
+
+use bytes::Buf;
+use bytes::BytesMut;
+use filbertpaddle_core::outcome::Outcome;
+use reqwest::Response;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::observation::Ending;
+use crate::observation::Observer;
+use crate::workload::Ask;
+
+/// Name of the only parameter of the load tool's templates.
+pub const PARAMETER: &str = "ask";
+
+#[derive(Deserialize)]
+struct Token {
+    index: u32,
+    text: String,
+}
+
+/// One server-sent event.
+#[derive(Debug, Default)]
+struct Event {
+    name: String,
+    data: String,
+}
+
+/// Returns the key by which a customer proves itself.
+pub fn key(customer: &str) -> String {
+    format!("load-tool-key-{customer}")
+}
+
+/// Sends one request to a node and returns how it ended.
+pub async fn run(
+    http: &reqwest::Client,
+    node: SocketAddr,
+    ask: &Ask,
+    observer: &mut Observer,
+) -> Ending {
+    match send(http, node, ask).await {
+        Ok(response) => observe(response, ask, observer).await,
+        Err(error) if error.is_connect() => Ending::NotRun,
+        Err(_) => Ending::Broken,
+    }
+}
+
+async fn send(
+    http: &reqwest::Client,
+    node: SocketAddr,
+    ask: &Ask,
+) -> Result<Response, reqwest::Error> {
+    let body = json!({
+        "template": ask.kind.name,
+        "parameters": { PARAMETER: ask.parameter },
+    });
+    let mut request = http
+        .post(format!("http://{node}/v1/requests"))
+        .bearer_auth(key(&ask.customer))
+        .json(&body);
+    if !ask.kind.idempotent {
+        request = request.header("idempotency-key", &ask.marker);
+    }
+    request.send().await
+}
+
+async fn observe(response: Response, ask: &Ask, observer: &mut Observer) -> Ending {
+    let streamed = response.status().is_success() && !ask.kind.is_call();
+    if streamed {
+        return stream(response, observer).await;
+    }
+    match response.json::<Outcome>().await {
+        Ok(outcome) => {
+            if let Outcome::Complete { tokens } = outcome {
+                observer.answer(tokens);
+            }
+            ending(&outcome)
+        }
+        Err(_) => Ending::Broken,
+    }
+}
+
+async fn stream(mut response: Response, observer: &mut Observer) -> Ending {
+    let mut buffer = BytesMut::new();
+    let mut event = Event::default();
+    while let Ok(Some(chunk)) = response.chunk().await {
+        buffer.extend_from_slice(&chunk);
+        while let Some(line) = take_line(&mut buffer) {
+            if !line.is_empty() {
+                event.read(&line);
+                continue;
+            }
+            let finished = std::mem::take(&mut event);
+            if let Some(ending) = take(&finished, observer) {
+                return ending;
+            }
+        }
+    }
+    Ending::Broken
+}
+
+/// Notes an event; returns the ending if it is the last.
+fn take(event: &Event, observer: &mut Observer) -> Option<Ending> {
+    match event.name.as_str() {
+        "token" => {
+            let token: Token = serde_json::from_str(&event.data).ok()?;
+            observer.token(token.index, &token.text);
+            None
+        }
+        "end" => {
+            let outcome: Outcome = serde_json::from_str(&event.data).ok()?;
+            if let Outcome::Complete { tokens } | Outcome::Incomplete { tokens, .. } = outcome {
+                observer.count(tokens);
+            }
+            Some(ending(&outcome))
+        }
+        _ => None,
+    }
+}
+
+const fn ending(outcome: &Outcome) -> Ending {
+    match outcome {
+        Outcome::Complete { .. } => Ending::Complete,
+        Outcome::NotRun { .. } => Ending::NotRun,
+        Outcome::MayHaveRun { .. } => Ending::MayHaveRun,
+        Outcome::Incomplete { .. } => Ending::Incomplete,
+    }
+}
+
+fn take_line(buffer: &mut BytesMut) -> Option<String> {
+    let end = buffer.iter().position(|byte| *byte == b'\n')?;
+    let line = buffer.split_to(end);
+    buffer.advance(1);
+    Some(String::from_utf8_lossy(&line).trim_end().to_owned())
+}
+
+impl Event {
+    fn read(&mut self, line: &str) {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "event" => self.name = value.to_owned(),
+            "data" => self.data.push_str(value),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/filbertpaddle-standins/src/cluster.rs
@@ -0,0 +1,269 @@
+//! The platform and the nodes of an experiment, as child processes.
+
+use std::collections::HashSet;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_platform::protocol::Vm;
+use filbertpaddle_platform::protocol::VmList;
+use filbertpaddle_platform::protocol::VmRole;
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::child;
+use crate::child::Child;
+use crate::faults::Faults;
+use crate::faults::Outage;
+use crate::fleet::Fleet;
+use crate::node_settings;
+use crate::usage;
+use crate::usage::Usage;
+
+/// Name of the model that all engines serve.
+pub const MODEL: &str = "drafts";
+
+/// Name of the plain service.
+pub const SERVICE: &str = "bookings";
+
+/// How often a node is asked whether it is ready.
+const READY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Most times that a node is asked.
+const READY_TRIES: u32 = 300;
+
+/// Why a cluster did not start or did not follow.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// A process did not start.
+    #[error(transparent)]
+    Child(#[from] child::Error),
+    /// A stand-in or node did not answer.
+    #[error(transparent)]
+    Http(#[from] reqwest::Error),
+    /// A settings file could not be written.
+    #[error("cannot write settings: {0}")]
+    Io(#[from] io::Error),
+    /// A node was never ready.
+    #[error("node {0} is not ready")]
+    NotReady(SocketAddr),
+}
+
+/// What the cluster consists of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Program of the stand-ins.
+    pub standin: PathBuf,
+    /// Program of the nodes.
+    pub node: PathBuf,
+    /// Data centres.
+    pub data_centres: usize,
+    /// Nodes in all.
+    pub nodes: usize,
+    /// Name of the policy, if the nodes' own default is not wanted.
+    pub policy: Option<String>,
+}
+
+/// Addresses of the platform stand-in.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Platform {
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Its control port.
+    pub control: SocketAddr,
+}
+
+/// Addresses of a node.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+}
+
+/// A running platform and running nodes.
+#[derive(Debug)]
+pub struct Cluster {
+    platform: Child<Platform>,
+    nodes: Vec<Child<Addresses>>,
+    data_centres: usize,
+    directory: PathBuf,
+    http: reqwest::Client,
+}
+
+impl Cluster {
+    /// Starts the platform and the nodes, and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start or is never ready.
+    pub async fn start(
+        settings: &Settings,
+        fleet: &Fleet,
+        http: reqwest::Client,
+    ) -> Result<Self, Error> {
+        let platform: Child<Platform> =
+            Child::start(&settings.standin, &["platform".to_owned()]).await?;
+        let directory = std::env::temp_dir().join(format!("filbertpaddle-load-{}", platform.pid));
+        std::fs::create_dir_all(&directory)?;
+        let mut cluster = Self {
+            platform,
+            nodes: Vec::new(),
+            data_centres: settings.data_centres,
+            directory,
+            http,
+        };
+        let rows = node_settings::rows();
+        let table = format!("http://{}/table/transact", cluster.platform.ready.address);
+        cluster.post(&table, &rows).await?;
+        cluster.publish_vms(fleet).await?;
+        for number in 0..settings.nodes {
+            cluster.start_node(settings, number).await?;
+        }
+        cluster.publish_vms(fleet).await?;
+        cluster.wait_until_ready().await?;
+        Ok(cluster)
+    }
+
+    async fn start_node(&mut self, settings: &Settings, number: usize) -> Result<(), Error> {
+        let peers: Vec<SocketAddr> = self.nodes.iter().map(|node| node.ready.peers).collect();
+        let text = node_settings::Node {
+            number,
+            data_centre: number % self.data_centres,
+            platform: self.platform.ready.address,
+            peers: &peers,
+            policy: settings.policy.as_deref(),
+        }
+        .text();
+        let path = self.directory.join(format!("node-{number}.yaml"));
+        std::fs::write(&path, text)?;
+        let args = ["serve".to_owned(), path.display().to_string()];
+        let node = Child::start(&settings.node, &args).await?;
+        self.nodes.push(node);
+        Ok(())
+    }
+
+    async fn publish_vms(&self, fleet: &Fleet) -> Result<(), Error> {
+        let vm = |name: String, data_centre: usize, role, address: SocketAddr, model: &str| Vm {
+            name: name.into(),
+            data_centre: node_settings::data_centre(data_centre).into(),
+            role,
+            address: address.to_string().into(),
+            model: model.into(),
+            leaving: false,
+        };
+        let engines = fleet.engines.iter().enumerate().map(|(number, engine)| {
+            let name = format!("engine-{number}");
+            let address = engine.address;
+            vm(name, engine.data_centre, VmRole::Target, address, MODEL)
+        });
+        let services = fleet.services.iter().enumerate().map(|(number, service)| {
+            let name = format!("service-{number}");
+            let address = service.address;
+            vm(name, service.data_centre, VmRole::Target, address, SERVICE)
+        });
+        let nodes = self.nodes.iter().enumerate().map(|(number, node)| {
+            let name = node_settings::node(number);
+            let data_centre = number % self.data_centres;
+            vm(name, data_centre, VmRole::Entry, node.ready.peers, "")
+        });
+        let vms = engines.chain(services).chain(nodes).collect();
+        let url = format!("http://{}/control/vms", self.platform.ready.control);
+        self.post(&url, &VmList { vms }).await
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), Error> {
+        for node in &self.nodes {
+            let address = node.ready.callers;
+            let url = format!("http://{address}/readyz");
+            let mut tries = 0;
+            loop {
+                let answer = self.http.get(&url).send().await;
+                if answer.is_ok_and(|answer| answer.status().is_success()) {
+                    break;
+                }
+                tries += 1;
+                if tries > READY_TRIES {
+                    return Err(Error::NotReady(address));
+                }
+                tokio::time::sleep(READY_INTERVAL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Switches an outage of the platform on or off.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the control port does not answer.
+    pub async fn set_outage(&self, down: bool) -> Result<(), Error> {
+        let outage = if down { Outage::Refuse } else { Outage::None };
+        let faults = Faults {
+            outage,
+            ..Faults::default()
+        };
+        let url = format!("http://{}/control/faults", self.platform.ready.control);
+        self.post(&url, &faults).await
+    }
+
+    /// Returns the callers' addresses of nodes outside a data centre.
+    pub fn callers(&self, out: Option<usize>) -> Vec<SocketAddr> {
+        self.nodes
+            .iter()
+            .enumerate()
+            .filter(|(number, _)| Some(number % self.data_centres) != out)
+            .map(|(_, node)| node.ready.callers)
+            .collect()
+    }
+
+    /// Returns the operators' address of the first node outside a data centre.
+    pub fn operators(&self, out: Option<usize>) -> Option<SocketAddr> {
+        self.nodes
+            .iter()
+            .enumerate()
+            .find(|(number, _)| Some(number % self.data_centres) != out)
+            .map(|(_, node)| node.ready.operators)
+    }
+
+    /// Reads what each node has used; its traffic is that with peers and platform.
+    pub fn usage(&self) -> Vec<Usage> {
+        let mut ports: HashSet<u16> = self
+            .nodes
+            .iter()
+            .map(|node| node.ready.peers.port())
+            .collect();
+        ports.insert(self.platform.ready.address.port());
+        self.nodes
+            .iter()
+            .map(|node| usage::read(node.pid, &ports))
+            .collect()
+    }
+
+    async fn post<T>(&self, url: &str, body: &T) -> Result<(), Error>
+    where
+        T: serde::Serialize,
+    {
+        let answer = self.http.post(url).json(body).send().await?;
+        answer.error_for_status()?;
+        Ok(())
+    }
+
+    /// Ends the processes.
+    pub async fn close(self) {
+        for node in self.nodes {
+            node.close().await;
+        }
+        self.platform.close().await;
+        // Files left over do no harm.
+        let _ = std::fs::remove_dir_all(self.directory);
+    }
+}
+
+/// Time that nodes get to learn of targets and of each other.
+pub const SETTLE_MS: Millis = Millis(3_000);
--- /dev/null
+++ b/filbertpaddle-standins/src/command_load.rs
@@ -0,0 +1,122 @@
+//! `load`: runs scenarios under policies and reports what they show.
+
+use std::path::PathBuf;
+
+use eyre::WrapErr;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_standins::experiment;
+use filbertpaddle_standins::experiment::Settings;
+use filbertpaddle_standins::experiment::Way;
+use filbertpaddle_standins::fleet;
+use filbertpaddle_standins::scenario::Scenario;
+use filbertpaddle_standins::summary::Summary;
+use lexopt::ValueExt;
+
+/// What the command line asks for.
+struct Options {
+    settings: Settings,
+    scenarios: Vec<Scenario>,
+    ways: Vec<Way>,
+    seeds: Vec<u64>,
+    plot: Option<PathBuf>,
+}
+
+/// Runs the subcommand.
+pub(crate) fn run(parser: lexopt::Parser) -> eyre::Result<()> {
+    let options = parse(parser)?;
+    tokio::runtime::Runtime::new()?.block_on(compare(&options))
+}
+
+async fn compare(options: &Options) -> eyre::Result<()> {
+    let mut summary = Summary::default();
+    for scenario in &options.scenarios {
+        for seed in &options.seeds {
+            for way in &options.ways {
+                let mut settings = options.settings.clone();
+                settings.scenario = *scenario;
+                settings.way = *way;
+                settings.seed = *seed;
+                settings.fleet.seed = *seed;
+                let report = experiment::run(&settings).await?;
+                println!("{}", serde_json::to_string(&report)?);
+                println!("{report}");
+                summary.add(report);
+            }
+        }
+    }
+    println!("{summary}");
+    if let Some(path) = &options.plot {
+        summary.plot(path).wrap_err("cannot draw the plot")?;
+    }
+    Ok(())
+}
+
+fn parse(mut parser: lexopt::Parser) -> eyre::Result<Options> {
+    let mut options = Options::new()?;
+    let fleet = &mut options.settings.fleet;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            lexopt::Arg::Long("scenario") => options.scenarios = list(&mut parser)?,
+            lexopt::Arg::Long("policy") => options.ways = list(&mut parser)?,
+            lexopt::Arg::Long("seeds") => options.seeds = list(&mut parser)?,
+            lexopt::Arg::Long("seconds") => {
+                let seconds: u64 = parser.value()?.parse()?;
+                options.settings.duration_ms = Millis::from_secs(seconds);
+            }
+            lexopt::Arg::Long("rate") => options.settings.rate = parser.value()?.parse()?,
+            lexopt::Arg::Long("nodes") => options.settings.entries = parser.value()?.parse()?,
+            lexopt::Arg::Long("node-program") => options.settings.node = parser.value()?.into(),
+            lexopt::Arg::Long("engines") => fleet.engines = parser.value()?.parse()?,
+            lexopt::Arg::Long("services") => fleet.services = parser.value()?.parse()?,
+            lexopt::Arg::Long("data-centres") => fleet.data_centres = parser.value()?.parse()?,
+            lexopt::Arg::Long("pages") => fleet.pages = parser.value()?.parse()?,
+            lexopt::Arg::Long("warm-limit") => fleet.warm_limit = parser.value()?.parse()?,
+            lexopt::Arg::Long("cold-limit") => fleet.cold_limit = parser.value()?.parse()?,
+            lexopt::Arg::Long("plot") => options.plot = Some(parser.value()?.into()),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    Ok(options)
+}
+
+fn list<T>(parser: &mut lexopt::Parser) -> eyre::Result<Vec<T>>
+where
+    T: std::str::FromStr,
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    let text = parser.value()?.string()?;
+    let items = text.split(',').map(str::parse);
+    Ok(items.collect::<Result<_, _>>()?)
+}
+
+impl Options {
+    fn new() -> eyre::Result<Self> {
+        let program = std::env::current_exe()?;
+        let settings = Settings {
+            scenario: Scenario::Steady,
+            way: Way::DirectRoundRobin,
+            seed: 1,
+            duration_ms: Millis::from_secs(30),
+            rate: 30.0,
+            entries: 9,
+            node: program.with_file_name("filbertpaddle"),
+            fleet: fleet::Settings {
+                program,
+                seed: 1,
+                data_centres: 3,
+                engines: 12,
+                services: 3,
+                pages: 512,
+                warm_limit: 32,
+                cold_limit: 4,
+            },
+        };
+        Ok(Self {
+            settings,
+            scenarios: vec![Scenario::Steady],
+            ways: vec![Way::DirectRoundRobin, Way::DirectLeastConnections],
+            seeds: vec![1],
+            plot: None,
+        })
+    }
+}
--- /dev/null
+++ b/filbertpaddle-standins/src/fleet.rs
@@ -0,0 +1,199 @@
+//! The engines and plain services of an experiment, as child processes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+
+use crate::child;
+use crate::child::Child;
+use crate::engine_fault::Fault;
+use crate::engine_state::Counters;
+use crate::service::Counts;
+
+/// What the fleet consists of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Program of the stand-ins.
+    pub program: PathBuf,
+    /// Seed of the output lengths.
+    pub seed: u64,
+    /// Data centres.
+    pub data_centres: usize,
+    /// Engines in all.
+    pub engines: usize,
+    /// Plain services in all.
+    pub services: usize,
+    /// Memory pages of an engine.
+    pub pages: u32,
+    /// Most attempts in an engine's batch.
+    pub warm_limit: u32,
+    /// Attempts that a cold engine bears.
+    pub cold_limit: u32,
+}
+
+/// Addresses of one target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Its control port; plain services have none.
+    pub control: Option<SocketAddr>,
+    /// Index of its data centre.
+    pub data_centre: usize,
+}
+
+#[derive(Debug, Deserialize)]
+struct Bound {
+    address: SocketAddr,
+    control: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct Engines {
+    engines: Vec<Bound>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Service {
+    address: SocketAddr,
+}
+
+/// Running engines and plain services.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The engines; those of one data centre follow each other.
+    pub engines: Vec<Target>,
+    /// The plain services.
+    pub services: Vec<Target>,
+    engine_children: Vec<Child<Engines>>,
+    service_children: Vec<Child<Service>>,
+    http: reqwest::Client,
+}
+
+impl Fleet {
+    /// Starts one process of engines for each data centre, and the services.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start.
+    pub async fn start(settings: &Settings, http: reqwest::Client) -> Result<Self, child::Error> {
+        let mut fleet = Self {
+            engines: Vec::new(),
+            services: Vec::new(),
+            engine_children: Vec::new(),
+            service_children: Vec::new(),
+            http,
+        };
+        for data_centre in 0..settings.data_centres {
+            let count = share(settings.engines, settings.data_centres, data_centre);
+            if count > 0 {
+                fleet.start_engines(settings, data_centre, count).await?;
+            }
+        }
+        for number in 0..settings.services {
+            let data_centre = number % settings.data_centres;
+            fleet.start_service(settings, data_centre).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn start_engines(
+        &mut self,
+        settings: &Settings,
+        data_centre: usize,
+        count: usize,
+    ) -> Result<(), child::Error> {
+        let args = [
+            "engine".to_owned(),
+            format!("--count={count}"),
+            format!("--seed={}", settings.seed),
+            format!("--pages={}", settings.pages),
+            format!("--warm-limit={}", settings.warm_limit),
+            format!("--cold-limit={}", settings.cold_limit),
+        ];
+        let child: Child<Engines> = Child::start(&settings.program, &args).await?;
+        let targets = child.ready.engines.iter().map(|bound| Target {
+            address: bound.address,
+            control: Some(bound.control),
+            data_centre,
+        });
+        self.engines.extend(targets);
+        self.engine_children.push(child);
+        Ok(())
+    }
+
+    async fn start_service(
+        &mut self,
+        settings: &Settings,
+        data_centre: usize,
+    ) -> Result<(), child::Error> {
+        let args = ["service".to_owned()];
+        let child: Child<Service> = Child::start(&settings.program, &args).await?;
+        self.services.push(Target {
+            address: child.ready.address,
+            control: None,
+            data_centre,
+        });
+        self.service_children.push(child);
+        Ok(())
+    }
+
+    /// Brings a fault about at every n-th engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a control port does not answer.
+    pub async fn fault(&self, every: usize, fault: Fault) -> Result<(), reqwest::Error> {
+        let controls = self.engines.iter().filter_map(|engine| engine.control);
+        for control in controls.step_by(every.max(1)) {
+            let url = format!("http://{control}/control/faults");
+            let answer = self.http.post(url).json(&fault).send().await?;
+            answer.error_for_status()?;
+        }
+        Ok(())
+    }
+
+    /// Reads the counters of all engines.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a control port does not answer.
+    pub async fn counters(&self) -> Result<Vec<Counters>, reqwest::Error> {
+        let mut all = Vec::new();
+        for control in self.engines.iter().filter_map(|engine| engine.control) {
+            let url = format!("http://{control}/control/counters");
+            all.push(self.http.get(url).send().await?.json().await?);
+        }
+        Ok(all)
+    }
+
+    /// Reads the counts of all plain services.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a service does not answer.
+    pub async fn counts(&self) -> Result<Vec<Counts>, reqwest::Error> {
+        let mut all = Vec::new();
+        for service in &self.services {
+            let url = format!("http://{}/v1/counts", service.address);
+            all.push(self.http.get(url).send().await?.json().await?);
+        }
+        Ok(all)
+    }
+
+    /// Ends the processes.
+    pub async fn close(self) {
+        for child in self.engine_children {
+            child.close().await;
+        }
+        for child in self.service_children {
+            child.close().await;
+        }
+    }
+}
+
+/// Returns how many of some things fall to one of several places.
+const fn share(things: usize, places: usize, place: usize) -> usize {
+    things / places + if place < things % places { 1 } else { 0 }
+}
--- a/filbertpaddle-standins/src/lib.rs
+++ b/filbertpaddle-standins/src/lib.rs
@@ -1,24 +1,35 @@
 //! Stand-ins for development: what surrounds the system, with faults on demand.
 
+pub mod balancer;
 pub mod batch;
+pub mod caller;
+pub mod child;
+pub mod cluster;
+pub mod direct;
 pub mod engine;
 pub mod engine_fault;
 mod engine_http;
 pub mod engine_state;
+pub mod experiment;
 pub mod faults;
+pub mod fleet;
 pub mod lengths;
 pub mod limiter;
 pub mod marker;
+pub mod node_settings;
 pub mod observation;
 pub mod platform;
 mod platform_http;
 pub mod prefix_cache;
 pub mod proxy;
 mod pump;
+pub mod report;
 pub mod scenario;
 pub mod scheduler;
 pub mod server;
 pub mod service;
+pub mod summary;
 pub mod table;
+pub mod usage;
 pub mod vms;
 pub mod workload;
--- a/filbertpaddle-standins/src/main.rs
+++ b/filbertpaddle-standins/src/main.rs
@@ -3,6 +3,7 @@
 use eyre::bail;
 
 mod command_engine;
+mod command_load;
 mod command_platform;
 mod command_proxy;
 mod command_service;
@@ -30,6 +31,10 @@
         name: "service",
         run: command_service::run,
     },
+    Command {
+        name: "load",
+        run: command_load::run,
+    },
 ];
 
 fn main() -> eyre::Result<()> {
--- /dev/null
+++ b/filbertpaddle-standins/src/report.rs
@@ -0,0 +1,387 @@
+//! What a run has shown, as one line of JSON and as a table.
+
+use std::fmt;
+use std::time::Duration;
+
+use filbertpaddle_core::name::Name;
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use serde::Serialize;
+use strum::VariantArray;
+
+use crate::batch::Totals;
+use crate::engine_state::Counters;
+use crate::observation::Ending;
+use crate::observation::Observation;
+use crate::observation::Violation;
+use crate::service::Counts;
+use crate::usage::Usage;
+use crate::workload::Ask;
+
+/// Longest time that a histogram tells apart, in microseconds.
+const MAX_US: u64 = 600_000_000;
+
+/// Significant digits of a histogram.
+const DIGITS: u8 = 3;
+
+/// A request and what became of it.
+#[derive(Debug)]
+pub struct Record {
+    /// The request.
+    pub ask: Ask,
+    /// What its caller saw.
+    pub observation: Observation,
+}
+
+/// Percentiles of a time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Spread {
+    /// Median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+}
+
+/// What the nodes of a run have used.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct NodeCost {
+    /// Nodes.
+    pub nodes: usize,
+    /// Processor time of a node in percent of a core, on average.
+    pub cpu_percent: f64,
+    /// Largest memory resident of a node.
+    pub max_resident_bytes: u64,
+    /// Control bytes sent and received by a node in a second, on average.
+    pub control_bytes_per_s: f64,
+}
+
+/// What a run has shown.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Name of the scenario.
+    pub scenario: String,
+    /// Name of the policy.
+    pub policy: String,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Length of the run.
+    pub duration_s: f64,
+    /// Mean requests a second that were asked for.
+    pub rate: f64,
+    /// Requests sent.
+    pub requests: usize,
+    /// Requests by how they ended.
+    pub endings: IndexMap<&'static str, usize>,
+    /// Tokens delivered in complete answers.
+    pub complete_tokens: u64,
+    /// Time to the first token or to a call's answer.
+    pub first_token: Spread,
+    /// Time between tokens.
+    pub token_gap: Spread,
+    /// Time by which gaps exceeded a quarter of a second, summed.
+    pub stall_s: f64,
+    /// Time that preempted attempts waited in engines, summed.
+    pub engine_stall_s: f64,
+    /// Preemptions at all engines.
+    pub preemptions: u64,
+    /// Tokens computed again after preemptions.
+    pub recomputed_tokens: u64,
+    /// Tokens generated that are in no complete answer.
+    pub wasted_tokens: u64,
+    /// Share of prompt tokens that prefix caches saved, in percent.
+    pub cached_percent: f64,
+    /// Jain's index of the customers' shares of complete requests.
+    pub fairness: f64,
+    /// First-token p95 of the worst-served customer.
+    pub worst_customer_p95_ms: f64,
+    /// Cold engines lost to too much load.
+    pub collapses: u64,
+    /// Submissions to cold engines beyond their limit, once it could be known.
+    pub cold_excess: u64,
+    /// Promises broken, by kind.
+    pub violations: IndexMap<String, usize>,
+    /// What the nodes have used, if there were any.
+    pub node_cost: NodeCost,
+    /// Load average of the machine at the end of the run.
+    pub machine_load: f64,
+}
+
+/// What a run is called in its report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Title {
+    /// Name of the scenario.
+    pub scenario: String,
+    /// Name of the policy.
+    pub policy: String,
+    /// Seed of the run.
+    pub seed: u64,
+    /// Length of the run.
+    pub duration_s: f64,
+    /// Mean requests a second.
+    pub rate: f64,
+}
+
+/// What the targets of a run have counted.
+#[derive(Clone, Debug, Default)]
+pub struct Counted {
+    /// Counters of the engines.
+    pub engines: Vec<Counters>,
+    /// Counts of the plain services.
+    pub services: Vec<Counts>,
+}
+
+impl Report {
+    /// Sums up a run.
+    pub fn new(
+        title: Title,
+        records: &[Record],
+        counted: &Counted,
+        node_cost: NodeCost,
+        machine_load: f64,
+    ) -> Self {
+        let totals = totals(counted);
+        let complete_tokens = complete_tokens(records);
+        let observations = || records.iter().map(|record| &record.observation);
+        let gaps = observations().flat_map(|observed| observed.gaps.iter().copied());
+        let firsts = observations().filter_map(|observed| observed.first_token);
+        let stall: Duration = observations().map(Observation::stall).sum();
+        let customers = by_customer(records);
+        Self {
+            scenario: title.scenario,
+            policy: title.policy,
+            seed: title.seed,
+            duration_s: title.duration_s,
+            rate: title.rate,
+            requests: records.len(),
+            endings: endings(records),
+            complete_tokens,
+            first_token: spread(firsts),
+            token_gap: spread(gaps),
+            stall_s: stall.as_secs_f64(),
+            engine_stall_s: totals.stall_us as f64 / 1e6,
+            preemptions: totals.preemptions,
+            recomputed_tokens: totals.recomputed_tokens,
+            wasted_tokens: totals.tokens.saturating_sub(complete_tokens) + totals.recomputed_tokens,
+            cached_percent: cached_percent(records, &totals),
+            fairness: fairness(&customers),
+            worst_customer_p95_ms: worst_p95_ms(&customers),
+            collapses: counted.engines.iter().map(|engine| engine.collapses).sum(),
+            cold_excess: totals.cold_excess - totals.cold_excess_in_grace,
+            violations: violations(records, counted),
+            node_cost,
+            machine_load,
+        }
+    }
+
+    /// Returns how many requests ended one way.
+    pub fn ended(&self, ending: Ending) -> usize {
+        let name: &'static str = ending.into();
+        self.endings.get(name).copied().unwrap_or_default()
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} / {} / seed {} / {} s at {} requests/s, machine load {:.1}",
+            self.scenario, self.policy, self.seed, self.duration_s, self.rate, self.machine_load
+        )?;
+        write!(f, "  requests {}:", self.requests)?;
+        for (ending, count) in &self.endings {
+            write!(f, " {ending} {count}")?;
+        }
+        writeln!(f)?;
+        for (name, spread) in [
+            ("first token", self.first_token),
+            ("token gap", self.token_gap),
+        ] {
+            writeln!(
+                f,
+                "  {name:<12} p50 {:>8.1} ms  p95 {:>8.1} ms  p99 {:>8.1} ms",
+                spread.p50_ms, spread.p95_ms, spread.p99_ms
+            )?;
+        }
+        writeln!(
+            f,
+            "  stall {:.1} s (in engines {:.1} s), preemptions {}, wasted tokens {}, cached {:.0} %",
+            self.stall_s,
+            self.engine_stall_s,
+            self.preemptions,
+            self.wasted_tokens,
+            self.cached_percent
+        )?;
+        writeln!(
+            f,
+            "  complete tokens {}, fairness {:.3}, worst customer's p95 {:.0} ms",
+            self.complete_tokens, self.fairness, self.worst_customer_p95_ms
+        )?;
+        writeln!(
+            f,
+            "  collapses {}, cold excess {}, broken promises {:?}",
+            self.collapses, self.cold_excess, self.violations
+        )?;
+        let cost = &self.node_cost;
+        write!(
+            f,
+            "  {} nodes: {:.1} % of a core, {:.1} MB, {:.0} control bytes/s each",
+            cost.nodes,
+            cost.cpu_percent,
+            cost.max_resident_bytes as f64 / 1e6,
+            cost.control_bytes_per_s
+        )
+    }
+}
+
+impl NodeCost {
+    /// Sums up what the nodes used between two readings.
+    pub fn new(before: &[Usage], after: &[Usage], span: Duration) -> Self {
+        let nodes = after.len();
+        let mean = |sum: f64| sum / nodes.max(1) as f64 / span.as_secs_f64();
+        let cpu_s: f64 = sum(before, after, |usage| usage.cpu_s);
+        let bytes: f64 = sum(before, after, |usage| usage.traffic_bytes as f64);
+        let resident = after.iter().map(|usage| usage.resident_bytes);
+        Self {
+            nodes,
+            cpu_percent: mean(cpu_s) * 100.0,
+            max_resident_bytes: resident.max().unwrap_or_default(),
+            control_bytes_per_s: mean(bytes),
+        }
+    }
+}
+
+fn sum<F>(before: &[Usage], after: &[Usage], value: F) -> f64
+where
+    F: Fn(&Usage) -> f64,
+{
+    let pairs = before.iter().zip(after);
+    pairs
+        .map(|(before, after)| (value(after) - value(before)).max(0.0))
+        .sum()
+}
+
+fn totals(counted: &Counted) -> Totals {
+    let engines = counted.engines.iter().map(|engine| engine.totals);
+    engines.fold(Totals::default(), |sum, totals| sum + totals)
+}
+
+fn complete_tokens(records: &[Record]) -> u64 {
+    records
+        .iter()
+        .filter(|record| !record.ask.kind.is_call())
+        .filter(|record| record.observation.ending == Ending::Complete)
+        .map(|record| u64::from(record.observation.tokens))
+        .sum()
+}
+
+fn endings(records: &[Record]) -> IndexMap<&'static str, usize> {
+    let mut endings = IndexMap::new();
+    for ending in Ending::VARIANTS {
+        let count = records
+            .iter()
+            .filter(|record| record.observation.ending == *ending)
+            .count();
+        endings.insert(ending.into(), count);
+    }
+    endings
+}
+
+fn cached_percent(records: &[Record], totals: &Totals) -> f64 {
+    let prompt_bytes: usize = records
+        .iter()
+        .filter(|record| !record.ask.kind.is_call())
+        .map(|record| record.ask.prompt().len())
+        .sum();
+    let prompt_tokens = prompt_bytes / crate::scheduler::TOKEN_BYTES;
+    totals.cached_tokens as f64 * 100.0 / prompt_tokens.max(1) as f64
+}
+
+fn spread<I>(times: I) -> Spread
+where
+    I: Iterator<Item = Duration>,
+{
+    let Ok(mut histogram) = Histogram::<u64>::new_with_max(MAX_US, DIGITS) else {
+        return Spread::default();
+    };
+    times.for_each(|time| histogram.saturating_record(time.as_micros() as u64));
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Spread {
+        p50_ms: at(0.5),
+        p95_ms: at(0.95),
+        p99_ms: at(0.99),
+    }
+}
+
+fn by_customer(records: &[Record]) -> IndexMap<&Name, Vec<&Record>> {
+    let mut customers: IndexMap<&Name, Vec<&Record>> = IndexMap::new();
+    for record in records {
+        let own = customers.entry(&record.ask.customer).or_default();
+        own.push(record);
+    }
+    customers
+}
+
+/// Jain's index: one if all customers get the same share of what they ask.
+fn fairness(customers: &IndexMap<&Name, Vec<&Record>>) -> f64 {
+    let shares: Vec<f64> = customers
+        .values()
+        .map(|records| {
+            let complete = records
+                .iter()
+                .filter(|record| record.observation.ending == Ending::Complete);
+            complete.count() as f64 / records.len() as f64
+        })
+        .collect();
+    let sum: f64 = shares.iter().sum();
+    let squares: f64 = shares.iter().map(|share| share * share).sum();
+    if squares == 0.0 {
+        return 0.0;
+    }
+    sum * sum / (shares.len() as f64 * squares)
+}
+
+fn worst_p95_ms(customers: &IndexMap<&Name, Vec<&Record>>) -> f64 {
+    let p95s = customers.values().map(|records| {
+        let firsts = records
+            .iter()
+            .filter_map(|record| record.observation.first_token);
+        spread(firsts).p95_ms
+    });
+    p95s.fold(0.0, f64::max)
+}
+
+fn violations(records: &[Record], counted: &Counted) -> IndexMap<String, usize> {
+    let mut violations: IndexMap<String, usize> = IndexMap::new();
+    let executions = executions(counted);
+    for record in records {
+        let runs = executions.get(record.ask.marker.as_str()).copied();
+        let runs = runs.unwrap_or_default();
+        let mut found = record.observation.violations.clone();
+        if record.observation.ending == Ending::NotRun && runs > 0 {
+            found.push(Violation::NotRunButRan);
+        }
+        if !record.ask.kind.idempotent && runs > 1 {
+            found.push(Violation::RanTwice);
+        }
+        for violation in found {
+            *violations.entry(violation.to_string()).or_default() += 1;
+        }
+    }
+    violations
+}
+
+/// Returns executions by marker, at engines and plain services.
+fn executions(counted: &Counted) -> IndexMap<String, u32> {
+    let mut executions: IndexMap<String, u32> = IndexMap::new();
+    for (marker, count) in counted.engines.iter().flat_map(|engine| &engine.executions) {
+        *executions.entry(marker.clone()).or_default() += count;
+    }
+    for (body, count) in counted.services.iter().flat_map(|counts| &counts.bodies) {
+        if let Some(marker) = crate::marker::marker(body) {
+            *executions.entry(marker).or_default() += count;
+        }
+    }
+    executions
+}
