--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -4,9 +4,36 @@
 //! yields typed actions. Nothing here performs I/O, reads a wall clock or
 //! knows which transport carries its messages.
 
+pub mod apart;
+pub mod ask;
+pub mod attempt;
+pub mod backlog;
+pub mod batch;
+pub mod claim;
+pub mod claims;
 pub mod clock;
+pub mod config;
+pub mod delivery;
+pub mod edit;
+pub mod engine;
+pub mod gossip;
+pub mod length;
+pub mod memory;
 pub mod name;
 pub mod outcome;
+pub mod pace;
+pub mod placement;
 pub mod policy;
+pub mod prefix;
+pub mod queue;
+pub mod relay;
+pub mod replica;
+pub mod retry;
+pub mod revision;
 pub mod scheduler;
+pub mod service;
+pub mod spill;
+pub mod spread;
+pub mod suspect;
 pub mod template;
+pub mod transfer;
--- a/filbertpaddle-standins/src/lib.rs
+++ b/filbertpaddle-standins/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod platform;
 mod platform_http;
 pub mod prefix_cache;
+pub mod process;
 pub mod proxy;
 mod pump;
 pub mod report;
