Follow, spread and change configuration in the daemon

Cause: nodes read all entries every second and nobody could change them. Ruled out: a node's own read of the VM list beside the pool's (twice the reads); keeping each refusal as a row of its own (whoever is refused could fill the table). Change: an actor around the core's spread, operators' HTTP, audit and refusals in the table, status by data centre, and shares of new work in the choice of a target. Entries in the table now hold the whole change, so the tests' seed writes audit rows and entries through the daemon's own code.

--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -20,6 +20,9 @@
 use crate::caller;
 use crate::claims::Claims;
 use crate::clock;
+use crate::clock::Clock;
+use crate::config;
+use crate::config::Config;
 use crate::front::Front;
 use crate::front::Parts;
 use crate::health;
@@ -27,10 +30,14 @@
 use crate::inbox::Inboxes;
 use crate::log;
 use crate::metrics::Metrics;
+use crate::operator;
+use crate::operator::Desk;
 use crate::peers::Identity;
 use crate::peers::Peer;
 use crate::peers::Peers;
 use crate::pools::Pools;
+use crate::refusals::Keeper;
+use crate::service::Service;
 use crate::settings::Settings;
 use crate::templates::Templates;
 
@@ -84,16 +91,23 @@
             own: identity.own.clone(),
             platform: platform(&settings)?,
             metrics,
+            clock: Clock::start(),
             log: log.clone(),
         };
         let (peers, inboxes) = start_peers(&settings, identity, peers, &common);
-        let front = Arc::new(front(&settings, &common, peers, inboxes)?);
+        let service = Service::new(common.clock, log::part(&log, "service"));
+        let (config, templates) = start_config(&common, peers, inboxes, &service);
+        let desk = Arc::new(desk(&settings, &common, config));
+        let front = Arc::new(front(&settings, &common, templates, service)?);
         let servers = vec![
             serve(
                 callers,
                 caller::routes(Arc::clone(&front)).or(health::routes(Arc::clone(&front))),
             ),
-            serve(operators, health::routes(Arc::clone(&front))),
+            serve(
+                operators,
+                operator::routes(desk).or(health::routes(Arc::clone(&front))),
+            ),
         ];
         let log = log::part(&log, "node");
         info!(log, "Node started."; "name" => %settings.node.name);
@@ -139,6 +153,7 @@
     own: Peer,
     platform: Client,
     metrics: Arc<Metrics>,
+    clock: Clock,
     log: Logger,
 }
 
@@ -151,16 +166,16 @@
 fn front(
     settings: &Settings,
     common: &Common,
-    _peers: Peers,
-    _inboxes: Inboxes,
+    templates: Templates,
+    service: Service,
 ) -> eyre::Result<Front> {
     let own = &common.own;
     let log = &common.log;
     let attempt_prefix: Name = format!("{}-{:x}", own.name, own.incarnation).into();
     Ok(Front::new(Parts {
-        templates: Templates::start(common.platform.clone(), log::part(log, "config")),
+        templates,
         claims: Claims,
-        pools: Pools::start(common.platform.clone(), log::part(log, "pool")),
+        pools: Pools::start(common.platform.clone(), service, log::part(log, "pool")),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
@@ -170,6 +185,37 @@
     }))
 }
 
+fn start_config(
+    common: &Common,
+    peers: Peers,
+    inboxes: Inboxes,
+    service: &Service,
+) -> (Config, Templates) {
+    Config::start(config::Parts {
+        own: common.own.clone(),
+        peers,
+        inbox: inboxes.config,
+        platform: common.platform.clone(),
+        service: service.clone(),
+        clock: common.clock,
+        metrics: Arc::clone(&common.metrics),
+        log: log::part(&common.log, "config"),
+    })
+}
+
+fn desk(settings: &Settings, common: &Common, config: Config) -> Desk {
+    let log = log::part(&common.log, "operator");
+    let node = common.own.name.clone();
+    Desk {
+        keeper: Keeper::start(node.clone(), common.platform.clone(), log.clone()),
+        node,
+        operators: settings.operators.clone(),
+        config,
+        platform: common.platform.clone(),
+        log,
+    }
+}
+
 fn start_peers(
     settings: &Settings,
     identity: Identity,
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -7,6 +7,7 @@
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::outcome::Reason;
 use filbertpaddle_core::scheduler::Ending;
+use filbertpaddle_core::service::WHOLE_SHARE;
 use filbertpaddle_core::template::Priority;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_platform::protocol::Vm;
@@ -19,6 +20,8 @@
 use xtra::Handler;
 use xtra::Mailbox;
 
+use crate::service::Service;
+
 /// Time between two reads of the VM list.
 const VMS_INTERVAL: Duration = Duration::from_secs(1);
 /// When a refused caller may come back.
@@ -88,9 +91,14 @@
 
 impl Pools {
     /// Starts to follow the platform's VM list.
-    pub fn start(platform: Client, log: Logger) -> Self {
-        let actor = xtra::spawn_tokio(Actor::default(), Mailbox::unbounded());
-        tokio::spawn(follow(platform, actor.clone(), log));
+    pub fn start(platform: Client, service: Service, log: Logger) -> Self {
+        let state = Actor {
+            service: service.clone(),
+            targets: Vec::new(),
+            held: IndexMap::new(),
+        };
+        let actor = xtra::spawn_tokio(state, Mailbox::unbounded());
+        tokio::spawn(follow(platform, service, actor.clone(), log));
         Self { actor }
     }
 
@@ -129,8 +137,8 @@
 
 struct Targets(Vec<Vm>);
 
-#[derive(Default)]
 struct Actor {
+    service: Service,
     targets: Vec<Vm>,
     held: IndexMap<Name, u32>,
 }
@@ -149,8 +157,12 @@
         let chosen = self
             .targets
             .iter()
-            .filter(|vm| vm.model == ask.model && !vm.leaving)
-            .min_by_key(|vm| held(vm));
+            .filter(|vm| vm.model == ask.model)
+            .map(|vm| (vm, self.service.vm_share(&vm.name)))
+            .filter(|(_, share)| !share.is_none())
+            // What came back gets less of the new work than the others.
+            .min_by_key(|(vm, share)| (held(vm) + 1) * u32::from(WHOLE_SHARE / share.per_mille()))
+            .map(|(vm, _)| vm);
         let Some((vm, address)) = chosen.and_then(|vm| Some((vm, vm.address.parse().ok()?))) else {
             return Err(Refusal {
                 reason: Reason::NoTarget,
@@ -184,10 +196,11 @@
     }
 }
 
-async fn follow(platform: Client, actor: Address<Actor>, log: Logger) {
+async fn follow(platform: Client, service: Service, actor: Address<Actor>, log: Logger) {
     while actor.is_connected() {
         match platform.vms().await {
             Ok(list) => {
+                service.on_list(&list.vms);
                 let targets = list
                     .vms
                     .into_iter()
--- a/filbertpaddle/src/templates.rs
+++ b/filbertpaddle/src/templates.rs
@@ -1,58 +1,45 @@
 //! The templates and customers in force on this node.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use data_encoding::HEXLOWER;
+use filbertpaddle_core::config::Customer;
+use filbertpaddle_core::config::Key;
+use filbertpaddle_core::config::Setting;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_core::replica::Replica;
 use filbertpaddle_core::template::Template;
-use filbertpaddle_platform::client::Client;
-use filbertpaddle_platform::protocol::Row;
-use filbertpaddle_platform::protocol::Scan;
 use indexmap::IndexMap;
-use serde::Deserialize;
-use serde::Serialize;
 use sha2::Digest;
 use sha2::Sha256;
-use slog::Logger;
-use slog::info;
-use slog::warn;
 use subtle::ConstantTimeEq;
 use tokio::sync::watch;
 
-/// Time between two reads of the table.
-const READ_INTERVAL: Duration = Duration::from_secs(1);
-/// Most entries read at once.
-const SCAN_LIMIT: u32 = 10_000;
-const ENTRY_PREFIX: &str = "config/entry/";
-const CUSTOMER_PREFIX: &str = "config/entry/customer/";
-const TEMPLATE_PREFIX: &str = "config/entry/template/";
-
-/// One entry of the configuration as the table holds it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry<T> {
-    /// Revision that set the entry.
-    pub revision: u64,
-    /// What is set.
-    pub value: T,
-}
-
-/// One customer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Customer {
-    /// SHA-256 of each valid key, in hexadecimal.
-    pub key_sha256: Vec<String>,
-}
-
-/// All that is in force as of one revision.
+/// All that is in force as of one moment.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Snapshot {
-    customers: IndexMap<Name, Customer>,
+    customers: IndexMap<Name, Arc<Customer>>,
     templates: IndexMap<Name, Arc<Template>>,
 }
 
 impl Snapshot {
+    /// Takes everything from a replica.
+    pub fn of(replica: &Replica) -> Self {
+        let mut snapshot = Self::default();
+        for change in replica.entries() {
+            snapshot.set(&change.setting);
+        }
+        snapshot
+    }
+
+    /// Returns the snapshot with some entries as they are in a replica now.
+    pub fn with(&self, replica: &Replica, keys: &[Key]) -> Self {
+        let mut snapshot = self.clone();
+        let changes = keys.iter().filter_map(|key| replica.get(key));
+        changes.for_each(|change| snapshot.set(&change.setting));
+        snapshot
+    }
+
     /// Returns the customer whose key this is.
     pub fn authenticate(&self, key: &str) -> Option<Name> {
         let digest = HEXLOWER.encode(&Sha256::digest(key.as_bytes()));
@@ -68,12 +55,36 @@
             .map(|(name, _)| name.clone())
     }
 
+    /// Returns a customer's account.
+    pub fn customer(&self, name: &str) -> Option<Arc<Customer>> {
+        self.customers.get(name).cloned()
+    }
+
     /// Returns a customer's template.
     pub fn template(&self, customer: &str, name: &str) -> Option<Arc<Template>> {
         self.templates
             .get(format!("{customer}/{name}").as_str())
             .cloned()
     }
+
+    fn set(&mut self, setting: &Setting) {
+        match setting {
+            Setting::Customer { name, customer } => {
+                let customer = Arc::new(customer.clone());
+                self.customers.insert(name.clone(), customer);
+            }
+            Setting::Template {
+                customer,
+                name,
+                template,
+            } => {
+                let key = format!("{customer}/{name}").into();
+                let template = Arc::new((**template).clone());
+                self.templates.insert(key, template);
+            }
+            Setting::DataCentre { .. } | Setting::Vm { .. } => {}
+        }
+    }
 }
 
 /// Gives out the configuration in force.
@@ -83,63 +94,13 @@
 }
 
 impl Templates {
-    /// Starts to follow the table.
-    pub fn start(platform: Client, log: Logger) -> Self {
-        let (publish, current) = watch::channel(None);
-        tokio::spawn(follow(platform, publish, log));
+    /// Gives out what is published.
+    pub fn new(current: watch::Receiver<Option<Arc<Snapshot>>>) -> Self {
         Self { current }
     }
 
-    /// Returns the configuration in force; `None` until one is known.
+    /// Returns the configuration in force; `None` until it is known to be recent.
     pub fn current(&self) -> Option<Arc<Snapshot>> {
         self.current.borrow().clone()
     }
 }
-
-async fn follow(platform: Client, publish: watch::Sender<Option<Arc<Snapshot>>>, log: Logger) {
-    while !publish.is_closed() {
-        match read(&platform).await {
-            Ok(snapshot) => apply(&publish, snapshot, &log),
-            Err(error) => warn!(log, "Configuration not read."; "error" => %error),
-        }
-        tokio::time::sleep(READ_INTERVAL).await;
-    }
-}
-
-fn apply(publish: &watch::Sender<Option<Arc<Snapshot>>>, snapshot: Snapshot, log: &Logger) {
-    let known = publish.borrow().as_deref() == Some(&snapshot);
-    if known {
-        return;
-    }
-    info!(log, "Configuration in force."; "templates" => snapshot.templates.len());
-    publish.send_replace(Some(Arc::new(snapshot)));
-}
-
-async fn read(platform: &Client) -> Result<Snapshot, filbertpaddle_platform::error::Error> {
-    let scan = Scan {
-        prefix: ENTRY_PREFIX.to_owned(),
-        after: None,
-        limit: SCAN_LIMIT,
-    };
-    let rows = platform.scan(&scan).await?.rows;
-    let mut snapshot = Snapshot::default();
-    for row in &rows {
-        load(&mut snapshot, row);
-    }
-    Ok(snapshot)
-}
-
-fn load(snapshot: &mut Snapshot, row: &Row) {
-    if let Some(name) = row.key.strip_prefix(CUSTOMER_PREFIX)
-        && let Ok(entry) = serde_json::from_str::<Entry<Customer>>(&row.value)
-    {
-        snapshot.customers.insert(name.into(), entry.value);
-    }
-    if let Some(name) = row.key.strip_prefix(TEMPLATE_PREFIX)
-        && let Ok(entry) = serde_json::from_str::<Entry<Template>>(&row.value)
-    {
-        snapshot
-            .templates
-            .insert(name.into(), Arc::new(entry.value));
-    }
-}
--- a/filbertpaddle/tests/common/fleet.rs
+++ b/filbertpaddle/tests/common/fleet.rs
@@ -10,13 +10,19 @@
 
 use data_encoding::HEXLOWER;
 use filbertpaddle::node::Addresses;
+use filbertpaddle::table;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::config::Change;
+use filbertpaddle_core::config::ChangeId;
+use filbertpaddle_core::config::Record;
+use filbertpaddle_core::config::Setting;
+use filbertpaddle_core::revision::Revision;
 use filbertpaddle_core::template::Template;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_platform::protocol::Transaction;
 use filbertpaddle_platform::protocol::Vm;
 use filbertpaddle_platform::protocol::VmList;
 use filbertpaddle_platform::protocol::VmRole;
-use filbertpaddle_platform::protocol::Write;
 use filbertpaddle_standins::process::Process;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -189,16 +195,20 @@
     /// Writes the customer and templates before any node starts.
     pub async fn seed(&self, templates: &[(&str, Template)]) {
         let digest = HEXLOWER.encode(&Sha256::digest(CUSTOMER_KEY.as_bytes()));
-        let customer = serde_json::json!({"revision": 1, "value": {"key_sha256": [digest]}});
-        let mut writes = vec![
-            write("config/head", &serde_json::json!(1)),
-            write(&format!("config/entry/customer/{CUSTOMER}"), &customer),
-        ];
-        for (name, template) in templates {
-            let entry = serde_json::json!({"revision": 1, "value": template});
-            let key = format!("config/entry/template/{CUSTOMER}/{name}");
-            writes.push(write(&key, &entry));
-        }
+        let customer = serde_json::json!({"key_sha256": [digest]});
+        let mut settings = vec![Setting::Customer {
+            name: CUSTOMER.into(),
+            customer: serde_json::from_value(customer).unwrap(),
+        }];
+        settings.extend(templates.iter().map(|(name, template)| Setting::Template {
+            customer: CUSTOMER.into(),
+            name: (*name).into(),
+            template: Box::new(template.clone()),
+        }));
+        let writes = (1..)
+            .zip(settings)
+            .flat_map(|(revision, setting)| table::writes(&record(revision, setting)).unwrap())
+            .collect();
         let transaction = Transaction {
             conditions: Vec::new(),
             writes,
@@ -221,10 +231,17 @@
     path
 }
 
-fn write(key: &str, value: &serde_json::Value) -> Write {
-    Write {
-        key: key.to_owned(),
-        value: Some(value.to_string()),
+fn record(revision: u64, setting: Setting) -> Record {
+    let change = Change {
+        revision: Revision(revision),
+        id: ChangeId(revision),
+        by: "installer".into(),
+        at_ms: Millis::ZERO,
+        setting,
+    };
+    Record {
+        change,
+        before: None,
     }
 }
 
