Test configuration with real processes behind faults

Cause: what holds in the core must hold between processes. Ruled out: verdicts on time (the test waits on the condition and prints the time); a stopped node in place of a paused one (only a paused one wakes with old answers).

--- /dev/null
+++ b/filbertpaddle/tests/common/links.rs
@@ -0,0 +1,22 @@
+//! The fault proxy between processes.
+
+use std::net::SocketAddr;
+
+use filbertpaddle_standins::proxy::Faults;
+use filbertpaddle_standins::proxy::Link;
+
+use super::fleet::StandIn;
+
+/// Starts a proxy before an address.
+pub fn before(upstream: SocketAddr) -> StandIn {
+    StandIn::start(&["proxy", "--upstream", &upstream.to_string()])
+}
+
+/// Changes what passes.
+pub async fn set(proxy: &StandIn, link: Link) {
+    let faults = Faults {
+        link,
+        ..Faults::default()
+    };
+    proxy.control("faults", &faults).await;
+}
--- a/filbertpaddle/tests/common/mod.rs
+++ b/filbertpaddle/tests/common/mod.rs
@@ -9,4 +9,6 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod links;
+pub mod operator;
 pub mod wait;
