--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -6,7 +6,11 @@
 
 pub mod apart;
 pub mod ask;
+pub mod attempt;
 pub mod backlog;
+pub mod batch;
+pub mod claim;
+pub mod claims;
 pub mod clock;
 pub mod config;
 pub mod delivery;
