Notice stalled links and greet both ways

Cause: writing to a stalled connection succeeds until its buffers fill, so a node went on counting a stalled peer as connected (the test waited 90 s in vain). A dialler took any signed greeting, also an old one, and a listener would have taken its own greeting back. Ruled out: relying on the heartbeats of membership alone, since links to other data centres carry none; TCP keepalive, whose times are the system's. Change: pings every 2 s and 5 s of silence end a link; each side answers a fresh number of the other and the roles are told apart; an address for peers can be advertised, so that a proxy may stand before a node. Conclusion: a dead link is known within about 7 s.

--- a/filbertpaddle-wire/src/greeting.rs
+++ b/filbertpaddle-wire/src/greeting.rs
@@ -24,8 +24,11 @@
     pub data_centre: Name,
     /// Address on which the node accepts peers.
     pub address: Name,
-    /// Number chosen by the other side, empty in the first greeting.
+    /// Random number chosen by the other side.
     pub challenge: Vec<u8>,
+    /// Random number that the other side's greeting must answer; the dialling
+    /// side, which greets last, leaves it empty.
+    pub offer: Vec<u8>,
     /// Keyed digest over all other fields.
     pub proof: Vec<u8>,
 }
@@ -51,7 +54,10 @@
             mac.update(&(field.len() as u64).to_be_bytes());
             mac.update(field.as_bytes());
         }
-        mac.update(&self.challenge);
+        for number in [&self.challenge, &self.offer] {
+            mac.update(&(number.len() as u64).to_be_bytes());
+            mac.update(number);
+        }
         mac
     }
 }
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -86,7 +86,8 @@
             peers: peers.local_addr()?,
         };
         let metrics = Arc::new(Metrics::open(settings.metrics)?);
-        let identity = identity(&settings, addresses.peers);
+        let advertised = settings.listen.advertise_peers.unwrap_or(addresses.peers);
+        let identity = identity(&settings, advertised);
         let common = Common {
             own: identity.own.clone(),
             platform: platform(&settings)?,
--- a/filbertpaddle/src/peers.rs
+++ b/filbertpaddle/src/peers.rs
@@ -9,6 +9,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use eyre::WrapErr;
 use filbertpaddle_core::name::Name;
@@ -40,6 +41,10 @@
 const REDIAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest wait for a connection and its greeting.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time between two pings on a link.
+const PING_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest silence of the other side before the link is taken as gone.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest wait for a frame to be taken by the other side.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 const CHALLENGE_BYTES: usize = 16;
@@ -173,7 +178,7 @@
         }
     }
 
-    fn greeting(&self, challenge: Vec<u8>) -> Greeting {
+    fn greeting(&self, challenge: Vec<u8>, offer: Vec<u8>) -> Greeting {
         let own = &self.shared.identity.own;
         let greeting = Greeting {
             version: VERSION,
@@ -182,13 +187,13 @@
             data_centre: own.data_centre.clone(),
             address: own.address.clone(),
             challenge,
+            offer,
             proof: Vec::new(),
         };
         greeting.sign(self.shared.identity.secret.as_bytes())
     }
 
-    fn check(&self, bytes: &[u8], challenge: &[u8]) -> eyre::Result<Peer> {
-        let greeting: Greeting = ciborium::from_reader(bytes)?;
+    fn check(&self, greeting: Greeting, challenge: &[u8]) -> eyre::Result<Peer> {
         eyre::ensure!(greeting.version == VERSION, "unknown protocol version");
         eyre::ensure!(greeting.challenge == challenge, "wrong challenge");
         let secret = self.shared.identity.secret.as_bytes();
@@ -253,10 +258,14 @@
     stream: TcpStream,
 ) -> eyre::Result<(Peer, WebSocketStream<TcpStream>)> {
     let mut socket = tokio_tungstenite::accept_async_with_config(stream, Some(config())).await?;
-    let challenge = rand::random::<[u8; CHALLENGE_BYTES]>().to_vec();
-    send_greeting(&mut socket, &peers.greeting(challenge.clone())).await?;
-    let bytes = receive_bytes(&mut socket).await?;
-    let peer = peers.check(&bytes, &challenge)?;
+    let asked = receive_bytes(&mut socket).await?;
+    let challenge = challenge();
+    let greeting = peers.greeting(asked, challenge.clone());
+    send_greeting(&mut socket, &greeting).await?;
+    let answer = receive_greeting(&mut socket).await?;
+    // A listener's greeting sent back to it carries an offer.
+    eyre::ensure!(answer.offer.is_empty(), "reflected greeting");
+    let peer = peers.check(answer, &challenge)?;
     Ok((peer, socket))
 }
 
@@ -289,13 +298,20 @@
     let url = format!("ws://{address}/");
     let (mut socket, _) =
         tokio_tungstenite::client_async_with_config(url, stream, Some(config())).await?;
-    let bytes = receive_bytes(&mut socket).await?;
-    let greeting: Greeting = ciborium::from_reader(bytes.as_slice())?;
-    let peer = peers.check(&bytes, &greeting.challenge)?;
-    send_greeting(&mut socket, &peers.greeting(greeting.challenge)).await?;
+    let challenge = challenge();
+    send_bytes(&mut socket, challenge.clone()).await?;
+    let greeting = receive_greeting(&mut socket).await?;
+    let offer = greeting.offer.clone();
+    eyre::ensure!(!offer.is_empty(), "greeting without an offer");
+    let peer = peers.check(greeting, &challenge)?;
+    send_greeting(&mut socket, &peers.greeting(offer, Vec::new())).await?;
     Ok((peer, socket))
 }
 
+fn challenge() -> Vec<u8> {
+    rand::random::<[u8; CHALLENGE_BYTES]>().to_vec()
+}
+
 // What is queued while one frame is being written goes into the next.
 async fn write(
     peers: &Peers,
@@ -303,32 +319,55 @@
     messages: &mut mpsc::Receiver<Message>,
 ) {
     let mut batch = Vec::with_capacity(BATCH_MESSAGES);
+    let mut keepalive = tokio::time::interval(PING_INTERVAL);
+    let mut heard = Instant::now();
     loop {
-        tokio::select! {
+        let frame = tokio::select! {
             count = messages.recv_many(&mut batch, BATCH_MESSAGES) => {
                 if count == 0 {
                     break;
                 }
+                frame(peers, &mut batch)
             }
-            // The listener sends nothing; its end shows that the link is gone.
+            // The listener sends nothing but pongs; its end shows that the link is gone.
             received = socket.next() => match received {
-                Some(Ok(_)) => continue,
+                Some(Ok(_)) => {
+                    heard = Instant::now();
+                    None
+                }
                 _ => break,
             },
-        }
-        match frame::encode(&batch) {
-            Ok(bytes) => {
-                let frame = tungstenite::Message::Binary(bytes.into());
-                let sent = tokio::time::timeout(WRITE_TIMEOUT, socket.send(frame)).await;
-                if !matches!(sent, Ok(Ok(()))) {
+            _ = keepalive.tick() => {
+                // Writing to a stalled link succeeds for a long time.
+                if heard.elapsed() > SILENCE_TIMEOUT {
                     break;
                 }
+                Some(tungstenite::Message::Ping(Vec::new().into()))
             }
-            Err(error) => warn!(peers.shared.log, "Frame not sent."; "error" => %error),
+        };
+        let Some(frame) = frame else {
+            continue;
+        };
+        let sent = tokio::time::timeout(WRITE_TIMEOUT, socket.send(frame)).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            break;
+        }
+    }
+    tokio::time::timeout(WRITE_TIMEOUT, socket.close(None))
+        .await
+        .ok();
+}
+
+fn frame(peers: &Peers, batch: &mut Vec<Message>) -> Option<tungstenite::Message> {
+    let encoded = frame::encode(batch);
+    batch.clear();
+    match encoded {
+        Ok(bytes) => Some(tungstenite::Message::Binary(bytes.into())),
+        Err(error) => {
+            warn!(peers.shared.log, "Frame not sent."; "error" => %error);
+            None
         }
-        batch.clear();
     }
-    socket.close(None).await.ok();
 }
 
 async fn send_greeting(
@@ -337,10 +376,19 @@
 ) -> eyre::Result<()> {
     let mut bytes = Vec::new();
     ciborium::into_writer(greeting, &mut bytes)?;
+    send_bytes(socket, bytes).await
+}
+
+async fn send_bytes(socket: &mut WebSocketStream<TcpStream>, bytes: Vec<u8>) -> eyre::Result<()> {
     let message = tungstenite::Message::Binary(bytes.into());
     socket.send(message).await.wrap_err("cannot greet")
 }
 
+async fn receive_greeting(socket: &mut WebSocketStream<TcpStream>) -> eyre::Result<Greeting> {
+    let bytes = receive_bytes(socket).await?;
+    Ok(ciborium::from_reader(bytes.as_slice())?)
+}
+
 async fn receive_bytes(socket: &mut WebSocketStream<TcpStream>) -> eyre::Result<Vec<u8>> {
     match socket.next().await {
         Some(Ok(tungstenite::Message::Binary(bytes))) => Ok(bytes.to_vec()),
--- a/filbertpaddle/src/settings.rs
+++ b/filbertpaddle/src/settings.rs
@@ -81,6 +81,9 @@
     pub operators: SocketAddr,
     /// For other nodes.
     pub peers: SocketAddr,
+    /// Where other nodes dial, if not the address that is listened on.
+    #[serde(default)]
+    pub advertise_peers: Option<SocketAddr>,
 }
 
 /// The platform's service.
