Put claims behind the daemon, with tests by real processes

Cause: the daemon granted every claim, so a resend ran again. Change: an actor carries out the core's decisions: one transaction for many claims, read-back after a lost answer, questions to holders over the peer links; endings are told to resends at once, reach the table soon after, and before a planned stop ends; large answers go to the object store. A key whose request runs is answered 409, "may have run". A read-back that finds the claim made ends the pause after a failure: a test met half a second of refusals after a single lost answer. Ruled out: treating a silent holder as gone for good, since it may wake and finish, which a later resend is then told.

--- a/filbertpaddle-core/src/batch.rs
+++ b/filbertpaddle-core/src/batch.rs
@@ -244,7 +244,7 @@
         let Some(rows) = rows else {
             return settle(changes, |_| Fate::Unknown);
         };
-        settle(changes, |change| {
+        let done = settle(changes, |change| {
             let row = rows.get(&change.id);
             if let Some(fate) = made(change, row) {
                 return fate;
@@ -253,7 +253,14 @@
                 return Fate::Pending;
             }
             Fate::Conflict { row: row.cloned() }
-        })
+        });
+        let committed = |done: &Done| matches!(done.fate, Fate::Committed { .. });
+        if done.iter().any(committed) {
+            // The platform writes; it was only the answer that got lost.
+            self.failing = false;
+            self.earliest_ms = Millis::ZERO;
+        }
+        done
     }
 
     /// Settles the changes whose row was not as expected and puts the others back in front.
--- a/filbertpaddle-core/src/claim.rs
+++ b/filbertpaddle-core/src/claim.rs
@@ -11,8 +11,6 @@
 pub const KEY_PREFIX: &str = "claim/";
 /// Largest answer that is kept in the row itself.
 pub const MAX_INLINE_BYTES: usize = 2 * 1024;
-/// Largest idempotency key a caller may give.
-pub const MAX_KEY_BYTES: usize = 256;
 
 /// Names a claim: the customer and its idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -39,6 +37,7 @@
     /// Unix time of the claim.
     pub claimed_at_ms: Millis,
     /// What has become of the attempt.
+    #[serde(flatten)]
     pub state: State,
 }
 
--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -4,13 +4,13 @@
 //! yields typed actions. Nothing here performs I/O, reads a wall clock or
 //! knows which transport carries its messages.
 
+pub mod apart;
+pub mod ask;
 pub mod attempt;
+pub mod backlog;
 pub mod batch;
 pub mod claim;
 pub mod claims;
-pub mod apart;
-pub mod ask;
-pub mod backlog;
 pub mod clock;
 pub mod config;
 pub mod delivery;
--- a/filbertpaddle/src/claims.rs
+++ b/filbertpaddle/src/claims.rs
@@ -1,7 +1,45 @@
 //! Claims on idempotency keys.
 
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use filbertpaddle_core::attempt::Verdict;
+use filbertpaddle_core::claim::Ending;
+use filbertpaddle_core::claim::Id;
+use filbertpaddle_core::claims as core;
+use filbertpaddle_core::claims::Event;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::outcome::Outcome;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_platform::client::Client;
+use filbertpaddle_wire::claim::Message;
+use indexmap::IndexMap;
+use slog::Logger;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use xtra::Address;
+use xtra::Mailbox;
+
+use crate::claim_actor::Actor;
+use crate::claim_actor::Ask as ActorAsk;
+use crate::claim_actor::Input;
+use crate::claim_actor::Unsettled;
+use crate::claim_store;
+use crate::clock;
+use crate::clock::Clock;
+use crate::inbox::From;
+use crate::metrics::Metrics;
+use crate::peers::Peer;
+use crate::peers::Peers;
+
+/// Longest wait for a claim to be decided.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest wait for endings to reach the table when a node stops.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between two looks at what is not settled.
+const CLOSE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Asks for the right to run a non-idempotent request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,9 +55,12 @@
 }
 
 /// A right to run a request, once.
+///
+/// A claim that is dropped is taken as one whose request may have run.
 #[derive(Debug)]
 pub struct Claim {
-    ask: Ask,
+    attempt: Name,
+    actor: Option<Address<Actor>>,
 }
 
 /// Answer to an ask.
@@ -42,23 +83,188 @@
     pub text: String,
 }
 
+/// What claims need of their node.
+#[derive(Debug)]
+pub struct Parts {
+    /// This node.
+    pub own: Peer,
+    /// Table and object store.
+    pub platform: Client,
+    /// Links to other nodes.
+    pub peers: Peers,
+    /// What other nodes ask and answer.
+    pub inbox: mpsc::Receiver<From<Message>>,
+    /// Metrics of claims.
+    pub metrics: Arc<Metrics>,
+    /// Log of claims.
+    pub log: Logger,
+}
+
 /// Gives out claims.
-#[derive(Clone, Debug, Default)]
-pub struct Claims;
+#[derive(Clone, Debug)]
+pub struct Claims {
+    actor: Address<Actor>,
+    platform: Client,
+    metrics: Arc<Metrics>,
+    log: Logger,
+}
 
 impl Claims {
+    /// Starts to give out claims and to answer other nodes about them.
+    pub fn start(parts: Parts) -> Self {
+        let own = parts.own;
+        let actor = Actor {
+            core: core::Claims::new(own.name, own.incarnation, core::Settings::default()),
+            platform: parts.platform.clone(),
+            peers: parts.peers,
+            clock: Clock::start(),
+            metrics: Arc::clone(&parts.metrics),
+            log: parts.log.clone(),
+            waiting: IndexMap::new(),
+            timer_ms: None,
+        };
+        let actor = xtra::spawn_tokio(actor, Mailbox::unbounded());
+        tokio::spawn(receive(parts.inbox, actor.clone()));
+        Self {
+            actor,
+            platform: parts.platform,
+            metrics: parts.metrics,
+            log: parts.log,
+        }
+    }
+
     /// Claims a key before anything is sent to a target.
     pub async fn claim(&self, ask: Ask) -> Answer {
-        Answer::Granted(Claim { ask })
+        match self.decide(&ask).await {
+            Some(Verdict::Held) => {
+                self.metrics.count("claim.held");
+                Answer::Granted(Claim {
+                    attempt: ask.attempt,
+                    actor: Some(self.actor.clone()),
+                })
+            }
+            Some(Verdict::Replay(ending)) => self.replay(ending).await,
+            Some(Verdict::Refused(outcome)) => {
+                self.metrics.count("claim.refused");
+                Answer::Refused(outcome)
+            }
+            Some(Verdict::Unavailable) | None => Answer::Refused(Outcome::NotRun {
+                reason: Reason::PlatformUnavailable,
+                retry_after_ms: None,
+            }),
+        }
     }
 
     /// Stores the result of a request that was, or may have been, run.
-    pub async fn finish(&self, claim: Claim, _finished: Finished) {
-        drop(claim.ask);
+    ///
+    /// The result is told to resends at once and reaches the table soon after.
+    pub async fn finish(&self, mut claim: Claim, finished: Finished) {
+        let Some(actor) = claim.actor.take() else {
+            return;
+        };
+        let attempt = claim.attempt.clone();
+        let platform = self.platform.clone();
+        tokio::spawn(async move {
+            let answer = claim_store::store_answer(&platform, &attempt, &finished.text).await;
+            let ending = Ending {
+                outcome: finished.outcome,
+                answer,
+            };
+            let finish = Event::Finish { attempt, ending };
+            actor.send(Input(finish)).await.ok();
+        });
     }
 
     /// Gives a claim back of which nothing was sent to any target.
-    pub async fn release(&self, claim: Claim) {
-        drop(claim.ask);
+    pub async fn release(&self, mut claim: Claim) {
+        if let Some(actor) = claim.actor.take() {
+            let attempt = claim.attempt.clone();
+            actor.send(Input(Event::Release { attempt })).await.ok();
+        }
+    }
+
+    /// Waits until all endings are in the table, or long enough.
+    pub async fn close(&self) {
+        let start = Instant::now();
+        while let Ok(unsettled @ 1..) = self.actor.send(Unsettled).await {
+            if start.elapsed() > CLOSE_TIMEOUT {
+                warn!(self.log, "Claims left unsettled."; "count" => unsettled);
+                return;
+            }
+            tokio::time::sleep(CLOSE_INTERVAL).await;
+        }
+    }
+
+    async fn decide(&self, ask: &Ask) -> Option<Verdict> {
+        let (verdict, mut decided) = oneshot::channel();
+        let request = core::Request {
+            id: Id {
+                customer: ask.customer.clone(),
+                key: ask.key.clone(),
+            },
+            attempt: ask.attempt.clone(),
+            digest: ask.digest.clone(),
+            now_unix_ms: clock::unix_now(),
+        };
+        self.actor.send(ActorAsk { request, verdict }).await.ok()?;
+        match tokio::time::timeout(CLAIM_TIMEOUT, &mut decided).await {
+            Ok(verdict) => verdict.ok(),
+            Err(_) => {
+                // The claim may be held by now, so the last word is waited for.
+                let attempt = ask.attempt.clone();
+                let give_up = Event::GiveUp { attempt };
+                self.actor.send(Input(give_up)).await.ok()?;
+                decided.await.ok()
+            }
+        }
+    }
+
+    async fn replay(&self, ending: Ending) -> Answer {
+        self.metrics.count("claim.replayed");
+        match claim_store::load_answer(&self.platform, ending.answer).await {
+            Some(text) => Answer::Replay(Finished {
+                outcome: ending.outcome,
+                text,
+            }),
+            // It did run, but its answer cannot be had now.
+            None => Answer::Refused(Outcome::MayHaveRun {
+                reason: Reason::PlatformUnavailable,
+            }),
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        let Some(actor) = self.actor.take() else {
+            return;
+        };
+        let finish = Event::Finish {
+            attempt: self.attempt.clone(),
+            ending: Ending {
+                outcome: Outcome::MayHaveRun {
+                    reason: Reason::TargetFailed,
+                },
+                answer: filbertpaddle_core::claim::Answer::Inline(Name::default()),
+            },
+        };
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(actor.send(Input(finish)).detach());
+        }
+    }
+}
+
+async fn receive(mut inbox: mpsc::Receiver<From<Message>>, actor: Address<Actor>) {
+    while let Some(From { peer, message }) = inbox.recv().await {
+        let event = match message {
+            Message::Ask(question) => Event::Asked {
+                from: peer.name,
+                question,
+            },
+            Message::Tell(reply) => Event::Told(reply),
+        };
+        if actor.send(Input(event)).await.is_err() {
+            return;
+        }
     }
 }
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod bounds;
 pub mod caller;
+mod claim_actor;
+mod claim_store;
 pub mod claims;
 pub mod cli;
 pub mod clock;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -18,6 +18,7 @@
 use warp::Filter;
 
 use crate::caller;
+use crate::claims;
 use crate::claims::Claims;
 use crate::clock;
 use crate::front::Front;
@@ -114,6 +115,7 @@
     pub async fn close(self) {
         info!(self.log, "Node drains.");
         self.front.drain().await;
+        self.front.claims.close().await;
         for server in self.servers {
             server.stop.send(()).ok();
             server.task.await.ok();
@@ -151,15 +153,22 @@
 fn front(
     settings: &Settings,
     common: &Common,
-    _peers: Peers,
-    _inboxes: Inboxes,
+    peers: Peers,
+    inboxes: Inboxes,
 ) -> eyre::Result<Front> {
     let own = &common.own;
     let log = &common.log;
     let attempt_prefix: Name = format!("{}-{:x}", own.name, own.incarnation).into();
     Ok(Front::new(Parts {
         templates: Templates::start(common.platform.clone(), log::part(log, "config")),
-        claims: Claims,
+        claims: Claims::start(claims::Parts {
+            own: own.clone(),
+            platform: common.platform.clone(),
+            peers,
+            inbox: inboxes.claim,
+            metrics: Arc::clone(&common.metrics),
+            log: log::part(log, "claim"),
+        }),
         pools: Pools::start(common.platform.clone(), log::part(log, "pool")),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
--- a/filbertpaddle/src/reply.rs
+++ b/filbertpaddle/src/reply.rs
@@ -175,6 +175,9 @@
 fn status(outcome: &Outcome) -> StatusCode {
     match outcome {
         Outcome::Complete { .. } => StatusCode::OK,
+        Outcome::MayHaveRun {
+            reason: Reason::KeyInUse,
+        } => StatusCode::CONFLICT,
         Outcome::MayHaveRun { .. } | Outcome::Incomplete { .. } => StatusCode::BAD_GATEWAY,
         Outcome::NotRun { reason, .. } => match reason {
             Reason::BadRequest | Reason::KeyRequired => StatusCode::BAD_REQUEST,
--- /dev/null
+++ b/filbertpaddle/tests/at_most_once.rs
@@ -0,0 +1,348 @@
+//! A request with effects runs at most once, whatever fails around it.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
+mod common;
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+use common::caller;
+use common::fleet;
+use common::fleet::Node;
+use common::fleet::NodeSettings;
+use common::fleet::Platform;
+use common::wait;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::outcome::Outcome;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::template::Delivery;
+use filbertpaddle_core::template::Template;
+use filbertpaddle_core::template::Work;
+use filbertpaddle_standins::faults::Faults;
+use filbertpaddle_standins::faults::Loss;
+use filbertpaddle_standins::faults::Outage;
+use filbertpaddle_standins::proxy::Link;
+use filbertpaddle_standins::proxy::Proxy;
+use filbertpaddle_standins::service;
+use filbertpaddle_standins::service::Service;
+
+const COMPLETE: Outcome = Outcome::Complete { tokens: 1 };
+
+/// Two nodes, each behind its own proxy to the platform, and one plain service
+/// behind another.
+struct Fleet {
+    platform: Platform,
+    service: Service,
+    service_proxy: Proxy,
+    proxies: Vec<Proxy>,
+    nodes: Vec<Node>,
+}
+
+impl Fleet {
+    async fn start(call_ms: Millis) -> Self {
+        let mut platform = Platform::start();
+        let service = Service::start(service::Settings {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            duration_ms: call_ms,
+        });
+        let service = service.await.unwrap();
+        let service_proxy = Proxy::start(service.address).await.unwrap();
+        let templates = [("order", call(false)), ("stock", call(true))];
+        platform.seed(&templates).await;
+        platform
+            .list_target("store-1", "north", "store", service_proxy.address)
+            .await;
+        let mut fleet = Self {
+            platform,
+            service,
+            service_proxy,
+            proxies: Vec::new(),
+            nodes: Vec::new(),
+        };
+        for name in ["entry-1", "entry-2"] {
+            fleet.add_node(name).await;
+        }
+        for index in 0..fleet.nodes.len() {
+            fleet.wait_for_target(index).await;
+        }
+        fleet
+    }
+
+    async fn add_node(&mut self, name: &str) {
+        let proxy = Proxy::start(self.platform.standin.address).await.unwrap();
+        let settings = NodeSettings {
+            name: name.to_owned(),
+            data_centre: "north".to_owned(),
+            platform: proxy.address,
+            peers: self.nodes.iter().map(|node| node.addresses.peers).collect(),
+            more: String::new(),
+        };
+        self.proxies.push(proxy);
+        self.nodes.push(Node::start(&settings));
+    }
+
+    async fn wait_for_target(&self, node: usize) {
+        self.nodes[node].ready().await;
+        wait::until("a target is known", async || {
+            let outcome = self.send(node, "stock", "probe", None).await;
+            (outcome == COMPLETE).then_some(())
+        })
+        .await;
+    }
+
+    async fn send(&self, node: usize, template: &str, text: &str, key: Option<&str>) -> Outcome {
+        let address = self.nodes[node].addresses.callers;
+        let response = caller::send(address, template, text, key).await;
+        caller::outcome(response).await
+    }
+
+    /// Sends the order `text` under the key `text`.
+    async fn order(&self, node: usize, text: &str) -> Outcome {
+        self.send(node, "order", text, Some(text)).await
+    }
+
+    /// Starts an order that the test does not wait for yet.
+    fn start_order(&self, node: usize, text: &'static str) -> tokio::task::JoinHandle<Outcome> {
+        let address = self.nodes[node].addresses.callers;
+        tokio::spawn(async move {
+            let response = caller::send(address, "order", text, Some(text)).await;
+            caller::outcome(response).await
+        })
+    }
+
+    /// Sends the order again until its stored answer comes back.
+    async fn wait_for_replay(&self, node: usize, text: &str) {
+        wait::until("the answer is replayed", async || {
+            (self.order(node, text).await == COMPLETE).then_some(())
+        })
+        .await;
+    }
+
+    async fn wait_for_claim(&self, text: &str) {
+        let key = format!("claim/{}/{text}", fleet::CUSTOMER);
+        wait::until("the claim is in the table", async || {
+            let rows = self.platform.client.read(vec![key.clone()]).await.ok()?;
+            (!rows.rows.is_empty()).then_some(())
+        })
+        .await;
+    }
+
+    async fn set_faults(&self, faults: Faults) {
+        self.platform.standin.control("faults", &faults).await;
+    }
+
+    /// Returns how often the order was executed.
+    fn executions(&self, text: &str) -> u32 {
+        let counts = self.service.counts();
+        let bodies = counts.bodies.iter();
+        bodies
+            .filter(|(body, _)| body.ends_with(&format!("text: {text}")))
+            .map(|(_, count)| count)
+            .sum()
+    }
+}
+
+fn call(idempotent: bool) -> Template {
+    let mut template = fleet::template("store");
+    template.work = Work::Call;
+    template.delivery = Delivery::Whole;
+    template.idempotent = idempotent;
+    template
+}
+
+fn may_have_run(reason: Reason) -> Outcome {
+    Outcome::MayHaveRun { reason }
+}
+
+fn is_unavailable(outcome: &Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::NotRun {
+            reason: Reason::PlatformUnavailable,
+            retry_after_ms: Some(_),
+        }
+    )
+}
+
+#[tokio::test]
+async fn same_key_to_two_nodes_at_once_runs_once() {
+    let fleet = Fleet::start(Millis(300)).await;
+    for text in ["a", "b", "c", "d", "e"] {
+        let (first, second) = tokio::join!(fleet.order(0, text), fleet.order(1, text));
+        let mut outcomes = [first, second];
+        outcomes.sort_by_key(|outcome| *outcome != COMPLETE);
+        assert_eq!(outcomes[0], COMPLETE);
+        // The second is told that the first runs, or what became of it.
+        let told = matches!(outcomes[1], Outcome::MayHaveRun { .. });
+        assert!(told || outcomes[1] == COMPLETE, "{outcomes:?}");
+        for node in 0..2 {
+            fleet.wait_for_replay(node, text).await;
+        }
+        assert_eq!(fleet.executions(text), 1);
+    }
+}
+
+#[tokio::test]
+async fn key_with_another_body_is_refused() {
+    let fleet = Fleet::start(Millis(1)).await;
+    assert_eq!(fleet.order(0, "a").await, COMPLETE);
+    fleet.wait_for_replay(1, "a").await;
+    let outcome = fleet.send(1, "order", "b", Some("a")).await;
+    let reused = Outcome::NotRun {
+        reason: Reason::KeyReused,
+        retry_after_ms: None,
+    };
+    assert_eq!(outcome, reused);
+    assert_eq!(fleet.executions("b"), 0);
+}
+
+#[tokio::test]
+async fn lost_answer_after_commit_is_read_back() {
+    let fleet = Fleet::start(Millis(1)).await;
+    for (text, loss) in [("a", Loss::Drop), ("b", Loss::Status), ("c", Loss::Hold)] {
+        fleet
+            .set_faults(Faults {
+                lose_answers: 1,
+                loss,
+                ..Faults::default()
+            })
+            .await;
+        let outcome = fleet.order(0, text).await;
+        // On a slow machine reading back may take too long after a timeout.
+        let slow = loss == Loss::Hold && is_unavailable(&outcome);
+        assert!(slow || outcome == COMPLETE, "{loss:?}: {outcome:?}");
+        fleet.wait_for_replay(1, text).await;
+        assert_eq!(fleet.executions(text), 1);
+    }
+}
+
+/// Freezes entry-1 when its claim is in the table and it does not know that yet.
+async fn pause_before_send(fleet: &Fleet, text: &'static str) -> tokio::task::JoinHandle<Outcome> {
+    fleet.proxies[0].set_link(Link::CutBackward);
+    let first = fleet.start_order(0, text);
+    fleet.wait_for_claim(text).await;
+    fleet.nodes[0].process.pause().unwrap();
+    fleet.proxies[0].heal();
+    first
+}
+
+#[tokio::test]
+async fn holder_killed_after_its_claim_leaves_the_truth_unknown() {
+    let mut fleet = Fleet::start(Millis(1)).await;
+    let lost = pause_before_send(&fleet, "a").await;
+    let resent = fleet.order(1, "a").await;
+    assert_eq!(resent, may_have_run(Reason::HolderGone));
+    fleet.nodes.remove(0).process.close();
+    lost.abort();
+    let resent = fleet.order(0, "a").await;
+    assert_eq!(resent, may_have_run(Reason::HolderGone));
+    assert_eq!(fleet.executions("a"), 0);
+}
+
+#[tokio::test]
+async fn holder_killed_after_it_sent_is_not_replaced() {
+    let mut fleet = Fleet::start(Millis(1)).await;
+    fleet.service_proxy.set_link(Link::CutBackward);
+    let lost = fleet.start_order(0, "a");
+    wait::until("the order runs", async || {
+        (fleet.executions("a") == 1).then_some(())
+    })
+    .await;
+    fleet.nodes.remove(0).process.close();
+    lost.abort();
+    fleet.service_proxy.heal();
+    for _ in 0..3 {
+        let resent = fleet.order(0, "a").await;
+        assert_eq!(resent, may_have_run(Reason::HolderGone));
+    }
+    assert_eq!(fleet.executions("a"), 1);
+}
+
+#[tokio::test]
+async fn holder_paused_between_claim_and_send_runs_once_when_it_wakes() {
+    let fleet = Fleet::start(Millis(1)).await;
+    let first = pause_before_send(&fleet, "a").await;
+    for _ in 0..3 {
+        let resent = fleet.order(1, "a").await;
+        assert_eq!(resent, may_have_run(Reason::HolderGone));
+    }
+    assert_eq!(fleet.executions("a"), 0);
+    fleet.nodes[0].process.wake().unwrap();
+    let outcome = first.await.unwrap();
+    // On a slow machine the node may have given up before it was frozen.
+    assert!(
+        outcome == COMPLETE || is_unavailable(&outcome),
+        "{outcome:?}"
+    );
+    fleet.wait_for_replay(1, "a").await;
+    fleet.wait_for_replay(0, "a").await;
+    assert_eq!(fleet.executions("a"), 1);
+}
+
+#[tokio::test]
+async fn claim_abandoned_by_a_node_cut_off_is_taken_over() {
+    let fleet = Fleet::start(Millis(1)).await;
+    // What entry-1 writes arrives, but no answer comes back to it.
+    fleet.proxies[0].set_link(Link::CutBackward);
+    let refused = fleet.order(0, "a").await;
+    assert!(is_unavailable(&refused), "{refused:?}");
+    fleet.wait_for_claim("a").await;
+    fleet.wait_for_replay(1, "a").await;
+    assert_eq!(fleet.executions("a"), 1);
+    fleet.proxies[0].heal();
+    fleet.wait_for_replay(0, "a").await;
+    assert_eq!(fleet.executions("a"), 1);
+}
+
+#[tokio::test]
+async fn planned_stop_leaves_every_ending_in_the_table() {
+    let mut fleet = Fleet::start(Millis(1)).await;
+    assert_eq!(fleet.order(0, "a").await, COMPLETE);
+    let mut stopped = fleet.nodes.remove(0);
+    stopped.process.terminate().unwrap();
+    assert!(stopped.process.wait().unwrap().success());
+    assert_eq!(fleet.order(0, "a").await, COMPLETE);
+    assert_eq!(fleet.executions("a"), 1);
+}
+
+#[tokio::test]
+async fn large_answer_is_replayed_whole() {
+    let fleet = Fleet::start(Millis(1)).await;
+    let text: String = "long ".repeat(2_000);
+    let address = fleet.nodes[0].addresses.callers;
+    let first = caller::send(address, "order", &text, Some("large")).await;
+    let first: serde_json::Value = first.json().await.unwrap();
+    let address = fleet.nodes[1].addresses.callers;
+    let replayed = wait::until("the answer is replayed", async || {
+        let response = caller::send(address, "order", &text, Some("large")).await;
+        response.status().is_success().then_some(response)
+    });
+    let replayed: serde_json::Value = replayed.await.json().await.unwrap();
+    assert_eq!(first, replayed);
+    assert_eq!(fleet.executions(&text), 1);
+}
+
+#[tokio::test]
+async fn platform_out_refuses_orders_and_serves_the_rest() {
+    let fleet = Fleet::start(Millis(1)).await;
+    for (text, outage) in [("a", Outage::Refuse), ("b", Outage::Stall)] {
+        fleet
+            .set_faults(Faults {
+                outage,
+                ..Faults::default()
+            })
+            .await;
+        for node in 0..2 {
+            let refused = fleet.order(node, text).await;
+            assert!(is_unavailable(&refused), "{refused:?}");
+            assert_eq!(fleet.send(node, "stock", text, None).await, COMPLETE);
+        }
+        // The stock request has the same body and ran on both nodes.
+        assert_eq!(fleet.executions(text), 2);
+        fleet.set_faults(Faults::default()).await;
+        fleet.wait_for_replay(0, text).await;
+        fleet.wait_for_replay(1, text).await;
+        assert_eq!(fleet.executions(text), 3);
+    }
+}
