--- a/filbertpaddle/src/claims.rs
+++ b/filbertpaddle/src/claims.rs
@@ -94,6 +94,8 @@
     pub peers: Peers,
     /// What other nodes ask and answer.
     pub inbox: mpsc::Receiver<From<Message>>,
+    /// The node's clock.
+    pub clock: Clock,
     /// Metrics of claims.
     pub metrics: Arc<Metrics>,
     /// Log of claims.
@@ -117,7 +119,7 @@
             core: core::Claims::new(own.name, own.incarnation, core::Settings::default()),
             platform: parts.platform.clone(),
             peers: parts.peers,
-            clock: Clock::start(),
+            clock: parts.clock,
             metrics: Arc::clone(&parts.metrics),
             log: parts.log.clone(),
             waiting: IndexMap::new(),
--- a/filbertpaddle/tests/at_most_once.rs
+++ b/filbertpaddle/tests/at_most_once.rs
@@ -301,6 +301,10 @@
     assert_eq!(fleet.order(0, "a").await, COMPLETE);
     let mut stopped = fleet.nodes.remove(0);
     stopped.process.terminate().unwrap();
+    wait::until("the node has stopped", async || {
+        stopped.process.has_ended().unwrap().then_some(())
+    })
+    .await;
     assert!(stopped.process.wait().unwrap().success());
     assert_eq!(fleet.order(0, "a").await, COMPLETE);
     assert_eq!(fleet.executions("a"), 1);
