Measure the core's scheduler by itself in the load tool

Cause: the daemon does not yet use the scheduler, and its policy needs figures before that. Ruled out: a simulation in virtual time, which would measure a model of the engine's interface instead of lagged reports over HTTP. Change: a pool around the core's scheduler as a third way to choose targets; runs without requests; baselines wait out long silences; memory crowding scales its rate to its longer requests.

--- a/filbertpaddle-standins/src/direct.rs
+++ b/filbertpaddle-standins/src/direct.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use filbertpaddle_core::name::Name;
+use filbertpaddle_core::scheduler as slot;
 use filbertpaddle_target::client::Client;
 use filbertpaddle_target::error::Error;
 use filbertpaddle_target::protocol::Submit;
@@ -12,6 +13,9 @@
 use crate::balancer::Balancer;
 use crate::observation::Ending;
 use crate::observation::Observer;
+use crate::pool::Grant;
+use crate::pool::Pool;
+use crate::pool::Release;
 use crate::workload::Ask;
 
 /// Targets tried for one request.
@@ -22,10 +26,66 @@
 pub struct Entry {
     /// Client of the targets.
     pub client: Client,
-    /// Engines as this VM sees them.
-    pub engines: Balancer,
-    /// Plain services as this VM sees them.
-    pub services: Balancer,
+    /// What chooses engines.
+    pub engines: Chooser,
+    /// What chooses plain services.
+    pub services: Chooser,
+}
+
+/// What chooses a target for one request.
+#[derive(Debug)]
+pub enum Chooser {
+    /// This entry VM by itself.
+    Alone(Balancer),
+    /// One pool for all entry VMs.
+    Pool(Pool),
+}
+
+/// A target that was chosen.
+#[derive(Clone, Copy, Debug)]
+enum Chosen {
+    Alone(SocketAddr),
+    Pool(Grant),
+}
+
+impl Chooser {
+    async fn choose(&self, ask: &Ask) -> Option<Chosen> {
+        match self {
+            Self::Alone(balancer) => balancer.choose().map(Chosen::Alone),
+            Self::Pool(pool) => pool.acquire(ask).await.map(Chosen::Pool),
+        }
+    }
+
+    fn release(&self, chosen: Chosen, tokens: u32, ending: slot::Ending) {
+        match (self, chosen) {
+            (Self::Alone(balancer), Chosen::Alone(address)) => {
+                balancer.release(address, ending != slot::Ending::Complete);
+            }
+            (Self::Pool(pool), Chosen::Pool(grant)) => pool.release(Release {
+                grant,
+                tokens,
+                ending,
+            }),
+            _ => {}
+        }
+    }
+
+    /// Takes a data centre out, or brings all back.
+    pub fn set_out(&self, data_centre: Option<usize>) {
+        match self {
+            Self::Alone(balancer) => balancer.set_out(data_centre),
+            Self::Pool(pool) => pool.set_out(data_centre),
+        }
+    }
+}
+
+impl Chosen {
+    const fn address(&self) -> SocketAddr {
+        match self {
+            Self::Alone(address) => *address,
+            Self::Pool(grant) => grant.address,
+        }
+    }
 }
 
 /// How one try ended.
@@ -35,18 +95,28 @@
     Nothing,
 }
 
+impl Tried {
+    const fn slot_ending(&self) -> slot::Ending {
+        match self {
+            Self::Ended(Ending::Complete) => slot::Ending::Complete,
+            Self::Ended(_) | Self::Again => slot::Ending::Failed,
+            Self::Nothing => slot::Ending::Unsent,
+        }
+    }
+}
+
 impl Entry {
     /// Runs one request and returns how it ended.
     pub async fn run(&self, ask: &Ask, observer: &mut Observer) -> Ending {
         let mut ending = Ending::NotRun;
         for number in 0..MAX_TRIES {
-            let balancer = self.balancer(ask);
-            let Some(address) = balancer.choose() else {
+            let chooser = self.chooser(ask);
+            let Some(chosen) = chooser.choose(ask).await else {
                 break;
             };
+            let address = chosen.address();
             let tried = self.attempt(ask, number, address, observer).await;
-            let failed = !matches!(tried, Tried::Ended(Ending::Complete));
-            balancer.release(address, failed);
+            chooser.release(chosen, observer.tokens(), tried.slot_ending());
             match tried {
                 Tried::Ended(ended) => return ended,
                 Tried::Again => ending = Ending::MayHaveRun,
@@ -56,7 +126,7 @@
         ending
     }
 
-    const fn balancer(&self, ask: &Ask) -> &Balancer {
+    const fn chooser(&self, ask: &Ask) -> &Chooser {
         if ask.kind.is_call() {
             &self.services
         } else {
--- a/filbertpaddle-standins/src/experiment.rs
+++ b/filbertpaddle-standins/src/experiment.rs
@@ -9,6 +9,8 @@
 use std::time::Instant;
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::policy;
+use filbertpaddle_core::policy::Policy;
 use filbertpaddle_target::client;
 use filbertpaddle_target::client::Client;
 use thiserror::Error;
@@ -21,12 +23,14 @@
 use crate::child;
 use crate::cluster;
 use crate::cluster::Cluster;
+use crate::direct::Chooser;
 use crate::direct::Entry;
 use crate::fleet;
 use crate::fleet::Fleet;
 use crate::fleet::Target;
 use crate::observation::Ending;
 use crate::observation::Observer;
+use crate::pool::Pool;
 use crate::report::Counted;
 use crate::report::NodeCost;
 use crate::report::Record;
@@ -41,6 +45,9 @@
 /// Time that running requests get to end after the last was sent.
 const DRAIN: Duration = Duration::from_secs(75);
 
+/// Longest silence of a stream that a baseline bears.
+const IDLE_TIMEOUT_MS: Millis = Millis(300_000);
+
 /// The data centre that scenarios take out.
 const OUT: usize = 0;
 
@@ -62,6 +69,12 @@
     DirectRoundRobin,
     /// Entry VMs without coordination, by their own connections.
     DirectLeastConnections,
+    /// Entry VMs around one scheduler of the core, in turn.
+    PoolRoundRobin,
+    /// Entry VMs around one scheduler of the core, by running attempts.
+    PoolLeastConnections,
+    /// Entry VMs around one scheduler of the core, by predicted memory.
+    PoolPredictive,
     /// Nodes, in turn.
     RoundRobin,
     /// Nodes, by running attempts.
@@ -149,6 +162,8 @@
     let start = Instant::now();
     let acts = tokio::spawn(act(run.clone(), timeline, start));
     let records = load(&run, asks, start).await;
+    // A run without requests measures what idle nodes cost.
+    tokio::time::sleep_until((start + duration(settings.duration_ms)).into()).await;
     acts.abort();
     let node_cost = NodeCost::new(&before, &run.usage(), start.elapsed());
     let counted = Counted {
@@ -211,8 +226,11 @@
             .build()?;
         let fleet = Fleet::start(&settings.fleet, http.clone()).await?;
         let front = match settings.way {
-            Way::DirectRoundRobin => direct(settings, &fleet, Choice::RoundRobin)?,
-            Way::DirectLeastConnections => direct(settings, &fleet, Choice::LeastConnections)?,
+            Way::DirectRoundRobin => alone(settings, &fleet, Choice::RoundRobin)?,
+            Way::DirectLeastConnections => alone(settings, &fleet, Choice::LeastConnections)?,
+            Way::PoolRoundRobin => pooled(settings, &fleet, Policy::RoundRobin)?,
+            Way::PoolLeastConnections => pooled(settings, &fleet, Policy::LeastConnections)?,
+            Way::PoolPredictive => pooled(settings, &fleet, Policy::Predictive)?,
             _ => nodes(settings, &fleet, &http).await?,
         };
         Ok(Self {
@@ -289,22 +307,49 @@
     }
 }
 
-fn direct(settings: &Settings, fleet: &Fleet, choice: Choice) -> Result<Front, Error> {
-    let client = Client::new(client::Settings::default())?;
-    let addresses = |targets: &[Target]| -> Vec<(SocketAddr, usize)> {
-        targets
-            .iter()
-            .map(|target| (target.address, target.data_centre))
-            .collect()
-    };
+fn alone(settings: &Settings, fleet: &Fleet, choice: Choice) -> Result<Front, Error> {
+    let client = client()?;
+    let chooser =
+        |targets: &[Target], turn| Chooser::Alone(Balancer::new(choice, &addresses(targets), turn));
     let entries = (0..settings.entries).map(|number| Entry {
         client: client.clone(),
-        engines: Balancer::new(choice, &addresses(&fleet.engines), number),
-        services: Balancer::new(choice, &addresses(&fleet.services), number),
+        engines: chooser(&fleet.engines, number),
+        services: chooser(&fleet.services, number),
     });
     Ok(Front::Direct(entries.collect()))
 }
 
+fn pooled(settings: &Settings, fleet: &Fleet, policy: Policy) -> Result<Front, Error> {
+    let client = client()?;
+    let policy = policy::Settings {
+        policy,
+        ..policy::Settings::default()
+    };
+    let engines = Pool::start(&client, policy, &addresses(&fleet.engines));
+    let services = Pool::start(&client, policy, &addresses(&fleet.services));
+    let entries = (0..settings.entries).map(|_| Entry {
+        client: client.clone(),
+        engines: Chooser::Pool(engines.clone()),
+        services: Chooser::Pool(services.clone()),
+    });
+    Ok(Front::Direct(entries.collect()))
+}
+
+fn client() -> Result<Client, Error> {
+    Ok(Client::new(client::Settings {
+        // A baseline waits out what crowding does, so that it is measured.
+        idle_timeout_ms: IDLE_TIMEOUT_MS,
+        ..client::Settings::default()
+    })?)
+}
+
+fn addresses(targets: &[Target]) -> Vec<(SocketAddr, usize)> {
+    targets
+        .iter()
+        .map(|target| (target.address, target.data_centre))
+        .collect()
+}
+
 async fn nodes(settings: &Settings, fleet: &Fleet, http: &reqwest::Client) -> Result<Front, Error> {
     let policy = match settings.way {
         Way::Nodes => None,
--- a/filbertpaddle-standins/src/lib.rs
+++ b/filbertpaddle-standins/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod observation;
 pub mod platform;
 mod platform_http;
+pub mod pool;
 pub mod prefix_cache;
 pub mod process;
 pub mod proxy;
--- /dev/null
+++ b/filbertpaddle-standins/src/pool.rs
@@ -0,0 +1,336 @@
+//! One pool of targets around the scheduler of the core, within the load tool.
+//!
+//! Measures the scheduler by itself: no nodes, no owner, no leases.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::policy;
+use filbertpaddle_core::scheduler;
+use filbertpaddle_core::scheduler::AskId;
+use filbertpaddle_core::scheduler::Ending;
+use filbertpaddle_core::scheduler::Load;
+use filbertpaddle_core::scheduler::Scheduler;
+use filbertpaddle_core::scheduler::SlotId;
+use filbertpaddle_core::scheduler::TargetView;
+use filbertpaddle_target::client::Client;
+use filbertpaddle_target::prefix::digests;
+use filbertpaddle_target::protocol::CacheEvent;
+use filbertpaddle_target::protocol::LoadReport;
+use filbertpaddle_target::protocol::Warmth;
+use indexmap::IndexMap;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::scheduler::BLOCK_TOKENS;
+use crate::scheduler::TOKEN_BYTES;
+use crate::workload::Ask;
+
+/// Time between two load reports of a target.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Longest time between two looks at the queue.
+const WAKE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Longest wait of a request for a target.
+const MAX_WAIT_MS: Millis = Millis(30_000);
+
+/// The right to use a target once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Where the target serves.
+    pub address: SocketAddr,
+    slot: SlotId,
+}
+
+/// How the use of a grant ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Release {
+    /// The grant.
+    pub grant: Grant,
+    /// Tokens delivered.
+    pub tokens: u32,
+    /// How it ended.
+    pub ending: Ending,
+}
+
+enum Command {
+    Acquire(Box<scheduler::Ask>, oneshot::Sender<Option<Grant>>),
+    Release(Release),
+    Report(usize, Option<LoadReport>),
+    Cache(usize, CacheEvent),
+    Out(Option<usize>),
+}
+
+/// Gives out the targets of one pool.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl Pool {
+    /// Starts a pool over targets, given with their data centres.
+    pub fn start(
+        client: &Client,
+        settings: policy::Settings,
+        targets: &[(SocketAddr, usize)],
+    ) -> Self {
+        let (commands, received) = mpsc::unbounded_channel();
+        for (index, (address, _)) in targets.iter().enumerate() {
+            tokio::spawn(watch(client.clone(), index, *address, commands.clone()));
+        }
+        let targets = targets
+            .iter()
+            .map(|(address, data_centre)| Target::new(*address, *data_centre))
+            .collect();
+        let owner = Owner {
+            scheduler: Scheduler::new(settings),
+            targets,
+            waiting: IndexMap::new(),
+            held: IndexMap::new(),
+            out: None,
+            next_id: 0,
+            started: Instant::now(),
+        };
+        tokio::spawn(owner.run(received));
+        Self { commands }
+    }
+
+    /// Waits for a target; `None` if none is granted in time.
+    pub async fn acquire(&self, ask: &Ask) -> Option<Grant> {
+        let (answer, granted) = oneshot::channel();
+        let blocks = digests(&ask.kind.prefix(&ask.customer));
+        let prompt = ask.prompt();
+        let ask = scheduler::Ask {
+            id: AskId(0),
+            customer: ask.customer.clone(),
+            template: Name::new(format!("{}/{}", ask.customer, ask.kind.name)),
+            priority: ask.priority(),
+            weight: 1,
+            prompt_tokens: (prompt.len() / TOKEN_BYTES) as u32,
+            max_tokens: ask.kind.max_tokens.max(1),
+            prefix: blocks.last().copied().unwrap_or_default(),
+            prefix_tokens: blocks.len() as u32 * BLOCK_TOKENS,
+            digest: xxh3_64(prompt.as_bytes()),
+            arrived_ms: Millis::ZERO,
+            deadline_ms: Millis::ZERO,
+        };
+        let command = Command::Acquire(Box::new(ask), answer);
+        self.commands.send(command).ok()?;
+        granted.await.ok().flatten()
+    }
+
+    /// Gives a grant back.
+    pub fn release(&self, release: Release) {
+        // The pool only ends together with the run.
+        let _ = self.commands.send(Command::Release(release));
+    }
+
+    /// Takes a data centre out, or brings all back.
+    pub fn set_out(&self, data_centre: Option<usize>) {
+        // The pool only ends together with the run.
+        let _ = self.commands.send(Command::Out(data_centre));
+    }
+}
+
+async fn watch(
+    client: Client,
+    index: usize,
+    address: SocketAddr,
+    commands: mpsc::UnboundedSender<Command>,
+) {
+    let mut sequence = 0;
+    loop {
+        let report = client.load(address).await.ok();
+        if commands.send(Command::Report(index, report)).is_err() {
+            return;
+        }
+        let changes = client.cache(address, sequence).await.unwrap_or_default();
+        for event in changes.events {
+            sequence = event.sequence;
+            // The next report notices that the pool has ended.
+            let _ = commands.send(Command::Cache(index, event));
+        }
+        tokio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
+#[derive(Debug)]
+struct Target {
+    name: Name,
+    address: SocketAddr,
+    data_centre: usize,
+    held: u32,
+    report: Option<LoadReport>,
+}
+
+impl Target {
+    fn new(address: SocketAddr, data_centre: usize) -> Self {
+        Self {
+            name: Name::new(address.to_string()),
+            address,
+            data_centre,
+            held: 0,
+            report: None,
+        }
+    }
+
+    fn view(&self, out: Option<usize>) -> TargetView {
+        let open = self
+            .report
+            .as_ref()
+            .filter(|report| !report.leaving && Some(self.data_centre) != out);
+        let limit = open.map_or(0, |report| match report.warmth {
+            Warmth::Cold => report.cold_limit,
+            Warmth::Warm => report.warm_limit,
+        });
+        TargetView {
+            name: self.name.clone(),
+            free_slots: limit.saturating_sub(self.held),
+            capacity_tokens: open.map_or(0, |report| {
+                u64::from(report.total_pages) * u64::from(report.page_tokens)
+            }),
+            warm: open.is_some_and(|report| report.warmth == Warmth::Warm),
+        }
+    }
+}
+
+struct Owner {
+    scheduler: Scheduler,
+    targets: Vec<Target>,
+    waiting: IndexMap<AskId, oneshot::Sender<Option<Grant>>>,
+    held: IndexMap<SlotId, usize>,
+    out: Option<usize>,
+    next_id: u64,
+    started: Instant,
+}
+
+impl Owner {
+    async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
+        loop {
+            match tokio::time::timeout(WAKE_INTERVAL, commands.recv()).await {
+                Ok(Some(command)) => self.on(command),
+                Ok(None) => return,
+                Err(_) => {}
+            }
+            self.place();
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis(self.started.elapsed().as_millis() as u64)
+    }
+
+    fn on(&mut self, command: Command) {
+        match command {
+            Command::Acquire(ask, answer) => self.acquire(*ask, answer),
+            Command::Release(release) => self.release(release),
+            Command::Report(index, report) => self.report(index, report),
+            Command::Cache(index, event) => {
+                let now = self.now();
+                let name = &self.targets[index].name;
+                self.scheduler.cached(now, name, event.prefix, event.held);
+            }
+            Command::Out(data_centre) => self.out = data_centre,
+        }
+    }
+
+    fn acquire(&mut self, mut ask: scheduler::Ask, answer: oneshot::Sender<Option<Grant>>) {
+        let now = self.now();
+        self.next_id += 1;
+        ask.id = AskId(self.next_id);
+        ask.arrived_ms = now;
+        ask.deadline_ms = now + MAX_WAIT_MS;
+        let id = ask.id;
+        match self.scheduler.push(now, ask) {
+            Ok(()) => {
+                self.waiting.insert(id, answer);
+            }
+            // The asker may have gone.
+            Err(_) => drop(answer.send(None)),
+        }
+    }
+
+    fn release(&mut self, release: Release) {
+        let now = self.now();
+        let slot = release.grant.slot;
+        if let Some(index) = self.held.swap_remove(&slot) {
+            self.targets[index].held -= 1;
+        }
+        self.scheduler
+            .ended(now, slot, release.tokens, release.ending);
+    }
+
+    fn report(&mut self, index: usize, report: Option<LoadReport>) {
+        let now = self.now();
+        let target = &mut self.targets[index];
+        let incarnation = |report: &LoadReport| report.incarnation;
+        let renewed = target.report.as_ref().map(incarnation) != report.as_ref().map(incarnation);
+        if renewed {
+            self.scheduler.forget(now, &target.name);
+        }
+        if let Some(report) = &report {
+            let load = load(now, report);
+            self.scheduler.reported(now, &target.name, &load);
+        }
+        target.report = report;
+    }
+
+    fn place(&mut self) {
+        let now = self.now();
+        for refusal in self.scheduler.expired(now) {
+            if let Some(answer) = self.waiting.swap_remove(&refusal.id) {
+                // The asker may have gone.
+                let _ = answer.send(None);
+            }
+        }
+        loop {
+            let out = self.out;
+            let views: Vec<TargetView> =
+                self.targets.iter().map(|target| target.view(out)).collect();
+            let Some(placement) = self.scheduler.next(now, &views) else {
+                return;
+            };
+            self.grant(now, &placement);
+        }
+    }
+
+    fn grant(&mut self, now: Millis, placement: &scheduler::Placement) {
+        let chosen = |target: &Target| target.name == placement.target;
+        let Some(index) = self.targets.iter().position(chosen) else {
+            return;
+        };
+        self.next_id += 1;
+        let slot = SlotId(self.next_id);
+        self.scheduler.started(now, slot, placement);
+        self.targets[index].held += 1;
+        self.held.insert(slot, index);
+        let address = self.targets[index].address;
+        let grant = Grant { address, slot };
+        let answer = self.waiting.swap_remove(&placement.ask.id);
+        let taken = answer.is_some_and(|answer| answer.send(Some(grant)).is_ok());
+        if !taken {
+            let ending = Ending::Unsent;
+            let tokens = 0;
+            self.release(Release {
+                grant,
+                tokens,
+                ending,
+            });
+        }
+    }
+}
+
+fn load(now: Millis, report: &LoadReport) -> Load {
+    Load {
+        taken_ms: Millis(now.since(report.age_ms).0),
+        used_tokens: u64::from(report.used_pages) * u64::from(report.page_tokens),
+        running: report.running,
+        waiting: report.waiting,
+        preemptions: report.preemptions,
+    }
+}
--- a/filbertpaddle-standins/src/scenario.rs
+++ b/filbertpaddle-standins/src/scenario.rs
@@ -130,6 +130,8 @@
         match self {
             Self::EveningRush => 0.6 + (std::f64::consts::PI * passed).sin(),
             Self::CustomerBurst => 0.8,
+            // Its requests are some three times as long.
+            Self::MemoryCrowding => 0.35,
             _ => 1.0,
         }
     }
