Decide ownership, grants and shares of target pools in the core

Cause: limits kept by each node for itself add up, so a cold target gets more than it bears when every node sends at once. Ruled out: reserving the shares of all members at all times, which leaves a cold target to the few that have a share; and trusting a report alone, since an owner may grant after it was taken. Change: a record with joint lists of sharers, an owner that counts every slot, a member that refuses late or older grants and keeps to its share, and a limit that rises on evidence.

--- /dev/null
+++ b/filbertpaddle-core/src/ledger.rs
@@ -0,0 +1,173 @@
+//! The work that an owner counts on one target.
+
+use crate::clock::Millis;
+use crate::limit::Limit;
+use crate::name::Name;
+use crate::report::Report;
+use crate::roster::Id;
+use crate::slot::Key;
+use crate::slot::Source;
+use crate::slot::fence;
+use crate::terms::Terms;
+
+/// One piece of work that is counted against a target's limit.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Slot {
+    /// Which work.
+    pub key: Key,
+    /// Whether a report has shown the work at the target.
+    pub seen: bool,
+    /// Since when its holder no longer answers for the work: it gave the work
+    /// up without knowing its end, or has gone itself.
+    pub loose_ms: Option<Millis>,
+}
+
+/// One target and the work counted on it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Ledger {
+    /// Name of the target.
+    pub target: Name,
+    limit: Option<Limit>,
+    slots: Vec<Slot>,
+    is_cleared: bool,
+    is_sealed: bool,
+    is_outbid: bool,
+    is_leaving: bool,
+}
+
+impl Ledger {
+    /// Returns a target of which nothing is known yet.
+    pub fn new(target: Name) -> Self {
+        Self {
+            target,
+            limit: None,
+            slots: Vec::new(),
+            is_cleared: false,
+            is_sealed: false,
+            is_outbid: false,
+            is_leaving: false,
+        }
+    }
+
+    /// Returns the work counted for one holder.
+    pub fn used_by(&self, holder: &Id) -> u32 {
+        let count = self.slots.iter().filter(|slot| slot.key.holder == *holder);
+        u32::try_from(count.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns all work counted.
+    pub fn used(&self) -> u32 {
+        u32::try_from(self.slots.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the counted work.
+    pub fn slots(&self) -> &[Slot] {
+        &self.slots
+    }
+
+    /// Returns the limit, if a recent report gives one and grants can be sent.
+    pub fn limit(&self, now: Millis, terms: &Terms) -> Option<&Limit> {
+        let limit = self.limit.as_ref()?;
+        let is_recent = now.since(limit.taken_ms()) <= terms.report_ms;
+        let is_usable = !self.is_leaving && !self.is_outbid;
+        let is_known = self.is_cleared || !limit.is_cold();
+        (is_recent && is_usable && is_known).then_some(limit)
+    }
+
+    /// Returns whether the target refuses all work older than this owner's.
+    pub fn is_sealed(&self) -> bool {
+        self.is_sealed
+    }
+
+    /// Returns whether the target refuses this owner's grants as too old.
+    pub fn is_outbid(&self) -> bool {
+        self.is_outbid
+    }
+
+    /// Stops grants on the target for good, as it is leaving.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    /// Counts work.
+    pub fn add(&mut self, key: Key, seen: bool) {
+        if self.slots.iter().all(|slot| slot.key != key) {
+            self.slots.push(Slot {
+                key,
+                seen,
+                loose_ms: None,
+            });
+        }
+    }
+
+    /// Forgets work that has ended; returns whether it was counted.
+    pub fn end(&mut self, key: &Key) -> bool {
+        let before = self.slots.len();
+        self.slots.retain(|slot| slot.key != *key);
+        self.slots.len() < before
+    }
+
+    /// Keeps work counted until a later report no longer shows it.
+    pub fn loosen<F>(&mut self, now: Millis, is_loose: F)
+    where
+        F: Fn(&Key) -> bool,
+    {
+        self.slots
+            .iter_mut()
+            .filter(|slot| is_loose(&slot.key))
+            .for_each(|slot| slot.loose_ms = slot.loose_ms.or(Some(now)));
+    }
+
+    /// Replaces what is counted for a holder, but for grants from `upto` on.
+    pub fn replace(&mut self, epoch: u64, holder: &Id, upto: u64, held: &[Key]) {
+        let is_later =
+            |key: &Key| key.source == Source::Granted && key.epoch == epoch && key.number >= upto;
+        self.slots
+            .retain(|slot| slot.key.holder != *holder || is_later(&slot.key));
+        held.iter().for_each(|key| self.add(key.clone(), false));
+    }
+
+    /// Takes in a report.
+    ///
+    /// `clear_ms` is when all work that this owner has not counted has reached
+    /// the target; `is_exact` tells whether a holder's count is complete.
+    pub fn on<F>(
+        &mut self,
+        epoch: u64,
+        clear_ms: Millis,
+        report: &Report,
+        is_exact: F,
+        terms: &Terms,
+    ) where
+        F: Fn(&Id) -> bool,
+    {
+        match &mut self.limit {
+            Some(limit) if report.taken_ms < limit.taken_ms() => return,
+            Some(limit) => limit.on(report),
+            None => self.limit = Some(Limit::new(report)),
+        }
+        let own = fence(epoch, Source::Granted);
+        self.is_sealed = report.fence.is_some_and(|fence| fence >= own);
+        self.is_outbid = report.fence.is_some_and(|fence| fence > own);
+        self.is_cleared |= self.is_sealed || report.taken_ms >= clear_ms;
+        for key in report.works.iter().filter(|key| !is_exact(&key.holder)) {
+            self.add(key.clone(), true);
+        }
+        self.drop_ended(report, &is_exact, terms);
+    }
+
+    fn drop_ended<F>(&mut self, report: &Report, is_exact: &F, terms: &Terms)
+    where
+        F: Fn(&Id) -> bool,
+    {
+        self.slots.retain_mut(|slot| {
+            if report.works.contains(&slot.key) {
+                slot.seen = true;
+                return true;
+            }
+            let settled = |since_ms: Millis| report.taken_ms >= since_ms + terms.settle_ms;
+            let is_over = slot.seen && !is_exact(&slot.key.holder);
+            !is_over && !slot.loose_ms.is_some_and(settled)
+        });
+    }
+}
--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -5,6 +5,16 @@
 //! knows which transport carries its messages.
 
 pub mod clock;
+pub mod ledger;
+pub mod limit;
+pub mod member;
 pub mod name;
 pub mod outcome;
+pub mod owner;
+pub mod peer;
+pub mod report;
+pub mod roster;
+pub mod slot;
+pub mod standing;
 pub mod template;
+pub mod terms;
--- /dev/null
+++ b/filbertpaddle-core/src/owner.rs
@@ -0,0 +1,386 @@
+//! The owner of a pool: counts, queues and grants slots under an epoch.
+
+use std::collections::VecDeque;
+
+use crate::clock::Millis;
+use crate::ledger::Ledger;
+use crate::limit::Limit;
+use crate::name::Name;
+use crate::peer::Peer;
+use crate::peer::Promise;
+use crate::report::Report;
+use crate::roster::Id;
+use crate::roster::Roster;
+use crate::slot::Grant;
+use crate::slot::Held;
+use crate::slot::Key;
+use crate::slot::Source;
+use crate::terms::Terms;
+
+/// A member's request for a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Ask {
+    /// Who asks.
+    pub holder: Id,
+    /// Number of the request, unique for the holder's life.
+    pub number: u64,
+    /// The holder's stamp when it asked.
+    pub stamp: u64,
+    /// The holder's session when it asked.
+    pub session: u32,
+}
+
+/// Asks a member what it holds; it refuses grants below these from now on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Collect {
+    /// The member.
+    pub holder: Id,
+    /// Epoch of the owner that asks.
+    pub epoch: u64,
+    /// Number of the owner's next grant.
+    pub upto: u64,
+}
+
+/// A member's answer to [`Collect`].
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Holding {
+    /// The member.
+    pub holder: Id,
+    /// The member's session.
+    pub session: u32,
+    /// Epoch of the owner that asked.
+    pub epoch: u64,
+    /// Number of the owner's next grant when it asked.
+    pub upto: u64,
+    /// All work that the member has accepted and not ended.
+    pub works: Vec<Held>,
+}
+
+/// One pool of targets as its owner sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Owner {
+    terms: Terms,
+    epoch: u64,
+    since_ms: Millis,
+    roster: Roster,
+    confirmed_ms: Option<Millis>,
+    peers: Vec<Peer>,
+    ledgers: Vec<Ledger>,
+    queue: VecDeque<Ask>,
+    next_number: u64,
+}
+
+impl Owner {
+    /// Takes over a pool.
+    ///
+    /// `now` must not be earlier than when the record came to name this owner.
+    pub fn new(terms: Terms, epoch: u64, now: Millis, roster: Roster) -> Self {
+        let peers = roster.peers().iter().cloned().map(Peer::new).collect();
+        Self {
+            terms,
+            epoch,
+            since_ms: now,
+            roster,
+            confirmed_ms: None,
+            peers,
+            ledgers: Vec::new(),
+            queue: VecDeque::new(),
+            next_number: 0,
+        }
+    }
+
+    /// Returns the fencing number of this ownership.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the targets and the work counted on them.
+    pub fn ledgers(&self) -> &[Ledger] {
+        &self.ledgers
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Adds a target to the pool.
+    pub fn add_target(&mut self, target: &Name) {
+        if self.ledger(target).is_none() {
+            self.ledgers.push(Ledger::new(target.clone()));
+        }
+    }
+
+    /// Stops grants on a target.
+    pub fn leave_target(&mut self, target: &Name) {
+        if let Some(ledger) = self.ledger_mut(target) {
+            ledger.leave();
+        }
+    }
+
+    /// Takes in a later version of the record that still names this owner.
+    pub fn on_roster(&mut self, now: Millis, roster: Roster) {
+        if roster.version <= self.roster.version {
+            return;
+        }
+        self.roster = roster;
+        let ids = self.roster.peers();
+        self.peers.retain(|peer| ids.contains(&peer.id));
+        for id in ids {
+            if self.peers.iter().all(|peer| peer.id != *id) {
+                self.peers.push(Peer::new(id.clone()));
+            }
+        }
+        self.queue.retain(|ask| ids.contains(&ask.holder));
+        for ledger in &mut self.ledgers {
+            ledger.loosen(now, |key| !ids.contains(&key.holder));
+        }
+    }
+
+    /// Notes that a reading of the record asked for at `asked_ms` named this owner and epoch.
+    pub fn on_confirm(&mut self, asked_ms: Millis) {
+        self.confirmed_ms = self.confirmed_ms.max(Some(asked_ms));
+    }
+
+    /// Notes a member's promise.
+    pub fn on_promise(&mut self, id: &Id, promise: Promise) {
+        if let Some(peer) = self.peer_mut(id) {
+            peer.promise(promise);
+        }
+    }
+
+    /// Forgets what a member told, since messages between it and here may be lost.
+    pub fn on_disconnect(&mut self, id: &Id) {
+        if let Some(peer) = self.peer_mut(id) {
+            peer.collected = None;
+        }
+        self.queue.retain(|ask| ask.holder != *id);
+    }
+
+    /// Returns the questions to members whose work is not fully counted.
+    pub fn collects(&self) -> Vec<Collect> {
+        self.peers
+            .iter()
+            .filter(|peer| peer.is_due())
+            .map(|peer| Collect {
+                holder: peer.id.clone(),
+                epoch: self.epoch,
+                upto: self.next_number,
+            })
+            .collect()
+    }
+
+    /// Takes in what a member holds.
+    pub fn on_holding(&mut self, holding: &Holding) {
+        let epoch = self.epoch;
+        if holding.epoch != epoch {
+            return;
+        }
+        let Some(peer) = self.peer_mut(&holding.holder) else {
+            return;
+        };
+        if peer
+            .collected
+            .is_some_and(|session| session > holding.session)
+        {
+            return;
+        }
+        peer.collected = Some(holding.session);
+        peer.heard = true;
+        for held in &holding.works {
+            self.add_target(&held.target);
+        }
+        for ledger in &mut self.ledgers {
+            let works = holding.works.iter();
+            let held: Vec<Key> = works
+                .filter(|held| held.target == ledger.target)
+                .map(|held| held.key.clone())
+                .collect();
+            ledger.replace(epoch, &holding.holder, holding.upto, &held);
+        }
+    }
+
+    /// Queues a request; returns whether its holder may be granted slots now.
+    pub fn on_ask(&mut self, ask: Ask) -> bool {
+        self.on_stamp(&ask.holder, ask.stamp);
+        let Some(peer) = self.peer(&ask.holder) else {
+            return false;
+        };
+        if peer.collected != Some(ask.session) {
+            return false;
+        }
+        self.queue.push_back(ask);
+        true
+    }
+
+    /// Notes a member's stamp: it still waits for its requests.
+    pub fn on_stamp(&mut self, holder: &Id, stamp: u64) {
+        if let Some(peer) = self.peer_mut(holder) {
+            peer.stamp = peer.stamp.max(stamp);
+        }
+    }
+
+    /// Forgets a request that its holder has given up.
+    pub fn on_withdraw(&mut self, holder: &Id, number: u64) {
+        self.queue
+            .retain(|ask| ask.holder != *holder || ask.number != number);
+    }
+
+    /// Takes back a slot.
+    ///
+    /// If the holder does not know that the work has `ended`, the slot stays
+    /// counted until a report shows it gone.
+    pub fn on_release(&mut self, now: Millis, target: &Name, key: &Key, ended: bool) {
+        let Some(ledger) = self.ledger_mut(target) else {
+            return;
+        };
+        match ended {
+            true => {
+                ledger.end(key);
+            }
+            false => ledger.loosen(now, |other| other == key),
+        }
+    }
+
+    /// Takes in a target's report.
+    pub fn on_report(&mut self, now: Millis, target: &Name, report: &Report) {
+        let clear_ms = self.clear_ms();
+        let terms = self.terms;
+        let epoch = self.epoch;
+        let peers = &self.peers;
+        let is_exact = |id: &Id| {
+            let peer = peers.iter().find(|peer| peer.id == *id);
+            peer.is_some_and(|peer| peer.is_exact(now, &terms))
+        };
+        if let Some(ledger) = self
+            .ledgers
+            .iter_mut()
+            .find(|ledger| ledger.target == *target)
+        {
+            ledger.on(epoch, clear_ms, report, is_exact, &terms);
+        }
+    }
+
+    /// Returns whether this owner may grant slots now.
+    ///
+    /// Either the record named it a short while ago, or every member that
+    /// could have deposed it has promised not to.
+    pub fn stands(&self, now: Millis) -> bool {
+        let recent = |asked_ms: Millis| now < asked_ms + self.terms.confirm_ms;
+        self.confirmed_ms.is_some_and(recent)
+            || self
+                .peers
+                .iter()
+                .all(|peer| peer.is_bound(now, &self.terms))
+    }
+
+    /// Grants what can be granted now.
+    pub fn grants(&mut self, now: Millis) -> Vec<Grant> {
+        let mut grants = Vec::new();
+        if !self.stands(now) {
+            return grants;
+        }
+        while let Some(index) = self.roomiest(now) {
+            let Some(ask) = self.queue.pop_front() else {
+                break;
+            };
+            grants.push(self.grant(now, index, ask));
+        }
+        grants
+    }
+
+    /// Returns how many more slots the pool has now.
+    pub fn room(&self, now: Millis) -> u32 {
+        self.ledgers
+            .iter()
+            .map(|ledger| self.ledger_room(now, ledger))
+            .sum()
+    }
+
+    fn grant(&mut self, now: Millis, index: usize, ask: Ask) -> Grant {
+        let key = Key {
+            holder: ask.holder,
+            epoch: self.epoch,
+            source: Source::Granted,
+            number: self.next_number,
+        };
+        self.next_number += 1;
+        let stamp = self.peer(&key.holder).map_or(0, |peer| peer.stamp);
+        let terms = self.terms;
+        let ledger = &mut self.ledgers[index];
+        ledger.add(key.clone(), false);
+        Grant {
+            key,
+            target: ledger.target.clone(),
+            ask: ask.number,
+            stamp,
+            cold: ledger.limit(now, &terms).is_none_or(Limit::is_cold),
+        }
+    }
+
+    fn roomiest(&self, now: Millis) -> Option<usize> {
+        let rooms = self.ledgers.iter().enumerate();
+        rooms
+            .map(|(index, ledger)| (self.ledger_room(now, ledger), index))
+            .filter(|(room, _)| *room > 0)
+            .max_by_key(|(room, index)| (*room, std::cmp::Reverse(*index)))
+            .map(|(_, index)| index)
+    }
+
+    fn ledger_room(&self, now: Millis, ledger: &Ledger) -> u32 {
+        let Some(limit) = ledger.limit(now, &self.terms) else {
+            return 0;
+        };
+        let reserved = match limit.is_cold() {
+            true => self.reserved(now, ledger, limit.current()),
+            false => 0,
+        };
+        limit
+            .current()
+            .saturating_sub(ledger.used())
+            .saturating_sub(reserved)
+    }
+
+    /// Sums what members may send to a cold target beyond what is counted.
+    fn reserved(&self, now: Millis, ledger: &Ledger, limit: u32) -> u32 {
+        self.peers
+            .iter()
+            .filter(|peer| !peer.is_exact(now, &self.terms))
+            .map(|peer| {
+                let used = ledger.used_by(&peer.id);
+                // A member that this owner never heard may be paused just
+                // before it sends under an earlier owner's grant.
+                let unheard = !peer.heard && !ledger.is_sealed();
+                let share = self.roster.reserve(&ledger.target, limit, &peer.id);
+                share.max(used + u32::from(unheard)).saturating_sub(used)
+            })
+            .sum()
+    }
+
+    /// Returns from when on a report shows all work that is not counted here.
+    fn clear_ms(&self) -> Millis {
+        let all_told = self.peers.iter().all(|peer| peer.heard);
+        match all_told {
+            true => self.since_ms + self.terms.settle_ms,
+            false => self.since_ms + self.terms.quarantine_ms(),
+        }
+    }
+
+    fn ledger(&self, target: &Name) -> Option<&Ledger> {
+        self.ledgers.iter().find(|ledger| ledger.target == *target)
+    }
+
+    fn ledger_mut(&mut self, target: &Name) -> Option<&mut Ledger> {
+        self.ledgers
+            .iter_mut()
+            .find(|ledger| ledger.target == *target)
+    }
+
+    fn peer(&self, id: &Id) -> Option<&Peer> {
+        self.peers.iter().find(|peer| peer.id == *id)
+    }
+
+    fn peer_mut(&mut self, id: &Id) -> Option<&mut Peer> {
+        self.peers.iter_mut().find(|peer| peer.id == *id)
+    }
+}
--- /dev/null
+++ b/filbertpaddle-core/src/peer.rs
@@ -0,0 +1,72 @@
+//! What a pool's owner knows of one member.
+
+use crate::clock::Millis;
+use crate::roster::Id;
+use crate::terms::Terms;
+
+/// A member's word that it uses no share and deposes no owner for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Promise {
+    /// Counts how often the member has used its share.
+    pub session: u32,
+    /// Lower bound, on the reader's clock, of when the promise was made.
+    pub made_ms: Millis,
+}
+
+/// One member as its pool's owner sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Peer {
+    /// Which member.
+    pub id: Id,
+    /// Its latest promise.
+    pub promise: Option<Promise>,
+    /// Session in which it last told this owner what it holds.
+    pub collected: Option<u32>,
+    /// Whether it ever told this owner what it holds.
+    pub heard: bool,
+    /// Its latest stamp.
+    pub stamp: u64,
+}
+
+impl Peer {
+    /// Returns a member of which nothing is known.
+    pub fn new(id: Id) -> Self {
+        Self {
+            id,
+            promise: None,
+            collected: None,
+            heard: false,
+            stamp: 0,
+        }
+    }
+
+    /// Takes in a promise; one made before the last is ignored.
+    pub fn promise(&mut self, promise: Promise) {
+        let is_newer =
+            |last: Promise| (promise.session, promise.made_ms) > (last.session, last.made_ms);
+        if self.promise.is_none_or(is_newer) {
+            self.promise = Some(promise);
+        }
+    }
+
+    /// Returns whether the member's promise outlasts any grant made now.
+    ///
+    /// The owner may be paused between this check and its send, so the promise
+    /// has to cover the whole time in which the grant can be accepted.
+    pub fn is_bound(&self, now: Millis, terms: &Terms) -> bool {
+        self.promise
+            .is_some_and(|promise| promise.made_ms + terms.promise_ms >= now + terms.accept_ms)
+    }
+
+    /// Returns whether the owner's count of the member's work is complete.
+    pub fn is_exact(&self, now: Millis, terms: &Terms) -> bool {
+        let session = self.promise.map(|promise| promise.session);
+        self.is_bound(now, terms) && self.collected == session
+    }
+
+    /// Returns whether the member should be asked what it holds.
+    pub fn is_due(&self) -> bool {
+        self.promise
+            .is_some_and(|promise| self.collected != Some(promise.session))
+    }
+}
--- /dev/null
+++ b/filbertpaddle-core/src/roster.rs
@@ -0,0 +1,235 @@
+//! The record of a data centre: members, owners of pools and fixed shares.
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::name::Name;
+
+/// One life of a node.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id {
+    /// Name of the VM.
+    pub name: Name,
+    /// Distinguishes two lives of the node; a later life has a higher number.
+    pub incarnation: u64,
+}
+
+/// A node that takes part in the data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// Which life of which node.
+    pub id: Id,
+    /// Address for peers, `ip:port`.
+    pub address: Name,
+}
+
+/// Who owns a pool.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Owner {
+    /// Pool of targets.
+    pub pool: Name,
+    /// The owning member.
+    pub member: Id,
+    /// Fencing number; every change of the member raises it.
+    pub epoch: u64,
+}
+
+/// The record of a data centre, changed by compare-and-set only.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Roster {
+    /// Number of the change.
+    pub version: u64,
+    /// Nodes that may own pools and relay, sorted by name.
+    pub members: Vec<Member>,
+    /// Nodes that divide each target's limit when no owner can be confirmed.
+    pub sharers: Vec<Id>,
+    /// The sharers to be, until every node knows of them.
+    pub next: Option<Next>,
+    /// Owners, sorted by pool.
+    pub owners: Vec<Owner>,
+}
+
+/// Sharers that are not yet known to all.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Next {
+    /// Version in which this list last changed.
+    pub version: u64,
+    /// The nodes.
+    pub sharers: Vec<Id>,
+}
+
+/// Returns the rendezvous weight of a node for a key.
+pub fn weight(key: &str, id: &Id) -> u64 {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    xxh3_64_with_seed(id.name.as_bytes(), seed)
+}
+
+/// Returns a node's part of a limit when `sharers` divide it.
+///
+/// The parts of all sharers sum to exactly `limit`. A node that is not among
+/// them has none.
+pub fn share(sharers: &[Id], target: &str, limit: u32, id: &Id) -> u32 {
+    if !sharers.contains(id) {
+        return 0;
+    }
+    let count = u32::try_from(sharers.len()).unwrap_or(u32::MAX);
+    let own = (weight(target, id), id);
+    let before = sharers
+        .iter()
+        .filter(|other| (weight(target, other), *other) > own)
+        .count();
+    let has_extra = u64::try_from(before).is_ok_and(|rank| rank < u64::from(limit % count));
+    limit / count + u32::from(has_extra)
+}
+
+impl Roster {
+    /// Returns the member that comes first for a key among those that `keep` accepts.
+    pub fn first<F>(&self, key: &str, keep: F) -> Option<&Member>
+    where
+        F: Fn(&Member) -> bool,
+    {
+        self.members
+            .iter()
+            .filter(|member| keep(member))
+            .max_by_key(|member| (weight(key, &member.id), &member.id))
+    }
+
+    /// Returns the owner of a pool.
+    pub fn owner(&self, pool: &str) -> Option<&Owner> {
+        self.owners.iter().find(|owner| owner.pool == pool)
+    }
+
+    /// Returns what a node may use of a limit without an owner.
+    ///
+    /// While a new list of sharers spreads, this is the smaller of both
+    /// parts: nodes that know either version then stay within the limit
+    /// together.
+    pub fn share(&self, target: &str, limit: u32, id: &Id) -> u32 {
+        let now = share(&self.sharers, target, limit, id);
+        match &self.next {
+            Some(next) => now.min(share(&next.sharers, target, limit, id)),
+            None => now,
+        }
+    }
+
+    /// Returns the most that a node may use of a limit under this or the last version.
+    pub fn reserve(&self, target: &str, limit: u32, id: &Id) -> u32 {
+        let now = share(&self.sharers, target, limit, id);
+        match &self.next {
+            Some(next) => now.max(share(&next.sharers, target, limit, id)),
+            None => now,
+        }
+    }
+
+    /// Returns the nodes that may hold or take work: sharers that are not known to be gone.
+    pub fn peers(&self) -> &[Id] {
+        match &self.next {
+            Some(next) => &next.sharers,
+            None => &self.sharers,
+        }
+    }
+
+    /// Returns the record with a node added, in place of its earlier lives.
+    pub fn join(&self, member: Member) -> Self {
+        let mut roster = self.clone();
+        roster.version += 1;
+        roster
+            .members
+            .retain(|other| other.id.name != member.id.name);
+        let mut sharers = self.peers().to_vec();
+        sharers.retain(|other| other.name != member.id.name);
+        sharers.push(member.id.clone());
+        sharers.sort();
+        roster.set_sharers(sharers);
+        roster.members.push(member);
+        roster.members.sort_by(|a, b| a.id.cmp(&b.id));
+        roster
+    }
+
+    /// Returns the record without a silent node among the members.
+    ///
+    /// The node keeps its share: it may be cut off and still use it.
+    pub fn retire(&self, id: &Id) -> Self {
+        let mut roster = self.clone();
+        roster.version += 1;
+        roster.members.retain(|member| member.id != *id);
+        roster
+    }
+
+    /// Returns the record without a node that has certainly ended.
+    pub fn remove(&self, id: &Id) -> Self {
+        let mut roster = self.retire(id);
+        let mut sharers = self.peers().to_vec();
+        sharers.retain(|other| other != id);
+        roster.set_sharers(sharers);
+        roster
+    }
+
+    /// Returns the record with the next sharers in force, if `knows` says that
+    /// every node concerned knows the version that named them.
+    pub fn settle<F>(&self, knows: F) -> Option<Self>
+    where
+        F: Fn(&Id, u64) -> bool,
+    {
+        let next = self.next.as_ref()?;
+        let is_gone = |id: &Id| !next.sharers.contains(id);
+        let old = self.sharers.iter().filter(|id| !is_gone(id));
+        if !old.chain(&next.sharers).all(|id| knows(id, next.version)) {
+            return None;
+        }
+        let mut roster = self.clone();
+        roster.version += 1;
+        roster.sharers = next.sharers.clone();
+        roster.next = None;
+        Some(roster)
+    }
+
+    /// Returns the record with every pool owned by its first member, or `None`
+    /// if it is so already.
+    pub fn assign(&self, pools: &[Name]) -> Option<Self> {
+        let mut roster = self.clone();
+        roster.owners.retain(|owner| pools.contains(&owner.pool));
+        for pool in pools {
+            roster.assign_one(pool);
+        }
+        roster.owners.sort_by(|a, b| a.pool.cmp(&b.pool));
+        if roster.owners == self.owners {
+            return None;
+        }
+        roster.version += 1;
+        Some(roster)
+    }
+
+    fn assign_one(&mut self, pool: &Name) {
+        let Some(first) = self.first(pool, |_| true).map(|member| member.id.clone()) else {
+            return;
+        };
+        // The version only grows, so an epoch taken from it is new even for
+        // a pool that was dropped from the record and comes back.
+        let epoch = self.version + 1;
+        match self.owners.iter_mut().find(|owner| owner.pool == *pool) {
+            Some(owner) if owner.member == first => {}
+            Some(owner) => {
+                owner.member = first;
+                owner.epoch = epoch;
+            }
+            None => self.owners.push(Owner {
+                pool: pool.clone(),
+                member: first,
+                epoch,
+            }),
+        }
+    }
+
+    fn set_sharers(&mut self, sharers: Vec<Id>) {
+        if self.sharers.is_empty() {
+            self.sharers = sharers;
+            return;
+        }
+        self.next = Some(Next {
+            version: self.version,
+            sharers,
+        });
+    }
+}
--- /dev/null
+++ b/filbertpaddle-core/src/standing.rs
@@ -0,0 +1,80 @@
+//! Whether a node works under owners or uses its fixed shares.
+
+use crate::clock::Millis;
+use crate::terms::Terms;
+
+/// How a node may send work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Mode {
+    /// Only under grants of pool owners.
+    Granted,
+    /// Only within its fixed share of each target, since the given time.
+    Share {
+        /// When the node entered the mode.
+        since_ms: Millis,
+    },
+}
+
+/// A node's own promise and mode.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Standing {
+    terms: Terms,
+    mode: Mode,
+    promised_until_ms: Millis,
+    session: u32,
+}
+
+impl Standing {
+    /// Returns a node that has just started.
+    pub fn new(terms: Terms) -> Self {
+        Self {
+            terms,
+            mode: Mode::Granted,
+            promised_until_ms: Millis::ZERO,
+            session: 0,
+        }
+    }
+
+    /// Returns the mode.
+    pub fn mode(&self) -> Mode {
+        self.mode
+    }
+
+    /// Returns how often the node has entered share mode.
+    pub fn session(&self) -> u32 {
+        self.session
+    }
+
+    /// Promises to use no share and to depose no owner for a while; returns
+    /// the session to be sent along.
+    ///
+    /// Returns `None` in share mode.
+    pub fn promise(&mut self, now: Millis) -> Option<u32> {
+        if self.mode != Mode::Granted {
+            return None;
+        }
+        self.promised_until_ms = now + self.terms.promise_ms;
+        Some(self.session)
+    }
+
+    /// Returns whether the node is free of its promise, and so may depose an
+    /// owner or enter share mode.
+    pub fn is_free(&self, now: Millis) -> bool {
+        now >= self.promised_until_ms
+    }
+
+    /// Enters share mode if no promise forbids it; returns whether it did.
+    pub fn enter_share(&mut self, now: Millis) -> bool {
+        if self.mode != Mode::Granted || !self.is_free(now) {
+            return false;
+        }
+        self.mode = Mode::Share { since_ms: now };
+        self.session += 1;
+        true
+    }
+
+    /// Leaves share mode.
+    pub fn leave_share(&mut self) {
+        self.mode = Mode::Granted;
+    }
+}
