--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -4,11 +4,26 @@
 //! yields typed actions. Nothing here performs I/O, reads a wall clock or
 //! knows which transport carries its messages.
 
+pub mod apart;
+pub mod ask;
+pub mod attempt;
+pub mod backlog;
+pub mod batch;
+pub mod claim;
+pub mod claims;
 pub mod clock;
 pub mod ledger;
 pub mod limit;
 pub mod member;
+pub mod config;
+pub mod delivery;
+pub mod edit;
+pub mod engine;
+pub mod gossip;
+pub mod length;
+pub mod memory;
 pub mod name;
+pub mod orders;
 pub mod outcome;
 pub mod owner;
 pub mod peer;
@@ -18,3 +33,19 @@
 pub mod standing;
 pub mod template;
 pub mod terms;
+pub mod pace;
+pub mod placement;
+pub mod policy;
+pub mod prefix;
+pub mod queue;
+pub mod relay;
+pub mod replica;
+pub mod retry;
+pub mod revision;
+pub mod scheduler;
+pub mod service;
+pub mod spill;
+pub mod spread;
+pub mod suspect;
+pub mod template;
+pub mod transfer;
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -1,1 +1,31 @@
-//! Placeholder.
+//! A node: the process between callers and back ends.
+
+mod bounds;
+pub mod caller;
+pub mod claims;
+pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod edit;
+pub mod front;
+mod generation;
+pub mod health;
+pub mod inbox;
+pub mod log;
+pub mod metrics;
+pub mod node;
+pub mod operator;
+pub mod operator_api;
+mod output;
+pub mod peers;
+pub mod pools;
+pub mod refusals;
+mod reply;
+pub mod request;
+pub mod run;
+pub mod service;
+pub mod settings;
+pub mod status;
+pub mod table;
+pub mod templates;
+pub mod ticket;
--- /dev/null
+++ b/filbertpaddle/src/templates.rs
@@ -0,0 +1,106 @@
+//! The templates and customers in force on this node.
+
+use std::sync::Arc;
+
+use data_encoding::HEXLOWER;
+use filbertpaddle_core::config::Customer;
+use filbertpaddle_core::config::Key;
+use filbertpaddle_core::config::Setting;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::replica::Replica;
+use filbertpaddle_core::template::Template;
+use indexmap::IndexMap;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+use tokio::sync::watch;
+
+/// All that is in force as of one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    customers: IndexMap<Name, Arc<Customer>>,
+    templates: IndexMap<Name, Arc<Template>>,
+}
+
+impl Snapshot {
+    /// Takes everything from a replica.
+    pub fn of(replica: &Replica) -> Self {
+        let mut snapshot = Self::default();
+        for change in replica.entries() {
+            snapshot.set(&change.setting);
+        }
+        snapshot
+    }
+
+    /// Returns the snapshot with some entries as they are in a replica now.
+    pub fn with(&self, replica: &Replica, keys: &[Key]) -> Self {
+        let mut snapshot = self.clone();
+        let changes = keys.iter().filter_map(|key| replica.get(key));
+        changes.for_each(|change| snapshot.set(&change.setting));
+        snapshot
+    }
+
+    /// Returns the customer whose key this is.
+    pub fn authenticate(&self, key: &str) -> Option<Name> {
+        let digest = HEXLOWER.encode(&Sha256::digest(key.as_bytes()));
+        let matches = |customer: &Customer| {
+            customer
+                .key_sha256
+                .iter()
+                .any(|known| bool::from(known.as_bytes().ct_eq(digest.as_bytes())))
+        };
+        self.customers
+            .iter()
+            .find(|(_, customer)| matches(customer))
+            .map(|(name, _)| name.clone())
+    }
+
+    /// Returns a customer's account.
+    pub fn customer(&self, name: &str) -> Option<Arc<Customer>> {
+        self.customers.get(name).cloned()
+    }
+
+    /// Returns a customer's template.
+    pub fn template(&self, customer: &str, name: &str) -> Option<Arc<Template>> {
+        self.templates
+            .get(format!("{customer}/{name}").as_str())
+            .cloned()
+    }
+
+    fn set(&mut self, setting: &Setting) {
+        match setting {
+            Setting::Customer { name, customer } => {
+                let customer = Arc::new(customer.clone());
+                self.customers.insert(name.clone(), customer);
+            }
+            Setting::Template {
+                customer,
+                name,
+                template,
+            } => {
+                let key = format!("{customer}/{name}").into();
+                let template = Arc::new((**template).clone());
+                self.templates.insert(key, template);
+            }
+            Setting::DataCentre { .. } | Setting::Vm { .. } => {}
+        }
+    }
+}
+
+/// Gives out the configuration in force.
+#[derive(Clone, Debug)]
+pub struct Templates {
+    current: watch::Receiver<Option<Arc<Snapshot>>>,
+}
+
+impl Templates {
+    /// Gives out what is published.
+    pub fn new(current: watch::Receiver<Option<Arc<Snapshot>>>) -> Self {
+        Self { current }
+    }
+
+    /// Returns the configuration in force; `None` until it is known to be recent.
+    pub fn current(&self) -> Option<Arc<Snapshot>> {
+        self.current.borrow().clone()
+    }
+}
