--- a/filbertpaddle-core/src/roster.rs
+++ b/filbertpaddle-core/src/roster.rs
@@ -185,8 +185,8 @@
         Some(roster)
     }
 
-    /// Returns the record with every pool owned by its first member, or `None`
-    /// if it is so already.
+    /// Returns the record with every pool owned by a member, the first by
+    /// rendezvous if it has to change; `None` if nothing changes.
     pub fn assign(&self, pools: &[Name]) -> Option<Self> {
         let mut roster = self.clone();
         roster.owners.retain(|owner| pools.contains(&owner.pool));
@@ -205,11 +205,14 @@
         let Some(first) = self.first(pool, |_| true).map(|member| member.id.clone()) else {
             return;
         };
+        let is_member = |id: &Id| self.members.iter().any(|member| member.id == *id);
+        let owner = self.owner(pool);
+        let is_kept = owner.is_some_and(|owner| is_member(&owner.member));
         // The version only grows, so an epoch taken from it is new even for
         // a pool that was dropped from the record and comes back.
         let epoch = self.version + 1;
         match self.owners.iter_mut().find(|owner| owner.pool == *pool) {
-            Some(owner) if owner.member == first => {}
+            Some(_) if is_kept => {}
             Some(owner) => {
                 owner.member = first;
                 owner.epoch = epoch;
