Add the operators' commands

Cause: operators act through any node by HTTP and by the same binary. Ruled out: a change sent again under a new id after a lost answer (the id of the first send is kept, and shown if no answer comes at all); one exit code for every refusal (a script must tell a conflict from an outage). Conclusion: whatever the interface can do for operators, the commands can, but for setting customers.

--- a/filbertpaddle/src/cli.rs
+++ b/filbertpaddle/src/cli.rs
@@ -1,49 +1,67 @@
 //! The command line.
 
 use std::ffi::OsString;
-use std::path::PathBuf;
 use std::process::ExitCode;
 
 use eyre::WrapErr;
-use lexopt::Arg;
 use lexopt::Parser;
-use lexopt::ValueExt;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::arguments;
+use crate::arguments::Command;
+use crate::arguments::Operation;
 use crate::log;
 use crate::node::Node;
+use crate::operate;
+use crate::operator_api::Answer;
 use crate::settings;
 use crate::settings::Settings;
 
 /// Exit code for a wrong command line or wrong settings.
 const EXIT_USAGE: u8 = 2;
+/// Exit code if another change stands instead.
+const EXIT_CONFLICT: u8 = 3;
+/// Exit code if a change may have been accepted.
+const EXIT_UNKNOWN: u8 = 4;
+/// Exit code for a missing or wrong token.
+const EXIT_UNAUTHORIZED: u8 = 5;
 
 const USAGE: &str = "\
 filbertpaddle: serves generations of unknown length on crowded model engines
 
 usage:
-  filbertpaddle serve SETTINGS    run a node until SIGTERM, then drain
-  filbertpaddle check SETTINGS    check a settings file
+  filbertpaddle serve SETTINGS                       run a node until SIGTERM, then drain
+  filbertpaddle check SETTINGS                       check a settings file
+  filbertpaddle template list                        list all templates
+  filbertpaddle template get CUSTOMER NAME           show a template
+  filbertpaddle template set CUSTOMER NAME FILE      set a template from YAML or JSON
+  filbertpaddle data-centre out|in NAME              take a data centre out or bring it in
+  filbertpaddle vm out|in NAME                       take a VM out or bring it in
+  filbertpaddle status                               show which revision is in force where
+  filbertpaddle audit [--after REVISION]             show accepted changes
+  filbertpaddle refusals                             show refused operator actions
   filbertpaddle --help
   filbertpaddle --version
-";
 
-/// What the command line asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Command {
-    Serve(PathBuf),
-    Check(PathBuf),
-    Help,
-    Version,
-}
+options of operators' commands:
+  --node IP:PORT       operators' address of any node, or FILBERTPADDLE_NODE
+  --token-file FILE    operator's token, or FILBERTPADDLE_TOKEN
+  --expect REVISION    revision of the entry that a change replaces, or `new`;
+                       without it, what the node has now
+  --change-id NUMBER   identity of a change that is sent again
+  --json               print JSON
+
+exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflict, 4 may have been accepted,
+5 wrong token
+";
 
 /// Runs the command that `args` name and returns the exit code.
 pub fn run<I>(args: I) -> ExitCode
 where
     I: IntoIterator<Item = OsString>,
 {
-    let command = match parse(Parser::from_iter(args)) {
+    let command = match arguments::parse(Parser::from_iter(args)) {
         Ok(command) => command,
         Err(error) => {
             eprintln!("filbertpaddle: {error}\n\n{USAGE}");
@@ -55,25 +73,47 @@
         Command::Version => println!("filbertpaddle {}", env!("CARGO_PKG_VERSION")),
         Command::Check(path) => return check(&path),
         Command::Serve(path) => return serve(&path),
+        Command::Operate(operation) => return operate(&operation),
     }
     ExitCode::SUCCESS
 }
 
-fn parse(mut parser: Parser) -> Result<Command, lexopt::Error> {
-    let first = parser.next()?.ok_or("a command is missing")?;
-    let command = match first {
-        Arg::Long("help") | Arg::Short('h') => Command::Help,
-        Arg::Long("version") | Arg::Short('V') => Command::Version,
-        Arg::Value(name) => match name.string()?.as_str() {
-            "serve" => Command::Serve(parser.value()?.into()),
-            "check" => Command::Check(parser.value()?.into()),
-            other => return Err(format!("unknown command {other}").into()),
-        },
-        arg => return Err(arg.unexpected()),
+fn operate(operation: &Operation) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("filbertpaddle: {error}");
+            return ExitCode::FAILURE;
+        }
     };
-    match parser.next()? {
-        None => Ok(command),
-        Some(arg) => Err(arg.unexpected()),
+    match runtime.block_on(operate::run(operation)) {
+        Ok(output) => {
+            print!("{}", output.text);
+            output.answer.as_ref().map_or(ExitCode::SUCCESS, exit_code)
+        }
+        Err(error) => {
+            eprintln!("filbertpaddle: {error}");
+            match error {
+                operate::Error::Usage(_) => ExitCode::from(EXIT_USAGE),
+                operate::Error::Unauthorized => ExitCode::from(EXIT_UNAUTHORIZED),
+                operate::Error::Unanswered { .. } => ExitCode::from(EXIT_UNKNOWN),
+                _ => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn exit_code(answer: &Answer) -> ExitCode {
+    match answer {
+        Answer::Accepted { .. } | Answer::Unchanged { .. } => ExitCode::SUCCESS,
+        Answer::Conflict { .. } => ExitCode::from(EXIT_CONFLICT),
+        Answer::Unavailable => ExitCode::FAILURE,
+        Answer::Unknown { .. } => ExitCode::from(EXIT_UNKNOWN),
+        Answer::Invalid { .. } => ExitCode::from(EXIT_USAGE),
+        Answer::Unauthorized => ExitCode::from(EXIT_UNAUTHORIZED),
     }
 }
 
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -1,5 +1,6 @@
 //! A node: the process between callers and back ends.
 
+pub mod arguments;
 mod bounds;
 pub mod caller;
 pub mod claims;
@@ -14,6 +15,7 @@
 pub mod log;
 pub mod metrics;
 pub mod node;
+pub mod operate;
 pub mod operator;
 pub mod operator_api;
 mod output;
@@ -25,6 +27,7 @@
 pub mod run;
 pub mod service;
 pub mod settings;
+pub mod show;
 pub mod status;
 pub mod table;
 pub mod templates;
--- /dev/null
+++ b/filbertpaddle/src/operate.rs
@@ -0,0 +1,276 @@
+//! Operators' commands, run at a node over HTTP.
+
+use std::fmt::Write;
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use filbertpaddle_core::config::Change;
+use filbertpaddle_core::config::ChangeId;
+use filbertpaddle_core::config::Service;
+use filbertpaddle_core::revision::Revision;
+use filbertpaddle_core::template::Template;
+use reqwest::Client;
+use reqwest::Method;
+use reqwest::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::arguments::Call;
+use crate::arguments::Operation;
+use crate::arguments::Options;
+use crate::operator_api::Answer;
+use crate::operator_api::Audit;
+use crate::operator_api::Refusals;
+use crate::operator_api::Set;
+use crate::show;
+use crate::status::Report;
+
+/// Environment variable with a node's operators' address.
+const NODE_VARIABLE: &str = "FILBERTPADDLE_NODE";
+/// Environment variable with the operator's token.
+const TOKEN_VARIABLE: &str = "FILBERTPADDLE_TOKEN";
+/// Longest wait for a node's answer, beyond what a node takes for a change.
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// How often a change is sent whose answer was lost.
+const SENDS: u32 = 3;
+
+/// Why an operator's command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An argument or file is wrong.
+    #[error("{0}")]
+    Usage(String),
+    /// The node cannot be reached or answered something unexpected.
+    #[error("cannot ask {node}: {detail}")]
+    Node {
+        /// Address of the node.
+        node: String,
+        /// What went wrong.
+        detail: String,
+    },
+    /// The token is missing or wrong.
+    #[error("the operator's token is missing or wrong")]
+    Unauthorized,
+    /// There is no such entry.
+    #[error("there is no entry {0}")]
+    Missing(String),
+    /// The platform's table does not answer the node.
+    #[error("the platform's table cannot be reached; try again later")]
+    Unavailable,
+    /// The change may have been accepted.
+    #[error("no answer from {node}; the change may have been accepted: send it again with --change-id {}", change_id.0)]
+    Unanswered {
+        /// Address of the node.
+        node: String,
+        /// Identity of the change.
+        change_id: ChangeId,
+    },
+}
+
+/// What a command prints, and what became of a change.
+#[derive(Debug)]
+pub struct Output {
+    /// Text for standard output.
+    pub text: String,
+    /// The answer to a change.
+    pub answer: Option<Answer>,
+}
+
+/// Runs an operator's command.
+///
+/// # Errors
+///
+/// Returns [`Error`] if no answer can be shown.
+pub async fn run(operation: &Operation) -> Result<Output, Error> {
+    let node = Node::open(&operation.options)?;
+    let options = &operation.options;
+    match &operation.call {
+        Call::TemplateList => node.show("templates", show::templates).await,
+        Call::TemplateGet { customer, name } => {
+            let path = format!("templates/{customer}/{name}");
+            node.show(&path, show::change).await
+        }
+        Call::TemplateSet {
+            customer,
+            name,
+            file,
+        } => {
+            let path = format!("templates/{customer}/{name}");
+            node.set(&path, &read_template(file)?, options).await
+        }
+        Call::DataCentre(name, service) => {
+            let path = format!("data-centres/{name}");
+            node.set::<Service>(&path, service, options).await
+        }
+        Call::Vm(name, service) => {
+            let path = format!("vms/{name}");
+            node.set::<Service>(&path, service, options).await
+        }
+        Call::Status => node.show::<Report, _>("status", show::report).await,
+        Call::Audit => {
+            let path = format!("audit?after={}", options.after);
+            node.show::<Audit, _>(&path, show::audit).await
+        }
+        Call::Refusals => node.show::<Refusals, _>("refusals", show::refusals).await,
+    }
+}
+
+/// A node as an operator reaches it.
+struct Node {
+    address: String,
+    token: String,
+    http: Client,
+    json: bool,
+}
+
+impl Node {
+    fn open(options: &Options) -> Result<Self, Error> {
+        let variable = |name: &str| std::env::var(name).ok();
+        let address = options.node.map(|node| node.to_string());
+        let address = address
+            .or_else(|| variable(NODE_VARIABLE))
+            .ok_or_else(|| usage(format!("give --node IP:PORT or set {NODE_VARIABLE}")))?;
+        let token = match &options.token_file {
+            Some(file) => read_file(file)?,
+            None => variable(TOKEN_VARIABLE)
+                .ok_or_else(|| usage(format!("give --token-file FILE or set {TOKEN_VARIABLE}")))?,
+        };
+        let http = Client::builder()
+            .timeout(TIMEOUT)
+            .no_proxy()
+            .build()
+            .map_err(|error| usage(error.to_string()))?;
+        Ok(Self {
+            address,
+            token: token.trim().to_owned(),
+            http,
+            json: options.json,
+        })
+    }
+
+    async fn show<T, F>(&self, path: &str, text: F) -> Result<Output, Error>
+    where
+        T: DeserializeOwned + Serialize,
+        F: FnOnce(&T) -> String,
+    {
+        let body: T = self
+            .get(path)
+            .await?
+            .ok_or_else(|| Error::Missing(path.to_owned()))?;
+        Ok(Output {
+            text: if self.json { json(&body) } else { text(&body) },
+            answer: None,
+        })
+    }
+
+    async fn set<T>(&self, path: &str, value: &T, options: &Options) -> Result<Output, Error>
+    where
+        T: Clone + Serialize,
+    {
+        let expected = match options.expect {
+            Some(expect) => expect.revision(),
+            None => self.present(path).await?,
+        };
+        let change_id = options
+            .change_id
+            .unwrap_or_else(|| ChangeId(rand::random()));
+        let set = Set {
+            expected,
+            change_id: Some(change_id),
+            value: value.clone(),
+        };
+        let answer = self.put(path, &set, change_id).await?;
+        let text = if self.json {
+            json(&answer)
+        } else {
+            show::answer(&answer)
+        };
+        let answer = Some(answer);
+        Ok(Output { text, answer })
+    }
+
+    async fn present(&self, path: &str) -> Result<Option<Revision>, Error> {
+        let change: Option<Change> = self.get(path).await?;
+        Ok(change.map(|change| change.revision))
+    }
+
+    async fn get<T>(&self, path: &str) -> Result<Option<T>, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let request = self.request(Method::GET, path);
+        let response = request.send().await.map_err(|error| self.error(&error))?;
+        match response.status() {
+            StatusCode::NOT_FOUND => return Ok(None),
+            StatusCode::UNAUTHORIZED => return Err(Error::Unauthorized),
+            StatusCode::SERVICE_UNAVAILABLE => return Err(Error::Unavailable),
+            _ => {}
+        }
+        let body = response.json().await.map_err(|error| self.error(&error))?;
+        Ok(Some(body))
+    }
+
+    /// Sends a change; its id makes sending it again harmless.
+    async fn put<T>(&self, path: &str, set: &Set<T>, id: ChangeId) -> Result<Answer, Error>
+    where
+        T: Serialize,
+    {
+        for _ in 0..SENDS {
+            match self.request(Method::PUT, path).json(set).send().await {
+                Ok(response) => {
+                    if let Ok(answer) = response.json().await {
+                        return Ok(answer);
+                    }
+                }
+                Err(error) if error.is_connect() => return Err(self.error(&error)),
+                Err(_) => {}
+            }
+        }
+        Err(Error::Unanswered {
+            node: self.address.clone(),
+            change_id: id,
+        })
+    }
+
+    fn request(&self, method: Method, path: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}/v1/{path}", self.address);
+        self.http.request(method, url).bearer_auth(&self.token)
+    }
+
+    fn error(&self, error: &reqwest::Error) -> Error {
+        let mut detail = error.to_string();
+        let mut source = std::error::Error::source(error);
+        while let Some(cause) = source {
+            write!(detail, ": {cause}").ok();
+            source = cause.source();
+        }
+        Error::Node {
+            node: self.address.clone(),
+            detail,
+        }
+    }
+}
+
+fn read_template(file: &Path) -> Result<Template, Error> {
+    let text = read_file(file)?;
+    serde_saphyr::from_str(&text).map_err(|error| usage(format!("{}: {error}", file.display())))
+}
+
+fn read_file(file: &Path) -> Result<String, Error> {
+    fs::read_to_string(file).map_err(|error| usage(format!("{}: {error}", file.display())))
+}
+
+fn usage(detail: String) -> Error {
+    Error::Usage(detail)
+}
+
+fn json<T>(body: &T) -> String
+where
+    T: Serialize,
+{
+    // These bodies have text keys only, so they always have a JSON form.
+    let mut text = serde_json::to_string_pretty(body).unwrap_or_default();
+    text.push('\n');
+    text
+}
