Keep two standard deviations of predicted memory free by default

Cause: with one deviation a target overflowed often, and each overflow costs several preemptions, since a victim that returns overflows it again. Change: the stall weight spans 1.5 to 2.5 deviations, 2.0 by default.

--- a/filbertpaddle-core/src/placement.rs
+++ b/filbertpaddle-core/src/placement.rs
@@ -17,7 +17,7 @@
 /// it holds, as a part of its limits.
 const PREFIX_SLACK: f32 = 0.15;
 /// Standard deviations of memory kept free at stall weights of 0 and 100.
-const DEVIATIONS: (f32, f32) = (0.0, 2.0);
+const DEVIATIONS: (f32, f32) = (1.5, 2.5);
 /// Part of the token gap's bound that the mean may reach at stall weights of
 /// 0 and 100.
 const GAP_PART: (f64, f64) = (0.85, 1.0);
