Start work on a target in bursts

Cause: each prompt lengthens one or two steps of the whole batch; with one start at a time 5 in 100 steps carry a prompt, which sets the p95 token gap. Change: a target with at least 8 attempts takes new work every 500 ms, then up to 1,024 tokens of prompts at once.

--- a/filbertpaddle-core/src/engine.rs
+++ b/filbertpaddle-core/src/engine.rs
@@ -18,6 +18,14 @@
 
 /// Age at which a forecast is computed anew.
 const FORECAST_AGE: Millis = Millis(200);
+/// How long a burst of work that starts together lasts.
+const BURST_LENGTH: Millis = Millis(5);
+/// Time between two bursts.
+const BURST_INTERVAL: Millis = Millis(500);
+/// Tokens of prompts after which a burst takes no more work.
+const BURST_TOKENS: u32 = 1_024;
+/// Batch below which work starts at any time.
+const BURST_BATCH: usize = 8;
 /// How long ended work is kept to compare with late reports.
 const ENDED_AGE: Millis = Millis::from_secs(5);
 /// Most ended work that is kept to compare with late reports.
@@ -50,11 +58,19 @@
     tokens: u32,
 }
 
+/// Work that started together, so that few steps of the batch carry prompts.
+#[derive(Clone, Copy, Debug, Default)]
+struct Burst {
+    start_ms: Millis,
+    prompt_tokens: u32,
+}
+
 /// One target as the scheduler sees it.
 #[derive(Clone, Debug)]
 pub struct Engine {
     /// Prefixes it is taken to hold.
     pub prefixes: Held,
+    burst: Burst,
     crashed_ms: Option<Millis>,
     progress: Progress,
     running: IndexMap<SlotId, Running>,
@@ -70,6 +86,7 @@
     pub fn new(now: Millis) -> Self {
         Self {
             prefixes: Held::default(),
+            burst: Burst::default(),
             crashed_ms: None,
             progress: Progress::new(now),
             running: IndexMap::new(),
@@ -121,6 +138,7 @@
         self.advance(now, line);
         self.prefixes.insert(now, ask.prefix);
         self.share(&ask);
+        self.join_burst(now, &ask);
         self.forecast.add(&attempt(&ask, 0, lengths));
         let start = self.progress.mark();
         let running = Running {
@@ -131,6 +149,23 @@
         self.running.insert(slot, running);
     }
 
+    fn join_burst(&mut self, now: Millis, ask: &Ask) {
+        if now.since(self.burst.start_ms) > BURST_LENGTH {
+            self.burst.start_ms = now;
+            self.burst.prompt_tokens = 0;
+        }
+        self.burst.prompt_tokens += own_tokens(ask);
+    }
+
+    /// Whether work may start now, either with the last burst or well after it.
+    pub fn is_open(&self, now: Millis) -> bool {
+        let since = now.since(self.burst.start_ms);
+        if since <= BURST_LENGTH {
+            return self.burst.prompt_tokens < BURST_TOKENS;
+        }
+        self.batch() < BURST_BATCH || since >= BURST_INTERVAL
+    }
+
     /// Removes work that has ended after `tokens` tokens.
     pub fn end(&mut self, now: Millis, slot: SlotId, tokens: u32, line: &Line) -> Option<Running> {
         self.advance(now, line);
--- a/filbertpaddle-core/src/placement.rs
+++ b/filbertpaddle-core/src/placement.rs
@@ -100,6 +100,9 @@
     engine: &mut Engine,
     known: &Knowledge<'_>,
 ) -> Option<f32> {
+    if !engine.is_open(now) {
+        return None;
+    }
     let gap = (engine.gap_ms(1, known.line) / known.limits.gap_ms) as f32;
     let memory = match view.capacity_tokens {
         0 => 0.0,
