Send a slot message in the tests of links

Cause: the claim messages have got their real form. Change: the tests of links carry a slot message instead.

--- a/filbertpaddle/tests/peers.rs
+++ b/filbertpaddle/tests/peers.rs
@@ -16,7 +16,7 @@
 use filbertpaddle::settings;
 use filbertpaddle_standins::proxy::Link;
 use filbertpaddle_standins::proxy::Proxy;
-use filbertpaddle_wire::claim;
+use filbertpaddle_wire::grant;
 use filbertpaddle_wire::message::Message;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -63,7 +63,7 @@
 }
 
 fn message() -> Message {
-    Message::Claim(claim::Message::Ping(1))
+    Message::Grant(grant::Message::Stamp("pool".into(), 1))
 }
 
 async fn gone(node: &Node) {
