--- a/filbertpaddle/tests/settings.rs
+++ b/filbertpaddle/tests/settings.rs
@@ -34,7 +34,7 @@
 #[test]
 fn an_impossible_value_is_refused() {
     let text = EXAMPLE.replace("timeout_ms: 2000", "timeout_ms: 0");
-    refused(&text, &expect!["line 21: a timeout is from 1 to 600000 ms"]);
+    refused(&text, &expect!["line 22: a timeout is from 1 to 600000 ms"]);
 }
 
 #[test]
@@ -50,7 +50,7 @@
     let text = EXAMPLE.replace("2bcbc95a", "2BCBC95A");
     refused(
         &text,
-        &expect!["line 32: a digest has 64 lower-case hexadecimal digits"],
+        &expect!["line 33: a digest has 64 lower-case hexadecimal digits"],
     );
 }
 
