--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod spill;
 pub mod spread;
 pub mod suspect;
+pub mod sweep;
 pub mod template;
 pub mod transfer;
--- a/filbertpaddle-standins/src/process.rs
+++ b/filbertpaddle-standins/src/process.rs
@@ -12,7 +12,9 @@
 
 use rustix::process::Pid;
 use rustix::process::Signal;
+use rustix::process::WaitOptions;
 use rustix::process::kill_process;
+use rustix::process::waitpid;
 use serde::de::DeserializeOwned;
 
 /// Set this variable to see what child processes write to standard error.
@@ -80,13 +82,20 @@
         self.child.id()
     }
 
-    /// Freezes the process.
+    /// Freezes the process and returns once no thread of it runs.
     ///
     /// # Errors
     ///
     /// Returns an error if the process has gone.
     pub fn pause(&self) -> io::Result<()> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        // On a busy machine some threads run on for a while after the signal.
+        let pid = Pid::from_child(&self.child);
+        let status = waitpid(Some(pid), WaitOptions::UNTRACED)?;
+        match status {
+            Some((_, status)) if status.stopped() => Ok(()),
+            _ => Err(io::Error::other("the process ended instead of stopping")),
+        }
     }
 
     /// Lets a frozen process go on.
--- /dev/null
+++ b/filbertpaddle/src/claim_sweep.rs
@@ -0,0 +1,114 @@
+//! Removes claims that are kept no longer.
+//!
+//! All nodes share one cursor in the table. A node takes the next page by
+//! moving the cursor, so that pages are looked at once in a pass.
+
+use std::sync::Arc;
+
+use filbertpaddle_core::claim::Id;
+use filbertpaddle_core::claim::KEY_PREFIX;
+use filbertpaddle_core::claim::Row;
+use filbertpaddle_core::claims::Event;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::sweep;
+use filbertpaddle_core::sweep::Entry;
+use filbertpaddle_platform::client::Client;
+use filbertpaddle_platform::error::Error;
+use filbertpaddle_platform::protocol;
+use filbertpaddle_platform::protocol::Condition;
+use filbertpaddle_platform::protocol::Scan;
+use filbertpaddle_platform::protocol::TransactAnswer;
+use filbertpaddle_platform::protocol::Transaction;
+use filbertpaddle_platform::protocol::Write;
+use slog::Logger;
+use slog::debug;
+use xtra::Address;
+
+use crate::claim_actor::Actor;
+use crate::claim_actor::Input;
+use crate::clock;
+use crate::metrics::Metrics;
+
+/// Table key of the shared cursor.
+const CURSOR_KEY: &str = "sweep/claim";
+
+/// What the removal works with.
+#[derive(Debug)]
+pub(crate) struct Sweep {
+    pub(crate) platform: Client,
+    pub(crate) actor: Address<Actor>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) log: Logger,
+}
+
+impl Sweep {
+    /// Takes a step from time to time for as long as the node lives.
+    pub(crate) async fn run(self) {
+        // A random start keeps nodes that started together apart.
+        let start = rand::random_range(0..sweep::START_SPREAD_MS.0);
+        tokio::time::sleep(clock::duration(Millis(start))).await;
+        while self.actor.is_connected() {
+            let interval_ms = match self.step().await {
+                Ok(interval_ms) => interval_ms,
+                Err(error) => {
+                    debug!(self.log, "Old claims not removed."; "error" => %error);
+                    sweep::SLOW_INTERVAL_MS
+                }
+            };
+            tokio::time::sleep(clock::duration(interval_ms)).await;
+        }
+    }
+
+    async fn step(&self) -> Result<Millis, Error> {
+        let cursor = self.platform.read(vec![CURSOR_KEY.to_owned()]).await?;
+        let cursor = cursor.rows.into_iter().next();
+        let after = cursor
+            .as_ref()
+            .map(|row| row.value.clone())
+            .filter(|after| !after.is_empty());
+        let scan = Scan {
+            prefix: KEY_PREFIX.to_owned(),
+            after,
+            limit: sweep::PAGE_ROWS,
+        };
+        let page = self.platform.scan(&scan).await?.rows;
+        let step = sweep::step(page.into_iter().map(entry).collect(), clock::unix_now());
+        let revision = cursor.map(|row| row.revision);
+        if self.advance(revision, step.after).await? && !step.expired.is_empty() {
+            self.metrics.count("claim.swept");
+            let expired = Event::Expired(step.expired);
+            self.actor.send(Input(expired)).await.ok();
+        }
+        Ok(step.interval_ms)
+    }
+
+    /// Moves the cursor; returns false if another node was first.
+    async fn advance(&self, revision: Option<u64>, after: Option<String>) -> Result<bool, Error> {
+        let transaction = Transaction {
+            conditions: vec![Condition {
+                key: CURSOR_KEY.to_owned(),
+                revision,
+            }],
+            writes: vec![Write {
+                key: CURSOR_KEY.to_owned(),
+                value: Some(after.unwrap_or_default()),
+            }],
+        };
+        let answer = self.platform.transact(&transaction).await?;
+        Ok(matches!(answer, TransactAnswer::Committed { .. }))
+    }
+}
+
+fn entry(row: protocol::Row) -> Entry {
+    Entry {
+        claim: claim(&row),
+        row_key: row.key,
+    }
+}
+
+fn claim(row: &protocol::Row) -> Option<(Id, Row)> {
+    let id = Id::from_row_key(&row.key)?;
+    let record = serde_json::from_str(&row.value).ok()?;
+    let revision = row.revision;
+    Some((id, Row { record, revision }))
+}
--- a/filbertpaddle/src/claims.rs
+++ b/filbertpaddle/src/claims.rs
@@ -27,6 +27,7 @@
 use crate::claim_actor::Input;
 use crate::claim_actor::Unsettled;
 use crate::claim_store;
+use crate::claim_sweep::Sweep;
 use crate::clock;
 use crate::clock::Clock;
 use crate::inbox::From;
@@ -127,6 +128,13 @@
         };
         let actor = xtra::spawn_tokio(actor, Mailbox::unbounded());
         tokio::spawn(receive(parts.inbox, actor.clone()));
+        let sweep = Sweep {
+            platform: parts.platform.clone(),
+            actor: actor.clone(),
+            metrics: Arc::clone(&parts.metrics),
+            log: parts.log.clone(),
+        };
+        tokio::spawn(sweep.run());
         Self {
             actor,
             platform: parts.platform,
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 mod claim_actor;
 mod claim_store;
+mod claim_sweep;
 pub mod claims;
 pub mod cli;
 pub mod clock;
--- a/filbertpaddle/tests/at_most_once.rs
+++ b/filbertpaddle/tests/at_most_once.rs
@@ -13,12 +13,20 @@
 use common::fleet::NodeSettings;
 use common::fleet::Platform;
 use common::wait;
+use filbertpaddle::clock;
+use filbertpaddle_core::claim::Answer;
+use filbertpaddle_core::claim::Ending;
+use filbertpaddle_core::claim::Record;
+use filbertpaddle_core::claim::State;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::outcome::Outcome;
 use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::sweep;
 use filbertpaddle_core::template::Delivery;
 use filbertpaddle_core::template::Template;
 use filbertpaddle_core::template::Work;
+use filbertpaddle_platform::protocol::Transaction;
+use filbertpaddle_platform::protocol::Write;
 use filbertpaddle_standins::faults::Faults;
 use filbertpaddle_standins::faults::Loss;
 use filbertpaddle_standins::faults::Outage;
@@ -327,6 +335,53 @@
     assert_eq!(fleet.executions(&text), 1);
 }
 
+#[tokio::test]
+async fn old_claims_are_removed_and_young_ones_stay() {
+    let platform = Platform::start();
+    let now = clock::unix_now();
+    let old = Millis(now.0 - sweep::RETENTION_MS.0 - 1);
+    let writes = [("old", old), ("young", now)].map(|(key, claimed_at_ms)| Write {
+        key: format!("claim/{}/{key}", fleet::CUSTOMER),
+        value: Some(finished_record(claimed_at_ms)),
+    });
+    let seeded = Transaction {
+        conditions: Vec::new(),
+        writes: writes.to_vec(),
+    };
+    platform.client.transact(&seeded).await.unwrap();
+    let _node = Node::start(&NodeSettings {
+        name: "entry-1".to_owned(),
+        data_centre: "north".to_owned(),
+        platform: platform.standin.address,
+        peers: Vec::new(),
+        more: String::new(),
+    });
+    let keys: Vec<String> = writes.iter().map(|write| write.key.clone()).collect();
+    let left = wait::until("one claim is removed", async || {
+        let rows = platform.client.read(keys.clone()).await.ok()?.rows;
+        (rows.len() < 2).then_some(rows)
+    })
+    .await;
+    assert_eq!(left.len(), 1);
+    assert_eq!(left[0].key, keys[1]);
+}
+
+fn finished_record(claimed_at_ms: Millis) -> String {
+    let ending = Ending {
+        outcome: COMPLETE,
+        answer: Answer::Inline("done".into()),
+    };
+    let record = Record {
+        attempt: "earlier".into(),
+        digest: "digest".into(),
+        holder: "entry-9".into(),
+        incarnation: 1,
+        claimed_at_ms,
+        state: State::Finished(ending),
+    };
+    serde_json::to_string(&record).unwrap()
+}
+
 #[tokio::test]
 async fn platform_out_refuses_orders_and_serves_the_rest() {
     let fleet = Fleet::start(Millis(1)).await;
