Count a failed resume of a baseline as unknown, not as not started

Cause: a run of cold_start showed ran_twice 11 and not_run_but_ran 55 under the baselines: a resume that found no connection passed for a submission that was never sent. Ruled out: a fault of the target client, whose answer was true of the resume itself. Change: whatever a resume meets, the submission had been taken. Conclusion: the checks of the load tool found a fault of its own.

--- a/filbertpaddle-standins/src/direct.rs
+++ b/filbertpaddle-standins/src/direct.rs
@@ -6,6 +6,7 @@
 use filbertpaddle_core::scheduler as slot;
 use filbertpaddle_target::client::Client;
 use filbertpaddle_target::error::Error;
+use filbertpaddle_target::error::Unknown;
 use filbertpaddle_target::protocol::Submit;
 use filbertpaddle_target::stream::Received;
 use filbertpaddle_target::stream::Tokens;
@@ -184,7 +185,12 @@
             Ok(()) => Ok(()),
             Err(_) => {
                 let from = stream.next_index();
-                let mut stream = self.client.resume(address, &submit.attempt, from).await?;
+                let resumed = self.client.resume(address, &submit.attempt, from).await;
+                // The submission was taken, whatever a failed resume proves of itself.
+                let mut stream = resumed.map_err(|error| {
+                    let text = error.to_string();
+                    Error::Unknown(Unknown::Cut(text))
+                })?;
                 relay(&mut stream, observer).await
             }
         }
