Set up the load tool's cluster through the operators' interface

Cause: rows written by hand depend on how the daemon keeps its configuration, which has changed. Ruled out: depending on the daemon's crate, which depends on this one for its tests. Change: customers and templates are set, and the data centre is taken out and brought back, by the operators' HTTP interface.

--- a/filbertpaddle-standins/src/cluster.rs
+++ b/filbertpaddle-standins/src/cluster.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use filbertpaddle_core::clock::Millis;
@@ -11,6 +13,8 @@
 use filbertpaddle_platform::protocol::VmList;
 use filbertpaddle_platform::protocol::VmRole;
 use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
 use thiserror::Error;
 
 use crate::child;
@@ -46,6 +50,17 @@
     /// A settings file could not be written.
     #[error("cannot write settings: {0}")]
     Io(#[from] io::Error),
+    /// A node did not accept a change of the configuration.
+    #[error("{path} was not set: {answer}")]
+    Refused {
+        /// Path of the entry.
+        path: String,
+        /// What the node answered.
+        answer: String,
+    },
+    /// The cluster has no node.
+    #[error("there is no node")]
+    NoNode,
     /// A node was never ready.
     #[error("node {0} is not ready")]
     NotReady(SocketAddr),
@@ -93,6 +108,7 @@
     nodes: Vec<Child<Addresses>>,
     data_centres: usize,
     directory: PathBuf,
+    service_revision: AtomicU64,
     http: reqwest::Client,
 }
 
@@ -116,17 +132,18 @@
             nodes: Vec::new(),
             data_centres: settings.data_centres,
             directory,
+            service_revision: AtomicU64::new(0),
             http,
         };
-        let rows = node_settings::rows();
-        let table = format!("http://{}/table/transact", cluster.platform.ready.address);
-        cluster.post(&table, &rows).await?;
         cluster.publish_vms(fleet).await?;
         for number in 0..settings.nodes {
             cluster.start_node(settings, number).await?;
         }
         cluster.publish_vms(fleet).await?;
         cluster.wait_until_ready().await?;
+        for entry in node_settings::entries() {
+            cluster.put(&entry.path, &entry.value, None).await?;
+        }
         Ok(cluster)
     }
 
@@ -197,6 +214,39 @@
         Ok(())
     }
 
+    /// Takes a data centre out, or brings it back, as an operator does.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the change is not accepted.
+    pub async fn set_service(&self, data_centre: usize, service: &str) -> Result<(), Error> {
+        let path = format!("data-centres/{}", node_settings::data_centre(data_centre));
+        let expected = self.service_revision.load(Ordering::Relaxed);
+        let expected = (expected > 0).then_some(expected);
+        let revision = self.put(&path, &service.into(), expected).await?;
+        self.service_revision.store(revision, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Sets one entry of the configuration and returns its revision.
+    async fn put(&self, path: &str, value: &Value, expected: Option<u64>) -> Result<u64, Error> {
+        let operators = self.nodes.last().map(|node| node.ready.operators);
+        let operators = operators.ok_or(Error::NoNode)?;
+        let url = format!("http://{operators}/v1/{path}");
+        let answer = self
+            .http
+            .put(url)
+            .bearer_auth(node_settings::OPERATOR_TOKEN)
+            .json(&json!({ "value": value, "expected": expected }))
+            .send()
+            .await?;
+        let answer: Value = answer.json().await?;
+        answer["revision"].as_u64().ok_or_else(|| Error::Refused {
+            path: path.to_owned(),
+            answer: answer.to_string(),
+        })
+    }
+
     /// Switches an outage of the platform on or off.
     ///
     /// # Errors
@@ -222,15 +272,6 @@
             .collect()
     }
 
-    /// Returns the operators' address of the first node outside a data centre.
-    pub fn operators(&self, out: Option<usize>) -> Option<SocketAddr> {
-        self.nodes
-            .iter()
-            .enumerate()
-            .find(|(number, _)| Some(number % self.data_centres) != out)
-            .map(|(_, node)| node.ready.operators)
-    }
-
     /// Reads what each node has used; its traffic is that with peers and platform.
     pub fn usage(&self) -> Vec<Usage> {
         let mut ports: HashSet<u16> = self
@@ -265,5 +306,5 @@
     }
 }
 
-/// Time that nodes get to learn of targets and of each other.
-pub const SETTLE_MS: Millis = Millis(3_000);
+/// Time that nodes get to learn of targets, configuration and each other.
+pub const SETTLE_MS: Millis = Millis(6_000);
--- a/filbertpaddle-standins/src/experiment.rs
+++ b/filbertpaddle-standins/src/experiment.rs
@@ -267,22 +267,29 @@
     async fn act(&self, act: Act) -> Result<(), Error> {
         match act {
             Act::Engines { every, fault } => self.fleet.fault(every, fault).await?,
-            Act::DataCentreOut => self.set_out(Some(OUT)),
-            Act::DataCentreIn => self.set_out(None),
+            Act::DataCentreOut => self.set_out(Some(OUT)).await?,
+            Act::DataCentreIn => self.set_out(None).await?,
             Act::PlatformDown => self.set_outage(true).await?,
             Act::PlatformUp => self.set_outage(false).await?,
         }
         Ok(())
     }
 
-    fn set_out(&self, data_centre: Option<usize>) {
+    async fn set_out(&self, data_centre: Option<usize>) -> Result<(), Error> {
         self.out.send_replace(data_centre);
-        if let Front::Direct(entries) = &self.front {
-            for entry in entries {
-                entry.engines.set_out(data_centre);
-                entry.services.set_out(data_centre);
+        match &self.front {
+            Front::Direct(entries) => {
+                for entry in entries {
+                    entry.engines.set_out(data_centre);
+                    entry.services.set_out(data_centre);
+                }
+            }
+            Front::Nodes(cluster) => {
+                let service = if data_centre.is_some() { "out" } else { "in" };
+                cluster.set_service(OUT, service).await?;
             }
         }
+        Ok(())
     }
 
     async fn set_outage(&self, down: bool) -> Result<(), Error> {
--- a/filbertpaddle-standins/src/node_settings.rs
+++ b/filbertpaddle-standins/src/node_settings.rs
@@ -1,10 +1,8 @@
-//! Settings of the nodes of an experiment, and what the table holds.
+//! Settings and configuration of the nodes of an experiment.
 
 use std::net::SocketAddr;
 
 use data_encoding::HEXLOWER;
-use filbertpaddle_platform::protocol::Transaction;
-use filbertpaddle_platform::protocol::Write;
 use serde_json::Value;
 use serde_json::json;
 use sha2::Digest;
@@ -71,29 +69,30 @@
     }
 }
 
-/// Returns the transaction that sets up customers and templates.
-pub fn rows() -> Transaction {
-    let mut writes = Vec::new();
-    for (customer, _) in CUSTOMERS {
-        let key = sha256(&caller::key(customer));
-        let value = json!({ "key_sha256": [key] });
-        writes.push(entry("customer", customer, &value));
-        for kind in USUAL {
-            let name = format!("{customer}/{}", kind.name);
-            writes.push(entry("template", &name, &template(customer, kind)));
-        }
-    }
-    Transaction {
-        conditions: Vec::new(),
-        writes,
-    }
+/// One entry of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Path below the operators' interface.
+    pub path: String,
+    /// Value of the entry.
+    pub value: Value,
 }
 
-fn entry(kind: &str, name: &str, value: &Value) -> Write {
-    Write {
-        key: format!("config/entry/{kind}/{name}"),
-        value: Some(json!({ "revision": 1, "value": value }).to_string()),
+/// Returns the customers and templates of the load tool.
+pub fn entries() -> Vec<Entry> {
+    let mut entries = Vec::new();
+    for (customer, _) in CUSTOMERS {
+        let key = sha256(&caller::key(customer));
+        entries.push(Entry {
+            path: format!("customers/{customer}"),
+            value: json!({ "key_sha256": [key] }),
+        });
+        entries.extend(USUAL.iter().map(|kind| Entry {
+            path: format!("templates/{customer}/{}", kind.name),
+            value: template(customer, kind),
+        }));
     }
+    entries
 }
 
 fn template(customer: &str, kind: &Kind) -> Value {
