Grant slots through one owner for each pool of targets

Cause: each node counted its own use of a target, so three nodes at once sent a cold target more than it bears. Ruled out: a quota for each node, which leaves most of a small limit unused; a reading of the record by every node, which the table cannot carry at the target size. Change: a coordinator joins the data centre's record, sends heartbeats to the relay, owns pools that the record gives it, polls only their targets and hands out grants; without table and owner it uses fixed shares. Attempts name their slot, so that a target's report tells whose work runs. An owner also grants a member what is reserved for that member itself. The engine stand-in takes its warm-up time as an option. Conclusion: the pool's owner serves; one pool for each model and data centre, first come first served, until the scheduler is taken in.

--- a/filbertpaddle-core/src/ledger.rs
+++ b/filbertpaddle-core/src/ledger.rs
@@ -5,6 +5,7 @@
 use crate::name::Name;
 use crate::report::Report;
 use crate::roster::Id;
+use crate::service::WHOLE_SHARE;
 use crate::slot::Key;
 use crate::slot::Source;
 use crate::slot::fence;
@@ -32,7 +33,7 @@
     is_cleared: bool,
     is_sealed: bool,
     is_outbid: bool,
-    is_leaving: bool,
+    portion_per_mille: u16,
 }
 
 impl Ledger {
@@ -45,7 +46,7 @@
             is_cleared: false,
             is_sealed: false,
             is_outbid: false,
-            is_leaving: false,
+            portion_per_mille: WHOLE_SHARE,
         }
     }
 
@@ -69,7 +70,7 @@
     pub fn limit(&self, now: Millis, terms: &Terms) -> Option<&Limit> {
         let limit = self.limit.as_ref()?;
         let is_recent = now.since(limit.taken_ms()) <= terms.report_ms;
-        let is_usable = !self.is_leaving && !self.is_outbid;
+        let is_usable = self.portion_per_mille > 0 && !self.is_outbid;
         let is_known = self.is_cleared || !limit.is_cold();
         (is_recent && is_usable && is_known).then_some(limit)
     }
@@ -84,9 +85,16 @@
         self.is_outbid
     }
 
-    /// Stops grants on the target for good, as it is leaving.
-    pub fn leave(&mut self) {
-        self.is_leaving = true;
+    /// Sets how much of the limit may be used, in thousandths; zero stops grants.
+    pub fn set_portion(&mut self, per_mille: u16) {
+        self.portion_per_mille = per_mille;
+    }
+
+    /// Returns the part of a limit that may be used, at least one.
+    pub fn portion(&self, limit: u32) -> u32 {
+        let whole = u32::from(WHOLE_SHARE);
+        let portion = limit.saturating_mul(u32::from(self.portion_per_mille)) / whole;
+        portion.clamp(1, limit.max(1))
     }
 
     /// Counts work.
--- a/filbertpaddle-core/src/member.rs
+++ b/filbertpaddle-core/src/member.rs
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Returns which node this is.
+    pub fn id(&self) -> &Id {
+        &self.id
+    }
+
     /// Returns the epoch of the owner that last collected.
     pub fn epoch(&self) -> u64 {
         self.epoch
--- a/filbertpaddle-core/src/owner.rs
+++ b/filbertpaddle-core/src/owner.rs
@@ -17,6 +17,9 @@
 use crate::slot::Source;
 use crate::terms::Terms;
 
+/// Requests that are tried before none is granted.
+const LOOKAHEAD: usize = 8;
+
 /// A member's request for a slot.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Ask {
@@ -111,10 +114,10 @@
         }
     }
 
-    /// Stops grants on a target.
-    pub fn leave_target(&mut self, target: &Name) {
+    /// Sets how much of a target's limit may be used, in thousandths.
+    pub fn set_portion(&mut self, target: &Name, per_mille: u16) {
         if let Some(ledger) = self.ledger_mut(target) {
-            ledger.leave();
+            ledger.set_portion(per_mille);
         }
     }
 
@@ -280,8 +283,8 @@
         if !self.stands(now) {
             return grants;
         }
-        while let Some(index) = self.roomiest(now) {
-            let Some(ask) = self.queue.pop_front() else {
+        while let Some((position, index)) = self.next(now) {
+            let Some(ask) = self.queue.remove(position) else {
                 break;
             };
             grants.push(self.grant(now, index, ask));
@@ -293,7 +296,7 @@
     pub fn room(&self, now: Millis) -> u32 {
         self.ledgers
             .iter()
-            .map(|ledger| self.ledger_room(now, ledger))
+            .map(|ledger| self.ledger_room(now, ledger, None))
             .sum()
     }
 
@@ -318,41 +321,53 @@
         }
     }
 
-    fn roomiest(&self, now: Millis) -> Option<usize> {
-        let rooms = self.ledgers.iter().enumerate();
-        rooms
-            .map(|(index, ledger)| (self.ledger_room(now, ledger), index))
+    /// Returns the first request that can be granted, and its target's index.
+    fn next(&self, now: Millis) -> Option<(usize, usize)> {
+        let asks = self.queue.iter().take(LOOKAHEAD).enumerate();
+        asks.filter_map(|(position, ask)| Some((position, self.roomiest(now, &ask.holder)?)))
+            .next()
+    }
+
+    fn roomiest(&self, now: Millis, holder: &Id) -> Option<usize> {
+        let ledgers = self.ledgers.iter().enumerate();
+        ledgers
+            .map(|(index, ledger)| (self.ledger_room(now, ledger, Some(holder)), index))
             .filter(|(room, _)| *room > 0)
             .max_by_key(|(room, index)| (*room, std::cmp::Reverse(*index)))
             .map(|(_, index)| index)
     }
 
-    fn ledger_room(&self, now: Millis, ledger: &Ledger) -> u32 {
+    /// Returns how many more slots a target has, the first of them for `holder`.
+    fn ledger_room(&self, now: Millis, ledger: &Ledger, holder: Option<&Id>) -> u32 {
         let Some(limit) = ledger.limit(now, &self.terms) else {
             return 0;
         };
         let reserved = match limit.is_cold() {
-            true => self.reserved(now, ledger, limit.current()),
+            true => self.reserved(now, ledger, limit.current(), holder),
             false => 0,
         };
-        limit
-            .current()
+        ledger
+            .portion(limit.current())
             .saturating_sub(ledger.used())
             .saturating_sub(reserved)
     }
 
-    /// Sums what members may send to a cold target beyond what is counted.
-    fn reserved(&self, now: Millis, ledger: &Ledger, limit: u32) -> u32 {
+    /// Sums what members may send to a cold target beyond what is counted,
+    /// once `holder` has one more slot there.
+    fn reserved(&self, now: Millis, ledger: &Ledger, limit: u32, holder: Option<&Id>) -> u32 {
         self.peers
             .iter()
             .filter(|peer| !peer.is_exact(now, &self.terms))
             .map(|peer| {
                 let used = ledger.used_by(&peer.id);
+                let granted = used + u32::from(holder == Some(&peer.id));
                 // A member that this owner never heard may be paused just
                 // before it sends under an earlier owner's grant.
-                let unheard = !peer.heard && !ledger.is_sealed();
+                let is_known = peer.heard || ledger.is_sealed();
                 let share = self.roster.reserve(&ledger.target, limit, &peer.id);
-                share.max(used + u32::from(unheard)).saturating_sub(used)
+                share
+                    .max(used + u32::from(!is_known))
+                    .saturating_sub(granted)
             })
             .sum()
     }
--- a/filbertpaddle-standins/src/command_engine.rs
+++ b/filbertpaddle-standins/src/command_engine.rs
@@ -43,6 +43,10 @@
             lexopt::Arg::Long("cold-limit") => {
                 settings.scheduler.cold_limit = parser.value()?.parse()?;
             }
+            lexopt::Arg::Long("warm-up-ms") => {
+                let warm_up_ms: u64 = parser.value()?.parse()?;
+                settings.scheduler.warm_up_us = warm_up_ms.saturating_mul(1_000);
+            }
             lexopt::Arg::Long("cold") => settings.starts_warm = false,
             lexopt::Arg::Long("ignore-fence") => settings.checks_fence = false,
             lexopt::Arg::Long("poison") => settings.poison = Some(parser.value()?.parse()?),
--- /dev/null
+++ b/filbertpaddle/src/attempt.rs
@@ -0,0 +1,62 @@
+//! Names of attempts, which tell targets' reports apart.
+
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::slot::Key;
+use filbertpaddle_core::slot::Source;
+
+/// Returns the start of all attempt names of one life of a node.
+pub fn prefix(id: &Id) -> Name {
+    format!("{}-{:x}", id.name, id.incarnation).into()
+}
+
+/// Returns the name of an attempt with the slot that it uses.
+///
+/// Any slot that `attempt` named before is replaced.
+pub fn with_slot(attempt: &str, key: &Key) -> Name {
+    let base = attempt.split('.').next().unwrap_or(attempt);
+    let source = match key.source {
+        Source::Granted => 'g',
+        Source::Share => 's',
+    };
+    format!("{base}.{:x}{source}{:x}", key.epoch, key.number).into()
+}
+
+/// Returns the slot that an attempt uses.
+///
+/// A name of another form yields a slot of a holder that nobody knows, so
+/// that the work is counted all the same.
+pub fn slot(attempt: &Name) -> Key {
+    parse(attempt).unwrap_or_else(|| Key {
+        holder: Id {
+            name: attempt.clone(),
+            incarnation: 0,
+        },
+        epoch: 0,
+        source: Source::Share,
+        number: 0,
+    })
+}
+
+fn parse(attempt: &str) -> Option<Key> {
+    let (base, slot) = attempt.split_once('.')?;
+    let (node, _) = base.rsplit_once('-')?;
+    let (name, incarnation) = node.rsplit_once('-')?;
+    let (source, split) = match slot.split_once('g') {
+        Some(split) => (Source::Granted, split),
+        None => (Source::Share, slot.split_once('s')?),
+    };
+    Some(Key {
+        holder: Id {
+            name: name.into(),
+            incarnation: hex(incarnation)?,
+        },
+        epoch: hex(split.0)?,
+        source,
+        number: hex(split.1)?,
+    })
+}
+
+fn hex(text: &str) -> Option<u64> {
+    u64::from_str_radix(text, 16).ok()
+}
--- /dev/null
+++ b/filbertpaddle/src/heart.rs
@@ -0,0 +1,124 @@
+//! A node's heartbeats to its data centre's relay.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::membership;
+use filbertpaddle_core::membership::Answer;
+use filbertpaddle_core::membership::Beat;
+use filbertpaddle_core::membership::Confirmation;
+use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::roster::Member;
+use filbertpaddle_core::roster::Roster;
+use filbertpaddle_core::standing::Standing;
+
+/// How long an unanswered relay is waited for before the next is tried.
+const RELAY_TIMEOUT_MS: Millis = Millis(1_500);
+/// How long the last answer is relied on.
+const TRUST_MS: Millis = Millis(3_000);
+/// How long a relay that did not answer is passed over.
+const AVOID_MS: Millis = Millis(5_000);
+
+/// The member's side of membership.
+#[derive(Debug)]
+pub struct Heart {
+    relay: Option<Id>,
+    echo_ms: Option<Millis>,
+    beat_ms: Option<Millis>,
+    answered_ms: Millis,
+    avoided: Vec<(Id, Millis)>,
+    confirmation: Option<Confirmation>,
+}
+
+impl Heart {
+    /// Returns a heart that has not beaten.
+    pub fn new(now: Millis) -> Self {
+        Self {
+            relay: None,
+            echo_ms: None,
+            beat_ms: None,
+            answered_ms: now,
+            avoided: Vec::new(),
+            confirmation: None,
+        }
+    }
+
+    /// Returns the relay that is asked.
+    pub fn relay(&self) -> Option<&Id> {
+        self.relay.as_ref()
+    }
+
+    /// Returns what the relay said last, if that is recent.
+    pub fn confirmation(&self, now: Millis) -> Option<&Confirmation> {
+        let recent = now.since(self.answered_ms) < TRUST_MS;
+        self.confirmation.as_ref().filter(|_| recent)
+    }
+
+    /// Returns whether no relay has answered for a while.
+    pub fn is_lost(&self, now: Millis) -> bool {
+        now.since(self.answered_ms) >= TRUST_MS
+    }
+
+    /// Returns the heartbeat that is due, and for whom.
+    pub fn beat(
+        &mut self,
+        now: Millis,
+        roster: &Roster,
+        data_centre: &str,
+        standing: &mut Standing,
+        may_promise: bool,
+    ) -> Option<(Member, Beat)> {
+        let interval_ms = membership::interval_ms(roster.members.len());
+        if self
+            .beat_ms
+            .is_some_and(|at_ms| now.since(at_ms) < interval_ms)
+        {
+            return None;
+        }
+        let relay = self.choose(now, roster, data_centre)?;
+        self.beat_ms = Some(now);
+        // Without a recent answer, no promise: the node may have to use its share.
+        let may_promise = may_promise && self.confirmation(now).is_some();
+        let promise = match may_promise && self.echo_ms.is_some() {
+            true => standing.promise(now),
+            false => None,
+        };
+        let beat = Beat {
+            sent_ms: now,
+            echo_ms: self.echo_ms,
+            version: roster.version,
+            promise,
+        };
+        Some((relay, beat))
+    }
+
+    /// Takes in the relay's answer.
+    pub fn on_answer(&mut self, now: Millis, from: &Id, answer: &Answer, roster: &Roster) {
+        if self.relay.as_ref() != Some(from) {
+            return;
+        }
+        self.answered_ms = now;
+        self.echo_ms = Some(answer.relay_ms);
+        if let Some(confirmation) = membership::confirmation(answer, roster) {
+            self.confirmation = Some(confirmation);
+        }
+    }
+
+    fn choose(&mut self, now: Millis, roster: &Roster, data_centre: &str) -> Option<Member> {
+        self.avoided.retain(|(_, until_ms)| now < *until_ms);
+        if let Some(relay) = &self.relay
+            && now.since(self.answered_ms) >= RELAY_TIMEOUT_MS
+            && self.beat_ms.is_some_and(|at_ms| at_ms > self.answered_ms)
+        {
+            self.avoided.push((relay.clone(), now + AVOID_MS));
+        }
+        let avoided = &self.avoided;
+        let is_open = |member: &Member| avoided.iter().all(|(id, _)| *id != member.id);
+        let first = roster
+            .first(data_centre, is_open)
+            .or_else(|| roster.first(data_centre, |_| true))?;
+        if self.relay.as_ref() != Some(&first.id) {
+            self.relay = Some(first.id.clone());
+            self.echo_ms = None;
+        }
+        Some(first.clone())
+    }
+}
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -1,15 +1,18 @@
 //! A node: the process between callers and back ends.
 
+pub mod attempt;
 mod bounds;
 pub mod caller;
 pub mod claims;
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod coordinator;
 pub mod edit;
 pub mod front;
 mod generation;
 pub mod health;
+pub mod heart;
 pub mod inbox;
 pub mod log;
 pub mod metrics;
@@ -18,8 +21,11 @@
 pub mod operator_api;
 mod output;
 pub mod peers;
+mod pool;
 pub mod pools;
+pub mod record;
 pub mod refusals;
+mod registrar;
 mod reply;
 pub mod request;
 pub mod run;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use eyre::WrapErr;
-use filbertpaddle_core::name::Name;
+use filbertpaddle_core::roster::Id;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_target::client as target;
+use filbertpaddle_wire::config as wire;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::Logger;
@@ -17,6 +18,7 @@
 use tokio::task::JoinHandle;
 use warp::Filter;
 
+use crate::attempt;
 use crate::caller;
 use crate::claims::Claims;
 use crate::clock;
@@ -27,6 +29,7 @@
 use crate::front::Parts;
 use crate::health;
 use crate::inbox;
+use crate::inbox::From;
 use crate::inbox::Inboxes;
 use crate::log;
 use crate::metrics::Metrics;
@@ -35,6 +38,7 @@
 use crate::peers::Identity;
 use crate::peers::Peer;
 use crate::peers::Peers;
+use crate::pools;
 use crate::pools::Pools;
 use crate::refusals::Keeper;
 use crate::service::Service;
@@ -96,9 +100,20 @@
         };
         let (peers, inboxes) = start_peers(&settings, identity, peers, &common);
         let service = Service::new(common.clock, log::part(&log, "service"));
-        let (config, templates) = start_config(&common, peers, inboxes, &service);
+        let pools = Pools::start(pools::Parts {
+            own: common.own.clone(),
+            peers: peers.clone(),
+            member: inboxes.member,
+            grant: inboxes.grant,
+            platform: common.platform.clone(),
+            targets: target::Client::new(target::Settings::default())?,
+            service: service.clone(),
+            clock: common.clock,
+            log: log::part(&log, "pool"),
+        });
+        let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
-        let front = Arc::new(front(&settings, &common, templates, service)?);
+        let front = Arc::new(front(&settings, &common, templates, pools)?);
         let servers = vec![
             serve(
                 callers,
@@ -167,15 +182,18 @@
     settings: &Settings,
     common: &Common,
     templates: Templates,
-    service: Service,
+    pools: Pools,
 ) -> eyre::Result<Front> {
     let own = &common.own;
     let log = &common.log;
-    let attempt_prefix: Name = format!("{}-{:x}", own.name, own.incarnation).into();
+    let attempt_prefix = attempt::prefix(&Id {
+        name: own.name.clone(),
+        incarnation: own.incarnation,
+    });
     Ok(Front::new(Parts {
         templates,
         claims: Claims,
-        pools: Pools::start(common.platform.clone(), service, log::part(log, "pool")),
+        pools,
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
@@ -188,13 +206,13 @@
 fn start_config(
     common: &Common,
     peers: Peers,
-    inboxes: Inboxes,
+    inbox: mpsc::Receiver<From<wire::Message>>,
     service: &Service,
 ) -> (Config, Templates) {
     Config::start(config::Parts {
         own: common.own.clone(),
         peers,
-        inbox: inboxes.config,
+        inbox,
         platform: common.platform.clone(),
         service: service.clone(),
         clock: common.clock,
--- /dev/null
+++ b/filbertpaddle/src/pool.rs
@@ -0,0 +1,457 @@
+//! One pool of targets on this node: its member, its owner and who waits.
+
+use std::net::SocketAddr;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::member::Member;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::owner;
+use filbertpaddle_core::owner::Owner;
+use filbertpaddle_core::report::Report;
+use filbertpaddle_core::roster;
+use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::roster::Roster;
+use filbertpaddle_core::slot;
+use filbertpaddle_core::slot::Held;
+use filbertpaddle_core::slot::Key;
+use filbertpaddle_core::slot::Source;
+use filbertpaddle_core::terms::Terms;
+use filbertpaddle_wire::grant;
+use filbertpaddle_wire::grant::Message;
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+
+use crate::pools::Grant;
+use crate::pools::Refusal;
+use crate::pools::Slot;
+
+/// When a refused caller may come back.
+const RETRY_AFTER_MS: Millis = Millis(1_000);
+/// Wait before a request that the owner did not queue is sent again.
+const REASK_MS: Millis = Millis(200);
+
+/// One target that the platform lists.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) address: SocketAddr,
+    /// How much of its limit may be used, in thousandths.
+    pub(crate) per_mille: u16,
+    /// Its last report.
+    pub(crate) report: Option<Report>,
+    /// Whether a report is being read.
+    pub(crate) is_polled: bool,
+    /// When the last poll began.
+    pub(crate) polled_ms: Millis,
+}
+
+/// Someone who waits for a slot.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    pub(crate) deadline_ms: Millis,
+    pub(crate) reply: oneshot::Sender<Result<Grant, Refusal>>,
+    /// Number under which the owner has been asked.
+    asked: Option<u64>,
+    ask_ms: Millis,
+}
+
+/// A message to another node, or to this one.
+#[derive(Debug)]
+pub(crate) struct Out {
+    pub(crate) to: Id,
+    pub(crate) message: Message,
+}
+
+/// One pool.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    name: Name,
+    terms: Terms,
+    pub(crate) member: Member,
+    pub(crate) owner: Option<Owner>,
+    pub(crate) owned_by: Option<roster::Owner>,
+    pub(crate) targets: IndexMap<Name, Target>,
+    waiters: Vec<Waiter>,
+    stamped_ms: Millis,
+    collected_ms: Millis,
+    pub(crate) out: Vec<Out>,
+}
+
+impl Pool {
+    pub(crate) fn new(name: Name, terms: Terms, id: Id) -> Self {
+        Self {
+            name,
+            terms,
+            member: Member::new(terms, id),
+            owner: None,
+            owned_by: None,
+            targets: IndexMap::new(),
+            waiters: Vec::new(),
+            stamped_ms: Millis::ZERO,
+            collected_ms: Millis::ZERO,
+            out: Vec::new(),
+        }
+    }
+
+    /// Follows the record.
+    pub(crate) fn on_roster(&mut self, now: Millis, own: &Id, roster: &Roster) {
+        let named = roster.owner(&self.name).cloned();
+        let epoch = named.as_ref().map(|owner| owner.epoch);
+        if self.owned_by.as_ref().map(|owner| owner.epoch) != epoch {
+            self.waiters
+                .iter_mut()
+                .for_each(|waiter| waiter.asked = None);
+        }
+        let is_own = named.as_ref().is_some_and(|owner| owner.member == *own);
+        self.owned_by = named;
+        match (&mut self.owner, epoch.filter(|_| is_own)) {
+            (Some(owner), Some(epoch)) if owner.epoch() == epoch => {
+                owner.on_roster(now, roster.clone());
+            }
+            (slot, Some(epoch)) => {
+                *slot = Some(Owner::new(self.terms, epoch, now, roster.clone()));
+                self.add_targets();
+            }
+            (slot, None) => *slot = None,
+        }
+    }
+
+    /// Lets the owner know the targets and how much of them may be used.
+    pub(crate) fn add_targets(&mut self) {
+        let Some(owner) = &mut self.owner else {
+            return;
+        };
+        for (name, target) in &self.targets {
+            owner.add_target(name);
+            owner.set_portion(name, target.per_mille);
+        }
+        let ledgers = owner.ledgers().iter();
+        let unlisted: Vec<Name> = ledgers
+            .filter(|ledger| !self.targets.contains_key(&ledger.target))
+            .map(|ledger| ledger.target.clone())
+            .collect();
+        unlisted.iter().for_each(|name| owner.set_portion(name, 0));
+    }
+
+    /// Takes in a target's report.
+    pub(crate) fn on_report(&mut self, now: Millis, name: &Name, report: Report) {
+        if let Some(owner) = &mut self.owner {
+            owner.on_report(now, name, &report);
+        }
+        if let Some(target) = self.targets.get_mut(name) {
+            target.report = Some(report);
+        }
+    }
+
+    /// Adds someone who waits.
+    pub(crate) fn wait(
+        &mut self,
+        now: Millis,
+        wait_ms: Millis,
+        reply: oneshot::Sender<Result<Grant, Refusal>>,
+    ) {
+        self.waiters.push(Waiter {
+            deadline_ms: now + wait_ms,
+            reply,
+            asked: None,
+            ask_ms: now,
+        });
+    }
+
+    /// Asks the owner for all who wait and have not been asked for.
+    pub(crate) fn ask(&mut self, now: Millis) {
+        let Some(owner) = self.owned_by.clone() else {
+            return;
+        };
+        for waiter in &mut self.waiters {
+            if waiter.asked.is_some() || now < waiter.ask_ms {
+                continue;
+            }
+            let ask = self.member.ask(now);
+            waiter.asked = Some(ask.number);
+            self.stamped_ms = now;
+            let ask = grant::Ask {
+                number: ask.number,
+                stamp: ask.stamp,
+                session: ask.session,
+            };
+            let message = Message::Ask(self.name.clone(), ask);
+            let to = owner.member.clone();
+            self.out.push(Out { to, message });
+        }
+    }
+
+    /// Drops those whose time is over or who have gone, and keeps the owner
+    /// from granting to them.
+    pub(crate) fn sweep(&mut self, now: Millis) {
+        let (over, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiters)
+            .into_iter()
+            .partition(|waiter| now >= waiter.deadline_ms || waiter.reply.is_closed());
+        self.waiters = waiting;
+        for waiter in over {
+            if let Some(number) = waiter.asked {
+                self.tell_owner(Message::Withdraw(self.name.clone(), number));
+            }
+            waiter.reply.send(Err(overloaded())).ok();
+        }
+        let due = now.since(self.stamped_ms).0 * 3 >= self.terms.accept_ms.0;
+        if due && self.waiters.iter().any(|waiter| waiter.asked.is_some()) {
+            self.stamped_ms = now;
+            let stamp = self.member.stamp(now);
+            self.tell_owner(Message::Stamp(self.name.clone(), stamp));
+        }
+    }
+
+    /// Uses this node's shares for those who wait.
+    pub(crate) fn share(&mut self, now: Millis, roster: &Roster) {
+        while !self.waiters.is_empty() {
+            let targets = self
+                .targets
+                .iter()
+                .filter(|(_, target)| target.per_mille > 0);
+            let held = targets
+                .filter_map(|(name, target)| Some((name.clone(), target.report.clone()?)))
+                .find_map(|(name, report)| self.member.share(now, &name, &report, roster).ok());
+            let Some(held) = held else {
+                return;
+            };
+            let waiter = self.waiters.remove(0);
+            self.hand_over(now, waiter, held);
+        }
+    }
+
+    /// Handles a message of another member, or of this one.
+    pub(crate) fn on_message(&mut self, now: Millis, from: &Id, message: Message) {
+        match message {
+            Message::Ask(_, ask) => self.on_ask(from, &ask),
+            Message::Stamp(_, stamp) => {
+                if let Some(owner) = &mut self.owner {
+                    owner.on_stamp(from, stamp);
+                }
+            }
+            Message::Withdraw(_, number) => {
+                if let Some(owner) = &mut self.owner {
+                    owner.on_withdraw(from, number);
+                }
+            }
+            Message::Grant(_, grant) => self.on_grant(now, from, grant),
+            Message::Refuse(_, number) => self.on_refuse(now, number),
+            Message::Release(_, work, ended) => {
+                if let Some(owner) = &mut self.owner {
+                    owner.on_release(now, &work.target, &key(from, &work), ended);
+                }
+            }
+            Message::Collect(_, collect) => self.on_collect(from, &collect),
+            Message::Holding(_, holding) => {
+                if let Some(owner) = &mut self.owner {
+                    owner.on_holding(&told(from, &holding));
+                }
+            }
+        }
+    }
+
+    /// Grants what can be granted, and asks members what they hold.
+    pub(crate) fn own(&mut self, now: Millis) {
+        let Some(owner) = &mut self.owner else {
+            return;
+        };
+        for granted in owner.grants(now) {
+            let to = granted.key.holder.clone();
+            let message = Message::Grant(self.name.clone(), grant_message(granted));
+            self.out.push(Out { to, message });
+        }
+        if now.since(self.collected_ms) < REASK_MS {
+            return;
+        }
+        self.collected_ms = now;
+        for collect in owner.collects() {
+            let message = grant::Collect {
+                epoch: collect.epoch,
+                upto: collect.upto,
+            };
+            let to = collect.holder;
+            let message = Message::Collect(self.name.clone(), message);
+            self.out.push(Out { to, message });
+        }
+    }
+
+    /// Takes a slot back from whoever used it.
+    pub(crate) fn release(&mut self, slot: &Slot, target: &Name, ended: bool) {
+        if !self.member.on_end(&slot.key) {
+            return;
+        }
+        let work = work(target, &slot.key);
+        self.tell_owner(Message::Release(self.name.clone(), work, ended));
+    }
+
+    fn on_ask(&mut self, from: &Id, ask: &grant::Ask) {
+        let asked = owner::Ask {
+            holder: from.clone(),
+            number: ask.number,
+            stamp: ask.stamp,
+            session: ask.session,
+        };
+        let owner = self.owner.as_mut();
+        if !owner.is_some_and(|owner| owner.on_ask(asked)) {
+            let message = Message::Refuse(self.name.clone(), ask.number);
+            let to = from.clone();
+            self.out.push(Out { to, message });
+        }
+    }
+
+    fn on_refuse(&mut self, now: Millis, number: u64) {
+        let mut waiters = self.waiters.iter_mut();
+        if let Some(waiter) = waiters.find(|waiter| waiter.asked == Some(number)) {
+            waiter.asked = None;
+            waiter.ask_ms = now + REASK_MS;
+        }
+    }
+
+    fn on_collect(&mut self, from: &Id, collect: &grant::Collect) {
+        let collect = owner::Collect {
+            holder: from.clone(),
+            epoch: collect.epoch,
+            upto: collect.upto,
+        };
+        let Some(holding) = self.member.on_collect(&collect) else {
+            return;
+        };
+        let works = holding.works.iter();
+        let message = grant::Holding {
+            epoch: holding.epoch,
+            upto: holding.upto,
+            session: holding.session,
+            works: works.map(|held| work(&held.target, &held.key)).collect(),
+        };
+        let message = Message::Holding(self.name.clone(), message);
+        let to = from.clone();
+        self.out.push(Out { to, message });
+    }
+
+    fn on_grant(&mut self, now: Millis, from: &Id, granted: grant::Grant) {
+        let is_owner = |owner: &roster::Owner| owner.member == *from;
+        let source = Source::Granted;
+        let work = grant::Work {
+            target: granted.target.clone(),
+            epoch: granted.epoch,
+            source,
+            number: granted.number,
+        };
+        let index = self
+            .waiters
+            .iter()
+            .position(|waiter| waiter.asked == Some(granted.ask) && !waiter.reply.is_closed());
+        let own = self.member.id().clone();
+        let grant = slot::Grant {
+            key: key(&own, &work),
+            target: granted.target,
+            ask: granted.ask,
+            stamp: granted.stamp,
+            cold: granted.cold,
+        };
+        let is_open = self
+            .targets
+            .get(&grant.target)
+            .is_some_and(|t| t.per_mille > 0);
+        let is_wanted = is_open && self.owned_by.as_ref().is_some_and(is_owner);
+        let accepted = match index.filter(|_| is_wanted) {
+            Some(index) => self
+                .member
+                .accept(now, &grant)
+                .map(|held| (self.waiters.remove(index), held)),
+            None => Err(filbertpaddle_core::member::Refusal::Expired),
+        };
+        match accepted {
+            Ok((waiter, held)) => self.hand_over(now, waiter, held),
+            Err(_) => {
+                let to = from.clone();
+                let message = Message::Release(self.name.clone(), work, true);
+                self.out.push(Out { to, message });
+                self.on_refuse(now, grant.ask);
+            }
+        }
+    }
+
+    fn hand_over(&mut self, now: Millis, mut waiter: Waiter, held: Held) {
+        let Some(target) = self.targets.get(&held.target) else {
+            self.member.on_end(&held.key);
+            waiter.asked = None;
+            waiter.ask_ms = now;
+            self.waiters.push(waiter);
+            return;
+        };
+        let grant = Grant {
+            target: held.target.clone(),
+            address: target.address,
+            fence: held.key.epoch,
+            slot: Some(Slot {
+                pool: self.name.clone(),
+                key: held.key.clone(),
+            }),
+        };
+        if let Err(Ok(grant)) = waiter.reply.send(Ok(grant))
+            && let Some(slot) = &grant.slot
+        {
+            self.release(slot, &held.target, true);
+        }
+    }
+
+    fn tell_owner(&mut self, message: Message) {
+        if let Some(owner) = &self.owned_by {
+            let to = owner.member.clone();
+            self.out.push(Out { to, message });
+        }
+    }
+}
+
+/// Returns the refusal of a request for which no slot came in time.
+pub(crate) fn overloaded() -> Refusal {
+    Refusal {
+        reason: Reason::Overloaded,
+        retry_after_ms: Some(RETRY_AFTER_MS),
+    }
+}
+
+fn work(target: &Name, key: &Key) -> grant::Work {
+    grant::Work {
+        target: target.clone(),
+        epoch: key.epoch,
+        source: key.source,
+        number: key.number,
+    }
+}
+
+fn key(holder: &Id, work: &grant::Work) -> Key {
+    Key {
+        holder: holder.clone(),
+        epoch: work.epoch,
+        source: work.source,
+        number: work.number,
+    }
+}
+
+fn told(holder: &Id, holding: &grant::Holding) -> owner::Holding {
+    let works = holding.works.iter();
+    let held = |work: &grant::Work| Held {
+        key: key(holder, work),
+        target: work.target.clone(),
+    };
+    owner::Holding {
+        holder: holder.clone(),
+        session: holding.session,
+        epoch: holding.epoch,
+        upto: holding.upto,
+        works: works.map(held).collect(),
+    }
+}
+
+fn grant_message(granted: slot::Grant) -> grant::Grant {
+    grant::Grant {
+        epoch: granted.key.epoch,
+        number: granted.key.number,
+        target: granted.target,
+        ask: granted.ask,
+        stamp: granted.stamp,
+        cold: granted.cold,
+    }
+}
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -1,31 +1,23 @@
 //! Slots on targets.
 
+use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::outcome::Reason;
 use filbertpaddle_core::scheduler::Ending;
-use filbertpaddle_core::service::WHOLE_SHARE;
+use filbertpaddle_core::slot::Key;
 use filbertpaddle_core::template::Priority;
-use filbertpaddle_platform::client::Client;
-use filbertpaddle_platform::protocol::Vm;
-use filbertpaddle_platform::protocol::VmRole;
-use indexmap::IndexMap;
-use slog::Logger;
-use slog::warn;
+use tokio::sync::oneshot;
 use xtra::Address;
-use xtra::Context;
-use xtra::Handler;
-use xtra::Mailbox;
 
-use crate::service::Service;
-
-/// Time between two reads of the VM list.
-const VMS_INTERVAL: Duration = Duration::from_secs(1);
-/// When a refused caller may come back.
-const RETRY_AFTER_MS: Millis = Millis(1_000);
+use crate::coordinator;
+use crate::coordinator::Acquire;
+use crate::coordinator::Coordinator;
+pub use crate::coordinator::Parts;
+use crate::coordinator::Release;
+use crate::coordinator::Sent;
 
 /// Asks for a slot on a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,6 +53,17 @@
     pub address: SocketAddr,
     /// Fencing number that the target is sent.
     pub fence: u64,
+    /// The slot; none for an attempt that holds its slot elsewhere.
+    pub slot: Option<Slot>,
+}
+
+/// A slot that this node holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Slot {
+    /// Pool of the target.
+    pub pool: Name,
+    /// Which work.
+    pub key: Key,
 }
 
 impl Grant {
@@ -70,6 +73,7 @@
             target,
             address,
             fence: 0,
+            slot: None,
         }
     }
 }
@@ -84,22 +88,23 @@
 }
 
 /// Gives out slots.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Pools {
-    actor: Address<Actor>,
+    actor: Address<Coordinator>,
+}
+
+impl fmt::Debug for Pools {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Pools")
+    }
 }
 
 impl Pools {
-    /// Starts to follow the platform's VM list.
-    pub fn start(platform: Client, service: Service, log: Logger) -> Self {
-        let state = Actor {
-            service: service.clone(),
-            targets: Vec::new(),
-            held: IndexMap::new(),
-        };
-        let actor = xtra::spawn_tokio(state, Mailbox::unbounded());
-        tokio::spawn(follow(platform, service, actor.clone(), log));
-        Self { actor }
+    /// Joins the data centre and starts to follow its targets.
+    pub fn start(parts: Parts) -> Self {
+        Self {
+            actor: coordinator::start(parts),
+        }
     }
 
     /// Waits for a slot.
@@ -108,108 +113,36 @@
     ///
     /// Returns a [`Refusal`] if none is given in time.
     pub async fn acquire(&self, ask: Ask) -> Result<Grant, Refusal> {
-        let answer = self.actor.send(ask).await;
-        answer.unwrap_or(Err(Refusal {
+        let stopped = || Refusal {
             reason: Reason::Draining,
             retry_after_ms: Some(Millis::ZERO),
-        }))
-    }
-
-    /// Gives a slot back.
-    pub fn release(&self, grant: Grant, ending: Ending, tokens: u32) {
-        let release = Release {
-            grant,
-            ending,
-            tokens,
         };
-        tokio::spawn(self.actor.send(release).detach());
-    }
-}
-
-#[derive(Debug)]
-struct Release {
-    grant: Grant,
-    #[expect(dead_code, reason = "the scheduler learns from it")]
-    ending: Ending,
-    #[expect(dead_code, reason = "the scheduler learns from it")]
-    tokens: u32,
-}
-
-struct Targets(Vec<Vm>);
-
-struct Actor {
-    service: Service,
-    targets: Vec<Vm>,
-    held: IndexMap<Name, u32>,
-}
-
-impl xtra::Actor for Actor {
-    type Stop = ();
-
-    async fn stopped(self) {}
-}
-
-impl Handler<Ask> for Actor {
-    type Return = Result<Grant, Refusal>;
-
-    async fn handle(&mut self, ask: Ask, _: &mut Context<Self>) -> Self::Return {
-        let held = |vm: &Vm| self.held.get(&vm.name).copied().unwrap_or(0);
-        let chosen = self
-            .targets
-            .iter()
-            .filter(|vm| vm.model == ask.model)
-            .map(|vm| (vm, self.service.vm_share(&vm.name)))
-            .filter(|(_, share)| !share.is_none())
-            // What came back gets less of the new work than the others.
-            .min_by_key(|(vm, share)| (held(vm) + 1) * u32::from(WHOLE_SHARE / share.per_mille()))
-            .map(|(vm, _)| vm);
-        let Some((vm, address)) = chosen.and_then(|vm| Some((vm, vm.address.parse().ok()?))) else {
-            return Err(Refusal {
-                reason: Reason::NoTarget,
-                retry_after_ms: Some(RETRY_AFTER_MS),
-            });
-        };
-        *self.held.entry(vm.name.clone()).or_default() += 1;
-        Ok(Grant {
-            target: vm.name.clone(),
-            address,
-            fence: 0,
-        })
-    }
-}
-
-impl Handler<Release> for Actor {
-    type Return = ();
-
-    async fn handle(&mut self, release: Release, _: &mut Context<Self>) {
-        if let Some(held) = self.held.get_mut(&release.grant.target) {
-            *held = held.saturating_sub(1);
+        let (reply, answer) = oneshot::channel();
+        let acquire = Acquire { ask, reply };
+        if self.actor.send(acquire).await.is_err() {
+            return Err(stopped());
         }
+        answer.await.unwrap_or_else(|_| Err(stopped()))
     }
-}
-
-impl Handler<Targets> for Actor {
-    type Return = ();
 
-    async fn handle(&mut self, targets: Targets, _: &mut Context<Self>) {
-        self.targets = targets.0;
+    /// Notes that the work of a grant has reached its target or never will.
+    pub fn sent(&self, grant: &Grant) {
+        if let Some(slot) = grant.slot.clone() {
+            tokio::spawn(self.actor.send(Sent(slot)).detach());
+        }
     }
-}
 
-async fn follow(platform: Client, service: Service, actor: Address<Actor>, log: Logger) {
-    while actor.is_connected() {
-        match platform.vms().await {
-            Ok(list) => {
-                service.on_list(&list.vms);
-                let targets = list
-                    .vms
-                    .into_iter()
-                    .filter(|vm| vm.role == VmRole::Target)
-                    .collect();
-                actor.send(Targets(targets)).await.ok();
-            }
-            Err(error) => warn!(log, "VM list not read."; "error" => %error),
-        }
-        tokio::time::sleep(VMS_INTERVAL).await;
+    /// Gives a slot back.
+    pub fn release(&self, grant: Grant, ending: Ending, _tokens: u32) {
+        let Some(slot) = grant.slot else {
+            return;
+        };
+        let ended = matches!(ending, Ending::Complete | Ending::Unsent | Ending::Refused);
+        let release = Release {
+            slot,
+            target: grant.target,
+            ended,
+        };
+        tokio::spawn(self.actor.send(release).detach());
     }
 }
--- /dev/null
+++ b/filbertpaddle/src/record.rs
@@ -0,0 +1,59 @@
+//! The record of a data centre as a row of the platform's table.
+
+use filbertpaddle_core::roster::Roster;
+use filbertpaddle_platform::client::Client;
+use filbertpaddle_platform::protocol::Condition;
+use filbertpaddle_platform::protocol::TransactAnswer;
+use filbertpaddle_platform::protocol::Transaction;
+use filbertpaddle_platform::protocol::Write;
+
+use crate::table;
+
+/// The record and the table revision of its last write.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    /// The record; empty if there is no row yet.
+    pub roster: Roster,
+    /// Table revision, for compare-and-set.
+    pub revision: Option<u64>,
+}
+
+fn key(data_centre: &str) -> String {
+    format!("dc/{data_centre}")
+}
+
+/// Reads the record.
+///
+/// # Errors
+///
+/// Returns [`table::Error`] if the row cannot be read.
+pub async fn read(platform: &Client, data_centre: &str) -> Result<Record, table::Error> {
+    let rows = platform.read(vec![key(data_centre)]).await?.rows;
+    let Some(row) = rows.first() else {
+        return Ok(Record::default());
+    };
+    Ok(Record {
+        roster: table::decode(row)?,
+        revision: Some(row.revision),
+    })
+}
+
+/// Replaces the record if it is still at `revision`; whether that worked is
+/// seen by reading it again, since the answer may be lost.
+pub async fn write(platform: &Client, data_centre: &str, roster: &Roster, revision: Option<u64>) {
+    let Ok(value) = serde_json::to_string(roster) else {
+        return;
+    };
+    let transaction = Transaction {
+        conditions: vec![Condition {
+            key: key(data_centre),
+            revision,
+        }],
+        writes: vec![Write {
+            key: key(data_centre),
+            value: Some(value),
+        }],
+    };
+    let answer: Result<TransactAnswer, _> = platform.transact(&transaction).await;
+    drop(answer);
+}
--- /dev/null
+++ b/filbertpaddle/src/registrar.rs
@@ -0,0 +1,101 @@
+//! Which change of a data centre's record a node has to make.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::membership::Relay;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::roster::Member;
+use filbertpaddle_core::roster::Roster;
+
+use crate::peers::Peer;
+
+/// One change of the record.
+#[derive(Debug)]
+pub(crate) struct Edit {
+    /// The record after the change.
+    pub(crate) roster: Roster,
+    /// Whether an owner may lose a pool by it.
+    pub(crate) deposes: bool,
+    /// What changes, for the log.
+    pub(crate) what: &'static str,
+}
+
+/// Returns whether a life of a node is in the record.
+pub(crate) fn is_member(id: &Id, roster: &Roster) -> bool {
+    roster.members.iter().any(|member| member.id == *id)
+}
+
+/// Returns the change that is due, if it is for this node.
+///
+/// Each node adds itself; all else is left to the relay, which hears every
+/// member. A settled sharer alone may depose an owner, since owners may count
+/// on the promises of those only.
+pub(crate) fn edit(
+    now: Millis,
+    own: &Peer,
+    roster: &Roster,
+    relay: &Relay,
+    pools: &[Name],
+    is_relay: bool,
+) -> Option<Edit> {
+    let id = Id {
+        name: own.name.clone(),
+        incarnation: own.incarnation,
+    };
+    if !is_member(&id, roster) {
+        let member = Member {
+            id,
+            address: own.address.clone(),
+        };
+        return Some(Edit {
+            roster: roster.join(member),
+            deposes: false,
+            what: "joined",
+        });
+    }
+    if !is_relay {
+        return None;
+    }
+    settle(roster, relay)
+        .or_else(|| retire(now, &id, roster, relay))
+        .or_else(|| assign(&id, roster, pools))
+}
+
+fn settle(roster: &Roster, relay: &Relay) -> Option<Edit> {
+    let roster = roster.settle(|id, version| relay.knows(id, version))?;
+    Some(Edit {
+        roster,
+        deposes: false,
+        what: "sharers settled",
+    })
+}
+
+fn retire(now: Millis, own: &Id, roster: &Roster, relay: &Relay) -> Option<Edit> {
+    let members = roster.members.iter();
+    let silent = members
+        .filter(|member| member.id != *own)
+        .find(|member| relay.is_silent(now, &member.id))?;
+    let owns = roster.owners.iter().any(|owner| owner.member == silent.id);
+    (!owns || roster.sharers.contains(own)).then(|| Edit {
+        roster: roster.retire(&silent.id),
+        deposes: owns,
+        what: "silent member retired",
+    })
+}
+
+fn assign(own: &Id, roster: &Roster, pools: &[Name]) -> Option<Edit> {
+    let known = roster.owners.iter().map(|owner| owner.pool.clone());
+    let mut all: Vec<Name> = known.chain(pools.iter().cloned()).collect();
+    all.sort();
+    all.dedup();
+    let changed = roster.assign(&all)?;
+    let deposes = roster.owners.iter().any(|owner| {
+        let next = changed.owner(&owner.pool);
+        next.is_none_or(|next| next.epoch != owner.epoch)
+    });
+    (!deposes || roster.sharers.contains(own)).then_some(Edit {
+        roster: changed,
+        deposes,
+        what: "owners assigned",
+    })
+}
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -14,6 +14,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::oneshot;
 
+use crate::attempt;
 use crate::claims;
 use crate::front::Front;
 use crate::generation::Attempt;
@@ -164,6 +165,11 @@
 
     async fn attempt(&mut self, grant: pools::Grant) -> Step {
         let template = Arc::clone(&self.request.template);
+        if let Some(slot) = &grant.slot {
+            // Reports of the target then show whose slot the attempt uses.
+            let attempt = attempt::with_slot(self.delivery.attempt(), &slot.key);
+            self.delivery.restart(attempt);
+        }
         let submit = Submit {
             attempt: self.delivery.attempt().clone(),
             fence: grant.fence,
