--- a/filbertpaddle-core/src/replica.rs
+++ b/filbertpaddle-core/src/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::ops::Bound;
 
 use crate::clock::Millis;
 use crate::config::Change;
@@ -140,10 +141,10 @@
 
     /// Returns the entries after a key.
     pub fn page(&self, after: Option<&Key>) -> Page {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
         let newer = self
             .entries
-            .iter()
-            .filter(|(key, _)| after.is_none_or(|after| *key > after))
+            .range::<Key, _>((start, Bound::Unbounded))
             .map(|(_, change)| change);
         let (changes, last) = batch(newer);
         Page {
