--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod arguments;
 mod bounds;
 pub mod caller;
+mod claim_actor;
+mod claim_store;
 pub mod claims;
 pub mod cli;
 pub mod clock;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -7,6 +7,8 @@
 use filbertpaddle_core::name::Name;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_target::client as target;
+use filbertpaddle_wire::claim;
+use filbertpaddle_wire::config as wire_config;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::Logger;
@@ -18,6 +20,7 @@
 use warp::Filter;
 
 use crate::caller;
+use crate::claims;
 use crate::claims::Claims;
 use crate::clock;
 use crate::clock::Clock;
@@ -86,7 +89,8 @@
             peers: peers.local_addr()?,
         };
         let metrics = Arc::new(Metrics::open(settings.metrics)?);
-        let identity = identity(&settings, addresses.peers);
+        let advertised = settings.listen.advertise_peers.unwrap_or(addresses.peers);
+        let identity = identity(&settings, advertised);
         let common = Common {
             own: identity.own.clone(),
             platform: platform(&settings)?,
@@ -96,9 +100,10 @@
         };
         let (peers, inboxes) = start_peers(&settings, identity, peers, &common);
         let service = Service::new(common.clock, log::part(&log, "service"));
-        let (config, templates) = start_config(&common, peers, inboxes, &service);
+        let claims = start_claims(&common, peers.clone(), inboxes.claim);
+        let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
-        let front = Arc::new(front(&settings, &common, templates, service)?);
+        let front = Arc::new(front(&settings, &common, templates, claims, service)?);
         let servers = vec![
             serve(
                 callers,
@@ -128,6 +133,7 @@
     pub async fn close(self) {
         info!(self.log, "Node drains.");
         self.front.drain().await;
+        self.front.claims.close().await;
         for server in self.servers {
             server.stop.send(()).ok();
             server.task.await.ok();
@@ -167,6 +173,7 @@
     settings: &Settings,
     common: &Common,
     templates: Templates,
+    claims: Claims,
     service: Service,
 ) -> eyre::Result<Front> {
     let own = &common.own;
@@ -174,7 +181,7 @@
     let attempt_prefix: Name = format!("{}-{:x}", own.name, own.incarnation).into();
     Ok(Front::new(Parts {
         templates,
-        claims: Claims,
+        claims,
         pools: Pools::start(common.platform.clone(), service, log::part(log, "pool")),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
@@ -185,16 +192,32 @@
     }))
 }
 
+fn start_claims(
+    common: &Common,
+    peers: Peers,
+    inbox: mpsc::Receiver<inbox::From<claim::Message>>,
+) -> Claims {
+    Claims::start(claims::Parts {
+        own: common.own.clone(),
+        platform: common.platform.clone(),
+        peers,
+        inbox,
+        clock: common.clock,
+        metrics: Arc::clone(&common.metrics),
+        log: log::part(&common.log, "claim"),
+    })
+}
+
 fn start_config(
     common: &Common,
     peers: Peers,
-    inboxes: Inboxes,
+    inbox: mpsc::Receiver<inbox::From<wire_config::Message>>,
     service: &Service,
 ) -> (Config, Templates) {
     Config::start(config::Parts {
         own: common.own.clone(),
         peers,
-        inbox: inboxes.config,
+        inbox,
         platform: common.platform.clone(),
         service: service.clone(),
         clock: common.clock,
