Test changes under a killed node, one-way cuts and two faults at once

Cause: the faults listed for configuration were not all met by a test. Ruled out: nothing; no fault was found. Change: three tests with real processes. Conclusion: accepted changes reach every node that can be reached.

--- a/filbertpaddle/tests/configuration.rs
+++ b/filbertpaddle/tests/configuration.rs
@@ -344,6 +344,71 @@
     }
 }
 
+#[tokio::test]
+async fn a_change_outlives_the_node_that_took_it() {
+    let mut fleet = Fleet::start().await;
+    for name in ["north-1", "south-1"] {
+        let answer = set(&fleet.operator(name), name).await;
+        let index = fleet.nodes.iter().position(|node| node.name == name);
+        fleet.nodes.remove(index.unwrap()).process.close();
+        let revision = operator::accepted(&answer);
+        operator::in_force(&fleet.all(), PATH, revision).await;
+    }
+}
+
+#[tokio::test]
+async fn two_faults_at_once_lose_and_revert_nothing() {
+    let fleet = Fleet::start().await;
+    let sleeper = fleet.node("north-2");
+    sleeper.process.pause().unwrap();
+    links::set(&fleet.south_platform, Link::Stall).await;
+    fleet
+        .faults(Faults {
+            lose_answers: 1,
+            loss: Loss::Hold,
+            ..Faults::default()
+        })
+        .await;
+    let answer = set(&fleet.operator("north-1"), "two faults").await;
+    let revision = operator::accepted(&answer);
+    let awake = [fleet.node("south-1"), fleet.node("south-2")];
+    operator::in_force(&awake, PATH, revision).await;
+    sleeper.process.wake().unwrap();
+    operator::in_force(&fleet.all(), PATH, revision).await;
+    assert_eq!(fleet.accepted_prompts("two faults").await, 1);
+}
+
+#[tokio::test]
+async fn a_link_cut_one_way_keeps_no_change_back() {
+    let platform = Platform::start();
+    platform
+        .seed(&[("summary", fleet::template("teacher"))])
+        .await;
+    let settings = |name: &str, peers| NodeSettings {
+        name: name.to_owned(),
+        data_centre: name.to_owned(),
+        platform: platform.standin.address,
+        peers,
+        more: String::new(),
+    };
+    let north = Node::start(&settings("north", Vec::new()));
+    let link = links::before(north.addresses.peers);
+    let south = Node::start(&settings("south", vec![link.address]));
+    let nodes = [&north, &south];
+    for node in nodes {
+        node.ready().await;
+    }
+    for cut in [Link::CutForward, Link::CutBackward, Link::HalfOpen] {
+        links::set(&link, cut).await;
+        for node in nodes {
+            let prompt = format!("{cut:?} through {}", node.name);
+            let answer = set(&Operator::at(node), &prompt).await;
+            let revision = operator::accepted(&answer);
+            operator::in_force(&nodes, PATH, revision).await;
+        }
+    }
+}
+
 #[tokio::test]
 async fn status_tells_what_is_behind_and_what_is_cut_off() {
     let fleet = Fleet::start().await;
