Bound the mean token gap by the deployment's weight

Cause: where the gap counts more, targets were still filled to their memory; the p95 gap was above least connections' at rates 17 and 20. Ruled out: a bound of at least 1.75 lone gaps (the line's value for one attempt is too high, so the bound did nothing: 25.4 ms at rate 17); half of 41 ms (memory use falls to 64 in 100 and the p95 first token doubles). Change: the mean may reach 0.55 to 0.7 of the bound by stall weight; fewer than 8 attempts are always taken.

--- a/filbertpaddle-core/src/placement.rs
+++ b/filbertpaddle-core/src/placement.rs
@@ -20,7 +20,10 @@
 const DEVIATIONS: (f32, f32) = (1.5, 2.5);
 /// Part of the token gap's bound that the mean may reach at stall weights of
 /// 0 and 100.
-const GAP_PART: (f64, f64) = (0.85, 1.0);
+const GAP_PART: (f64, f64) = (0.55, 0.7);
+/// Attempts that a target takes whatever its token gap, so that a slow target
+/// is not left idle.
+const GAP_BATCH: usize = 8;
 
 /// Bounds that a target is filled to.
 #[derive(Clone, Copy, Debug)]
@@ -103,7 +106,10 @@
     if !engine.is_open(now) {
         return None;
     }
-    let gap = (engine.gap_ms(1, known.line) / known.limits.gap_ms) as f32;
+    let gap = match engine.batch() {
+        0..GAP_BATCH => 0.0,
+        _ => (engine.gap_ms(1, known.line) / known.limits.gap_ms) as f32,
+    };
     let memory = match view.capacity_tokens {
         0 => 0.0,
         capacity => {
