--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -7,6 +7,8 @@
 use filbertpaddle_core::name::Name;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_target::client as target;
+use filbertpaddle_wire::claim;
+use filbertpaddle_wire::config as wire_config;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::Logger;
@@ -18,8 +20,12 @@
 use warp::Filter;
 
 use crate::caller;
+use crate::claims;
 use crate::claims::Claims;
 use crate::clock;
+use crate::clock::Clock;
+use crate::config;
+use crate::config::Config;
 use crate::front::Front;
 use crate::front::Parts;
 use crate::health;
@@ -27,10 +33,14 @@
 use crate::inbox::Inboxes;
 use crate::log;
 use crate::metrics::Metrics;
+use crate::operator;
+use crate::operator::Desk;
 use crate::peers::Identity;
 use crate::peers::Peer;
 use crate::peers::Peers;
 use crate::pools::Pools;
+use crate::refusals::Keeper;
+use crate::service::Service;
 use crate::settings::Settings;
 use crate::templates::Templates;
 
@@ -79,21 +89,30 @@
             peers: peers.local_addr()?,
         };
         let metrics = Arc::new(Metrics::open(settings.metrics)?);
-        let identity = identity(&settings, addresses.peers);
+        let advertised = settings.listen.advertise_peers.unwrap_or(addresses.peers);
+        let identity = identity(&settings, advertised);
         let common = Common {
             own: identity.own.clone(),
             platform: platform(&settings)?,
             metrics,
+            clock: Clock::start(),
             log: log.clone(),
         };
         let (peers, inboxes) = start_peers(&settings, identity, peers, &common);
-        let front = Arc::new(front(&settings, &common, peers, inboxes)?);
+        let service = Service::new(common.clock, log::part(&log, "service"));
+        let claims = start_claims(&common, peers.clone(), inboxes.claim);
+        let (config, templates) = start_config(&common, peers, inboxes.config, &service);
+        let desk = Arc::new(desk(&settings, &common, config));
+        let front = Arc::new(front(&settings, &common, templates, claims, service)?);
         let servers = vec![
             serve(
                 callers,
                 caller::routes(Arc::clone(&front)).or(health::routes(Arc::clone(&front))),
             ),
-            serve(operators, health::routes(Arc::clone(&front))),
+            serve(
+                operators,
+                operator::routes(desk).or(health::routes(Arc::clone(&front))),
+            ),
         ];
         let log = log::part(&log, "node");
         info!(log, "Node started."; "name" => %settings.node.name);
@@ -114,6 +133,7 @@
     pub async fn close(self) {
         info!(self.log, "Node drains.");
         self.front.drain().await;
+        self.front.claims.close().await;
         for server in self.servers {
             server.stop.send(()).ok();
             server.task.await.ok();
@@ -139,6 +159,7 @@
     own: Peer,
     platform: Client,
     metrics: Arc<Metrics>,
+    clock: Clock,
     log: Logger,
 }
 
@@ -151,16 +172,17 @@
 fn front(
     settings: &Settings,
     common: &Common,
-    _peers: Peers,
-    _inboxes: Inboxes,
+    templates: Templates,
+    claims: Claims,
+    service: Service,
 ) -> eyre::Result<Front> {
     let own = &common.own;
     let log = &common.log;
     let attempt_prefix: Name = format!("{}-{:x}", own.name, own.incarnation).into();
     Ok(Front::new(Parts {
-        templates: Templates::start(common.platform.clone(), log::part(log, "config")),
-        claims: Claims,
-        pools: Pools::start(common.platform.clone(), log::part(log, "pool")),
+        templates,
+        claims,
+        pools: Pools::start(common.platform.clone(), service, log::part(log, "pool")),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
@@ -170,6 +192,53 @@
     }))
 }
 
+fn start_claims(
+    common: &Common,
+    peers: Peers,
+    inbox: mpsc::Receiver<inbox::From<claim::Message>>,
+) -> Claims {
+    Claims::start(claims::Parts {
+        own: common.own.clone(),
+        platform: common.platform.clone(),
+        peers,
+        inbox,
+        clock: common.clock,
+        metrics: Arc::clone(&common.metrics),
+        log: log::part(&common.log, "claim"),
+    })
+}
+
+fn start_config(
+    common: &Common,
+    peers: Peers,
+    inbox: mpsc::Receiver<inbox::From<wire_config::Message>>,
+    service: &Service,
+) -> (Config, Templates) {
+    Config::start(config::Parts {
+        own: common.own.clone(),
+        peers,
+        inbox,
+        platform: common.platform.clone(),
+        service: service.clone(),
+        clock: common.clock,
+        metrics: Arc::clone(&common.metrics),
+        log: log::part(&common.log, "config"),
+    })
+}
+
+fn desk(settings: &Settings, common: &Common, config: Config) -> Desk {
+    let log = log::part(&common.log, "operator");
+    let node = common.own.name.clone();
+    Desk {
+        keeper: Keeper::start(node.clone(), common.platform.clone(), log.clone()),
+        node,
+        operators: settings.operators.clone(),
+        config,
+        platform: common.platform.clone(),
+        log,
+    }
+}
+
 fn start_peers(
     settings: &Settings,
     identity: Identity,
