Bound retries of nodes and read placement settings

Cause: each request could be sent to three targets, so a failing pool was answered by three times its load. Ruled out: a limit for each request alone (it does not bound the sum).

--- a/filbertpaddle-core/src/retry.rs
+++ b/filbertpaddle-core/src/retry.rs
@@ -1,10 +1,14 @@
 //! Budget for retries, so that failing targets are not answered by a storm.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Parts of a retry in which the budget is counted.
 const RETRY: u32 = 1_000;
 
 /// How many retries are allowed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Retries allowed for each thousand successes.
     pub per_thousand: u32,
--- a/filbertpaddle/src/front.rs
+++ b/filbertpaddle/src/front.rs
@@ -14,6 +14,7 @@
 use crate::claims::Claims;
 use crate::metrics::Metrics;
 use crate::pools::Pools;
+use crate::retries::Retries;
 use crate::settings::Limits;
 use crate::templates::Templates;
 
@@ -26,6 +27,8 @@
     pub claims: Claims,
     /// Slots on targets.
     pub pools: Pools,
+    /// Budgets for sending a request to another target.
+    pub retries: Retries,
     /// Client of targets.
     pub targets: Client,
     /// Secret that signs resume tickets.
@@ -51,6 +54,8 @@
     pub claims: Claims,
     /// Slots on targets.
     pub pools: Pools,
+    /// Budgets for sending a request to another target.
+    pub retries: Retries,
     /// Client of targets.
     pub targets: Client,
     /// Secret that signs resume tickets.
@@ -73,6 +78,7 @@
             templates: parts.templates,
             claims: parts.claims,
             pools: parts.pools,
+            retries: parts.retries,
             targets: parts.targets,
             ticket_secret: parts.ticket_secret,
             limits: parts.limits,
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod refusals;
 mod reply;
 pub mod request;
+pub mod retries;
 pub mod run;
 pub mod service;
 pub mod settings;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -40,6 +40,7 @@
 use crate::peers::Peers;
 use crate::pools::Pools;
 use crate::refusals::Keeper;
+use crate::retries::Retries;
 use crate::service::Service;
 use crate::settings::Settings;
 use crate::templates::Templates;
@@ -183,6 +184,7 @@
         templates,
         claims,
         pools: Pools::start(common.platform.clone(), service, log::part(log, "pool")),
+        retries: Retries::new(settings.retries),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
--- /dev/null
+++ b/filbertpaddle/src/retries.rs
@@ -0,0 +1,46 @@
+//! Budgets for sending a request to another target.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::retry::Budget;
+use filbertpaddle_core::retry::Settings;
+use indexmap::IndexMap;
+
+/// The retries that this node may still make towards each pool.
+#[derive(Debug, Default)]
+pub struct Retries {
+    settings: Settings,
+    budgets: Mutex<IndexMap<Name, Budget>>,
+}
+
+impl Retries {
+    /// Creates full budgets.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            budgets: Mutex::default(),
+        }
+    }
+
+    /// Records that a request to a pool gave a whole answer.
+    pub fn succeeded(&self, pool: &Name) {
+        if let Some(budget) = self.lock().get_mut(pool) {
+            budget.succeeded();
+        }
+    }
+
+    /// Takes one retry; `false` if the failure must be told to the caller.
+    pub fn take(&self, pool: &Name) -> bool {
+        self.lock()
+            .entry(pool.clone())
+            .or_insert_with(|| Budget::new(self.settings))
+            .take()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<Name, Budget>> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -124,16 +124,33 @@
             self.attempts += 1;
             let step = self.attempt(grant).await;
             self.sent |= !matches!(step, Step::Unsent);
-            let last = self.attempts >= MAX_ATTEMPTS;
             match step {
-                Step::Ended(outcome) => return outcome,
-                Step::Restart | Step::Unsent if last => return self.not_granted(refusal()),
+                Step::Ended(outcome) => return self.ended(outcome),
+                Step::Restart | Step::Unsent if !self.may_retry() => {
+                    return self.not_granted(refusal());
+                }
                 Step::Restart => self.restart(),
                 Step::Unsent => {}
             }
         }
     }
 
+    fn may_retry(&self) -> bool {
+        let retries = &self.front.retries;
+        let allowed = self.attempts < MAX_ATTEMPTS && retries.take(&self.request.template.model);
+        if !allowed {
+            self.front.metrics.count("request.not_retried");
+        }
+        allowed
+    }
+
+    fn ended(&self, outcome: Outcome) -> Outcome {
+        if matches!(outcome, Outcome::Complete { .. }) {
+            self.front.retries.succeeded(&self.request.template.model);
+        }
+        outcome
+    }
+
     async fn acquire(&mut self) -> Result<pools::Grant, Outcome> {
         let ask = self.ask();
         let slot = tokio::select! {
--- a/filbertpaddle/src/settings.rs
+++ b/filbertpaddle/src/settings.rs
@@ -6,6 +6,8 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_core::policy;
+use filbertpaddle_core::retry;
 use indexmap::IndexMap;
 use serde::Deserialize;
 
@@ -48,6 +50,12 @@
     /// What the system knows about targets beforehand.
     #[serde(default)]
     pub targets: Targets,
+    /// How queued work is ordered and placed.
+    #[serde(default)]
+    pub placement: policy::Settings,
+    /// How many retries are allowed.
+    #[serde(default)]
+    pub retries: retry::Settings,
     /// Limits on what callers may send.
     #[serde(default)]
     pub limits: Limits,
