--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use eyre::WrapErr;
-use filbertpaddle_core::name::Name;
+use filbertpaddle_core::roster::Id;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_target::client as target;
 use filbertpaddle_wire::claim;
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 use warp::Filter;
 
+use crate::attempt;
 use crate::caller;
 use crate::claims;
 use crate::claims::Claims;
@@ -38,6 +39,7 @@
 use crate::peers::Identity;
 use crate::peers::Peer;
 use crate::peers::Peers;
+use crate::pools;
 use crate::pools::Pools;
 use crate::refusals::Keeper;
 use crate::retries::Retries;
@@ -101,10 +103,21 @@
         };
         let (peers, inboxes) = start_peers(&settings, identity, peers, &common);
         let service = Service::new(common.clock, log::part(&log, "service"));
+        let pools = Pools::start(pools::Parts {
+            own: common.own.clone(),
+            peers: peers.clone(),
+            member: inboxes.member,
+            grant: inboxes.grant,
+            platform: common.platform.clone(),
+            targets: target::Client::new(target::Settings::default())?,
+            service: service.clone(),
+            clock: common.clock,
+            log: log::part(&log, "pool"),
+        });
         let claims = start_claims(&common, peers.clone(), inboxes.claim);
         let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
-        let front = Arc::new(front(&settings, &common, templates, claims, service)?);
+        let front = Arc::new(front(&settings, &common, templates, claims, pools)?);
         let servers = vec![
             serve(
                 callers,
@@ -175,15 +188,18 @@
     common: &Common,
     templates: Templates,
     claims: Claims,
-    service: Service,
+    pools: Pools,
 ) -> eyre::Result<Front> {
     let own = &common.own;
     let log = &common.log;
-    let attempt_prefix: Name = format!("{}-{:x}", own.name, own.incarnation).into();
+    let attempt_prefix = attempt::prefix(&Id {
+        name: own.name.clone(),
+        incarnation: own.incarnation,
+    });
     Ok(Front::new(Parts {
         templates,
         claims,
-        pools: Pools::start(common.platform.clone(), service, log::part(log, "pool")),
+        pools,
         retries: Retries::new(settings.retries),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
