--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -33,6 +33,7 @@
 mod registrar;
 mod reply;
 pub mod request;
+pub mod retries;
 pub mod run;
 pub mod service;
 pub mod settings;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -31,7 +31,6 @@
 use crate::front::Parts;
 use crate::health;
 use crate::inbox;
-use crate::inbox::From;
 use crate::inbox::Inboxes;
 use crate::log;
 use crate::metrics::Metrics;
@@ -43,6 +42,7 @@
 use crate::pools;
 use crate::pools::Pools;
 use crate::refusals::Keeper;
+use crate::retries::Retries;
 use crate::service::Service;
 use crate::settings::Settings;
 use crate::templates::Templates;
@@ -103,7 +103,6 @@
         };
         let (peers, inboxes) = start_peers(&settings, identity, peers, &common);
         let service = Service::new(common.clock, log::part(&log, "service"));
-        let claims = start_claims(&common, peers.clone(), inboxes.claim);
         let pools = Pools::start(pools::Parts {
             own: common.own.clone(),
             peers: peers.clone(),
@@ -115,6 +114,7 @@
             clock: common.clock,
             log: log::part(&log, "pool"),
         });
+        let claims = start_claims(&common, peers.clone(), inboxes.claim);
         let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
         let front = Arc::new(front(&settings, &common, templates, claims, pools)?);
@@ -200,6 +200,7 @@
         templates,
         claims,
         pools,
+        retries: Retries::new(settings.retries),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
@@ -212,7 +213,7 @@
 fn start_claims(
     common: &Common,
     peers: Peers,
-    inbox: mpsc::Receiver<From<claim::Message>>,
+    inbox: mpsc::Receiver<inbox::From<claim::Message>>,
 ) -> Claims {
     Claims::start(claims::Parts {
         own: common.own.clone(),
@@ -228,7 +229,7 @@
 fn start_config(
     common: &Common,
     peers: Peers,
-    inbox: mpsc::Receiver<From<wire_config::Message>>,
+    inbox: mpsc::Receiver<inbox::From<wire_config::Message>>,
     service: &Service,
 ) -> (Config, Templates) {
     Config::start(config::Parts {
