Lend slots to data centres that have none in service

Ruled out: letting owners grant to nodes of other data centres, since the roster, shares and confirmations count members of one data centre only; forwarding whole requests, which would carry tokens over two nodes. Change: a node asks one member of another data centre, which takes the slot as its own, names the attempt and passes the slot on; it asks back while the slot is out, and leaves a vanished borrower's slot to the target's reports. Conclusion: work moves only when the own data centre has no target in service; moving for want of room is left.

--- a/filbertpaddle-core/src/ask.rs
+++ b/filbertpaddle-core/src/ask.rs
@@ -112,3 +112,10 @@
     /// Nothing is known of the work; the slot was taken back.
     Unknown,
 }
+
+impl Ending {
+    /// Returns whether the target certainly does not work on the attempt any more.
+    pub const fn is_over(self) -> bool {
+        matches!(self, Self::Complete | Self::Unsent | Self::Refused)
+    }
+}
--- a/filbertpaddle-wire/src/lib.rs
+++ b/filbertpaddle-wire/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod greeting;
 pub mod member;
 pub mod message;
+pub mod remote;
 pub mod setting;
--- a/filbertpaddle-wire/src/message.rs
+++ b/filbertpaddle-wire/src/message.rs
@@ -7,6 +7,7 @@
 use crate::config;
 use crate::grant;
 use crate::member;
+use crate::remote;
 
 /// One message between two nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -23,4 +24,7 @@
     /// Claims on idempotency keys.
     #[serde(rename = "k")]
     Claim(claim::Message),
+    /// Slots in another data centre.
+    #[serde(rename = "r")]
+    Remote(remote::Message),
 }
--- a/filbertpaddle/src/front.rs
+++ b/filbertpaddle/src/front.rs
@@ -13,9 +13,9 @@
 
 use crate::claims::Claims;
 use crate::metrics::Metrics;
-use crate::pools::Pools;
 use crate::retries::Retries;
 use crate::settings::Limits;
+use crate::slots::Slots;
 use crate::templates::Templates;
 
 /// Parts and limits shared by all requests of a node.
@@ -26,7 +26,7 @@
     /// Claims on idempotency keys.
     pub claims: Claims,
     /// Slots on targets.
-    pub pools: Pools,
+    pub slots: Slots,
     /// Budgets for sending a request to another target.
     pub retries: Retries,
     /// Client of targets.
@@ -53,7 +53,7 @@
     /// Claims on idempotency keys.
     pub claims: Claims,
     /// Slots on targets.
-    pub pools: Pools,
+    pub slots: Slots,
     /// Budgets for sending a request to another target.
     pub retries: Retries,
     /// Client of targets.
@@ -77,7 +77,7 @@
         Self {
             templates: parts.templates,
             claims: parts.claims,
-            pools: parts.pools,
+            slots: parts.slots,
             retries: parts.retries,
             targets: parts.targets,
             ticket_secret: parts.ticket_secret,
--- a/filbertpaddle/src/inbox.rs
+++ b/filbertpaddle/src/inbox.rs
@@ -5,6 +5,7 @@
 use filbertpaddle_wire::grant;
 use filbertpaddle_wire::member;
 use filbertpaddle_wire::message::Message;
+use filbertpaddle_wire::remote;
 use tokio::sync::mpsc;
 
 use crate::peers::Peer;
@@ -33,6 +34,8 @@
     pub config: mpsc::Receiver<From<config::Message>>,
     /// For claims.
     pub claim: mpsc::Receiver<From<claim::Message>>,
+    /// For slots in another data centre.
+    pub remote: mpsc::Receiver<From<remote::Message>>,
 }
 
 /// The other ends of [`Inboxes`].
@@ -42,6 +45,7 @@
     grant: mpsc::Sender<From<grant::Message>>,
     config: mpsc::Sender<From<config::Message>>,
     claim: mpsc::Sender<From<claim::Message>>,
+    remote: mpsc::Sender<From<remote::Message>>,
 }
 
 /// Opens one inbox for each part.
@@ -50,17 +54,20 @@
     let (grant, grant_inbox) = mpsc::channel(PART_MESSAGES);
     let (config, config_inbox) = mpsc::channel(PART_MESSAGES);
     let (claim, claim_inbox) = mpsc::channel(PART_MESSAGES);
+    let (remote, remote_inbox) = mpsc::channel(PART_MESSAGES);
     let outlets = Outlets {
         member,
         grant,
         config,
         claim,
+        remote,
     };
     let inboxes = Inboxes {
         member: member_inbox,
         grant: grant_inbox,
         config: config_inbox,
         claim: claim_inbox,
+        remote: remote_inbox,
     };
     (outlets, inboxes)
 }
@@ -75,6 +82,7 @@
             Message::Grant(message) => pass(&outlets.grant, from, message),
             Message::Config(message) => pass(&outlets.config, from, message),
             Message::Claim(message) => pass(&outlets.claim, from, message),
+            Message::Remote(message) => pass(&outlets.remote, from, message),
         }
     }
 }
--- /dev/null
+++ b/filbertpaddle/src/loan.rs
@@ -0,0 +1,130 @@
+//! One slot lent to a node of another data centre, from ask to return.
+
+use std::time::Duration;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::scheduler::Ending;
+use filbertpaddle_wire::remote as wire;
+use tokio::sync::mpsc;
+
+use crate::attempt;
+use crate::peers::Peer;
+use crate::pools::Ask;
+use crate::pools::Grant;
+use crate::pools::Pools;
+use crate::remote::Borrower;
+use crate::remote::Remote;
+
+/// When a refused asker may come back.
+pub(crate) const RETRY_AFTER_MS: Millis = Millis(1_000);
+/// Time between two questions whether the slot is still in use.
+const CHECK_INTERVAL: Duration = Duration::from_secs(5);
+/// Questions without a link after which the borrower is taken as gone.
+const MAX_MISSED: u32 = 3;
+
+/// What the borrower tells of its slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Note {
+    /// The work has reached its target or never will.
+    Sent,
+    /// The slot, or the ask for it, is given back.
+    Released {
+        /// Whether the work has certainly ended.
+        ended: bool,
+    },
+}
+
+/// Acquires a slot, lends it and takes it back.
+pub(crate) async fn run(
+    remote: Remote,
+    local: Pools,
+    own: Peer,
+    borrower: Borrower,
+    ask: Ask,
+    mut notes: mpsc::UnboundedReceiver<Note>,
+) {
+    let acquired = tokio::select! {
+        acquired = local.acquire(ask) => Some(acquired),
+        _ = notes.recv() => None,
+    };
+    match acquired {
+        Some(Ok(grant)) => lend(&remote, &local, &own, &borrower, grant, notes).await,
+        Some(Err(refusal)) => {
+            let refusal = wire::Refusal {
+                reason: refusal.reason,
+                retry_after_ms: refusal.retry_after_ms,
+            };
+            let message = wire::Message::Refuse(borrower.number, refusal);
+            remote.send(&borrower.node, message);
+        }
+        None => {}
+    }
+    remote.forget_lent(&borrower);
+}
+
+async fn lend(
+    remote: &Remote,
+    local: &Pools,
+    own: &Peer,
+    borrower: &Borrower,
+    grant: Grant,
+    mut notes: mpsc::UnboundedReceiver<Note>,
+) {
+    let passed_on = wire::Grant {
+        target: grant.target.clone(),
+        address: grant.address.to_string().into(),
+        fence: grant.fence,
+        attempt: attempt_name(own, borrower, &grant),
+    };
+    let message = wire::Message::Grant(borrower.number, passed_on);
+    remote.send(&borrower.node, message);
+    let mut check = tokio::time::interval(CHECK_INTERVAL);
+    check.tick().await;
+    let mut missed = 0;
+    let ended = loop {
+        tokio::select! {
+            note = notes.recv() => match note {
+                Some(Note::Sent) => local.sent(&grant),
+                Some(Note::Released { ended }) => break ended,
+                None => break false,
+            },
+            _ = check.tick() => {
+                missed = if is_linked(remote, borrower) { 0 } else { missed + 1 };
+                if missed >= MAX_MISSED {
+                    // Reports of the target show when its work has gone.
+                    break false;
+                }
+                let message = wire::Message::Check(borrower.number);
+                remote.send(&borrower.node, message);
+            }
+        }
+    };
+    let ending = if ended {
+        Ending::Complete
+    } else {
+        Ending::Unknown
+    };
+    local.release(grant, ending, 0);
+}
+
+// The name starts with this node's, which holds the slot.
+fn attempt_name(own: &Peer, borrower: &Borrower, grant: &Grant) -> Name {
+    let prefix = attempt::prefix(&Id {
+        name: own.name.clone(),
+        incarnation: own.incarnation,
+    });
+    let base = format!("{prefix}-{:x}", borrower.number);
+    match &grant.slot {
+        Some(slot) => attempt::with_slot(&base, &slot.key),
+        None => base.into(),
+    }
+}
+
+fn is_linked(remote: &Remote, borrower: &Borrower) -> bool {
+    let peers = remote.peers().connected();
+    peers
+        .iter()
+        .any(|peer| peer.name == borrower.node && peer.incarnation == borrower.incarnation)
+}
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -42,9 +42,11 @@
 use crate::pools;
 use crate::pools::Pools;
 use crate::refusals::Keeper;
+use crate::remote::Remote;
 use crate::retries::Retries;
 use crate::service::Service;
 use crate::settings::Settings;
+use crate::slots::Slots;
 use crate::templates::Templates;
 
 /// Most messages from peers that wait to be handled.
@@ -115,9 +117,16 @@
             log: log::part(&log, "pool"),
         });
         let claims = start_claims(&common, peers.clone(), inboxes.claim);
+        let remote = Remote::start(
+            common.own.clone(),
+            peers.clone(),
+            pools.clone(),
+            inboxes.remote,
+        );
         let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
-        let front = Arc::new(front(&settings, &common, templates, claims, pools)?);
+        let slots = Slots::new(pools, remote);
+        let front = Arc::new(front(&settings, &common, templates, claims, slots)?);
         let servers = vec![
             serve(
                 callers,
@@ -188,7 +197,7 @@
     common: &Common,
     templates: Templates,
     claims: Claims,
-    pools: Pools,
+    slots: Slots,
 ) -> eyre::Result<Front> {
     let own = &common.own;
     let log = &common.log;
@@ -199,7 +208,7 @@
     Ok(Front::new(Parts {
         templates,
         claims,
-        pools,
+        slots,
         retries: Retries::new(settings.retries),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -384,6 +384,7 @@
             target: held.target.clone(),
             address: target.address,
             fence: held.key.epoch,
+            borrowed: None,
             slot: Some(Slot {
                 pool: self.name.clone(),
                 key: held.key.clone(),
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -18,6 +18,7 @@
 pub use crate::coordinator::Parts;
 use crate::coordinator::Release;
 use crate::coordinator::Sent;
+pub use crate::remote::Borrowed;
 
 /// Asks for a slot on a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +56,8 @@
     pub fence: u64,
     /// The slot; none for an attempt that holds its slot elsewhere.
     pub slot: Option<Slot>,
+    /// The slot, if another data centre lends it.
+    pub borrowed: Option<Borrowed>,
 }
 
 /// A slot that this node holds.
@@ -74,6 +77,7 @@
             address,
             fence: 0,
             slot: None,
+            borrowed: None,
         }
     }
 }
@@ -137,7 +141,7 @@
         let Some(slot) = grant.slot else {
             return;
         };
-        let ended = matches!(ending, Ending::Complete | Ending::Unsent | Ending::Refused);
+        let ended = ending.is_over();
         let release = Release {
             slot,
             target: grant.target,
--- /dev/null
+++ b/filbertpaddle/src/remote.rs
@@ -0,0 +1,338 @@
+//! Slots in other data centres, for work that the own one cannot take.
+//!
+//! The member that is asked takes the slot as its own, so that owners deal
+//! with members of their data centre only.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_wire::message::Message;
+use filbertpaddle_wire::remote as wire;
+use indexmap::IndexMap;
+use rand::seq::SliceRandom;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::clock;
+use crate::inbox::From;
+use crate::loan;
+use crate::loan::Note;
+use crate::peers::Peer;
+use crate::peers::Peers;
+use crate::pools::Ask;
+use crate::pools::Grant;
+use crate::pools::Pools;
+use crate::pools::Refusal;
+
+/// How much longer than the ask itself an answer may take.
+const ANSWER_SLACK: Duration = Duration::from_secs(1);
+
+/// Asks other data centres for slots and lends the own one's.
+#[derive(Clone, Debug)]
+pub(crate) struct Remote {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    own: Peer,
+    peers: Peers,
+    local: Pools,
+    next_number: AtomicU64,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Slots that this node has asked for or uses, by number.
+    asked: IndexMap<u64, Asked>,
+    /// Slots that this node lends, by asker and number.
+    lent: IndexMap<Borrower, mpsc::UnboundedSender<Note>>,
+}
+
+#[derive(Debug)]
+enum Asked {
+    Waiting(oneshot::Sender<Result<wire::Grant, wire::Refusal>>),
+    InUse,
+}
+
+/// Who uses a lent slot.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Borrower {
+    /// Name of the node.
+    pub(crate) node: Name,
+    /// Life of the node.
+    pub(crate) incarnation: u64,
+    /// The node's number for the slot.
+    pub(crate) number: u64,
+}
+
+/// A slot that another node lends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Borrowed {
+    /// Node that holds the slot.
+    pub lender: Name,
+    /// This node's number for it.
+    pub number: u64,
+    /// Name for the attempt.
+    pub attempt: Name,
+}
+
+impl Remote {
+    /// Starts to answer other data centres.
+    pub(crate) fn start(
+        own: Peer,
+        peers: Peers,
+        local: Pools,
+        inbox: mpsc::Receiver<From<wire::Message>>,
+    ) -> Self {
+        let remote = Self {
+            shared: Arc::new(Shared {
+                own,
+                peers,
+                local,
+                next_number: AtomicU64::new(1),
+                state: Mutex::default(),
+            }),
+        };
+        tokio::spawn(receive(remote.clone(), inbox));
+        remote
+    }
+
+    /// Asks one member of each other data centre in turn.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last [`Refusal`] if none gives a slot.
+    pub(crate) async fn acquire(&self, ask: &Ask, refused: Refusal) -> Result<Grant, Refusal> {
+        let mut last = refused;
+        for lender in self.lenders() {
+            match self.ask(&lender, ask).await {
+                Ok(grant) => return Ok(grant),
+                Err(refusal) if refusal.reason == Reason::NoTarget => {}
+                Err(refusal) => last = refusal,
+            }
+        }
+        Err(last)
+    }
+
+    /// Notes that the work has reached its target or never will.
+    pub(crate) fn sent(&self, slot: &Borrowed) {
+        self.send(&slot.lender, wire::Message::Sent(slot.number));
+    }
+
+    /// Gives a slot back.
+    pub(crate) fn release(&self, slot: &Borrowed, ended: bool) {
+        self.state().asked.swap_remove(&slot.number);
+        self.send(&slot.lender, wire::Message::Release(slot.number, ended));
+    }
+
+    pub(crate) fn peers(&self) -> &Peers {
+        &self.shared.peers
+    }
+
+    pub(crate) fn send(&self, node: &str, message: wire::Message) {
+        self.shared.peers.send(node, Message::Remote(message));
+    }
+
+    pub(crate) fn forget_lent(&self, borrower: &Borrower) {
+        self.state().lent.swap_remove(borrower);
+    }
+
+    // One connected node of each other data centre, in random order.
+    fn lenders(&self) -> Vec<Peer> {
+        let mut peers = self.shared.peers.connected();
+        peers.retain(|peer| peer.data_centre != self.shared.own.data_centre);
+        peers.shuffle(&mut rand::rng());
+        let mut chosen: IndexMap<Name, Peer> = IndexMap::new();
+        for peer in peers {
+            chosen.entry(peer.data_centre.clone()).or_insert(peer);
+        }
+        chosen.into_values().collect()
+    }
+
+    async fn ask(&self, lender: &Peer, ask: &Ask) -> Result<Grant, Refusal> {
+        let number = self.shared.next_number.fetch_add(1, Ordering::Relaxed);
+        let (reply, answer) = oneshot::channel();
+        self.state().asked.insert(number, Asked::Waiting(reply));
+        // A caller that goes away leaves the ask to be given up.
+        let mut pending = Pending {
+            remote: self,
+            lender: &lender.name,
+            number,
+            open: true,
+        };
+        self.send(
+            &lender.name,
+            wire::Message::Ask(number, Box::new(to_wire(ask))),
+        );
+        let longest = clock::duration(ask.wait_ms) + ANSWER_SLACK;
+        let answer = tokio::time::timeout(longest, answer).await;
+        let granted = match answer {
+            Ok(Ok(Ok(granted))) => granted,
+            Ok(Ok(Err(refusal))) => {
+                pending.open = false;
+                self.state().asked.swap_remove(&number);
+                return Err(from_wire(refusal));
+            }
+            Ok(Err(_)) | Err(_) => return Err(unanswered()),
+        };
+        let Ok(address) = granted.address.parse() else {
+            return Err(unanswered());
+        };
+        pending.open = false;
+        Ok(Grant {
+            target: granted.target,
+            address,
+            fence: granted.fence,
+            slot: None,
+            borrowed: Some(Borrowed {
+                lender: lender.name.clone(),
+                number,
+                attempt: granted.attempt,
+            }),
+        })
+    }
+
+    fn on_message(&self, from: Peer, message: wire::Message) {
+        match message {
+            wire::Message::Ask(number, ask) => self.lend(from, number, *ask),
+            wire::Message::Grant(number, grant) => self.on_answer(number, Ok(grant)),
+            wire::Message::Refuse(number, refusal) => self.on_answer(number, Err(refusal)),
+            wire::Message::Sent(number) => self.note(&from, number, Note::Sent),
+            wire::Message::Release(number, ended) => {
+                self.note(&from, number, Note::Released { ended });
+            }
+            wire::Message::Check(number) => {
+                if !self.state().asked.contains_key(&number) {
+                    // What is not known here is never sent, or has ended.
+                    self.send(&from.name, wire::Message::Release(number, true));
+                }
+            }
+        }
+    }
+
+    // A grant that comes too late finds no entry; the lender's check frees it.
+    fn on_answer(&self, number: u64, answer: Result<wire::Grant, wire::Refusal>) {
+        let mut state = self.state();
+        let Some(asked) = state.asked.get_mut(&number) else {
+            return;
+        };
+        if let Asked::Waiting(reply) = std::mem::replace(asked, Asked::InUse) {
+            reply.send(answer).ok();
+        }
+    }
+
+    fn lend(&self, from: Peer, number: u64, ask: wire::Ask) {
+        let borrower = Borrower {
+            node: from.name,
+            incarnation: from.incarnation,
+            number,
+        };
+        let (notes, inbox) = mpsc::unbounded_channel();
+        self.state().lent.insert(borrower.clone(), notes);
+        let own = self.shared.own.clone();
+        let local = self.shared.local.clone();
+        tokio::spawn(loan::run(
+            self.clone(),
+            local,
+            own,
+            borrower,
+            from_wire_ask(ask),
+            inbox,
+        ));
+    }
+
+    fn note(&self, from: &Peer, number: u64, note: Note) {
+        let borrower = Borrower {
+            node: from.name.clone(),
+            incarnation: from.incarnation,
+            number,
+        };
+        if let Some(notes) = self.state().lent.get(&borrower) {
+            notes.send(note).ok();
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Gives an ask up unless it was answered.
+struct Pending<'a> {
+    remote: &'a Remote,
+    lender: &'a Name,
+    number: u64,
+    open: bool,
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if self.open {
+            self.remote.state().asked.swap_remove(&self.number);
+            let release = wire::Message::Release(self.number, true);
+            self.remote.send(self.lender, release);
+        }
+    }
+}
+
+async fn receive(remote: Remote, mut inbox: mpsc::Receiver<From<wire::Message>>) {
+    while let Some(From { peer, message }) = inbox.recv().await {
+        remote.on_message(peer, message);
+    }
+}
+
+fn unanswered() -> Refusal {
+    Refusal {
+        reason: Reason::NoTarget,
+        retry_after_ms: Some(loan::RETRY_AFTER_MS),
+    }
+}
+
+fn to_wire(ask: &Ask) -> wire::Ask {
+    wire::Ask {
+        model: ask.model.clone(),
+        customer: ask.customer.clone(),
+        template: ask.template.clone(),
+        priority: ask.priority,
+        weight: ask.weight,
+        prompt_tokens: ask.prompt_tokens,
+        max_tokens: ask.max_tokens,
+        prefix: ask.prefix,
+        digest: ask.digest,
+        wait_ms: ask.wait_ms,
+    }
+}
+
+fn from_wire_ask(ask: wire::Ask) -> Ask {
+    Ask {
+        model: ask.model,
+        customer: ask.customer,
+        template: ask.template,
+        priority: ask.priority,
+        weight: ask.weight,
+        prompt_tokens: ask.prompt_tokens,
+        max_tokens: ask.max_tokens,
+        prefix: ask.prefix,
+        digest: ask.digest,
+        wait_ms: ask.wait_ms,
+    }
+}
+
+fn from_wire(refusal: wire::Refusal) -> Refusal {
+    Refusal {
+        reason: refusal.reason,
+        retry_after_ms: refusal.retry_after_ms,
+    }
+}
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -155,7 +155,7 @@
     async fn acquire(&mut self) -> Result<pools::Grant, Outcome> {
         let ask = self.ask();
         let slot = tokio::select! {
-            slot = self.front.pools.acquire(ask) => slot,
+            slot = self.front.slots.acquire(ask) => slot,
             () = self.output.abandoned() => Err(pools::Refusal {
                 reason: Reason::Cancelled,
                 retry_after_ms: None,
@@ -182,11 +182,7 @@
 
     async fn attempt(&mut self, grant: pools::Grant) -> Step {
         let template = Arc::clone(&self.request.template);
-        if let Some(slot) = &grant.slot {
-            // Reports of the target then show whose slot the attempt uses.
-            let attempt = attempt::with_slot(self.delivery.attempt(), &slot.key);
-            self.delivery.restart(attempt);
-        }
+        self.name_attempt(&grant);
         let submit = Submit {
             attempt: self.delivery.attempt().clone(),
             fence: grant.fence,
@@ -211,10 +207,21 @@
             Work::Call => attempt.call(&submit, template.idempotent).await,
         };
         let tokens = self.delivery.delivered_tokens();
-        self.front.pools.release(grant, ending, tokens);
+        self.front.slots.release(grant, ending, tokens);
         step
     }
 
+    // Reports of the target then show whose slot the attempt uses.
+    fn name_attempt(&mut self, grant: &pools::Grant) {
+        if let Some(slot) = &grant.slot {
+            let attempt = attempt::with_slot(self.delivery.attempt(), &slot.key);
+            self.delivery.restart(attempt);
+        }
+        if let Some(borrowed) = &grant.borrowed {
+            self.delivery.restart(borrowed.attempt.clone());
+        }
+    }
+
     fn restart(&mut self) {
         self.front.metrics.count("request.restarted");
         let attempt = self.front.attempt();
--- /dev/null
+++ b/filbertpaddle/src/slots.rs
@@ -0,0 +1,53 @@
+//! Slots on targets: the own data centre's first, then another's.
+
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::scheduler::Ending;
+
+use crate::pools::Ask;
+use crate::pools::Grant;
+use crate::pools::Pools;
+use crate::pools::Refusal;
+use crate::remote::Remote;
+
+/// Gives out slots.
+#[derive(Clone, Debug)]
+pub struct Slots {
+    local: Pools,
+    remote: Remote,
+}
+
+impl Slots {
+    pub(crate) fn new(local: Pools, remote: Remote) -> Self {
+        Self { local, remote }
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] if none is given in time.
+    pub async fn acquire(&self, ask: Ask) -> Result<Grant, Refusal> {
+        match self.local.acquire(ask.clone()).await {
+            Err(refusal) if refusal.reason == Reason::NoTarget => {
+                self.remote.acquire(&ask, refusal).await
+            }
+            answer => answer,
+        }
+    }
+
+    /// Notes that the work of a grant has reached its target or never will.
+    pub fn sent(&self, grant: &Grant) {
+        match &grant.borrowed {
+            Some(borrowed) => self.remote.sent(borrowed),
+            None => self.local.sent(grant),
+        }
+    }
+
+    /// Gives a slot back.
+    pub fn release(&self, grant: Grant, ending: Ending, tokens: u32) {
+        match &grant.borrowed {
+            Some(borrowed) => self.remote.release(borrowed, ending.is_over()),
+            None => self.local.release(grant, ending, tokens),
+        }
+    }
+}
