Join the claims of a data centre's nodes in few committers

Cause: 740 nodes that each commit a few claims a second write some ten times what the table bears. Change: a node may hand its changes to a committer of its data centre, chosen by rendezvous over the nodes it is connected to; a committer makes the changes of many nodes in one transaction, each node's whole or not at all. It needs no exclusivity. A committer that is silent is passed over for ten seconds and its late write meets its conditions. The setting is off by default: today each node commits for itself. Found: a test met refusals after one lost answer, since claims behind it were refused before anything was read back. Now one lost answer is no outage; two in a row, or rows that cannot be read, are. Ruled out: one elected committer, which would have to be agreed on.

--- a/filbertpaddle-core/src/batch.rs
+++ b/filbertpaddle-core/src/batch.rs
@@ -4,6 +4,9 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::claim::Id;
 use crate::claim::Record;
 use crate::claim::Row;
@@ -14,18 +17,26 @@
 /// stream of claims cannot hold them up for ever.
 const REST_SHARE: usize = 4;
 
+/// A change that was lost fewer times than this is tried again at once.
+const MAX_HOPEFUL_TRIES: u32 = 2;
+
 /// One conditional change of a claim's row.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Change {
     /// Attempt that wants the change.
+    #[serde(rename = "a")]
     pub attempt: Name,
     /// Row to change.
+    #[serde(rename = "i")]
     pub id: Id,
     /// Revision that the row must have; `None` means absent.
+    #[serde(rename = "e")]
     pub expected: Option<u64>,
     /// New content; `None` deletes the row.
+    #[serde(rename = "r")]
     pub record: Option<Record>,
     /// Transactions so far that may have made the change.
+    #[serde(rename = "t")]
     pub tries: u32,
 }
 
@@ -60,7 +71,7 @@
 }
 
 /// What the platform said about the transaction in flight.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Answer {
     /// All changes were made.
     Committed {
@@ -210,9 +221,11 @@
         let Stage::Writing(changes) = std::mem::replace(&mut self.stage, Stage::Idle) else {
             return Vec::new();
         };
-        self.failing = matches!(answer, Answer::NotDone | Answer::Unknown);
-        if self.failing {
-            self.earliest_ms = now + self.settings.backoff_ms;
+        match answer {
+            Answer::Committed { .. } | Answer::Conflict { .. } => self.failing = false,
+            Answer::NotDone => self.fail(now),
+            // One lost answer is no outage: what is read back decides.
+            Answer::Unknown => {}
         }
         match answer {
             Answer::Committed { revision } => settle(changes, |change| {
@@ -237,32 +250,31 @@
     }
 
     /// Takes in the rows read back, absent ones left out; `None` if they could not be read.
-    pub fn read_back(&mut self, rows: Option<&BTreeMap<Id, Row>>) -> Vec<Done> {
+    pub fn read_back(&mut self, now: Millis, rows: Option<&BTreeMap<Id, Row>>) -> Vec<Done> {
         let Stage::Reading(changes) = std::mem::replace(&mut self.stage, Stage::Idle) else {
             return Vec::new();
         };
-        let Some(rows) = rows else {
-            return settle(changes, |_| Fate::Unknown);
-        };
-        let done = settle(changes, |change| {
-            let row = rows.get(&change.id);
-            if let Some(fate) = made(change, row) {
-                return fate;
-            }
-            if row.map(|row| row.revision) == change.expected {
-                return Fate::Pending;
-            }
-            Fate::Conflict { row: row.cloned() }
+        let done = settle(changes, |change| match rows {
+            Some(rows) => seen(change, rows.get(&change.id)),
+            None => Fate::Unknown,
         });
         let committed = |done: &Done| matches!(done.fate, Fate::Committed { .. });
+        let hopeful =
+            |done: &Done| done.fate == Fate::Pending && done.change.tries < MAX_HOPEFUL_TRIES;
         if done.iter().any(committed) {
             // The platform writes; it was only the answer that got lost.
             self.failing = false;
-            self.earliest_ms = Millis::ZERO;
+        } else if !done.iter().any(hopeful) {
+            self.fail(now);
         }
         done
     }
 
+    fn fail(&mut self, now: Millis) {
+        self.failing = true;
+        self.earliest_ms = now + self.settings.backoff_ms;
+    }
+
     /// Settles the changes whose row was not as expected and puts the others back in front.
     fn take_out(&mut self, changes: Vec<Change>, rows: &BTreeMap<Id, Option<Row>>) -> Vec<Done> {
         // The transaction did nothing, so it does not count as a try.
@@ -314,6 +326,17 @@
     }
 }
 
+/// Returns the fate of a change whose row was read back.
+fn seen(change: &Change, row: Option<&Row>) -> Fate {
+    if let Some(fate) = made(change, row) {
+        return fate;
+    }
+    if row.map(|row| row.revision) == change.expected {
+        return Fate::Pending;
+    }
+    Fate::Conflict { row: row.cloned() }
+}
+
 /// Returns the fate of a change that an earlier try is seen to have made.
 fn made(change: &Change, row: Option<&Row>) -> Option<Fate> {
     if row.map(|row| &row.record) != change.record.as_ref() {
--- a/filbertpaddle-core/src/claim.rs
+++ b/filbertpaddle-core/src/claim.rs
@@ -27,14 +27,19 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
     /// Attempt that holds the claim, unique among all attempts of all nodes.
+    #[serde(rename = "a")]
     pub attempt: Name,
     /// Digest of the request's body.
+    #[serde(rename = "d")]
     pub digest: Name,
     /// Node that made the attempt.
+    #[serde(rename = "h")]
     pub holder: Name,
     /// Life of that node.
+    #[serde(rename = "i")]
     pub incarnation: u64,
     /// Unix time of the claim.
+    #[serde(rename = "t")]
     pub claimed_at_ms: Millis,
     /// What has become of the attempt.
     #[serde(flatten)]
@@ -60,7 +65,7 @@
     #[serde(rename = "o")]
     pub outcome: Outcome,
     /// Where its answer is kept.
-    #[serde(rename = "a")]
+    #[serde(rename = "w")]
     pub answer: Answer,
 }
 
@@ -78,11 +83,13 @@
 }
 
 /// A claim's row as it was read.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Row {
     /// Content of the row.
+    #[serde(rename = "c")]
     pub record: Record,
     /// Table revision of its last write.
+    #[serde(rename = "v")]
     pub revision: u64,
 }
 
--- a/filbertpaddle-core/src/claims.rs
+++ b/filbertpaddle-core/src/claims.rs
@@ -194,8 +194,9 @@
             Event::Finish { attempt, ending } => self.finish(&attempt, ending, &mut actions),
             Event::Answered(answer) => self.answered(now, answer, &mut actions),
             Event::ReadBack(rows) => {
-                let done = self.batch.read_back(rows.as_ref());
+                let done = self.batch.read_back(now, rows.as_ref());
                 self.settle(done, &mut actions);
+                self.refuse_queued(now, &mut actions);
             }
             Event::Asked { from, question } => actions.push(self.tell(from, question)),
             Event::Told(reply) => self.told(&reply, &mut actions),
@@ -283,13 +284,14 @@
         if !unsettled.is_empty() {
             actions.push(Action::Read(unsettled));
         }
-        if self.batch.outage(now).is_some() {
-            self.refuse_queued(actions);
-        }
+        self.refuse_queued(now, actions);
     }
 
     /// Refuses at once what waits for a platform that has just failed.
-    fn refuse_queued(&mut self, actions: &mut Vec<Action>) {
+    fn refuse_queued(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if self.batch.outage(now).is_none() {
+            return;
+        }
         for change in self.batch.cancel_claims() {
             let name = change.attempt.clone();
             let Some(attempt) = self.attempts.get_mut(&name) else {
--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claim;
 pub mod claims;
 pub mod clock;
+pub mod commit;
 pub mod config;
 pub mod delivery;
 pub mod edit;
--- /dev/null
+++ b/filbertpaddle-core/tests/commit.rs
@@ -0,0 +1,141 @@
+//! Joining the changes of many nodes.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use filbertpaddle_core::batch::Answer;
+use filbertpaddle_core::batch::Change;
+use filbertpaddle_core::claim::Id;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::commit;
+use filbertpaddle_core::commit::Action;
+use filbertpaddle_core::commit::Committer;
+use filbertpaddle_core::commit::Event;
+use filbertpaddle_core::commit::Settings;
+use filbertpaddle_core::commit::Unit;
+use filbertpaddle_core::name::Name;
+
+fn id(key: u32) -> Id {
+    Id {
+        customer: "customer".into(),
+        key: key.to_string().into(),
+    }
+}
+
+fn submit(from: &str, keys: &[u32]) -> Event {
+    let change = |key: &u32| Change {
+        attempt: "attempt".into(),
+        id: id(*key),
+        expected: None,
+        record: None,
+        tries: 1,
+    };
+    Event::Submit(Unit {
+        from: from.into(),
+        sequence: 1,
+        changes: keys.iter().map(change).collect(),
+    })
+}
+
+fn keys(actions: &[Action]) -> Vec<String> {
+    let changes = actions.iter().find_map(|action| match action {
+        Action::Transact(changes) => Some(changes),
+        Action::Reply { .. } => None,
+    });
+    let changes = changes.into_iter().flatten();
+    changes.map(|change| change.id.key.to_string()).collect()
+}
+
+fn replies(actions: &[Action]) -> Vec<(&str, &Answer)> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Reply { to, answer, .. } => Some((to.as_str(), answer)),
+            Action::Transact(_) => None,
+        })
+        .collect()
+}
+
+fn started() -> Committer {
+    let mut committer = Committer::new(Settings::default());
+    assert_eq!(keys(&committer.on(Millis(0), submit("a", &[1]))), ["1"]);
+    committer
+}
+
+#[test]
+fn changes_of_many_nodes_share_a_transaction() {
+    let mut committer = started();
+    committer.on(Millis(1), submit("b", &[2, 3]));
+    committer.on(Millis(2), submit("c", &[4]));
+    let committed = Answer::Committed { revision: 1 };
+    let actions = committer.on(Millis(30), Event::Answered(committed.clone()));
+    assert_eq!(replies(&actions), [("a", &committed)]);
+    assert_eq!(keys(&actions), ["2", "3", "4"]);
+}
+
+#[test]
+fn conflict_of_one_node_does_not_touch_the_others() {
+    let mut committer = started();
+    committer.on(Millis(1), submit("b", &[2, 3]));
+    committer.on(Millis(2), submit("c", &[4]));
+    committer.on(
+        Millis(30),
+        Event::Answered(Answer::Committed { revision: 1 }),
+    );
+    let rows = BTreeMap::from([(id(3), None)]);
+    let conflict = Answer::Conflict { rows };
+    let actions = committer.on(Millis(60), Event::Answered(conflict.clone()));
+    assert_eq!(replies(&actions), [("b", &conflict)]);
+    assert_eq!(keys(&actions), ["4"]);
+}
+
+#[test]
+fn changes_of_one_row_wait_for_each_other() {
+    let mut committer = started();
+    committer.on(Millis(1), submit("b", &[2]));
+    committer.on(Millis(2), submit("c", &[2]));
+    let committed = Event::Answered(Answer::Committed { revision: 1 });
+    let actions = committer.on(Millis(30), committed.clone());
+    assert_eq!(keys(&actions), ["2"]);
+    assert_eq!(keys(&committer.on(Millis(60), committed)), ["2"]);
+}
+
+#[test]
+fn unknown_and_not_done_reach_every_node_in_flight() {
+    for answer in [Answer::Unknown, Answer::NotDone] {
+        let mut committer = started();
+        let actions = committer.on(Millis(1), Event::Answered(answer.clone()));
+        assert_eq!(replies(&actions), [("a", &answer)]);
+    }
+}
+
+#[test]
+fn full_queue_and_long_wait_are_refused_as_not_done() {
+    let mut committer = Committer::new(Settings {
+        max_queue: 1,
+        ..Settings::default()
+    });
+    committer.on(Millis(0), submit("a", &[1]));
+    committer.on(Millis(1), submit("b", &[2]));
+    let actions = committer.on(Millis(2), submit("c", &[3]));
+    assert_eq!(replies(&actions), [("c", &Answer::NotDone)]);
+    let actions = committer.on(Millis(5_000), Event::Tick);
+    assert_eq!(replies(&actions), [("b", &Answer::NotDone)]);
+}
+
+#[test]
+fn few_committers_serve_all_nodes_of_a_data_centre() {
+    let nodes: Vec<Name> = (0..62).map(|n| format!("entry-{n}").into()).collect();
+    let chosen: BTreeSet<Name> = nodes
+        .iter()
+        .map(|own| commit::choose(own, &nodes, 16))
+        .collect();
+    assert_eq!(chosen.len(), 4);
+    let own = commit::choose(&nodes[5], &nodes, 1);
+    assert_eq!(own, nodes[5]);
+    let one: BTreeSet<Name> = nodes[..3]
+        .iter()
+        .map(|own| commit::choose(own, &nodes[..3], 16))
+        .collect();
+    assert_eq!(one.len(), 1);
+}
--- a/filbertpaddle-wire/src/claim.rs
+++ b/filbertpaddle-wire/src/claim.rs
@@ -1,5 +1,7 @@
 //! Messages about claims on idempotency keys.
 
+use filbertpaddle_core::batch::Answer;
+use filbertpaddle_core::batch::Change;
 use filbertpaddle_core::claim::Question;
 use filbertpaddle_core::claim::Reply;
 use serde::Deserialize;
@@ -14,4 +16,24 @@
     /// Answers such a question.
     #[serde(rename = "r")]
     Tell(Reply),
+    /// Hands changes to a committer, to be made together or not at all.
+    #[serde(rename = "c")]
+    Commit {
+        /// Number that the sender gives them.
+        #[serde(rename = "n")]
+        sequence: u64,
+        /// The changes.
+        #[serde(rename = "c")]
+        changes: Vec<Change>,
+    },
+    /// Says what became of such changes.
+    #[serde(rename = "d")]
+    Committed {
+        /// Number that their sender gave them.
+        #[serde(rename = "n")]
+        sequence: u64,
+        /// What became of them.
+        #[serde(rename = "a")]
+        answer: Answer,
+    },
 }
--- a/filbertpaddle/src/claim_actor.rs
+++ b/filbertpaddle/src/claim_actor.rs
@@ -20,13 +20,12 @@
 use filbertpaddle_wire::claim;
 use filbertpaddle_wire::message::Message;
 use indexmap::IndexMap;
-use slog::Logger;
-use slog::debug;
 use tokio::sync::oneshot;
 use xtra::Context;
 use xtra::Handler;
 use xtra::WeakAddress;
 
+use crate::claim_route::Route;
 use crate::claim_store;
 use crate::clock;
 use crate::clock::Clock;
@@ -51,6 +50,21 @@
 #[derive(Debug)]
 pub(crate) struct Unsettled;
 
+/// Says what became of changes that were handed to a committer.
+#[derive(Debug)]
+pub(crate) struct Settled {
+    pub(crate) by: Name,
+    pub(crate) sequence: u64,
+    pub(crate) answer: Answer,
+}
+
+/// A committer has had long enough to answer.
+#[derive(Debug)]
+struct Overdue {
+    by: Name,
+    sequence: u64,
+}
+
 /// A timer that the actor armed for itself.
 #[derive(Debug)]
 struct Timer;
@@ -59,11 +73,11 @@
 #[derive(Debug)]
 pub(crate) struct Actor {
     pub(crate) core: Claims,
+    pub(crate) route: Route,
     pub(crate) platform: Client,
     pub(crate) peers: Peers,
     pub(crate) clock: Clock,
     pub(crate) metrics: Arc<Metrics>,
-    pub(crate) log: Logger,
     pub(crate) waiting: IndexMap<Name, oneshot::Sender<Verdict>>,
     pub(crate) timer_ms: Option<Millis>,
 }
@@ -100,6 +114,30 @@
     }
 }
 
+impl Handler<Settled> for Actor {
+    type Return = ();
+
+    async fn handle(&mut self, settled: Settled, context: &mut Context<Self>) {
+        if self.route.settle(settled.sequence, &settled.by) {
+            let event = Event::Answered(settled.answer);
+            self.on(event, &context.mailbox().address());
+        }
+    }
+}
+
+impl Handler<Overdue> for Actor {
+    type Return = ();
+
+    async fn handle(&mut self, overdue: Overdue, context: &mut Context<Self>) {
+        if self.route.settle(overdue.sequence, &overdue.by) {
+            self.metrics.count("claim.committer_silent");
+            self.route.avoid(self.clock.now(), overdue.by);
+            let event = Event::Answered(Answer::Unknown);
+            self.on(event, &context.mailbox().address());
+        }
+    }
+}
+
 impl Handler<Timer> for Actor {
     type Return = ();
 
@@ -130,16 +168,13 @@
         }
     }
 
-    fn transact(&self, changes: Vec<Change>, own: &WeakAddress<Self>) {
-        self.metrics.count("claim.transaction");
-        let platform = self.platform.clone();
+    fn transact(&mut self, changes: Vec<Change>, own: &WeakAddress<Self>) {
+        let (sequence, by) = self.route.submit(self.clock.now(), changes);
+        let timeout = self.route.timeout;
         let own = own.clone();
-        let log = self.log.clone();
         tokio::spawn(async move {
-            let answer = claim_store::transact(&platform, &changes).await;
-            // Neither keys nor answers go into logs.
-            debug!(log, "Claims written."; "rows" => changes.len(), "answer" => kind(&answer));
-            own.send(Input(Event::Answered(answer))).await.ok();
+            tokio::time::sleep(timeout).await;
+            own.send(Overdue { by, sequence }).await.ok();
         });
     }
 
@@ -202,12 +237,3 @@
         });
     }
 }
-
-fn kind(answer: &Answer) -> &'static str {
-    match answer {
-        Answer::Committed { .. } => "committed",
-        Answer::Conflict { .. } => "conflict",
-        Answer::NotDone => "not done",
-        Answer::Unknown => "unknown",
-    }
-}
--- /dev/null
+++ b/filbertpaddle/src/claim_commit.rs
@@ -0,0 +1,144 @@
+//! The actor that commits the changes of many nodes together.
+
+use std::sync::Arc;
+
+use filbertpaddle_core::batch::Answer;
+use filbertpaddle_core::batch::Change;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::commit::Action;
+use filbertpaddle_core::commit::Committer;
+use filbertpaddle_core::commit::Event;
+use filbertpaddle_core::commit::Unit;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_platform::client::Client;
+use filbertpaddle_wire::claim;
+use filbertpaddle_wire::message::Message;
+use slog::Logger;
+use slog::debug;
+use xtra::Address;
+use xtra::Context;
+use xtra::Handler;
+use xtra::WeakAddress;
+
+use crate::claim_actor;
+use crate::claim_actor::Settled;
+use crate::claim_store;
+use crate::clock;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+
+/// Hands in the changes of one node.
+#[derive(Debug)]
+pub(crate) struct Submit(pub(crate) Unit);
+
+#[derive(Debug)]
+struct Answered(Answer);
+
+#[derive(Debug)]
+struct Timer;
+
+/// What the actor works with.
+#[derive(Debug)]
+pub(crate) struct Actor {
+    pub(crate) core: Committer,
+    pub(crate) own: Name,
+    pub(crate) claims: Address<claim_actor::Actor>,
+    pub(crate) platform: Client,
+    pub(crate) peers: Peers,
+    pub(crate) clock: Clock,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) log: Logger,
+    pub(crate) timer_ms: Option<Millis>,
+}
+
+impl xtra::Actor for Actor {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl Handler<Submit> for Actor {
+    type Return = ();
+
+    async fn handle(&mut self, submit: Submit, context: &mut Context<Self>) {
+        self.on(Event::Submit(submit.0), &context.mailbox().address());
+    }
+}
+
+impl Handler<Answered> for Actor {
+    type Return = ();
+
+    async fn handle(&mut self, answered: Answered, context: &mut Context<Self>) {
+        self.on(Event::Answered(answered.0), &context.mailbox().address());
+    }
+}
+
+impl Handler<Timer> for Actor {
+    type Return = ();
+
+    async fn handle(&mut self, _: Timer, context: &mut Context<Self>) {
+        self.timer_ms = None;
+        self.on(Event::Tick, &context.mailbox().address());
+    }
+}
+
+impl Actor {
+    fn on(&mut self, event: Event, own: &WeakAddress<Self>) {
+        for action in self.core.on(self.clock.now(), event) {
+            match action {
+                Action::Transact(changes) => self.transact(changes, own),
+                Action::Reply {
+                    to,
+                    sequence,
+                    answer,
+                } => self.reply(&to, sequence, answer),
+            }
+        }
+        self.arm(own);
+    }
+
+    fn transact(&self, changes: Vec<Change>, own: &WeakAddress<Self>) {
+        self.metrics.count("claim.transaction");
+        let platform = self.platform.clone();
+        let own = own.clone();
+        let log = self.log.clone();
+        tokio::spawn(async move {
+            let answer = claim_store::transact(&platform, &changes).await;
+            // Neither keys nor answers go into logs.
+            let answered = claim_store::kind(&answer);
+            debug!(log, "Claims written."; "rows" => changes.len(), "answer" => answered);
+            own.send(Answered(answer)).await.ok();
+        });
+    }
+
+    fn reply(&self, to: &Name, sequence: u64, answer: Answer) {
+        if *to != self.own {
+            let message = claim::Message::Committed { sequence, answer };
+            self.peers.send(to, Message::Claim(message));
+            return;
+        }
+        let settled = Settled {
+            by: to.clone(),
+            sequence,
+            answer,
+        };
+        tokio::spawn(self.claims.send(settled).detach());
+    }
+
+    fn arm(&mut self, own: &WeakAddress<Self>) {
+        let Some(next_ms) = self.core.next_tick() else {
+            return;
+        };
+        if self.timer_ms.is_some_and(|timer_ms| timer_ms <= next_ms) {
+            return;
+        }
+        self.timer_ms = Some(next_ms);
+        let wait = clock::duration(next_ms.since(self.clock.now()));
+        let own = own.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(wait).await;
+            own.send(Timer).await.ok();
+        });
+    }
+}
--- /dev/null
+++ b/filbertpaddle/src/claim_route.rs
@@ -0,0 +1,115 @@
+//! Where a node hands in its changes of claims.
+
+use std::time::Duration;
+
+use filbertpaddle_core::batch::Change;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::commit;
+use filbertpaddle_core::commit::Unit;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_wire::claim;
+use filbertpaddle_wire::message::Message;
+use indexmap::IndexMap;
+use xtra::Address;
+
+use crate::claim_commit::Actor as Committer;
+use crate::claim_commit::Submit;
+use crate::peers::Peer;
+use crate::peers::Peers;
+
+/// How long a committer that did not answer is passed over.
+const AVOID_MS: Millis = Millis::from_secs(10);
+
+/// The committers that a node knows, and the changes it has handed in.
+#[derive(Debug)]
+pub(crate) struct Route {
+    own: Peer,
+    nodes_per_committer: usize,
+    local: Address<Committer>,
+    peers: Peers,
+    sequence: u64,
+    in_flight: Option<(u64, Name)>,
+    avoided: IndexMap<Name, Millis>,
+    /// Longest wait for a committer's answer.
+    pub(crate) timeout: Duration,
+}
+
+impl Route {
+    pub(crate) fn new(
+        own: Peer,
+        nodes_per_committer: usize,
+        local: Address<Committer>,
+        peers: Peers,
+        timeout: Duration,
+    ) -> Self {
+        Self {
+            // Answers to an earlier life of the node carry smaller numbers.
+            sequence: own.incarnation << 16,
+            own,
+            nodes_per_committer,
+            local,
+            peers,
+            in_flight: None,
+            avoided: IndexMap::new(),
+            timeout,
+        }
+    }
+
+    /// Hands changes in and returns the number and the committer that identify their answer.
+    pub(crate) fn submit(&mut self, now: Millis, changes: Vec<Change>) -> (u64, Name) {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let mut committer = self.choose(now);
+        if committer != self.own.name && !self.send(&committer, sequence, &changes) {
+            committer = self.own.name.clone();
+        }
+        if committer == self.own.name {
+            let unit = Unit {
+                from: committer.clone(),
+                sequence,
+                changes,
+            };
+            tokio::spawn(self.local.send(Submit(unit)).detach());
+        }
+        self.in_flight = Some((sequence, committer.clone()));
+        (sequence, committer)
+    }
+
+    /// Returns whether an answer is the one that is waited for, and waits no longer if so.
+    pub(crate) fn settle(&mut self, sequence: u64, by: &Name) -> bool {
+        let awaited = self
+            .in_flight
+            .as_ref()
+            .is_some_and(|(number, committer)| *number == sequence && committer == by);
+        if awaited {
+            self.in_flight = None;
+        }
+        awaited
+    }
+
+    /// Passes a committer over that did not answer.
+    pub(crate) fn avoid(&mut self, now: Millis, committer: Name) {
+        self.avoided.insert(committer, now + AVOID_MS);
+    }
+
+    fn choose(&mut self, now: Millis) -> Name {
+        self.avoided.retain(|_, until_ms| *until_ms > now);
+        let own = &self.own;
+        let peers = self.peers.connected().into_iter();
+        let nodes: Vec<Name> = peers
+            .filter(|peer| peer.data_centre == own.data_centre)
+            .map(|peer| peer.name)
+            .filter(|name| *name != own.name && !self.avoided.contains_key(name))
+            .chain([own.name.clone()])
+            .collect();
+        commit::choose(&own.name, &nodes, self.nodes_per_committer)
+    }
+
+    fn send(&self, committer: &Name, sequence: u64, changes: &[Change]) -> bool {
+        let message = claim::Message::Commit {
+            sequence,
+            changes: changes.to_vec(),
+        };
+        self.peers.send(committer, Message::Claim(message))
+    }
+}
--- a/filbertpaddle/src/claim_store.rs
+++ b/filbertpaddle/src/claim_store.rs
@@ -134,3 +134,13 @@
         revision: row.revision,
     }
 }
+
+/// Names an answer for logs.
+pub(crate) fn kind(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Committed { .. } => "committed",
+        Answer::Conflict { .. } => "conflict",
+        Answer::NotDone => "not done",
+        Answer::Unknown => "unknown",
+    }
+}
--- a/filbertpaddle/src/claims.rs
+++ b/filbertpaddle/src/claims.rs
@@ -9,6 +9,9 @@
 use filbertpaddle_core::claim::Id;
 use filbertpaddle_core::claims as core;
 use filbertpaddle_core::claims::Event;
+use filbertpaddle_core::commit;
+use filbertpaddle_core::commit::Committer;
+use filbertpaddle_core::commit::Unit;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::outcome::Outcome;
 use filbertpaddle_core::outcome::Reason;
@@ -25,7 +28,11 @@
 use crate::claim_actor::Actor;
 use crate::claim_actor::Ask as ActorAsk;
 use crate::claim_actor::Input;
+use crate::claim_actor::Settled;
 use crate::claim_actor::Unsettled;
+use crate::claim_commit;
+use crate::claim_commit::Submit;
+use crate::claim_route::Route;
 use crate::claim_store;
 use crate::claim_sweep::Sweep;
 use crate::clock;
@@ -34,9 +41,12 @@
 use crate::metrics::Metrics;
 use crate::peers::Peer;
 use crate::peers::Peers;
+use crate::settings;
 
 /// Longest wait for a claim to be decided.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Wait for a committer beyond what the platform may take.
+const ROUTE_SLACK: Duration = Duration::from_millis(500);
 /// Longest wait for endings to reach the table when a node stops.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between two looks at what is not settled.
@@ -89,8 +99,12 @@
 pub struct Parts {
     /// This node.
     pub own: Peer,
+    /// How claims are committed.
+    pub settings: settings::Claims,
     /// Table and object store.
     pub platform: Client,
+    /// Longest wait for an answer of the platform.
+    pub platform_timeout: Duration,
     /// Links to other nodes.
     pub peers: Peers,
     /// What other nodes ask and answer.
@@ -115,19 +129,10 @@
 impl Claims {
     /// Starts to give out claims and to answer other nodes about them.
     pub fn start(parts: Parts) -> Self {
-        let own = parts.own;
-        let actor = Actor {
-            core: core::Claims::new(own.name, own.incarnation, core::Settings::default()),
-            platform: parts.platform.clone(),
-            peers: parts.peers,
-            clock: parts.clock,
-            metrics: Arc::clone(&parts.metrics),
-            log: parts.log.clone(),
-            waiting: IndexMap::new(),
-            timer_ms: None,
-        };
-        let actor = xtra::spawn_tokio(actor, Mailbox::unbounded());
-        tokio::spawn(receive(parts.inbox, actor.clone()));
+        let (actor, mailbox) = Mailbox::unbounded();
+        let committer = committer(&parts, actor.clone());
+        tokio::spawn(xtra::run(mailbox, claims(&parts, committer.clone())));
+        tokio::spawn(receive(parts.inbox, actor.clone(), committer));
         let sweep = Sweep {
             platform: parts.platform.clone(),
             actor: actor.clone(),
@@ -264,16 +269,76 @@
     }
 }
 
-async fn receive(mut inbox: mpsc::Receiver<From<Message>>, actor: Address<Actor>) {
+fn claims(parts: &Parts, committer: Address<claim_commit::Actor>) -> Actor {
+    let own = &parts.own;
+    let mut settings = core::Settings::default();
+    settings.batch.pace_ms = parts.settings.pace_ms;
+    let route = Route::new(
+        own.clone(),
+        parts.settings.nodes_per_committer.get(),
+        committer,
+        parts.peers.clone(),
+        parts.platform_timeout + clock::duration(parts.settings.pace_ms) + ROUTE_SLACK,
+    );
+    Actor {
+        core: core::Claims::new(own.name.clone(), own.incarnation, settings),
+        route,
+        platform: parts.platform.clone(),
+        peers: parts.peers.clone(),
+        clock: parts.clock,
+        metrics: Arc::clone(&parts.metrics),
+        waiting: IndexMap::new(),
+        timer_ms: None,
+    }
+}
+
+fn committer(parts: &Parts, claims: Address<Actor>) -> Address<claim_commit::Actor> {
+    let settings = commit::Settings {
+        pace_ms: parts.settings.pace_ms,
+        ..commit::Settings::default()
+    };
+    let actor = claim_commit::Actor {
+        core: Committer::new(settings),
+        own: parts.own.name.clone(),
+        claims,
+        platform: parts.platform.clone(),
+        peers: parts.peers.clone(),
+        clock: parts.clock,
+        metrics: Arc::clone(&parts.metrics),
+        log: parts.log.clone(),
+        timer_ms: None,
+    };
+    xtra::spawn_tokio(actor, Mailbox::unbounded())
+}
+
+async fn receive(
+    mut inbox: mpsc::Receiver<From<Message>>,
+    actor: Address<Actor>,
+    committer: Address<claim_commit::Actor>,
+) {
     while let Some(From { peer, message }) = inbox.recv().await {
-        let event = match message {
-            Message::Ask(question) => Event::Asked {
-                from: peer.name,
-                question,
-            },
-            Message::Tell(reply) => Event::Told(reply),
+        let from = peer.name;
+        let taken = match message {
+            Message::Ask(question) => actor.send(Input(Event::Asked { from, question })).await,
+            Message::Tell(reply) => actor.send(Input(Event::Told(reply))).await,
+            Message::Commit { sequence, changes } => {
+                let unit = Unit {
+                    from,
+                    sequence,
+                    changes,
+                };
+                committer.send(Submit(unit)).await
+            }
+            Message::Committed { sequence, answer } => {
+                let settled = Settled {
+                    by: from,
+                    sequence,
+                    answer,
+                };
+                actor.send(settled).await
+            }
         };
-        if actor.send(Input(event)).await.is_err() {
+        if taken.is_err() {
             return;
         }
     }
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -4,6 +4,8 @@
 mod bounds;
 pub mod caller;
 mod claim_actor;
+mod claim_commit;
+mod claim_route;
 mod claim_store;
 mod claim_sweep;
 pub mod claims;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -100,7 +100,7 @@
         };
         let (peers, inboxes) = start_peers(&settings, identity, peers, &common);
         let service = Service::new(common.clock, log::part(&log, "service"));
-        let claims = start_claims(&common, peers.clone(), inboxes.claim);
+        let claims = start_claims(&settings, &common, peers.clone(), inboxes.claim);
         let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
         let front = Arc::new(front(&settings, &common, templates, claims, service)?);
@@ -193,13 +193,16 @@
 }
 
 fn start_claims(
+    settings: &Settings,
     common: &Common,
     peers: Peers,
     inbox: mpsc::Receiver<inbox::From<claim::Message>>,
 ) -> Claims {
     Claims::start(claims::Parts {
         own: common.own.clone(),
+        settings: settings.claims,
         platform: common.platform.clone(),
+        platform_timeout: clock::duration(settings.platform.timeout_ms),
         peers,
         inbox,
         clock: common.clock,
--- a/filbertpaddle/src/settings.rs
+++ b/filbertpaddle/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::path::Path;
 
 use filbertpaddle_core::clock::Millis;
@@ -51,6 +52,9 @@
     /// Limits on what callers may send.
     #[serde(default)]
     pub limits: Limits,
+    /// How claims on idempotency keys are committed.
+    #[serde(default)]
+    pub claims: Claims,
     /// Logs.
     #[serde(default)]
     pub log: Log,
@@ -163,6 +167,27 @@
     }
 }
 
+/// How claims on idempotency keys are committed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Claims {
+    /// Nodes of a data centre that share one committer; 1 means that each
+    /// commits for itself.
+    pub nodes_per_committer: NonZeroUsize,
+    /// Shortest time between the starts of two transactions of a committer.
+    #[serde(deserialize_with = "bounds::timeout_ms")]
+    pub pace_ms: Millis,
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Self {
+            nodes_per_committer: NonZeroUsize::MIN,
+            pace_ms: Millis(20),
+        }
+    }
+}
+
 /// Logs go to standard error.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
