Measure committers at the size of a target data centre

Cause: the setting for committers needs figures to choose by. Ruled out: gathering at nodes for 20 ms only while the committer keeps the pace; tried, the median wait rose from 183 to 246 ms at 8 nodes and 200 ms, since the next unit waits for the one in flight; reverted.

--- /dev/null
+++ b/filbertpaddle-core/benches/commit.rs
@@ -0,0 +1,259 @@
+//! Transactions of one data centre at the target size, by nodes per committer.
+//!
+//! Runs the core of 62 nodes and their committers against a platform with a
+//! fixed answer time, and prints the same in every run.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+
+use filbertpaddle_core::attempt::Verdict;
+use filbertpaddle_core::batch;
+use filbertpaddle_core::batch::Change;
+use filbertpaddle_core::claim::Answer;
+use filbertpaddle_core::claim::Ending;
+use filbertpaddle_core::claim::Id;
+use filbertpaddle_core::claims;
+use filbertpaddle_core::claims::Claims;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::commit;
+use filbertpaddle_core::commit::Committer;
+use filbertpaddle_core::commit::Unit;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Outcome;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SEED: u64 = 4;
+const NODES: usize = 62;
+const DATA_CENTRES: f64 = 12.0;
+/// One request in twenty of 42,000 a second, over 740 nodes.
+const CLAIMS_PER_SEC: f64 = 42_000.0 / 20.0 / 740.0 * NODES as f64;
+const SIMULATED_MS: u64 = 60_000;
+const COMMIT_MS: u64 = 10;
+const LINK_MS: u64 = 1;
+const RUN_MS: u64 = 100;
+const MS_PER_SECOND: f64 = 1_000.0;
+/// Size of one change in a frame, from the test of the wire messages.
+const CHANGE_BYTES: f64 = 232.0;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Arrival(usize, usize),
+    Finish(usize, usize),
+    Tick(usize),
+    Answer(usize, u64),
+    Submit(usize, usize, u64, usize),
+    Commit(usize),
+    CommitterTick(usize),
+}
+
+struct Simulation {
+    names: Vec<Name>,
+    committer_of: Vec<usize>,
+    nodes: Vec<Claims>,
+    committers: Vec<Committer>,
+    units: Vec<Vec<Change>>,
+    events: BinaryHeap<Reverse<(u64, u64, Due)>>,
+    sequence: u64,
+    transactions: u64,
+    received: BTreeMap<usize, u64>,
+    started_ms: Vec<u64>,
+    waits_ms: Vec<u64>,
+}
+
+impl Simulation {
+    fn new(nodes_per_committer: usize, pace_ms: u64) -> Self {
+        let names: Vec<Name> = (0..NODES).map(|n| format!("entry-{n}").into()).collect();
+        let index = |name: &Name| names.iter().position(|other| other == name).unwrap_or(0);
+        let committer_of = names
+            .iter()
+            .map(|own| index(&commit::choose(own, &names, nodes_per_committer)))
+            .collect();
+        let mut settings = claims::Settings::default();
+        settings.batch.pace_ms = Millis(pace_ms);
+        let committer = Committer::new(commit::Settings {
+            pace_ms: Millis(pace_ms),
+            ..commit::Settings::default()
+        });
+        Self {
+            nodes: names
+                .iter()
+                .map(|name| Claims::new(name.clone(), 1, settings))
+                .collect(),
+            committers: vec![committer; NODES],
+            names,
+            committer_of,
+            units: Vec::new(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            transactions: 0,
+            received: BTreeMap::new(),
+            started_ms: Vec::new(),
+            waits_ms: Vec::new(),
+        }
+    }
+
+    fn arrive(&mut self) {
+        let mut rng = SmallRng::seed_from_u64(SEED);
+        let mut at_ms = 0.0;
+        while at_ms < SIMULATED_MS as f64 {
+            let unit: f64 = rng.random();
+            at_ms += -(1.0 - unit).ln() * MS_PER_SECOND / CLAIMS_PER_SEC;
+            let node = rng.random_range(0..NODES);
+            self.push(at_ms as u64, Due::Arrival(node, self.started_ms.len()));
+            self.started_ms.push(at_ms as u64);
+        }
+    }
+
+    fn push(&mut self, at_ms: u64, due: Due) {
+        self.sequence += 1;
+        self.events.push(Reverse((at_ms, self.sequence, due)));
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((now, _, due))) = self.events.pop() {
+            match due {
+                Due::Arrival(node, number) => self.node(now, node, claim(number)),
+                Due::Finish(node, number) => self.node(now, node, finish(number)),
+                Due::Tick(node) => self.node(now, node, claims::Event::Tick),
+                Due::Answer(node, revision) => {
+                    let answer = batch::Answer::Committed { revision };
+                    self.node(now, node, claims::Event::Answered(answer));
+                }
+                Due::Submit(committer, node, sequence, unit) => {
+                    let unit = Unit {
+                        from: self.names[node].clone(),
+                        sequence,
+                        changes: std::mem::take(&mut self.units[unit]),
+                    };
+                    self.committer(now, committer, commit::Event::Submit(unit));
+                }
+                Due::Commit(committer) => {
+                    let revision = self.transactions;
+                    let answer = batch::Answer::Committed { revision };
+                    self.committer(now, committer, commit::Event::Answered(answer));
+                }
+                Due::CommitterTick(committer) => {
+                    self.committer(now, committer, commit::Event::Tick);
+                }
+            }
+        }
+    }
+
+    fn node(&mut self, now: u64, node: usize, event: claims::Event) {
+        for action in self.nodes[node].on(Millis(now), event) {
+            match action {
+                claims::Action::Transact(changes) => self.hand_in(now, node, changes),
+                claims::Action::Decide {
+                    attempt,
+                    verdict: Verdict::Held,
+                } => {
+                    let number: usize = attempt.parse().unwrap_or_default();
+                    self.waits_ms.push(now - self.started_ms[number]);
+                    self.push(now + RUN_MS, Due::Finish(node, number));
+                }
+                action => unreachable!("{action:?}"),
+            }
+        }
+        if let Some(at) = self.nodes[node].next_tick().filter(|at| at.0 > now) {
+            self.push(at.0, Due::Tick(node));
+        }
+    }
+
+    fn hand_in(&mut self, now: u64, node: usize, changes: Vec<Change>) {
+        let committer = self.committer_of[node];
+        if committer != node {
+            *self.received.entry(committer).or_default() += changes.len() as u64;
+        }
+        self.units.push(changes);
+        let unit = self.units.len() - 1;
+        let at_ms = now + link_ms(node, committer);
+        self.push(at_ms, Due::Submit(committer, node, self.sequence, unit));
+    }
+
+    fn committer(&mut self, now: u64, committer: usize, event: commit::Event) {
+        for action in self.committers[committer].on(Millis(now), event) {
+            match action {
+                commit::Action::Transact(_) => {
+                    self.transactions += 1;
+                    self.push(now + COMMIT_MS, Due::Commit(committer));
+                }
+                commit::Action::Reply { to, answer, .. } => {
+                    assert!(matches!(answer, batch::Answer::Committed { .. }));
+                    let node = self.names.iter().position(|name| *name == to);
+                    let node = node.unwrap_or_default();
+                    let at_ms = now + link_ms(node, committer);
+                    self.push(at_ms, Due::Answer(node, self.transactions));
+                }
+            }
+        }
+        let next = self.committers[committer].next_tick();
+        if let Some(at) = next.filter(|at| at.0 > now) {
+            self.push(at.0, Due::CommitterTick(committer));
+        }
+    }
+}
+
+fn link_ms(node: usize, committer: usize) -> u64 {
+    if node == committer { 0 } else { LINK_MS }
+}
+
+fn claim(number: usize) -> claims::Event {
+    let name: Name = number.to_string().into();
+    claims::Event::Claim(claims::Request {
+        id: Id {
+            customer: "customer".into(),
+            key: name.clone(),
+        },
+        attempt: name,
+        digest: "digest".into(),
+        now_unix_ms: Millis::ZERO,
+    })
+}
+
+fn finish(number: usize) -> claims::Event {
+    claims::Event::Finish {
+        attempt: number.to_string().into(),
+        ending: Ending {
+            outcome: Outcome::Complete { tokens: 1 },
+            answer: Answer::Inline("done".into()),
+        },
+    }
+}
+
+fn print_row(nodes_per_committer: usize, pace_ms: u64) {
+    let mut simulation = Simulation::new(nodes_per_committer, pace_ms);
+    simulation.arrive();
+    simulation.run();
+    let seconds = SIMULATED_MS as f64 / MS_PER_SECOND;
+    let per_sec = simulation.transactions as f64 / seconds;
+    let waits = &mut simulation.waits_ms;
+    waits.sort_unstable();
+    let quantile = |q: f64| waits[((waits.len() - 1) as f64 * q) as usize];
+    let busiest = simulation.received.values().max().copied().unwrap_or(0);
+    println!(
+        "{nodes_per_committer:5} | {pace_ms:4} | {per_sec:8.1} | {:8.0} | {:6.1} | {:5} ms | {:5} ms",
+        per_sec * DATA_CENTRES,
+        busiest as f64 * CHANGE_BYTES / seconds / 1_000.0,
+        quantile(0.50),
+        quantile(0.99),
+    );
+}
+
+fn main() {
+    println!("seed {SEED}, {SIMULATED_MS} ms, {NODES} nodes, {CLAIMS_PER_SEC:.0} claims/s in all");
+    println!("nodes | pace | one dc/s | 12 dcs/s | KB/s in | wait p50 | wait p99");
+    for (nodes_per_committer, pace_ms) in [
+        (1, 20),
+        (8, 20),
+        (8, 200),
+        (8, 300),
+        (16, 100),
+        (16, 200),
+        (62, 100),
+    ] {
+        print_row(nodes_per_committer, pace_ms);
+    }
+}
