Send less for each claim, and test a target lost after it ran

Cause: a committer's bytes were at a node's whole budget for control. Change: attempt and tries stay with the sender, and 128 bits of the body's digest are kept; a process test covers a target whose link breaks after it ran the order. Ruled out: leaving the digest out, which tells a reused key.

--- a/filbertpaddle-core/benches/commit.rs
+++ b/filbertpaddle-core/benches/commit.rs
@@ -36,7 +36,7 @@
 const RUN_MS: u64 = 100;
 const MS_PER_SECOND: f64 = 1_000.0;
 /// Size of one change in a frame, from the test of the wire messages.
-const CHANGE_BYTES: f64 = 232.0;
+const CHANGE_BYTES: f64 = 171.0;
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
--- a/filbertpaddle-core/src/batch.rs
+++ b/filbertpaddle-core/src/batch.rs
@@ -23,8 +23,8 @@
 /// One conditional change of a claim's row.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Change {
-    /// Attempt that wants the change.
-    #[serde(rename = "a")]
+    /// Attempt that wants the change; not told to a committer.
+    #[serde(skip)]
     pub attempt: Name,
     /// Row to change.
     #[serde(rename = "i")]
@@ -35,8 +35,8 @@
     /// New content; `None` deletes the row.
     #[serde(rename = "r")]
     pub record: Option<Record>,
-    /// Transactions so far that may have made the change.
-    #[serde(rename = "t")]
+    /// Transactions so far that may have made the change; not told to a committer.
+    #[serde(skip)]
     pub tries: u32,
 }
 
--- a/filbertpaddle-wire/tests/claim.rs
+++ b/filbertpaddle-wire/tests/claim.rs
@@ -7,6 +7,7 @@
 use filbertpaddle_core::claim::Record;
 use filbertpaddle_core::claim::State;
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
 use filbertpaddle_core::outcome::Outcome;
 use filbertpaddle_wire::claim;
 use filbertpaddle_wire::frame;
@@ -15,21 +16,22 @@
 fn change(state: State) -> Change {
     let record = Record {
         attempt: "entry-11-1a23dc92895-2f".into(),
-        digest: "81988a7f87c6094b94219c1e327827e3334d910e96ab1c24aaceb166a86f87b5".into(),
+        digest: "81988a7f87c6094b94219c1e327827e3".into(),
         holder: "entry-11".into(),
         incarnation: 1_796_332_923_029,
         claimed_at_ms: Millis(1_796_332_923_081),
         state,
     };
     Change {
-        attempt: record.attempt.clone(),
+        // Neither this nor the tries are sent.
+        attempt: Name::default(),
         id: Id {
             customer: "school-1".into(),
             key: "0190b6c2-7b1a-7d3e-9a51-0e6c1f7a2b33".into(),
         },
         expected: Some(7),
         record: Some(record),
-        tries: 1,
+        tries: 0,
     }
 }
 
@@ -53,11 +55,11 @@
 }
 
 #[test]
-fn claim_takes_less_than_300_bytes() {
+fn claim_takes_less_than_240_bytes() {
     let one = frame::encode(&[commit(vec![change(State::Claimed)])]);
     let two = frame::encode(&[commit(vec![change(State::Claimed), change(State::Claimed)])]);
     let (one, two) = (one.map(|b| b.len()).ok(), two.map(|b| b.len()).ok());
     let more = two.zip(one).map(|(two, one)| two - one);
     println!("{more:?} bytes for each claim");
-    assert!(more.is_some_and(|bytes| bytes < 300), "{more:?}");
+    assert!(more.is_some_and(|bytes| bytes < 240), "{more:?}");
 }
--- a/filbertpaddle/src/claims.rs
+++ b/filbertpaddle/src/claims.rs
@@ -45,6 +45,8 @@
 
 /// Longest wait for a claim to be decided.
 const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+/// Hexadecimal digits of the body's digest that are kept: 128 bits.
+const DIGEST_CHARS: usize = 32;
 /// Wait for a committer beyond what the platform may take.
 const ROUTE_SLACK: Duration = Duration::from_millis(500);
 /// Longest wait for endings to reach the table when a node stops.
@@ -218,7 +220,7 @@
                 key: ask.key.clone(),
             },
             attempt: ask.attempt.clone(),
-            digest: ask.digest.clone(),
+            digest: ask.digest.chars().take(DIGEST_CHARS).collect(),
             now_unix_ms: clock::unix_now(),
         };
         self.actor.send(ActorAsk { request, verdict }).await.ok()?;
--- a/filbertpaddle/tests/at_most_once.rs
+++ b/filbertpaddle/tests/at_most_once.rs
@@ -311,6 +311,27 @@
     assert_eq!(fleet.executions("a"), 1);
 }
 
+#[tokio::test]
+async fn target_lost_after_it_ran_is_told_as_unknown_and_not_tried_again() {
+    let fleet = Fleet::start(Millis(1)).await;
+    fleet.service_proxy.set_link(Link::CutBackward);
+    let first = fleet.start_order(0, "a");
+    wait::until("the order runs", async || {
+        (fleet.executions("a") == 1).then_some(())
+    })
+    .await;
+    fleet.service_proxy.set_link(Link::Cut);
+    let unknown = may_have_run(Reason::TargetFailed);
+    assert_eq!(first.await.unwrap(), unknown);
+    fleet.service_proxy.heal();
+    wait::until("the ending is known to the other node", async || {
+        (fleet.order(1, "a").await == unknown).then_some(())
+    })
+    .await;
+    assert_eq!(fleet.order(0, "a").await, unknown);
+    assert_eq!(fleet.executions("a"), 1);
+}
+
 #[tokio::test]
 async fn planned_stop_leaves_every_ending_in_the_table() {
     let mut fleet = Fleet::start(Millis(1)).await;
