--- a/filbertpaddle-standins/src/process.rs
+++ b/filbertpaddle-standins/src/process.rs
@@ -1,7 +1,6 @@
 //! Child processes of tests and experiments.
 
 use std::ffi::OsStr;
-use std::fs;
 use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
@@ -10,19 +9,17 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
-use std::time::Duration;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
+use rustix::process::WaitOptions;
 use rustix::process::kill_process;
+use rustix::process::waitpid;
 use serde::de::DeserializeOwned;
 
 /// Set this variable to see what child processes write to standard error.
 const SHOW_LOG: &str = "FILBERTPADDLE_TEST_LOG";
 
-/// Time between two looks at whether a process stands still.
-const STOP_INTERVAL: Duration = Duration::from_millis(1);
-
 /// A process that printed one JSON line when it was ready.
 ///
 /// Dropping it kills the process, so that a failed test leaves none behind.
@@ -85,30 +82,20 @@
         self.child.id()
     }
 
-    /// Freezes the process and waits until all its threads stand still.
+    /// Freezes the process and returns once no thread of it runs.
     ///
     /// # Errors
     ///
     /// Returns an error if the process has gone.
     pub fn pause(&self) -> io::Result<()> {
         self.signal(Signal::STOP)?;
-        // The signal is only queued when the call returns.
-        while !self.is_stopped()? {
-            std::thread::sleep(STOP_INTERVAL);
-        }
-        Ok(())
-    }
-
-    fn is_stopped(&self) -> io::Result<bool> {
-        for thread in fs::read_dir(format!("/proc/{}/task", self.id()))? {
-            let stat = fs::read_to_string(thread?.path().join("stat"))?;
-            // The state follows the command, which ends with the last parenthesis.
-            let state = stat.rsplit_once(')').map(|(_, rest)| rest.trim_start());
-            if !state.is_some_and(|state| state.starts_with('T')) {
-                return Ok(false);
-            }
+        // On a busy machine some threads run on for a while after the signal.
+        let pid = Pid::from_child(&self.child);
+        let status = waitpid(Some(pid), WaitOptions::UNTRACED)?;
+        match status {
+            Some((_, status)) if status.stopped() => Ok(()),
+            _ => Err(io::Error::other("the process ended instead of stopping")),
         }
-        Ok(true)
     }
 
     /// Lets a frozen process go on.
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -14,6 +14,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::oneshot;
 
+use crate::attempt;
 use crate::claims;
 use crate::front::Front;
 use crate::generation::Attempt;
@@ -124,16 +125,33 @@
             self.attempts += 1;
             let step = self.attempt(grant).await;
             self.sent |= !matches!(step, Step::Unsent);
-            let last = self.attempts >= MAX_ATTEMPTS;
             match step {
-                Step::Ended(outcome) => return outcome,
-                Step::Restart | Step::Unsent if last => return self.not_granted(refusal()),
+                Step::Ended(outcome) => return self.ended(outcome),
+                Step::Restart | Step::Unsent if !self.may_retry() => {
+                    return self.not_granted(refusal());
+                }
                 Step::Restart => self.restart(),
                 Step::Unsent => {}
             }
         }
     }
 
+    fn may_retry(&self) -> bool {
+        let retries = &self.front.retries;
+        let allowed = self.attempts < MAX_ATTEMPTS && retries.take(&self.request.template.model);
+        if !allowed {
+            self.front.metrics.count("request.not_retried");
+        }
+        allowed
+    }
+
+    fn ended(&self, outcome: Outcome) -> Outcome {
+        if matches!(outcome, Outcome::Complete { .. }) {
+            self.front.retries.succeeded(&self.request.template.model);
+        }
+        outcome
+    }
+
     async fn acquire(&mut self) -> Result<pools::Grant, Outcome> {
         let ask = self.ask();
         let slot = tokio::select! {
@@ -164,6 +182,11 @@
 
     async fn attempt(&mut self, grant: pools::Grant) -> Step {
         let template = Arc::clone(&self.request.template);
+        if let Some(slot) = &grant.slot {
+            // Reports of the target then show whose slot the attempt uses.
+            let attempt = attempt::with_slot(self.delivery.attempt(), &slot.key);
+            self.delivery.restart(attempt);
+        }
         let submit = Submit {
             attempt: self.delivery.attempt().clone(),
             fence: grant.fence,
