--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -5,6 +5,8 @@
 mod bounds;
 pub mod caller;
 mod claim_actor;
+mod claim_commit;
+mod claim_route;
 mod claim_store;
 mod claim_sweep;
 pub mod claims;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -116,13 +116,13 @@
             clock: common.clock,
             log: log::part(&log, "pool"),
         });
-        let claims = start_claims(&common, peers.clone(), inboxes.claim);
         let remote = Remote::start(
             common.own.clone(),
             peers.clone(),
             pools.clone(),
             inboxes.remote,
         );
+        let claims = start_claims(&settings, &common, peers.clone(), inboxes.claim);
         let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
         let slots = Slots::new(pools, remote);
@@ -220,13 +220,16 @@
 }
 
 fn start_claims(
+    settings: &Settings,
     common: &Common,
     peers: Peers,
     inbox: mpsc::Receiver<inbox::From<claim::Message>>,
 ) -> Claims {
     Claims::start(claims::Parts {
         own: common.own.clone(),
+        settings: settings.claims,
         platform: common.platform.clone(),
+        platform_timeout: clock::duration(settings.platform.timeout_ms),
         peers,
         inbox,
         clock: common.clock,
--- a/filbertpaddle/tests/settings.rs
+++ b/filbertpaddle/tests/settings.rs
@@ -24,7 +24,7 @@
 fn an_unknown_key_is_refused() {
     let text = EXAMPLE.replace("peers: [", "pears: [");
     let expected = expect![
-        "line 17: unknown field `pears`, expected one of node, listen, peers, platform, secrets, operators, targets, placement, retries, limits, log, metrics"
+        "line 17: unknown field `pears`, expected one of node, listen, peers, platform, secrets, operators, targets, placement, retries, limits, claims, log, metrics"
     ];
     refused(&text, &expected);
 }
