Read earlier runs again, and draw plots that end

Cause: runs of one comparison are made by several processes; a plot over an axis of whole numbers without labels never ended. Ruled out: a fault of the data, as the same runs printed as a table. Conclusion: builds; the plot is tried next.

--- a/filbertpaddle-standins/src/command_load.rs
+++ b/filbertpaddle-standins/src/command_load.rs
@@ -1,5 +1,6 @@
 //! `load`: runs scenarios under policies and reports what they show.
 
+use std::path::Path;
 use std::path::PathBuf;
 
 use eyre::WrapErr;
@@ -19,6 +20,7 @@
     ways: Vec<Way>,
     seeds: Vec<u64>,
     plot: Option<PathBuf>,
+    read: Vec<PathBuf>,
 }
 
 /// Runs the subcommand.
@@ -29,7 +31,11 @@
 
 async fn compare(options: &Options) -> eyre::Result<()> {
     let mut summary = Summary::default();
-    for scenario in &options.scenarios {
+    for path in &options.read {
+        read(path, &mut summary).wrap_err("cannot read earlier runs")?;
+    }
+    let scenarios = options.scenarios.iter();
+    for scenario in scenarios.filter(|_| options.read.is_empty()) {
         for seed in &options.seeds {
             for way in &options.ways {
                 let mut settings = options.settings.clone();
@@ -51,6 +57,15 @@
     Ok(())
 }
 
+/// Adds the reports among the lines of an earlier run's output.
+fn read(path: &Path, summary: &mut Summary) -> eyre::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    for line in text.lines().filter(|line| line.starts_with('{')) {
+        summary.add(serde_json::from_str(line)?);
+    }
+    Ok(())
+}
+
 fn parse(mut parser: lexopt::Parser) -> eyre::Result<Options> {
     let mut options = Options::new()?;
     let fleet = &mut options.settings.fleet;
@@ -72,6 +87,7 @@
             lexopt::Arg::Long("pages") => fleet.pages = parser.value()?.parse()?,
             lexopt::Arg::Long("warm-limit") => fleet.warm_limit = parser.value()?.parse()?,
             lexopt::Arg::Long("cold-limit") => fleet.cold_limit = parser.value()?.parse()?,
+            lexopt::Arg::Long("read") => options.read = list(&mut parser)?,
             lexopt::Arg::Long("plot") => options.plot = Some(parser.value()?.into()),
             _ => return Err(arg.unexpected().into()),
         }
@@ -117,6 +133,7 @@
             ways: vec![Way::DirectRoundRobin, Way::DirectLeastConnections],
             seeds: vec![1],
             plot: None,
+            read: Vec::new(),
         })
     }
 }
--- a/filbertpaddle-standins/src/report.rs
+++ b/filbertpaddle-standins/src/report.rs
@@ -6,6 +6,7 @@
 use filbertpaddle_core::name::Name;
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
+use serde::Deserialize;
 use serde::Serialize;
 use strum::VariantArray;
 
@@ -34,7 +35,7 @@
 }
 
 /// Percentiles of a time, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Spread {
     /// Median.
     pub p50_ms: f64,
@@ -45,7 +46,7 @@
 }
 
 /// What the nodes of a run have used.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct NodeCost {
     /// Nodes.
     pub nodes: usize,
@@ -58,7 +59,7 @@
 }
 
 /// What a run has shown.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Report {
     /// Name of the scenario.
     pub scenario: String,
@@ -73,7 +74,7 @@
     /// Requests sent.
     pub requests: usize,
     /// Requests by how they ended.
-    pub endings: IndexMap<&'static str, usize>,
+    pub endings: IndexMap<String, usize>,
     /// Tokens delivered in complete answers.
     pub complete_tokens: u64,
     /// Time to the first token or to a call's answer.
@@ -276,14 +277,14 @@
         .sum()
 }
 
-fn endings(records: &[Record]) -> IndexMap<&'static str, usize> {
+fn endings(records: &[Record]) -> IndexMap<String, usize> {
     let mut endings = IndexMap::new();
     for ending in Ending::VARIANTS {
         let count = records
             .iter()
             .filter(|record| record.observation.ending == *ending)
             .count();
-        endings.insert(ending.into(), count);
+        endings.insert(ending.to_string(), count);
     }
     endings
 }
--- a/filbertpaddle-standins/src/summary.rs
+++ b/filbertpaddle-standins/src/summary.rs
@@ -137,16 +137,21 @@
             .caption(caption, ("sans-serif", 18))
             .margin(10)
             .x_label_area_size(30)
-            .build_cartesian_2d(0.0..top * 1.05, 0..bars.len())?;
-        chart.configure_mesh().disable_y_mesh().y_labels(0).draw()?;
+            .build_cartesian_2d(0.0..top * 1.05, 0.0..bars.len() as f64)?;
+        chart
+            .configure_mesh()
+            .disable_y_mesh()
+            .disable_y_axis()
+            .draw()?;
         let rows = bars.iter().enumerate().map(|(row, (_, value))| {
             let colour = Palette99::pick(row).mix(0.5);
-            Rectangle::new([(0.0, row), (*value, row + 1)], colour.filled())
+            let low = row as f64;
+            Rectangle::new([(0.0, low), (*value, low + 1.0)], colour.filled())
         });
         chart.draw_series(rows)?;
         let labels = bars.iter().enumerate().map(|(row, (name, value))| {
             let text = format!("{name}: {value:.1}");
-            Text::new(text, (top * 0.01, row + 1), ("sans-serif", 12))
+            Text::new(text, (top * 0.01, row as f64 + 0.9), ("sans-serif", 12))
         });
         chart.draw_series(labels)?;
         Ok(())
