Bound the configuration as a whole

Cause: one entry had a limit and all of them together had none, so operators could take a node beyond its memory. Ruled out: counting in the transaction (a row more for each change to contend on); the bound is checked by the node that is asked, and two operators at once can exceed it by one entry. Change: a change that would add beyond 48 MiB is refused as invalid; shrinking is always allowed.

--- a/filbertpaddle-core/src/replica.rs
+++ b/filbertpaddle-core/src/replica.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 use crate::config::Change;
 use crate::config::Key;
+use crate::config::Setting;
 use crate::revision::Revision;
 
 /// Most changes kept for peers that are a little behind.
@@ -15,6 +16,8 @@
 pub const MAX_RECENT_BYTES: usize = 1 << 20;
 /// Most changes kept beyond a gap in the order.
 pub const MAX_AHEAD: usize = 256;
+/// Most bytes of all entries together, beyond which no entry may be added or grow.
+pub const MAX_ENTRIES_BYTES: usize = 48 << 20;
 /// Most bytes of changes in one message.
 pub const MAX_BATCH_BYTES: usize = 64 * 1024;
 /// How long an unmet claim of a higher head blocks a later one.
@@ -82,6 +85,20 @@
         self.entries.values()
     }
 
+    /// Returns whether a setting fits beside all other entries.
+    pub fn has_room(&self, setting: &Setting) -> bool {
+        let before = self.get(&setting.key()).map(|change| &change.setting);
+        let before_bytes = before.map_or(0, Setting::size_bytes);
+        let grows = setting.size_bytes() > before_bytes;
+        !grows || self.size_bytes() - before_bytes + setting.size_bytes() <= MAX_ENTRIES_BYTES
+    }
+
+    /// Returns about how many bytes all entries take.
+    pub fn size_bytes(&self) -> usize {
+        let sizes = self.entries().map(|change| change.setting.size_bytes());
+        sizes.sum()
+    }
+
     /// Takes one change; returns whether it was new here.
     pub fn apply(&mut self, change: &Change) -> bool {
         if change.revision <= self.head || self.ahead.contains_key(&change.revision) {
--- a/filbertpaddle/src/config.rs
+++ b/filbertpaddle/src/config.rs
@@ -4,6 +4,7 @@
 
 use filbertpaddle_core::config::Change;
 use filbertpaddle_core::config::Key;
+use filbertpaddle_core::config::Setting;
 use filbertpaddle_core::gossip::Action;
 use filbertpaddle_core::gossip::Event;
 use filbertpaddle_core::gossip::Message;
@@ -106,6 +107,11 @@
         self.actor.send(Entry(key)).await.ok().flatten()
     }
 
+    /// Returns whether a setting fits beside all other entries.
+    pub async fn has_room(&self, setting: Setting) -> bool {
+        self.actor.send(HasRoom(setting)).await.unwrap_or(false)
+    }
+
     /// Asks every data centre's relay what is in force there.
     pub async fn ask_status(&self) {
         self.actor.send(AskStatus).await.ok();
@@ -125,6 +131,8 @@
 
 struct Entry(Key);
 
+struct HasRoom(Setting);
+
 struct AskStatus;
 
 struct GetReport;
@@ -253,6 +261,14 @@
     }
 }
 
+impl Handler<HasRoom> for Follower {
+    type Return = bool;
+
+    async fn handle(&mut self, HasRoom(setting): HasRoom, _: &mut Context<Self>) -> bool {
+        self.spread.replica().has_room(&setting)
+    }
+}
+
 impl Handler<AskStatus> for Follower {
     type Return = ();
 
--- a/filbertpaddle/src/operator.rs
+++ b/filbertpaddle/src/operator.rs
@@ -244,6 +244,10 @@
             Ok(wish) => wish,
             Err(detail) => return Answer::Invalid { detail },
         };
+        if !self.config.has_room(wish.value.clone()).await {
+            let detail = "the configuration as a whole is full".to_owned();
+            return Answer::Invalid { detail };
+        }
         let is_resend = wish.change_id.is_some();
         let id = wish.change_id.unwrap_or_else(|| ChangeId(rand::random()));
         let edit = edit::Request {
