--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod spread;
 pub mod standing;
 pub mod suspect;
+pub mod sweep;
 pub mod template;
 pub mod terms;
 pub mod transfer;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use eyre::WrapErr;
-use filbertpaddle_core::name::Name;
+use filbertpaddle_core::roster::Id;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_target::client as target;
 use filbertpaddle_wire::claim;
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 use warp::Filter;
 
+use crate::attempt;
 use crate::caller;
 use crate::claims;
 use crate::claims::Claims;
@@ -30,6 +31,7 @@
 use crate::front::Parts;
 use crate::health;
 use crate::inbox;
+use crate::inbox::From;
 use crate::inbox::Inboxes;
 use crate::log;
 use crate::metrics::Metrics;
@@ -38,6 +40,7 @@
 use crate::peers::Identity;
 use crate::peers::Peer;
 use crate::peers::Peers;
+use crate::pools;
 use crate::pools::Pools;
 use crate::refusals::Keeper;
 use crate::service::Service;
@@ -101,9 +104,20 @@
         let (peers, inboxes) = start_peers(&settings, identity, peers, &common);
         let service = Service::new(common.clock, log::part(&log, "service"));
         let claims = start_claims(&common, peers.clone(), inboxes.claim);
+        let pools = Pools::start(pools::Parts {
+            own: common.own.clone(),
+            peers: peers.clone(),
+            member: inboxes.member,
+            grant: inboxes.grant,
+            platform: common.platform.clone(),
+            targets: target::Client::new(target::Settings::default())?,
+            service: service.clone(),
+            clock: common.clock,
+            log: log::part(&log, "pool"),
+        });
         let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
-        let front = Arc::new(front(&settings, &common, templates, claims, service)?);
+        let front = Arc::new(front(&settings, &common, templates, claims, pools)?);
         let servers = vec![
             serve(
                 callers,
@@ -174,15 +188,18 @@
     common: &Common,
     templates: Templates,
     claims: Claims,
-    service: Service,
+    pools: Pools,
 ) -> eyre::Result<Front> {
     let own = &common.own;
     let log = &common.log;
-    let attempt_prefix: Name = format!("{}-{:x}", own.name, own.incarnation).into();
+    let attempt_prefix = attempt::prefix(&Id {
+        name: own.name.clone(),
+        incarnation: own.incarnation,
+    });
     Ok(Front::new(Parts {
         templates,
         claims,
-        pools: Pools::start(common.platform.clone(), service, log::part(log, "pool")),
+        pools,
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
@@ -195,7 +212,7 @@
 fn start_claims(
     common: &Common,
     peers: Peers,
-    inbox: mpsc::Receiver<inbox::From<claim::Message>>,
+    inbox: mpsc::Receiver<From<claim::Message>>,
 ) -> Claims {
     Claims::start(claims::Parts {
         own: common.own.clone(),
@@ -211,7 +228,7 @@
 fn start_config(
     common: &Common,
     peers: Peers,
-    inbox: mpsc::Receiver<inbox::From<wire_config::Message>>,
+    inbox: mpsc::Receiver<From<wire_config::Message>>,
     service: &Service,
 ) -> (Config, Templates) {
     Config::start(config::Parts {
