Grant slots by the scheduler, with quarantine between nodes

Cause: the owner granted in order of arrival to the roomiest target; the policy settings, fair shares, refusals on arrival and quarantine were in the core only. Ruled out: the scheduler inside the owner's state (it has floats, and the owner is model checked by its hash); a second count of slots (the owner's ledgers stay the only limit, each placement asks them); suspects in the table. Change: asks carry what decides order and target, releases how the work ended; a denial with reason and time; records of suspects go to all members and to a successor. A target that failed or refused work is avoided for 1 s: before, a test saw one that had crashed draw all asks, three attempts each. Conclusion: stands in the daemon within one data centre; between data centres suspects are not passed on yet.

--- a/filbertpaddle-core/src/engine.rs
+++ b/filbertpaddle-core/src/engine.rs
@@ -26,6 +26,8 @@
 const BURST_TOKENS: u32 = 1_024;
 /// Batch below which work starts at any time.
 const BURST_BATCH: usize = 8;
+/// How long a target that failed or refused work gets no more of it.
+const AVOIDANCE: Millis = Millis(1_000);
 /// How long ended work is kept to compare with late reports.
 const ENDED_AGE: Millis = Millis::from_secs(5);
 /// Most ended work that is kept to compare with late reports.
@@ -71,6 +73,7 @@
     /// Prefixes it is taken to hold.
     pub prefixes: Held,
     burst: Burst,
+    avoided_until_ms: Millis,
     crashed_ms: Option<Millis>,
     progress: Progress,
     running: IndexMap<SlotId, Running>,
@@ -87,6 +90,7 @@
         Self {
             prefixes: Held::default(),
             burst: Burst::default(),
+            avoided_until_ms: Millis::ZERO,
             crashed_ms: None,
             progress: Progress::new(now),
             running: IndexMap::new(),
@@ -183,6 +187,16 @@
         Some(running)
     }
 
+    /// Notes that the target failed or refused work.
+    pub fn avoid(&mut self, now: Millis) {
+        self.avoided_until_ms = now + AVOIDANCE;
+    }
+
+    /// Whether the target failed or refused work a short while ago.
+    pub fn is_avoided(&self, now: Millis) -> bool {
+        now < self.avoided_until_ms
+    }
+
     /// Returns when the crash that ended this work was first noticed.
     ///
     /// Work that started before a noticed crash ended by that same crash.
--- a/filbertpaddle-core/src/owner.rs
+++ b/filbertpaddle-core/src/owner.rs
@@ -292,6 +292,47 @@
         grants
     }
 
+    /// Returns the members that may be granted slots.
+    pub fn members(&self) -> &[Id] {
+        self.roster.peers()
+    }
+
+    /// Returns whether a request still waits.
+    pub fn is_waiting(&self, ask: &Ask) -> bool {
+        self.queue.contains(ask)
+    }
+
+    /// Grants a slot on one target to a request that waits, if there is room.
+    pub fn grant_at(&mut self, now: Millis, target: &Name, ask: &Ask) -> Option<Grant> {
+        let position = self.queue.iter().position(|other| other == ask)?;
+        let index = self
+            .ledgers
+            .iter()
+            .position(|ledger| ledger.target == *target)?;
+        let room = self.ledger_room(now, &self.ledgers[index], Some(&ask.holder));
+        if room == 0 || !self.stands(now) {
+            return None;
+        }
+        let ask = self.queue.remove(position)?;
+        Some(self.grant(now, index, ask))
+    }
+
+    /// Returns how many more slots a target has for the requests that wait.
+    ///
+    /// Room that is kept for one member counts if that member waits.
+    pub fn room_at(&self, now: Millis, ledger: &Ledger) -> u32 {
+        let room = self.ledger_room(now, ledger, None);
+        if room > 0 {
+            return room;
+        }
+        self.queue
+            .iter()
+            .take(LOOKAHEAD)
+            .map(|ask| self.ledger_room(now, ledger, Some(&ask.holder)))
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Returns how many more slots the pool has now.
     pub fn room(&self, now: Millis) -> u32 {
         self.ledgers
--- a/filbertpaddle-core/src/scheduler.rs
+++ b/filbertpaddle-core/src/scheduler.rs
@@ -242,7 +242,7 @@
         let suspect = self.suspects.standing(ask.digest) == Standing::Suspect;
         let open: Vec<&TargetView> = targets
             .iter()
-            .filter(|view| view.free_slots > 0)
+            .filter(|view| view.free_slots > 0 && !self.is_avoided(now, &view.name))
             .filter(|view| !suspect || !self.runs_suspect(&view.name))
             .collect();
         let view = match self.settings.policy {
@@ -260,6 +260,12 @@
         view.map(|view| view.name.clone())
     }
 
+    fn is_avoided(&self, now: Millis, target: &Name) -> bool {
+        self.engines
+            .get(target)
+            .is_some_and(|engine| engine.is_avoided(now))
+    }
+
     fn runs_suspect(&self, target: &Name) -> bool {
         self.engines.get(target).is_some_and(|engine| {
             engine
@@ -308,8 +314,10 @@
             Ending::Failed => {
                 let crash = suspect::crash_id(&target, engine.crash(now, &running));
                 self.suspects.crashed(now, ask.digest, crash);
+                engine.avoid(now);
             }
-            Ending::Cancelled | Ending::Unknown | Ending::Unsent | Ending::Refused => {}
+            Ending::Refused => engine.avoid(now),
+            Ending::Cancelled | Ending::Unknown | Ending::Unsent => {}
         }
         let taken_tokens = match ending {
             Ending::Unsent | Ending::Refused => 0,
--- a/filbertpaddle-core/tests/quarantine.rs
+++ b/filbertpaddle-core/tests/quarantine.rs
@@ -162,6 +162,10 @@
         }
     }
 
+    fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.scheduler.queued() == 0
+    }
+
     /// Ends the oldest `count` attempts of the innocent with whole answers.
     fn answer(&mut self, count: usize) {
         self.now = self.now + Millis(100);
@@ -210,7 +214,7 @@
             pool.crash();
             pool.answer(answers);
         }
-        while !pool.running.is_empty() {
+        while !pool.is_idle() {
             pool.crash();
             pool.answer(2);
         }
@@ -254,7 +258,7 @@
         pool.crash();
         pool.answer(2);
     }
-    while !pool.running.is_empty() {
+    while !pool.is_idle() {
         pool.crash();
         pool.answer(2);
     }
--- a/filbertpaddle-core/tests/scheduler.rs
+++ b/filbertpaddle-core/tests/scheduler.rs
@@ -192,6 +192,25 @@
     assert!(scheduler.next(Millis(10_000), &[view("a", 1, 0)]).is_none());
 }
 
+#[test]
+fn a_target_that_refused_work_gets_none_for_a_while() {
+    let mut scheduler = scheduler(Policy::LeastConnections);
+    let views = [view("a", 1, 0), view("b", 1, 0)];
+    scheduler.push(Millis(0), ask(1, Millis(0))).unwrap();
+    let placement = scheduler.next(Millis(0), &views).unwrap();
+    assert_eq!(placement.target, "a");
+    scheduler.started(Millis(0), SlotId(1), &placement);
+    scheduler.ended(Millis(5), SlotId(1), 0, Ending::Refused);
+    scheduler.push(Millis(10), ask(2, Millis(10))).unwrap();
+    let placement = scheduler.next(Millis(10), &views).unwrap();
+    assert_eq!(placement.target, "b");
+    scheduler
+        .push(Millis(2_000), ask(3, Millis(2_000)))
+        .unwrap();
+    let placement = scheduler.next(Millis(2_000), &views).unwrap();
+    assert_eq!(placement.target, "a");
+}
+
 fn config() -> ProptestConfig {
     ProptestConfig {
         rng_seed: RngSeed::Fixed(7),
--- a/filbertpaddle-wire/src/grant.rs
+++ b/filbertpaddle-wire/src/grant.rs
@@ -1,7 +1,12 @@
 //! Messages about slots on targets.
 
+use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::scheduler::Ending;
 use filbertpaddle_core::slot::Source;
+use filbertpaddle_core::suspect::Record;
+use filbertpaddle_core::template::Priority;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -26,9 +31,15 @@
     /// The request with this number is not queued.
     #[serde(rename = "f")]
     Refuse(Name, u64),
-    /// Gives a slot on a target back; the flag tells whether the work has ended.
+    /// The request with this number gets no slot.
+    #[serde(rename = "d")]
+    Deny(Name, u64, Denial),
+    /// Gives a slot on a target back.
     #[serde(rename = "r")]
-    Release(Name, Work, bool),
+    Release(Name, Work, End),
+    /// What is known of the request with this digest.
+    #[serde(rename = "x")]
+    Suspect(Name, u64, Record),
     /// Asks what the holder holds.
     #[serde(rename = "c")]
     Collect(Name, Collect),
@@ -49,6 +60,79 @@
     /// The holder's session.
     #[serde(rename = "s")]
     pub session: u32,
+    /// What is to be run.
+    #[serde(rename = "w")]
+    pub want: Want,
+}
+
+/// What a request is to run, as far as it decides order and target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// Customer and template, `customer/template`.
+    #[serde(rename = "t")]
+    pub template: Name,
+    /// Scheduling priority.
+    #[serde(rename = "p")]
+    pub priority: Priority,
+    /// Customer's relative share.
+    #[serde(rename = "w")]
+    pub weight: u32,
+    /// Estimated length of the prompt.
+    #[serde(rename = "n")]
+    pub prompt_tokens: u32,
+    /// Most tokens the generation may produce.
+    #[serde(rename = "m")]
+    pub max_tokens: u32,
+    /// Digest of the prompt's shared prefix; zero if it has none.
+    #[serde(rename = "x")]
+    pub prefix: u64,
+    /// Length of the shared prefix.
+    #[serde(rename = "y")]
+    pub prefix_tokens: u32,
+    /// Digest of the request, the same for a resend.
+    #[serde(rename = "d")]
+    pub digest: u64,
+    /// How long the request may still wait.
+    #[serde(rename = "u")]
+    pub wait_ms: Millis,
+}
+
+/// Why a request gets no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Denial {
+    /// Why.
+    #[serde(rename = "r")]
+    pub reason: Reason,
+    /// When to come back.
+    #[serde(rename = "a")]
+    pub retry_after_ms: Option<Millis>,
+}
+
+/// How the use of a slot ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// How it ended.
+    #[serde(rename = "e")]
+    pub ending: Ending,
+    /// Tokens of output.
+    #[serde(rename = "n")]
+    pub tokens: u32,
+}
+
+impl End {
+    /// The slot was given back unused.
+    pub const UNSENT: Self = Self {
+        ending: Ending::Unsent,
+        tokens: 0,
+    };
+
+    /// Returns whether the target certainly no longer runs the work.
+    pub const fn is_certain(&self) -> bool {
+        matches!(
+            self.ending,
+            Ending::Complete | Ending::Unsent | Ending::Refused
+        )
+    }
 }
 
 /// A slot.
--- /dev/null
+++ b/filbertpaddle/src/body.rs
@@ -0,0 +1,79 @@
+//! Bodies of slot messages, to and from the core's types.
+
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::owner;
+use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::scheduler;
+use filbertpaddle_core::slot;
+use filbertpaddle_core::slot::Held;
+use filbertpaddle_core::slot::Key;
+use filbertpaddle_wire::grant;
+use filbertpaddle_wire::grant::Denial;
+use filbertpaddle_wire::grant::Want;
+
+use crate::pools::Ask;
+
+pub(crate) fn want(ask: &Ask) -> Want {
+    Want {
+        template: ask.template.clone(),
+        priority: ask.priority,
+        weight: ask.weight,
+        prompt_tokens: ask.prompt_tokens,
+        max_tokens: ask.max_tokens,
+        prefix: ask.prefix,
+        prefix_tokens: ask.prefix_tokens,
+        digest: ask.digest,
+        wait_ms: ask.wait_ms,
+    }
+}
+
+pub(crate) fn denial(refusal: &scheduler::Refusal) -> Denial {
+    Denial {
+        reason: refusal.reason,
+        retry_after_ms: refusal.retry_after_ms,
+    }
+}
+
+pub(crate) fn work(target: &Name, key: &Key) -> grant::Work {
+    grant::Work {
+        target: target.clone(),
+        epoch: key.epoch,
+        source: key.source,
+        number: key.number,
+    }
+}
+
+pub(crate) fn key(holder: &Id, work: &grant::Work) -> Key {
+    Key {
+        holder: holder.clone(),
+        epoch: work.epoch,
+        source: work.source,
+        number: work.number,
+    }
+}
+
+pub(crate) fn told(holder: &Id, holding: &grant::Holding) -> owner::Holding {
+    let works = holding.works.iter();
+    let held = |work: &grant::Work| Held {
+        key: key(holder, work),
+        target: work.target.clone(),
+    };
+    owner::Holding {
+        holder: holder.clone(),
+        session: holding.session,
+        epoch: holding.epoch,
+        upto: holding.upto,
+        works: works.map(held).collect(),
+    }
+}
+
+pub(crate) fn grant_message(granted: slot::Grant) -> grant::Grant {
+    grant::Grant {
+        epoch: granted.key.epoch,
+        number: granted.key.number,
+        target: granted.target,
+        ask: granted.ask,
+        stamp: granted.stamp,
+        cold: granted.cold,
+    }
+}
--- a/filbertpaddle/src/coordinator.rs
+++ b/filbertpaddle/src/coordinator.rs
@@ -8,6 +8,7 @@
 use filbertpaddle_core::membership::Relay;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::policy;
 use filbertpaddle_core::report::Report;
 use filbertpaddle_core::roster::Id;
 use filbertpaddle_core::standing::Mode;
@@ -82,6 +83,8 @@
     pub service: Service,
     /// The node's clock.
     pub clock: Clock,
+    /// How queued work is ordered and placed.
+    pub placement: policy::Settings,
     /// Log of ownership.
     pub log: Logger,
 }
@@ -100,6 +103,7 @@
         clock: parts.clock,
         log: parts.log,
         terms,
+        placement: parts.placement,
         standing: Standing::new(terms),
         record: Record::default(),
         read_ms: None,
@@ -136,8 +140,7 @@
 pub(crate) struct Release {
     pub(crate) slot: Slot,
     pub(crate) target: Name,
-    /// Whether the work has certainly ended.
-    pub(crate) ended: bool,
+    pub(crate) end: grant::End,
 }
 
 /// The work of a slot has reached its target.
@@ -173,6 +176,7 @@
     clock: Clock,
     log: Logger,
     terms: Terms,
+    placement: policy::Settings,
     standing: Standing,
     record: Record,
     read_ms: Option<Millis>,
@@ -361,7 +365,12 @@
                 continue;
             };
             let pool = self.pools.entry(vm.model.clone()).or_insert_with(|| {
-                let mut pool = Pool::new(vm.model.clone(), self.terms, self.id.clone());
+                let mut pool = Pool::new(
+                    vm.model.clone(),
+                    self.terms,
+                    self.id.clone(),
+                    self.placement,
+                );
                 pool.member
                     .on_mode(self.standing.mode(), self.standing.session());
                 pool.on_roster(now, &self.id, &self.record.roster);
@@ -432,6 +441,8 @@
             | grant::Message::Grant(name, _)
             | grant::Message::Refuse(name, _)
             | grant::Message::Release(name, _, _)
+            | grant::Message::Deny(name, _, _)
+            | grant::Message::Suspect(name, _, _)
             | grant::Message::Collect(name, _)
             | grant::Message::Holding(name, _) => name.clone(),
         };
@@ -503,7 +514,7 @@
             Self::refuse(acquire.reply, Reason::NoTarget);
             return;
         }
-        pool.wait(now, acquire.ask.wait_ms, acquire.reply);
+        pool.wait(now, &acquire.ask, acquire.reply);
         if self.standing.mode() == Mode::Granted {
             pool.ask(now);
         }
@@ -517,7 +528,7 @@
     async fn handle(&mut self, release: Release, _: &mut Context<Self>) {
         let now = self.clock.now();
         if let Some(pool) = self.pools.get_mut(&release.slot.pool) {
-            pool.release(&release.slot, &release.target, release.ended);
+            pool.release(now, &release.slot, &release.target, release.end);
         }
         self.flush(now);
     }
@@ -601,7 +612,7 @@
         if load.leaving {
             self.service.on_reclaim(&polled.target);
         }
-        pool.on_report(now, &polled.target, report(polled.asked_ms, &load));
+        pool.on_report(now, &polled.target, report(polled.asked_ms, &load), &load);
         pool.own(now);
         self.flush(now);
     }
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod arguments;
 pub mod attempt;
+mod body;
 mod bounds;
 pub mod caller;
 mod claim_actor;
@@ -25,6 +26,7 @@
 pub mod operator_api;
 mod output;
 pub mod peers;
+mod placer;
 mod pool;
 pub mod pools;
 pub mod record;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -112,6 +112,7 @@
             targets: target::Client::new(target::Settings::default())?,
             service: service.clone(),
             clock: common.clock,
+            placement: settings.placement,
             log: log::part(&log, "pool"),
         });
         let claims = start_claims(&common, peers.clone(), inboxes.claim);
--- /dev/null
+++ b/filbertpaddle/src/placer.rs
@@ -0,0 +1,275 @@
+//! Ties a pool's scheduler to its owner: who asked, and which work holds which slot.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::owner;
+use filbertpaddle_core::owner::Owner;
+use filbertpaddle_core::policy::Settings;
+use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::scheduler::Ask;
+use filbertpaddle_core::scheduler::AskId;
+use filbertpaddle_core::scheduler::Ending;
+use filbertpaddle_core::scheduler::Load;
+use filbertpaddle_core::scheduler::Placement;
+use filbertpaddle_core::scheduler::Refusal;
+use filbertpaddle_core::scheduler::Scheduler;
+use filbertpaddle_core::scheduler::SlotId;
+use filbertpaddle_core::scheduler::TargetView;
+use filbertpaddle_core::slot::Grant;
+use filbertpaddle_core::slot::Key;
+use filbertpaddle_core::suspect::Record;
+use filbertpaddle_core::suspect::Standing;
+use filbertpaddle_target::protocol::LoadReport;
+use filbertpaddle_wire::grant::End;
+use filbertpaddle_wire::grant::Want;
+use indexmap::IndexMap;
+
+/// A request that gets no slot.
+#[derive(Debug)]
+pub(crate) struct Denied {
+    pub(crate) ask: owner::Ask,
+    pub(crate) refusal: Refusal,
+}
+
+/// One request's record of crashes.
+#[derive(Debug)]
+pub(crate) struct Suspect {
+    pub(crate) digest: u64,
+    pub(crate) record: Record,
+}
+
+/// Work that holds a slot.
+#[derive(Debug)]
+struct Placed {
+    slot: SlotId,
+    target: Name,
+}
+
+/// A pool's scheduler and what its numbers stand for.
+#[derive(Debug)]
+pub(crate) struct Placer {
+    settings: Settings,
+    scheduler: Scheduler,
+    asks: IndexMap<AskId, owner::Ask>,
+    placed: IndexMap<Key, Placed>,
+    capacity_tokens: IndexMap<Name, u64>,
+    next_id: u64,
+    passed_ms: Millis,
+}
+
+impl Placer {
+    pub(crate) fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            scheduler: Scheduler::new(settings),
+            asks: IndexMap::new(),
+            placed: IndexMap::new(),
+            capacity_tokens: IndexMap::new(),
+            next_id: 0,
+            passed_ms: Millis::ZERO,
+        }
+    }
+
+    /// Starts anew for a new ownership; only the suspects stay known.
+    pub(crate) fn restart(&mut self, now: Millis) {
+        let old = std::mem::replace(self, Self::new(self.settings));
+        for (digest, record) in old.scheduler.suspects().changes(Millis::ZERO) {
+            self.scheduler.suspected(now, digest, record);
+        }
+    }
+
+    /// Queues a request of a member.
+    pub(crate) fn push(
+        &mut self,
+        now: Millis,
+        ask: owner::Ask,
+        want: &Want,
+    ) -> Result<(), Refusal> {
+        let id = AskId(self.number());
+        self.scheduler.push(now, scheduler_ask(now, id, want))?;
+        self.asks.insert(id, ask);
+        Ok(())
+    }
+
+    /// Forgets a request that its holder has given up.
+    pub(crate) fn withdraw(&mut self, holder: &Id, number: u64) {
+        let same = |ask: &owner::Ask| ask.holder == *holder && ask.number == number;
+        let found = self.asks.iter().find(|(_, other)| same(other));
+        if let Some(id) = found.map(|(id, _)| *id) {
+            self.scheduler.cancel(id);
+            self.asks.swap_remove(&id);
+        }
+    }
+
+    /// Grants what the scheduler places and the owner allows.
+    pub(crate) fn grants(&mut self, now: Millis, owner: &mut Owner) -> Vec<Grant> {
+        let mut grants = Vec::new();
+        while owner.stands(now) && self.scheduler.queued() > 0 {
+            let views = self.views(now, owner);
+            let Some(placement) = self.scheduler.next(now, &views) else {
+                break;
+            };
+            let Some(ask) = self.asks.swap_remove(&placement.ask.id) else {
+                continue;
+            };
+            let slot = SlotId(self.number());
+            self.scheduler.started(now, slot, &placement);
+            if let Some(grant) = owner.grant_at(now, &placement.target, &ask) {
+                let target = placement.target;
+                self.placed
+                    .insert(grant.key.clone(), Placed { slot, target });
+                grants.push(grant);
+                continue;
+            }
+            self.scheduler.ended(now, slot, 0, Ending::Unsent);
+            if owner.is_waiting(&ask) {
+                // The target's room is kept for other members; try again later.
+                if self.scheduler.push(now, placement.ask.clone()).is_ok() {
+                    self.asks.insert(placement.ask.id, ask);
+                }
+                break;
+            }
+        }
+        grants
+    }
+
+    fn views(&self, now: Millis, owner: &Owner) -> Vec<TargetView> {
+        let capacity = |name: &Name| self.capacity_tokens.get(name).copied().unwrap_or(0);
+        owner
+            .ledgers()
+            .iter()
+            .map(|ledger| TargetView {
+                name: ledger.target.clone(),
+                free_slots: owner.room_at(now, ledger),
+                capacity_tokens: capacity(&ledger.target),
+                warm: true,
+            })
+            .collect()
+    }
+
+    /// Returns the requests that get no slot any more.
+    pub(crate) fn denied(&mut self, now: Millis) -> Vec<Denied> {
+        let refusals = self.scheduler.expired(now);
+        refusals
+            .into_iter()
+            .filter_map(|refusal| {
+                let ask = self.asks.swap_remove(&refusal.id)?;
+                Some(Denied { ask, refusal })
+            })
+            .collect()
+    }
+
+    /// Notes work that this node started by its own share.
+    pub(crate) fn shared(&mut self, now: Millis, key: &Key, target: &Name, want: &Want) {
+        let slot = SlotId(self.number());
+        let placement = Placement {
+            ask: scheduler_ask(now, AskId(slot.0), want),
+            target: target.clone(),
+        };
+        self.scheduler.started(now, slot, &placement);
+        let target = placement.target;
+        self.placed.insert(key.clone(), Placed { slot, target });
+    }
+
+    /// Notes how the use of a slot ended.
+    pub(crate) fn ended(&mut self, now: Millis, key: &Key, end: End) {
+        if let Some(placed) = self.placed.swap_remove(key) {
+            self.scheduler
+                .ended(now, placed.slot, end.tokens, end.ending);
+        }
+    }
+
+    /// Takes in a target's report and ends what its owner counts no more.
+    pub(crate) fn reported(
+        &mut self,
+        now: Millis,
+        target: &Name,
+        load: &LoadReport,
+        owner: Option<&Owner>,
+    ) {
+        let page_tokens = u64::from(load.page_tokens);
+        let capacity_tokens = u64::from(load.total_pages) * page_tokens;
+        self.capacity_tokens.insert(target.clone(), capacity_tokens);
+        let report = Load {
+            taken_ms: Millis(now.0.saturating_sub(load.age_ms.0)),
+            used_tokens: u64::from(load.used_pages) * page_tokens,
+            running: load.running,
+            waiting: load.waiting,
+            preemptions: load.preemptions,
+        };
+        self.scheduler.reported(now, target, &report);
+        let ledger = owner.and_then(|owner| {
+            let mut ledgers = owner.ledgers().iter();
+            ledgers.find(|ledger| ledger.target == *target)
+        });
+        let Some(ledger) = ledger else {
+            return;
+        };
+        let is_counted = |key: &Key| ledger.slots().iter().any(|slot| slot.key == *key);
+        let lost: Vec<Key> = self
+            .placed
+            .iter()
+            .filter(|(key, placed)| placed.target == *target && !is_counted(key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        let end = End {
+            ending: Ending::Unknown,
+            tokens: 0,
+        };
+        lost.iter().for_each(|key| self.ended(now, key, end));
+    }
+
+    /// Returns whether a request has crashed too many targets.
+    pub(crate) fn is_condemned(&self, digest: u64) -> bool {
+        self.scheduler.suspects().standing(digest) == Standing::Condemned
+    }
+
+    /// Takes in what another node knows of a request.
+    pub(crate) fn suspected(&mut self, now: Millis, digest: u64, record: &Record) {
+        self.scheduler.suspected(now, digest, record);
+    }
+
+    /// Returns the suspects whose records changed since the last call.
+    pub(crate) fn suspects(&mut self, now: Millis) -> Vec<Suspect> {
+        let since = std::mem::replace(&mut self.passed_ms, now + Millis(1));
+        let changes = self.scheduler.suspects().changes(since);
+        changes
+            .map(|(digest, record)| Suspect {
+                digest,
+                record: record.clone(),
+            })
+            .collect()
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+}
+
+/// Returns the refusal of a request that has crashed too many targets.
+pub(crate) fn quarantined() -> crate::pools::Refusal {
+    crate::pools::Refusal {
+        reason: Reason::Quarantined,
+        retry_after_ms: None,
+    }
+}
+
+fn scheduler_ask(now: Millis, id: AskId, want: &Want) -> Ask {
+    let customer = want.template.split('/').next().unwrap_or_default();
+    Ask {
+        id,
+        customer: Name::new(customer),
+        template: want.template.clone(),
+        priority: want.priority,
+        weight: want.weight,
+        prompt_tokens: want.prompt_tokens,
+        max_tokens: want.max_tokens,
+        prefix: want.prefix,
+        prefix_tokens: want.prefix_tokens,
+        digest: want.digest,
+        arrived_ms: now,
+        deadline_ms: now + want.wait_ms,
+    }
+}
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -8,20 +8,28 @@
 use filbertpaddle_core::outcome::Reason;
 use filbertpaddle_core::owner;
 use filbertpaddle_core::owner::Owner;
+use filbertpaddle_core::policy;
 use filbertpaddle_core::report::Report;
 use filbertpaddle_core::roster;
 use filbertpaddle_core::roster::Id;
 use filbertpaddle_core::roster::Roster;
 use filbertpaddle_core::slot;
 use filbertpaddle_core::slot::Held;
-use filbertpaddle_core::slot::Key;
 use filbertpaddle_core::slot::Source;
 use filbertpaddle_core::terms::Terms;
+use filbertpaddle_target::protocol::LoadReport;
 use filbertpaddle_wire::grant;
+use filbertpaddle_wire::grant::Denial;
+use filbertpaddle_wire::grant::End;
 use filbertpaddle_wire::grant::Message;
+use filbertpaddle_wire::grant::Want;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
+use crate::body;
+use crate::placer;
+use crate::placer::Placer;
+use crate::pools::Ask;
 use crate::pools::Grant;
 use crate::pools::Refusal;
 use crate::pools::Slot;
@@ -50,6 +58,7 @@
 pub(crate) struct Waiter {
     pub(crate) deadline_ms: Millis,
     pub(crate) reply: oneshot::Sender<Result<Grant, Refusal>>,
+    want: Want,
     /// Number under which the owner has been asked.
     asked: Option<u64>,
     ask_ms: Millis,
@@ -69,6 +78,7 @@
     terms: Terms,
     pub(crate) member: Member,
     pub(crate) owner: Option<Owner>,
+    placer: Placer,
     pub(crate) owned_by: Option<roster::Owner>,
     pub(crate) targets: IndexMap<Name, Target>,
     waiters: Vec<Waiter>,
@@ -78,12 +88,13 @@
 }
 
 impl Pool {
-    pub(crate) fn new(name: Name, terms: Terms, id: Id) -> Self {
+    pub(crate) fn new(name: Name, terms: Terms, id: Id, placement: policy::Settings) -> Self {
         Self {
             name,
             terms,
             member: Member::new(terms, id),
             owner: None,
+            placer: Placer::new(placement),
             owned_by: None,
             targets: IndexMap::new(),
             waiters: Vec::new(),
@@ -110,6 +121,7 @@
             }
             (slot, Some(epoch)) => {
                 *slot = Some(Owner::new(self.terms, epoch, now, roster.clone()));
+                self.placer.restart(now);
                 self.add_targets();
             }
             (slot, None) => *slot = None,
@@ -134,10 +146,17 @@
     }
 
     /// Takes in a target's report.
-    pub(crate) fn on_report(&mut self, now: Millis, name: &Name, report: Report) {
+    pub(crate) fn on_report(
+        &mut self,
+        now: Millis,
+        name: &Name,
+        report: Report,
+        load: &LoadReport,
+    ) {
         if let Some(owner) = &mut self.owner {
             owner.on_report(now, name, &report);
         }
+        self.placer.reported(now, name, load, self.owner.as_ref());
         if let Some(target) = self.targets.get_mut(name) {
             target.report = Some(report);
         }
@@ -147,12 +166,13 @@
     pub(crate) fn wait(
         &mut self,
         now: Millis,
-        wait_ms: Millis,
+        ask: &Ask,
         reply: oneshot::Sender<Result<Grant, Refusal>>,
     ) {
         self.waiters.push(Waiter {
-            deadline_ms: now + wait_ms,
+            deadline_ms: now + ask.wait_ms,
             reply,
+            want: body::want(ask),
             asked: None,
             ask_ms: now,
         });
@@ -174,6 +194,10 @@
                 number: ask.number,
                 stamp: ask.stamp,
                 session: ask.session,
+                want: Want {
+                    wait_ms: waiter.deadline_ms.since(now),
+                    ..waiter.want.clone()
+                },
             };
             let message = Message::Ask(self.name.clone(), ask);
             let to = owner.member.clone();
@@ -204,7 +228,12 @@
 
     /// Uses this node's shares for those who wait.
     pub(crate) fn share(&mut self, now: Millis, roster: &Roster) {
-        while !self.waiters.is_empty() {
+        while let Some(waiter) = self.waiters.first() {
+            if self.placer.is_condemned(waiter.want.digest) {
+                let waiter = self.waiters.remove(0);
+                waiter.reply.send(Err(placer::quarantined())).ok();
+                continue;
+            }
             let targets = self
                 .targets
                 .iter()
@@ -216,6 +245,8 @@
                 return;
             };
             let waiter = self.waiters.remove(0);
+            self.placer
+                .shared(now, &held.key, &held.target, &waiter.want);
             self.hand_over(now, waiter, held);
         }
     }
@@ -223,7 +254,7 @@
     /// Handles a message of another member, or of this one.
     pub(crate) fn on_message(&mut self, now: Millis, from: &Id, message: Message) {
         match message {
-            Message::Ask(_, ask) => self.on_ask(from, &ask),
+            Message::Ask(_, ask) => self.on_ask(now, from, &ask),
             Message::Stamp(_, stamp) => {
                 if let Some(owner) = &mut self.owner {
                     owner.on_stamp(from, stamp);
@@ -232,19 +263,24 @@
             Message::Withdraw(_, number) => {
                 if let Some(owner) = &mut self.owner {
                     owner.on_withdraw(from, number);
+                    self.placer.withdraw(from, number);
                 }
             }
+            Message::Deny(_, number, denial) => self.on_deny(number, denial),
+            Message::Suspect(_, digest, record) => self.placer.suspected(now, digest, &record),
             Message::Grant(_, grant) => self.on_grant(now, from, grant),
             Message::Refuse(_, number) => self.on_refuse(now, number),
-            Message::Release(_, work, ended) => {
+            Message::Release(_, work, end) => {
                 if let Some(owner) = &mut self.owner {
-                    owner.on_release(now, &work.target, &key(from, &work), ended);
+                    let key = body::key(from, &work);
+                    owner.on_release(now, &work.target, &key, end.is_certain());
+                    self.placer.ended(now, &key, end);
                 }
             }
             Message::Collect(_, collect) => self.on_collect(from, &collect),
             Message::Holding(_, holding) => {
                 if let Some(owner) = &mut self.owner {
-                    owner.on_holding(&told(from, &holding));
+                    owner.on_holding(&body::told(from, &holding));
                 }
             }
         }
@@ -255,11 +291,27 @@
         let Some(owner) = &mut self.owner else {
             return;
         };
-        for granted in owner.grants(now) {
+        for granted in self.placer.grants(now, owner) {
             let to = granted.key.holder.clone();
-            let message = Message::Grant(self.name.clone(), grant_message(granted));
+            let message = Message::Grant(self.name.clone(), body::grant_message(granted));
+            self.out.push(Out { to, message });
+        }
+        for denied in self.placer.denied(now) {
+            let number = denied.ask.number;
+            owner.on_withdraw(&denied.ask.holder, number);
+            let message = Message::Deny(self.name.clone(), number, body::denial(&denied.refusal));
+            let to = denied.ask.holder;
             self.out.push(Out { to, message });
         }
+        for suspect in self.placer.suspects(now) {
+            let own = self.member.id();
+            for to in owner.members().iter().filter(|id| *id != own) {
+                let record = suspect.record.clone();
+                let message = Message::Suspect(self.name.clone(), suspect.digest, record);
+                let to = to.clone();
+                self.out.push(Out { to, message });
+            }
+        }
         if now.since(self.collected_ms) < REASK_MS {
             return;
         }
@@ -276,29 +328,52 @@
     }
 
     /// Takes a slot back from whoever used it.
-    pub(crate) fn release(&mut self, slot: &Slot, target: &Name, ended: bool) {
+    pub(crate) fn release(&mut self, now: Millis, slot: &Slot, target: &Name, end: End) {
         if !self.member.on_end(&slot.key) {
             return;
         }
-        let work = work(target, &slot.key);
-        self.tell_owner(Message::Release(self.name.clone(), work, ended));
+        if slot.key.source == Source::Share {
+            self.placer.ended(now, &slot.key, end);
+        }
+        let work = body::work(target, &slot.key);
+        self.tell_owner(Message::Release(self.name.clone(), work, end));
     }
 
-    fn on_ask(&mut self, from: &Id, ask: &grant::Ask) {
+    fn on_ask(&mut self, now: Millis, from: &Id, ask: &grant::Ask) {
         let asked = owner::Ask {
             holder: from.clone(),
             number: ask.number,
             stamp: ask.stamp,
             session: ask.session,
         };
+        let to = from.clone();
         let owner = self.owner.as_mut();
-        if !owner.is_some_and(|owner| owner.on_ask(asked)) {
+        let Some(owner) = owner.and_then(|owner| owner.on_ask(asked.clone()).then_some(owner))
+        else {
             let message = Message::Refuse(self.name.clone(), ask.number);
-            let to = from.clone();
+            self.out.push(Out { to, message });
+            return;
+        };
+        if let Err(refusal) = self.placer.push(now, asked, &ask.want) {
+            owner.on_withdraw(from, ask.number);
+            let message = Message::Deny(self.name.clone(), ask.number, body::denial(&refusal));
             self.out.push(Out { to, message });
         }
     }
 
+    fn on_deny(&mut self, number: u64, denial: Denial) {
+        let asked = |waiter: &Waiter| waiter.asked == Some(number);
+        let Some(index) = self.waiters.iter().position(asked) else {
+            return;
+        };
+        let waiter = self.waiters.remove(index);
+        let refusal = Refusal {
+            reason: denial.reason,
+            retry_after_ms: denial.retry_after_ms,
+        };
+        waiter.reply.send(Err(refusal)).ok();
+    }
+
     fn on_refuse(&mut self, now: Millis, number: u64) {
         let mut waiters = self.waiters.iter_mut();
         if let Some(waiter) = waiters.find(|waiter| waiter.asked == Some(number)) {
@@ -321,7 +396,9 @@
             epoch: holding.epoch,
             upto: holding.upto,
             session: holding.session,
-            works: works.map(|held| work(&held.target, &held.key)).collect(),
+            works: works
+                .map(|held| body::work(&held.target, &held.key))
+                .collect(),
         };
         let message = Message::Holding(self.name.clone(), message);
         let to = from.clone();
@@ -343,7 +420,7 @@
             .position(|waiter| waiter.asked == Some(granted.ask) && !waiter.reply.is_closed());
         let own = self.member.id().clone();
         let grant = slot::Grant {
-            key: key(&own, &work),
+            key: body::key(&own, &work),
             target: granted.target,
             ask: granted.ask,
             stamp: granted.stamp,
@@ -365,7 +442,7 @@
             Ok((waiter, held)) => self.hand_over(now, waiter, held),
             Err(_) => {
                 let to = from.clone();
-                let message = Message::Release(self.name.clone(), work, true);
+                let message = Message::Release(self.name.clone(), work, End::UNSENT);
                 self.out.push(Out { to, message });
                 self.on_refuse(now, grant.ask);
             }
@@ -392,7 +469,7 @@
         if let Err(Ok(grant)) = waiter.reply.send(Ok(grant))
             && let Some(slot) = &grant.slot
         {
-            self.release(slot, &held.target, true);
+            self.release(now, slot, &held.target, End::UNSENT);
         }
     }
 
@@ -411,47 +488,3 @@
         retry_after_ms: Some(RETRY_AFTER_MS),
     }
 }
-
-fn work(target: &Name, key: &Key) -> grant::Work {
-    grant::Work {
-        target: target.clone(),
-        epoch: key.epoch,
-        source: key.source,
-        number: key.number,
-    }
-}
-
-fn key(holder: &Id, work: &grant::Work) -> Key {
-    Key {
-        holder: holder.clone(),
-        epoch: work.epoch,
-        source: work.source,
-        number: work.number,
-    }
-}
-
-fn told(holder: &Id, holding: &grant::Holding) -> owner::Holding {
-    let works = holding.works.iter();
-    let held = |work: &grant::Work| Held {
-        key: key(holder, work),
-        target: work.target.clone(),
-    };
-    owner::Holding {
-        holder: holder.clone(),
-        session: holding.session,
-        epoch: holding.epoch,
-        upto: holding.upto,
-        works: works.map(held).collect(),
-    }
-}
-
-fn grant_message(granted: slot::Grant) -> grant::Grant {
-    grant::Grant {
-        epoch: granted.key.epoch,
-        number: granted.key.number,
-        target: granted.target,
-        ask: granted.ask,
-        stamp: granted.stamp,
-        cold: granted.cold,
-    }
-}
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -9,6 +9,7 @@
 use filbertpaddle_core::scheduler::Ending;
 use filbertpaddle_core::slot::Key;
 use filbertpaddle_core::template::Priority;
+use filbertpaddle_wire::grant::End;
 use tokio::sync::oneshot;
 use xtra::Address;
 
@@ -38,6 +39,8 @@
     pub max_tokens: u32,
     /// Digest of the prompt's fixed part.
     pub prefix: u64,
+    /// Length of the prompt's fixed part, in whole blocks.
+    pub prefix_tokens: u32,
     /// Digest of the request, the same for a resend.
     pub digest: u64,
     /// How long the ask may wait.
@@ -133,15 +136,14 @@
     }
 
     /// Gives a slot back.
-    pub fn release(&self, grant: Grant, ending: Ending, _tokens: u32) {
+    pub fn release(&self, grant: Grant, ending: Ending, tokens: u32) {
         let Some(slot) = grant.slot else {
             return;
         };
-        let ended = matches!(ending, Ending::Complete | Ending::Unsent | Ending::Refused);
         let release = Release {
             slot,
             target: grant.target,
-            ended,
+            end: End { ending, tokens },
         };
         tokio::spawn(self.actor.send(release).detach());
     }
--- a/filbertpaddle/src/request.rs
+++ b/filbertpaddle/src/request.rs
@@ -8,6 +8,8 @@
 use filbertpaddle_core::outcome::Outcome;
 use filbertpaddle_core::outcome::Reason;
 use filbertpaddle_core::template::Template;
+use filbertpaddle_target::prefix::BLOCK_BYTES;
+use filbertpaddle_target::prefix::digests;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use sha2::Digest;
@@ -134,12 +136,19 @@
         u32::try_from(self.prompt.len() / TOKEN_BYTES + 1).unwrap_or(u32::MAX)
     }
 
-    /// Returns the digest of the part of the prompt that the template fixes.
+    /// Returns the digest of the whole blocks that the template fixes, as the
+    /// targets' caches know it; zero if there are none.
     pub fn prefix(&self) -> u64 {
-        if self.template.prompt.is_empty() {
-            return 0;
-        }
-        xxh3_64(self.template.prompt.as_bytes())
+        digests(&self.template.prompt)
+            .last()
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns an estimate of the length of the blocks that the template fixes.
+    pub fn prefix_tokens(&self) -> u32 {
+        let bytes = digests(&self.template.prompt).len() * BLOCK_BYTES;
+        u32::try_from(bytes / TOKEN_BYTES).unwrap_or(u32::MAX)
     }
 
     /// Returns a digest that is the same for a resend.
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -175,6 +175,7 @@
             prompt_tokens: self.request.prompt_tokens(),
             max_tokens: template.max_tokens,
             prefix: self.request.prefix(),
+            prefix_tokens: self.request.prefix_tokens(),
             digest: self.request.digest(),
             wait_ms: self.request.wait_ms,
         }
