--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -114,6 +114,7 @@
             targets: target::Client::new(target::Settings::default())?,
             service: service.clone(),
             clock: common.clock,
+            placement: settings.placement,
             log: log::part(&log, "pool"),
         });
         let remote = Remote::start(
