Lend slots with the bodies of slot messages

Change: lent slots reuse the bodies of slot messages for wants, denials and ends; the customer is no longer sent beside the template that names it. Conclusion: one form for both ways to a slot.

--- a/filbertpaddle-wire/src/remote.rs
+++ b/filbertpaddle-wire/src/remote.rs
@@ -3,72 +3,37 @@
 //! A node asks a member of the other data centre, which takes the slot as its
 //! own and passes it on. The number is the asking node's.
 
-use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_core::outcome::Reason;
-use filbertpaddle_core::template::Priority;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::grant::Denial;
+use crate::grant::End;
+use crate::grant::Want;
+
 /// A message about a slot in another data centre.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// Asks for a slot.
+    /// Asks for a slot on a target of the model or plain service.
     #[serde(rename = "a")]
-    Ask(u64, Box<Ask>),
+    Ask(u64, Name, Box<Want>),
     /// Passes a slot on.
     #[serde(rename = "g")]
     Grant(u64, Grant),
     /// There is no slot; nothing was sent to any target.
     #[serde(rename = "f")]
-    Refuse(u64, Refusal),
+    Refuse(u64, Denial),
     /// The work has reached its target or never will.
     #[serde(rename = "s")]
     Sent(u64),
-    /// Gives the slot back, or gives the ask up; the flag tells whether the
-    /// work has certainly ended.
+    /// Gives the slot back, or gives the ask up.
     #[serde(rename = "r")]
-    Release(u64, bool),
+    Release(u64, End),
     /// Asks whether the slot is still in use; answered by a release if not.
     #[serde(rename = "c")]
     Check(u64),
 }
 
-/// What is asked for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ask {
-    /// Model or plain service.
-    #[serde(rename = "m")]
-    pub model: Name,
-    /// Customer that sent the request.
-    #[serde(rename = "c")]
-    pub customer: Name,
-    /// Customer and template.
-    #[serde(rename = "t")]
-    pub template: Name,
-    /// Scheduling priority.
-    #[serde(rename = "y")]
-    pub priority: Priority,
-    /// Customer's relative share.
-    #[serde(rename = "w")]
-    pub weight: u32,
-    /// Estimated length of the prompt.
-    #[serde(rename = "p")]
-    pub prompt_tokens: u32,
-    /// Most tokens the generation may produce.
-    #[serde(rename = "x")]
-    pub max_tokens: u32,
-    /// Digest of the prompt's fixed part.
-    #[serde(rename = "f")]
-    pub prefix: u64,
-    /// Digest of the request, the same for a resend.
-    #[serde(rename = "d")]
-    pub digest: u64,
-    /// How long the ask may wait.
-    #[serde(rename = "u")]
-    pub wait_ms: Millis,
-}
-
 /// A slot that is passed on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
@@ -85,14 +50,3 @@
     #[serde(rename = "n")]
     pub attempt: Name,
 }
-
-/// Why no slot is given.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Refusal {
-    /// Why.
-    #[serde(rename = "r")]
-    pub reason: Reason,
-    /// When to come back.
-    #[serde(rename = "a")]
-    pub retry_after_ms: Option<Millis>,
-}
--- a/filbertpaddle/src/body.rs
+++ b/filbertpaddle/src/body.rs
@@ -12,6 +12,7 @@
 use filbertpaddle_wire::grant::Want;
 
 use crate::pools::Ask;
+use crate::pools::Refusal;
 
 pub(crate) fn want(ask: &Ask) -> Want {
     Want {
@@ -27,6 +28,28 @@
     }
 }
 
+pub(crate) fn ask(model: Name, want: Want) -> Ask {
+    Ask {
+        model,
+        template: want.template,
+        priority: want.priority,
+        weight: want.weight,
+        prompt_tokens: want.prompt_tokens,
+        max_tokens: want.max_tokens,
+        prefix: want.prefix,
+        prefix_tokens: want.prefix_tokens,
+        digest: want.digest,
+        wait_ms: want.wait_ms,
+    }
+}
+
+pub(crate) fn refusal(denial: Denial) -> Refusal {
+    Refusal {
+        reason: denial.reason,
+        retry_after_ms: denial.retry_after_ms,
+    }
+}
+
 pub(crate) fn denial(refusal: &scheduler::Refusal) -> Denial {
     Denial {
         reason: refusal.reason,
--- a/filbertpaddle/src/loan.rs
+++ b/filbertpaddle/src/loan.rs
@@ -6,6 +6,8 @@
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::roster::Id;
 use filbertpaddle_core::scheduler::Ending;
+use filbertpaddle_wire::grant::Denial;
+use filbertpaddle_wire::grant::End;
 use filbertpaddle_wire::remote as wire;
 use tokio::sync::mpsc;
 
@@ -23,6 +25,11 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Questions without a link after which the borrower is taken as gone.
 const MAX_MISSED: u32 = 3;
+/// End of a slot whose user is not heard of any more.
+const UNKNOWN: End = End {
+    ending: Ending::Unknown,
+    tokens: 0,
+};
 
 /// What the borrower tells of its slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,10 +37,7 @@
     /// The work has reached its target or never will.
     Sent,
     /// The slot, or the ask for it, is given back.
-    Released {
-        /// Whether the work has certainly ended.
-        ended: bool,
-    },
+    Released(End),
 }
 
 /// Acquires a slot, lends it and takes it back.
@@ -52,11 +56,11 @@
     match acquired {
         Some(Ok(grant)) => lend(&remote, &local, &own, &borrower, grant, notes).await,
         Some(Err(refusal)) => {
-            let refusal = wire::Refusal {
+            let denial = Denial {
                 reason: refusal.reason,
                 retry_after_ms: refusal.retry_after_ms,
             };
-            let message = wire::Message::Refuse(borrower.number, refusal);
+            let message = wire::Message::Refuse(borrower.number, denial);
             remote.send(&borrower.node, message);
         }
         None => {}
@@ -83,30 +87,25 @@
     let mut check = tokio::time::interval(CHECK_INTERVAL);
     check.tick().await;
     let mut missed = 0;
-    let ended = loop {
+    let end = loop {
         tokio::select! {
             note = notes.recv() => match note {
                 Some(Note::Sent) => local.sent(&grant),
-                Some(Note::Released { ended }) => break ended,
-                None => break false,
+                Some(Note::Released(end)) => break end,
+                None => break UNKNOWN,
             },
             _ = check.tick() => {
                 missed = if is_linked(remote, borrower) { 0 } else { missed + 1 };
                 if missed >= MAX_MISSED {
                     // Reports of the target show when its work has gone.
-                    break false;
+                    break UNKNOWN;
                 }
                 let message = wire::Message::Check(borrower.number);
                 remote.send(&borrower.node, message);
             }
         }
     };
-    let ending = if ended {
-        Ending::Complete
-    } else {
-        Ending::Unknown
-    };
-    local.release(grant, ending, 0);
+    local.release(grant, end.ending, end.tokens);
 }
 
 // The name starts with this node's, which holds the slot.
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -26,8 +26,6 @@
 pub struct Ask {
     /// Model or plain service that is wanted.
     pub model: Name,
-    /// Customer that sent the request.
-    pub customer: Name,
     /// Customer and template, `customer/template`.
     pub template: Name,
     /// Scheduling priority.
--- a/filbertpaddle/src/remote.rs
+++ b/filbertpaddle/src/remote.rs
@@ -13,6 +13,9 @@
 
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::scheduler::Ending;
+use filbertpaddle_wire::grant::Denial;
+use filbertpaddle_wire::grant::End;
 use filbertpaddle_wire::message::Message;
 use filbertpaddle_wire::remote as wire;
 use indexmap::IndexMap;
@@ -20,6 +23,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::body;
 use crate::clock;
 use crate::inbox::From;
 use crate::loan;
@@ -33,6 +37,11 @@
 
 /// How much longer than the ask itself an answer may take.
 const ANSWER_SLACK: Duration = Duration::from_secs(1);
+/// End of a slot that was never used.
+const UNSENT: End = End {
+    ending: Ending::Unsent,
+    tokens: 0,
+};
 
 /// Asks other data centres for slots and lends the own one's.
 #[derive(Clone, Debug)]
@@ -59,7 +68,7 @@
 
 #[derive(Debug)]
 enum Asked {
-    Waiting(oneshot::Sender<Result<wire::Grant, wire::Refusal>>),
+    Waiting(oneshot::Sender<Result<wire::Grant, Denial>>),
     InUse,
 }
 
@@ -129,9 +138,9 @@
     }
 
     /// Gives a slot back.
-    pub(crate) fn release(&self, slot: &Borrowed, ended: bool) {
+    pub(crate) fn release(&self, slot: &Borrowed, end: End) {
         self.state().asked.swap_remove(&slot.number);
-        self.send(&slot.lender, wire::Message::Release(slot.number, ended));
+        self.send(&slot.lender, wire::Message::Release(slot.number, end));
     }
 
     pub(crate) fn peers(&self) -> &Peers {
@@ -171,7 +180,7 @@
         };
         self.send(
             &lender.name,
-            wire::Message::Ask(number, Box::new(to_wire(ask))),
+            wire::Message::Ask(number, ask.model.clone(), Box::new(body::want(ask))),
         );
         let longest = clock::duration(ask.wait_ms) + ANSWER_SLACK;
         let answer = tokio::time::timeout(longest, answer).await;
@@ -180,7 +189,7 @@
             Ok(Ok(Err(refusal))) => {
                 pending.open = false;
                 self.state().asked.swap_remove(&number);
-                return Err(from_wire(refusal));
+                return Err(body::refusal(refusal));
             }
             Ok(Err(_)) | Err(_) => return Err(unanswered()),
         };
@@ -203,24 +212,24 @@
 
     fn on_message(&self, from: Peer, message: wire::Message) {
         match message {
-            wire::Message::Ask(number, ask) => self.lend(from, number, *ask),
+            wire::Message::Ask(number, model, want) => {
+                self.lend(from, number, body::ask(model, *want));
+            }
             wire::Message::Grant(number, grant) => self.on_answer(number, Ok(grant)),
             wire::Message::Refuse(number, refusal) => self.on_answer(number, Err(refusal)),
             wire::Message::Sent(number) => self.note(&from, number, Note::Sent),
-            wire::Message::Release(number, ended) => {
-                self.note(&from, number, Note::Released { ended });
-            }
+            wire::Message::Release(number, end) => self.note(&from, number, Note::Released(end)),
             wire::Message::Check(number) => {
                 if !self.state().asked.contains_key(&number) {
-                    // What is not known here is never sent, or has ended.
-                    self.send(&from.name, wire::Message::Release(number, true));
+                    // What is not known here is never sent, or was given back.
+                    self.send(&from.name, wire::Message::Release(number, UNSENT));
                 }
             }
         }
     }
 
     // A grant that comes too late finds no entry; the lender's check frees it.
-    fn on_answer(&self, number: u64, answer: Result<wire::Grant, wire::Refusal>) {
+    fn on_answer(&self, number: u64, answer: Result<wire::Grant, Denial>) {
         let mut state = self.state();
         let Some(asked) = state.asked.get_mut(&number) else {
             return;
@@ -230,7 +239,7 @@
         }
     }
 
-    fn lend(&self, from: Peer, number: u64, ask: wire::Ask) {
+    fn lend(&self, from: Peer, number: u64, ask: Ask) {
         let borrower = Borrower {
             node: from.name,
             incarnation: from.incarnation,
@@ -240,14 +249,7 @@
         self.state().lent.insert(borrower.clone(), notes);
         let own = self.shared.own.clone();
         let local = self.shared.local.clone();
-        tokio::spawn(loan::run(
-            self.clone(),
-            local,
-            own,
-            borrower,
-            from_wire_ask(ask),
-            inbox,
-        ));
+        tokio::spawn(loan::run(self.clone(), local, own, borrower, ask, inbox));
     }
 
     fn note(&self, from: &Peer, number: u64, note: Note) {
@@ -281,7 +283,7 @@
     fn drop(&mut self) {
         if self.open {
             self.remote.state().asked.swap_remove(&self.number);
-            let release = wire::Message::Release(self.number, true);
+            let release = wire::Message::Release(self.number, UNSENT);
             self.remote.send(self.lender, release);
         }
     }
@@ -299,40 +301,3 @@
         retry_after_ms: Some(loan::RETRY_AFTER_MS),
     }
 }
-
-fn to_wire(ask: &Ask) -> wire::Ask {
-    wire::Ask {
-        model: ask.model.clone(),
-        customer: ask.customer.clone(),
-        template: ask.template.clone(),
-        priority: ask.priority,
-        weight: ask.weight,
-        prompt_tokens: ask.prompt_tokens,
-        max_tokens: ask.max_tokens,
-        prefix: ask.prefix,
-        digest: ask.digest,
-        wait_ms: ask.wait_ms,
-    }
-}
-
-fn from_wire_ask(ask: wire::Ask) -> Ask {
-    Ask {
-        model: ask.model,
-        customer: ask.customer,
-        template: ask.template,
-        priority: ask.priority,
-        weight: ask.weight,
-        prompt_tokens: ask.prompt_tokens,
-        max_tokens: ask.max_tokens,
-        prefix: ask.prefix,
-        digest: ask.digest,
-        wait_ms: ask.wait_ms,
-    }
-}
-
-fn from_wire(refusal: wire::Refusal) -> Refusal {
-    Refusal {
-        reason: refusal.reason,
-        retry_after_ms: refusal.retry_after_ms,
-    }
-}
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -168,7 +168,6 @@
         let template = &self.request.template;
         pools::Ask {
             model: template.model.clone(),
-            customer: self.request.customer.clone(),
             template: self.request.template_key(),
             priority: template.priority,
             weight: template.weight,
