--- a/filbertpaddle-core/tests/quarantine.rs
+++ b/filbertpaddle-core/tests/quarantine.rs
@@ -138,7 +138,12 @@
                 .map(|p| p.ask.digest)
                 .collect();
             for poison in poisons.iter().filter(|p| digests.contains(p)) {
-                *self.crashes.entry(*poison).or_default() += 1;
+                let crashes = self.crashes.entry(*poison).or_default();
+                *crashes += 1;
+                assert!(
+                    *crashes <= CRASH_LIMIT,
+                    "{poison} crashed {crashes} targets"
+                );
             }
         }
         let lost: Vec<u64> = self
