--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -42,9 +42,11 @@
 use crate::pools;
 use crate::pools::Pools;
 use crate::refusals::Keeper;
+use crate::remote::Remote;
 use crate::retries::Retries;
 use crate::service::Service;
 use crate::settings::Settings;
+use crate::slots::Slots;
 use crate::templates::Templates;
 
 /// Most messages from peers that wait to be handled.
@@ -115,10 +117,17 @@
             placement: settings.placement,
             log: log::part(&log, "pool"),
         });
-        let claims = start_claims(&common, peers.clone(), inboxes.claim);
+        let remote = Remote::start(
+            common.own.clone(),
+            peers.clone(),
+            pools.clone(),
+            inboxes.remote,
+        );
+        let claims = start_claims(&settings, &common, peers.clone(), inboxes.claim);
         let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
-        let front = Arc::new(front(&settings, &common, templates, claims, pools)?);
+        let slots = Slots::new(pools, remote);
+        let front = Arc::new(front(&settings, &common, templates, claims, slots)?);
         let servers = vec![
             serve(
                 callers,
@@ -189,7 +198,7 @@
     common: &Common,
     templates: Templates,
     claims: Claims,
-    pools: Pools,
+    slots: Slots,
 ) -> eyre::Result<Front> {
     let own = &common.own;
     let log = &common.log;
@@ -200,7 +209,7 @@
     Ok(Front::new(Parts {
         templates,
         claims,
-        pools,
+        slots,
         retries: Retries::new(settings.retries),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
@@ -212,13 +221,16 @@
 }
 
 fn start_claims(
+    settings: &Settings,
     common: &Common,
     peers: Peers,
     inbox: mpsc::Receiver<inbox::From<claim::Message>>,
 ) -> Claims {
     Claims::start(claims::Parts {
         own: common.own.clone(),
+        settings: settings.claims,
         platform: common.platform.clone(),
+        platform_timeout: clock::duration(settings.platform.timeout_ms),
         peers,
         inbox,
         clock: common.clock,
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -19,6 +19,7 @@
 pub use crate::coordinator::Parts;
 use crate::coordinator::Release;
 use crate::coordinator::Sent;
+pub use crate::remote::Borrowed;
 
 /// Asks for a slot on a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,6 +59,8 @@
     pub fence: u64,
     /// The slot; none for an attempt that holds its slot elsewhere.
     pub slot: Option<Slot>,
+    /// The slot, if another data centre lends it.
+    pub borrowed: Option<Borrowed>,
 }
 
 /// A slot that this node holds.
@@ -77,6 +80,7 @@
             address,
             fence: 0,
             slot: None,
+            borrowed: None,
         }
     }
 }
