Tell lenders how borrowed slots ended

Cause: after the merge of borrowed slots the workspace did not build (an ask without the length of its prefix), and a lender gave every ended slot back as a whole answer of no tokens, which would teach wrong lengths and clear suspects; a crash through a borrowed slot was not recorded. Ruled out: giving such slots back as unsent, which loses the crash. Change: the release of a borrowed slot carries how it ended and its tokens; the core's word for ended work is used in place of a second one.

--- a/filbertpaddle-wire/src/grant.rs
+++ b/filbertpaddle-wire/src/grant.rs
@@ -126,13 +126,11 @@
         tokens: 0,
     };
 
-    /// Returns whether the target certainly no longer runs the work.
-    pub const fn is_certain(&self) -> bool {
-        matches!(
-            self.ending,
-            Ending::Complete | Ending::Unsent | Ending::Refused
-        )
-    }
+    /// Nothing is known of what became of the work.
+    pub const UNKNOWN: Self = Self {
+        ending: Ending::Unknown,
+        tokens: 0,
+    };
 }
 
 /// A slot.
--- a/filbertpaddle-wire/src/remote.rs
+++ b/filbertpaddle-wire/src/remote.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::grant::End;
+
 /// A message about a slot in another data centre.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -25,10 +27,9 @@
     /// The work has reached its target or never will.
     #[serde(rename = "s")]
     Sent(u64),
-    /// Gives the slot back, or gives the ask up; the flag tells whether the
-    /// work has certainly ended.
+    /// Gives the slot back with what became of the work, or gives the ask up.
     #[serde(rename = "r")]
-    Release(u64, bool),
+    Release(u64, End),
     /// Asks whether the slot is still in use; answered by a release if not.
     #[serde(rename = "c")]
     Check(u64),
@@ -61,6 +62,9 @@
     /// Digest of the prompt's fixed part.
     #[serde(rename = "f")]
     pub prefix: u64,
+    /// Length of the prompt's fixed part, in whole blocks.
+    #[serde(rename = "z")]
+    pub prefix_tokens: u32,
     /// Digest of the request, the same for a resend.
     #[serde(rename = "d")]
     pub digest: u64,
--- a/filbertpaddle/src/loan.rs
+++ b/filbertpaddle/src/loan.rs
@@ -5,7 +5,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::roster::Id;
-use filbertpaddle_core::scheduler::Ending;
+use filbertpaddle_wire::grant::End;
 use filbertpaddle_wire::remote as wire;
 use tokio::sync::mpsc;
 
@@ -30,10 +30,7 @@
     /// The work has reached its target or never will.
     Sent,
     /// The slot, or the ask for it, is given back.
-    Released {
-        /// Whether the work has certainly ended.
-        ended: bool,
-    },
+    Released(End),
 }
 
 /// Acquires a slot, lends it and takes it back.
@@ -83,30 +80,25 @@
     let mut check = tokio::time::interval(CHECK_INTERVAL);
     check.tick().await;
     let mut missed = 0;
-    let ended = loop {
+    let end = loop {
         tokio::select! {
             note = notes.recv() => match note {
                 Some(Note::Sent) => local.sent(&grant),
-                Some(Note::Released { ended }) => break ended,
-                None => break false,
+                Some(Note::Released(end)) => break end,
+                None => break End::UNKNOWN,
             },
             _ = check.tick() => {
                 missed = if is_linked(remote, borrower) { 0 } else { missed + 1 };
                 if missed >= MAX_MISSED {
                     // Reports of the target show when its work has gone.
-                    break false;
+                    break End::UNKNOWN;
                 }
                 let message = wire::Message::Check(borrower.number);
                 remote.send(&borrower.node, message);
             }
         }
     };
-    let ending = if ended {
-        Ending::Complete
-    } else {
-        Ending::Unknown
-    };
-    local.release(grant, ending, 0);
+    local.release(grant, end.ending, end.tokens);
 }
 
 // The name starts with this node's, which holds the slot.
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -273,7 +273,7 @@
             Message::Release(_, work, end) => {
                 if let Some(owner) = &mut self.owner {
                     let key = body::key(from, &work);
-                    owner.on_release(now, &work.target, &key, end.is_certain());
+                    owner.on_release(now, &work.target, &key, end.ending.is_over());
                     self.placer.ended(now, &key, end);
                 }
             }
--- a/filbertpaddle/src/remote.rs
+++ b/filbertpaddle/src/remote.rs
@@ -13,6 +13,7 @@
 
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_wire::grant::End;
 use filbertpaddle_wire::message::Message;
 use filbertpaddle_wire::remote as wire;
 use indexmap::IndexMap;
@@ -129,9 +130,9 @@
     }
 
     /// Gives a slot back.
-    pub(crate) fn release(&self, slot: &Borrowed, ended: bool) {
+    pub(crate) fn release(&self, slot: &Borrowed, end: End) {
         self.state().asked.swap_remove(&slot.number);
-        self.send(&slot.lender, wire::Message::Release(slot.number, ended));
+        self.send(&slot.lender, wire::Message::Release(slot.number, end));
     }
 
     pub(crate) fn peers(&self) -> &Peers {
@@ -207,13 +208,13 @@
             wire::Message::Grant(number, grant) => self.on_answer(number, Ok(grant)),
             wire::Message::Refuse(number, refusal) => self.on_answer(number, Err(refusal)),
             wire::Message::Sent(number) => self.note(&from, number, Note::Sent),
-            wire::Message::Release(number, ended) => {
-                self.note(&from, number, Note::Released { ended });
+            wire::Message::Release(number, end) => {
+                self.note(&from, number, Note::Released(end));
             }
             wire::Message::Check(number) => {
                 if !self.state().asked.contains_key(&number) {
                     // What is not known here is never sent, or has ended.
-                    self.send(&from.name, wire::Message::Release(number, true));
+                    self.send(&from.name, wire::Message::Release(number, End::UNSENT));
                 }
             }
         }
@@ -281,7 +282,7 @@
     fn drop(&mut self) {
         if self.open {
             self.remote.state().asked.swap_remove(&self.number);
-            let release = wire::Message::Release(self.number, true);
+            let release = wire::Message::Release(self.number, End::UNSENT);
             self.remote.send(self.lender, release);
         }
     }
@@ -310,6 +311,7 @@
         prompt_tokens: ask.prompt_tokens,
         max_tokens: ask.max_tokens,
         prefix: ask.prefix,
+        prefix_tokens: ask.prefix_tokens,
         digest: ask.digest,
         wait_ms: ask.wait_ms,
     }
@@ -325,6 +327,7 @@
         prompt_tokens: ask.prompt_tokens,
         max_tokens: ask.max_tokens,
         prefix: ask.prefix,
+        prefix_tokens: ask.prefix_tokens,
         digest: ask.digest,
         wait_ms: ask.wait_ms,
     }
--- a/filbertpaddle/src/slots.rs
+++ b/filbertpaddle/src/slots.rs
@@ -2,6 +2,7 @@
 
 use filbertpaddle_core::outcome::Reason;
 use filbertpaddle_core::scheduler::Ending;
+use filbertpaddle_wire::grant::End;
 
 use crate::pools::Ask;
 use crate::pools::Grant;
@@ -46,7 +47,7 @@
     /// Gives a slot back.
     pub fn release(&self, grant: Grant, ending: Ending, tokens: u32) {
         match &grant.borrowed {
-            Some(borrowed) => self.remote.release(borrowed, ending.is_over()),
+            Some(borrowed) => self.remote.release(borrowed, End { ending, tokens }),
             None => self.local.release(grant, ending, tokens),
         }
     }
