--- a/filbertpaddle-standins/src/node_settings.rs
+++ b/filbertpaddle-standins/src/node_settings.rs
@@ -63,7 +63,7 @@
             "log": { "level": "warning" },
         });
         if let Some(policy) = self.policy {
-            settings["policy"] = json!({ "policy": policy });
+            settings["placement"] = json!({ "policy": policy });
         }
         settings.to_string()
     }
