--- /dev/null
+++ b/filbertpaddle-standins/tests/load.rs
@@ -0,0 +1,125 @@
+//! The load tool: its workloads, its baselines and its checks.
+
+use std::time::Instant;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_standins::balancer::Balancer;
+use filbertpaddle_standins::balancer::Choice;
+use filbertpaddle_standins::direct::Chooser;
+use filbertpaddle_standins::direct::Entry;
+use filbertpaddle_standins::engine;
+use filbertpaddle_standins::engine::Engine;
+use filbertpaddle_standins::engine_state::Counters;
+use filbertpaddle_standins::marker;
+use filbertpaddle_standins::observation::Ending;
+use filbertpaddle_standins::observation::Observer;
+use filbertpaddle_standins::report::Counted;
+use filbertpaddle_standins::report::NodeCost;
+use filbertpaddle_standins::report::Record;
+use filbertpaddle_standins::report::Report;
+use filbertpaddle_standins::report::Title;
+use filbertpaddle_standins::scenario::Scenario;
+use filbertpaddle_standins::workload::Ask;
+use filbertpaddle_target::client;
+use filbertpaddle_target::client::Client;
+
+fn asks(seed: u64) -> Vec<Ask> {
+    Scenario::Steady.workload(seed, Millis::from_secs(20), 30.0)
+}
+
+fn record(ask: Ask, ending: Ending) -> Record {
+    let observation = Observer::new(Instant::now()).end(ending);
+    Record { ask, observation }
+}
+
+fn report(records: &[Record], counted: &Counted) -> Report {
+    let title = Title {
+        scenario: "test".to_owned(),
+        policy: "none".to_owned(),
+        seed: 1,
+        duration_s: 1.0,
+        rate: 1.0,
+    };
+    Report::new(title, records, counted, NodeCost::default(), 0.0)
+}
+
+#[test]
+fn a_workload_comes_from_its_seed_alone() {
+    assert_eq!(asks(1), asks(1));
+    assert_ne!(asks(1), asks(2));
+    let none = Scenario::Steady.workload(1, Millis::from_secs(20), 0.0);
+    assert!(none.is_empty());
+}
+
+#[test]
+fn every_request_has_a_marker_of_its_own() {
+    let asks = asks(3);
+    let mut markers: Vec<String> = asks
+        .iter()
+        .map(|ask| marker::marker(&ask.prompt()).unwrap())
+        .collect();
+    markers.sort();
+    markers.dedup();
+    assert_eq!(markers.len(), asks.len());
+}
+
+#[test]
+fn executions_at_targets_are_held_against_what_callers_were_told() {
+    let asks = asks(1);
+    let refused = asks.iter().find(|ask| ask.kind.idempotent).unwrap();
+    let repeated = asks.iter().find(|ask| !ask.kind.idempotent).unwrap();
+    let records = [
+        record(refused.clone(), Ending::NotRun),
+        record(repeated.clone(), Ending::Complete),
+    ];
+    let mut counters = Counters::default();
+    counters.executions.insert(refused.marker.clone(), 1);
+    counters.executions.insert(repeated.marker.clone(), 2);
+    let counted = Counted {
+        engines: vec![counters],
+        services: Vec::new(),
+    };
+    let report = report(&records, &counted);
+    assert_eq!(report.violations["not_run_but_ran"], 1);
+    assert_eq!(report.violations["ran_twice"], 1);
+}
+
+#[test]
+fn tokens_out_of_order_and_spliced_generations_are_noticed() {
+    let mut observer = Observer::new(Instant::now());
+    observer.token(0, "aa.0 ");
+    observer.token(1, "bb.1 ");
+    observer.token(3, "aa.3 ");
+    observer.count(4);
+    let ask = asks(1).remove(0);
+    let observation = observer.end(Ending::Complete);
+    let report = report(&[Record { ask, observation }], &Counted::default());
+    assert_eq!(report.violations["spliced"], 1);
+    assert_eq!(report.violations["order"], 1);
+    assert_eq!(report.violations["count"], 1);
+}
+
+#[tokio::test]
+async fn a_baseline_does_not_repeat_what_a_crash_left_unknown() {
+    let settings = engine::Settings {
+        speed: 100.0,
+        restart_ms: Millis(1),
+        poison: Some(marker::START.to_owned()),
+        ..engine::Settings::default()
+    };
+    let engine = Engine::start(settings).await.unwrap();
+    let targets = [(engine.address, 0)];
+    let chooser = || Chooser::Alone(Balancer::new(Choice::RoundRobin, &targets, 0));
+    let entry = Entry {
+        client: Client::new(client::Settings::default()).unwrap(),
+        engines: chooser(),
+        services: chooser(),
+    };
+    let letter = |ask: &Ask| ask.kind.name == "letter";
+    let ask = asks(1).into_iter().find(letter).unwrap();
+    let mut observer = Observer::new(Instant::now());
+    let ending = entry.run(&ask, &mut observer).await;
+    assert_eq!(ending, Ending::MayHaveRun);
+    assert_eq!(engine.counters().executions[&ask.marker], 1);
+    engine.close().await;
+}
