Model check ownership, and end promises at a newer record

Cause: the model check's first plan let an owner stand on the promises of all members although one of them had deposed it before it promised: two owners then granted the same room. Ruled out: a deposer that stops promising for a while, as its delayed write may still land after it promises again. Change: a promise counts only if its maker knew no newer record, a successor waits until its own last promise has run out, and only settled sharers become owners. The model check runs over the same structs, with six deliberate faults that it has to find, this one among them. Conclusion: what is left is one piece of work for each node paused between its last check and its send, on targets that do not check.

--- a/filbertpaddle-core/src/membership.rs
+++ b/filbertpaddle-core/src/membership.rs
@@ -36,7 +36,7 @@
     /// Version of the record that the member knows.
     #[serde(rename = "v")]
     pub version: u64,
-    /// The member's session if it promises to use no share and depose no owner.
+    /// The member's session if it promises to use no share.
     #[serde(rename = "p")]
     pub promise: Option<u32>,
 }
@@ -107,7 +107,10 @@
     pub fn on_beat(&mut self, now: Millis, from: &Id, beat: &Beat, roster: &Roster) -> Answer {
         self.note(now, from, beat);
         let age = |at_ms: Millis| now.since(at_ms);
-        let peers = roster.peers().iter().map(|id| self.told(now, id));
+        let version = roster.version;
+        let peers = roster.peers().iter().map(|id| self.told(now, id, version));
+        // The promise of a member that knows a newer record is no sign that
+        // the owners of this one stand.
         Answer {
             echo_ms: beat.sent_ms,
             relay_ms: now,
@@ -153,9 +156,10 @@
         }
     }
 
-    fn told(&self, now: Millis, id: &Id) -> Told {
+    fn told(&self, now: Millis, id: &Id, version: u64) -> Told {
         let heard = self.heard.iter().find(|heard| heard.id == *id);
-        let promise = heard.and_then(|heard| heard.promise);
+        let current = heard.filter(|heard| heard.version <= version);
+        let promise = current.and_then(|heard| heard.promise);
         let session = promise.map_or(0, |promise| promise.session);
         let age_ms = promise.map(|promise| now.since(promise.made_ms));
         Told(session, age_ms, !self.is_silent(now, id))
--- a/filbertpaddle-core/src/owner.rs
+++ b/filbertpaddle-core/src/owner.rs
@@ -145,7 +145,7 @@
         self.confirmed_ms = self.confirmed_ms.max(Some(asked_ms));
     }
 
-    /// Notes a member's promise.
+    /// Notes a member's promise, which it made while it knew no newer record.
     pub fn on_promise(&mut self, id: &Id, promise: Promise) {
         if let Some(peer) = self.peer_mut(id) {
             peer.promise(promise);
@@ -266,8 +266,8 @@
 
     /// Returns whether this owner may grant slots now.
     ///
-    /// Either the record named it a short while ago, or every member that
-    /// could have deposed it has promised not to.
+    /// Either the record named it a short while ago, or every member knew no
+    /// newer record a short while ago, its successor among them.
     pub fn stands(&self, now: Millis) -> bool {
         let recent = |asked_ms: Millis| now < asked_ms + self.terms.confirm_ms;
         self.confirmed_ms.is_some_and(recent)
--- a/filbertpaddle-core/src/peer.rs
+++ b/filbertpaddle-core/src/peer.rs
@@ -4,7 +4,8 @@
 use crate::roster::Id;
 use crate::terms::Terms;
 
-/// A member's word that it uses no share and deposes no owner for a while.
+/// A member's word that it uses no share for a while, given while it knew no
+/// newer version of the record than the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Promise {
     /// Counts how often the member has used its share.
--- a/filbertpaddle-core/src/roster.rs
+++ b/filbertpaddle-core/src/roster.rs
@@ -202,7 +202,10 @@
     }
 
     fn assign_one(&mut self, pool: &Name) {
-        let Some(first) = self.first(pool, |_| true).map(|member| member.id.clone()) else {
+        // Every owner counts on the promises of all settled sharers, so that
+        // one of them may succeed it.
+        let is_settled = |member: &Member| self.sharers.contains(&member.id);
+        let Some(first) = self.first(pool, is_settled).map(|member| member.id.clone()) else {
             return;
         };
         let is_member = |id: &Id| self.members.iter().any(|member| member.id == *id);
--- a/filbertpaddle-core/src/standing.rs
+++ b/filbertpaddle-core/src/standing.rs
@@ -45,8 +45,8 @@
         self.session
     }
 
-    /// Promises to use no share and to depose no owner for a while; returns
-    /// the session to be sent along.
+    /// Promises to use no share for a while; returns the session to be sent
+    /// along.
     ///
     /// Returns `None` in share mode.
     pub fn promise(&mut self, now: Millis) -> Option<u32> {
@@ -57,8 +57,8 @@
         Some(self.session)
     }
 
-    /// Returns whether the node is free of its promise, and so may depose an
-    /// owner or enter share mode.
+    /// Returns whether the node is free of its promise, and so may enter share
+    /// mode.
     pub fn is_free(&self, now: Millis) -> bool {
         now >= self.promised_until_ms
     }
--- a/filbertpaddle-core/src/terms.rs
+++ b/filbertpaddle-core/src/terms.rs
@@ -9,7 +9,7 @@
 /// sum of the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
-    /// How long a member that has promised uses no share and deposes no owner.
+    /// How long a member that has promised uses no share.
     pub promise_ms: Millis,
     /// How long after its request was sent a grant may be accepted.
     pub accept_ms: Millis,
@@ -34,8 +34,13 @@
 }
 
 impl Terms {
-    /// Returns how long a deposed owner's grants may still reach a target.
+    /// Returns how long a deposed owner's grants may still reach a target
+    /// after its successor has learnt of the change.
+    ///
+    /// The deposed owner may count on a reading asked for just before the
+    /// change, or on a promise that its successor made just before it learnt.
     pub fn quarantine_ms(&self) -> Millis {
-        self.confirm_ms + self.accept_ms + self.settle_ms
+        let by_reading_ms = self.confirm_ms + self.accept_ms;
+        by_reading_ms.max(self.promise_ms) + self.settle_ms
     }
 }
--- /dev/null
+++ b/filbertpaddle-core/tests/owner_model/world.rs
@@ -0,0 +1,729 @@
+//! The modelled world: nodes, their messages, the table and one cold target.
+//!
+//! A message that is never delivered is lost, a node that never acts again has
+//! crashed, and a table that is never read is out, so none of these needs a
+//! step of its own. A promise, a reading of the record and a release take
+//! effect at once: late, they only keep an owner from granting. Grants, what
+//! members hold and reports to members arrive at any time or never.
+
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::member::Member;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::owner::Collect;
+use filbertpaddle_core::owner::Holding;
+use filbertpaddle_core::owner::Owner;
+use filbertpaddle_core::peer::Promise;
+use filbertpaddle_core::report::Report;
+use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::roster::Roster;
+use filbertpaddle_core::slot::Grant;
+use filbertpaddle_core::slot::Key;
+use filbertpaddle_core::slot::Source;
+use filbertpaddle_core::slot::fence;
+use filbertpaddle_core::standing::Mode;
+use filbertpaddle_core::standing::Standing;
+use filbertpaddle_core::terms::Terms;
+
+const TARGET: Name = Name::new_static("u");
+const START: Millis = Millis(10);
+const TICK: Millis = Millis(1);
+const TERMS: Terms = Terms {
+    promise_ms: Millis(2),
+    accept_ms: Millis(1),
+    settle_ms: Millis(1),
+    confirm_ms: Millis(1),
+    report_ms: Millis(5),
+};
+
+/// A deliberate fault that the search has to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// A successor counts on nothing from members that do not answer.
+    NoReserve,
+    /// An owner takes itself for confirmed without reading the record.
+    NoConfirmationAge,
+    /// A member entering share mode forgets its granted work.
+    ShareIgnoresRunning,
+    /// A member uses its share without asking the target.
+    ShareWithoutReport,
+    /// A member accepts a grant however late.
+    EndlessGrant,
+    /// A promise counts although its maker knew a newer record.
+    StalePromise,
+}
+
+/// How often each kind of step may happen.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Budget {
+    /// Pieces of work taken by nodes.
+    pub(crate) works: u8,
+    /// Pauses of a node between its last check and its send.
+    pub(crate) pauses: u8,
+    /// Changes of the owner in the table.
+    pub(crate) depositions: u8,
+    /// Entries into share mode.
+    pub(crate) shares: u8,
+    /// Returns from share mode.
+    pub(crate) returns: u8,
+    /// Promises after the first.
+    pub(crate) promises: u8,
+    /// Readings of the record by owners.
+    pub(crate) readings: u8,
+    /// Reports taken of the target.
+    pub(crate) polls: u8,
+    /// Answers to owners that ask what a member holds.
+    pub(crate) holdings: u8,
+}
+
+/// One model.
+#[derive(Clone, Debug)]
+pub(crate) struct Setup {
+    pub(crate) members: u8,
+    pub(crate) limit: u32,
+    pub(crate) checks: bool,
+    pub(crate) allow_late: bool,
+    /// Whether `b` took over a quarantine before the start, unheard by `a`.
+    pub(crate) deposed: bool,
+    pub(crate) horizon: u64,
+    pub(crate) messages: usize,
+    pub(crate) budget: Budget,
+    pub(crate) fault: Option<Fault>,
+}
+
+impl Setup {
+    pub(crate) fn succession() -> Self {
+        Self {
+            members: 2,
+            limit: 1,
+            checks: false,
+            allow_late: true,
+            deposed: false,
+            horizon: 3,
+            messages: 2,
+            budget: Budget {
+                works: 2,
+                pauses: 0,
+                depositions: 1,
+                shares: 0,
+                returns: 0,
+                promises: 1,
+                readings: 2,
+                polls: 1,
+                holdings: 1,
+            },
+            fault: None,
+        }
+    }
+
+    pub(crate) fn shares() -> Self {
+        Self {
+            horizon: 4,
+            budget: Budget {
+                works: 2,
+                pauses: 1,
+                depositions: 0,
+                shares: 1,
+                returns: 1,
+                promises: 1,
+                readings: 1,
+                polls: 1,
+                holdings: 1,
+            },
+            ..Self::succession()
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Message {
+    Holding(u8, Holding),
+    Grant(u8, Grant),
+    Report(u8, Report),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Node {
+    id: Id,
+    is_paused: bool,
+    standing: Standing,
+    member: Member,
+    owner: Option<Owner>,
+    unsent: Vec<(Millis, Key)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Work {
+    key: Key,
+    is_late: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct World {
+    now: Millis,
+    epoch: u64,
+    named: u8,
+    fence: u64,
+    nodes: Vec<Arc<Node>>,
+    messages: Vec<Arc<Message>>,
+    works: Vec<Work>,
+    budget: Budget,
+    /// The step that led here, which is no part of the state.
+    pub(crate) step: String,
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &Self) -> bool {
+        self.now == other.now
+            && self.epoch == other.epoch
+            && self.named == other.named
+            && self.fence == other.fence
+            && self.nodes == other.nodes
+            && self.messages == other.messages
+            && self.works == other.works
+            && self.budget == other.budget
+    }
+}
+
+impl Eq for World {}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.now.hash(state);
+        self.epoch.hash(state);
+        self.named.hash(state);
+        self.fence.hash(state);
+        self.nodes.hash(state);
+        self.messages.hash(state);
+        self.works.hash(state);
+        self.budget.hash(state);
+    }
+}
+
+fn id(index: u8) -> Id {
+    const NAMES: [&str; 3] = ["a", "b", "c"];
+    Id {
+        name: Name::new_static(NAMES[usize::from(index)]),
+        incarnation: 1,
+    }
+}
+
+fn roster(members: u8) -> Roster {
+    Roster {
+        version: 1,
+        sharers: (0..members).map(id).collect(),
+        ..Roster::default()
+    }
+}
+
+/// An owner hears the member on its own node at once.
+fn hear_oneself(node: &mut Node, owner: &mut Owner, now: Millis) {
+    let Some(session) = node.standing.promise(now) else {
+        return;
+    };
+    let made_ms = now;
+    owner.on_promise(&node.id, Promise { session, made_ms });
+    let collects = owner.collects();
+    let own = collects.iter().find(|collect| collect.holder == node.id);
+    if let Some(holding) = own.and_then(|collect| node.member.on_collect(collect)) {
+        owner.on_holding(&holding);
+    }
+}
+
+fn digest(message: &Message) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    message.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl World {
+    /// Returns a world in which node `a` has long owned the pool.
+    pub(crate) fn new(setup: &Setup) -> Self {
+        let mut nodes: Vec<_> = (0..setup.members)
+            .map(|index| Node {
+                id: id(index),
+                is_paused: false,
+                standing: Standing::new(TERMS),
+                member: Member::new(TERMS, id(index)),
+                owner: None,
+                unsent: Vec::new(),
+            })
+            .collect();
+        let mut owner = Owner::new(TERMS, 1, Millis::ZERO, roster(setup.members));
+        owner.add_target(&TARGET);
+        for node in &mut nodes {
+            let session = node.standing.promise(START).unwrap();
+            // The successor's last promise was made before it took over.
+            let made_ms = match setup.deposed && node.id == id(1) {
+                true => Millis(START.0 - TERMS.quarantine_ms().0),
+                false => START,
+            };
+            owner.on_promise(&node.id, Promise { session, made_ms });
+        }
+        for collect in owner.collects() {
+            let node = nodes.iter_mut().find(|node| node.id == collect.holder);
+            let holding = node.unwrap().member.on_collect(&collect).unwrap();
+            owner.on_holding(&holding);
+        }
+        let mut world = Self {
+            now: START,
+            epoch: 1,
+            named: 0,
+            fence: fence(1, Source::Granted),
+            nodes: Vec::new(),
+            messages: Vec::new(),
+            works: Vec::new(),
+            budget: setup.budget.clone(),
+            step: "start".to_owned(),
+        };
+        owner.on_report(START, &TARGET, &world.report(setup));
+        if setup.deposed {
+            let since_ms = Millis(START.0 - TERMS.quarantine_ms().0);
+            owner.on_confirm(since_ms);
+            world.epoch = 2;
+            world.named = 1;
+            let node = &mut nodes[1];
+            let mut successor = Owner::new(TERMS, 2, since_ms, roster(setup.members));
+            successor.add_target(&TARGET);
+            hear_oneself(node, &mut successor, START);
+            node.owner = Some(successor);
+        } else {
+            owner.on_confirm(START);
+        }
+        nodes[0].owner = Some(owner);
+        world.nodes = nodes.into_iter().map(Arc::new).collect();
+        world
+    }
+
+    /// Returns whether the target runs more than it bears.
+    ///
+    /// Work is set apart as late if its sender was paused between its last
+    /// check and its send; there may be one such piece for each paused node.
+    pub(crate) fn is_violated(&self, setup: &Setup) -> bool {
+        let set_apart = setup.allow_late && !setup.checks;
+        let late = self.works.iter().filter(|work| work.is_late).count();
+        let pauses = usize::from(setup.budget.pauses - self.budget.pauses);
+        let counted = match set_apart {
+            true => self.works.len() - late,
+            false => self.works.len(),
+        };
+        counted > setup.limit as usize || (set_apart && late > pauses)
+    }
+
+    /// Returns every world that one step leads to.
+    pub(crate) fn successors(&self, setup: &Setup) -> Vec<Self> {
+        let mut next = Vec::new();
+        self.tick(setup, &mut next);
+        for index in 0..self.messages.len() {
+            self.deliver(setup, index, &mut next);
+        }
+        for index in 0..self.works.len() {
+            self.end(index, &mut next);
+        }
+        for index in 0..setup.members {
+            let node = &self.nodes[usize::from(index)];
+            if node.is_paused {
+                self.change(index, "resumes", &mut next, |node, _| {
+                    node.is_paused = false
+                });
+                continue;
+            }
+            self.work(setup, index, &mut next);
+            self.change_mode(setup, index, &mut next);
+            self.own(setup, index, &mut next);
+        }
+        next.retain(|world| world.messages.len() <= setup.messages);
+        next
+    }
+
+    fn tick(&self, setup: &Setup, next: &mut Vec<Self>) {
+        if self.now >= START + Millis(setup.horizon) {
+            return;
+        }
+        let mut world = self.clone();
+        for node in &mut world.nodes {
+            let mut unsent = node.unsent.iter();
+            let is_overdue = unsent.any(|(since_ms, _)| *since_ms + TERMS.settle_ms <= self.now);
+            if is_overdue && !node.is_paused {
+                if world.budget.pauses == 0 {
+                    return;
+                }
+                world.budget.pauses -= 1;
+                Arc::make_mut(node).is_paused = true;
+            }
+        }
+        world.step = "tick".to_owned();
+        world.now = self.now + TICK;
+        let now = world.now;
+        // Reports that can have no effect any more are dropped.
+        world.messages.retain(|message| match &**message {
+            Message::Report(_, report) => now.since(report.taken_ms) <= TERMS.report_ms,
+            _ => true,
+        });
+        next.push(world);
+    }
+
+    /// A node asks an owner, or sends what it has accepted.
+    fn work(&self, setup: &Setup, index: u8, next: &mut Vec<Self>) {
+        let node = &self.nodes[usize::from(index)];
+        for unsent in 0..node.unsent.len() {
+            self.send(setup, index, unsent, next);
+        }
+        if node.standing.mode() == Mode::Granted {
+            for owner in 0..setup.members {
+                self.ask(index, owner, next);
+            }
+        } else if self.budget.works > 0 {
+            self.poll(setup, index, next);
+        }
+    }
+
+    fn send(&self, setup: &Setup, index: u8, unsent: usize, next: &mut Vec<Self>) {
+        let mut world = self.clone();
+        let node = Arc::make_mut(&mut world.nodes[usize::from(index)]);
+        let (since_ms, key) = node.unsent.remove(unsent);
+        node.member.on_sent(&key);
+        world.step = format!("{} sends {key:?}", node.id.name);
+        if setup.checks && key.fence() < world.fence {
+            node.member.on_end(&key);
+            world.release(&key);
+        } else {
+            world.fence = world.fence.max(key.fence());
+            let is_late = since_ms + TERMS.settle_ms < self.now;
+            world.works.push(Work { key, is_late });
+            world.works.sort_by(|a, b| a.key.cmp(&b.key));
+        }
+        next.push(world);
+    }
+
+    /// Ask and decision are one step: a later decision only shortens the
+    /// grant's life.
+    fn ask(&self, index: u8, owner: u8, next: &mut Vec<Self>) {
+        let mut world = self.clone();
+        let member = &mut Arc::make_mut(&mut world.nodes[usize::from(index)]).member;
+        let ask = member.ask(self.now);
+        let node = Arc::make_mut(&mut world.nodes[usize::from(owner)]);
+        let Some(owner) = node.owner.as_mut().filter(|_| !node.is_paused) else {
+            return;
+        };
+        if self.budget.works == 0 || !owner.on_ask(ask) {
+            return;
+        }
+        let grants = owner.grants(self.now);
+        if grants.is_empty() {
+            return;
+        }
+        world.step = format!("{} is granted by {}", id(index).name, node.id.name);
+        for grant in grants {
+            world.post(Message::Grant(index, grant));
+        }
+        world.budget.works -= 1;
+        next.push(world);
+    }
+
+    fn poll(&self, setup: &Setup, index: u8, next: &mut Vec<Self>) {
+        if self.budget.polls == 0 {
+            return;
+        }
+        let mut world = self.clone();
+        world.budget.polls -= 1;
+        let node = &self.nodes[usize::from(index)];
+        world.step = format!("{} polls", node.id.name);
+        if setup.checks {
+            let own = match &node.owner {
+                Some(owner) => fence(owner.epoch(), Source::Granted),
+                None => 0,
+            };
+            let share = match node.standing.mode() {
+                Mode::Granted => 0,
+                Mode::Share { .. } => node.member.share_fence(),
+            };
+            world.fence = world.fence.max(own).max(share);
+        }
+        let report = world.report(setup);
+        let changed = Arc::make_mut(&mut world.nodes[usize::from(index)]);
+        if let Some(owner) = &mut changed.owner {
+            owner.on_report(self.now, &TARGET, &report);
+        }
+        if node.standing.mode() != Mode::Granted {
+            world.post(Message::Report(index, report));
+        }
+        next.push(world);
+    }
+
+    fn change_mode(&self, setup: &Setup, index: u8, next: &mut Vec<Self>) {
+        let node = &self.nodes[usize::from(index)];
+        match node.standing.mode() {
+            Mode::Granted => {
+                if self.budget.shares > 0 && node.standing.is_free(self.now) {
+                    self.change(index, "enters share mode", next, |node, budget| {
+                        budget.shares -= 1;
+                        node.standing.enter_share(self.now);
+                        if setup.fault == Some(Fault::ShareIgnoresRunning) {
+                            node.member = Member::new(TERMS, node.id.clone());
+                        }
+                        let session = node.standing.session();
+                        node.member.on_mode(node.standing.mode(), session);
+                    });
+                }
+                for owner in 0..setup.members {
+                    self.promise(setup, index, owner, next);
+                }
+            }
+            Mode::Share { .. } if self.budget.returns > 0 => {
+                self.change(index, "leaves share mode", next, |node, budget| {
+                    budget.returns -= 1;
+                    node.standing.leave_share();
+                    let session = node.standing.session();
+                    node.member.on_mode(node.standing.mode(), session);
+                });
+            }
+            Mode::Share { .. } => {}
+        }
+    }
+
+    fn promise(&self, setup: &Setup, index: u8, owner: u8, next: &mut Vec<Self>) {
+        let epoch = self.nodes[usize::from(owner)]
+            .owner
+            .as_ref()
+            .map(Owner::epoch);
+        let node = &self.nodes[usize::from(index)];
+        let own_epoch = node.owner.as_ref().map_or(0, Owner::epoch);
+        let known = node.member.epoch().max(own_epoch);
+        // A promise made in the knowledge of a newer record does not count.
+        let counts = setup.fault == Some(Fault::StalePromise);
+        let is_stale = epoch.is_none_or(|epoch| epoch < known && !counts);
+        if is_stale || self.budget.promises == 0 {
+            return;
+        }
+        let mut world = self.clone();
+        let node = Arc::make_mut(&mut world.nodes[usize::from(index)]);
+        let Some(session) = node.standing.promise(self.now) else {
+            return;
+        };
+        world.step = format!("{} promises", node.id.name);
+        world.budget.promises -= 1;
+        let made_ms = self.now;
+        let node = Arc::make_mut(&mut world.nodes[usize::from(owner)]);
+        if let Some(owner) = &mut node.owner {
+            owner.on_promise(&id(index), Promise { session, made_ms });
+        }
+        next.push(world);
+    }
+
+    /// What an owner does, and how a node becomes one.
+    fn own(&self, setup: &Setup, index: u8, next: &mut Vec<Self>) {
+        let node = &self.nodes[usize::from(index)];
+        if let Some(owner) = &node.owner {
+            self.poll(setup, index, next);
+            self.confirm(setup, index, next);
+            for collect in owner.collects() {
+                self.collect(index, &collect, next);
+            }
+        } else if self.named == index && self.budget.readings > 0 {
+            self.take_over(setup, index, next);
+        } else if self.budget.depositions > 0 {
+            self.depose(index, next);
+        }
+    }
+
+    fn collect(&self, index: u8, collect: &Collect, next: &mut Vec<Self>) {
+        let is_answer = |message: &Arc<Message>| match &**message {
+            Message::Holding(to, holding) => *to == index && holding.holder == collect.holder,
+            _ => false,
+        };
+        if self.budget.holdings == 0 || self.messages.iter().any(is_answer) {
+            return;
+        }
+        let mut world = self.clone();
+        world.budget.holdings -= 1;
+        let mut nodes = world.nodes.iter_mut();
+        let Some(node) = nodes.find(|node| node.id == collect.holder) else {
+            return;
+        };
+        if node.is_paused {
+            return;
+        }
+        let Some(holding) = Arc::make_mut(node).member.on_collect(collect) else {
+            return;
+        };
+        world.step = format!("{} tells {} what it holds", node.id.name, id(index).name);
+        world.post(Message::Holding(index, holding));
+        next.push(world);
+    }
+
+    fn confirm(&self, setup: &Setup, index: u8, next: &mut Vec<Self>) {
+        if self.budget.readings == 0 {
+            return;
+        }
+        if setup.fault == Some(Fault::NoConfirmationAge) {
+            self.change(index, "takes itself for confirmed", next, |node, budget| {
+                budget.readings -= 1;
+                node.owner.as_mut().unwrap().on_confirm(self.now);
+            });
+            return;
+        }
+        let epoch = self.epoch;
+        self.change(index, "reads the record", next, |node, budget| {
+            budget.readings -= 1;
+            let named = node.owner.as_mut().filter(|owner| owner.epoch() == epoch);
+            if let Some(owner) = named {
+                owner.on_confirm(self.now);
+            }
+        });
+    }
+
+    /// The record comes to name another owner, which has yet to learn of it.
+    fn depose(&self, index: u8, next: &mut Vec<Self>) {
+        let mut world = self.clone();
+        world.epoch += 1;
+        world.named = index;
+        world.budget.depositions -= 1;
+        world.step = format!("the record names {}", id(index).name);
+        next.push(world);
+    }
+
+    fn take_over(&self, setup: &Setup, index: u8, next: &mut Vec<Self>) {
+        let mut world = self.clone();
+        let members = match setup.fault {
+            Some(Fault::NoReserve) => Roster {
+                version: 1,
+                sharers: vec![id(index)],
+                ..Roster::default()
+            },
+            _ => roster(setup.members),
+        };
+        let node = Arc::make_mut(&mut world.nodes[usize::from(index)]);
+        let mut owner = Owner::new(TERMS, world.epoch, self.now, members);
+        owner.add_target(&TARGET);
+        hear_oneself(node, &mut owner, self.now);
+        node.owner = Some(owner);
+        world.step = format!("{} takes over", node.id.name);
+        next.push(world);
+    }
+
+    fn deliver(&self, setup: &Setup, index: usize, next: &mut Vec<Self>) {
+        let mut world = self.clone();
+        let message = world.messages.remove(index);
+        let to = match &*message {
+            Message::Holding(to, _) | Message::Grant(to, _) | Message::Report(to, _) => {
+                usize::from(*to)
+            }
+        };
+        if self.nodes[to].is_paused {
+            return;
+        }
+        world.step = format!("{} receives {message:?}", self.nodes[to].id.name);
+        let mut node = (*self.nodes[to]).clone();
+        world.receive(setup, &mut node, &message);
+        world.nodes[to] = Arc::new(node);
+        next.push(world);
+    }
+
+    fn receive(&mut self, setup: &Setup, node: &mut Node, message: &Message) {
+        match message {
+            Message::Holding(_, holding) => {
+                if let Some(owner) = &mut node.owner {
+                    owner.on_holding(holding);
+                }
+            }
+            Message::Grant(_, grant) => self.receive_grant(setup, node, grant),
+            Message::Report(_, report) => self.receive_report(setup, node, report),
+        }
+    }
+
+    fn receive_grant(&mut self, setup: &Setup, node: &mut Node, grant: &Grant) {
+        let mut grant = grant.clone();
+        if setup.fault == Some(Fault::EndlessGrant) {
+            grant.stamp = node.member.stamp(self.now);
+        }
+        match node.member.accept(self.now, &grant) {
+            Ok(held) => node.unsent.push((self.now, held.key)),
+            Err(_) => {
+                if let Some(owner) = &mut node.owner {
+                    owner.on_release(self.now, &TARGET, &grant.key, true);
+                }
+                self.release(&grant.key);
+            }
+        }
+    }
+
+    fn receive_report(&mut self, setup: &Setup, node: &mut Node, report: &Report) {
+        if node.standing.mode() == Mode::Granted || self.budget.works == 0 {
+            return;
+        }
+        let mut report = report.clone();
+        if setup.fault == Some(Fault::ShareWithoutReport) {
+            report.taken_ms = self.now + TERMS.settle_ms;
+            report.works.clear();
+        }
+        let roster = roster(setup.members);
+        if let Ok(held) = node.member.share(self.now, &TARGET, &report, &roster) {
+            self.budget.works -= 1;
+            node.unsent.push((self.now, held.key));
+        }
+    }
+
+    /// Work ends at the target; its holder learns of it if it runs.
+    fn end(&self, index: usize, next: &mut Vec<Self>) {
+        let mut world = self.clone();
+        let work = world.works.remove(index);
+        let mut nodes = world.nodes.iter();
+        let holder = nodes.position(|node| node.id == work.key.holder).unwrap();
+        let node = Arc::make_mut(&mut world.nodes[holder]);
+        world.step = format!("{} ends", node.id.name);
+        if !node.is_paused {
+            node.member.on_end(&work.key);
+            world.release(&work.key);
+        }
+        next.push(world);
+    }
+
+    fn release(&mut self, key: &Key) {
+        for node in self.nodes.iter_mut().filter(|node| !node.is_paused) {
+            let epoch = node.owner.as_ref().map(Owner::epoch);
+            if epoch.is_none_or(|epoch| epoch != key.epoch) {
+                continue;
+            }
+            if let Some(owner) = &mut Arc::make_mut(node).owner {
+                owner.on_release(self.now, &TARGET, key, true);
+            }
+        }
+    }
+
+    fn report(&self, setup: &Setup) -> Report {
+        let running = u32::try_from(self.works.len()).unwrap();
+        Report {
+            taken_ms: self.now,
+            incarnation: 1,
+            warm: false,
+            cold_limit: setup.limit,
+            warm_limit: setup.limit,
+            running,
+            waiting: 0,
+            preemptions: 0,
+            fence: setup.checks.then_some(self.fence),
+            works: self.works.iter().map(|work| work.key.clone()).collect(),
+        }
+    }
+
+    fn post(&mut self, message: Message) {
+        self.messages.push(Arc::new(message));
+        self.messages.sort_by_key(|message| digest(message));
+    }
+
+    fn change<F>(&self, index: u8, step: &str, next: &mut Vec<Self>, change: F)
+    where
+        F: FnOnce(&mut Node, &mut Budget),
+    {
+        let mut world = self.clone();
+        let node = Arc::make_mut(&mut world.nodes[usize::from(index)]);
+        change(node, &mut world.budget);
+        world.step = format!("{}: {step}", node.id.name);
+        next.push(world);
+    }
+}
--- a/filbertpaddle/src/coordinator.rs
+++ b/filbertpaddle/src/coordinator.rs
@@ -104,7 +104,6 @@
         record: Record::default(),
         read_ms: None,
         is_writing: false,
-        is_deposing: false,
         relay: Relay::new(now),
         heart: Heart::new(now),
         pools: IndexMap::new(),
@@ -177,7 +176,6 @@
     record: Record,
     read_ms: Option<Millis>,
     is_writing: bool,
-    is_deposing: bool,
     relay: Relay,
     heart: Heart,
     pools: IndexMap<Name, Pool>,
@@ -214,13 +212,12 @@
 
     fn beat(&mut self, now: Millis) {
         let must_share = self.must_share(now);
-        let may_promise = !self.is_deposing && !must_share;
         let beat = self.heart.beat(
             now,
             &self.record.roster,
             &self.own.data_centre,
             &mut self.standing,
-            may_promise,
+            !must_share,
         );
         if let Some((relay, beat)) = beat {
             self.send_member(now, &relay.id, wire::Message::Beat(beat));
@@ -236,7 +233,7 @@
     fn choose_mode(&mut self, now: Millis) {
         let alone = self.heart.is_lost(now) || self.must_share(now);
         let changed = match self.standing.mode() {
-            Mode::Granted => alone && !self.is_deposing && self.standing.enter_share(now),
+            Mode::Granted => alone && self.standing.enter_share(now),
             Mode::Share { .. } if !alone => {
                 self.standing.leave_share();
                 true
@@ -269,13 +266,9 @@
             &pools,
             is_relay,
         );
-        self.is_deposing = edit.as_ref().is_some_and(|edit| edit.deposes);
         let Some(edit) = edit else {
             return;
         };
-        if edit.deposes && !self.standing.is_free(now) {
-            return;
-        }
         info!(self.log, "Record changed."; "change" => edit.what, "version" => edit.roster.version);
         self.is_writing = true;
         let platform = self.platform.clone();
--- a/filbertpaddle/src/registrar.rs
+++ b/filbertpaddle/src/registrar.rs
@@ -14,8 +14,6 @@
 pub(crate) struct Edit {
     /// The record after the change.
     pub(crate) roster: Roster,
-    /// Whether an owner may lose a pool by it.
-    pub(crate) deposes: bool,
     /// What changes, for the log.
     pub(crate) what: &'static str,
 }
@@ -28,8 +26,7 @@
 /// Returns the change that is due, if it is for this node.
 ///
 /// Each node adds itself; all else is left to the relay, which hears every
-/// member. A settled sharer alone may depose an owner, since owners may count
-/// on the promises of those only.
+/// member.
 pub(crate) fn edit(
     now: Millis,
     own: &Peer,
@@ -49,7 +46,6 @@
         };
         return Some(Edit {
             roster: roster.join(member),
-            deposes: false,
             what: "joined",
         });
     }
@@ -58,14 +54,13 @@
     }
     settle(roster, relay)
         .or_else(|| retire(now, &id, roster, relay))
-        .or_else(|| assign(&id, roster, pools))
+        .or_else(|| assign(roster, pools))
 }
 
 fn settle(roster: &Roster, relay: &Relay) -> Option<Edit> {
     let roster = roster.settle(|id, version| relay.knows(id, version))?;
     Some(Edit {
         roster,
-        deposes: false,
         what: "sharers settled",
     })
 }
@@ -75,27 +70,19 @@
     let silent = members
         .filter(|member| member.id != *own)
         .find(|member| relay.is_silent(now, &member.id))?;
-    let owns = roster.owners.iter().any(|owner| owner.member == silent.id);
-    (!owns || roster.sharers.contains(own)).then(|| Edit {
+    Some(Edit {
         roster: roster.retire(&silent.id),
-        deposes: owns,
         what: "silent member retired",
     })
 }
 
-fn assign(own: &Id, roster: &Roster, pools: &[Name]) -> Option<Edit> {
+fn assign(roster: &Roster, pools: &[Name]) -> Option<Edit> {
     let known = roster.owners.iter().map(|owner| owner.pool.clone());
     let mut all: Vec<Name> = known.chain(pools.iter().cloned()).collect();
     all.sort();
     all.dedup();
-    let changed = roster.assign(&all)?;
-    let deposes = roster.owners.iter().any(|owner| {
-        let next = changed.owner(&owner.pool);
-        next.is_none_or(|next| next.epoch != owner.epoch)
-    });
-    (!deposes || roster.sharers.contains(own)).then_some(Edit {
-        roster: changed,
-        deposes,
+    Some(Edit {
+        roster: roster.assign(&all)?,
         what: "owners assigned",
     })
 }
--- a/filbertpaddle/tests/ownership.rs
+++ b/filbertpaddle/tests/ownership.rs
@@ -19,6 +19,7 @@
 use filbertpaddle::record;
 use filbertpaddle_core::outcome::Outcome;
 use filbertpaddle_core::roster::Roster;
+use filbertpaddle_standins::engine_fault::Fault;
 use filbertpaddle_standins::proxy::Link;
 use serde_json::Value;
 
@@ -38,6 +39,10 @@
 
 /// Starts a cold engine, three nodes and a proxy between them and the platform.
 async fn start() -> Deployment {
+    start_at("20").await
+}
+
+async fn start_at(speed: &str) -> Deployment {
     let mut platform = Platform::start();
     let proxy = links::before(platform.standin.address);
     let engine = StandIn::start(&[
@@ -45,7 +50,7 @@
         "--seed",
         "7",
         "--speed",
-        "20",
+        speed,
         "--cold",
         "--cold-limit",
         COLD_LIMIT,
@@ -133,6 +138,13 @@
         counters["totals"]["cold_excess"].as_u64().unwrap()
     }
 
+    /// Returns how much work the engine runs, by its own report.
+    async fn running(&self) -> u64 {
+        let url = format!("http://{}/v1/load", self.engine.address);
+        let load: Value = reqwest::get(url).await.unwrap().json().await.unwrap();
+        load["running"].as_u64().unwrap()
+    }
+
     async fn cut_platform(&self, cut: bool) {
         let link = if cut { Link::Cut } else { Link::Open };
         links::set(&self.proxy, link).await;
@@ -235,3 +247,25 @@
     deployment.serves(&[1]).await;
     assert_eq!(deployment.excess().await, 0);
 }
+
+#[tokio::test]
+async fn a_target_that_turns_cold_with_a_full_batch_gets_nothing_new() {
+    // In real time, as the engine counts from two seconds after the turn.
+    let deployment = start_at("1").await;
+    deployment.engine.control("faults", &Fault::Warm).await;
+    deployment.serves(&[0, 1, 2]).await;
+    let load = deployment.load(&[0, 1, 2], 30);
+    let turn = async {
+        wait::until("a batch beyond the cold limit", async || {
+            let running = deployment.running().await;
+            (running > 2).then_some(())
+        })
+        .await;
+        deployment.engine.control("faults", &Fault::Cold).await;
+    };
+    let (complete, ()) = tokio::join!(load, turn);
+    assert!(complete > 0);
+    let counters: Value = deployment.engine.read("counters").await;
+    let totals = &counters["totals"];
+    assert_eq!(totals["cold_excess"], totals["cold_excess_in_grace"]);
+}
