--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -1,8 +1,12 @@
 //! A node: the process between callers and back ends.
 
+pub mod arguments;
 pub mod attempt;
 mod bounds;
 pub mod caller;
+mod claim_actor;
+mod claim_store;
+mod claim_sweep;
 pub mod claims;
 pub mod cli;
 pub mod clock;
@@ -17,6 +21,7 @@
 pub mod log;
 pub mod metrics;
 pub mod node;
+pub mod operate;
 pub mod operator;
 pub mod operator_api;
 mod output;
@@ -28,9 +33,11 @@
 mod registrar;
 mod reply;
 pub mod request;
+pub mod retries;
 pub mod run;
 pub mod service;
 pub mod settings;
+pub mod show;
 pub mod status;
 pub mod table;
 pub mod templates;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -7,7 +7,8 @@
 use filbertpaddle_core::roster::Id;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_target::client as target;
-use filbertpaddle_wire::config as wire;
+use filbertpaddle_wire::claim;
+use filbertpaddle_wire::config as wire_config;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::Logger;
@@ -20,6 +21,7 @@
 
 use crate::attempt;
 use crate::caller;
+use crate::claims;
 use crate::claims::Claims;
 use crate::clock;
 use crate::clock::Clock;
@@ -29,7 +31,6 @@
 use crate::front::Parts;
 use crate::health;
 use crate::inbox;
-use crate::inbox::From;
 use crate::inbox::Inboxes;
 use crate::log;
 use crate::metrics::Metrics;
@@ -41,6 +42,7 @@
 use crate::pools;
 use crate::pools::Pools;
 use crate::refusals::Keeper;
+use crate::retries::Retries;
 use crate::service::Service;
 use crate::settings::Settings;
 use crate::templates::Templates;
@@ -90,7 +92,8 @@
             peers: peers.local_addr()?,
         };
         let metrics = Arc::new(Metrics::open(settings.metrics)?);
-        let identity = identity(&settings, addresses.peers);
+        let advertised = settings.listen.advertise_peers.unwrap_or(addresses.peers);
+        let identity = identity(&settings, advertised);
         let common = Common {
             own: identity.own.clone(),
             platform: platform(&settings)?,
@@ -111,9 +114,10 @@
             clock: common.clock,
             log: log::part(&log, "pool"),
         });
+        let claims = start_claims(&common, peers.clone(), inboxes.claim);
         let (config, templates) = start_config(&common, peers, inboxes.config, &service);
         let desk = Arc::new(desk(&settings, &common, config));
-        let front = Arc::new(front(&settings, &common, templates, pools)?);
+        let front = Arc::new(front(&settings, &common, templates, claims, pools)?);
         let servers = vec![
             serve(
                 callers,
@@ -143,6 +147,7 @@
     pub async fn close(self) {
         info!(self.log, "Node drains.");
         self.front.drain().await;
+        self.front.claims.close().await;
         for server in self.servers {
             server.stop.send(()).ok();
             server.task.await.ok();
@@ -182,6 +187,7 @@
     settings: &Settings,
     common: &Common,
     templates: Templates,
+    claims: Claims,
     pools: Pools,
 ) -> eyre::Result<Front> {
     let own = &common.own;
@@ -192,8 +198,9 @@
     });
     Ok(Front::new(Parts {
         templates,
-        claims: Claims,
+        claims,
         pools,
+        retries: Retries::new(settings.retries),
         targets: target::Client::new(target::Settings::default())?,
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
@@ -203,10 +210,26 @@
     }))
 }
 
+fn start_claims(
+    common: &Common,
+    peers: Peers,
+    inbox: mpsc::Receiver<inbox::From<claim::Message>>,
+) -> Claims {
+    Claims::start(claims::Parts {
+        own: common.own.clone(),
+        platform: common.platform.clone(),
+        peers,
+        inbox,
+        clock: common.clock,
+        metrics: Arc::clone(&common.metrics),
+        log: log::part(&common.log, "claim"),
+    })
+}
+
 fn start_config(
     common: &Common,
     peers: Peers,
-    inbox: mpsc::Receiver<From<wire::Message>>,
+    inbox: mpsc::Receiver<inbox::From<wire_config::Message>>,
     service: &Service,
 ) -> (Config, Templates) {
     Config::start(config::Parts {
--- a/filbertpaddle/tests/settings.rs
+++ b/filbertpaddle/tests/settings.rs
@@ -23,18 +23,16 @@
 #[test]
 fn an_unknown_key_is_refused() {
     let text = EXAMPLE.replace("peers: [", "pears: [");
-    refused(
-        &text,
-        &expect![
-            "line 16: unknown field `pears`, expected one of node, listen, peers, platform, secrets, operators, targets, limits, log, metrics"
-        ],
-    );
+    let expected = expect![
+        "line 17: unknown field `pears`, expected one of node, listen, peers, platform, secrets, operators, targets, placement, retries, limits, log, metrics"
+    ];
+    refused(&text, &expected);
 }
 
 #[test]
 fn an_impossible_value_is_refused() {
     let text = EXAMPLE.replace("timeout_ms: 2000", "timeout_ms: 0");
-    refused(&text, &expect!["line 21: a timeout is from 1 to 600000 ms"]);
+    refused(&text, &expect!["line 22: a timeout is from 1 to 600000 ms"]);
 }
 
 #[test]
@@ -50,17 +48,14 @@
     let text = EXAMPLE.replace("2bcbc95a", "2BCBC95A");
     refused(
         &text,
-        &expect!["line 32: a digest has 64 lower-case hexadecimal digits"],
+        &expect!["line 33: a digest has 64 lower-case hexadecimal digits"],
     );
 }
 
 #[test]
 fn a_missing_part_is_refused() {
-    let text = EXAMPLE.replace("platform:", "platforms:");
     refused(
-        &text,
-        &expect![
-            "line 19: unknown field `platforms`, expected one of node, listen, peers, platform, secrets, operators, targets, limits, log, metrics"
-        ],
+        "node: {name: entry-1, data_centre: north-1}",
+        &expect!["line 1: missing field `listen`"],
     );
 }
