--- a/filbertpaddle-core/tests/owner_model/main.rs
+++ b/filbertpaddle-core/tests/owner_model/main.rs
@@ -185,7 +185,6 @@
         budget: Budget {
             works: 3,
             promises: 2,
-            holdings: 0,
             ..Setup::succession().budget
         },
         ..Setup::succession()
