Leave the record on a graceful stop, and shorten the messages

Ruled out: dropping a silent node's share, which it may still use. Change: a stopping node takes itself out of the record, the relay removes a retired node that the platform does not list, fields of grants go by their place, and a release does not name the target.

--- a/filbertpaddle-core/src/ledger.rs
+++ b/filbertpaddle-core/src/ledger.rs
@@ -108,11 +108,9 @@
         }
     }
 
-    /// Forgets work that has ended; returns whether it was counted.
-    pub fn end(&mut self, key: &Key) -> bool {
-        let before = self.slots.len();
+    /// Forgets work that has ended.
+    pub fn end(&mut self, key: &Key) {
         self.slots.retain(|slot| slot.key != *key);
-        self.slots.len() < before
     }
 
     /// Keeps work counted until a later report no longer shows it.
--- a/filbertpaddle-core/src/owner.rs
+++ b/filbertpaddle-core/src/owner.rs
@@ -233,15 +233,12 @@
     ///
     /// If the holder does not know that the work has `ended`, the slot stays
     /// counted until a report shows it gone.
-    pub fn on_release(&mut self, now: Millis, target: &Name, key: &Key, ended: bool) {
-        let Some(ledger) = self.ledger_mut(target) else {
-            return;
-        };
-        match ended {
-            true => {
-                ledger.end(key);
+    pub fn on_release(&mut self, now: Millis, key: &Key, ended: bool) {
+        for ledger in &mut self.ledgers {
+            match ended {
+                true => ledger.end(key),
+                false => ledger.loosen(now, |other| other == key),
             }
-            false => ledger.loosen(now, |other| other == key),
         }
     }
 
--- a/filbertpaddle-core/src/roster.rs
+++ b/filbertpaddle-core/src/roster.rs
@@ -162,6 +162,12 @@
         let mut roster = self.retire(id);
         let mut sharers = self.peers().to_vec();
         sharers.retain(|other| other != id);
+        if sharers.is_empty() {
+            // The last one to leave divides with nobody.
+            roster.sharers = sharers;
+            roster.next = None;
+            return roster;
+        }
         roster.set_sharers(sharers);
         roster
     }
--- a/filbertpaddle-core/tests/owner_model/world.rs
+++ b/filbertpaddle-core/tests/owner_model/world.rs
@@ -645,7 +645,7 @@
             Ok(held) => node.unsent.push((self.now, held.key)),
             Err(_) => {
                 if let Some(owner) = &mut node.owner {
-                    owner.on_release(self.now, &TARGET, &grant.key, true);
+                    owner.on_release(self.now, &grant.key, true);
                 }
                 self.release(&grant.key);
             }
@@ -690,7 +690,7 @@
                 continue;
             }
             if let Some(owner) = &mut Arc::make_mut(node).owner {
-                owner.on_release(self.now, &TARGET, key, true);
+                owner.on_release(self.now, key, true);
             }
         }
     }
--- a/filbertpaddle-wire/src/grant.rs
+++ b/filbertpaddle-wire/src/grant.rs
@@ -26,9 +26,10 @@
     /// The request with this number is not queued.
     #[serde(rename = "f")]
     Refuse(Name, u64),
-    /// Gives a slot on a target back; the flag tells whether the work has ended.
+    /// Gives a slot back: epoch, source and number of the work, and whether it
+    /// has ended.
     #[serde(rename = "r")]
-    Release(Name, Work, bool),
+    Release(Name, u64, Source, u64, bool),
     /// Asks what the holder holds.
     #[serde(rename = "c")]
     Collect(Name, Collect),
@@ -39,55 +40,43 @@
 
 /// A request for a slot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u64, u32)", into = "(u64, u32)")]
 pub struct Ask {
-    /// Number of the request.
-    #[serde(rename = "n")]
+    /// Number of the request, which is the holder's stamp as well.
     pub number: u64,
-    /// The holder's stamp.
-    #[serde(rename = "t")]
-    pub stamp: u64,
     /// The holder's session.
-    #[serde(rename = "s")]
     pub session: u32,
 }
 
 /// A slot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "GrantFields", into = "GrantFields")]
 pub struct Grant {
     /// Epoch of the owner.
-    #[serde(rename = "e")]
     pub epoch: u64,
     /// Number of the slot.
-    #[serde(rename = "n")]
     pub number: u64,
     /// Target that the work may be sent to.
-    #[serde(rename = "v")]
     pub target: Name,
     /// Request that is answered.
-    #[serde(rename = "a")]
     pub ask: u64,
     /// Last stamp that the owner has heard.
-    #[serde(rename = "t")]
     pub stamp: u64,
     /// Whether the target is cold.
-    #[serde(rename = "c")]
     pub cold: bool,
 }
 
 /// Work of the sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "WorkFields", into = "WorkFields")]
 pub struct Work {
     /// Target of the work.
-    #[serde(rename = "v")]
     pub target: Name,
     /// Epoch under which it was counted.
-    #[serde(rename = "e")]
     pub epoch: u64,
     /// Who counted it.
-    #[serde(rename = "s")]
     pub source: Source,
     /// Number of the work.
-    #[serde(rename = "n")]
     pub number: u64,
 }
 
@@ -95,10 +84,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Collect {
     /// Epoch of the owner.
-    #[serde(rename = "e")]
     pub epoch: u64,
     /// Number of the owner's next grant.
-    #[serde(rename = "u")]
     pub upto: u64,
 }
 
@@ -106,15 +93,71 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
     /// Epoch of the owner that asked.
-    #[serde(rename = "e")]
     pub epoch: u64,
     /// Number of the owner's next grant when it asked.
-    #[serde(rename = "u")]
     pub upto: u64,
     /// The holder's session.
-    #[serde(rename = "s")]
     pub session: u32,
     /// The work.
-    #[serde(rename = "w")]
     pub works: Vec<Work>,
 }
+
+// Fields go by their place, as names would be a third of these messages.
+type GrantFields = (u64, u64, Name, u64, u64, bool);
+type WorkFields = (Name, u64, Source, u64);
+
+impl From<(u64, u32)> for Ask {
+    fn from((number, session): (u64, u32)) -> Self {
+        Self { number, session }
+    }
+}
+
+impl From<Ask> for (u64, u32) {
+    fn from(ask: Ask) -> Self {
+        (ask.number, ask.session)
+    }
+}
+
+impl From<GrantFields> for Grant {
+    fn from((epoch, number, target, ask, stamp, cold): GrantFields) -> Self {
+        Self {
+            epoch,
+            number,
+            target,
+            ask,
+            stamp,
+            cold,
+        }
+    }
+}
+
+impl From<Grant> for GrantFields {
+    fn from(grant: Grant) -> Self {
+        let Grant {
+            epoch,
+            number,
+            target,
+            ask,
+            stamp,
+            cold,
+        } = grant;
+        (epoch, number, target, ask, stamp, cold)
+    }
+}
+
+impl From<WorkFields> for Work {
+    fn from((target, epoch, source, number): WorkFields) -> Self {
+        Self {
+            target,
+            epoch,
+            source,
+            number,
+        }
+    }
+}
+
+impl From<Work> for WorkFields {
+    fn from(work: Work) -> Self {
+        (work.target, work.epoch, work.source, work.number)
+    }
+}
--- /dev/null
+++ b/filbertpaddle-wire/tests/control.rs
@@ -0,0 +1,96 @@
+//! Bytes of membership and grants for one node at the target size, as the
+//! process writes them; headers of TCP and IP come on top.
+
+#![expect(clippy::unwrap_used, reason = "a panic fails the test")]
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::membership::Answer;
+use filbertpaddle_core::membership::Beat;
+use filbertpaddle_core::membership::Told;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::slot::Source;
+use filbertpaddle_wire::frame;
+use filbertpaddle_wire::grant;
+use filbertpaddle_wire::member;
+use filbertpaddle_wire::message::Message;
+
+/// The stated bound on one node's control traffic.
+const BOUND_BYTES_PER_S: f64 = 16_000.0;
+const MEMBERS: usize = 62;
+/// 42,000 requests a second over 740 nodes.
+const REQUESTS_PER_S: f64 = 57.0;
+const BEATS_PER_S: f64 = 0.5;
+/// Header of a WebSocket frame with a mask, one for each message.
+const HEADER_BYTES: f64 = 6.0;
+
+fn bytes(message: Message) -> f64 {
+    frame::encode(&[message]).unwrap().len() as f64 + HEADER_BYTES
+}
+
+fn pool() -> Name {
+    "teacher".into()
+}
+
+/// Returns the bytes of one request's messages: ask, grant and release.
+fn request_bytes() -> f64 {
+    let ask = grant::Message::Ask(
+        pool(),
+        grant::Ask {
+            number: 4_000_000_000,
+            session: 3,
+        },
+    );
+    let granted = grant::Message::Grant(
+        pool(),
+        grant::Grant {
+            epoch: 70_000,
+            number: 4_000_000_000,
+            target: "runner-0123".into(),
+            ask: 4_000_000_000,
+            stamp: 4_000_000_000,
+            cold: false,
+        },
+    );
+    let release = grant::Message::Release(pool(), 70_000, Source::Granted, 4_000_000_000, true);
+    [ask, granted, release]
+        .into_iter()
+        .map(|message| bytes(Message::Grant(message)))
+        .sum()
+}
+
+fn beat_bytes() -> f64 {
+    bytes(Message::Member(member::Message::Beat(Beat {
+        sent_ms: Millis(4_000_000_000),
+        echo_ms: Some(Millis(4_000_000_000)),
+        version: 70_000,
+        promise: Some(3),
+    })))
+}
+
+fn answer_bytes() -> f64 {
+    bytes(Message::Member(member::Message::Answer(Answer {
+        echo_ms: Millis(4_000_000_000),
+        relay_ms: Millis(4_000_000_000),
+        version: 70_000,
+        reading_age_ms: Some(Millis(500)),
+        peers: vec![Told(3, Some(Millis(2_500)), true); MEMBERS],
+    })))
+}
+
+#[test]
+fn membership_and_grants_of_a_member_fit_the_bound() {
+    // Each message is sent by one node and received by another, and each node
+    // asks as much as it grants.
+    let grants = REQUESTS_PER_S * request_bytes() * 2.0;
+    let member = BEATS_PER_S * (beat_bytes() + answer_bytes());
+    println!("grants {grants:.0} B/s, heartbeats of a member {member:.0} B/s");
+    println!(
+        "a request {:.0} B, a beat {:.0} B, an answer {:.0} B",
+        request_bytes(),
+        beat_bytes(),
+        answer_bytes()
+    );
+    let relay = member * MEMBERS as f64;
+    println!("heartbeats of the relay {relay:.0} B/s");
+    assert!(member + grants < BOUND_BYTES_PER_S);
+}
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -147,6 +147,7 @@
     pub async fn close(self) {
         info!(self.log, "Node drains.");
         self.front.drain().await;
+        self.front.pools.leave().await;
         self.front.claims.close().await;
         for server in self.servers {
             server.stop.send(()).ok();
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -172,7 +172,6 @@
             self.stamped_ms = now;
             let ask = grant::Ask {
                 number: ask.number,
-                stamp: ask.stamp,
                 session: ask.session,
             };
             let message = Message::Ask(self.name.clone(), ask);
@@ -236,9 +235,15 @@
             }
             Message::Grant(_, grant) => self.on_grant(now, from, grant),
             Message::Refuse(_, number) => self.on_refuse(now, number),
-            Message::Release(_, work, ended) => {
+            Message::Release(_, epoch, source, number, ended) => {
+                let key = Key {
+                    holder: from.clone(),
+                    epoch,
+                    source,
+                    number,
+                };
                 if let Some(owner) = &mut self.owner {
-                    owner.on_release(now, &work.target, &key(from, &work), ended);
+                    owner.on_release(now, &key, ended);
                 }
             }
             Message::Collect(_, collect) => self.on_collect(from, &collect),
@@ -276,19 +281,18 @@
     }
 
     /// Takes a slot back from whoever used it.
-    pub(crate) fn release(&mut self, slot: &Slot, target: &Name, ended: bool) {
+    pub(crate) fn release(&mut self, slot: &Slot, ended: bool) {
         if !self.member.on_end(&slot.key) {
             return;
         }
-        let work = work(target, &slot.key);
-        self.tell_owner(Message::Release(self.name.clone(), work, ended));
+        self.tell_owner(released(&self.name, &slot.key, ended));
     }
 
     fn on_ask(&mut self, from: &Id, ask: &grant::Ask) {
         let asked = owner::Ask {
             holder: from.clone(),
             number: ask.number,
-            stamp: ask.stamp,
+            stamp: ask.number,
             session: ask.session,
         };
         let owner = self.owner.as_mut();
@@ -330,20 +334,18 @@
 
     fn on_grant(&mut self, now: Millis, from: &Id, granted: grant::Grant) {
         let is_owner = |owner: &roster::Owner| owner.member == *from;
-        let source = Source::Granted;
-        let work = grant::Work {
-            target: granted.target.clone(),
-            epoch: granted.epoch,
-            source,
-            number: granted.number,
-        };
         let index = self
             .waiters
             .iter()
             .position(|waiter| waiter.asked == Some(granted.ask) && !waiter.reply.is_closed());
         let own = self.member.id().clone();
         let grant = slot::Grant {
-            key: key(&own, &work),
+            key: Key {
+                holder: own,
+                epoch: granted.epoch,
+                source: Source::Granted,
+                number: granted.number,
+            },
             target: granted.target,
             ask: granted.ask,
             stamp: granted.stamp,
@@ -365,7 +367,7 @@
             Ok((waiter, held)) => self.hand_over(now, waiter, held),
             Err(_) => {
                 let to = from.clone();
-                let message = Message::Release(self.name.clone(), work, true);
+                let message = released(&self.name, &grant.key, true);
                 self.out.push(Out { to, message });
                 self.on_refuse(now, grant.ask);
             }
@@ -392,7 +394,7 @@
         if let Err(Ok(grant)) = waiter.reply.send(Ok(grant))
             && let Some(slot) = &grant.slot
         {
-            self.release(slot, &held.target, true);
+            self.release(slot, true);
         }
     }
 
@@ -412,6 +414,10 @@
     }
 }
 
+fn released(pool: &Name, key: &Key, ended: bool) -> Message {
+    Message::Release(pool.clone(), key.epoch, key.source, key.number, ended)
+}
+
 fn work(target: &Name, key: &Key) -> grant::Work {
     grant::Work {
         target: target.clone(),
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -13,11 +13,13 @@
 use xtra::Address;
 
 use crate::coordinator;
-use crate::coordinator::Acquire;
 use crate::coordinator::Coordinator;
 pub use crate::coordinator::Parts;
-use crate::coordinator::Release;
-use crate::coordinator::Sent;
+use crate::coordinator_inputs::Acquire;
+use crate::coordinator_inputs::Leave;
+use crate::coordinator_inputs::Release;
+use crate::coordinator_inputs::Sent;
+use crate::record;
 
 /// Asks for a slot on a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -132,17 +134,22 @@
         }
     }
 
+    /// Takes the node out of its data centre's record, once it holds no work.
+    ///
+    /// If the platform is out, the others find that the node is silent.
+    pub async fn leave(&self) {
+        if let Ok(leaving) = self.actor.send(Leave).await {
+            record::leave(&leaving.platform, &leaving.data_centre, &leaving.id).await;
+        }
+    }
+
     /// Gives a slot back.
     pub fn release(&self, grant: Grant, ending: Ending, _tokens: u32) {
         let Some(slot) = grant.slot else {
             return;
         };
         let ended = matches!(ending, Ending::Complete | Ending::Unsent | Ending::Refused);
-        let release = Release {
-            slot,
-            target: grant.target,
-            ended,
-        };
+        let release = Release { slot, ended };
         tokio::spawn(self.actor.send(release).detach());
     }
 }
--- a/filbertpaddle/src/record.rs
+++ b/filbertpaddle/src/record.rs
@@ -1,5 +1,6 @@
 //! The record of a data centre as a row of the platform's table.
 
+use filbertpaddle_core::roster::Id;
 use filbertpaddle_core::roster::Roster;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_platform::protocol::Condition;
@@ -9,6 +10,9 @@
 
 use crate::table;
 
+/// Tries of a leaving node, against changes by others.
+const LEAVE_TRIES: usize = 4;
+
 /// The record and the table revision of its last write.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Record {
@@ -38,6 +42,21 @@
     })
 }
 
+/// Takes a node out of the record, with few tries.
+pub async fn leave(platform: &Client, data_centre: &str, id: &Id) {
+    for _ in 0..LEAVE_TRIES {
+        let Ok(record) = read(platform, data_centre).await else {
+            return;
+        };
+        let roster = &record.roster;
+        let is_member = roster.members.iter().any(|member| member.id == *id);
+        if !is_member && !roster.peers().contains(id) {
+            return;
+        }
+        write(platform, data_centre, &roster.remove(id), record.revision).await;
+    }
+}
+
 /// Replaces the record if it is still at `revision`; whether that worked is
 /// seen by reading it again, since the answer may be lost.
 pub async fn write(platform: &Client, data_centre: &str, roster: &Roster, revision: Option<u64>) {
--- a/filbertpaddle/src/registrar.rs
+++ b/filbertpaddle/src/registrar.rs
@@ -33,6 +33,7 @@
     roster: &Roster,
     relay: &Relay,
     pools: &[Name],
+    listed: &[Name],
     is_relay: bool,
 ) -> Option<Edit> {
     let id = Id {
@@ -54,6 +55,7 @@
     }
     settle(roster, relay)
         .or_else(|| retire(now, &id, roster, relay))
+        .or_else(|| remove(now, roster, relay, listed))
         .or_else(|| assign(roster, pools))
 }
 
@@ -76,6 +78,21 @@
     })
 }
 
+/// Removes a retired node that the platform no longer lists, so that nothing
+/// is kept for it. A list without any entry VM says nothing.
+fn remove(now: Millis, roster: &Roster, relay: &Relay, listed: &[Name]) -> Option<Edit> {
+    if listed.is_empty() {
+        return None;
+    }
+    let gone = roster.peers().iter().find(|id| {
+        !is_member(id, roster) && !listed.contains(&id.name) && relay.is_silent(now, id)
+    })?;
+    Some(Edit {
+        roster: roster.remove(gone),
+        what: "gone member removed",
+    })
+}
+
 fn assign(roster: &Roster, pools: &[Name]) -> Option<Edit> {
     let known = roster.owners.iter().map(|owner| owner.pool.clone());
     let mut all: Vec<Name> = known.chain(pools.iter().cloned()).collect();
