Lend warm slots to data centres without a target in service

Cause: slots came from the node's own data centre only, so a data centre that was out could not be served by another. Ruled out: members of other data centres in every record, whose promises would have to cross regions that lose each other. Change: a node borrows from a node of another data centre, which holds the slot towards its own owner; slots on cold targets are not lent. Conclusion: out means out again, with slots counted by owners.

--- a/filbertpaddle-wire/src/grant.rs
+++ b/filbertpaddle-wire/src/grant.rs
@@ -1,5 +1,6 @@
 //! Messages about slots on targets.
 
+use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::slot::Source;
 use serde::Deserialize;
@@ -36,6 +37,15 @@
     /// Tells what the holder holds.
     #[serde(rename = "h")]
     Holding(Name, Holding),
+    /// Asks a node of another data centre for a slot: number and longest wait.
+    #[serde(rename = "b")]
+    Borrow(Name, u64, Millis),
+    /// Answers [`Message::Borrow`] of this number; `None` refuses.
+    #[serde(rename = "l")]
+    Lent(Name, u64, Option<Work>),
+    /// Gives a lent slot back, like [`Message::Release`].
+    #[serde(rename = "v")]
+    Return(Name, u64, Source, u64, bool),
 }
 
 /// A request for a slot.
--- a/filbertpaddle/src/attempt.rs
+++ b/filbertpaddle/src/attempt.rs
@@ -12,14 +12,17 @@
 
 /// Returns the name of an attempt with the slot that it uses.
 ///
-/// Any slot that `attempt` named before is replaced.
+/// Any slot that `attempt` named before is replaced. The name starts with the
+/// slot's holder, which is another node if the slot is lent.
 pub fn with_slot(attempt: &str, key: &Key) -> Name {
     let base = attempt.split('.').next().unwrap_or(attempt);
+    let number = base.rsplit('-').next().unwrap_or(base);
+    let prefix = prefix(&key.holder);
     let source = match key.source {
         Source::Granted => 'g',
         Source::Share => 's',
     };
-    format!("{base}.{:x}{source}{:x}", key.epoch, key.number).into()
+    format!("{prefix}-{number}.{:x}{source}{:x}", key.epoch, key.number).into()
 }
 
 /// Returns the slot that an attempt uses.
--- a/filbertpaddle/src/coordinator.rs
+++ b/filbertpaddle/src/coordinator.rs
@@ -33,6 +33,8 @@
 use crate::coordinator_tasks::tick;
 use crate::heart::Heart;
 use crate::inbox::From;
+use crate::lending::Borrowed;
+use crate::lending::Lent;
 use crate::peers::Peer;
 use crate::peers::Peers;
 use crate::pool::Out;
@@ -91,6 +93,10 @@
         is_writing: false,
         is_leaving: false,
         listed: Vec::new(),
+        vms: Vec::new(),
+        borrowed: Vec::new(),
+        next_borrow: 0,
+        lent: Vec::new(),
         relay: Relay::new(now),
         heart: Heart::new(now),
         pools: IndexMap::new(),
@@ -128,6 +134,10 @@
     pub(crate) is_writing: bool,
     pub(crate) is_leaving: bool,
     pub(crate) listed: Vec<Name>,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) borrowed: Vec<Borrowed>,
+    pub(crate) next_borrow: u64,
+    pub(crate) lent: Vec<Lent>,
     pub(crate) relay: Relay,
     pub(crate) heart: Heart,
     pub(crate) pools: IndexMap<Name, Pool>,
@@ -158,6 +168,7 @@
             pool.sweep(now);
             pool.own(now);
         }
+        self.sweep_lending(now);
         self.poll(now, address);
         self.flush(now);
     }
@@ -294,6 +305,7 @@
 
     pub(crate) fn on_vms(&mut self, now: Millis, vms: &[Vm]) {
         self.service.on_list(vms);
+        self.vms = vms.to_vec();
         for pool in self.pools.values_mut() {
             pool.targets.retain(|name, target| {
                 vms.iter()
@@ -381,7 +393,10 @@
             | grant::Message::Refuse(name, _)
             | grant::Message::Release(name, ..)
             | grant::Message::Collect(name, _)
-            | grant::Message::Holding(name, _) => name.clone(),
+            | grant::Message::Holding(name, _)
+            | grant::Message::Borrow(name, ..)
+            | grant::Message::Lent(name, ..)
+            | grant::Message::Return(name, ..) => name.clone(),
         };
         if let Some(pool) = self.pools.get_mut(&name) {
             pool.on_message(now, from, message);
@@ -403,12 +418,16 @@
                 if to == self.id {
                     self.on_grant_message(now, &to, message);
                 } else {
-                    self.peers.send(&to.name, Message::Grant(message));
+                    self.send_grant(&to.name, message);
                 }
             }
         }
     }
 
+    pub(crate) fn send_grant(&self, to: &str, message: grant::Message) {
+        self.peers.send(to, Message::Grant(message));
+    }
+
     fn send_member(&mut self, now: Millis, to: &Id, message: wire::Message) {
         if *to == self.id {
             let id = self.id.clone();
--- a/filbertpaddle/src/coordinator_inputs.rs
+++ b/filbertpaddle/src/coordinator_inputs.rs
@@ -5,6 +5,7 @@
 use filbertpaddle_core::outcome::Reason;
 use filbertpaddle_core::report::Report;
 use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::slot::Key;
 use filbertpaddle_core::standing::Mode;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_platform::protocol::Vm;
@@ -44,6 +45,14 @@
     pub(crate) ended: bool,
 }
 
+/// The answer to a node of another data centre that asked for a slot.
+pub(crate) struct Lend {
+    pub(crate) borrower: Id,
+    pub(crate) model: Name,
+    pub(crate) number: u64,
+    pub(crate) grant: Option<Grant>,
+}
+
 /// What a leaving node needs to take itself out of the record.
 pub(crate) struct Leaving {
     pub(crate) platform: Client,
@@ -92,15 +101,12 @@
 
     async fn handle(&mut self, acquire: Acquire, _: &mut Context<Self>) {
         let now = self.clock.now();
-        let Some(pool) = self.pools.get_mut(&acquire.ask.model) else {
-            refuse(acquire.reply, Reason::NoTarget);
-            return;
-        };
         let is_open = |name: &Name| !self.service.vm_share(name).is_none();
-        if !pool.targets.keys().any(is_open) {
-            refuse(acquire.reply, Reason::NoTarget);
+        let pool = self.pools.get_mut(&acquire.ask.model);
+        let Some(pool) = pool.filter(|pool| pool.targets.keys().any(is_open)) else {
+            self.borrow_slot(now, &acquire.ask, acquire.reply);
             return;
-        }
+        };
         pool.wait(now, acquire.ask.wait_ms, acquire.reply);
         if self.standing.mode() == Mode::Granted {
             pool.ask(now);
@@ -114,13 +120,25 @@
 
     async fn handle(&mut self, release: Release, _: &mut Context<Self>) {
         let now = self.clock.now();
-        if let Some(pool) = self.pools.get_mut(&release.slot.pool) {
+        if release.slot.key.holder != self.id {
+            self.give_back(&release.slot, release.ended);
+        } else if let Some(pool) = self.pools.get_mut(&release.slot.pool) {
             pool.release(&release.slot, release.ended);
         }
         self.flush(now);
     }
 }
 
+impl Handler<Lend> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, lend: Lend, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        self.on_lend(lend);
+        self.flush(now);
+    }
+}
+
 impl Handler<Leave> for Coordinator {
     type Return = Leaving;
 
@@ -232,12 +250,32 @@
 impl Handler<From<grant::Message>> for Coordinator {
     type Return = ();
 
-    async fn handle(&mut self, from: From<grant::Message>, _: &mut Context<Self>) {
+    async fn handle(&mut self, from: From<grant::Message>, context: &mut Context<Self>) {
         let now = self.clock.now();
-        if from.peer.data_centre == self.own.data_centre {
-            self.on_grant_message(now, &id(&from.peer), from.message);
-            self.flush(now);
+        let peer = id(&from.peer);
+        match from.message {
+            grant::Message::Borrow(model, number, wait_ms) => {
+                let address = context.mailbox().address();
+                self.on_borrow(now, &peer, model, number, wait_ms, &address);
+            }
+            grant::Message::Lent(model, number, work) => {
+                self.on_lent(&peer, model, number, work);
+            }
+            grant::Message::Return(pool, epoch, source, number, ended) => {
+                let key = Key {
+                    holder: self.id.clone(),
+                    epoch,
+                    source,
+                    number,
+                };
+                self.on_return(&peer, &pool, &key, ended);
+            }
+            message if from.peer.data_centre == self.own.data_centre => {
+                self.on_grant_message(now, &peer, message);
+            }
+            _ => {}
         }
+        self.flush(now);
     }
 }
 
@@ -256,7 +294,7 @@
     }
 }
 
-fn refuse(reply: oneshot::Sender<Result<Grant, Refusal>>, reason: Reason) {
+pub(crate) fn refuse(reply: oneshot::Sender<Result<Grant, Refusal>>, reason: Reason) {
     let refusal = Refusal {
         reason,
         retry_after_ms: Some(RETRY_AFTER_MS),
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod health;
 pub mod heart;
 pub mod inbox;
+mod lending;
 pub mod log;
 pub mod metrics;
 pub mod node;
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -252,6 +252,8 @@
                     owner.on_holding(&told(from, &holding));
                 }
             }
+            // These are between data centres and no matter of one pool.
+            Message::Borrow(..) | Message::Lent(..) | Message::Return(..) => {}
         }
     }
 
@@ -418,7 +420,7 @@
     Message::Release(pool.clone(), key.epoch, key.source, key.number, ended)
 }
 
-fn work(target: &Name, key: &Key) -> grant::Work {
+pub(crate) fn work(target: &Name, key: &Key) -> grant::Work {
     grant::Work {
         target: target.clone(),
         epoch: key.epoch,
@@ -427,7 +429,7 @@
     }
 }
 
-fn key(holder: &Id, work: &grant::Work) -> Key {
+pub(crate) fn key(holder: &Id, work: &grant::Work) -> Key {
     Key {
         holder: holder.clone(),
         epoch: work.epoch,
