--- a/filbertpaddle-wire/src/grant.rs
+++ b/filbertpaddle-wire/src/grant.rs
@@ -2,7 +2,11 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::scheduler::Ending;
 use filbertpaddle_core::slot::Source;
+use filbertpaddle_core::suspect::Record;
+use filbertpaddle_core::template::Priority;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -27,66 +31,147 @@
     /// The request with this number is not queued.
     #[serde(rename = "f")]
     Refuse(Name, u64),
-    /// Gives a slot back: epoch, source and number of the work, and whether it
-    /// has ended.
+    /// The request with this number gets no slot.
+    #[serde(rename = "d")]
+    Deny(Name, u64, Denial),
+    /// Gives a slot on a target back.
     #[serde(rename = "r")]
-    Release(Name, u64, Source, u64, bool),
+    Release(Name, Work, End),
+    /// What is known of the request with this digest.
+    #[serde(rename = "x")]
+    Suspect(Name, u64, Record),
     /// Asks what the holder holds.
     #[serde(rename = "c")]
     Collect(Name, Collect),
     /// Tells what the holder holds.
     #[serde(rename = "h")]
     Holding(Name, Holding),
-    /// Asks a node of another data centre for a slot: number and longest wait.
-    #[serde(rename = "b")]
-    Borrow(Name, u64, Millis),
-    /// Answers [`Message::Borrow`] of this number; `None` refuses.
-    #[serde(rename = "l")]
-    Lent(Name, u64, Option<Work>),
-    /// Gives a lent slot back, like [`Message::Release`].
-    #[serde(rename = "v")]
-    Return(Name, u64, Source, u64, bool),
 }
 
 /// A request for a slot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "(u64, u32)", into = "(u64, u32)")]
 pub struct Ask {
-    /// Number of the request, which is the holder's stamp as well.
+    /// Number of the request.
+    #[serde(rename = "n")]
     pub number: u64,
+    /// The holder's stamp.
+    #[serde(rename = "t")]
+    pub stamp: u64,
     /// The holder's session.
+    #[serde(rename = "s")]
     pub session: u32,
+    /// What is to be run.
+    #[serde(rename = "w")]
+    pub want: Want,
+}
+
+/// What a request is to run, as far as it decides order and target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Want {
+    /// Customer and template, `customer/template`.
+    #[serde(rename = "t")]
+    pub template: Name,
+    /// Scheduling priority.
+    #[serde(rename = "p")]
+    pub priority: Priority,
+    /// Customer's relative share.
+    #[serde(rename = "w")]
+    pub weight: u32,
+    /// Estimated length of the prompt.
+    #[serde(rename = "n")]
+    pub prompt_tokens: u32,
+    /// Most tokens the generation may produce.
+    #[serde(rename = "m")]
+    pub max_tokens: u32,
+    /// Digest of the prompt's shared prefix; zero if it has none.
+    #[serde(rename = "x")]
+    pub prefix: u64,
+    /// Length of the shared prefix.
+    #[serde(rename = "y")]
+    pub prefix_tokens: u32,
+    /// Digest of the request, the same for a resend.
+    #[serde(rename = "d")]
+    pub digest: u64,
+    /// How long the request may still wait.
+    #[serde(rename = "u")]
+    pub wait_ms: Millis,
+}
+
+/// Why a request gets no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Denial {
+    /// Why.
+    #[serde(rename = "r")]
+    pub reason: Reason,
+    /// When to come back.
+    #[serde(rename = "a")]
+    pub retry_after_ms: Option<Millis>,
+}
+
+/// How the use of a slot ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// How it ended.
+    #[serde(rename = "e")]
+    pub ending: Ending,
+    /// Tokens of output.
+    #[serde(rename = "n")]
+    pub tokens: u32,
+}
+
+impl End {
+    /// The slot was given back unused.
+    pub const UNSENT: Self = Self {
+        ending: Ending::Unsent,
+        tokens: 0,
+    };
+
+    /// Returns whether the target certainly no longer runs the work.
+    pub const fn is_certain(&self) -> bool {
+        matches!(
+            self.ending,
+            Ending::Complete | Ending::Unsent | Ending::Refused
+        )
+    }
 }
 
 /// A slot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "GrantFields", into = "GrantFields")]
 pub struct Grant {
     /// Epoch of the owner.
+    #[serde(rename = "e")]
     pub epoch: u64,
     /// Number of the slot.
+    #[serde(rename = "n")]
     pub number: u64,
     /// Target that the work may be sent to.
+    #[serde(rename = "v")]
     pub target: Name,
     /// Request that is answered.
+    #[serde(rename = "a")]
     pub ask: u64,
     /// Last stamp that the owner has heard.
+    #[serde(rename = "t")]
     pub stamp: u64,
     /// Whether the target is cold.
+    #[serde(rename = "c")]
     pub cold: bool,
 }
 
 /// Work of the sender.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "WorkFields", into = "WorkFields")]
 pub struct Work {
     /// Target of the work.
+    #[serde(rename = "v")]
     pub target: Name,
     /// Epoch under which it was counted.
+    #[serde(rename = "e")]
     pub epoch: u64,
     /// Who counted it.
+    #[serde(rename = "s")]
     pub source: Source,
     /// Number of the work.
+    #[serde(rename = "n")]
     pub number: u64,
 }
 
@@ -94,8 +179,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Collect {
     /// Epoch of the owner.
+    #[serde(rename = "e")]
     pub epoch: u64,
     /// Number of the owner's next grant.
+    #[serde(rename = "u")]
     pub upto: u64,
 }
 
@@ -103,71 +190,15 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
     /// Epoch of the owner that asked.
+    #[serde(rename = "e")]
     pub epoch: u64,
     /// Number of the owner's next grant when it asked.
+    #[serde(rename = "u")]
     pub upto: u64,
     /// The holder's session.
+    #[serde(rename = "s")]
     pub session: u32,
     /// The work.
+    #[serde(rename = "w")]
     pub works: Vec<Work>,
 }
-
-// Fields go by their place, as names would be a third of these messages.
-type GrantFields = (u64, u64, Name, u64, u64, bool);
-type WorkFields = (Name, u64, Source, u64);
-
-impl From<(u64, u32)> for Ask {
-    fn from((number, session): (u64, u32)) -> Self {
-        Self { number, session }
-    }
-}
-
-impl From<Ask> for (u64, u32) {
-    fn from(ask: Ask) -> Self {
-        (ask.number, ask.session)
-    }
-}
-
-impl From<GrantFields> for Grant {
-    fn from((epoch, number, target, ask, stamp, cold): GrantFields) -> Self {
-        Self {
-            epoch,
-            number,
-            target,
-            ask,
-            stamp,
-            cold,
-        }
-    }
-}
-
-impl From<Grant> for GrantFields {
-    fn from(grant: Grant) -> Self {
-        let Grant {
-            epoch,
-            number,
-            target,
-            ask,
-            stamp,
-            cold,
-        } = grant;
-        (epoch, number, target, ask, stamp, cold)
-    }
-}
-
-impl From<WorkFields> for Work {
-    fn from((target, epoch, source, number): WorkFields) -> Self {
-        Self {
-            target,
-            epoch,
-            source,
-            number,
-        }
-    }
-}
-
-impl From<Work> for WorkFields {
-    fn from(work: Work) -> Self {
-        (work.target, work.epoch, work.source, work.number)
-    }
-}
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -9,17 +9,19 @@
 use filbertpaddle_core::scheduler::Ending;
 use filbertpaddle_core::slot::Key;
 use filbertpaddle_core::template::Priority;
+use filbertpaddle_wire::grant::End;
 use tokio::sync::oneshot;
 use xtra::Address;
 
 use crate::coordinator;
+use crate::coordinator::Acquire;
 use crate::coordinator::Coordinator;
+use crate::coordinator::Leave;
 pub use crate::coordinator::Parts;
-use crate::coordinator_inputs::Acquire;
-use crate::coordinator_inputs::Leave;
-use crate::coordinator_inputs::Release;
-use crate::coordinator_inputs::Sent;
+use crate::coordinator::Release;
+use crate::coordinator::Sent;
 use crate::record;
+pub use crate::remote::Borrowed;
 
 /// Asks for a slot on a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +42,8 @@
     pub max_tokens: u32,
     /// Digest of the prompt's fixed part.
     pub prefix: u64,
+    /// Length of the prompt's fixed part, in whole blocks.
+    pub prefix_tokens: u32,
     /// Digest of the request, the same for a resend.
     pub digest: u64,
     /// How long the ask may wait.
@@ -57,6 +61,8 @@
     pub fence: u64,
     /// The slot; none for an attempt that holds its slot elsewhere.
     pub slot: Option<Slot>,
+    /// The slot, if another data centre lends it.
+    pub borrowed: Option<Borrowed>,
 }
 
 /// A slot that this node holds.
@@ -76,6 +82,7 @@
             address,
             fence: 0,
             slot: None,
+            borrowed: None,
         }
     }
 }
@@ -144,12 +151,15 @@
     }
 
     /// Gives a slot back.
-    pub fn release(&self, grant: Grant, ending: Ending, _tokens: u32) {
+    pub fn release(&self, grant: Grant, ending: Ending, tokens: u32) {
         let Some(slot) = grant.slot else {
             return;
         };
-        let ended = matches!(ending, Ending::Complete | Ending::Unsent | Ending::Refused);
-        let release = Release { slot, ended };
+        let release = Release {
+            slot,
+            target: grant.target,
+            end: End { ending, tokens },
+        };
         tokio::spawn(self.actor.send(release).detach());
     }
 }
