Split the coordinator in three

Ruled out: nothing else changed. Change: what it is told, what it follows and what it decides are files of their own.

--- a/filbertpaddle/src/coordinator.rs
+++ b/filbertpaddle/src/coordinator.rs
@@ -1,15 +1,11 @@
 //! Ties a node's pools to its data centre: record, relay, heartbeats, targets.
 
-use std::time::Duration;
-
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::membership;
 use filbertpaddle_core::membership::Confirmation;
 use filbertpaddle_core::membership::Relay;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_core::outcome::Reason;
 use filbertpaddle_core::policy;
-use filbertpaddle_core::report::Report;
 use filbertpaddle_core::roster::Id;
 use filbertpaddle_core::standing::Mode;
 use filbertpaddle_core::standing::Standing;
@@ -18,26 +14,24 @@
 use filbertpaddle_platform::protocol::Vm;
 use filbertpaddle_platform::protocol::VmRole;
 use filbertpaddle_target::client as target;
-use filbertpaddle_target::protocol::LoadReport;
-use filbertpaddle_target::protocol::Warmth;
 use filbertpaddle_wire::grant;
 use filbertpaddle_wire::member as wire;
 use filbertpaddle_wire::message::Message;
 use indexmap::IndexMap;
 use slog::Logger;
 use slog::info;
-use slog::warn;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use xtra::Address;
-use xtra::Context;
-use xtra::Handler;
 use xtra::Mailbox;
 use xtra::WeakAddress;
 
-use crate::attempt;
-use crate::clock;
 use crate::clock::Clock;
+use crate::coordinator_inputs::Polled;
+use crate::coordinator_inputs::Written;
+use crate::coordinator_tasks::follow_record;
+use crate::coordinator_tasks::follow_vms;
+use crate::coordinator_tasks::pass;
+use crate::coordinator_tasks::tick;
 use crate::heart::Heart;
 use crate::inbox::From;
 use crate::peers::Peer;
@@ -45,22 +39,13 @@
 use crate::pool::Out;
 use crate::pool::Pool;
 use crate::pool::Target;
-use crate::pools::Ask;
-use crate::pools::Grant;
-use crate::pools::Refusal;
-use crate::pools::Slot;
 use crate::record;
 use crate::record::Record;
 use crate::registrar;
 use crate::service::Service;
 
-const TICK: Duration = Duration::from_millis(50);
-/// Time between two reads of the VM list, and of the record.
-const READ_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two reports of one target.
 const POLL_INTERVAL_MS: Millis = Millis(250);
-/// When a refused caller may come back.
-const RETRY_AFTER_MS: Millis = Millis(1_000);
 /// Age up to which a reading of the record is acted upon.
 const ACT_MS: Millis = Millis(2_000);
 
@@ -131,72 +116,26 @@
     actor
 }
 
-/// Asks for a slot; the answer goes to `reply`.
-pub(crate) struct Acquire {
-    pub(crate) ask: Ask,
-    pub(crate) reply: oneshot::Sender<Result<Grant, Refusal>>,
-}
-
-/// Gives a slot back.
-pub(crate) struct Release {
-    pub(crate) slot: Slot,
-    pub(crate) target: Name,
-    pub(crate) end: grant::End,
-}
-
-/// What a leaving node needs to take itself out of the record.
-pub(crate) struct Leaving {
-    pub(crate) platform: Client,
-    pub(crate) data_centre: Name,
-    pub(crate) id: Id,
-}
-
-/// The node holds no work and stops for good.
-pub(crate) struct Leave;
-
-/// The work of a slot has reached its target.
-pub(crate) struct Sent(pub(crate) Slot);
-
-struct Tick;
-
-struct Listed(Vec<Vm>);
-
-struct IsReader;
-
-struct ReadRecord {
-    asked_ms: Millis,
-    record: Option<Record>,
-}
-
-struct Written;
-
-struct Polled {
-    pool: Name,
-    target: Name,
-    asked_ms: Millis,
-    load: Option<LoadReport>,
-}
-
 pub(crate) struct Coordinator {
-    id: Id,
-    own: Peer,
-    peers: Peers,
-    platform: Client,
-    targets: target::Client,
-    service: Service,
-    clock: Clock,
-    log: Logger,
-    terms: Terms,
-    placement: policy::Settings,
-    standing: Standing,
-    record: Record,
-    read_ms: Option<Millis>,
-    is_writing: bool,
-    is_leaving: bool,
-    listed: Vec<Name>,
-    relay: Relay,
-    heart: Heart,
-    pools: IndexMap<Name, Pool>,
+    pub(crate) id: Id,
+    pub(crate) own: Peer,
+    pub(crate) peers: Peers,
+    pub(crate) platform: Client,
+    pub(crate) targets: target::Client,
+    pub(crate) service: Service,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) terms: Terms,
+    pub(crate) placement: policy::Settings,
+    pub(crate) standing: Standing,
+    pub(crate) record: Record,
+    pub(crate) read_ms: Option<Millis>,
+    pub(crate) is_writing: bool,
+    pub(crate) is_leaving: bool,
+    pub(crate) listed: Vec<Name>,
+    pub(crate) relay: Relay,
+    pub(crate) heart: Heart,
+    pub(crate) pools: IndexMap<Name, Pool>,
 }
 
 impl xtra::Actor for Coordinator {
@@ -206,7 +145,7 @@
 }
 
 impl Coordinator {
-    fn on_tick(&mut self, now: Millis, address: &WeakAddress<Self>) {
+    pub(crate) fn on_tick(&mut self, now: Millis, address: &WeakAddress<Self>) {
         self.beat(now);
         self.choose_mode(now);
         self.register(now, address);
@@ -335,7 +274,7 @@
         }
     }
 
-    fn on_record(&mut self, now: Millis, record: Record) {
+    pub(crate) fn on_record(&mut self, now: Millis, record: Record) {
         let newer = record.roster.version > self.record.roster.version;
         if record.roster.version < self.record.roster.version {
             return;
@@ -358,7 +297,7 @@
         info!(self.log, "Record known."; "version" => roster.version);
     }
 
-    fn on_vms(&mut self, now: Millis, vms: &[Vm]) {
+    pub(crate) fn on_vms(&mut self, now: Millis, vms: &[Vm]) {
         self.service.on_list(vms);
         for pool in self.pools.values_mut() {
             pool.targets.retain(|name, target| {
@@ -396,7 +335,7 @@
         }
     }
 
-    fn on_member(&mut self, now: Millis, from: &Id, message: wire::Message) {
+    pub(crate) fn on_member(&mut self, now: Millis, from: &Id, message: wire::Message) {
         match message {
             wire::Message::Beat(beat) => {
                 let roster = &self.record.roster;
@@ -443,7 +382,7 @@
         }
     }
 
-    fn on_grant_message(&mut self, now: Millis, from: &Id, message: grant::Message) {
+    pub(crate) fn on_grant_message(&mut self, now: Millis, from: &Id, message: grant::Message) {
         let name = match &message {
             grant::Message::Ask(name, _)
             | grant::Message::Stamp(name, _)
@@ -463,7 +402,7 @@
     }
 
     /// Sends what the pools have to say; what is for this node is handled at once.
-    fn flush(&mut self, now: Millis) {
+    pub(crate) fn flush(&mut self, now: Millis) {
         loop {
             let pools = self.pools.values_mut();
             let out: Vec<Out> = pools
@@ -490,242 +429,11 @@
             self.peers.send(&to.name, Message::Member(message));
         }
     }
-
-    fn refuse(reply: oneshot::Sender<Result<Grant, Refusal>>, reason: Reason) {
-        let refusal = Refusal {
-            reason,
-            retry_after_ms: Some(RETRY_AFTER_MS),
-        };
-        reply.send(Err(refusal)).ok();
-    }
-}
-
-impl Handler<Tick> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, _: Tick, context: &mut Context<Self>) {
-        let now = self.clock.now();
-        let address = context.mailbox().address();
-        self.on_tick(now, &address);
-    }
-}
-
-impl Handler<Acquire> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, acquire: Acquire, _: &mut Context<Self>) {
-        let now = self.clock.now();
-        let Some(pool) = self.pools.get_mut(&acquire.ask.model) else {
-            Self::refuse(acquire.reply, Reason::NoTarget);
-            return;
-        };
-        let is_open = |name: &Name| !self.service.vm_share(name).is_none();
-        if !pool.targets.keys().any(is_open) {
-            Self::refuse(acquire.reply, Reason::NoTarget);
-            return;
-        }
-        pool.wait(now, &acquire.ask, acquire.reply);
-        if self.standing.mode() == Mode::Granted {
-            pool.ask(now);
-        }
-        self.flush(now);
-    }
-}
-
-impl Handler<Release> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, release: Release, _: &mut Context<Self>) {
-        let now = self.clock.now();
-        if let Some(pool) = self.pools.get_mut(&release.slot.pool) {
-            pool.release(now, &release.slot, &release.target, release.end);
-        }
-        self.flush(now);
-    }
-}
-
-impl Handler<Leave> for Coordinator {
-    type Return = Leaving;
-
-    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) -> Leaving {
-        self.is_leaving = true;
-        Leaving {
-            platform: self.platform.clone(),
-            data_centre: self.own.data_centre.clone(),
-            id: self.id.clone(),
-        }
-    }
-}
-
-impl Handler<Sent> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, sent: Sent, _: &mut Context<Self>) {
-        if let Some(pool) = self.pools.get_mut(&sent.0.pool) {
-            pool.member.on_sent(&sent.0.key);
-        }
-    }
-}
-
-impl Handler<Listed> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, listed: Listed, _: &mut Context<Self>) {
-        let now = self.clock.now();
-        self.on_vms(now, &listed.0);
-    }
-}
-
-impl Handler<IsReader> for Coordinator {
-    type Return = bool;
-
-    /// The relay reads the record for all, and a node that is no member yet
-    /// or knows no relay for itself.
-    async fn handle(&mut self, _: IsReader, _: &mut Context<Self>) -> bool {
-        let now = self.clock.now();
-        let is_member = registrar::is_member(&self.id, &self.record.roster);
-        let is_relay = self.heart.relay() == Some(&self.id);
-        is_relay || !is_member || self.heart.is_lost(now)
-    }
-}
-
-impl Handler<ReadRecord> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, read: ReadRecord, _: &mut Context<Self>) {
-        let now = self.clock.now();
-        let Some(record) = read.record else {
-            warn!(self.log, "Record not read.");
-            return;
-        };
-        // An older record than is known here does not confirm anything.
-        if record.roster.version < self.record.roster.version {
-            return;
-        }
-        self.read_ms = Some(read.asked_ms);
-        self.relay.on_reading(read.asked_ms);
-        self.on_record(now, record);
-    }
-}
-
-impl Handler<Written> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, _: Written, _: &mut Context<Self>) {
-        self.is_writing = false;
-        // Only a new reading tells what came of it.
-        self.read_ms = None;
-    }
-}
-
-impl Handler<Polled> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, polled: Polled, _: &mut Context<Self>) {
-        let now = self.clock.now();
-        let Some(pool) = self.pools.get_mut(&polled.pool) else {
-            return;
-        };
-        if let Some(target) = pool.targets.get_mut(&polled.target) {
-            target.is_polled = false;
-        }
-        let Some(load) = polled.load else {
-            return;
-        };
-        if load.leaving {
-            self.service.on_reclaim(&polled.target);
-        }
-        pool.on_report(now, &polled.target, report(polled.asked_ms, &load), &load);
-        pool.own(now);
-        self.flush(now);
-    }
-}
-
-impl Handler<From<wire::Message>> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, from: From<wire::Message>, _: &mut Context<Self>) {
-        let now = self.clock.now();
-        if from.peer.data_centre == self.own.data_centre {
-            self.on_member(now, &id(&from.peer), from.message);
-        }
-    }
 }
 
-impl Handler<From<grant::Message>> for Coordinator {
-    type Return = ();
-
-    async fn handle(&mut self, from: From<grant::Message>, _: &mut Context<Self>) {
-        let now = self.clock.now();
-        if from.peer.data_centre == self.own.data_centre {
-            self.on_grant_message(now, &id(&from.peer), from.message);
-            self.flush(now);
-        }
-    }
-}
-
-fn id(peer: &Peer) -> Id {
+pub(crate) fn id(peer: &Peer) -> Id {
     Id {
         name: peer.name.clone(),
         incarnation: peer.incarnation,
     }
 }
-
-fn report(asked_ms: Millis, load: &LoadReport) -> Report {
-    Report {
-        taken_ms: Millis(asked_ms.0.saturating_sub(load.age_ms.0)),
-        incarnation: load.incarnation,
-        warm: load.warmth == Warmth::Warm,
-        cold_limit: load.cold_limit,
-        warm_limit: load.warm_limit,
-        running: load.running,
-        waiting: load.waiting,
-        preemptions: load.preemptions,
-        fence: None,
-        works: load.attempts.iter().map(attempt::slot).collect(),
-    }
-}
-
-async fn tick(actor: WeakAddress<Coordinator>) {
-    while actor.send(Tick).await.is_ok() {
-        tokio::time::sleep(TICK).await;
-    }
-}
-
-async fn pass<M>(actor: WeakAddress<Coordinator>, mut inbox: mpsc::Receiver<From<M>>)
-where
-    M: Send + 'static,
-    Coordinator: Handler<From<M>, Return = ()>,
-{
-    while let Some(from) = inbox.recv().await {
-        if actor.send(from).await.is_err() {
-            return;
-        }
-    }
-}
-
-// The last good list is kept while the platform is out.
-async fn follow_vms(actor: WeakAddress<Coordinator>, platform: Client) {
-    while actor.is_connected() {
-        if let Ok(list) = platform.vms().await {
-            actor.send(Listed(list.vms)).await.ok();
-        }
-        tokio::time::sleep(READ_INTERVAL).await;
-    }
-}
-
-async fn follow_record(
-    actor: WeakAddress<Coordinator>,
-    platform: Client,
-    data_centre: Name,
-    clock: Clock,
-) {
-    while let Ok(is_reader) = actor.send(IsReader).await {
-        if is_reader {
-            let asked_ms = clock.now();
-            let record = record::read(&platform, &data_centre).await.ok();
-            actor.send(ReadRecord { asked_ms, record }).await.ok();
-        }
-        tokio::time::sleep(clock::duration(Millis(500))).await;
-    }
-}
--- /dev/null
+++ b/filbertpaddle/src/coordinator_inputs.rs
@@ -0,0 +1,265 @@
+//! What a coordinator is told, and how it takes it in.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::report::Report;
+use filbertpaddle_core::roster::Id;
+use filbertpaddle_core::standing::Mode;
+use filbertpaddle_platform::client::Client;
+use filbertpaddle_platform::protocol::Vm;
+use filbertpaddle_target::protocol::LoadReport;
+use filbertpaddle_target::protocol::Warmth;
+use filbertpaddle_wire::grant;
+use filbertpaddle_wire::member as wire;
+use slog::warn;
+use tokio::sync::oneshot;
+use xtra::Context;
+use xtra::Handler;
+
+use crate::attempt;
+use crate::coordinator::Coordinator;
+use crate::coordinator::id;
+use crate::inbox::From;
+use crate::pools::Ask;
+use crate::pools::Grant;
+use crate::pools::Refusal;
+use crate::pools::Slot;
+use crate::record::Record;
+use crate::registrar;
+
+/// When a refused caller may come back.
+const RETRY_AFTER_MS: Millis = Millis(1_000);
+
+/// Asks for a slot; the answer goes to `reply`.
+pub(crate) struct Acquire {
+    pub(crate) ask: Ask,
+    pub(crate) reply: oneshot::Sender<Result<Grant, Refusal>>,
+}
+
+/// Gives a slot back.
+pub(crate) struct Release {
+    pub(crate) slot: Slot,
+    pub(crate) target: Name,
+    pub(crate) end: grant::End,
+}
+
+/// What a leaving node needs to take itself out of the record.
+pub(crate) struct Leaving {
+    pub(crate) platform: Client,
+    pub(crate) data_centre: Name,
+    pub(crate) id: Id,
+}
+
+/// The node holds no work and stops for good.
+pub(crate) struct Leave;
+
+/// The work of a slot has reached its target.
+pub(crate) struct Sent(pub(crate) Slot);
+
+pub(crate) struct Tick;
+
+pub(crate) struct Listed(pub(crate) Vec<Vm>);
+
+pub(crate) struct IsReader;
+
+pub(crate) struct ReadRecord {
+    pub(crate) asked_ms: Millis,
+    pub(crate) record: Option<Record>,
+}
+
+pub(crate) struct Written;
+
+pub(crate) struct Polled {
+    pub(crate) pool: Name,
+    pub(crate) target: Name,
+    pub(crate) asked_ms: Millis,
+    pub(crate) load: Option<LoadReport>,
+}
+
+impl Handler<Tick> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, context: &mut Context<Self>) {
+        let now = self.clock.now();
+        let address = context.mailbox().address();
+        self.on_tick(now, &address);
+    }
+}
+
+impl Handler<Acquire> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, acquire: Acquire, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        let Some(pool) = self.pools.get_mut(&acquire.ask.model) else {
+            refuse(acquire.reply, Reason::NoTarget);
+            return;
+        };
+        let is_open = |name: &Name| !self.service.vm_share(name).is_none();
+        if !pool.targets.keys().any(is_open) {
+            refuse(acquire.reply, Reason::NoTarget);
+            return;
+        }
+        pool.wait(now, &acquire.ask, acquire.reply);
+        if self.standing.mode() == Mode::Granted {
+            pool.ask(now);
+        }
+        self.flush(now);
+    }
+}
+
+impl Handler<Release> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, release: Release, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        if let Some(pool) = self.pools.get_mut(&release.slot.pool) {
+            pool.release(now, &release.slot, &release.target, release.end);
+        }
+        self.flush(now);
+    }
+}
+
+impl Handler<Leave> for Coordinator {
+    type Return = Leaving;
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) -> Leaving {
+        self.is_leaving = true;
+        Leaving {
+            platform: self.platform.clone(),
+            data_centre: self.own.data_centre.clone(),
+            id: self.id.clone(),
+        }
+    }
+}
+
+impl Handler<Sent> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, sent: Sent, _: &mut Context<Self>) {
+        if let Some(pool) = self.pools.get_mut(&sent.0.pool) {
+            pool.member.on_sent(&sent.0.key);
+        }
+    }
+}
+
+impl Handler<Listed> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, listed: Listed, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        self.on_vms(now, &listed.0);
+    }
+}
+
+impl Handler<IsReader> for Coordinator {
+    type Return = bool;
+
+    /// The relay reads the record for all, and a node that is no member yet
+    /// or knows no relay for itself.
+    async fn handle(&mut self, _: IsReader, _: &mut Context<Self>) -> bool {
+        let now = self.clock.now();
+        let is_member = registrar::is_member(&self.id, &self.record.roster);
+        let is_relay = self.heart.relay() == Some(&self.id);
+        is_relay || !is_member || self.heart.is_lost(now)
+    }
+}
+
+impl Handler<ReadRecord> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, read: ReadRecord, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        let Some(record) = read.record else {
+            warn!(self.log, "Record not read.");
+            return;
+        };
+        // An older record than is known here does not confirm anything.
+        if record.roster.version < self.record.roster.version {
+            return;
+        }
+        self.read_ms = Some(read.asked_ms);
+        self.relay.on_reading(read.asked_ms);
+        self.on_record(now, record);
+    }
+}
+
+impl Handler<Written> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, _: Written, _: &mut Context<Self>) {
+        self.is_writing = false;
+        // Only a new reading tells what came of it.
+        self.read_ms = None;
+    }
+}
+
+impl Handler<Polled> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, polled: Polled, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        let Some(pool) = self.pools.get_mut(&polled.pool) else {
+            return;
+        };
+        if let Some(target) = pool.targets.get_mut(&polled.target) {
+            target.is_polled = false;
+        }
+        let Some(load) = polled.load else {
+            return;
+        };
+        if load.leaving {
+            self.service.on_reclaim(&polled.target);
+        }
+        pool.on_report(now, &polled.target, report(polled.asked_ms, &load), &load);
+        pool.own(now);
+        self.flush(now);
+    }
+}
+
+impl Handler<From<wire::Message>> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, from: From<wire::Message>, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        if from.peer.data_centre == self.own.data_centre {
+            self.on_member(now, &id(&from.peer), from.message);
+        }
+    }
+}
+
+impl Handler<From<grant::Message>> for Coordinator {
+    type Return = ();
+
+    async fn handle(&mut self, from: From<grant::Message>, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        if from.peer.data_centre == self.own.data_centre {
+            self.on_grant_message(now, &id(&from.peer), from.message);
+            self.flush(now);
+        }
+    }
+}
+
+fn report(asked_ms: Millis, load: &LoadReport) -> Report {
+    Report {
+        taken_ms: Millis(asked_ms.0.saturating_sub(load.age_ms.0)),
+        incarnation: load.incarnation,
+        warm: load.warmth == Warmth::Warm,
+        cold_limit: load.cold_limit,
+        warm_limit: load.warm_limit,
+        running: load.running,
+        waiting: load.waiting,
+        preemptions: load.preemptions,
+        fence: None,
+        works: load.attempts.iter().map(attempt::slot).collect(),
+    }
+}
+
+fn refuse(reply: oneshot::Sender<Result<Grant, Refusal>>, reason: Reason) {
+    let refusal = Refusal {
+        reason,
+        retry_after_ms: Some(RETRY_AFTER_MS),
+    };
+    reply.send(Err(refusal)).ok();
+}
--- /dev/null
+++ b/filbertpaddle/src/coordinator_tasks.rs
@@ -0,0 +1,70 @@
+//! What a coordinator follows: time, messages, the VM list and the record.
+
+use std::time::Duration;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_platform::client::Client;
+use tokio::sync::mpsc;
+use xtra::Handler;
+use xtra::WeakAddress;
+
+use crate::clock;
+use crate::clock::Clock;
+use crate::coordinator::Coordinator;
+use crate::coordinator_inputs::IsReader;
+use crate::coordinator_inputs::Listed;
+use crate::coordinator_inputs::ReadRecord;
+use crate::coordinator_inputs::Tick;
+use crate::inbox::From;
+use crate::record;
+
+const TICK: Duration = Duration::from_millis(50);
+/// Time between two reads of the VM list.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two reads of the record.
+const RECORD_INTERVAL_MS: Millis = Millis(500);
+
+pub(crate) async fn tick(actor: WeakAddress<Coordinator>) {
+    while actor.send(Tick).await.is_ok() {
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+pub(crate) async fn pass<M>(actor: WeakAddress<Coordinator>, mut inbox: mpsc::Receiver<From<M>>)
+where
+    M: Send + 'static,
+    Coordinator: Handler<From<M>, Return = ()>,
+{
+    while let Some(from) = inbox.recv().await {
+        if actor.send(from).await.is_err() {
+            return;
+        }
+    }
+}
+
+// The last good list is kept while the platform is out.
+pub(crate) async fn follow_vms(actor: WeakAddress<Coordinator>, platform: Client) {
+    while actor.is_connected() {
+        if let Ok(list) = platform.vms().await {
+            actor.send(Listed(list.vms)).await.ok();
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
+
+pub(crate) async fn follow_record(
+    actor: WeakAddress<Coordinator>,
+    platform: Client,
+    data_centre: Name,
+    clock: Clock,
+) {
+    while let Ok(is_reader) = actor.send(IsReader).await {
+        if is_reader {
+            let asked_ms = clock.now();
+            let record = record::read(&platform, &data_centre).await.ok();
+            actor.send(ReadRecord { asked_ms, record }).await.ok();
+        }
+        tokio::time::sleep(clock::duration(RECORD_INTERVAL_MS)).await;
+    }
+}
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod clock;
 pub mod config;
 pub mod coordinator;
+mod coordinator_inputs;
+mod coordinator_tasks;
 pub mod edit;
 pub mod front;
 mod generation;
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -14,12 +14,12 @@
 use xtra::Address;
 
 use crate::coordinator;
-use crate::coordinator::Acquire;
 use crate::coordinator::Coordinator;
-use crate::coordinator::Leave;
 pub use crate::coordinator::Parts;
-use crate::coordinator::Release;
-use crate::coordinator::Sent;
+use crate::coordinator_inputs::Acquire;
+use crate::coordinator_inputs::Leave;
+use crate::coordinator_inputs::Release;
+use crate::coordinator_inputs::Sent;
 use crate::record;
 pub use crate::remote::Borrowed;
 
