--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -157,6 +157,7 @@
     pub async fn close(self) {
         info!(self.log, "Node drains.");
         self.front.drain().await;
+        self.front.slots.leave().await;
         self.front.claims.close().await;
         for server in self.servers {
             server.stop.send(()).ok();
--- a/filbertpaddle/src/registrar.rs
+++ b/filbertpaddle/src/registrar.rs
@@ -14,8 +14,6 @@
 pub(crate) struct Edit {
     /// The record after the change.
     pub(crate) roster: Roster,
-    /// Whether an owner may lose a pool by it.
-    pub(crate) deposes: bool,
     /// What changes, for the log.
     pub(crate) what: &'static str,
 }
@@ -28,14 +26,14 @@
 /// Returns the change that is due, if it is for this node.
 ///
 /// Each node adds itself; all else is left to the relay, which hears every
-/// member. A settled sharer alone may depose an owner, since owners may count
-/// on the promises of those only.
+/// member.
 pub(crate) fn edit(
     now: Millis,
     own: &Peer,
     roster: &Roster,
     relay: &Relay,
     pools: &[Name],
+    listed: &[Name],
     is_relay: bool,
 ) -> Option<Edit> {
     let id = Id {
@@ -49,7 +47,6 @@
         };
         return Some(Edit {
             roster: roster.join(member),
-            deposes: false,
             what: "joined",
         });
     }
@@ -58,14 +55,14 @@
     }
     settle(roster, relay)
         .or_else(|| retire(now, &id, roster, relay))
-        .or_else(|| assign(&id, roster, pools))
+        .or_else(|| remove(now, roster, relay, listed))
+        .or_else(|| assign(roster, pools))
 }
 
 fn settle(roster: &Roster, relay: &Relay) -> Option<Edit> {
     let roster = roster.settle(|id, version| relay.knows(id, version))?;
     Some(Edit {
         roster,
-        deposes: false,
         what: "sharers settled",
     })
 }
@@ -75,27 +72,34 @@
     let silent = members
         .filter(|member| member.id != *own)
         .find(|member| relay.is_silent(now, &member.id))?;
-    let owns = roster.owners.iter().any(|owner| owner.member == silent.id);
-    (!owns || roster.sharers.contains(own)).then(|| Edit {
+    Some(Edit {
         roster: roster.retire(&silent.id),
-        deposes: owns,
         what: "silent member retired",
     })
 }
 
-fn assign(own: &Id, roster: &Roster, pools: &[Name]) -> Option<Edit> {
+/// Removes a retired node that the platform no longer lists, so that nothing
+/// is kept for it. A list without any entry VM says nothing.
+fn remove(now: Millis, roster: &Roster, relay: &Relay, listed: &[Name]) -> Option<Edit> {
+    if listed.is_empty() {
+        return None;
+    }
+    let gone = roster.peers().iter().find(|id| {
+        !is_member(id, roster) && !listed.contains(&id.name) && relay.is_silent(now, id)
+    })?;
+    Some(Edit {
+        roster: roster.remove(gone),
+        what: "gone member removed",
+    })
+}
+
+fn assign(roster: &Roster, pools: &[Name]) -> Option<Edit> {
     let known = roster.owners.iter().map(|owner| owner.pool.clone());
     let mut all: Vec<Name> = known.chain(pools.iter().cloned()).collect();
     all.sort();
     all.dedup();
-    let changed = roster.assign(&all)?;
-    let deposes = roster.owners.iter().any(|owner| {
-        let next = changed.owner(&owner.pool);
-        next.is_none_or(|next| next.epoch != owner.epoch)
-    });
-    (!deposes || roster.sharers.contains(own)).then_some(Edit {
-        roster: changed,
-        deposes,
+    Some(Edit {
+        roster: roster.assign(&all)?,
         what: "owners assigned",
     })
 }
--- a/filbertpaddle/src/slots.rs
+++ b/filbertpaddle/src/slots.rs
@@ -22,6 +22,11 @@
         Self { local, remote }
     }
 
+    /// Takes the node out of its data centre's record, once it holds no work.
+    pub async fn leave(&self) {
+        self.local.leave().await;
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
