Close the load tool's processes and files at the end of a run

Cause: settings directories stayed in the temporary directory, as the task of the timeline still held the run when it was to be closed. Ruled out: an error in the closing itself, which was never reached. Change: the task's end is awaited before the run is closed.

--- a/filbertpaddle-standins/src/experiment.rs
+++ b/filbertpaddle-standins/src/experiment.rs
@@ -165,6 +165,8 @@
     // A run without requests measures what idle nodes cost.
     tokio::time::sleep_until((start + duration(settings.duration_ms)).into()).await;
     acts.abort();
+    // It holds the run until it has ended, and an abort is no failure.
+    let _ = acts.await;
     let node_cost = NodeCost::new(&before, &run.usage(), start.elapsed());
     let counted = Counted {
         engines: run.fleet.counters().await?,
