Find slots that lost messages have left counted

Cause: a release lost with its link stayed counted until the holder's session or the pool's epoch changed, and an ask lost with its link waited for its deadline. Ruled out: collecting anew from every member, which keeps it from being granted slots until it has answered; acknowledging each release, which adds a message for each request. Change: every 10 s the owner asks every member what it holds; what is not held any more stays counted until a report taken later no longer shows it. Asks are sent again once the owner can be reached. Listeners of nodes send small writes without delay, as the stand-ins' already did.

--- a/filbertpaddle-core/src/owner.rs
+++ b/filbertpaddle-core/src/owner.rs
@@ -165,14 +165,40 @@
         self.peers
             .iter()
             .filter(|peer| peer.is_due())
-            .map(|peer| Collect {
-                holder: peer.id.clone(),
-                epoch: self.epoch,
-                upto: self.next_number,
-            })
+            .map(|peer| self.collect(peer))
             .collect()
     }
 
+    /// Returns the question to every member what it holds, to find what lost
+    /// messages have left counted.
+    pub fn recounts(&self) -> Vec<Collect> {
+        self.peers.iter().map(|peer| self.collect(peer)).collect()
+    }
+
+    /// Takes in what a member holds that was asked before.
+    ///
+    /// Work that it does not hold any more stays counted until a report no
+    /// longer shows it, since its end is not known.
+    pub fn on_recount(&mut self, now: Millis, holding: &Holding) {
+        let epoch = self.epoch;
+        let is_counted = |key: &Key| {
+            key.holder == holding.holder
+                && key.source == Source::Granted
+                && key.epoch == epoch
+                && key.number < holding.upto
+        };
+        let is_held = |key: &Key| holding.works.iter().any(|held| held.key == *key);
+        for ledger in &mut self.ledgers {
+            ledger.loosen(now, |key| is_counted(key) && !is_held(key));
+        }
+    }
+
+    /// Returns whether a member has told all that it held in its session.
+    pub fn has_collected(&self, holder: &Id, session: u32) -> bool {
+        self.peer(holder)
+            .is_some_and(|peer| peer.collected == Some(session))
+    }
+
     /// Takes in what a member holds.
     pub fn on_holding(&mut self, holding: &Holding) {
         let epoch = self.epoch;
@@ -419,6 +445,14 @@
         }
     }
 
+    fn collect(&self, peer: &Peer) -> Collect {
+        Collect {
+            holder: peer.id.clone(),
+            epoch: self.epoch,
+            upto: self.next_number,
+        }
+    }
+
     fn ledger(&self, target: &Name) -> Option<&Ledger> {
         self.ledgers.iter().find(|ledger| ledger.target == *target)
     }
--- a/filbertpaddle/src/coordinator.rs
+++ b/filbertpaddle/src/coordinator.rs
@@ -151,7 +151,11 @@
         self.register(now, address);
         let sharing = self.standing.mode() != Mode::Granted;
         let roster = &self.record.roster;
+        let linked = self.peers.connected();
         for pool in self.pools.values_mut() {
+            if !pool.is_owner_among(&linked) {
+                pool.on_owner_unlinked(now);
+            }
             for (name, target) in &mut pool.targets {
                 target.per_mille = self.service.vm_share(name).per_mille();
             }
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -14,6 +14,7 @@
 use slog::Logger;
 use slog::info;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -52,6 +53,9 @@
 /// Most messages from peers that wait to be handled.
 const INBOX_MESSAGES: usize = 16_384;
 
+/// Most connections that wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1_024;
+
 /// Addresses a node listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Addresses {
@@ -85,9 +89,9 @@
     ///
     /// Returns an error if a listener cannot be bound.
     pub async fn start(settings: Settings, log: Logger) -> eyre::Result<Self> {
-        let callers = bind(settings.listen.callers).await?;
-        let operators = bind(settings.listen.operators).await?;
-        let peers = bind(settings.listen.peers).await?;
+        let callers = bind(settings.listen.callers)?;
+        let operators = bind(settings.listen.operators)?;
+        let peers = bind(settings.listen.peers)?;
         let addresses = Addresses {
             callers: callers.local_addr()?,
             operators: operators.local_addr()?,
@@ -289,9 +293,18 @@
     (peers, inboxes)
 }
 
-async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
+// Accepted connections inherit the option, so that small writes, each a
+// token, are not held back.
+fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket
+        .bind(address)
+        .and_then(|()| socket.listen(LISTEN_BACKLOG))
         .wrap_err_with(|| format!("cannot listen on {address}"))
 }
 
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -27,6 +27,7 @@
 use tokio::sync::oneshot;
 
 use crate::body;
+use crate::peers::Peer;
 use crate::placer;
 use crate::placer::Placer;
 use crate::pools::Ask;
@@ -38,6 +39,9 @@
 const RETRY_AFTER_MS: Millis = Millis(1_000);
 /// Wait before a request that the owner did not queue is sent again.
 const REASK_MS: Millis = Millis(200);
+/// Time between two questions to every member what it holds, which find what
+/// lost messages have left counted.
+const RECOUNT_MS: Millis = Millis(10_000);
 
 /// One target that the platform lists.
 #[derive(Clone, Debug)]
@@ -84,6 +88,7 @@
     waiters: Vec<Waiter>,
     stamped_ms: Millis,
     collected_ms: Millis,
+    recounted_ms: Millis,
     pub(crate) out: Vec<Out>,
 }
 
@@ -100,6 +105,7 @@
             waiters: Vec::new(),
             stamped_ms: Millis::ZERO,
             collected_ms: Millis::ZERO,
+            recounted_ms: Millis::ZERO,
             out: Vec::new(),
         }
     }
@@ -205,6 +211,25 @@
         }
     }
 
+    /// Returns whether the owner is this node or one of the nodes linked to it.
+    pub(crate) fn is_owner_among(&self, linked: &[Peer]) -> bool {
+        let Some(owner) = &self.owned_by else {
+            return true;
+        };
+        let is_owner = |peer: &Peer| {
+            peer.name == owner.member.name && peer.incarnation == owner.member.incarnation
+        };
+        self.owner.is_some() || linked.iter().any(is_owner)
+    }
+
+    /// Asks again once the owner can be reached, since what was sent may be lost.
+    pub(crate) fn on_owner_unlinked(&mut self, now: Millis) {
+        for waiter in &mut self.waiters {
+            waiter.asked = None;
+            waiter.ask_ms = now + REASK_MS;
+        }
+    }
+
     /// Drops those whose time is over or who have gone, and keeps the owner
     /// from granting to them.
     pub(crate) fn sweep(&mut self, now: Millis) {
@@ -280,7 +305,12 @@
             Message::Collect(_, collect) => self.on_collect(from, &collect),
             Message::Holding(_, holding) => {
                 if let Some(owner) = &mut self.owner {
-                    owner.on_holding(&body::told(from, &holding));
+                    let holding = body::told(from, &holding);
+                    if owner.has_collected(from, holding.session) {
+                        owner.on_recount(now, &holding);
+                    } else {
+                        owner.on_holding(&holding);
+                    }
                 }
             }
         }
@@ -316,7 +346,14 @@
             return;
         }
         self.collected_ms = now;
-        for collect in owner.collects() {
+        let collects = match now.since(self.recounted_ms) < RECOUNT_MS {
+            true => owner.collects(),
+            false => {
+                self.recounted_ms = now;
+                owner.recounts()
+            }
+        };
+        for collect in collects {
             let message = grant::Collect {
                 epoch: collect.epoch,
                 upto: collect.upto,
