Split the pool's owner side off and name what was unclear

Change: the owner's side of a pool and the gate that counts requests stand in files of their own; messages from peers are inbox::Incoming. Conclusion: no behaviour changes.

--- a/filbertpaddle/src/caller.rs
+++ b/filbertpaddle/src/caller.rs
@@ -115,11 +115,12 @@
         reason,
         retry_after_ms: Some(retry_after_ms),
     };
-    if front.is_draining() {
+    if front.gate.is_draining() {
         // Another node takes the request now; the balancer knows which.
         return Err(refuse(Reason::Draining, Millis::ZERO));
     }
     front
+        .gate
         .enter()
         .ok_or_else(|| refuse(Reason::Overloaded, FULL_RETRY_AFTER_MS))
 }
@@ -198,7 +199,7 @@
     B: Buf,
 {
     // A resume is running work, so a draining node still takes it.
-    let Some(permit) = front.enter() else {
+    let Some(permit) = front.gate.enter() else {
         let outcome = Outcome::NotRun {
             reason: Reason::Overloaded,
             retry_after_ms: Some(FULL_RETRY_AFTER_MS),
--- a/filbertpaddle/src/claims.rs
+++ b/filbertpaddle/src/claims.rs
@@ -37,7 +37,7 @@
 use crate::claim_sweep::Sweep;
 use crate::clock;
 use crate::clock::Clock;
-use crate::inbox::From;
+use crate::inbox::Incoming;
 use crate::metrics::Metrics;
 use crate::peers::Peer;
 use crate::peers::Peers;
@@ -110,7 +110,7 @@
     /// Links to other nodes.
     pub peers: Peers,
     /// What other nodes ask and answer.
-    pub inbox: mpsc::Receiver<From<Message>>,
+    pub inbox: mpsc::Receiver<Incoming<Message>>,
     /// The node's clock.
     pub clock: Clock,
     /// Metrics of claims.
@@ -314,11 +314,11 @@
 }
 
 async fn receive(
-    mut inbox: mpsc::Receiver<From<Message>>,
+    mut inbox: mpsc::Receiver<Incoming<Message>>,
     actor: Address<Actor>,
     committer: Address<claim_commit::Actor>,
 ) {
-    while let Some(From { peer, message }) = inbox.recv().await {
+    while let Some(Incoming { peer, message }) = inbox.recv().await {
         let from = peer.name;
         let taken = match message {
             Message::Ask(question) => actor.send(Input(Event::Asked { from, question })).await,
--- a/filbertpaddle/src/config.rs
+++ b/filbertpaddle/src/config.rs
@@ -28,7 +28,7 @@
 
 use crate::clock;
 use crate::clock::Clock;
-use crate::inbox::From;
+use crate::inbox::Incoming;
 use crate::metrics::Metrics;
 use crate::peers::Peer;
 use crate::peers::Peers;
@@ -47,7 +47,7 @@
     /// Links to other nodes.
     pub peers: Peers,
     /// Messages about configuration.
-    pub inbox: mpsc::Receiver<From<config::Message>>,
+    pub inbox: mpsc::Receiver<Incoming<config::Message>>,
     /// The platform.
     pub platform: Client,
     /// Told of what is out.
@@ -303,8 +303,11 @@
     }
 }
 
-async fn receive(actor: WeakAddress<Follower>, mut inbox: mpsc::Receiver<From<config::Message>>) {
-    while let Some(From { peer, message }) = inbox.recv().await {
+async fn receive(
+    actor: WeakAddress<Follower>,
+    mut inbox: mpsc::Receiver<Incoming<config::Message>>,
+) {
+    while let Some(Incoming { peer, message }) = inbox.recv().await {
         let event = Event::Message {
             from: peer.name,
             message: message.into(),
--- a/filbertpaddle/src/coordinator.rs
+++ b/filbertpaddle/src/coordinator.rs
@@ -33,7 +33,7 @@
 use crate::coordinator_tasks::pass;
 use crate::coordinator_tasks::tick;
 use crate::heart::Heart;
-use crate::inbox::From;
+use crate::inbox::Incoming;
 use crate::peers::Peer;
 use crate::peers::Peers;
 use crate::pool::Out;
@@ -57,9 +57,9 @@
     /// Links to other nodes.
     pub peers: Peers,
     /// Messages about membership.
-    pub member: mpsc::Receiver<From<wire::Message>>,
+    pub member: mpsc::Receiver<Incoming<wire::Message>>,
     /// Messages about slots.
-    pub grant: mpsc::Receiver<From<grant::Message>>,
+    pub grant: mpsc::Receiver<Incoming<grant::Message>>,
     /// The platform.
     pub platform: Client,
     /// Targets, for their reports.
--- a/filbertpaddle/src/coordinator_inputs.rs
+++ b/filbertpaddle/src/coordinator_inputs.rs
@@ -20,7 +20,7 @@
 use crate::attempt;
 use crate::coordinator::Coordinator;
 use crate::coordinator::id;
-use crate::inbox::From;
+use crate::inbox::Incoming;
 use crate::pools::Ask;
 use crate::pools::Grant;
 use crate::pools::Refusal;
@@ -217,10 +217,10 @@
     }
 }
 
-impl Handler<From<wire::Message>> for Coordinator {
+impl Handler<Incoming<wire::Message>> for Coordinator {
     type Return = ();
 
-    async fn handle(&mut self, from: From<wire::Message>, _: &mut Context<Self>) {
+    async fn handle(&mut self, from: Incoming<wire::Message>, _: &mut Context<Self>) {
         let now = self.clock.now();
         if from.peer.data_centre == self.own.data_centre {
             self.on_member(now, &id(&from.peer), from.message);
@@ -228,10 +228,10 @@
     }
 }
 
-impl Handler<From<grant::Message>> for Coordinator {
+impl Handler<Incoming<grant::Message>> for Coordinator {
     type Return = ();
 
-    async fn handle(&mut self, from: From<grant::Message>, _: &mut Context<Self>) {
+    async fn handle(&mut self, from: Incoming<grant::Message>, _: &mut Context<Self>) {
         let now = self.clock.now();
         if from.peer.data_centre == self.own.data_centre {
             self.on_grant_message(now, &id(&from.peer), from.message);
--- a/filbertpaddle/src/coordinator_tasks.rs
+++ b/filbertpaddle/src/coordinator_tasks.rs
@@ -16,7 +16,7 @@
 use crate::coordinator_inputs::Listed;
 use crate::coordinator_inputs::ReadRecord;
 use crate::coordinator_inputs::Tick;
-use crate::inbox::From;
+use crate::inbox::Incoming;
 use crate::record;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -31,10 +31,10 @@
     }
 }
 
-pub(crate) async fn pass<M>(actor: WeakAddress<Coordinator>, mut inbox: mpsc::Receiver<From<M>>)
+pub(crate) async fn pass<M>(actor: WeakAddress<Coordinator>, mut inbox: mpsc::Receiver<Incoming<M>>)
 where
     M: Send + 'static,
-    Coordinator: Handler<From<M>, Return = ()>,
+    Coordinator: Handler<Incoming<M>, Return = ()>,
 {
     while let Some(from) = inbox.recv().await {
         if actor.send(from).await.is_err() {
--- a/filbertpaddle/src/health.rs
+++ b/filbertpaddle/src/health.rs
@@ -24,7 +24,7 @@
 }
 
 fn ready(front: &Front) -> StatusCode {
-    if front.is_draining() || front.templates.current().is_none() {
+    if front.gate.is_draining() || front.templates.current().is_none() {
         return StatusCode::SERVICE_UNAVAILABLE;
     }
     StatusCode::OK
--- a/filbertpaddle/src/inbox.rs
+++ b/filbertpaddle/src/inbox.rs
@@ -16,7 +16,7 @@
 
 /// A message for one part and the node that sent it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct From<M> {
+pub struct Incoming<M> {
     /// Sender.
     pub peer: Peer,
     /// What was sent.
@@ -27,25 +27,25 @@
 #[derive(Debug)]
 pub struct Inboxes {
     /// For membership.
-    pub member: mpsc::Receiver<From<member::Message>>,
+    pub member: mpsc::Receiver<Incoming<member::Message>>,
     /// For slots on targets.
-    pub grant: mpsc::Receiver<From<grant::Message>>,
+    pub grant: mpsc::Receiver<Incoming<grant::Message>>,
     /// For configuration.
-    pub config: mpsc::Receiver<From<config::Message>>,
+    pub config: mpsc::Receiver<Incoming<config::Message>>,
     /// For claims.
-    pub claim: mpsc::Receiver<From<claim::Message>>,
+    pub claim: mpsc::Receiver<Incoming<claim::Message>>,
     /// For slots in another data centre.
-    pub remote: mpsc::Receiver<From<remote::Message>>,
+    pub remote: mpsc::Receiver<Incoming<remote::Message>>,
 }
 
 /// The other ends of [`Inboxes`].
 #[derive(Debug)]
 pub struct Outlets {
-    member: mpsc::Sender<From<member::Message>>,
-    grant: mpsc::Sender<From<grant::Message>>,
-    config: mpsc::Sender<From<config::Message>>,
-    claim: mpsc::Sender<From<claim::Message>>,
-    remote: mpsc::Sender<From<remote::Message>>,
+    member: mpsc::Sender<Incoming<member::Message>>,
+    grant: mpsc::Sender<Incoming<grant::Message>>,
+    config: mpsc::Sender<Incoming<config::Message>>,
+    claim: mpsc::Sender<Incoming<claim::Message>>,
+    remote: mpsc::Sender<Incoming<remote::Message>>,
 }
 
 /// Opens one inbox for each part.
@@ -87,6 +87,6 @@
     }
 }
 
-fn pass<M>(outlet: &mpsc::Sender<From<M>>, peer: Peer, message: M) {
-    outlet.try_send(From { peer, message }).ok();
+fn pass<M>(outlet: &mpsc::Sender<Incoming<M>>, peer: Peer, message: M) {
+    outlet.try_send(Incoming { peer, message }).ok();
 }
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -29,7 +29,7 @@
 use crate::config;
 use crate::config::Config;
 use crate::front::Front;
-use crate::front::Parts;
+use crate::gate::Gate;
 use crate::health;
 use crate::inbox;
 use crate::inbox::Inboxes;
@@ -160,7 +160,7 @@
     /// Refuses new work, lets all that runs end, and stops.
     pub async fn close(self) {
         info!(self.log, "Node drains.");
-        self.front.drain().await;
+        self.front.gate.drain().await;
         self.front.slots.leave().await;
         self.front.claims.close().await;
         for server in self.servers {
@@ -211,7 +211,7 @@
         name: own.name.clone(),
         incarnation: own.incarnation,
     });
-    Ok(Front::new(Parts {
+    Ok(Front {
         templates,
         claims,
         slots,
@@ -221,15 +221,15 @@
         limits: settings.limits.clone(),
         metrics: Arc::clone(&common.metrics),
         log: log::part(log, "request"),
-        attempt_prefix,
-    }))
+        gate: Gate::open(attempt_prefix, settings.limits.requests),
+    })
 }
 
 fn start_claims(
     settings: &Settings,
     common: &Common,
     peers: Peers,
-    inbox: mpsc::Receiver<inbox::From<claim::Message>>,
+    inbox: mpsc::Receiver<inbox::Incoming<claim::Message>>,
 ) -> Claims {
     Claims::start(claims::Parts {
         own: common.own.clone(),
@@ -247,7 +247,7 @@
 fn start_config(
     common: &Common,
     peers: Peers,
-    inbox: mpsc::Receiver<inbox::From<wire_config::Message>>,
+    inbox: mpsc::Receiver<inbox::Incoming<wire_config::Message>>,
     service: &Service,
 ) -> (Config, Templates) {
     Config::start(config::Parts {
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -17,7 +17,6 @@
 use filbertpaddle_core::slot::Held;
 use filbertpaddle_core::slot::Source;
 use filbertpaddle_core::terms::Terms;
-use filbertpaddle_target::protocol::LoadReport;
 use filbertpaddle_wire::grant;
 use filbertpaddle_wire::grant::Denial;
 use filbertpaddle_wire::grant::End;
@@ -38,10 +37,7 @@
 /// When a refused caller may come back.
 const RETRY_AFTER_MS: Millis = Millis(1_000);
 /// Wait before a request that the owner did not queue is sent again.
-const REASK_MS: Millis = Millis(200);
-/// Time between two questions to every member what it holds, which find what
-/// lost messages have left counted.
-const RECOUNT_MS: Millis = Millis(10_000);
+pub(crate) const REASK_MS: Millis = Millis(200);
 
 /// One target that the platform lists.
 #[derive(Clone, Debug)]
@@ -78,17 +74,17 @@
 /// One pool.
 #[derive(Debug)]
 pub(crate) struct Pool {
-    name: Name,
-    terms: Terms,
+    pub(crate) name: Name,
+    pub(crate) terms: Terms,
     pub(crate) member: Member,
     pub(crate) owner: Option<Owner>,
-    placer: Placer,
+    pub(crate) placer: Placer,
     pub(crate) owned_by: Option<roster::Owner>,
     pub(crate) targets: IndexMap<Name, Target>,
-    waiters: Vec<Waiter>,
-    stamped_ms: Millis,
-    collected_ms: Millis,
-    recounted_ms: Millis,
+    pub(crate) waiters: Vec<Waiter>,
+    pub(crate) stamped_ms: Millis,
+    pub(crate) collected_ms: Millis,
+    pub(crate) recounted_ms: Millis,
     pub(crate) out: Vec<Out>,
 }
 
@@ -134,40 +130,6 @@
         }
     }
 
-    /// Lets the owner know the targets and how much of them may be used.
-    pub(crate) fn add_targets(&mut self) {
-        let Some(owner) = &mut self.owner else {
-            return;
-        };
-        for (name, target) in &self.targets {
-            owner.add_target(name);
-            owner.set_portion(name, target.per_mille);
-        }
-        let ledgers = owner.ledgers().iter();
-        let unlisted: Vec<Name> = ledgers
-            .filter(|ledger| !self.targets.contains_key(&ledger.target))
-            .map(|ledger| ledger.target.clone())
-            .collect();
-        unlisted.iter().for_each(|name| owner.set_portion(name, 0));
-    }
-
-    /// Takes in a target's report.
-    pub(crate) fn on_report(
-        &mut self,
-        now: Millis,
-        name: &Name,
-        report: Report,
-        load: &LoadReport,
-    ) {
-        if let Some(owner) = &mut self.owner {
-            owner.on_report(now, name, &report);
-        }
-        self.placer.reported(now, name, load, self.owner.as_ref());
-        if let Some(target) = self.targets.get_mut(name) {
-            target.report = Some(report);
-        }
-    }
-
     /// Adds someone who waits.
     pub(crate) fn wait(
         &mut self,
@@ -316,54 +278,6 @@
         }
     }
 
-    /// Grants what can be granted, and asks members what they hold.
-    pub(crate) fn own(&mut self, now: Millis) {
-        let Some(owner) = &mut self.owner else {
-            return;
-        };
-        for granted in self.placer.grants(now, owner) {
-            let to = granted.key.holder.clone();
-            let message = Message::Grant(self.name.clone(), body::grant_message(granted));
-            self.out.push(Out { to, message });
-        }
-        for denied in self.placer.denied(now) {
-            let number = denied.ask.number;
-            owner.on_withdraw(&denied.ask.holder, number);
-            let message = Message::Deny(self.name.clone(), number, body::denial(&denied.refusal));
-            let to = denied.ask.holder;
-            self.out.push(Out { to, message });
-        }
-        for suspect in self.placer.suspects(now) {
-            let own = self.member.id();
-            for to in owner.members().iter().filter(|id| *id != own) {
-                let record = suspect.record.clone();
-                let message = Message::Suspect(self.name.clone(), suspect.digest, record);
-                let to = to.clone();
-                self.out.push(Out { to, message });
-            }
-        }
-        if now.since(self.collected_ms) < REASK_MS {
-            return;
-        }
-        self.collected_ms = now;
-        let collects = match now.since(self.recounted_ms) < RECOUNT_MS {
-            true => owner.collects(),
-            false => {
-                self.recounted_ms = now;
-                owner.recounts()
-            }
-        };
-        for collect in collects {
-            let message = grant::Collect {
-                epoch: collect.epoch,
-                upto: collect.upto,
-            };
-            let to = collect.holder;
-            let message = Message::Collect(self.name.clone(), message);
-            self.out.push(Out { to, message });
-        }
-    }
-
     /// Takes a slot back from whoever used it.
     pub(crate) fn release(&mut self, now: Millis, slot: &Slot, end: End) {
         if !self.member.on_end(&slot.key) {
@@ -376,28 +290,6 @@
         self.tell_owner(Message::Release(self.name.clone(), used, end));
     }
 
-    fn on_ask(&mut self, now: Millis, from: &Id, ask: &grant::Ask) {
-        let asked = owner::Ask {
-            holder: from.clone(),
-            number: ask.number,
-            stamp: ask.stamp,
-            session: ask.session,
-        };
-        let to = from.clone();
-        let owner = self.owner.as_mut();
-        let Some(owner) = owner.and_then(|owner| owner.on_ask(asked.clone()).then_some(owner))
-        else {
-            let message = Message::Refuse(self.name.clone(), ask.number);
-            self.out.push(Out { to, message });
-            return;
-        };
-        if let Err(refusal) = self.placer.push(now, asked, &ask.want) {
-            owner.on_withdraw(from, ask.number);
-            let message = Message::Deny(self.name.clone(), ask.number, body::denial(&refusal));
-            self.out.push(Out { to, message });
-        }
-    }
-
     fn on_deny(&mut self, number: u64, denial: Denial) {
         let asked = |waiter: &Waiter| waiter.asked == Some(number);
         let Some(index) = self.waiters.iter().position(asked) else {
--- a/filbertpaddle/src/remote.rs
+++ b/filbertpaddle/src/remote.rs
@@ -24,7 +24,7 @@
 
 use crate::body;
 use crate::clock;
-use crate::inbox::From;
+use crate::inbox::Incoming;
 use crate::loan;
 use crate::loan::Note;
 use crate::peers::Peer;
@@ -94,7 +94,7 @@
         own: Peer,
         peers: Peers,
         local: Pools,
-        inbox: mpsc::Receiver<From<wire::Message>>,
+        inbox: mpsc::Receiver<Incoming<wire::Message>>,
     ) -> Self {
         let remote = Self {
             shared: Arc::new(Shared {
@@ -283,8 +283,8 @@
     }
 }
 
-async fn receive(remote: Remote, mut inbox: mpsc::Receiver<From<wire::Message>>) {
-    while let Some(From { peer, message }) = inbox.recv().await {
+async fn receive(remote: Remote, mut inbox: mpsc::Receiver<Incoming<wire::Message>>) {
+    while let Some(Incoming { peer, message }) = inbox.recv().await {
         remote.on_message(peer, message);
     }
 }
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -58,7 +58,7 @@
             idempotent: request.template.idempotent,
             whole: request.template.delivery == template::Delivery::Whole,
         };
-        let delivery = Delivery::new(promise, front.attempt());
+        let delivery = Delivery::new(promise, front.gate.attempt());
         Self {
             front,
             request,
@@ -224,7 +224,7 @@
 
     fn restart(&mut self) {
         self.front.metrics.count("request.restarted");
-        let attempt = self.front.attempt();
+        let attempt = self.front.gate.attempt();
         self.delivery.restart(attempt);
         self.output.restart();
     }
--- a/filbertpaddle/tests/drain.rs
+++ b/filbertpaddle/tests/drain.rs
@@ -15,8 +15,13 @@
 
 const STREAMS: usize = 20;
 
-#[tokio::test]
-async fn a_terminated_node_finishes_what_runs_and_refuses_the_rest() {
+struct Bench {
+    _platform: Platform,
+    _engine: StandIn,
+    node: Node,
+}
+
+async fn start() -> Bench {
     let mut platform = Platform::start();
     let engine = StandIn::start(&["engine", "--seed", "7", "--speed", "10"]);
     platform
@@ -25,7 +30,7 @@
     platform
         .list_target("engine-1", "north", "teacher", engine.address)
         .await;
-    let mut node = Node::start(&NodeSettings {
+    let node = Node::start(&NodeSettings {
         name: "entry-1".to_owned(),
         data_centre: "north".to_owned(),
         platform: platform.standin.address,
@@ -33,7 +38,17 @@
         more: String::new(),
     });
     node.ready().await;
-    let address = node.addresses.callers;
+    Bench {
+        _platform: platform,
+        _engine: engine,
+        node,
+    }
+}
+
+#[tokio::test]
+async fn a_terminated_node_finishes_what_runs_and_refuses_the_rest() {
+    let mut bench = start().await;
+    let address = bench.node.addresses.callers;
     let mut streams = Vec::new();
     while streams.len() < STREAMS {
         let text = format!("summary {}", streams.len());
@@ -46,7 +61,7 @@
     let readyz = format!("http://{address}/readyz");
     idle.get(&readyz).send().await.unwrap();
 
-    node.process.terminate().unwrap();
+    bench.node.process.terminate().unwrap();
     common::wait::until("the balancer is told", async || {
         let response = idle.get(&readyz).send().await.ok()?;
         (response.status() == 503).then_some(())
@@ -71,7 +86,7 @@
         let tokens = u32::try_from(tokens.len()).unwrap();
         assert_eq!(outcome, Some(Outcome::Complete { tokens }));
     }
-    let status = tokio::task::spawn_blocking(move || node.process.wait().unwrap())
+    let status = tokio::task::spawn_blocking(move || bench.node.process.wait().unwrap())
         .await
         .unwrap();
     assert!(status.success(), "{status:?}");
@@ -79,23 +94,8 @@
 
 #[tokio::test]
 async fn a_caller_that_leaves_does_not_hold_up_the_stop() {
-    let mut platform = Platform::start();
-    let engine = StandIn::start(&["engine", "--seed", "7", "--speed", "20"]);
-    platform
-        .seed(&[("summary", fleet::template("teacher"))])
-        .await;
-    platform
-        .list_target("engine-1", "north", "teacher", engine.address)
-        .await;
-    let mut node = Node::start(&NodeSettings {
-        name: "entry-1".to_owned(),
-        data_centre: "north".to_owned(),
-        platform: platform.standin.address,
-        peers: Vec::new(),
-        more: String::new(),
-    });
-    node.ready().await;
-    let address = node.addresses.callers;
+    let mut bench = start().await;
+    let address = bench.node.addresses.callers;
     let mut stream = common::wait::until("a stream", async || {
         let response = caller::send(address, "summary", "left", None).await;
         (response.status() == 200).then(|| Stream::open(response))
@@ -103,8 +103,8 @@
     .await;
     assert!(matches!(stream.next().await, Some(Event::Start { .. })));
     drop(stream);
-    node.process.terminate().unwrap();
-    let status = tokio::task::spawn_blocking(move || node.process.wait().unwrap())
+    bench.node.process.terminate().unwrap();
+    let status = tokio::task::spawn_blocking(move || bench.node.process.wait().unwrap())
         .await
         .unwrap();
     assert!(status.success(), "{status:?}");
