Call a cancelled generation incomplete, and show the core by itself

Cause: a target ends a cancelled stream with the number of tokens so far, which the delivery took for the whole answer: the caller was told complete. Ruled out: a status from the cancelling node to the one that streams, since they need not know each other; the target's own ending says it. Change: the ending's cause reaches the delivery; a cancelled generation is incomplete, or may have run where it has effects. An example embeds the core without the daemon. Conclusion: holds across nodes, since the ticket names the target.

--- /dev/null
+++ b/filbertpaddle-core/examples/embed.rs
@@ -0,0 +1,97 @@
+//! Places requests and follows one answer without the daemon.
+//!
+//! Run with `cargo run -p filbertpaddle-core --example embed`.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::delivery::Action;
+use filbertpaddle_core::delivery::Delivery;
+use filbertpaddle_core::delivery::Event;
+use filbertpaddle_core::delivery::Promise;
+use filbertpaddle_core::policy::Settings;
+use filbertpaddle_core::scheduler::Ask;
+use filbertpaddle_core::scheduler::AskId;
+use filbertpaddle_core::scheduler::Ending;
+use filbertpaddle_core::scheduler::Scheduler;
+use filbertpaddle_core::scheduler::SlotId;
+use filbertpaddle_core::scheduler::TargetView;
+use filbertpaddle_core::template::Priority;
+
+fn main() {
+    place();
+    deliver();
+}
+
+/// Queues three asks and places them on two targets of one slot each.
+fn place() {
+    let mut scheduler = Scheduler::new(Settings::default());
+    let mut now = Millis::from_secs(1);
+    for number in 1..=3 {
+        if let Err(refusal) = scheduler.push(now, ask(number, now)) {
+            println!("refused: {refusal:?}");
+        }
+    }
+    let mut targets = [target("engine-1"), target("engine-2")];
+    let mut slots = Vec::new();
+    while let Some(placement) = scheduler.next(now, &targets) {
+        println!("ask {} goes to {}", placement.ask.id.0, placement.target);
+        let slot = SlotId(placement.ask.id.0);
+        scheduler.started(now, slot, &placement);
+        slots.push(slot);
+        for target in &mut targets {
+            if target.name == placement.target {
+                target.free_slots -= 1;
+            }
+        }
+    }
+    println!("{} asks wait", scheduler.queued());
+    now = now + Millis::from_secs(5);
+    for slot in slots {
+        scheduler.ended(now, slot, 120, Ending::Complete);
+    }
+}
+
+fn ask(number: u64, now: Millis) -> Ask {
+    Ask {
+        id: AskId(number),
+        customer: "school".into(),
+        template: "school/summary".into(),
+        priority: Priority(0),
+        weight: 1,
+        prompt_tokens: 200,
+        max_tokens: 1_000,
+        prefix: 0,
+        prefix_tokens: 0,
+        digest: number,
+        arrived_ms: now,
+        deadline_ms: now + Millis::from_secs(30),
+    }
+}
+
+fn target(name: &str) -> TargetView {
+    TargetView {
+        name: name.into(),
+        free_slots: 1,
+        capacity_tokens: 8_192,
+        warm: true,
+    }
+}
+
+/// Follows a stream with a repeated and a missing token.
+fn deliver() {
+    let promise = Promise {
+        idempotent: true,
+        whole: false,
+    };
+    let mut delivery = Delivery::new(promise, "attempt-1".into());
+    for index in [0, 1, 1, 3] {
+        let event = Event::Token {
+            attempt: "attempt-1".into(),
+            index,
+        };
+        match delivery.on(&event) {
+            Action::Deliver => println!("token {index} is passed on"),
+            Action::Resume { from } => println!("token {index} came too early: resume at {from}"),
+            action => println!("token {index}: {action:?}"),
+        }
+    }
+}
--- a/filbertpaddle-core/src/delivery.rs
+++ b/filbertpaddle-core/src/delivery.rs
@@ -21,6 +21,11 @@
         /// Number of tokens of the whole generation.
         tokens: u32,
     },
+    /// The generation was cancelled at the target.
+    Cancelled {
+        /// Attempt named on the event.
+        attempt: Name,
+    },
     /// The stream broke, and the target may still run the attempt.
     Broken,
     /// The target has gone or no longer knows the attempt.
@@ -106,6 +111,8 @@
         match event {
             Event::Token { attempt, index } => self.on_token(attempt, *index),
             Event::End { attempt, tokens } => self.on_end(attempt, *tokens),
+            Event::Cancelled { attempt } if *attempt != self.attempt => Action::DropCrossed,
+            Event::Cancelled { .. } => Action::Finish(self.cut_short(Reason::Cancelled)),
             Event::Broken => self.resume(),
             Event::Lost => self.on_lost(),
         }
@@ -152,17 +159,19 @@
     // starts again.
     fn on_lost(&self) -> Action {
         let unseen = self.promise.whole || self.next_index == 0;
-        if !self.promise.idempotent {
-            return Action::Finish(Outcome::MayHaveRun {
-                reason: Reason::TargetFailed,
-            });
-        }
-        if unseen {
+        if self.promise.idempotent && unseen {
             return Action::Restart;
         }
-        Action::Finish(Outcome::Incomplete {
+        Action::Finish(self.cut_short(Reason::TargetFailed))
+    }
+
+    fn cut_short(&self, reason: Reason) -> Outcome {
+        if !self.promise.idempotent {
+            return Outcome::MayHaveRun { reason };
+        }
+        Outcome::Incomplete {
             tokens: self.next_index,
-            reason: Reason::TargetFailed,
-        })
+            reason,
+        }
     }
 }
--- a/filbertpaddle-core/tests/delivery.rs
+++ b/filbertpaddle-core/tests/delivery.rs
@@ -72,6 +72,31 @@
     assert_eq!(whole.on(&token("b", 0)), Action::Deliver);
 }
 
+#[test]
+fn a_cancelled_generation_is_incomplete() {
+    let cancelled = Event::Cancelled {
+        attempt: "a".into(),
+    };
+    let mut delivery = Delivery::new(STREAMED, "a".into());
+    delivery.on(&token("a", 0));
+    assert_eq!(
+        delivery.on(&cancelled),
+        Action::Finish(Outcome::Incomplete {
+            tokens: 1,
+            reason: Reason::Cancelled
+        })
+    );
+    let mut other = Delivery::new(STREAMED, "b".into());
+    assert_eq!(other.on(&cancelled), Action::DropCrossed);
+    let mut with_effects = Delivery::new(WITH_EFFECTS, "a".into());
+    assert_eq!(
+        with_effects.on(&cancelled),
+        Action::Finish(Outcome::MayHaveRun {
+            reason: Reason::Cancelled
+        })
+    );
+}
+
 #[test]
 fn effects_are_not_repeated() {
     let mut delivery = Delivery::new(WITH_EFFECTS, "a".into());
--- a/filbertpaddle/src/generation.rs
+++ b/filbertpaddle/src/generation.rs
@@ -10,6 +10,7 @@
 use filbertpaddle_core::scheduler::Ending;
 use filbertpaddle_target::error::Error;
 use filbertpaddle_target::error::NotStarted;
+use filbertpaddle_target::protocol::EndCause;
 use filbertpaddle_target::protocol::RefusalCause;
 use filbertpaddle_target::protocol::Submit;
 use filbertpaddle_target::stream::Received;
@@ -139,6 +140,10 @@
         let attempt = self.delivery.attempt().clone();
         match received {
             Received::Token { index, text } => Some((Event::Token { attempt, index }, text)),
+            Received::End {
+                cause: EndCause::Cancelled,
+                ..
+            } => Some((Event::Cancelled { attempt }, String::new())),
             Received::End { tokens, .. } => Some((Event::End { attempt, tokens }, String::new())),
             Received::Foreign { .. } | Received::Repeated { .. } => {
                 self.dropped();
@@ -224,6 +229,13 @@
 fn ending(outcome: &Outcome) -> Ending {
     match outcome {
         Outcome::Complete { .. } => Ending::Complete,
+        Outcome::Incomplete {
+            reason: Reason::Cancelled,
+            ..
+        }
+        | Outcome::MayHaveRun {
+            reason: Reason::Cancelled,
+        } => Ending::Cancelled,
         _ => Ending::Failed,
     }
 }
--- a/filbertpaddle/tests/common/caller.rs
+++ b/filbertpaddle/tests/common/caller.rs
@@ -55,6 +55,18 @@
         .unwrap()
 }
 
+/// Cancels a generation.
+pub async fn cancel(node: SocketAddr, ticket: &str) -> reqwest::Response {
+    let body = serde_json::json!({"ticket": ticket});
+    reqwest::Client::new()
+        .post(format!("http://{node}/v1/cancel"))
+        .bearer_auth(CUSTOMER_KEY)
+        .json(&body)
+        .send()
+        .await
+        .unwrap()
+}
+
 /// Reads a body without tokens.
 pub async fn outcome(response: reqwest::Response) -> Outcome {
     response.json().await.unwrap()
--- a/filbertpaddle/tests/thin_path.rs
+++ b/filbertpaddle/tests/thin_path.rs
@@ -11,10 +11,15 @@
 use common::fleet::Platform;
 use common::fleet::StandIn;
 use filbertpaddle_core::outcome::Outcome;
+use filbertpaddle_core::outcome::Reason;
 
 async fn start() -> (Platform, StandIn, Vec<Node>) {
+    start_at_speed("20").await
+}
+
+async fn start_at_speed(speed: &str) -> (Platform, StandIn, Vec<Node>) {
     let mut platform = Platform::start();
-    let engine = StandIn::start(&["engine", "--seed", "7", "--speed", "20"]);
+    let engine = StandIn::start(&["engine", "--seed", "7", "--speed", speed]);
     platform
         .seed(&[("summary", fleet::template("teacher"))])
         .await;
@@ -58,6 +63,28 @@
     }
 }
 
+#[tokio::test]
+async fn a_cancelled_stream_is_not_called_complete() {
+    let (_platform, _engine, nodes) = start_at_speed("1").await;
+    let mut stream = stream(&nodes[0], "a long summary").await;
+    let Some(Event::Start { ticket, .. }) = stream.next().await else {
+        panic!("the first event starts the stream");
+    };
+    let response = caller::cancel(nodes[1].addresses.callers, &ticket).await;
+    assert_eq!(response.status(), 204);
+    let (_, outcome) = stream.rest().await;
+    assert!(
+        matches!(
+            outcome,
+            Some(Outcome::Incomplete {
+                reason: Reason::Cancelled,
+                ..
+            })
+        ),
+        "{outcome:?}"
+    );
+}
+
 #[tokio::test]
 async fn a_stream_outlives_the_node_it_started_on() {
     let (_platform, _engine, mut nodes) = start().await;
