Take no lent slot after its lender may have given it up

Cause: by reasoning: a node that is paused while it waits for a slot of another data centre finds the grant when it wakes, though its lender takes the slot back from a borrower it has not reached for 15 s. Ruled out: a life on the lender's clock, which the borrower cannot read. Change: a borrower waits at most 8 s and 1 s more, on its own clock from when it asked, and drops what comes later. The pause itself was not run. Conclusion: what is left is a pause between the check and the send, as for the own data centre's slots.

--- a/filbertpaddle/src/remote.rs
+++ b/filbertpaddle/src/remote.rs
@@ -10,7 +10,9 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
+use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::outcome::Reason;
 use filbertpaddle_wire::grant::Denial;
@@ -34,6 +36,9 @@
 use crate::pools::Pools;
 use crate::pools::Refusal;
 
+/// Longest wait for a slot of another data centre; the lender takes a slot back
+/// from a borrower that it cannot reach only after a longer time.
+const LONGEST_WAIT_MS: Millis = Millis::from_secs(8);
 /// How much longer than the ask itself an answer may take.
 const ANSWER_SLACK: Duration = Duration::from_secs(1);
 
@@ -172,12 +177,17 @@
             number,
             open: true,
         };
-        self.send(
-            &lender.name,
-            wire::Message::Ask(number, ask.model.clone(), Box::new(body::want(ask))),
-        );
-        let longest = clock::duration(ask.wait_ms) + ANSWER_SLACK;
+        let mut want = body::want(ask);
+        want.wait_ms = want.wait_ms.min(LONGEST_WAIT_MS);
+        let longest = clock::duration(want.wait_ms) + ANSWER_SLACK;
+        let asked = Instant::now();
+        let message = wire::Message::Ask(number, ask.model.clone(), Box::new(want));
+        self.send(&lender.name, message);
         let answer = tokio::time::timeout(longest, answer).await;
+        if asked.elapsed() > longest {
+            // A node that was paused may find a grant that its lender has given up.
+            return Err(unanswered());
+        }
         let granted = match answer {
             Ok(Ok(Ok(granted))) => granted,
             Ok(Ok(Err(refusal))) => {
