Carry what is wanted of a slot in one type

Cause: the fields of an ask stood in the daemon and in the messages between nodes, with functions that copied one to the other. Change: an ask is a model and the message's own body. Conclusion: one place to add a field.

--- a/filbertpaddle/src/body.rs
+++ b/filbertpaddle/src/body.rs
@@ -9,40 +9,9 @@
 use filbertpaddle_core::slot::Key;
 use filbertpaddle_wire::grant;
 use filbertpaddle_wire::grant::Denial;
-use filbertpaddle_wire::grant::Want;
 
-use crate::pools::Ask;
 use crate::pools::Refusal;
 
-pub(crate) fn want(ask: &Ask) -> Want {
-    Want {
-        template: ask.template.clone(),
-        priority: ask.priority,
-        weight: ask.weight,
-        prompt_tokens: ask.prompt_tokens,
-        max_tokens: ask.max_tokens,
-        prefix: ask.prefix,
-        prefix_tokens: ask.prefix_tokens,
-        digest: ask.digest,
-        wait_ms: ask.wait_ms,
-    }
-}
-
-pub(crate) fn ask(model: Name, want: Want) -> Ask {
-    Ask {
-        model,
-        template: want.template,
-        priority: want.priority,
-        weight: want.weight,
-        prompt_tokens: want.prompt_tokens,
-        max_tokens: want.max_tokens,
-        prefix: want.prefix,
-        prefix_tokens: want.prefix_tokens,
-        digest: want.digest,
-        wait_ms: want.wait_ms,
-    }
-}
-
 pub(crate) fn refusal(denial: Denial) -> Refusal {
     Refusal {
         reason: denial.reason,
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -138,9 +138,9 @@
         reply: oneshot::Sender<Result<Grant, Refusal>>,
     ) {
         self.waiters.push(Waiter {
-            deadline_ms: now + ask.wait_ms,
+            deadline_ms: now + ask.want.wait_ms,
             reply,
-            want: body::want(ask),
+            want: ask.want.clone(),
             asked: None,
             ask_ms: now,
         });
--- a/filbertpaddle/src/pools.rs
+++ b/filbertpaddle/src/pools.rs
@@ -8,8 +8,8 @@
 use filbertpaddle_core::outcome::Reason;
 use filbertpaddle_core::scheduler::Ending;
 use filbertpaddle_core::slot::Key;
-use filbertpaddle_core::template::Priority;
 use filbertpaddle_wire::grant::End;
+use filbertpaddle_wire::grant::Want;
 use tokio::sync::oneshot;
 use xtra::Address;
 
@@ -28,24 +28,8 @@
 pub struct Ask {
     /// Model or plain service that is wanted.
     pub model: Name,
-    /// Customer and template, `customer/template`.
-    pub template: Name,
-    /// Scheduling priority.
-    pub priority: Priority,
-    /// Customer's relative share.
-    pub weight: u32,
-    /// Estimated length of the prompt.
-    pub prompt_tokens: u32,
-    /// Most tokens the generation may produce.
-    pub max_tokens: u32,
-    /// Digest of the prompt's fixed part.
-    pub prefix: u64,
-    /// Length of the prompt's fixed part, in whole blocks.
-    pub prefix_tokens: u32,
-    /// Digest of the request, the same for a resend.
-    pub digest: u64,
-    /// How long the ask may wait.
-    pub wait_ms: Millis,
+    /// What is to be run there.
+    pub want: Want,
 }
 
 /// The right to send one attempt to one target.
--- a/filbertpaddle/src/remote.rs
+++ b/filbertpaddle/src/remote.rs
@@ -177,7 +177,7 @@
             number,
             open: true,
         };
-        let mut want = body::want(ask);
+        let mut want = ask.want.clone();
         want.wait_ms = want.wait_ms.min(LONGEST_WAIT_MS);
         let longest = clock::duration(want.wait_ms) + ANSWER_SLACK;
         let asked = Instant::now();
@@ -217,7 +217,7 @@
     fn on_message(&self, from: Peer, message: wire::Message) {
         match message {
             wire::Message::Ask(number, model, want) => {
-                self.lend(from, number, body::ask(model, *want));
+                self.lend(from, number, Ask { model, want: *want });
             }
             wire::Message::Grant(number, grant) => self.on_answer(number, Ok(grant)),
             wire::Message::Refuse(number, refusal) => self.on_answer(number, Err(refusal)),
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -10,6 +10,7 @@
 use filbertpaddle_core::template;
 use filbertpaddle_core::template::Work;
 use filbertpaddle_target::protocol::Submit;
+use filbertpaddle_wire::grant::Want;
 use slog::debug;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::oneshot;
@@ -168,15 +169,17 @@
         let template = &self.request.template;
         pools::Ask {
             model: template.model.clone(),
-            template: self.request.template_key(),
-            priority: template.priority,
-            weight: template.weight,
-            prompt_tokens: self.request.prompt_tokens(),
-            max_tokens: template.max_tokens,
-            prefix: self.request.prefix(),
-            prefix_tokens: self.request.prefix_tokens(),
-            digest: self.request.digest(),
-            wait_ms: self.request.wait_ms,
+            want: Want {
+                template: self.request.template_key(),
+                priority: template.priority,
+                weight: template.weight,
+                prompt_tokens: self.request.prompt_tokens(),
+                max_tokens: template.max_tokens,
+                prefix: self.request.prefix(),
+                prefix_tokens: self.request.prefix_tokens(),
+                digest: self.request.digest(),
+                wait_ms: self.request.wait_ms,
+            },
         }
     }
 
