--- a/filbertpaddle/examples/demo.rs
+++ b/filbertpaddle/examples/demo.rs
@@ -11,11 +11,17 @@
 use filbertpaddle::log;
 use filbertpaddle::node::Node;
 use filbertpaddle::settings;
+use filbertpaddle::table;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::config::Change;
+use filbertpaddle_core::config::ChangeId;
+use filbertpaddle_core::config::Record;
+use filbertpaddle_core::config::Setting;
+use filbertpaddle_core::revision::Revision;
 use filbertpaddle_platform::protocol::Transaction;
 use filbertpaddle_platform::protocol::Vm;
 use filbertpaddle_platform::protocol::VmList;
 use filbertpaddle_platform::protocol::VmRole;
-use filbertpaddle_platform::protocol::Write;
 use filbertpaddle_standins::engine;
 use filbertpaddle_standins::engine::Engine;
 use filbertpaddle_standins::platform::Platform;
@@ -32,7 +38,7 @@
     let platform = Platform::start(any).await?;
     let engine = Engine::start(engine::Settings::default()).await?;
     platform.set_vms(vm_list(engine.address));
-    platform.transact(configuration());
+    platform.transact(configuration()?);
 
     let first = start_node("entry-1", platform.address, &[]).await?;
     let peers = [first.addresses().peers];
@@ -78,34 +84,43 @@
     VmList { vms: vec![vm] }
 }
 
-fn configuration() -> Transaction {
+fn configuration() -> eyre::Result<Transaction> {
     let digest = HEXLOWER.encode(&Sha256::digest(CUSTOMER_KEY.as_bytes()));
-    let customer = serde_json::json!({"key_sha256": [digest]});
+    let customer = Setting::Customer {
+        name: "school".into(),
+        customer: serde_json::from_value(serde_json::json!({"key_sha256": [digest]}))?,
+    };
     let template = serde_json::json!({
         "model": "teacher",
         "prompt": "Draft an end-of-term summary.",
         "parameters": ["pupil"],
         "max_tokens": 60,
     });
-    Transaction {
-        conditions: Vec::new(),
-        writes: vec![
-            write("config/head", &serde_json::json!(1)),
-            entry("customer/school", &customer),
-            entry("template/school/summary", &template),
-        ],
+    let template = Setting::Template {
+        customer: "school".into(),
+        name: "summary".into(),
+        template: Box::new(serde_json::from_value(template)?),
+    };
+    let mut transaction = Transaction::default();
+    for (revision, setting) in (1..).zip([customer, template]) {
+        transaction
+            .writes
+            .extend(table::writes(&record(revision, setting))?);
     }
+    Ok(transaction)
 }
 
-fn entry(name: &str, value: &serde_json::Value) -> Write {
-    let entry = serde_json::json!({"revision": 1, "value": value});
-    write(&format!("config/entry/{name}"), &entry)
-}
-
-fn write(key: &str, value: &serde_json::Value) -> Write {
-    Write {
-        key: key.to_owned(),
-        value: Some(value.to_string()),
+fn record(revision: u64, setting: Setting) -> Record {
+    let change = Change {
+        revision: Revision(revision),
+        id: ChangeId(revision),
+        by: "installer".into(),
+        at_ms: Millis::ZERO,
+        setting,
+    };
+    Record {
+        change,
+        before: None,
     }
 }
 
