--- a/filbertpaddle/tests/demo.rs
+++ b/filbertpaddle/tests/demo.rs
@@ -1,7 +1,5 @@
 //! The demo that the README names serves two whole answers.
 
-#![expect(clippy::unwrap_used, reason = "a test may panic")]
-
 use std::path::Path;
 use std::time::Duration;
 
