--- /dev/null
+++ b/filbertpaddle-forward/src/directory.rs
@@ -0,0 +1,373 @@
+//! What a node knows of configuration, targets and data centres out of service.
+//!
+//! Entries arrive from the store's feeds or from a peer that follows them. Each
+//! has the store's revision, so that only newer ones are taken, in any order.
+
+use std::sync::Arc;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::configuration::Configuration;
+use crate::target::Target;
+
+/// How long after the store's return living targets take to be listed again:
+/// about two seconds, by the users' word.
+const RELIST_MS: Millis = Millis(2_500);
+/// Most removed entries whose revisions are kept against stale copies.
+const REMOVED_KEPT: usize = 1_024;
+
+/// A table that nodes follow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Table {
+    /// What operators decide.
+    Operator,
+    /// The targets' own entries.
+    Targets,
+}
+
+/// One entry that changed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Revision of the store at which it changed.
+    pub revision: u64,
+    /// What it says now.
+    pub entry: Entry,
+}
+
+/// What an entry says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Entry {
+    /// The configuration.
+    Configuration(Arc<Configuration>),
+    /// A data centre is out of service, or in.
+    DataCentre {
+        /// The data centre.
+        name: Name,
+        /// Whether it is out of service.
+        is_out: bool,
+    },
+    /// A target's entry.
+    Target(Target),
+    /// A target has no usable entry.
+    NoTarget(Name),
+}
+
+/// All changes of a table, or some.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Batch {
+    /// The table.
+    pub table: Table,
+    /// Whether what the batch does not name does not exist.
+    pub is_whole: bool,
+    /// Revision up to which the table is known after the batch.
+    pub revision: u64,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+/// What changed by a batch; for logs and those who wait.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Effect {
+    /// Version of a configuration that came into force.
+    pub configuration: Option<u64>,
+    /// Data centres that went out of service or came back, with the new state.
+    pub data_centres: Vec<(Name, bool)>,
+    /// Targets that are new, changed or gone.
+    pub targets: Vec<Name>,
+}
+
+impl Effect {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.configuration.is_none() && self.data_centres.is_empty() && self.targets.is_empty()
+    }
+}
+
+/// A listed target with the revision of its entry.
+#[derive(Clone, Debug)]
+struct Listed {
+    revision: u64,
+    target: Target,
+    read_ms: Millis,
+    /// When a doubted removal is believed.
+    removed_at_ms: Option<Millis>,
+}
+
+/// What one node knows.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    configuration: Option<Arc<Configuration>>,
+    configuration_revision: u64,
+    data_centres: IndexMap<Name, (u64, bool)>,
+    targets: IndexMap<Name, Listed>,
+    removed: IndexMap<Name, u64>,
+    operator_revision: u64,
+    targets_revision: u64,
+    heard_ms: [Millis; 2],
+    is_store_lost: [bool; 2],
+    doubt_until_ms: Millis,
+}
+
+impl Directory {
+    /// Knows nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The configuration in force, if one is known.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// Revision up to which a table is known; 0 if it was never read.
+    pub fn revision(&self, table: Table) -> u64 {
+        match table {
+            Table::Operator => self.operator_revision,
+            Table::Targets => self.targets_revision,
+        }
+    }
+
+    /// When a table was last known to be up to date.
+    pub fn heard_ms(&self, table: Table) -> Millis {
+        self.heard_ms[table as usize]
+    }
+
+    /// Whether both tables were read at least once.
+    pub fn is_complete(&self) -> bool {
+        self.configuration.is_some() && self.targets_revision > 0
+    }
+
+    /// Whether a data centre is out of service.
+    pub fn is_out(&self, data_centre: &str) -> bool {
+        self.data_centres
+            .get(data_centre)
+            .is_some_and(|(_, is_out)| *is_out)
+    }
+
+    /// The listed targets, with when the entry of each was read.
+    pub fn targets(&self) -> impl Iterator<Item = (&Target, Millis)> {
+        self.targets
+            .values()
+            .map(|listed| (&listed.target, listed.read_ms))
+    }
+
+    /// Returns a listed target.
+    pub fn target(&self, id: &str) -> Option<&Target> {
+        self.targets.get(id).map(|listed| &listed.target)
+    }
+
+    /// When a doubted removal is next to be believed.
+    pub fn next_wake(&self) -> Option<Millis> {
+        self.targets
+            .values()
+            .filter_map(|listed| listed.removed_at_ms)
+            .min()
+    }
+
+    /// Notes that a table could not be read.
+    pub fn lost(&mut self, table: Table) {
+        self.is_store_lost[table as usize] = true;
+    }
+
+    /// Whether a table could not be read when it was last tried.
+    pub fn is_store_lost(&self) -> bool {
+        self.is_store_lost.contains(&true)
+    }
+
+    /// Notes that a table could be read. Entries of living targets lapse while
+    /// the store is away, so removals are doubted for a while after its return.
+    pub fn regained(&mut self, now: Millis, table: Table) {
+        let was_lost = std::mem::take(&mut self.is_store_lost[table as usize]);
+        if was_lost && table == Table::Targets {
+            self.doubt_until_ms = now + RELIST_MS;
+        }
+    }
+
+    /// Takes a batch that was up to date at `as_of_ms`.
+    pub fn apply(&mut self, now: Millis, as_of_ms: Millis, batch: &Batch) -> Effect {
+        let table = batch.table as usize;
+        self.heard_ms[table] = self.heard_ms[table].max(as_of_ms);
+        let mut effect = Effect::default();
+        for change in &batch.changes {
+            self.change(now, change, &mut effect);
+        }
+        if batch.is_whole {
+            self.drop_missing(now, batch, &mut effect);
+        }
+        match batch.table {
+            Table::Operator => self.operator_revision = self.operator_revision.max(batch.revision),
+            Table::Targets => self.targets_revision = self.targets_revision.max(batch.revision),
+        }
+        effect
+    }
+
+    /// Believes the removals whose doubt has passed.
+    pub fn tick(&mut self, now: Millis) -> Effect {
+        let is_due = |listed: &Listed| listed.removed_at_ms.is_some_and(|at| at <= now);
+        let due: Vec<_> = self
+            .targets
+            .iter()
+            .filter(|(_, listed)| is_due(listed))
+            .map(|(id, _)| id.clone())
+            .collect();
+        self.targets.retain(|_, listed| !is_due(listed));
+        Effect {
+            targets: due,
+            ..Effect::default()
+        }
+    }
+
+    /// Returns all that is known of a table, to pass it on.
+    pub fn whole(&self, table: Table) -> Batch {
+        let changes = match table {
+            Table::Operator => self.operator_changes(),
+            Table::Targets => self.target_changes(),
+        };
+        Batch {
+            table,
+            is_whole: true,
+            revision: self.revision(table),
+            changes,
+        }
+    }
+
+    fn operator_changes(&self) -> Vec<Change> {
+        let configuration = self.configuration.iter().map(|configuration| Change {
+            revision: self.configuration_revision,
+            entry: Entry::Configuration(Arc::clone(configuration)),
+        });
+        let data_centres = self
+            .data_centres
+            .iter()
+            .map(|(name, (revision, is_out))| Change {
+                revision: *revision,
+                entry: Entry::DataCentre {
+                    name: name.clone(),
+                    is_out: *is_out,
+                },
+            });
+        configuration.chain(data_centres).collect()
+    }
+
+    fn target_changes(&self) -> Vec<Change> {
+        self.targets
+            .values()
+            .map(|listed| Change {
+                revision: listed.revision,
+                entry: Entry::Target(listed.target.clone()),
+            })
+            .collect()
+    }
+
+    fn change(&mut self, now: Millis, change: &Change, effect: &mut Effect) {
+        match &change.entry {
+            Entry::Configuration(configuration) => {
+                let known = self.configuration.as_ref().map_or(0, |known| known.version);
+                if configuration.version > known {
+                    effect.configuration = Some(configuration.version);
+                    self.configuration = Some(Arc::clone(configuration));
+                    self.configuration_revision = change.revision;
+                }
+            }
+            Entry::DataCentre { name, is_out } => {
+                self.set_data_centre(name, change.revision, *is_out, effect);
+            }
+            Entry::Target(target) => self.list(now, change.revision, target, effect),
+            Entry::NoTarget(id) => self.remove(now, change.revision, id, effect),
+        }
+    }
+
+    fn set_data_centre(&mut self, name: &Name, revision: u64, is_out: bool, effect: &mut Effect) {
+        let known = self.data_centres.entry(name.clone()).or_default();
+        if revision <= known.0 {
+            return;
+        }
+        if known.1 != is_out {
+            effect.data_centres.push((name.clone(), is_out));
+        }
+        *known = (revision, is_out);
+    }
+
+    fn list(&mut self, now: Millis, revision: u64, target: &Target, effect: &mut Effect) {
+        let id = &target.id;
+        if self.removed.get(id).is_some_and(|known| revision <= *known) {
+            return;
+        }
+        if let Some(known) = self.targets.get_mut(id) {
+            known.removed_at_ms = None;
+            if revision <= known.revision {
+                return;
+            }
+        }
+        self.removed.shift_remove(id);
+        effect.targets.push(id.clone());
+        let listed = Listed {
+            revision,
+            target: target.clone(),
+            read_ms: now,
+            removed_at_ms: None,
+        };
+        self.targets.insert(id.clone(), listed);
+    }
+
+    fn remove(&mut self, now: Millis, revision: u64, id: &Name, effect: &mut Effect) {
+        let Some(known) = self.targets.get_mut(id) else {
+            return;
+        };
+        if revision <= known.revision {
+            return;
+        }
+        if now < self.doubt_until_ms && !known.target.is_draining {
+            known.removed_at_ms.get_or_insert(self.doubt_until_ms);
+            return;
+        }
+        self.targets.shift_remove(id);
+        if self.removed.len() >= REMOVED_KEPT {
+            self.removed.shift_remove_index(0);
+        }
+        self.removed.insert(id.clone(), revision);
+        effect.targets.push(id.clone());
+    }
+
+    fn drop_missing(&mut self, now: Millis, batch: &Batch, effect: &mut Effect) {
+        match batch.table {
+            Table::Operator => {
+                let named = |name: &Name| {
+                    batch.changes.iter().any(|change| {
+                        matches!(&change.entry, Entry::DataCentre { name: n, .. } if n == name)
+                    })
+                };
+                let gone: Vec<_> = self
+                    .data_centres
+                    .keys()
+                    .filter(|name| !named(name))
+                    .cloned()
+                    .collect();
+                for name in gone {
+                    self.set_data_centre(&name, batch.revision, false, effect);
+                }
+            }
+            Table::Targets => {
+                let named = |id: &Name| {
+                    batch.changes.iter().any(
+                        |change| matches!(&change.entry, Entry::Target(target) if target.id == *id),
+                    )
+                };
+                let gone: Vec<_> = self
+                    .targets
+                    .keys()
+                    .filter(|id| !named(id))
+                    .cloned()
+                    .collect();
+                for id in gone {
+                    self.remove(now, batch.revision, &id, effect);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/filbertpaddle-forward/src/fleet.rs
@@ -0,0 +1,293 @@
+//! Load and health of targets as one node sees them, and the choice among them.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use indexmap::IndexMap;
+
+use crate::configuration::Configuration;
+use crate::directory::Directory;
+use crate::rate::ColdRate;
+use crate::target::Target;
+
+/// How long a target is passed over after a first failure.
+const SHUN_MS: Millis = Millis(400);
+/// Longest time for which a failing target is passed over.
+const MAX_SHUN_MS: Millis = Millis(3_200);
+/// Weight of prompts still to be read against memory in use, since they
+/// hold up every other stream of the target.
+const PROMPT_WEIGHT: f64 = 2.0;
+/// Weight of the link between data centres, as a share of a target's memory.
+const FAR_WEIGHT: f64 = 0.06;
+/// Spread of a draw that keeps nodes from choosing alike.
+const DRAW_WEIGHT: f64 = 0.08;
+/// How far past its memory a target is filled while others have room.
+const FULL_SHARE: f64 = 1.0;
+/// Cost of a target whose memory is expected to overflow.
+const FULL_COST: f64 = 4.0;
+
+/// What a request asks of a target.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Service that runs it.
+    pub service: Name,
+    /// Tokens to be read before the first output.
+    pub prompt_tokens: u32,
+    /// Memory it is expected to need at its end.
+    pub total_tokens: u32,
+}
+
+/// Why no target takes a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NoTarget {
+    /// The service has no target that is in service and does not leave.
+    #[error("no target in service")]
+    NoneListed,
+    /// All targets have failed of late.
+    #[error("no target answers")]
+    AllFailing,
+    /// All targets are cold and have been given what they bear.
+    #[error("all targets are cold")]
+    AllCold,
+}
+
+/// Work of this node at one target, and how it went.
+#[derive(Clone, Debug, Default)]
+struct Load {
+    life: Option<Target>,
+    running: u32,
+    tokens: u64,
+    prompt_tokens: u64,
+    failures: u32,
+    shunned_until_ms: Millis,
+    cold: ColdRate,
+    leaves_ms: Option<Millis>,
+}
+
+/// Load and health of all targets.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    data_centre: Name,
+    loads: IndexMap<Name, Load>,
+}
+
+impl Fleet {
+    /// Knows of no load; the node stands in `data_centre`.
+    pub fn new(data_centre: Name) -> Self {
+        Self {
+            data_centre,
+            loads: IndexMap::new(),
+        }
+    }
+
+    /// Takes over which targets there are; a new life starts without a past.
+    pub fn update(&mut self, directory: &Directory) {
+        for (target, _) in directory.targets() {
+            let load = self.loads.entry(target.id.clone()).or_default();
+            let is_same = load
+                .life
+                .as_ref()
+                .is_some_and(|life| life.is_same_life(target));
+            if !is_same {
+                load.failures = 0;
+                load.shunned_until_ms = Millis::ZERO;
+                load.leaves_ms = None;
+            }
+            load.life = Some(target.clone());
+        }
+        self.loads
+            .retain(|id, load| load.running > 0 || directory.target(id).is_some());
+    }
+
+    /// Chooses a target for a request; `draw` yields numbers from 0 to 1.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoTarget`] if no target may be given the request now.
+    pub fn choose<'a, D>(
+        &self,
+        now: Millis,
+        directory: &'a Directory,
+        ask: &Ask,
+        passed_over: &[Name],
+        nodes: usize,
+        mut draw: D,
+    ) -> Result<&'a Target, NoTarget>
+    where
+        D: FnMut() -> f64,
+    {
+        let configuration = directory.configuration().ok_or(NoTarget::NoneListed)?;
+        let mut reason = NoTarget::NoneListed;
+        let mut best: Option<(f64, &Target)> = None;
+        for (target, read_ms) in directory.targets() {
+            if target.service != ask.service || target.is_draining {
+                continue;
+            }
+            if directory.is_out(&target.data_centre) {
+                continue;
+            }
+            if passed_over.contains(&target.id) || self.is_shunned(now, &target.id) {
+                reason = NoTarget::AllFailing;
+                continue;
+            }
+            if !self.bears(now, configuration, target, read_ms, nodes) {
+                reason = NoTarget::AllCold;
+                continue;
+            }
+            let cost =
+                self.cost(configuration, target, ask, &self.data_centre) + DRAW_WEIGHT * draw();
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, target));
+            }
+        }
+        best.map(|(_, target)| target).ok_or(reason)
+    }
+
+    /// Chooses where a running generation of `source` is copied to.
+    pub fn choose_destination<'a, D>(
+        &self,
+        now: Millis,
+        directory: &'a Directory,
+        source: &Target,
+        ask: &Ask,
+        passed_over: &[Name],
+        mut draw: D,
+    ) -> Option<&'a Target>
+    where
+        D: FnMut() -> f64,
+    {
+        let configuration = directory.configuration()?;
+        let may_take = |target: &Target| {
+            target.service == source.service
+                && target.id != source.id
+                && !target.is_draining
+                && !directory.is_out(&target.data_centre)
+                && !passed_over.contains(&target.id)
+                && !self.is_shunned(now, &target.id)
+        };
+        directory
+            .targets()
+            .map(|(target, _)| target)
+            .filter(|target| may_take(target))
+            .map(|target| {
+                let cost = self.cost(configuration, target, ask, &source.data_centre);
+                (cost + DRAW_WEIGHT * draw(), target)
+            })
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))
+            .map(|(_, target)| target)
+    }
+
+    /// A request was given to a target.
+    pub fn sent(&mut self, now: Millis, target: &Target, ask: &Ask) {
+        let load = self.loads.entry(target.id.clone()).or_default();
+        load.running += 1;
+        load.tokens += u64::from(ask.total_tokens);
+        load.prompt_tokens += u64::from(ask.prompt_tokens);
+        load.cold.sent(now);
+    }
+
+    /// A target has read a request's prompt.
+    pub fn started(&mut self, id: &str, ask: &Ask) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.prompt_tokens = load
+                .prompt_tokens
+                .saturating_sub(u64::from(ask.prompt_tokens));
+        }
+    }
+
+    /// A request has ended at a target; `was_started` as told by [`Self::started`].
+    pub fn ended(&mut self, id: &str, ask: &Ask, was_started: bool) {
+        if !was_started {
+            self.started(id, ask);
+        }
+        if let Some(load) = self.loads.get_mut(id) {
+            load.running = load.running.saturating_sub(1);
+            load.tokens = load.tokens.saturating_sub(u64::from(ask.total_tokens));
+        }
+    }
+
+    /// A target gave a good answer.
+    pub fn succeeded(&mut self, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.failures = 0;
+            load.shunned_until_ms = Millis::ZERO;
+        }
+    }
+
+    /// A target failed a request; returns until when it is passed over.
+    pub fn failed(&mut self, now: Millis, id: &str) -> Millis {
+        let load = self.loads.entry(id.into()).or_default();
+        let span = Millis(SHUN_MS.0 << load.failures.min(8)).min(MAX_SHUN_MS);
+        load.failures += 1;
+        load.shunned_until_ms = now + span;
+        load.shunned_until_ms
+    }
+
+    /// When a target leaves, by its own word.
+    pub fn leaves_ms(&self, id: &str) -> Option<Millis> {
+        self.loads.get(id)?.leaves_ms
+    }
+
+    /// A target said when it leaves.
+    pub fn set_leaves(&mut self, id: &str, leaves_ms: Millis) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.leaves_ms = Some(leaves_ms);
+        }
+    }
+
+    /// Requests of this node that run at a target.
+    pub fn running(&self, id: &str) -> u32 {
+        self.loads.get(id).map_or(0, |load| load.running)
+    }
+
+    fn is_shunned(&self, now: Millis, id: &str) -> bool {
+        self.loads
+            .get(id)
+            .is_some_and(|load| now < load.shunned_until_ms)
+    }
+
+    fn bears(
+        &self,
+        now: Millis,
+        configuration: &Configuration,
+        target: &Target,
+        read_ms: Millis,
+        nodes: usize,
+    ) -> bool {
+        if now >= read_ms + target.cold_ms {
+            return true;
+        }
+        let Some(service) = configuration.services.get(&target.service) else {
+            return true;
+        };
+        let load = self.loads.get(&target.id);
+        service.cold_per_sec <= 0.0
+            || load.is_none_or(|load| load.cold.has_room(now, service.cold_per_sec, nodes))
+    }
+
+    fn cost(
+        &self,
+        configuration: &Configuration,
+        target: &Target,
+        ask: &Ask,
+        data_centre: &Name,
+    ) -> f64 {
+        let service = configuration.services.get(&target.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let load = self.loads.get(&target.id);
+        let far = if target.data_centre == *data_centre {
+            0.0
+        } else {
+            FAR_WEIGHT
+        };
+        let Some(engine) = engine else {
+            let running = load.map_or(0, |load| load.running);
+            return far + f64::from(running) / f64::from(target.slots.max(1));
+        };
+        let memory = f64::from(engine.memory_tokens.max(1));
+        let tokens = load.map_or(0, |load| load.tokens) + u64::from(ask.total_tokens);
+        let prompt_tokens = load.map_or(0, |load| load.prompt_tokens);
+        let used = tokens as f64 / memory;
+        let full = if used > FULL_SHARE { FULL_COST } else { 0.0 };
+        far + full + used + PROMPT_WEIGHT * prompt_tokens as f64 / memory
+    }
+}
--- /dev/null
+++ b/filbertpaddle-forward/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions of the forwarding path: routes, targets, placement, retries and
+//! the migration of running generations.
+//!
+//! As in `filbertpaddle-core`, nothing here performs I/O or reads a clock.
+
+pub mod budget;
+pub mod configuration;
+pub mod directory;
+pub mod envelope;
+pub mod event_stream;
+pub mod fleet;
+pub mod migration;
+pub mod rate;
+pub mod target;
--- /dev/null
+++ b/filbertpaddle-forward/src/target.rs
@@ -0,0 +1,49 @@
+//! Targets as the platform lists them.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One target as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Identity of the target.
+    pub id: Name,
+    /// Service it belongs to.
+    pub service: Name,
+    /// Address, as `IP:PORT`.
+    pub address: Name,
+    /// Data centre it stands in.
+    pub data_centre: Name,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it has announced that it leaves.
+    pub is_draining: bool,
+    /// How long it stays cold, from when the entry was read.
+    pub cold_ms: Millis,
+    /// When it was started, in Unix time; tells two lives of one id apart.
+    pub started_ms: Option<Millis>,
+}
+
+impl Target {
+    /// Whether `other` is the same life of the same target.
+    pub fn is_same_life(&self, other: &Self) -> bool {
+        self.id == other.id && self.address == other.address && self.started_ms == other.started_ms
+    }
+}
+
+/// A target's own word of its load, some hundred milliseconds old.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Requests that wait to be admitted.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Memory in use that cannot be evicted.
+    pub used_tokens: u32,
+    /// All memory.
+    pub total_tokens: u32,
+    /// How soon the target leaves, if it knows.
+    pub leaves_in_ms: Option<Millis>,
+}
--- /dev/null
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -0,0 +1,26 @@
+//! A node of the forwarding path: callers' requests in, targets' answers out.
+//!
+//! Decisions are in `filbertpaddle-forward`; this crate is their I/O. What the
+//! platform's own words are, an adapter tells it in a [`dialect::Dialect`].
+
+pub mod clock;
+pub mod departure;
+pub mod dialect;
+pub mod follower;
+pub mod generation;
+pub mod job;
+pub mod links;
+pub mod listener;
+pub mod log;
+pub mod metrics;
+pub mod mover;
+pub mod node;
+pub mod nodes;
+pub mod output;
+pub mod peers;
+pub mod reply;
+pub mod request;
+pub mod settings;
+pub mod source;
+pub mod state;
+pub mod whole;
--- /dev/null
+++ b/filbertpaddle-gateway/src/links.rs
@@ -0,0 +1,352 @@
+//! Connections to targets and the store, one request at a time on each.
+//!
+//! `hyper`'s connection is used below `reqwest`, since the rules need to know
+//! whether a byte of a request may have left, and which connection it was.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+
+/// How long a connection may take to stand. Far above a round trip between
+/// data centres, and short enough to try another target in time.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long unacknowledged bytes wait before a connection is given up.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Idle time after which a connection is probed, and between probes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Probes that may stay unanswered.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Idle time after which a connection is not used again if its target says nothing.
+const DEFAULT_IDLE_MS: Millis = Millis(400);
+/// Longest idle time after which a connection is used again.
+const MAX_IDLE_MS: Millis = Millis::from_secs(4);
+/// Most idle connections kept to one address.
+const MAX_IDLE: usize = 8;
+
+/// Why a request got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No byte of the request has left.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request may have arrived.
+    #[error("no answer: {0}")]
+    Unknown(String),
+}
+
+/// Open connections by address.
+pub struct Links {
+    clock: Clock,
+    idle: RefCell<IndexMap<Name, Vec<Idle>>>,
+}
+
+struct Idle {
+    link: Link,
+    usable_until_ms: Millis,
+}
+
+/// A connection in use; dropping it closes it.
+struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+/// An answer whose body is still to be read.
+pub struct Exchange {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The body.
+    pub body: Body,
+}
+
+/// The body of an answer. It closes its connection unless it is read to its
+/// end and the connection is given back.
+pub struct Body {
+    incoming: Incoming,
+    link: Link,
+    address: Name,
+    links: Rc<Links>,
+}
+
+/// How a request may use connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// An idle connection or a new one.
+    Idle,
+    /// A new connection, which its target cannot have given up meanwhile.
+    New,
+}
+
+impl Links {
+    /// Opens no connection yet.
+    pub fn new(clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            idle: RefCell::default(),
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] proves that no byte of the request has left.
+    pub async fn send(
+        self: &Rc<Self>,
+        address: &Name,
+        request: Request<Full<Bytes>>,
+        reuse: Reuse,
+    ) -> Result<Exchange, Error> {
+        let mut request = request;
+        while reuse == Reuse::Idle
+            && let Some(link) = self.take_idle(address)
+        {
+            match self.exchange(address, link, request).await {
+                Ok(exchange) => return Ok(exchange),
+                Err((error, None)) => return Err(error),
+                Err((_, Some(unsent))) => request = unsent,
+            }
+        }
+        let link = connect(address).await?;
+        let sent = self.exchange(address, link, request).await;
+        sent.map_err(|(error, _)| error)
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] proves that no byte of the request has left.
+    pub async fn call(
+        self: &Rc<Self>,
+        address: &Name,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+    ) -> Result<(http::response::Parts, Bytes), Error> {
+        let exchange = async {
+            let exchange = self.send(address, request, Reuse::Idle).await?;
+            let Exchange { head, mut body } = exchange;
+            let bytes = body.read_whole().await?;
+            body.close(&head.headers);
+            Ok((head, bytes))
+        };
+        let late = || Error::Unknown("timeout".to_owned());
+        timeout(within, exchange).await.map_err(|_| late())?
+    }
+
+    /// Closes idle connections that are not used in time.
+    pub fn close_stale(&self) {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        for links in idle.values_mut() {
+            links.retain(|idle| now < idle.usable_until_ms && !idle.link.sender.is_closed());
+        }
+        idle.retain(|_, links| !links.is_empty());
+    }
+
+    async fn exchange(
+        self: &Rc<Self>,
+        address: &Name,
+        mut link: Link,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, (Error, Option<Request<Full<Bytes>>>)> {
+        if let Err(error) = link.sender.ready().await {
+            return Err((Error::NotSent(describe(&error)), Some(request)));
+        }
+        match link.sender.try_send_request(request).await {
+            Ok(response) => {
+                let (head, incoming) = Response::into_parts(response);
+                let body = Body {
+                    incoming,
+                    link,
+                    address: address.clone(),
+                    links: Rc::clone(self),
+                };
+                Ok(Exchange { head, body })
+            }
+            Err(mut failed) => match failed.take_message() {
+                Some(request) => Err((Error::NotSent(describe(failed.error())), Some(request))),
+                None => Err((Error::Unknown(describe(failed.error())), None)),
+            },
+        }
+    }
+
+    fn take_idle(&self, address: &Name) -> Option<Link> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(address)?;
+        while let Some(Idle {
+            link,
+            usable_until_ms,
+        }) = links.pop()
+        {
+            if now < usable_until_ms && link.sender.is_ready() {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, address: Name, link: Link, headers: &HeaderMap) {
+        if link.sender.is_closed() || says_close(headers) {
+            return;
+        }
+        let usable_ms = keep_alive_ms(headers)
+            .map_or(DEFAULT_IDLE_MS, |stated| Millis(stated.0 / 2))
+            .min(MAX_IDLE_MS);
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.entry(address).or_default();
+        if links.len() < MAX_IDLE {
+            links.push(Idle {
+                link,
+                usable_until_ms: self.clock.now() + usable_ms,
+            });
+        }
+    }
+}
+
+impl fmt::Debug for Links {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Links").finish_non_exhaustive()
+    }
+}
+
+impl Body {
+    /// Waits for the next bytes; `None` at the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unknown`] if the answer breaks off.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        while let Some(frame) = self.incoming.frame().await {
+            let frame = frame.map_err(|error| Error::Unknown(describe(&error)))?;
+            if let Ok(bytes) = frame.into_data() {
+                return Ok(Some(bytes));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Reads all that is left.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unknown`] if the answer breaks off.
+    pub async fn read_whole(&mut self) -> Result<Bytes, Error> {
+        let Some(first) = self.next().await? else {
+            return Ok(Bytes::new());
+        };
+        let mut all = Vec::new();
+        while let Some(more) = self.next().await? {
+            if all.is_empty() {
+                all.extend_from_slice(&first);
+            }
+            all.extend_from_slice(&more);
+        }
+        Ok(if all.is_empty() {
+            first
+        } else {
+            Bytes::from(all)
+        })
+    }
+
+    /// Keeps the connection of a body that was read to its end, unless the
+    /// answer's headers say that it closes.
+    pub fn close(self, headers: &HeaderMap) {
+        let Self {
+            link,
+            address,
+            links,
+            ..
+        } = self;
+        links.give_back(address, link, headers);
+    }
+}
+
+impl fmt::Debug for Body {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let address = &self.address;
+        f.debug_struct("Body").field("address", address).finish()
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+async fn connect(address: &Name) -> Result<Link, Error> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address.as_str())).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(Error::NotSent(error.to_string())),
+        Err(_) => return Err(Error::NotSent("connect timeout".to_owned())),
+    };
+    set_options(&stream).map_err(|error| Error::NotSent(error.to_string()))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| Error::NotSent(describe(&error)))?;
+    let driver = tokio::task::spawn_local(async move {
+        // What fails here fails the exchange too, which tells it.
+        connection.await.ok();
+    });
+    Ok(Link { sender, driver })
+}
+
+/// Makes a connection notice that its other end has gone silent.
+pub(crate) fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_PROBES);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+fn says_close(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.to_ascii_lowercase().contains("close"))
+}
+
+/// Reads how long the other end keeps an idle connection.
+fn keep_alive_ms(headers: &HeaderMap) -> Option<Millis> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    Some(Millis::from_secs(timeout.trim().parse().ok()?))
+}
+
+fn describe(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
--- /dev/null
+++ b/filbertpaddle-gateway/src/listener.rs
@@ -0,0 +1,115 @@
+//! Callers' connections.
+
+use std::rc::Rc;
+
+use filbertpaddle_core::clock::Millis;
+use http::Response;
+use http::StatusCode;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use slog::debug;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::clock::duration;
+use crate::links::set_options;
+use crate::reply;
+use crate::request;
+use crate::state::State;
+
+/// Idle time after which a caller's connection closes before a configuration
+/// says otherwise.
+const DEFAULT_IDLE_MS: Millis = Millis::from_secs(15);
+/// How much longer than configured an idle connection is kept, so that a request
+/// which callers send at the last moment does not cross the close.
+const IDLE_SLACK_MS: Millis = Millis::from_secs(1);
+
+/// Accepts callers until `stopping` says that idle connections close.
+pub async fn serve(state: Rc<State>, listener: TcpListener, stopping: watch::Receiver<bool>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (state, stopping) = (Rc::clone(&state), stopping.clone());
+                tokio::task::spawn_local(connection(state, stream, stopping));
+            }
+            Err(error) => warn!(state.log, "cannot accept a caller"; "error" => %error),
+        }
+    }
+}
+
+async fn connection(state: Rc<State>, stream: TcpStream, mut stopping: watch::Receiver<bool>) {
+    if let Err(error) = set_options(&stream) {
+        debug!(state.log, "caller's connection lost"; "error" => %error);
+        return;
+    }
+    let idle_ms = idle_timeout_ms(&state);
+    let log = state.log.clone();
+    let service = service_fn(move |request| request::serve(Rc::clone(&state), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(duration(idle_ms))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        _ = stopping.wait_for(|is_stopping| *is_stopping) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
+        debug!(log, "caller's connection ended"; "error" => %error);
+    }
+}
+
+fn idle_timeout_ms(state: &State) -> Millis {
+    let directory = state.directory.borrow();
+    let configured_ms = directory
+        .configuration()
+        .map_or(DEFAULT_IDLE_MS, |known| known.limits.idle_timeout_ms);
+    configured_ms + IDLE_SLACK_MS
+}
+
+/// Answers the balancer whether the node takes callers.
+pub async fn serve_ready(state: Rc<State>, listener: TcpListener) {
+    answer(listener, move |_| {
+        if state.is_ready() {
+            (StatusCode::OK, String::new())
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, String::new())
+        }
+    })
+    .await;
+}
+
+/// Serves the node's metrics as text.
+pub async fn serve_metrics(state: Rc<State>, listener: TcpListener) {
+    answer(listener, move |_| (StatusCode::OK, state.metrics.text())).await;
+}
+
+/// Answers every request at `listener` by `reply`, from its path.
+async fn answer<F>(listener: TcpListener, reply: F)
+where
+    F: Fn(&str) -> (StatusCode, String) + Clone + 'static,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let reply = reply.clone();
+        let service = service_fn(move |request: http::Request<hyper::body::Incoming>| {
+            let (status, text) = reply(request.uri().path());
+            let mut response = Response::new(reply::whole(text.into()));
+            *response.status_mut() = status;
+            async move { Ok::<_, std::convert::Infallible>(response) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::task::spawn_local(async move {
+            // The balancer asks again; a lost question needs no line.
+            connection.await.ok();
+        });
+    }
+}
--- /dev/null
+++ b/filbertpaddle-gateway/src/node.rs
@@ -0,0 +1,165 @@
+//! Start, run and stop of a gateway node.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::directory::Table;
+use slog::info;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::interval;
+use tokio::time::sleep;
+
+use crate::dialect::Dialect;
+use crate::follower;
+use crate::listener;
+use crate::log;
+use crate::peers;
+use crate::settings::Settings;
+use crate::state::State;
+
+/// How often doubts and idle connections are looked at.
+const TICK: Duration = Duration::from_millis(250);
+/// How long after the signal the balancer may still send callers here: it asks
+/// once a second and takes two misses.
+const BALANCER_MS: Millis = Millis(2_500);
+/// How often a stopping node looks whether its requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time before the grace ends at which a stopping node ends by itself.
+const EXIT_LEAD_MS: Millis = Millis(150);
+
+/// Why a node cannot run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The runtime cannot be set up.
+    #[error("cannot set up the runtime: {0}")]
+    Runtime(io::Error),
+    /// An address cannot be bound.
+    #[error("cannot listen at {address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        error: io::Error,
+    },
+    /// A signal cannot be handled.
+    #[error("cannot handle signals: {0}")]
+    Signal(io::Error),
+}
+
+/// How an adapter reads the settings again when they change.
+pub type Reload = fn() -> Result<Settings, String>;
+
+/// Runs a node until it is told to stop and its requests have ended.
+///
+/// # Errors
+///
+/// Returns [`Error`] if it cannot start.
+pub fn run(settings: Settings, dialect: Dialect, reload: Reload) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    let log = log::open(&settings.node);
+    let state = State::new(settings, dialect, log);
+    LocalSet::new().block_on(&runtime, serve(state, reload))
+}
+
+async fn serve(state: Rc<State>, reload: Reload) -> Result<(), Error> {
+    let settings = &state.settings;
+    let callers = listen(settings.callers).await?;
+    let ready = listen(settings.ready).await?;
+    let peers = listen(settings.peers).await?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    let mut hang_up = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    info!(state.log, "node started";
+        "data_centre" => settings.data_centre.as_str(), "callers" => %settings.callers,
+        "store" => %settings.store, "version" => env!("CARGO_PKG_VERSION"));
+    let (stop, stopping) = watch::channel(false);
+    let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
+    spawn(Box::pin(listener::serve(
+        Rc::clone(&state),
+        callers,
+        stopping,
+    )));
+    spawn(Box::pin(listener::serve_ready(Rc::clone(&state), ready)));
+    spawn(Box::pin(peers::serve(Rc::clone(&state), peers)));
+    spawn(Box::pin(peers::follow(Rc::clone(&state))));
+    spawn(Box::pin(follower::follow(
+        Rc::clone(&state),
+        Table::Operator,
+    )));
+    spawn(Box::pin(follower::follow(
+        Rc::clone(&state),
+        Table::Targets,
+    )));
+    spawn(Box::pin(follower::register(Rc::clone(&state))));
+    if let Some(address) = settings.metrics {
+        match listen(address).await {
+            Ok(metrics) => {
+                spawn(Box::pin(listener::serve_metrics(
+                    Rc::clone(&state),
+                    metrics,
+                )));
+            }
+            Err(error) => warn!(state.log, "no metrics"; "error" => %error),
+        }
+    }
+    let mut ticks = interval(TICK);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hang_up.recv() => reread(&state, reload),
+            _ = ticks.tick() => {
+                state.tick();
+                state.links.close_stale();
+            }
+        }
+    }
+    drain(&state, &stop).await;
+    Ok(())
+}
+
+/// Reads the settings again. What they say of this process's addresses is fixed
+/// until it starts again; the rest is taken at once.
+fn reread(state: &State, reload: Reload) {
+    match reload() {
+        Ok(settings) => {
+            let is_same = settings == state.settings;
+            info!(state.log, "settings read again"; "changed" => !is_same);
+        }
+        Err(error) => warn!(state.log, "settings not read"; "error" => error),
+    }
+}
+
+/// Finishes what runs and closes what is idle.
+async fn drain(state: &State, stop: &watch::Sender<bool>) {
+    state.is_draining.set(true);
+    let begun_ms = state.clock.now();
+    let grace_ms = state.settings.grace_ms;
+    info!(state.log, "node stops"; "in_flight" => state.in_flight.get(), "grace_ms" => grace_ms.0);
+    let elapsed_ms = || state.clock.now().since(begun_ms);
+    while elapsed_ms() < BALANCER_MS.min(grace_ms) {
+        sleep(DRAIN_POLL).await;
+    }
+    stop.send_replace(true);
+    while state.in_flight.get() > 0 && elapsed_ms() + EXIT_LEAD_MS < grace_ms {
+        sleep(DRAIN_POLL).await;
+    }
+    // Lets the last bytes and lines leave.
+    sleep(DRAIN_POLL).await;
+    info!(state.log, "node stopped";
+        "in_flight" => state.in_flight.get(), "elapsed_ms" => elapsed_ms().0);
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| Error::Listen { address, error })
+}
--- /dev/null
+++ b/filbertpaddle-gateway/src/request.rs
@@ -0,0 +1,339 @@
+//! From a caller's HTTP request to its answer.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::suspect::Standing;
+use filbertpaddle_forward::budget::Budget;
+use filbertpaddle_forward::configuration::Route;
+use filbertpaddle_forward::envelope::Envelope;
+use filbertpaddle_forward::fleet::Ask;
+use http::HeaderValue;
+use http::Request;
+use http::header;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use slog::info;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::clock::duration;
+use crate::generation;
+use crate::generation::Stop;
+use crate::job::Job;
+use crate::job::Progress;
+use crate::output::Output;
+use crate::reply;
+use crate::reply::Refusal;
+use crate::reply::Reply;
+use crate::state::State;
+use crate::whole;
+
+/// How long a body may take if its caller names no deadline.
+const BODY_TIMEOUT_MS: Millis = Millis::from_secs(10);
+/// When a caller may come back before a configuration is known.
+const NOT_READY_RETRY_MS: Millis = Millis(500);
+/// When a caller may come back with a request that crashes targets.
+const QUARANTINE_RETRY_MS: Millis = Millis::from_secs(60);
+
+/// Serves one request.
+///
+/// # Errors
+///
+/// Never fails: every failure is an answer.
+pub async fn serve(state: Rc<State>, request: Request<Incoming>) -> Result<Reply, Infallible> {
+    let received_ms = state.clock.now();
+    let counted = Counted::new(Rc::clone(&state));
+    let admitted = admit(&state, received_ms, request).await;
+    let mut reply = match admitted {
+        Ok(job) => run(job, counted).await,
+        Err(denied) => denied,
+    };
+    if state.is_draining.get() {
+        let close = HeaderValue::from_static("close");
+        reply.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(reply)
+}
+
+/// Counts a request as in flight until its answer has been read.
+struct Counted(Rc<State>);
+
+impl Counted {
+    fn new(state: Rc<State>) -> Self {
+        add(&state.in_flight, 1);
+        Self(state)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        add(&self.0.in_flight, -1);
+    }
+}
+
+fn add(cell: &Cell<usize>, change: isize) {
+    cell.set(cell.get().saturating_add_signed(change));
+}
+
+/// Reads a request and decides whether it is served.
+async fn admit(
+    state: &Rc<State>,
+    received_ms: Millis,
+    request: Request<Incoming>,
+) -> Result<Job, Reply> {
+    let (head, body) = request.into_parts();
+    let envelope = (state.dialect.headers.envelope)(&head.headers);
+    let envelope = match envelope {
+        Ok(envelope) => envelope,
+        Err(error) => {
+            let reason = error.to_string();
+            return Err(deny(state, "", Refusal::BadRequest, &reason, None));
+        }
+    };
+    let id = envelope.attempt.clone();
+    let body = match read_body(state, &envelope, body).await {
+        Ok(body) => body,
+        Err(refusal) => return Err(deny(state, &id, refusal, "", None)),
+    };
+    let configuration = state.directory.borrow().configuration().cloned();
+    let Some(configuration) = configuration else {
+        let retry_ms = Some(NOT_READY_RETRY_MS);
+        return Err(deny(state, &id, Refusal::NoConfiguration, "", retry_ms));
+    };
+    let path = head.uri.path();
+    let Some(route) = configuration.route(host(&head), path) else {
+        return Err(deny(state, &id, Refusal::UnknownRoute, path, None));
+    };
+    let Ok(customer) = configuration.customer(route, envelope.key.as_deref()) else {
+        return Err(deny(state, &id, Refusal::UnknownKey, &route.name, None));
+    };
+    let priority = customer
+        .and_then(|customer| customer.priority)
+        .unwrap_or(route.priority);
+    let customer = customer.map(|customer| customer.name.clone());
+    let digest = digest(path, customer.as_deref(), &body);
+    if state.suspects.borrow().standing(digest) == Standing::Condemned {
+        let retry_ms = Some(QUARANTINE_RETRY_MS);
+        return Err(deny(
+            state,
+            &id,
+            Refusal::Quarantined,
+            &route.name,
+            retry_ms,
+        ));
+    }
+    let limit_ms = received_ms
+        + envelope
+            .deadline_ms
+            .map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
+    let ask = ask(route, &envelope);
+    count_request(state, &ask.service);
+    info!(state.log, "request admitted";
+        "id" => id.as_str(), "route" => route.name.as_str(), "kind" => %route.kind,
+        "customer" => customer.as_deref(), "service" => ask.service.as_str(),
+        "priority" => priority, "tokens" => ask.total_tokens,
+        "deadline_ms" => envelope.deadline_ms.map(|span| span.0),
+        "configuration" => configuration.version,
+        "in_flight" => state.in_flight.get());
+    let mut headers = head.headers;
+    reply::strip_connection(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    (state.dialect.headers.strip)(&mut headers);
+    Ok(Job {
+        state: Rc::clone(state),
+        route: route.clone(),
+        envelope,
+        customer,
+        priority,
+        method: head.method,
+        uri: head.uri,
+        headers,
+        body,
+        digest,
+        received_ms,
+        limit_ms,
+        ask,
+    })
+}
+
+async fn read_body(state: &State, envelope: &Envelope, body: Incoming) -> Result<Bytes, Refusal> {
+    let limits = state.directory.borrow().configuration().cloned();
+    let max_bytes = limits
+        .as_ref()
+        .map_or_else(Default::default, |configuration| {
+            configuration.limits.clone()
+        })
+        .max_body_bytes;
+    let patience = envelope.deadline_ms.unwrap_or(BODY_TIMEOUT_MS);
+    let collected = timeout(duration(patience), Limited::new(body, max_bytes).collect()).await;
+    match collected {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::BadRequest),
+        Err(_) => Err(Refusal::TooSlow),
+    }
+}
+
+/// Refuses a request that was not admitted.
+fn deny(
+    state: &State,
+    id: &str,
+    refusal: Refusal,
+    reason: &str,
+    retry_ms: Option<Millis>,
+) -> Reply {
+    let version = state
+        .directory
+        .borrow()
+        .configuration()
+        .map_or(0, |configuration| configuration.version);
+    info!(state.log, "request denied";
+        "id" => id, "refusal" => %refusal, "reason" => reason, "configuration" => version);
+    state.metrics.count(&format!("denied.{refusal}"));
+    reply::refuse(refusal, retry_ms)
+}
+
+/// Runs an admitted request in a task of its own, so that it ends in order
+/// whatever becomes of the caller's connection.
+async fn run(job: Job, counted: Counted) -> Reply {
+    let (head, reply) = oneshot::channel();
+    let (present, gone) = oneshot::channel();
+    tokio::task::spawn_local(async move {
+        let output = Output::new(head);
+        if job.route.kind.is_stream() {
+            run_generation(&job, output, gone).await;
+        } else {
+            run_whole(&job, output, gone).await;
+        }
+        drop(counted);
+    });
+    match reply.await {
+        Ok(reply) => reply::hold(reply, present),
+        Err(_) => reply::refuse(Refusal::TargetFailed, None),
+    }
+}
+
+async fn run_whole(job: &Job, mut output: Output, gone: oneshot::Receiver<()>) {
+    let mut progress = Progress::default();
+    let limit = job.state.clock.instant(job.limit_ms);
+    let result = tokio::select! {
+        biased;
+        _ = gone => None,
+        () = tokio::time::sleep_until(limit) => Some(Err(Refusal::TimedOut)),
+        result = whole::serve(job, &mut progress) => Some(result),
+    };
+    let Some(result) = result else {
+        log_end(job, &progress, "caller_gone", 0);
+        return;
+    };
+    let (outcome, reply) = match result {
+        Ok(reply) => ("answered".to_owned(), reply),
+        Err(Refusal::TimedOut) => {
+            let refusal = job.refusal(&progress);
+            (refusal.to_string(), job.refuse(refusal))
+        }
+        Err(refusal) => (refusal.to_string(), job.refuse(refusal)),
+    };
+    log_end(job, &progress, &outcome, reply.status().as_u16());
+    output.reply(reply).ok();
+}
+
+async fn run_generation(job: &Job, mut output: Output, gone: oneshot::Receiver<()>) {
+    let mut progress = Progress::default();
+    let result = generation::serve(job, &mut progress, &mut output, gone).await;
+    let is_started = output.is_started();
+    match result {
+        Ok(()) => {
+            log_end(job, &progress, "complete", 200);
+            job.state
+                .suspects
+                .borrow_mut()
+                .answered(job.state.clock.now(), job.digest);
+            output.close();
+        }
+        Err(Stop::CallerGone) => log_end(job, &progress, "caller_gone", 0),
+        Err(stop) if is_started => {
+            log_end(job, &progress, stop_name(&stop), 200);
+            output.cut();
+        }
+        Err(Stop::Failed(reply)) => {
+            log_end(job, &progress, "failed", reply.status().as_u16());
+            output.reply(*reply).ok();
+        }
+        Err(stop) => {
+            let refusal = match stop {
+                Stop::Refused(refusal) => refusal,
+                _ => job.refusal(&progress),
+            };
+            log_end(
+                job,
+                &progress,
+                &refusal.to_string(),
+                refusal.status().as_u16(),
+            );
+            output.reply(job.refuse(refusal)).ok();
+        }
+    }
+}
+
+fn stop_name(stop: &Stop) -> &'static str {
+    match stop {
+        Stop::Failed(_) => "failed",
+        Stop::Refused(_) | Stop::Broken => "broken",
+        Stop::TimedOut => "timed_out",
+        Stop::CallerGone => "caller_gone",
+    }
+}
+
+fn log_end(job: &Job, progress: &Progress, outcome: &str, status: u16) {
+    let state = &job.state;
+    let elapsed_ms = state.clock.now().since(job.received_ms);
+    info!(state.log, "request ended";
+        "id" => job.envelope.attempt.as_str(), "route" => job.route.name.as_str(),
+        "outcome" => outcome, "status" => status, "sends" => progress.sends,
+        "may_have_run" => progress.may_have_run, "elapsed_ms" => elapsed_ms.0);
+    state.metrics.count(&format!("request.{outcome}"));
+    state
+        .metrics
+        .time(&format!("request.{}", job.route.kind), elapsed_ms);
+}
+
+fn count_request(state: &State, service: &Name) {
+    let mut budgets = state.budgets.borrow_mut();
+    let budget = budgets.entry(service.clone()).or_insert_with(Budget::new);
+    budget.requested(state.clock.now());
+}
+
+fn ask(route: &Route, envelope: &Envelope) -> Ask {
+    let service = route.pick_service(rand::random());
+    let generation = envelope.generation.as_ref();
+    Ask {
+        service: service.cloned().unwrap_or_default(),
+        prompt_tokens: generation.map_or(0, |generation| generation.prompt_tokens),
+        total_tokens: generation.map_or(0, |generation| generation.expected_tokens()),
+    }
+}
+
+fn host(head: &Parts) -> &str {
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+fn digest(path: &str, customer: Option<&str>, body: &[u8]) -> u64 {
+    let seed = xxh3_64_with_seed(customer.unwrap_or_default().as_bytes(), 0);
+    xxh3_64_with_seed(body, xxh3_64_with_seed(path.as_bytes(), seed))
+}
--- /dev/null
+++ b/filbertpaddle-gateway/src/settings.rs
@@ -0,0 +1,32 @@
+//! Settings of a gateway node, as an adapter gives them.
+
+use std::net::SocketAddr;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_forward::budget;
+
+/// Settings of a gateway node.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of the node.
+    pub node: Name,
+    /// Data centre it stands in.
+    pub data_centre: Name,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address at which the balancer asks whether the node is ready.
+    pub ready: SocketAddr,
+    /// Address for other nodes.
+    pub peers: SocketAddr,
+    /// Address of the node's metrics.
+    pub metrics: Option<SocketAddr>,
+    /// Peer addresses of some nodes, for when the store cannot be read.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// What all nodes together may retry.
+    pub retries: budget::Terms,
+    /// How long a node that was told to stop may finish its requests.
+    pub grace_ms: Millis,
+}
--- /dev/null
+++ b/filbertpaddle-gateway/src/state.rs
@@ -0,0 +1,148 @@
+//! What the parts of a node share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_core::suspect::Suspects;
+use filbertpaddle_forward::budget::Budget;
+use filbertpaddle_forward::directory::Batch;
+use filbertpaddle_forward::directory::Directory;
+use filbertpaddle_forward::directory::Effect;
+use filbertpaddle_forward::fleet::Fleet;
+use indexmap::IndexMap;
+use slog::Logger;
+use slog::info;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::nodes::Nodes;
+use crate::settings::Settings;
+
+/// What the parts of a node share. A node runs on one thread.
+#[derive(Debug)]
+pub struct State {
+    /// Settings.
+    pub settings: Settings,
+    /// How the platform speaks.
+    pub dialect: Dialect,
+    /// Steady clock.
+    pub clock: Clock,
+    /// Log.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Connections to targets and the store.
+    pub links: Rc<Links>,
+    /// Configuration, targets, data centres.
+    pub directory: RefCell<Directory>,
+    /// Load and health of targets.
+    pub fleet: RefCell<Fleet>,
+    /// Other nodes.
+    pub nodes: RefCell<Nodes>,
+    /// Retries by service.
+    pub budgets: RefCell<IndexMap<Name, Budget>>,
+    /// Requests that were running when their target crashed.
+    pub suspects: RefCell<Suspects>,
+    /// Whether the node has been told to stop.
+    pub is_draining: Cell<bool>,
+    /// Requests that are being served.
+    pub in_flight: Cell<usize>,
+    changes: watch::Sender<u64>,
+}
+
+impl State {
+    /// Starts with nothing known.
+    pub fn new(settings: Settings, dialect: Dialect, log: Logger) -> Rc<Self> {
+        let clock = Clock::new();
+        let fleet = Fleet::new(settings.data_centre.clone());
+        Rc::new(Self {
+            settings,
+            dialect,
+            clock,
+            log,
+            metrics: Metrics::new(),
+            links: Links::new(clock),
+            directory: RefCell::new(Directory::new()),
+            fleet: RefCell::new(fleet),
+            nodes: RefCell::new(Nodes::new()),
+            budgets: RefCell::default(),
+            suspects: RefCell::new(Suspects::new()),
+            is_draining: Cell::new(false),
+            in_flight: Cell::new(0),
+            changes: watch::Sender::new(0),
+        })
+    }
+
+    /// Takes a batch from `source` that was up to date at `as_of_ms`.
+    pub fn apply(&self, source: &str, as_of_ms: Millis, batch: &Batch) {
+        let now = self.clock.now();
+        let effect = self.directory.borrow_mut().apply(now, as_of_ms, batch);
+        self.took(source, as_of_ms, &effect);
+    }
+
+    /// Believes what time has shown.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        let effect = self.directory.borrow_mut().tick(now);
+        self.took("timer", now, &effect);
+    }
+
+    /// Tells when targets or the configuration change.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Wakes those who wait for changes.
+    pub fn notify(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Whether the last calls to the store were answered.
+    pub fn is_store_read(&self) -> bool {
+        !self.directory.borrow().is_store_lost()
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining.get() && self.directory.borrow().is_complete()
+    }
+
+    fn took(&self, source: &str, as_of_ms: Millis, effect: &Effect) {
+        if effect.is_empty() {
+            return;
+        }
+        let age_ms = self.clock.now().since(as_of_ms).0;
+        if let Some(version) = effect.configuration {
+            info!(self.log, "configuration in force";
+                "version" => version, "source" => source, "age_ms" => age_ms);
+        }
+        for (name, is_out) in &effect.data_centres {
+            info!(self.log, "data centre changed";
+                "data_centre" => name.as_str(), "is_out" => *is_out,
+                "source" => source, "age_ms" => age_ms);
+        }
+        for id in &effect.targets {
+            self.log_target(id, source, age_ms);
+        }
+        self.fleet.borrow_mut().update(&self.directory.borrow());
+        self.notify();
+    }
+
+    fn log_target(&self, id: &str, source: &str, age_ms: u64) {
+        let directory = self.directory.borrow();
+        match directory.target(id) {
+            Some(target) => info!(self.log, "target listed";
+                "target" => id, "address" => target.address.as_str(),
+                "is_draining" => target.is_draining, "cold_ms" => target.cold_ms.0,
+                "source" => source, "age_ms" => age_ms),
+            None => info!(self.log, "target gone";
+                "target" => id, "source" => source, "age_ms" => age_ms),
+        }
+    }
+}
--- /dev/null
+++ b/filbertpaddle-gateway/src/whole.rs
@@ -0,0 +1,117 @@
+//! Requests that are answered whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::target::Target;
+use http::StatusCode;
+use http::response::Parts;
+use tokio::time::timeout;
+
+use crate::clock::duration;
+use crate::job::Failure;
+use crate::job::From;
+use crate::job::Job;
+use crate::job::Progress;
+use crate::reply;
+use crate::reply::Refusal;
+use crate::reply::Reply;
+
+/// How many times its latency goal an idempotent request waits at one target
+/// while it may still be sent to another.
+const PATIENCE: u64 = 3;
+
+/// Serves one request; the answer is final.
+pub async fn serve(job: &Job, progress: &mut Progress) -> Result<Reply, Refusal> {
+    let mut last: Option<(Parts, Bytes)> = None;
+    loop {
+        let Ok(target) = job.choose(progress) else {
+            return finish(job, progress, last);
+        };
+        let is_retry = progress.sends > 0;
+        if is_retry && !job.take_retry() {
+            return finish(job, progress, last);
+        }
+        job.sent(progress, &target);
+        let result = attempt(job, progress, &target).await;
+        let mut fleet = job.state.fleet.borrow_mut();
+        fleet.ended(&target.id, &job.ask, false);
+        match result {
+            Ok((head, bytes)) => {
+                fleet.succeeded(&target.id);
+                drop(fleet);
+                progress.sends += 1;
+                progress.is_out = false;
+                let may_repeat = job.route.kind.is_idempotent()
+                    && progress.sends < job.route.max_attempts
+                    && head.status.is_server_error();
+                if !may_repeat {
+                    return Ok(answer(job, head, bytes)?);
+                }
+                progress.passed_over.push(target.id.clone());
+                progress.may_have_run = true;
+                last = Some((head, bytes));
+            }
+            Err(failure) => {
+                drop(fleet);
+                job.failed(progress, &target, &failure);
+                if !job.may_retry(progress, &failure) {
+                    return finish(job, progress, last);
+                }
+            }
+        }
+    }
+}
+
+async fn attempt(
+    job: &Job,
+    progress: &Progress,
+    target: &Target,
+) -> Result<(Parts, Bytes), Failure> {
+    let exchange = async {
+        let (exchange, _) = job.send(target, From::default()).await?;
+        let mut body = exchange.body;
+        let unknown = |error: crate::links::Error| Failure::Unknown(error.to_string());
+        let bytes = body.read_whole().await.map_err(unknown)?;
+        body.close(&exchange.head.headers);
+        Ok((exchange.head, bytes))
+    };
+    match timeout(patience(job, progress), exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(Failure::Unknown("timeout".to_owned())),
+    }
+}
+
+fn patience(job: &Job, progress: &Progress) -> Duration {
+    let may_repeat = job.route.kind.is_idempotent() && progress.sends + 1 < job.route.max_attempts;
+    let remaining_ms = job.remaining_ms();
+    if !may_repeat {
+        return duration(remaining_ms);
+    }
+    let goal_ms = Millis(job.route.latency_goal_ms.0 * PATIENCE);
+    duration(goal_ms.min(Millis(remaining_ms.0 / 2)))
+}
+
+/// Passes an answer on, unless its status would promise what is not so.
+fn answer(job: &Job, head: Parts, bytes: Bytes) -> Result<Reply, Refusal> {
+    let promises_not_run = matches!(
+        head.status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+    );
+    if promises_not_run && !job.route.kind.is_idempotent() {
+        return Err(Refusal::TargetFailed);
+    }
+    Ok(reply::pass_on(head, bytes))
+}
+
+/// Ends a request that no target answered well: with a target's own failure if
+/// there is one, else with the truth about what may have run.
+fn finish(job: &Job, progress: &Progress, last: Option<(Parts, Bytes)>) -> Result<Reply, Refusal> {
+    match last {
+        Some((head, bytes)) => answer(job, head, bytes),
+        None => Err(job.refusal(progress)),
+    }
+}
--- a/filbertpaddle/src/arguments.rs
+++ b/filbertpaddle/src/arguments.rs
@@ -16,6 +16,8 @@
 pub enum Command {
     /// Run a node.
     Serve(PathBuf),
+    /// Run a node of the forwarding path on the users' platform.
+    Gateway,
     /// Check a settings file.
     Check(PathBuf),
     /// Act as an operator at a node.
@@ -128,9 +130,12 @@
     }
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words[..] {
+        ["gateway"] if !has_options => Ok(Command::Gateway),
         ["serve", file] if !has_options => Ok(Command::Serve(file.into())),
         ["check", file] if !has_options => Ok(Command::Check(file.into())),
-        ["serve" | "check", _] => Err("serve and check take no options".into()),
+        ["serve" | "gateway" | "check", _] => {
+            Err("serve, gateway and check take no options".into())
+        }
         _ => Ok(Command::Operate(Operation {
             call: call(&words)?,
             options,
@@ -178,7 +183,8 @@
         ["audit"] => Call::Audit,
         ["refusals"] => Call::Refusals,
         [
-            "serve" | "check" | "template" | "data-centre" | "vm" | "status" | "audit" | "refusals",
+            "serve" | "gateway" | "check" | "template" | "data-centre" | "vm" | "status" | "audit"
+            | "refusals",
             ..,
         ] => return Err(format!("wrong arguments of {}", words[0]).into()),
         [other, ..] => return Err(format!("unknown command {other}").into()),
--- a/filbertpaddle/src/cli.rs
+++ b/filbertpaddle/src/cli.rs
@@ -32,6 +32,7 @@
 
 usage:
   filbertpaddle serve SETTINGS                       run a node until SIGTERM, then drain
+  filbertpaddle gateway                              run a node on the users' platform
   filbertpaddle check SETTINGS                       check a settings file
   filbertpaddle template list                        list all templates
   filbertpaddle template get CUSTOMER NAME           show a template
@@ -73,6 +74,7 @@
         Command::Version => println!("filbertpaddle {}", env!("CARGO_PKG_VERSION")),
         Command::Check(path) => return check(&path),
         Command::Serve(path) => return serve(&path),
+        Command::Gateway => return gateway(),
         Command::Operate(operation) => return operate(&operation),
     }
     ExitCode::SUCCESS
@@ -148,6 +150,16 @@
     }
 }
 
+fn gateway() -> ExitCode {
+    match filbertpaddle_adapter::start::run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("filbertpaddle: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn serve_until_signal(settings: Settings) -> eyre::Result<()> {
     let runtime = tokio::runtime::Runtime::new().wrap_err("cannot start the runtime")?;
     runtime.block_on(async {
