Go on from a copy as soon as it is complete

Cause: streams waited for the target's last moment to move, and some were cut there, since its word of when it leaves is some 500 ms old. Ruled out: a later second copy, which waits for the link behind other copies. Change: no refresh and no waiting; what was made meanwhile is read again.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -18,7 +18,6 @@
 use tokio::time::timeout;
 
 use crate::clock::duration;
-use crate::departure;
 use crate::dialect::CopySource;
 use crate::job::Failure;
 use crate::job::From;
@@ -195,8 +194,7 @@
             !listed.is_some_and(|listed| listed.is_same_life(&source.target) && !listed.is_draining)
         };
         if is_leaving && self.last_event.is_some() {
-            let leaves_ms = departure::leaves_ms(state, &source.target);
-            self.mover.noticed(leaves_ms);
+            self.mover.noticed();
         }
     }
 
@@ -287,7 +285,15 @@
         self.progress.sends += 1;
         self.progress.is_out = false;
         self.progress.may_have_run = true;
-        self.last_heard_ms = state.clock.now();
+        let now = state.clock.now();
+        let silent_ms = now.since(self.last_heard_ms);
+        self.last_heard_ms = now;
+        if self.output.is_started() {
+            info!(state.log, "generation goes on";
+                "id" => self.job.envelope.attempt.as_str(), "target" => target.id.as_str(),
+                "last_event" => self.last_event, "silent_ms" => silent_ms.0);
+            state.metrics.time("generation.move_pause", silent_ms);
+        }
         state.fleet.borrow_mut().started(&target.id, &self.job.ask);
         if let Some(placed) = &mut self.placed {
             placed.is_started = true;
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -4,7 +4,6 @@
 //! platform's own words are, an adapter tells it in a [`dialect::Dialect`].
 
 pub mod clock;
-pub mod departure;
 pub mod dialect;
 pub mod follower;
 pub mod generation;
--- a/filbertpaddle-gateway/src/mover.rs
+++ b/filbertpaddle-gateway/src/mover.rs
@@ -65,9 +65,9 @@
         }
     }
 
-    /// The generation's target leaves at `leaves_ms`.
-    pub fn noticed(&mut self, leaves_ms: Millis) {
-        self.migration.noticed(leaves_ms);
+    /// The generation's target leaves.
+    pub fn noticed(&mut self) {
+        self.migration.noticed();
     }
 
     /// Whether the generation could go on from a copy.
@@ -168,7 +168,7 @@
             source.target.address.clone(),
             to.clone(),
         );
-        self.migration.copying(now);
+        self.migration.copying();
         if self.held.is_none() {
             let mut fleet = self.job.state.fleet.borrow_mut();
             fleet.sent(now, &to, &self.moved_ask());
