Prefer targets of the node's own data centre

Cause: streams over data centres break when one is cut off, and a copy between them takes twice as long. Change: a far target costs a quarter of its memory instead of 0.06.

--- a/filbertpaddle-forward/src/fleet.rs
+++ b/filbertpaddle-forward/src/fleet.rs
@@ -17,7 +17,7 @@
 /// hold up every other stream of the target.
 const PROMPT_WEIGHT: f64 = 2.0;
 /// Weight of the link between data centres, as a share of a target's memory.
-const FAR_WEIGHT: f64 = 0.06;
+const FAR_WEIGHT: f64 = 0.25;
 /// Spread of a draw that keeps nodes from choosing alike.
 const DRAW_WEIGHT: f64 = 0.08;
 /// How far past its memory a target is filled while others have room.
