Spare generations that end soon and copy within the data centre

Cause: copies queue on a leaving target's link, and some long ones came too late. Ruled out: nothing yet; which streams are copied first is open. Change: a generation with under 0.9 s of expected output left is copied only after that time; a far destination costs half of a memory.

--- a/filbertpaddle-forward/src/fleet.rs
+++ b/filbertpaddle-forward/src/fleet.rs
@@ -18,6 +18,9 @@
 const PROMPT_WEIGHT: f64 = 2.0;
 /// Weight of the link between data centres, as a share of a target's memory.
 const FAR_WEIGHT: f64 = 0.25;
+/// The same for a copy, which takes twice as long between data centres and
+/// holds up the copies behind it.
+const FAR_COPY_WEIGHT: f64 = 0.5;
 /// Spread of a draw that keeps nodes from choosing alike.
 const DRAW_WEIGHT: f64 = 0.08;
 /// How far past its memory a target is filled while others have room.
@@ -133,8 +136,9 @@
                 reason = NoTarget::AllCold;
                 continue;
             }
-            let cost =
-                self.cost(configuration, target, ask, &self.data_centre) + DRAW_WEIGHT * draw();
+            let cost = self.cost(configuration, target, ask)
+                + far(target, &self.data_centre, FAR_WEIGHT)
+                + DRAW_WEIGHT * draw();
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, target));
             }
@@ -169,7 +173,8 @@
             .map(|(target, _)| target)
             .filter(|target| may_take(target))
             .map(|target| {
-                let cost = self.cost(configuration, target, ask, &source.data_centre);
+                let cost = self.cost(configuration, target, ask)
+                    + far(target, &source.data_centre, FAR_COPY_WEIGHT);
                 (cost + DRAW_WEIGHT * draw(), target)
             })
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
@@ -264,30 +269,28 @@
             || load.is_none_or(|load| load.cold.has_room(now, service.cold_per_sec, nodes))
     }
 
-    fn cost(
-        &self,
-        configuration: &Configuration,
-        target: &Target,
-        ask: &Ask,
-        data_centre: &Name,
-    ) -> f64 {
+    fn cost(&self, configuration: &Configuration, target: &Target, ask: &Ask) -> f64 {
         let service = configuration.services.get(&target.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let load = self.loads.get(&target.id);
-        let far = if target.data_centre == *data_centre {
-            0.0
-        } else {
-            FAR_WEIGHT
-        };
         let Some(engine) = engine else {
             let running = load.map_or(0, |load| load.running);
-            return far + f64::from(running) / f64::from(target.slots.max(1));
+            return f64::from(running) / f64::from(target.slots.max(1));
         };
         let memory = f64::from(engine.memory_tokens.max(1));
         let tokens = load.map_or(0, |load| load.tokens) + u64::from(ask.total_tokens);
         let prompt_tokens = load.map_or(0, |load| load.prompt_tokens);
         let used = tokens as f64 / memory;
         let full = if used > FULL_SHARE { FULL_COST } else { 0.0 };
-        far + full + used + PROMPT_WEIGHT * prompt_tokens as f64 / memory
+        full + used + PROMPT_WEIGHT * prompt_tokens as f64 / memory
+    }
+}
+
+/// Cost of a target that stands in another data centre.
+fn far(target: &Target, data_centre: &Name, weight: f64) -> f64 {
+    if target.data_centre == *data_centre {
+        0.0
+    } else {
+        weight
     }
 }
--- a/filbertpaddle-forward/src/migration.rs
+++ b/filbertpaddle-forward/src/migration.rs
@@ -9,6 +9,11 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 
+/// Time that one output token takes at a busy target.
+const TOKEN_MS: u64 = 12;
+/// Time within which a generation that is about to end is left alone after its
+/// target's notice, so that its copy does not hold up longer ones.
+const SPARED_MS: Millis = Millis(900);
 /// Pause after a copy that could not be made.
 const RETRY_PAUSE_MS: Millis = Millis(60);
 
@@ -49,9 +54,16 @@
         Self::default()
     }
 
-    /// The target leaves.
-    pub fn noticed(&mut self) {
+    /// The target leaves, and the generation is expected to make
+    /// `remaining_tokens` more.
+    pub fn noticed(&mut self, now: Millis, remaining_tokens: u32) {
+        if self.is_noticed {
+            return;
+        }
         self.is_noticed = true;
+        if u64::from(remaining_tokens) * TOKEN_MS < SPARED_MS.0 {
+            self.not_before_ms = now + SPARED_MS;
+        }
     }
 
     /// The copy at hand.
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -193,8 +193,8 @@
             let listed = directory.target(&source.target.id);
             !listed.is_some_and(|listed| listed.is_same_life(&source.target) && !listed.is_draining)
         };
-        if is_leaving && self.last_event.is_some() {
-            self.mover.noticed();
+        if is_leaving && let Some(events) = self.last_event {
+            self.mover.noticed(events);
         }
     }
 
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -67,6 +67,8 @@
     pub limit_ms: Millis,
     /// What it asks of a target.
     pub ask: Ask,
+    /// Most output tokens in one event.
+    pub event_tokens: u32,
 }
 
 /// How far a request has got at targets.
@@ -113,6 +115,16 @@
         self.limit_ms.since(self.state.clock.now())
     }
 
+    /// Output tokens that are expected after `events` have been delivered.
+    pub fn remaining_tokens(&self, events: u64) -> u32 {
+        let Some(generation) = &self.envelope.generation else {
+            return 0;
+        };
+        let made = events.saturating_mul(u64::from(self.event_tokens));
+        let made = u32::try_from(made).unwrap_or(u32::MAX);
+        generation.expected_output_tokens().saturating_sub(made)
+    }
+
     /// Chooses a target.
     ///
     /// # Errors
--- a/filbertpaddle-gateway/src/mover.rs
+++ b/filbertpaddle-gateway/src/mover.rs
@@ -65,9 +65,11 @@
         }
     }
 
-    /// The generation's target leaves.
-    pub fn noticed(&mut self) {
-        self.migration.noticed();
+    /// The generation's target leaves; `events` of it have been delivered.
+    pub fn noticed(&mut self, events: u64) {
+        let now = self.job.state.clock.now();
+        let remaining_tokens = self.job.remaining_tokens(events);
+        self.migration.noticed(now, remaining_tokens);
     }
 
     /// Whether the generation could go on from a copy.
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -135,6 +135,10 @@
             .deadline_ms
             .map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
     let ask = ask(route, &envelope);
+    let service = configuration.services.get(&ask.service);
+    let event_tokens = service
+        .and_then(|service| service.engine.as_ref())
+        .map_or(1, |engine| engine.event_tokens);
     count_request(state, &ask.service);
     info!(state.log, "request admitted";
         "id" => id.as_str(), "route" => route.name.as_str(), "kind" => %route.kind,
@@ -162,6 +166,7 @@
         received_ms,
         limit_ms,
         ask,
+        event_tokens,
     })
 }
 
