Ask targets whether they leave while the store cannot tell

Ruled out: asking all the time, which costs more probes than it saves. Change: while the last call to the store failed, a node asks the engines that run its generations every 300 ms; the store's answer is awaited 0.6 s.

--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -188,10 +188,26 @@
         }
     }
 
+    /// A table was known to be up to date at `as_of_ms`.
+    pub fn heard(&mut self, table: Table, as_of_ms: Millis) {
+        let heard_ms = &mut self.heard_ms[table as usize];
+        *heard_ms = as_of_ms.max(*heard_ms);
+    }
+
+    /// Takes a target's own word that it leaves; returns whether that is news.
+    ///
+    /// The entry stays as it is until the store says the same or more.
+    pub fn leaves(&mut self, target: &Target) -> bool {
+        let listed = self.targets.get_mut(&target.id);
+        let Some(listed) = listed.filter(|listed| listed.target.is_same_life(target)) else {
+            return false;
+        };
+        !std::mem::replace(&mut listed.target.is_draining, true)
+    }
+
     /// Takes a batch that was up to date at `as_of_ms`.
     pub fn apply(&mut self, now: Millis, as_of_ms: Millis, batch: &Batch) -> Effect {
-        let table = batch.table as usize;
-        self.heard_ms[table] = self.heard_ms[table].max(as_of_ms);
+        self.heard(batch.table, as_of_ms);
         let mut effect = Effect::default();
         for change in &batch.changes {
             self.change(now, change, &mut effect);
--- a/filbertpaddle-forward/src/target.rs
+++ b/filbertpaddle-forward/src/target.rs
@@ -44,6 +44,6 @@
     pub used_tokens: u32,
     /// All memory.
     pub total_tokens: u32,
-    /// How soon the target leaves, if it knows.
-    pub leaves_in_ms: Option<Millis>,
+    /// Whether the target is leaving.
+    pub is_draining: bool,
 }
--- a/filbertpaddle-gateway/src/follower.rs
+++ b/filbertpaddle-gateway/src/follower.rs
@@ -30,7 +30,7 @@
 const WAIT_AFTER_FAILURE_MS: Millis = Millis(300);
 /// How long an answer may take beyond the time it is held back. A slow store
 /// takes about 60 times its usual 4 ms.
-const ANSWER_MS: Millis = Millis(900);
+const ANSWER_MS: Millis = Millis(600);
 /// Pause after a failed call.
 const PAUSE_MS: Millis = Millis(150);
 /// Longest pause after failed calls.
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -8,6 +8,7 @@
 use filbertpaddle_core::suspect;
 use filbertpaddle_forward::budget::Budget;
 use filbertpaddle_forward::configuration::Route;
+use filbertpaddle_forward::directory::Table;
 use filbertpaddle_forward::envelope::Envelope;
 use filbertpaddle_forward::fleet::Ask;
 use filbertpaddle_forward::fleet::NoTarget;
@@ -234,7 +235,7 @@
             "id" => self.envelope.attempt.as_str(), "target" => target.id.as_str(),
             "data_centre" => target.data_centre.as_str(),
             "running" => fleet.running(&target.id), "attempt" => progress.sends + 1,
-            "remaining_ms" => self.remaining_ms().0, "age_ms" => self.directory_age_ms());
+            "remaining_ms" => self.remaining_ms().0, "age_ms" => state.age_ms(Table::Targets).0);
         fleet.sent(now, target, &self.ask);
         progress.connects += 1;
         progress.is_out = true;
@@ -297,12 +298,6 @@
         suspects.crashed(now, self.digest, crash);
     }
 
-    fn directory_age_ms(&self) -> u64 {
-        let directory = self.state.directory.borrow();
-        let heard_ms = directory.heard_ms(filbertpaddle_forward::directory::Table::Targets);
-        self.state.clock.now().since(heard_ms).0
-    }
-
     fn request(&self, target: &Target, from: From<'_>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! platform's own words are, an adapter tells it in a [`dialect::Dialect`].
 
 pub mod clock;
+pub mod departures;
 pub mod dialect;
 pub mod follower;
 pub mod generation;
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -17,6 +17,7 @@
 use tokio::time::interval;
 use tokio::time::sleep;
 
+use crate::departures;
 use crate::dialect::Dialect;
 use crate::follower;
 use crate::listener;
@@ -100,6 +101,7 @@
         Rc::clone(&state),
         Table::Targets,
     )));
+    spawn(Box::pin(departures::watch(Rc::clone(&state))));
     spawn(Box::pin(follower::register(Rc::clone(&state))));
     if let Some(address) = settings.metrics {
         match listen(address).await {
--- a/filbertpaddle-gateway/src/peers.rs
+++ b/filbertpaddle-gateway/src/peers.rs
@@ -118,15 +118,10 @@
 
 /// Age of the older of the two tables.
 fn age_ms(state: &State) -> Millis {
-    let ages = [Table::Operator, Table::Targets].map(|table| table_age_ms(state, table));
+    let ages = [Table::Operator, Table::Targets].map(|table| state.age_ms(table));
     ages[0].max(ages[1])
 }
 
-fn table_age_ms(state: &State, table: Table) -> Millis {
-    let heard_ms = state.directory.borrow().heard_ms(table);
-    state.clock.now().since(heard_ms)
-}
-
 async fn tell(state: &State, stream: TcpStream) -> Result<(), Error> {
     set_options(&stream).map_err(Error::Connect)?;
     let accepted = timeout(PEER_TIMEOUT, tokio_tungstenite::accept_async(stream));
@@ -139,7 +134,7 @@
             let batch = state.directory.borrow().whole(table);
             let told = &mut told[table as usize];
             if batch.revision > 0 && told.as_ref() != Some(&batch) {
-                let age_ms = table_age_ms(state, table);
+                let age_ms = state.age_ms(table);
                 send(
                     &mut socket,
                     &Message::Table {
@@ -155,8 +150,8 @@
             _ = changes.changed() => {}
             _ = heartbeat.tick() => {
                 let ages = Message::Ages {
-                    operator_ms: table_age_ms(state, Table::Operator),
-                    targets_ms: table_age_ms(state, Table::Targets),
+                    operator_ms: state.age_ms(Table::Operator),
+                    targets_ms: state.age_ms(Table::Targets),
                 };
                 send(&mut socket, &ages).await?;
             }
@@ -209,6 +204,10 @@
                 if operator_ms.max(targets_ms) > MAX_PEER_AGE_MS {
                     return Err(Error::TooOld);
                 }
+                let mut directory = state.directory.borrow_mut();
+                directory.heard(Table::Operator, Millis(now.0.saturating_sub(operator_ms.0)));
+                directory.heard(Table::Targets, Millis(now.0.saturating_sub(targets_ms.0)));
+                drop(directory);
                 if state.is_store_read() {
                     return Ok(());
                 }
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -11,7 +11,9 @@
 use filbertpaddle_forward::directory::Batch;
 use filbertpaddle_forward::directory::Directory;
 use filbertpaddle_forward::directory::Effect;
+use filbertpaddle_forward::directory::Table;
 use filbertpaddle_forward::fleet::Fleet;
+use filbertpaddle_forward::target::Target;
 use indexmap::IndexMap;
 use slog::Logger;
 use slog::info;
@@ -103,6 +105,21 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Takes a target's own word that it leaves.
+    pub fn target_leaves(&self, target: &Target) {
+        let is_news = self.directory.borrow_mut().leaves(target);
+        if is_news {
+            info!(self.log, "target says that it leaves"; "target" => target.id.as_str());
+            self.notify();
+        }
+    }
+
+    /// Age of what is known of a table.
+    pub fn age_ms(&self, table: Table) -> Millis {
+        let heard_ms = self.directory.borrow().heard_ms(table);
+        self.clock.now().since(heard_ms)
+    }
+
     /// Whether the last calls to the store were answered.
     pub fn is_store_read(&self) -> bool {
         !self.directory.borrow().is_store_lost()
