Let one node of a data centre read the store for the others

Cause: every node followed both tables; at 85 nodes the calls cost more than anything else. Ruled out: longer waits, which show a silent connection later. Change: readers by rank among a data centre's larger nodes, one for 16 nodes; the rest follow one by link, with the age of what it knows and whether its last call failed; a node whose reader is silent for 0.8 s reads itself, ranks again, and a reader that cannot read follows any node that can.

--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -92,20 +92,30 @@
 #[derive(Clone, Debug)]
 struct Listed {
     revision: u64,
+    sequence: u64,
     target: Target,
     read_ms: Millis,
     /// When a doubted removal is believed.
     removed_at_ms: Option<Millis>,
 }
 
+/// When something changed: by the store, and in the order of this node.
+#[derive(Clone, Copy, Debug, Default)]
+struct At {
+    revision: u64,
+    sequence: u64,
+}
+
 /// What one node knows.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     configuration: Option<Arc<Configuration>>,
-    configuration_revision: u64,
-    data_centres: IndexMap<Name, (u64, bool)>,
+    configuration_at: At,
+    data_centres: IndexMap<Name, (At, bool)>,
     targets: IndexMap<Name, Listed>,
-    removed: IndexMap<Name, u64>,
+    removed: IndexMap<Name, At>,
+    /// Number of the last change that this node took.
+    sequence: u64,
     operator_revision: u64,
     targets_revision: u64,
     heard_ms: [Millis; 2],
@@ -229,39 +239,49 @@
             .targets
             .iter()
             .filter(|(_, listed)| is_due(listed))
-            .map(|(id, _)| id.clone())
+            .map(|(id, listed)| (id.clone(), listed.revision))
             .collect();
-        self.targets.retain(|_, listed| !is_due(listed));
-        Effect {
-            targets: due,
-            ..Effect::default()
+        let mut effect = Effect::default();
+        for (id, revision) in due {
+            self.forget(&id, revision, &mut effect);
         }
+        effect
     }
 
-    /// Returns all that is known of a table, to pass it on.
-    pub fn whole(&self, table: Table) -> Batch {
+    /// Number of the last change that this node took.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Returns what of a table changed here after the change numbered `sequence`.
+    pub fn changes_after(&self, table: Table, sequence: u64) -> Batch {
         let changes = match table {
-            Table::Operator => self.operator_changes(),
-            Table::Targets => self.target_changes(),
+            Table::Operator => self.operator_changes(sequence),
+            Table::Targets => self.target_changes(sequence),
         };
         Batch {
             table,
-            is_whole: true,
+            is_whole: sequence == 0,
             revision: self.revision(table),
             changes,
         }
     }
 
-    fn operator_changes(&self) -> Vec<Change> {
-        let configuration = self.configuration.iter().map(|configuration| Change {
-            revision: self.configuration_revision,
-            entry: Entry::Configuration(Arc::clone(configuration)),
-        });
+    fn operator_changes(&self, sequence: u64) -> Vec<Change> {
+        let configuration = self
+            .configuration
+            .iter()
+            .filter(|_| self.configuration_at.sequence > sequence)
+            .map(|configuration| Change {
+                revision: self.configuration_at.revision,
+                entry: Entry::Configuration(Arc::clone(configuration)),
+            });
         let data_centres = self
             .data_centres
             .iter()
-            .map(|(name, (revision, is_out))| Change {
-                revision: *revision,
+            .filter(|(_, (at, _))| at.sequence > sequence)
+            .map(|(name, (at, is_out))| Change {
+                revision: at.revision,
                 entry: Entry::DataCentre {
                     name: name.clone(),
                     is_out: *is_out,
@@ -270,14 +290,32 @@
         configuration.chain(data_centres).collect()
     }
 
-    fn target_changes(&self) -> Vec<Change> {
-        self.targets
+    fn target_changes(&self, sequence: u64) -> Vec<Change> {
+        let listed = self
+            .targets
             .values()
+            .filter(|listed| listed.sequence > sequence)
             .map(|listed| Change {
                 revision: listed.revision,
                 entry: Entry::Target(listed.target.clone()),
-            })
-            .collect()
+            });
+        let removed = self
+            .removed
+            .iter()
+            .filter(|(_, at)| sequence > 0 && at.sequence > sequence)
+            .map(|(id, at)| Change {
+                revision: at.revision,
+                entry: Entry::NoTarget(id.clone()),
+            });
+        listed.chain(removed).collect()
+    }
+
+    fn next_at(&mut self, revision: u64) -> At {
+        self.sequence += 1;
+        At {
+            revision,
+            sequence: self.sequence,
+        }
     }
 
     fn change(&mut self, now: Millis, change: &Change, effect: &mut Effect) {
@@ -287,7 +325,7 @@
                 if configuration.version > known {
                     effect.configuration = Some(configuration.version);
                     self.configuration = Some(Arc::clone(configuration));
-                    self.configuration_revision = change.revision;
+                    self.configuration_at = self.next_at(change.revision);
                 }
             }
             Entry::DataCentre { name, is_out } => {
@@ -299,19 +337,21 @@
     }
 
     fn set_data_centre(&mut self, name: &Name, revision: u64, is_out: bool, effect: &mut Effect) {
-        let known = self.data_centres.entry(name.clone()).or_default();
-        if revision <= known.0 {
+        let known = self.data_centres.get(name).copied().unwrap_or_default();
+        if revision <= known.0.revision {
             return;
         }
         if known.1 != is_out {
             effect.data_centres.push((name.clone(), is_out));
         }
-        *known = (revision, is_out);
+        let at = self.next_at(revision);
+        self.data_centres.insert(name.clone(), (at, is_out));
     }
 
     fn list(&mut self, now: Millis, revision: u64, target: &Target, effect: &mut Effect) {
         let id = &target.id;
-        if self.removed.get(id).is_some_and(|known| revision <= *known) {
+        let removed = self.removed.get(id);
+        if removed.is_some_and(|removed| revision <= removed.revision) {
             return;
         }
         if let Some(known) = self.targets.get_mut(id) {
@@ -324,6 +364,7 @@
         effect.targets.push(id.clone());
         let listed = Listed {
             revision,
+            sequence: self.next_at(revision).sequence,
             target: target.clone(),
             read_ms: now,
             removed_at_ms: None,
@@ -340,13 +381,19 @@
         }
         if now < self.doubt_until_ms && !known.target.is_draining {
             known.removed_at_ms.get_or_insert(self.doubt_until_ms);
+            known.revision = revision;
             return;
         }
+        self.forget(id, revision, effect);
+    }
+
+    fn forget(&mut self, id: &Name, revision: u64, effect: &mut Effect) {
         self.targets.shift_remove(id);
         if self.removed.len() >= REMOVED_KEPT {
             self.removed.shift_remove_index(0);
         }
-        self.removed.insert(id.clone(), revision);
+        let at = self.next_at(revision);
+        self.removed.insert(id.clone(), at);
         effect.targets.push(id.clone());
     }
 
--- a/filbertpaddle-gateway/src/departures.rs
+++ b/filbertpaddle-gateway/src/departures.rs
@@ -24,7 +24,7 @@
 pub async fn watch(state: Rc<State>) {
     loop {
         sleep(ASK).await;
-        if state.is_store_read() || state.age_ms(Table::Targets) < DOUBT_MS {
+        if !state.is_store_lost() || state.age_ms(Table::Targets) < DOUBT_MS {
             continue;
         }
         for target in busy_engines(&state) {
--- a/filbertpaddle-gateway/src/dialect.rs
+++ b/filbertpaddle-gateway/src/dialect.rs
@@ -165,7 +165,7 @@
 }
 
 /// The nodes that have entries in the store.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct NodeList {
     /// The entries.
     pub nodes: Vec<Node>,
--- a/filbertpaddle-gateway/src/follower.rs
+++ b/filbertpaddle-gateway/src/follower.rs
@@ -1,4 +1,7 @@
 //! Follows the store's tables and keeps this node's entry in it.
+//!
+//! Only the readers of a data centre follow them all the time; the other nodes
+//! follow a reader, and the store while none answers.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,7 +59,20 @@
 /// Follows one table as long as the node runs.
 pub async fn follow(state: Rc<State>, table: Table) {
     let mut failures = 0;
+    let mut changes = state.subscribe();
     loop {
+        if !state.must_read() {
+            // A node that follows another has no call of its own that fails.
+            state
+                .directory
+                .borrow_mut()
+                .regained(state.clock.now(), table);
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = sleep(duration(MAX_PAUSE_MS)) => {}
+            }
+            continue;
+        }
         let result = step(&state, table, failures > 0).await;
         match result {
             Ok(()) => {
@@ -88,11 +104,12 @@
 /// Renews this node's entry and reads those of others as long as it runs.
 pub async fn register(state: Rc<State>) {
     let mut dropped = Vec::new();
+    let mut next_ms = SECOND_LOOK_MS;
     loop {
         let pause = match register_once(&state, &dropped).await {
             Ok(old) => {
                 dropped = old;
-                RENEW_MS
+                std::mem::replace(&mut next_ms, RENEW_MS)
             }
             Err(error) => {
                 warn!(state.log, "node list not renewed"; "error" => %error);
@@ -103,6 +120,9 @@
     }
 }
 
+/// How soon after its start a node looks for those that started with it.
+const SECOND_LOOK_MS: Millis = Millis::from_secs(2);
+
 async fn register_once(state: &Rc<State>, dropped: &[Name]) -> Result<Vec<Name>, Error> {
     let calls = state.dialect.store;
     if state.nodes.borrow().live().is_empty() {
@@ -114,6 +134,7 @@
         name: settings.node.clone(),
         data_centre: settings.data_centre.clone(),
         peers: settings.peers,
+        cores: settings.cores,
         written_ms: state.nodes.borrow().store_ms(now),
     };
     ask(state, &(calls.write_node)(&node, dropped), ANSWER_MS).await?;
--- a/filbertpaddle-gateway/src/nodes.rs
+++ b/filbertpaddle-gateway/src/nodes.rs
@@ -1,21 +1,30 @@
-//! The nodes that are alive, as their entries in the store say.
+//! The nodes that are alive, and which of them read the store for the others.
 
 use std::net::SocketAddr;
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 
+use filbertpaddle_core::relay::rank;
+use indexmap::IndexMap;
+
 use crate::dialect::NodeList;
 
 /// How often a node renews its entry.
-pub const RENEW_MS: Millis = Millis::from_secs(12);
+pub const RENEW_MS: Millis = Millis::from_secs(20);
 /// Age at which an entry no longer counts.
-pub const STALE_MS: Millis = Millis::from_secs(30);
+pub const STALE_MS: Millis = Millis::from_secs(50);
 /// Age at which an entry is dropped by whoever sees it.
-pub const DROP_MS: Millis = Millis::from_secs(90);
+pub const DROP_MS: Millis = Millis::from_secs(120);
+/// Nodes of a data centre for which one reads the store.
+const NODES_PER_READER: usize = 16;
+/// Part of the largest node's processor that a reader has at least.
+const READER_SHARE: f64 = 0.6;
+/// How long a node that did not answer is passed over as a reader.
+const SILENT_MS: Millis = Millis::from_secs(10);
 
 /// A node's entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Node {
     /// Name of the node.
     pub name: Name,
@@ -23,6 +32,8 @@
     pub data_centre: Name,
     /// Address for other nodes.
     pub peers: SocketAddr,
+    /// Processor that it may use, in cores.
+    pub cores: f64,
     /// When the entry was written, by the store's clock.
     pub written_ms: Millis,
 }
@@ -33,6 +44,7 @@
     live: Vec<Node>,
     store_ms: Millis,
     read_ms: Millis,
+    silent_until: IndexMap<Name, Millis>,
 }
 
 impl Nodes {
@@ -51,6 +63,39 @@
         &self.live
     }
 
+    /// The nodes that read the store for `data_centre`, as far as they answer.
+    ///
+    /// The order depends on the entries alone, so nodes with the same list agree.
+    pub fn readers(&self, now: Millis, data_centre: &Name) -> Vec<&Node> {
+        let members: Vec<_> = self
+            .live
+            .iter()
+            .filter(|node| node.data_centre == *data_centre && !self.is_silent(now, &node.name))
+            .collect();
+        let largest = members.iter().map(|node| node.cores).fold(0.0, f64::max);
+        let strong = members
+            .iter()
+            .filter(|node| node.cores >= largest * READER_SHARE);
+        let ranked = rank(data_centre, strong.map(|node| &node.name));
+        let count = members.len().div_ceil(NODES_PER_READER);
+        ranked
+            .into_iter()
+            .take(count)
+            .filter_map(|name| members.iter().find(|node| node.name == *name).copied())
+            .collect()
+    }
+
+    /// Passes a node over as a reader for a while.
+    pub fn silent(&mut self, now: Millis, name: &Name) {
+        self.silent_until.insert(name.clone(), now + SILENT_MS);
+    }
+
+    fn is_silent(&self, now: Millis, name: &Name) -> bool {
+        self.silent_until
+            .get(name)
+            .is_some_and(|until| now < *until)
+    }
+
     /// The store's clock, as far as it is known.
     pub fn store_ms(&self, now: Millis) -> Millis {
         self.store_ms + now.since(self.read_ms)
--- a/filbertpaddle-gateway/src/peers.rs
+++ b/filbertpaddle-gateway/src/peers.rs
@@ -1,7 +1,8 @@
-//! Links between nodes: one that cannot read the store learns from one that can.
+//! Links between nodes: most learn what the store says from one that reads it.
 //!
-//! A node without the store dials a peer and follows it. The peer sends all it
-//! knows of a table whenever it changes, and at intervals how old that is.
+//! A node that is no reader follows a reader of its data centre. One that cannot
+//! read the store follows any node that can. The followed node sends what changes,
+//! and at intervals how old its knowledge is.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,6 +10,7 @@
 
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::directory::Batch;
 use filbertpaddle_forward::directory::Table;
 use futures_util::SinkExt;
@@ -28,19 +30,20 @@
 use tokio_tungstenite::tungstenite::Message as Frame;
 
 use crate::links::set_options;
+use crate::state::Link;
 use crate::state::State;
 
-/// Age of what a node knows at which it turns to a peer. Above the time that the
-/// store holds back a call, so that an idle store is not taken for a lost one.
-const TURN_TO_PEERS_MS: Millis = Millis(2_400);
-/// Age at which what a peer knows is too old to follow it.
-const MAX_PEER_AGE_MS: Millis = Millis(4_000);
-/// How often a peer says how old its knowledge is.
-const HEARTBEAT: Duration = Duration::from_millis(500);
-/// How long a peer may take to answer, or stay silent.
-const PEER_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// How often a node looks whether it needs a peer.
-const LOOK: Duration = Duration::from_millis(200);
+/// Age at which what a node knows is too old to follow it. Above the time that
+/// the store holds back a call and the time that it may take to answer.
+const MAX_AGE_MS: Millis = Millis(2_800);
+/// How often a followed node says how old its knowledge is.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// How long a followed node may stay silent.
+const SILENCE: Duration = Duration::from_millis(800);
+/// How long a node may take to let itself be followed.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
+/// How often a node looks whether it needs to follow another.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// What a peer sends to a node that follows it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -58,14 +61,14 @@
         operator_ms: Millis,
         /// Of the targets' table.
         targets_ms: Millis,
+        /// Whether its last call to the store failed.
+        is_store_lost: bool,
     },
 }
 
 /// Why a peer cannot be followed.
 #[derive(Debug, thiserror::Error)]
 enum Error {
-    #[error("no peer known")]
-    NoPeer,
     #[error("cannot connect: {0}")]
     Connect(std::io::Error),
     #[error("no answer in time")]
@@ -103,58 +106,40 @@
     }
 }
 
-/// Follows peers whenever the store cannot be read.
+/// Follows other nodes as long as this one runs.
 pub async fn follow(state: Rc<State>) {
     loop {
         sleep(LOOK).await;
-        if age_ms(&state) < TURN_TO_PEERS_MS {
+        let is_reader = state.is_reader();
+        if is_reader && !state.directory.borrow().is_store_lost() {
             continue;
         }
-        if let Err(error) = follow_one(&state).await {
-            debug!(state.log, "no peer to follow"; "error" => %error);
+        let Some((name, address)) = pick(&state, is_reader) else {
+            continue;
+        };
+        let result = follow_one(&state, address).await;
+        state.set_link(Link::default());
+        info!(state.log, "node no longer followed";
+            "peer" => %address, "reason" => result.as_ref().err().map(ToString::to_string));
+        if let (Err(_), Some(name)) = (result, name) {
+            let now = state.clock.now();
+            state.nodes.borrow_mut().silent(now, &name);
         }
     }
 }
 
-/// Age of the older of the two tables.
-fn age_ms(state: &State) -> Millis {
-    let ages = [Table::Operator, Table::Targets].map(|table| state.age_ms(table));
-    ages[0].max(ages[1])
-}
-
 async fn tell(state: &State, stream: TcpStream) -> Result<(), Error> {
     set_options(&stream).map_err(Error::Connect)?;
-    let accepted = timeout(PEER_TIMEOUT, tokio_tungstenite::accept_async(stream));
+    let accepted = timeout(OPEN_TIMEOUT, tokio_tungstenite::accept_async(stream));
     let mut socket = accepted.await.map_err(|_| Error::Timeout)??;
     let mut changes = state.subscribe();
-    let mut told = [None, None];
+    let mut told_sequence = 0;
     let mut heartbeat = interval(HEARTBEAT);
     loop {
-        for table in [Table::Operator, Table::Targets] {
-            let batch = state.directory.borrow().whole(table);
-            let told = &mut told[table as usize];
-            if batch.revision > 0 && told.as_ref() != Some(&batch) {
-                let age_ms = state.age_ms(table);
-                send(
-                    &mut socket,
-                    &Message::Table {
-                        age_ms,
-                        batch: batch.clone(),
-                    },
-                )
-                .await?;
-                *told = Some(batch);
-            }
-        }
+        told_sequence = tell_changes(state, &mut socket, told_sequence).await?;
         tokio::select! {
             _ = changes.changed() => {}
-            _ = heartbeat.tick() => {
-                let ages = Message::Ages {
-                    operator_ms: state.age_ms(Table::Operator),
-                    targets_ms: state.age_ms(Table::Targets),
-                };
-                send(&mut socket, &ages).await?;
-            }
+            _ = heartbeat.tick() => send(&mut socket, &ages(state)).await?,
             frame = socket.next() => match frame {
                 Some(Ok(Frame::Close(_))) | None => return Ok(()),
                 Some(frame) => drop(frame?),
@@ -163,74 +148,120 @@
     }
 }
 
-async fn follow_one(state: &State) -> Result<(), Error> {
-    let peer = pick(state).ok_or(Error::NoPeer)?;
-    let connected = timeout(PEER_TIMEOUT, TcpStream::connect(peer)).await;
+/// Sends what changed after the change numbered `told`; returns the last one's number.
+async fn tell_changes(
+    state: &State,
+    socket: &mut WebSocketStream<TcpStream>,
+    told: u64,
+) -> Result<u64, Error> {
+    let (sequence, batches) = {
+        let directory = state.directory.borrow();
+        let tables = [Table::Operator, Table::Targets];
+        let batches = tables.map(|table| directory.changes_after(table, told));
+        (directory.sequence(), batches)
+    };
+    for batch in batches {
+        if batch.revision > 0 && !batch.changes.is_empty() {
+            let age_ms = state.age_ms(batch.table);
+            send(socket, &Message::Table { age_ms, batch }).await?;
+        }
+    }
+    Ok(sequence)
+}
+
+fn ages(state: &State) -> Message {
+    Message::Ages {
+        operator_ms: state.age_ms(Table::Operator),
+        targets_ms: state.age_ms(Table::Targets),
+        is_store_lost: state.is_store_lost(),
+    }
+}
+
+async fn follow_one(state: &State, address: SocketAddr) -> Result<(), Error> {
+    let connected = timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected
         .map_err(|_| Error::Timeout)?
         .map_err(Error::Connect)?;
     set_options(&stream).map_err(Error::Connect)?;
-    let url = format!("ws://{peer}/");
-    let opened = timeout(PEER_TIMEOUT, tokio_tungstenite::client_async(url, stream));
+    let url = format!("ws://{address}/");
+    let opened = timeout(OPEN_TIMEOUT, tokio_tungstenite::client_async(url, stream));
     let (mut socket, _) = opened.await.map_err(|_| Error::Timeout)??;
-    info!(state.log, "following a peer"; "peer" => %peer, "age_ms" => age_ms(state).0);
+    info!(state.log, "following a node";
+        "peer" => %address, "is_reader" => state.is_reader(),
+        "age_ms" => state.age_ms(Table::Targets).0);
     state.metrics.count("peer.followed");
-    let result = take(state, &mut socket).await;
-    info!(state.log, "peer left";
-        "peer" => %peer, "age_ms" => age_ms(state).0,
-        "reason" => result.as_ref().err().map(ToString::to_string));
-    result
-}
-
-/// Takes what a peer tells until the store answers again.
-async fn take(state: &State, socket: &mut WebSocketStream<TcpStream>) -> Result<(), Error> {
     loop {
-        let frame = timeout(PEER_TIMEOUT, socket.next());
+        let frame = timeout(SILENCE, socket.next());
         let frame = frame.await.map_err(|_| Error::Timeout)?;
         let Frame::Binary(bytes) = frame.ok_or(Error::Closed)?? else {
             continue;
         };
-        let message: Message = ciborium::from_reader(bytes.as_ref())
+        let message = ciborium::from_reader(bytes.as_ref())
             .map_err(|error| Error::Unreadable(error.to_string()))?;
-        let now = state.clock.now();
-        match message {
-            Message::Table { age_ms, batch } => {
-                state.apply("peer", Millis(now.0.saturating_sub(age_ms.0)), &batch);
-            }
-            Message::Ages {
-                operator_ms,
-                targets_ms,
-            } => {
-                if operator_ms.max(targets_ms) > MAX_PEER_AGE_MS {
-                    return Err(Error::TooOld);
-                }
-                let mut directory = state.directory.borrow_mut();
-                directory.heard(Table::Operator, Millis(now.0.saturating_sub(operator_ms.0)));
-                directory.heard(Table::Targets, Millis(now.0.saturating_sub(targets_ms.0)));
-                drop(directory);
-                if state.is_store_read() {
-                    return Ok(());
-                }
+        take(state, message)?;
+        if state.is_reader() && !state.directory.borrow().is_store_lost() {
+            return Ok(());
+        }
+    }
+}
+
+/// Takes what a followed node says.
+fn take(state: &State, message: Message) -> Result<(), Error> {
+    let now = state.clock.now();
+    let as_of = |age_ms: Millis| Millis(now.0.saturating_sub(age_ms.0));
+    match message {
+        Message::Table { age_ms, batch } => state.apply("peer", as_of(age_ms), &batch),
+        Message::Ages {
+            operator_ms,
+            targets_ms,
+            is_store_lost,
+        } => {
+            let is_old = operator_ms.max(targets_ms) > MAX_AGE_MS;
+            if is_old && state.is_reader() {
+                return Err(Error::TooOld);
             }
+            let mut directory = state.directory.borrow_mut();
+            directory.heard(Table::Operator, as_of(operator_ms));
+            directory.heard(Table::Targets, as_of(targets_ms));
+            drop(directory);
+            state.set_link(Link {
+                is_up: true,
+                is_store_lost: is_store_lost || is_old,
+            });
         }
     }
+    Ok(())
 }
 
 async fn send(socket: &mut WebSocketStream<TcpStream>, message: &Message) -> Result<(), Error> {
     let mut bytes = Vec::new();
     ciborium::into_writer(message, &mut bytes)
         .map_err(|error| Error::Unreadable(error.to_string()))?;
-    let sent = timeout(PEER_TIMEOUT, socket.send(Frame::Binary(Bytes::from(bytes))));
+    let sent = timeout(SILENCE, socket.send(Frame::Binary(Bytes::from(bytes))));
     sent.await.map_err(|_| Error::Timeout)??;
     Ok(())
 }
 
-/// Picks a node to follow: any that is alive, or a seed.
-fn pick(state: &State) -> Option<SocketAddr> {
+/// Picks a node to follow: a reader of this data centre, or any if this node is
+/// itself a reader that cannot read. Before any is known, a seed.
+fn pick(state: &State, is_reader: bool) -> Option<(Option<Name>, SocketAddr)> {
     let settings = &state.settings;
+    let now = state.clock.now();
     let nodes = state.nodes.borrow();
-    let live = nodes.live().iter().map(|node| node.peers);
-    let mut peers: Vec<_> = live.chain(settings.seeds.iter().copied()).collect();
-    peers.retain(|peer| *peer != settings.peers);
-    peers.choose(&mut rand::rng()).copied()
+    let mut known = if is_reader {
+        nodes.live().iter().collect()
+    } else {
+        nodes.readers(now, &settings.data_centre)
+    };
+    known.retain(|node| node.name != settings.node);
+    let mut rng = rand::rng();
+    if let Some(node) = known.choose(&mut rng) {
+        return Some((Some(node.name.clone()), node.peers));
+    }
+    let seeds: Vec<_> = settings
+        .seeds
+        .iter()
+        .filter(|seed| **seed != settings.peers)
+        .collect();
+    seeds.choose(&mut rng).map(|seed| (None, **seed))
 }
--- a/filbertpaddle-gateway/src/settings.rs
+++ b/filbertpaddle-gateway/src/settings.rs
@@ -25,6 +25,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Processor that the node may use, in cores.
+    pub cores: f64,
     /// What all nodes together may retry.
     pub retries: budget::Terms,
     /// How long a node that was told to stop may finish its requests.
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -26,6 +26,15 @@
 use crate::nodes::Nodes;
 use crate::settings::Settings;
 
+/// What a link to another node says of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Link {
+    /// Whether a node is being followed that answers.
+    pub is_up: bool,
+    /// Whether that node's last call to the store failed, or its knowledge is old.
+    pub is_store_lost: bool,
+}
+
 /// What the parts of a node share. A node runs on one thread.
 #[derive(Debug)]
 pub struct State {
@@ -47,6 +56,8 @@
     pub fleet: RefCell<Fleet>,
     /// Other nodes.
     pub nodes: RefCell<Nodes>,
+    /// The link to a node that reads the store for this one.
+    pub link: Cell<Link>,
     /// Retries by service.
     pub budgets: RefCell<IndexMap<Name, Budget>>,
     /// Requests that were running when their target crashed.
@@ -73,6 +84,7 @@
             directory: RefCell::new(Directory::new()),
             fleet: RefCell::new(fleet),
             nodes: RefCell::new(Nodes::new()),
+            link: Cell::default(),
             budgets: RefCell::default(),
             suspects: RefCell::new(Suspects::new()),
             is_draining: Cell::new(false),
@@ -120,9 +132,35 @@
         self.clock.now().since(heard_ms)
     }
 
-    /// Whether the last calls to the store were answered.
-    pub fn is_store_read(&self) -> bool {
-        !self.directory.borrow().is_store_lost()
+    /// Whether this node reads the store: for others, or because no other does.
+    pub fn must_read(&self) -> bool {
+        let link = self.link.get();
+        self.is_reader() || !link.is_up || link.is_store_lost
+    }
+
+    /// Whether this node is one of those that read the store for others.
+    pub fn is_reader(&self) -> bool {
+        let now = self.clock.now();
+        let nodes = self.nodes.borrow();
+        let readers = nodes.readers(now, &self.settings.data_centre);
+        readers.is_empty() || readers.iter().any(|node| node.name == self.settings.node)
+    }
+
+    /// Whether the store's last word is missing, by this node's own calls or by
+    /// the word of the node that it follows.
+    pub fn is_store_lost(&self) -> bool {
+        if self.must_read() {
+            self.directory.borrow().is_store_lost()
+        } else {
+            self.link.get().is_store_lost
+        }
+    }
+
+    /// Sets what the link says.
+    pub fn set_link(&self, link: Link) {
+        if self.link.replace(link) != link {
+            self.notify();
+        }
     }
 
     /// Whether the balancer may send callers here.
