Count a held call's answer as of its end, and gather changes

Cause: readers' knowledge seemed up to 3.6 s old though it was fresh, so the nodes that followed them turned to the store; rows that changed together woke one call each. Change: age counts from the end of a held call; 40 ms between calls.

--- a/filbertpaddle-gateway/src/follower.rs
+++ b/filbertpaddle-gateway/src/follower.rs
@@ -34,6 +34,8 @@
 /// How long an answer may take beyond the time it is held back. A slow store
 /// takes about 60 times its usual 4 ms.
 const ANSWER_MS: Millis = Millis(600);
+/// Pause after an answer, so that rows that change together come together.
+const GATHER: Duration = Duration::from_millis(40);
 /// Pause after a failed call.
 const PAUSE_MS: Millis = Millis(150);
 /// Longest pause after failed calls.
@@ -80,6 +82,7 @@
                     info!(state.log, "store regained"; "table" => %table, "failures" => failures);
                 }
                 failures = 0;
+                sleep(GATHER).await;
             }
             Err(Error::HistoryGone) => {
                 info!(state.log, "history gone, reading the whole table"; "table" => %table);
@@ -203,7 +206,9 @@
     }
     let now = state.clock.now();
     state.directory.borrow_mut().regained(now, table);
-    state.apply("store", asked_ms, &page.batch);
+    // A held call is answered with what the table says at its end.
+    let as_of_ms = if page.batch.is_whole { asked_ms } else { now };
+    state.apply("store", as_of_ms, &page.batch);
 }
 
 async fn ask(state: &Rc<State>, call: &Call, within: Millis) -> Result<Bytes, Error> {
