Place by the work of all nodes

Cause: each node knew only its own work; data centres with more traffic were full while others had room. Ruled out: asking targets, whose reports are old and whose answers all nodes would act on alike. Change: followers tell their reader what they have at targets, readers tell each other the sums of their groups, every 150 ms and only what changed.

--- a/filbertpaddle-forward/src/fleet.rs
+++ b/filbertpaddle-forward/src/fleet.rs
@@ -4,6 +4,8 @@
 use filbertpaddle_core::name::Name;
 use indexmap::IndexMap;
 
+use crate::board::ByTarget;
+use crate::board::Work;
 use crate::configuration::Configuration;
 use crate::directory::Directory;
 use crate::rate::ColdRate;
@@ -57,13 +59,10 @@
 #[derive(Clone, Debug, Default)]
 struct Load {
     life: Option<Target>,
-    running: u32,
-    tokens: u64,
-    prompt_tokens: u64,
+    own: Work,
     failures: u32,
     shunned_until_ms: Millis,
     cold: ColdRate,
-    leaves_ms: Option<Millis>,
 }
 
 /// Load and health of all targets.
@@ -71,6 +70,8 @@
 pub struct Fleet {
     data_centre: Name,
     loads: IndexMap<Name, Load>,
+    /// Work of other nodes.
+    others: ByTarget,
 }
 
 impl Fleet {
@@ -79,6 +80,7 @@
         Self {
             data_centre,
             loads: IndexMap::new(),
+            others: ByTarget::new(),
         }
     }
 
@@ -93,12 +95,11 @@
             if !is_same {
                 load.failures = 0;
                 load.shunned_until_ms = Millis::ZERO;
-                load.leaves_ms = None;
             }
             load.life = Some(target.clone());
         }
         self.loads
-            .retain(|id, load| load.running > 0 || directory.target(id).is_some());
+            .retain(|id, load| load.own.running > 0 || directory.target(id).is_some());
     }
 
     /// Chooses a target for a request; `draw` yields numbers from 0 to 1.
@@ -184,18 +185,18 @@
     /// A request was given to a target.
     pub fn sent(&mut self, now: Millis, target: &Target, ask: &Ask) {
         let load = self.loads.entry(target.id.clone()).or_default();
-        load.running += 1;
-        load.tokens += u64::from(ask.total_tokens);
-        load.prompt_tokens += u64::from(ask.prompt_tokens);
+        load.own.add(&Work::from(ask));
         load.cold.sent(now);
     }
 
     /// A target has read a request's prompt.
     pub fn started(&mut self, id: &str, ask: &Ask) {
         if let Some(load) = self.loads.get_mut(id) {
-            load.prompt_tokens = load
-                .prompt_tokens
-                .saturating_sub(u64::from(ask.prompt_tokens));
+            let read = Work {
+                prompt_tokens: u64::from(ask.prompt_tokens),
+                ..Work::default()
+            };
+            load.own = load.own.without(&read);
         }
     }
 
@@ -205,8 +206,11 @@
             self.started(id, ask);
         }
         if let Some(load) = self.loads.get_mut(id) {
-            load.running = load.running.saturating_sub(1);
-            load.tokens = load.tokens.saturating_sub(u64::from(ask.total_tokens));
+            let ended = Work {
+                prompt_tokens: 0,
+                ..Work::from(ask)
+            };
+            load.own = load.own.without(&ended);
         }
     }
 
@@ -227,21 +231,35 @@
         load.shunned_until_ms
     }
 
-    /// When a target leaves, by its own word.
-    pub fn leaves_ms(&self, id: &str) -> Option<Millis> {
-        self.loads.get(id)?.leaves_ms
+    /// Work of this node by target.
+    pub fn own_work(&self) -> ByTarget {
+        self.loads
+            .iter()
+            .filter(|(_, load)| !load.own.is_empty())
+            .map(|(id, load)| (id.clone(), load.own))
+            .collect()
     }
 
-    /// A target said when it leaves.
-    pub fn set_leaves(&mut self, id: &str, leaves_ms: Millis) {
-        if let Some(load) = self.loads.get_mut(id) {
-            load.leaves_ms = Some(leaves_ms);
+    /// Takes over the work of other nodes.
+    pub fn set_others(&mut self, others: ByTarget) {
+        self.others = others;
+    }
+
+    /// Work of all nodes at a target.
+    fn work(&self, id: &str) -> Work {
+        let mut work = self
+            .loads
+            .get(id)
+            .map_or_else(Work::default, |load| load.own);
+        if let Some(others) = self.others.get(id) {
+            work.add(others);
         }
+        work
     }
 
     /// Requests of this node that run at a target.
     pub fn running(&self, id: &str) -> u32 {
-        self.loads.get(id).map_or(0, |load| load.running)
+        self.loads.get(id).map_or(0, |load| load.own.running)
     }
 
     fn is_shunned(&self, now: Millis, id: &str) -> bool {
@@ -272,17 +290,24 @@
     fn cost(&self, configuration: &Configuration, target: &Target, ask: &Ask) -> f64 {
         let service = configuration.services.get(&target.service);
         let engine = service.and_then(|service| service.engine.as_ref());
-        let load = self.loads.get(&target.id);
+        let work = self.work(&target.id);
         let Some(engine) = engine else {
-            let running = load.map_or(0, |load| load.running);
-            return f64::from(running) / f64::from(target.slots.max(1));
+            return f64::from(work.running) / f64::from(target.slots.max(1));
         };
         let memory = f64::from(engine.memory_tokens.max(1));
-        let tokens = load.map_or(0, |load| load.tokens) + u64::from(ask.total_tokens);
-        let prompt_tokens = load.map_or(0, |load| load.prompt_tokens);
-        let used = tokens as f64 / memory;
+        let used = (work.tokens + u64::from(ask.total_tokens)) as f64 / memory;
         let full = if used > FULL_SHARE { FULL_COST } else { 0.0 };
-        full + used + PROMPT_WEIGHT * prompt_tokens as f64 / memory
+        full + used + PROMPT_WEIGHT * work.prompt_tokens as f64 / memory
+    }
+}
+
+impl From<&Ask> for Work {
+    fn from(ask: &Ask) -> Self {
+        Self {
+            running: 1,
+            tokens: u64::from(ask.total_tokens),
+            prompt_tokens: u64::from(ask.prompt_tokens),
+        }
     }
 }
 
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! As in `filbertpaddle-core`, nothing here performs I/O or reads a clock.
 
+pub mod board;
 pub mod budget;
 pub mod configuration;
 pub mod directory;
--- a/filbertpaddle-gateway/src/peers.rs
+++ b/filbertpaddle-gateway/src/peers.rs
@@ -11,10 +11,16 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_forward::board;
+use filbertpaddle_forward::board::ByTarget;
+use filbertpaddle_forward::board::Changes;
+use filbertpaddle_forward::board::Work;
 use filbertpaddle_forward::directory::Batch;
 use filbertpaddle_forward::directory::Table;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
 use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,8 +29,11 @@
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio::time::interval;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message as Frame;
@@ -42,12 +51,25 @@
 const SILENCE: Duration = Duration::from_millis(800);
 /// How long a node may take to let itself be followed.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
+/// How often changed work is told.
+const WORK: Duration = Duration::from_millis(150);
+/// How often a reader looks for other readers, and counts its own work.
+const EXCHANGE_LOOK: Duration = Duration::from_millis(150);
 /// How often a node looks whether it needs to follow another.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// What a peer sends to a node that follows it.
+/// What nodes say to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
+    /// Who dials, and whether it reads the store itself; sent first.
+    Hello {
+        /// Name of the node.
+        node: Name,
+        /// Whether it wants only the work of the other's group.
+        is_reader: bool,
+    },
+    /// Changed work: of the node that dials, or of all that the other knows.
+    Work(Changes),
     /// All that it knows of a table.
     Table {
         /// How old that is.
@@ -128,26 +150,87 @@
     }
 }
 
+/// What one follower has been told.
+#[derive(Debug, Default)]
+struct Told {
+    sequence: u64,
+    work: ByTarget,
+}
+
 async fn tell(state: &State, stream: TcpStream) -> Result<(), Error> {
     set_options(&stream).map_err(Error::Connect)?;
     let accepted = timeout(OPEN_TIMEOUT, tokio_tungstenite::accept_async(stream));
     let mut socket = accepted.await.map_err(|_| Error::Timeout)??;
+    let Message::Hello { node, is_reader } = receive(&mut socket).await? else {
+        return Err(Error::Unreadable("no greeting".to_owned()));
+    };
+    let result = if is_reader {
+        tell_reader(state, &mut socket).await
+    } else {
+        tell_follower(state, &mut socket, &node).await
+    };
+    state.board.borrow_mut().forget_member(&node);
+    result
+}
+
+/// Tells another reader what this node's group has at targets.
+async fn tell_reader(state: &State, socket: &mut WebSocketStream<TcpStream>) -> Result<(), Error> {
+    let mut told = ByTarget::new();
+    let mut work_due = interval(WORK);
+    let mut heartbeat = interval(HEARTBEAT);
+    loop {
+        tokio::select! {
+            _ = work_due.tick() => {
+                let sum = state.board.borrow().group_sum();
+                tell_work(socket, &mut told, sum).await?;
+            }
+            _ = heartbeat.tick() => send(socket, &ages(state)).await?,
+            message = receive_any(socket) => drop(message?),
+        }
+    }
+}
+
+/// Tells a follower what the store says and what all nodes have at targets.
+async fn tell_follower(
+    state: &State,
+    socket: &mut WebSocketStream<TcpStream>,
+    node: &Name,
+) -> Result<(), Error> {
     let mut changes = state.subscribe();
-    let mut told_sequence = 0;
+    let mut told = Told::default();
+    let mut work_due = interval(WORK);
     let mut heartbeat = interval(HEARTBEAT);
     loop {
-        told_sequence = tell_changes(state, &mut socket, told_sequence).await?;
+        told.sequence = tell_changes(state, socket, told.sequence).await?;
         tokio::select! {
             _ = changes.changed() => {}
-            _ = heartbeat.tick() => send(&mut socket, &ages(state)).await?,
-            frame = socket.next() => match frame {
-                Some(Ok(Frame::Close(_))) | None => return Ok(()),
-                Some(frame) => drop(frame?),
+            _ = work_due.tick() => {
+                let total = state.board.borrow().total();
+                tell_work(socket, &mut told.work, total).await?;
+            }
+            _ = heartbeat.tick() => send(socket, &ages(state)).await?,
+            message = receive_any(socket) => match message? {
+                Message::Work(changes) => state.board.borrow_mut().member(node, &changes),
+                message => debug!(state.log, "unexpected message"; "message" => ?message),
             }
         }
     }
 }
 
+/// Tells what changed of some work since it was last told.
+async fn tell_work(
+    socket: &mut WebSocketStream<TcpStream>,
+    told: &mut ByTarget,
+    now: ByTarget,
+) -> Result<(), Error> {
+    let changed = board::changes(told, &now);
+    if !changed.is_empty() {
+        send(socket, &Message::Work(changed)).await?;
+        *told = now;
+    }
+    Ok(())
+}
+
 /// Sends what changed after the change numbered `told`; returns the last one's number.
 async fn tell_changes(
     state: &State,
@@ -178,6 +261,118 @@
 }
 
 async fn follow_one(state: &State, address: SocketAddr) -> Result<(), Error> {
+    let mut socket = open(state, address, false).await?;
+    info!(state.log, "following a node";
+        "peer" => %address, "is_reader" => state.is_reader(),
+        "age_ms" => state.age_ms(Table::Targets).0);
+    state.metrics.count("peer.followed");
+    let mut told = ByTarget::new();
+    let mut work = ByTarget::new();
+    let mut work_due = interval(WORK);
+    let mut heard = Instant::now();
+    loop {
+        tokio::select! {
+            _ = work_due.tick() => {
+                let own = state.fleet.borrow().own_work();
+                tell_work(&mut socket, &mut told, own).await?;
+            }
+            () = sleep_until(heard + SILENCE) => return Err(Error::Timeout),
+            message = receive_any(&mut socket) => {
+                heard = Instant::now();
+                match message? {
+                    Message::Work(changes) => {
+                        board::apply(&mut work, &changes);
+                        set_others(state, &work, &told);
+                    }
+                    message => take(state, message)?,
+                }
+            }
+        }
+        if state.is_reader() && !state.directory.borrow().is_store_lost() {
+            return Ok(());
+        }
+    }
+}
+
+/// Sets the work of other nodes: all work but what this node has told of its own.
+fn set_others(state: &State, all: &ByTarget, own: &ByTarget) {
+    let without_own = |(target, work): (&Name, &Work)| {
+        let own = own.get(target).copied().unwrap_or_default();
+        (target.clone(), work.without(&own))
+    };
+    let others = all.iter().map(without_own).collect();
+    state.fleet.borrow_mut().set_others(others);
+}
+
+/// Exchanges work with the other readers as long as this node runs.
+pub async fn exchange(state: Rc<State>) {
+    let mut linked: IndexMap<Name, JoinHandle<()>> = IndexMap::new();
+    loop {
+        sleep(EXCHANGE_LOOK).await;
+        linked.retain(|_, link| !link.is_finished());
+        let is_reader = state.is_reader();
+        if !is_reader {
+            linked.drain(..).for_each(|(_, link)| link.abort());
+            continue;
+        }
+        let own = state.fleet.borrow().own_work();
+        share_own(&state, &own);
+        for (name, address) in other_readers(&state) {
+            if linked.contains_key(&name) {
+                continue;
+            }
+            let (state, reader) = (Rc::clone(&state), name.clone());
+            let link = tokio::task::spawn_local(async move {
+                if let Err(error) = take_group(&state, &reader, address).await {
+                    debug!(state.log, "reader not linked"; "peer" => %reader, "error" => %error);
+                }
+                state.board.borrow_mut().forget_group(&reader);
+            });
+            linked.insert(name, link);
+        }
+    }
+}
+
+/// Counts this reader's own work in its group, and takes that of all others.
+fn share_own(state: &State, own: &ByTarget) {
+    let mut board = state.board.borrow_mut();
+    board.forget_member(&state.settings.node);
+    let own_changes = own.iter().map(|(id, work)| (id.clone(), *work)).collect();
+    board.member(&state.settings.node, &own_changes);
+    let total = board.total();
+    drop(board);
+    set_others(state, &total, own);
+}
+
+fn other_readers(state: &State) -> Vec<(Name, SocketAddr)> {
+    let now = state.clock.now();
+    let nodes = state.nodes.borrow();
+    let data_centres: IndexSet<_> = nodes.live().iter().map(|node| &node.data_centre).collect();
+    let readers = data_centres
+        .into_iter()
+        .flat_map(|data_centre| nodes.readers(now, data_centre));
+    readers
+        .filter(|node| node.name != state.settings.node)
+        .map(|node| (node.name.clone(), node.peers))
+        .collect()
+}
+
+async fn take_group(state: &State, reader: &Name, address: SocketAddr) -> Result<(), Error> {
+    let mut socket = open(state, address, true).await?;
+    loop {
+        let message = timeout(SILENCE, receive_any(&mut socket)).await;
+        if let Message::Work(changes) = message.map_err(|_| Error::Timeout)?? {
+            state.board.borrow_mut().group(reader, &changes);
+        }
+    }
+}
+
+/// Dials a node and says who this one is.
+async fn open(
+    state: &State,
+    address: SocketAddr,
+    is_reader: bool,
+) -> Result<WebSocketStream<TcpStream>, Error> {
     let connected = timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected
         .map_err(|_| Error::Timeout)?
@@ -186,21 +381,28 @@
     let url = format!("ws://{address}/");
     let opened = timeout(OPEN_TIMEOUT, tokio_tungstenite::client_async(url, stream));
     let (mut socket, _) = opened.await.map_err(|_| Error::Timeout)??;
-    info!(state.log, "following a node";
-        "peer" => %address, "is_reader" => state.is_reader(),
-        "age_ms" => state.age_ms(Table::Targets).0);
-    state.metrics.count("peer.followed");
+    let node = state.settings.node.clone();
+    send(&mut socket, &Message::Hello { node, is_reader }).await?;
+    Ok(socket)
+}
+
+/// Waits for a message for as long as a greeting may take.
+async fn receive(socket: &mut WebSocketStream<TcpStream>) -> Result<Message, Error> {
+    let message = timeout(OPEN_TIMEOUT, receive_any(socket)).await;
+    message.map_err(|_| Error::Timeout)?
+}
+
+/// Waits for a message. May be dropped and called again.
+async fn receive_any(socket: &mut WebSocketStream<TcpStream>) -> Result<Message, Error> {
     loop {
-        let frame = timeout(SILENCE, socket.next());
-        let frame = frame.await.map_err(|_| Error::Timeout)?;
-        let Frame::Binary(bytes) = frame.ok_or(Error::Closed)?? else {
-            continue;
-        };
-        let message = ciborium::from_reader(bytes.as_ref())
-            .map_err(|error| Error::Unreadable(error.to_string()))?;
-        take(state, message)?;
-        if state.is_reader() && !state.directory.borrow().is_store_lost() {
-            return Ok(());
+        let frame = socket.next().await.ok_or(Error::Closed)??;
+        match frame {
+            Frame::Binary(bytes) => {
+                return ciborium::from_reader(bytes.as_ref())
+                    .map_err(|error| Error::Unreadable(error.to_string()));
+            }
+            Frame::Close(_) => return Err(Error::Closed),
+            _ => {}
         }
     }
 }
@@ -229,6 +431,7 @@
                 is_store_lost: is_store_lost || is_old,
             });
         }
+        message => debug!(state.log, "unexpected message"; "message" => ?message),
     }
     Ok(())
 }
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -7,6 +7,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::suspect::Suspects;
+use filbertpaddle_forward::board::Board;
 use filbertpaddle_forward::budget::Budget;
 use filbertpaddle_forward::directory::Batch;
 use filbertpaddle_forward::directory::Directory;
@@ -58,6 +59,8 @@
     pub nodes: RefCell<Nodes>,
     /// The link to a node that reads the store for this one.
     pub link: Cell<Link>,
+    /// What other nodes have given targets.
+    pub board: RefCell<Board>,
     /// Retries by service.
     pub budgets: RefCell<IndexMap<Name, Budget>>,
     /// Requests that were running when their target crashed.
@@ -85,6 +88,7 @@
             fleet: RefCell::new(fleet),
             nodes: RefCell::new(Nodes::new()),
             link: Cell::default(),
+            board: RefCell::new(Board::new()),
             budgets: RefCell::default(),
             suspects: RefCell::new(Suspects::new()),
             is_draining: Cell::new(false),
