--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -68,20 +68,22 @@
         .enable_all()
         .build()
         .map_err(Error::Runtime)?;
-    let log = log::open(&settings.node);
-    let state = State::new(settings, dialect, log);
-    LocalSet::new().block_on(&runtime, serve(state, reload))
+    let serving = serve(settings, dialect, reload);
+    LocalSet::new().block_on(&runtime, serving)
 }
 
-async fn serve(state: Rc<State>, reload: Reload) -> Result<(), Error> {
-    let settings = &state.settings;
-    let callers = listen(settings.callers).await?;
-    let ready = listen(settings.ready).await?;
-    let peers = listen(settings.peers).await?;
+async fn serve(mut settings: Settings, dialect: Dialect, reload: Reload) -> Result<(), Error> {
+    let callers = listen(&mut settings.callers).await?;
+    let ready = listen(&mut settings.ready).await?;
+    let peers = listen(&mut settings.peers).await?;
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    let log = log::open(&settings.node);
+    let state = State::new(settings, dialect, log);
+    let settings = &state.settings;
     info!(state.log, "node started";
         "data_centre" => settings.data_centre.as_str(), "callers" => %settings.callers,
+        "ready" => %settings.ready, "peers" => %settings.peers,
         "store" => %settings.store, "version" => env!("CARGO_PKG_VERSION"));
     let (stop, stopping) = watch::channel(false);
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
@@ -103,8 +105,8 @@
     )));
     spawn(Box::pin(departures::watch(Rc::clone(&state))));
     spawn(Box::pin(follower::register(Rc::clone(&state))));
-    if let Some(address) = settings.metrics {
-        match listen(address).await {
+    if let Some(mut address) = settings.metrics {
+        match listen(&mut address).await {
             Ok(metrics) => {
                 spawn(Box::pin(listener::serve_metrics(
                     Rc::clone(&state),
@@ -161,7 +163,15 @@
         "in_flight" => state.in_flight.get(), "elapsed_ms" => elapsed_ms().0);
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|error| Error::Listen { address, error })
+/// Binds an address; a port that the system chose is put in its place.
+async fn listen(address: &mut SocketAddr) -> Result<TcpListener, Error> {
+    let failed = |address: &SocketAddr, error| Error::Listen {
+        address: *address,
+        error,
+    };
+    let bound = TcpListener::bind(*address).await;
+    let listener = bound.map_err(|error| failed(address, error))?;
+    let local = listener.local_addr();
+    *address = local.map_err(|error| failed(address, error))?;
+    Ok(listener)
 }
--- a/filbertpaddle-standins/src/process.rs
+++ b/filbertpaddle-standins/src/process.rs
@@ -39,6 +39,20 @@
     where
         I: IntoIterator<Item = S>,
         S: AsRef<OsStr>,
+    {
+        Self::start_with(program, args, [])
+    }
+
+    /// The same with some variables of its environment set.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program cannot be started or ends before that line.
+    pub fn start_with<'a, I, S, V>(program: &Path, args: I, variables: V) -> io::Result<Self>
+    where
+        I: IntoIterator<Item = S>,
+        S: AsRef<OsStr>,
+        V: IntoIterator<Item = (&'a str, &'a OsStr)>,
     {
         let log = match std::env::var_os(SHOW_LOG) {
             Some(_) => Stdio::inherit(),
@@ -46,6 +60,7 @@
         };
         let mut child = Command::new(program)
             .args(args)
+            .envs(variables)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(log)
@@ -116,6 +131,15 @@
         self.signal(Signal::TERM)
     }
 
+    /// Tells the process that its settings have changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has gone.
+    pub fn hang_up(&self) -> io::Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Waits until the process has ended by itself.
     ///
     /// # Errors
--- /dev/null
+++ b/filbertpaddle/tests/gateway/world.rs
@@ -0,0 +1,209 @@
+//! A store, targets and nodes for one test.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use filbertpaddle_adapter_standins::caller;
+use filbertpaddle_adapter_standins::caller::Ask;
+use filbertpaddle_adapter_standins::caller::Got;
+use filbertpaddle_adapter_standins::ledger::Ledger;
+use filbertpaddle_adapter_standins::node;
+use filbertpaddle_adapter_standins::node::Node;
+use filbertpaddle_adapter_standins::store::Store;
+use filbertpaddle_adapter_standins::target;
+use filbertpaddle_adapter_standins::target::Copies;
+use filbertpaddle_adapter_standins::target::Target;
+use filbertpaddle_adapter_standins::target::event;
+use http::Method;
+use serde_json::Value;
+use serde_json::json;
+use tokio::time::sleep;
+
+/// How long anything that must happen may take on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(20);
+const PROGRAM: &str = env!("CARGO_BIN_EXE_filbertpaddle");
+
+pub const KEY: &str = "key-of-huka";
+pub const STREAM: &str = "/stream/";
+pub const RESUMABLE: &str = "/resumable/";
+pub const READ: &str = "/read/";
+pub const WRITE: &str = "/write/";
+
+pub struct World {
+    pub store: Store,
+    pub ledger: Ledger,
+    pub targets: Vec<Target>,
+    pub nodes: Vec<Node>,
+    copies: Copies,
+    folder: PathBuf,
+}
+
+impl World {
+    /// A store with a configuration, and nothing else.
+    pub async fn new(name: &str) -> Self {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&folder).unwrap();
+        let store = Store::start().await.unwrap();
+        store.put_configuration(&configuration(1, KEY));
+        Self {
+            store,
+            ledger: Ledger::new(),
+            targets: Vec::new(),
+            nodes: Vec::new(),
+            copies: Copies::default(),
+            folder,
+        }
+    }
+
+    /// Two engines and two plain targets in one data centre, and `nodes` nodes.
+    pub async fn with_nodes(name: &str, nodes: usize) -> Self {
+        let mut world = Self::new(name).await;
+        for (id, service) in [
+            ("e1", "engine"),
+            ("e2", "engine"),
+            ("p1", "app"),
+            ("p2", "app"),
+        ] {
+            world.add_target(id, service, "dc-a").await;
+        }
+        for index in 0..nodes {
+            world.add_node(&format!("node-{index}"), "dc-a");
+        }
+        world.until_ready().await;
+        world
+    }
+
+    pub async fn add_target(&mut self, id: &str, service: &str, data_centre: &str) {
+        let options = target::Options {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            data_centre: data_centre.to_owned(),
+            event_ms: 20,
+            work_ms: 5,
+        };
+        let started = Target::start(options, self.ledger.clone(), self.copies.clone());
+        let target = started.await.unwrap();
+        self.store.put_target(id, &target.entry(target.address));
+        self.targets.push(target);
+    }
+
+    pub fn add_node(&mut self, name: &str, data_centre: &str) {
+        let options = node::Options {
+            name: name.to_owned(),
+            data_centre: data_centre.to_owned(),
+            store: self.store.address,
+            seeds: Vec::new(),
+            grace_s: 8,
+        };
+        let node = Node::start(Path::new(PROGRAM), &self.folder, &options).unwrap();
+        self.nodes.push(node);
+    }
+
+    pub async fn until_ready(&self) {
+        for node in &self.nodes {
+            until("a node is ready", async || ready(node).await == 200).await;
+        }
+    }
+
+    pub fn target(&self, id: &str) -> &Target {
+        let found = self.targets.iter().find(|target| target.options.id == id);
+        found.unwrap()
+    }
+
+    /// Takes a target out of the world, so that it can be closed.
+    pub fn take_target(&mut self, id: &str) -> Target {
+        let index = self
+            .targets
+            .iter()
+            .position(|target| target.options.id == id)
+            .unwrap();
+        self.targets.remove(index)
+    }
+
+    /// Sends to the first node.
+    pub async fn send(&self, ask: &Ask) -> Got {
+        caller::send(self.nodes[0].addresses.callers, ask).await
+    }
+
+    pub fn close(self) {
+        for node in self.nodes {
+            node.close().unwrap();
+        }
+    }
+}
+
+/// The status that the balancer gets from a node.
+pub async fn ready(node: &Node) -> u16 {
+    let question = ask("ready", Method::GET, "/ready", None);
+    caller::send(node.addresses.ready, &question).await.code()
+}
+
+/// A request; generations state their output tokens.
+pub fn ask(attempt: &str, method: Method, path: &str, output_tokens: Option<u32>) -> Ask {
+    Ask {
+        attempt: attempt.to_owned(),
+        method,
+        path: path.to_owned(),
+        key: Some(KEY.to_owned()),
+        deadline_ms: 15_000,
+        tokens: output_tokens.map(|output| (1_000, output)),
+    }
+}
+
+/// The whole stream of an attempt with this many events.
+pub fn whole_stream(attempt: &str, events: u64) -> Vec<u8> {
+    (1..=events)
+        .flat_map(|id| event(attempt, id).to_vec())
+        .collect()
+}
+
+/// Waits for something that must happen.
+pub async fn until<C>(what: &str, condition: C)
+where
+    C: AsyncFn() -> bool,
+{
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !condition().await {
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "never: {what}");
+}
+
+pub fn configuration(version: u64, key: &str) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": caller::HOST, "prefix": prefix, "route_type": kind,
+            "timeout_ms": 14_000, "target_latency_ms": 400, "priority": 0, "service": service,
+            "max_attempts": 2, "public": false, "session_affinity": false,
+            "resumable": prefix == RESUMABLE, "gap_aim_ms": 180,
+        })
+    };
+    let service = |name: &str| {
+        json!({
+            "name": name, "health_path": "/health", "max_connections": 100,
+            "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
+        })
+    };
+    let mut engine = service("engine");
+    engine["engine"] = json!({
+        "slots": 24, "kv_capacity_tokens": 30_000, "kv_token_bytes": 1, "link_mbps": 1.0,
+        "moves": true, "backups": true, "stride": target::EVENT_TOKENS,
+    });
+    json!({
+        "version": version,
+        "routes": [
+            route("stream", STREAM, "streaming", "engine"),
+            route("resumable", RESUMABLE, "streaming", "engine"),
+            route("read", READ, "safe", "app"),
+            route("write", WRITE, "unsafe", "app"),
+        ],
+        "services": [engine, service("app")],
+        "limits": {
+            "max_header_bytes": 16_384, "max_body_bytes": 1_000,
+            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+        },
+        "tenants": [{ "name": "huka", "api_keys": [key] }],
+    })
+}
