--- a/filbertpaddle-gateway/src/departures.rs
+++ b/filbertpaddle-gateway/src/departures.rs
@@ -3,8 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use filbertpaddle_core::clock::Millis;
-use filbertpaddle_forward::directory::Table;
 use filbertpaddle_forward::target::Target;
 use slog::info;
 use tokio::time::sleep;
@@ -15,8 +13,6 @@
 /// How often targets are asked. They give about two seconds' notice, and their
 /// reports are some hundred milliseconds old.
 const ASK: Duration = Duration::from_millis(300);
-/// Age of the targets' table from which the store is doubted.
-const DOUBT_MS: Millis = Millis(400);
 /// How long a target's report may take.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -24,7 +20,7 @@
 pub async fn watch(state: Rc<State>) {
     loop {
         sleep(ASK).await;
-        if !state.is_store_lost() || state.age_ms(Table::Targets) < DOUBT_MS {
+        if !state.is_store_lost() {
             continue;
         }
         for target in busy_engines(&state) {
--- a/filbertpaddle-gateway/src/dialect.rs
+++ b/filbertpaddle-gateway/src/dialect.rs
@@ -15,6 +15,8 @@
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::nodes::Node;
 
@@ -165,7 +167,7 @@
 }
 
 /// The nodes that have entries in the store.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct NodeList {
     /// The entries.
     pub nodes: Vec<Node>,
--- a/filbertpaddle-gateway/src/follower.rs
+++ b/filbertpaddle-gateway/src/follower.rs
@@ -36,11 +36,22 @@
 const ANSWER_MS: Millis = Millis(600);
 /// Pause after an answer, so that rows that change together come together.
 const GATHER: Duration = Duration::from_millis(40);
+/// Pause of a node whose reader cannot read either; drawn, so that not all
+/// nodes try at once.
+const PROBE_MS: std::ops::Range<u64> = 1_500..3_500;
+/// How often a node looks whether it knows the others, at its start.
+const LOOK: Duration = Duration::from_millis(10);
 /// Pause after a failed call.
 const PAUSE_MS: Millis = Millis(150);
 /// Longest pause after failed calls.
 const MAX_PAUSE_MS: Millis = Millis(600);
 
+/// How long the nodes of a first start take to write their entries: they start
+/// within 0.3 s of each other.
+const FIRST_LOOK: Duration = Duration::from_millis(500);
+/// How soon after its start a node looks for those that started with it.
+const SECOND_LOOK_MS: Millis = Millis::from_secs(2);
+
 /// Why a call to the store gave nothing.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -62,6 +73,9 @@
 pub async fn follow(state: Rc<State>, table: Table) {
     let mut failures = 0;
     let mut changes = state.subscribe();
+    while !state.is_registered.get() {
+        sleep(LOOK).await;
+    }
     loop {
         if !state.must_read() {
             // A node that follows another has no call of its own that fails.
@@ -97,42 +111,69 @@
                     warn!(state.log, "store lost"; "table" => %table, "error" => %error);
                     state.metrics.count("store.lost");
                 }
-                let pause = Millis(PAUSE_MS.0 * failures.min(4)).min(MAX_PAUSE_MS);
-                sleep(duration(pause)).await;
+                sleep(duration(pause_ms(&state, failures))).await;
             }
         }
     }
 }
 
-/// Renews this node's entry and reads those of others as long as it runs.
+/// Pause after failed calls. Readers try for all; the others try seldom, in
+/// case the store turns away their readers alone.
+fn pause_ms(state: &State, failures: u64) -> Millis {
+    if !state.is_reader() && state.link.get().is_up {
+        return Millis(rand::random_range(PROBE_MS));
+    }
+    Millis(PAUSE_MS.0 * failures.min(4)).min(MAX_PAUSE_MS)
+}
+
+/// Renews this node's entry as long as it runs, and reads the list of nodes
+/// where no reader passes it on.
 pub async fn register(state: Rc<State>) {
-    let mut dropped = Vec::new();
-    let mut next_ms = SECOND_LOOK_MS;
+    if let Err(error) = write_node(&state, &[]).await {
+        warn!(state.log, "entry not written"; "error" => %error);
+    }
+    if state.settings.is_first_start {
+        sleep(FIRST_LOOK).await;
+    }
+    let mut pause = duration(SECOND_LOOK_MS);
     loop {
-        let pause = match register_once(&state, &dropped).await {
-            Ok(old) => {
-                dropped = old;
-                std::mem::replace(&mut next_ms, RENEW_MS)
-            }
+        let result = look(&state).await;
+        if !state.is_registered.replace(true) {
+            state.link_lost_ms.set(state.clock.now());
+        }
+        match result {
+            Ok(()) => sleep(std::mem::replace(&mut pause, duration(RENEW_MS))).await,
             Err(error) => {
-                warn!(state.log, "node list not renewed"; "error" => %error);
-                MAX_PAUSE_MS
+                warn!(state.log, "node list not read"; "error" => %error);
+                sleep(duration(Millis(rand::random_range(PROBE_MS)))).await;
             }
-        };
-        sleep(duration(pause)).await;
+        }
     }
 }
 
-/// How soon after its start a node looks for those that started with it.
-const SECOND_LOOK_MS: Millis = Millis::from_secs(2);
-
-async fn register_once(state: &Rc<State>, dropped: &[Name]) -> Result<Vec<Name>, Error> {
-    let calls = state.dialect.store;
-    if state.nodes.borrow().live().is_empty() {
-        read_nodes(state).await?;
+/// Reads the list if nobody passes it on, drops old entries and renews its own
+/// before it would count as stale.
+async fn look(state: &Rc<State>) -> Result<(), Error> {
+    let dropped = if state.must_read() {
+        read_nodes(state).await?
+    } else {
+        Vec::new()
+    };
+    let now = state.clock.now();
+    let is_fresh = |written: Millis| now < written + RENEW_MS;
+    if !state.written_ms.get().is_some_and(is_fresh) || !dropped.is_empty() {
+        write_node(state, &dropped).await?;
     }
+    Ok(())
+}
+
+async fn write_node(state: &Rc<State>, dropped: &[Name]) -> Result<(), Error> {
     let settings = &state.settings;
     let now = state.clock.now();
+    if state.nodes.borrow().readings() == 0 {
+        // The store's clock is not known yet.
+        read_nodes(state).await?;
+    }
     let node = Node {
         name: settings.node.clone(),
         data_centre: settings.data_centre.clone(),
@@ -140,8 +181,10 @@
         cores: settings.cores,
         written_ms: state.nodes.borrow().store_ms(now),
     };
-    ask(state, &(calls.write_node)(&node, dropped), ANSWER_MS).await?;
-    read_nodes(state).await
+    let call = (state.dialect.store.write_node)(&node, dropped);
+    ask(state, &call, ANSWER_MS).await?;
+    state.written_ms.set(Some(now));
+    Ok(())
 }
 
 async fn read_nodes(state: &Rc<State>) -> Result<Vec<Name>, Error> {
--- a/filbertpaddle-gateway/src/nodes.rs
+++ b/filbertpaddle-gateway/src/nodes.rs
@@ -7,24 +7,26 @@
 
 use filbertpaddle_core::relay::rank;
 use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::dialect::NodeList;
 
 /// How often a node renews its entry.
-pub const RENEW_MS: Millis = Millis::from_secs(20);
+pub const RENEW_MS: Millis = Millis::from_secs(30);
 /// Age at which an entry no longer counts.
-pub const STALE_MS: Millis = Millis::from_secs(50);
+pub const STALE_MS: Millis = Millis::from_secs(75);
 /// Age at which an entry is dropped by whoever sees it.
-pub const DROP_MS: Millis = Millis::from_secs(120);
+pub const DROP_MS: Millis = Millis::from_secs(180);
 /// Nodes of a data centre for which one reads the store.
-const NODES_PER_READER: usize = 16;
+const NODES_PER_READER: usize = 32;
 /// Part of the largest node's processor that a reader has at least.
 const READER_SHARE: f64 = 0.6;
 /// How long a node that did not answer is passed over as a reader.
 const SILENT_MS: Millis = Millis::from_secs(10);
 
 /// A node's entry.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Node {
     /// Name of the node.
     pub name: Name,
@@ -42,6 +44,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Nodes {
     live: Vec<Node>,
+    /// What the store's list said when it was last read; counts the readings.
+    list: NodeList,
+    readings: u64,
     store_ms: Millis,
     read_ms: Millis,
     silent_until: IndexMap<Name, Millis>,
@@ -53,6 +58,16 @@
         Self::default()
     }
 
+    /// How often the list has been read.
+    pub fn readings(&self) -> u64 {
+        self.readings
+    }
+
+    /// The list as it was last read, to pass it on.
+    pub fn list(&self) -> &NodeList {
+        &self.list
+    }
+
     /// Number of nodes that are alive, this one among them.
     pub fn count(&self) -> usize {
         self.live.len().max(1)
@@ -105,6 +120,8 @@
     pub fn update(&mut self, now: Millis, list: NodeList) -> Vec<Name> {
         self.store_ms = list.store_ms;
         self.read_ms = now;
+        self.readings += 1;
+        self.list = list.clone();
         let age = |node: &Node| list.store_ms.since(node.written_ms);
         let old = list.nodes.iter().filter(|node| age(node) >= DROP_MS);
         let dropped = old.map(|node| node.name.clone()).collect();
--- a/filbertpaddle-gateway/src/peers.rs
+++ b/filbertpaddle-gateway/src/peers.rs
@@ -38,6 +38,7 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message as Frame;
 
+use crate::dialect::NodeList;
 use crate::links::set_options;
 use crate::state::Link;
 use crate::state::State;
@@ -68,6 +69,8 @@
         /// Whether it wants only the work of the other's group.
         is_reader: bool,
     },
+    /// The list of nodes, as the other read it.
+    Nodes(NodeList),
     /// Changed work: of the node that dials, or of all that the other knows.
     Work(Changes),
     /// All that it knows of a table.
@@ -154,6 +157,7 @@
 #[derive(Debug, Default)]
 struct Told {
     sequence: u64,
+    readings: u64,
     work: ByTarget,
 }
 
@@ -202,6 +206,7 @@
     let mut heartbeat = interval(HEARTBEAT);
     loop {
         told.sequence = tell_changes(state, socket, told.sequence).await?;
+        told.readings = tell_nodes(state, socket, told.readings).await?;
         tokio::select! {
             _ = changes.changed() => {}
             _ = work_due.tick() => {
@@ -252,6 +257,22 @@
     Ok(sequence)
 }
 
+/// Sends the list of nodes if it was read again; returns the reading's number.
+async fn tell_nodes(
+    state: &State,
+    socket: &mut WebSocketStream<TcpStream>,
+    told: u64,
+) -> Result<u64, Error> {
+    let (readings, list) = {
+        let nodes = state.nodes.borrow();
+        (nodes.readings(), nodes.list().clone())
+    };
+    if readings != told {
+        send(socket, &Message::Nodes(list)).await?;
+    }
+    Ok(readings)
+}
+
 fn ages(state: &State) -> Message {
     Message::Ages {
         operator_ms: state.age_ms(Table::Operator),
@@ -431,6 +452,9 @@
                 is_store_lost: is_store_lost || is_old,
             });
         }
+        Message::Nodes(list) => {
+            state.nodes.borrow_mut().update(now, list);
+        }
         message => debug!(state.log, "unexpected message"; "message" => ?message),
     }
     Ok(())
--- a/filbertpaddle-gateway/src/settings.rs
+++ b/filbertpaddle-gateway/src/settings.rs
@@ -25,6 +25,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
     /// Processor that the node may use, in cores.
     pub cores: f64,
     /// What all nodes together may retry.
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -27,6 +27,11 @@
 use crate::nodes::Nodes;
 use crate::settings::Settings;
 
+/// Age from which knowledge is doubted while calls to the store fail.
+const DOUBT_MS: Millis = Millis(400);
+/// How long a node without a link waits for another before it reads the store.
+const RELINK_MS: Millis = Millis(500);
+
 /// What a link to another node says of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Link {
@@ -61,10 +66,16 @@
     pub link: Cell<Link>,
     /// What other nodes have given targets.
     pub board: RefCell<Board>,
+    /// When the last link was lost, or the node could first have had one.
+    pub link_lost_ms: Cell<Millis>,
     /// Retries by service.
     pub budgets: RefCell<IndexMap<Name, Budget>>,
     /// Requests that were running when their target crashed.
     pub suspects: RefCell<Suspects>,
+    /// Whether the node has tried to learn of the others.
+    pub is_registered: Cell<bool>,
+    /// When it last wrote its entry.
+    pub written_ms: Cell<Option<Millis>>,
     /// Whether the node has been told to stop.
     pub is_draining: Cell<bool>,
     /// Requests that are being served.
@@ -88,9 +99,12 @@
             fleet: RefCell::new(fleet),
             nodes: RefCell::new(Nodes::new()),
             link: Cell::default(),
+            link_lost_ms: Cell::default(),
             board: RefCell::new(Board::new()),
             budgets: RefCell::default(),
             suspects: RefCell::new(Suspects::new()),
+            is_registered: Cell::new(false),
+            written_ms: Cell::default(),
             is_draining: Cell::new(false),
             in_flight: Cell::new(0),
             changes: watch::Sender::new(0),
@@ -138,8 +152,15 @@
 
     /// Whether this node reads the store: for others, or because no other does.
     pub fn must_read(&self) -> bool {
+        if self.is_reader() {
+            return true;
+        }
         let link = self.link.get();
-        self.is_reader() || !link.is_up || link.is_store_lost
+        if link.is_up {
+            return link.is_store_lost;
+        }
+        // Another reader is likely to be linked in a moment.
+        self.clock.now() >= self.link_lost_ms.get() + RELINK_MS
     }
 
     /// Whether this node is one of those that read the store for others.
@@ -154,7 +175,10 @@
     /// the word of the node that it follows.
     pub fn is_store_lost(&self) -> bool {
         if self.must_read() {
-            self.directory.borrow().is_store_lost()
+            let age_ms = self
+                .age_ms(Table::Operator)
+                .max(self.age_ms(Table::Targets));
+            self.directory.borrow().is_store_lost() && age_ms > DOUBT_MS
         } else {
             self.link.get().is_store_lost
         }
@@ -162,7 +186,11 @@
 
     /// Sets what the link says.
     pub fn set_link(&self, link: Link) {
-        if self.link.replace(link) != link {
+        let was = self.link.replace(link);
+        if was.is_up && !link.is_up {
+            self.link_lost_ms.set(self.clock.now());
+        }
+        if was != link {
             self.notify();
         }
     }
