--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod configuration;
 pub mod directory;
+pub mod drain;
 pub mod envelope;
 pub mod event_stream;
 pub mod fleet;
--- a/filbertpaddle-forward/src/migration.rs
+++ b/filbertpaddle-forward/src/migration.rs
@@ -10,7 +10,7 @@
 use filbertpaddle_core::name::Name;
 
 /// Time that one output token takes at a busy target.
-const TOKEN_MS: u64 = 12;
+pub(crate) const TOKEN_MS: u64 = 12;
 /// Time within which a generation that is about to end is left alone after its
 /// target's notice, so that its copy does not hold up longer ones.
 const SPARED_MS: Millis = Millis(900);
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -7,6 +7,7 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::drain::Drain;
 use slog::info;
 use slog::warn;
 use tokio::net::TcpListener;
@@ -145,11 +146,11 @@
 
 /// Finishes what runs and closes what is idle.
 async fn drain(state: &State, stop: &watch::Sender<bool>) {
-    state.is_draining.set(true);
-    let begun_ms = state.clock.now();
+    let began_ms = state.clock.now();
     let grace_ms = state.settings.grace_ms;
+    state.drain.set(Some(Drain { began_ms, grace_ms }));
     info!(state.log, "node stops"; "in_flight" => state.in_flight.get(), "grace_ms" => grace_ms.0);
-    let elapsed_ms = || state.clock.now().since(begun_ms);
+    let elapsed_ms = || state.clock.now().since(began_ms);
     while elapsed_ms() < BALANCER_MS.min(grace_ms) {
         sleep(DRAIN_POLL).await;
     }
--- a/filbertpaddle-gateway/src/reply.rs
+++ b/filbertpaddle-gateway/src/reply.rs
@@ -43,6 +43,8 @@
     TooSlow,
     /// No configuration is known yet.
     NoConfiguration,
+    /// The node stops before the request would end; it has not run.
+    Stopping,
     /// No target could be given the request; it has not run.
     NoTarget,
     /// Targets refused the request; it has not run.
@@ -67,6 +69,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfiguration
+            | Self::Stopping
             | Self::NoTarget
             | Self::TargetsFull
             | Self::Quarantined
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -10,6 +10,7 @@
 use filbertpaddle_core::suspect::Standing;
 use filbertpaddle_forward::budget::Budget;
 use filbertpaddle_forward::configuration::Route;
+use filbertpaddle_forward::drain;
 use filbertpaddle_forward::envelope::Envelope;
 use filbertpaddle_forward::fleet::Ask;
 use http::HeaderValue;
@@ -40,6 +41,8 @@
 const BODY_TIMEOUT_MS: Millis = Millis::from_secs(10);
 /// When a caller may come back before a configuration is known.
 const NOT_READY_RETRY_MS: Millis = Millis(500);
+/// When a caller may come back, to another node, while this one stops.
+const STOPPING_RETRY_MS: Millis = Millis(50);
 /// When a caller may come back with a request that crashes targets.
 const QUARANTINE_RETRY_MS: Millis = Millis::from_secs(60);
 
@@ -56,7 +59,7 @@
         Ok(job) => run(job, counted).await,
         Err(denied) => denied,
     };
-    if state.is_draining.get() {
+    if state.drain.get().is_some() {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(header::CONNECTION, close);
     }
@@ -134,6 +137,10 @@
         + envelope
             .deadline_ms
             .map_or(route.timeout_ms, |deadline| deadline.min(route.timeout_ms));
+    if !takes(state, route, &envelope) {
+        let retry_ms = Some(STOPPING_RETRY_MS);
+        return Err(deny(state, &id, Refusal::Stopping, &route.name, retry_ms));
+    }
     let ask = ask(route, &envelope);
     let service = configuration.services.get(&ask.service);
     let event_tokens = service
@@ -170,6 +177,21 @@
     })
 }
 
+/// Whether a stopping node can still end a request.
+fn takes(state: &State, route: &Route, envelope: &Envelope) -> bool {
+    let Some(drain) = state.drain.get() else {
+        return true;
+    };
+    let span = envelope.generation.as_ref().map_or(
+        drain::Span {
+            expected_ms: route.timeout_ms,
+            longest_ms: route.timeout_ms,
+        },
+        drain::span,
+    );
+    drain.takes(state.clock.now(), span)
+}
+
 async fn read_body(state: &State, envelope: &Envelope, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = state.directory.borrow().configuration().cloned();
     let max_bytes = limits
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -13,6 +13,7 @@
 use filbertpaddle_forward::directory::Directory;
 use filbertpaddle_forward::directory::Effect;
 use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::drain::Drain;
 use filbertpaddle_forward::fleet::Fleet;
 use filbertpaddle_forward::target::Target;
 use indexmap::IndexMap;
@@ -76,8 +77,8 @@
     pub is_registered: Cell<bool>,
     /// When it last wrote its entry.
     pub written_ms: Cell<Option<Millis>>,
-    /// Whether the node has been told to stop.
-    pub is_draining: Cell<bool>,
+    /// The stop, once the node has been told to.
+    pub drain: Cell<Option<Drain>>,
     /// Requests that are being served.
     pub in_flight: Cell<usize>,
     changes: watch::Sender<u64>,
@@ -105,7 +106,7 @@
             suspects: RefCell::new(Suspects::new()),
             is_registered: Cell::new(false),
             written_ms: Cell::default(),
-            is_draining: Cell::new(false),
+            drain: Cell::default(),
             in_flight: Cell::new(0),
             changes: watch::Sender::new(0),
         })
@@ -197,7 +198,7 @@
 
     /// Whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining.get() && self.directory.borrow().is_complete()
+        self.drain.get().is_none() && self.directory.borrow().is_complete()
     }
 
     fn took(&self, source: &str, as_of_ms: Millis, effect: &Effect) {
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -308,8 +308,15 @@
         ready(&world.nodes[0]).await != 200
     })
     .await;
-    let late = world.send(&ask("r", Method::GET, READ, None)).await;
-    assert_eq!(late.code(), 200);
+    let late = world.send(&ask("r", Method::POST, STREAM, Some(40))).await;
+    assert!(late.is_whole && late.code() == 200);
+    // One that would be cut at the end of the grace is refused, unrun.
+    let long = world
+        .send(&ask("l", Method::POST, STREAM, Some(4_000)))
+        .await;
+    assert_eq!(long.code(), 503);
+    assert!(long.retry_after_sec().is_some());
+    assert!(world.ledger.runs_of("l").is_empty());
     let got = running.await.unwrap();
     assert!(got.is_whole);
     assert_eq!(got.body, whole_stream("s", 200));
