Tell readers' sums to each other, and suspects to all nodes

Cause: the exchange of sums between readers was never started, so each node knew only its own data centre's work; a request that crashes its targets was known only to the node that saw it.

--- a/filbertpaddle-forward/src/rate.rs
+++ b/filbertpaddle-forward/src/cold.rs
@@ -8,11 +8,11 @@
 
 /// Times of the requests that a node sent to one cold target.
 #[derive(Clone, Debug, Default)]
-pub struct ColdRate {
+pub struct Rate {
     sent: VecDeque<Millis>,
 }
 
-impl ColdRate {
+impl Rate {
     /// Whether one more request fits this node's share of `per_sec`.
     ///
     /// A share is at least one request, so that a target never starves for
--- a/filbertpaddle-forward/src/fleet.rs
+++ b/filbertpaddle-forward/src/fleet.rs
@@ -6,9 +6,10 @@
 
 use crate::board::ByTarget;
 use crate::board::Work;
+use crate::cold;
 use crate::configuration::Configuration;
 use crate::directory::Directory;
-use crate::rate::ColdRate;
+
 use crate::target::Target;
 
 /// How long a target is passed over after a first failure.
@@ -62,7 +63,7 @@
     own: Work,
     failures: u32,
     shunned_until_ms: Millis,
-    cold: ColdRate,
+    cold: cold::Rate,
 }
 
 /// Load and health of all targets.
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod board;
 pub mod budget;
+pub mod cold;
 pub mod configuration;
 pub mod directory;
 pub mod drain;
@@ -12,5 +13,4 @@
 pub mod event_stream;
 pub mod fleet;
 pub mod migration;
-pub mod rate;
 pub mod target;
--- /dev/null
+++ b/filbertpaddle-forward/tests/fleet.rs
@@ -0,0 +1,231 @@
+//! Placement, and the load patterns that each of its decisions answers.
+
+use std::sync::Arc;
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use filbertpaddle_forward::board::ByTarget;
+use filbertpaddle_forward::board::Work;
+use filbertpaddle_forward::configuration::Configuration;
+use filbertpaddle_forward::configuration::Engine;
+use filbertpaddle_forward::configuration::Service;
+use filbertpaddle_forward::directory::Batch;
+use filbertpaddle_forward::directory::Change;
+use filbertpaddle_forward::directory::Directory;
+use filbertpaddle_forward::directory::Entry;
+use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::fleet::Ask;
+use filbertpaddle_forward::fleet::Fleet;
+use filbertpaddle_forward::fleet::NoTarget;
+use filbertpaddle_forward::target::Target;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const MEMORY_TOKENS: u32 = 30_000;
+const COLD_PER_SEC: f64 = 6.0;
+
+fn target(id: &str, data_centre: &str) -> Target {
+    Target {
+        id: id.into(),
+        service: "engine".into(),
+        address: format!("127.0.0.1:{}", 1_000 + id.len()).into(),
+        data_centre: data_centre.into(),
+        slots: 24,
+        is_draining: false,
+        cold_ms: Millis::ZERO,
+        started_ms: None,
+    }
+}
+
+fn directory(targets: &[Target]) -> Directory {
+    let service = Service {
+        max_connections: 100,
+        cold_per_sec: COLD_PER_SEC,
+        engine: Some(Engine {
+            slots: 24,
+            memory_tokens: MEMORY_TOKENS,
+            can_migrate: true,
+            event_tokens: 4,
+        }),
+    };
+    let configuration = Configuration {
+        version: 1,
+        services: [(Name::from("engine"), service)].into_iter().collect(),
+        ..Configuration::default()
+    };
+    let mut directory = Directory::new();
+    let entries = vec![Entry::Configuration(Arc::new(configuration))];
+    apply(&mut directory, Table::Operator, entries);
+    let entries = targets.iter().cloned().map(Entry::Target).collect();
+    apply(&mut directory, Table::Targets, entries);
+    directory
+}
+
+fn apply(directory: &mut Directory, table: Table, entries: Vec<Entry>) {
+    let change = |entry| Change { revision: 1, entry };
+    let batch = Batch {
+        table,
+        is_whole: true,
+        revision: 1,
+        changes: entries.into_iter().map(change).collect(),
+    };
+    directory.apply(Millis::ZERO, Millis::ZERO, &batch);
+}
+
+fn ask(prompt_tokens: u32, total_tokens: u32) -> Ask {
+    Ask {
+        service: "engine".into(),
+        prompt_tokens,
+        total_tokens,
+    }
+}
+
+fn choose(fleet: &Fleet, directory: &Directory, ask: &Ask) -> Result<Name, NoTarget> {
+    let chosen = fleet.choose(Millis(10_000), directory, ask, &[], 1, || 0.5);
+    chosen.map(|target| target.id.clone())
+}
+
+#[test]
+fn prompts_that_are_still_read_keep_others_away() {
+    let directory = directory(&[target("a", "dc"), target("b", "dc")]);
+    let mut fleet = Fleet::new("dc".into());
+    fleet.update(&directory);
+    // One reads a prompt; the other decodes with more memory in use.
+    fleet.sent(
+        Millis::ZERO,
+        directory.target("a").unwrap(),
+        &ask(3_000, 3_500),
+    );
+    fleet.sent(
+        Millis::ZERO,
+        directory.target("b").unwrap(),
+        &ask(3_000, 9_000),
+    );
+    fleet.started("b", &ask(3_000, 9_000));
+    assert_eq!(choose(&fleet, &directory, &ask(2_000, 2_100)).unwrap(), "b");
+    fleet.started("a", &ask(3_000, 3_500));
+    assert_eq!(choose(&fleet, &directory, &ask(2_000, 2_100)).unwrap(), "a");
+}
+
+#[test]
+fn work_of_other_nodes_counts_like_own() {
+    let directory = directory(&[target("a", "dc"), target("b", "dc")]);
+    let mut fleet = Fleet::new("dc".into());
+    fleet.update(&directory);
+    let mut others = ByTarget::new();
+    let busy = Work {
+        running: 5,
+        tokens: 20_000,
+        prompt_tokens: 0,
+    };
+    others.insert("a".into(), busy);
+    fleet.set_others(others);
+    assert_eq!(choose(&fleet, &directory, &ask(500, 1_000)).unwrap(), "b");
+}
+
+#[test]
+fn another_data_centre_is_used_when_the_own_one_is_full() {
+    let directory = directory(&[target("near", "dc-a"), target("far", "dc-b")]);
+    let mut fleet = Fleet::new("dc-a".into());
+    fleet.update(&directory);
+    assert_eq!(
+        choose(&fleet, &directory, &ask(500, 1_000)).unwrap(),
+        "near"
+    );
+    let near = directory.target("near").unwrap();
+    for _ in 0..10 {
+        fleet.sent(Millis::ZERO, near, &ask(0, 3_000));
+    }
+    assert_eq!(choose(&fleet, &directory, &ask(500, 1_000)).unwrap(), "far");
+}
+
+#[test]
+fn a_failing_target_is_passed_over_for_ever_longer() {
+    let directory = directory(&[target("a", "dc")]);
+    let mut fleet = Fleet::new("dc".into());
+    fleet.update(&directory);
+    let spans: Vec<_> = (0..5)
+        .map(|_| fleet.failed(Millis(10_000), "a").since(Millis(10_000)))
+        .collect();
+    assert!(spans.windows(2).all(|pair| pair[0] <= pair[1]));
+    assert_eq!(
+        choose(&fleet, &directory, &ask(1, 1)),
+        Err(NoTarget::AllFailing)
+    );
+    fleet.succeeded("a");
+    assert_eq!(choose(&fleet, &directory, &ask(1, 1)).unwrap(), "a");
+}
+
+#[test]
+fn ended_work_leaves_nothing_behind() {
+    let directory = directory(&[target("a", "dc")]);
+    let mut fleet = Fleet::new("dc".into());
+    fleet.update(&directory);
+    let target = directory.target("a").unwrap();
+    for is_started in [true, false] {
+        fleet.sent(Millis::ZERO, target, &ask(100, 300));
+        if is_started {
+            fleet.started("a", &ask(100, 300));
+        }
+        fleet.ended("a", &ask(100, 300), is_started);
+    }
+    assert!(fleet.own_work().is_empty());
+}
+
+/// Many nodes that place by their own draws and what they were last told: a
+/// cold target gets at most its share from all of them together.
+#[test]
+fn a_cold_target_gets_what_it_bears_from_all_nodes_together() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut cold = target("cold", "dc");
+        cold.cold_ms = Millis(5_000);
+        let directory = directory(&[cold]);
+        let nodes = rng.random_range(1..=6);
+        let mut fleets = vec![Fleet::new("dc".into()); nodes];
+        let mut sent = Vec::new();
+        for now in (0..4_000).map(Millis) {
+            let fleet = &mut fleets[rng.random_range(0..nodes)];
+            let ask = ask(1, 1);
+            let chosen = fleet.choose(now, &directory, &ask, &[], nodes, || 0.5);
+            if let Ok(target) = chosen {
+                fleet.sent(now, target, &ask);
+                sent.push(now);
+            }
+        }
+        for (index, at) in sent.iter().enumerate() {
+            let within = sent[index..]
+                .iter()
+                .take_while(|later| later.since(*at) < Millis(1_000))
+                .count();
+            assert!(within as f64 <= COLD_PER_SEC, "seed {seed}: {within}");
+        }
+        assert!(!sent.is_empty());
+    }
+}
+
+#[test]
+fn a_copy_goes_to_a_target_that_stays() {
+    let mut leaving = target("leaving", "dc-a");
+    leaving.is_draining = true;
+    let source = target("source", "dc-a");
+    let targets = [
+        source.clone(),
+        leaving,
+        target("near", "dc-a"),
+        target("far", "dc-b"),
+    ];
+    let directory = directory(&targets);
+    let mut fleet = Fleet::new("dc-b".into());
+    fleet.update(&directory);
+    let ask = ask(0, 4_000);
+    let destination = |passed_over: &[Name]| {
+        let now = Millis(10_000);
+        let chosen = fleet.choose_destination(now, &directory, &source, &ask, passed_over, || 0.5);
+        chosen.map(|target| target.id.clone())
+    };
+    assert_eq!(destination(&[]).unwrap(), "near");
+    assert_eq!(destination(&["near".into()]).unwrap(), "far");
+    assert_eq!(destination(&["near".into(), "far".into()]), None);
+}
--- /dev/null
+++ b/filbertpaddle-forward/tests/limits.rs
@@ -0,0 +1,84 @@
+//! Limits that all nodes share: retries, the end of a stopping node.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::budget::Budget;
+use filbertpaddle_forward::budget::Terms;
+use filbertpaddle_forward::drain;
+use filbertpaddle_forward::drain::Drain;
+use filbertpaddle_forward::envelope::Generation;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const TERMS: Terms = Terms {
+    ratio: 0.2,
+    slack: 58.0,
+    window_ms: Millis::from_secs(10),
+};
+
+/// Retries of all nodes in any window stay within what the requests of that
+/// window and the slack allow, however the requests fall on the nodes.
+#[test]
+fn retries_of_all_nodes_stay_within_the_budget() {
+    for seed in 0..1_000 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let nodes = rng.random_range(1..=12);
+        let mut budgets = vec![Budget::new(); nodes];
+        let favourite = rng.random_range(0..nodes);
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for now in (0..30_000).step_by(20).map(Millis) {
+            let node = match rng.random_bool(0.5) {
+                true => favourite,
+                false => rng.random_range(0..nodes),
+            };
+            budgets[node].requested(now);
+            requests.push(now);
+            if rng.random_bool(0.7) && budgets[node].take(now, &TERMS, nodes) {
+                retries.push(now);
+            }
+        }
+        for end in (10_000..30_000).step_by(500).map(Millis) {
+            let count = |times: &[Millis]| {
+                times
+                    .iter()
+                    .filter(|at| **at <= end && end.since(**at) <= TERMS.window_ms)
+                    .count() as f64
+            };
+            let allowed = TERMS.ratio * count(&requests) + TERMS.slack;
+            assert!(count(&retries) <= allowed, "seed {seed} at {end}");
+        }
+    }
+}
+
+#[test]
+fn moves_use_up_retries() {
+    let mut budget = Budget::new();
+    assert!(budget.take(Millis(0), &TERMS, 2));
+    for _ in 0..50 {
+        budget.moved(Millis(1));
+    }
+    assert!(!budget.take(Millis(2), &TERMS, 2));
+    assert!(budget.take(Millis(20_000), &TERMS, 2));
+}
+
+#[test]
+fn a_stopping_node_takes_what_it_can_end() {
+    let drain = Drain {
+        began_ms: Millis(1_000),
+        grace_ms: Millis(8_000),
+    };
+    let generation = |estimate, most| {
+        drain::span(&Generation {
+            prompt_tokens: 1_000,
+            max_output_tokens: most,
+            output_estimate_tokens: Some(estimate),
+            parts: Vec::new(),
+        })
+    };
+    assert!(drain.takes(Millis(1_010), generation(100, 2_000)));
+    assert!(!drain.takes(Millis(1_010), generation(1_000, 2_000)));
+    // Late, a caller's estimate is not enough.
+    assert!(!drain.takes(Millis(4_000), generation(100, 2_000)));
+    assert!(drain.takes(Millis(4_000), generation(100, 150)));
+    assert!(!drain.takes(Millis(8_500), generation(1, 1)));
+}
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::clock::duration;
+use crate::crash;
 use crate::dialect::CopySource;
 use crate::job::Failure;
 use crate::job::From;
@@ -319,6 +320,7 @@
             .fleet
             .borrow_mut()
             .failed(state.clock.now(), &source.target.id);
+        crash::suspect(state, &source.target, self.job.digest);
         if self.mover.has_copy() {
             return self.switch(source).await;
         }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -5,8 +5,6 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_core::suspect;
-use filbertpaddle_forward::budget::Budget;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::directory::Table;
 use filbertpaddle_forward::envelope::Envelope;
@@ -22,6 +20,7 @@
 use http_body_util::Full;
 use slog::info;
 
+use crate::crash;
 use crate::dialect::Answer;
 use crate::dialect::CopySource;
 use crate::dialect::Sending;
@@ -204,11 +203,7 @@
         let now = state.clock.now();
         let nodes = state.nodes.borrow().count();
         let terms = state.settings.retries;
-        let mut budgets = state.budgets.borrow_mut();
-        let budget = budgets
-            .entry(self.ask.service.clone())
-            .or_insert_with(Budget::new);
-        let is_taken = budget.take(now, &terms, nodes);
+        let is_taken = state.budget(&self.ask.service, |budget| budget.take(now, &terms, nodes));
         if !is_taken {
             state.metrics.count("retry.refused");
         }
@@ -219,11 +214,8 @@
     /// retry, but it cannot be put off.
     pub fn count_move(&self) {
         let now = self.state.clock.now();
-        let mut budgets = self.state.budgets.borrow_mut();
-        let budget = budgets
-            .entry(self.ask.service.clone())
-            .or_insert_with(Budget::new);
-        budget.moved(now);
+        self.state
+            .budget(&self.ask.service, |budget| budget.moved(now));
     }
 
     /// Records a send: the target's load, the log line.
@@ -260,7 +252,7 @@
                 progress.sends += 1;
                 progress.may_have_run = true;
                 shunned_until_ms = state.fleet.borrow_mut().failed(now, &target.id);
-                self.crashed(now, target);
+                crash::suspect(state, target, self.digest);
             }
         }
         state.metrics.count("send.failed");
@@ -291,13 +283,6 @@
         reply::refuse(refusal, retry_after_ms)
     }
 
-    /// A target broke off while it had the request.
-    fn crashed(&self, now: Millis, target: &Target) {
-        let crash = suspect::crash_id(&target.id, target.started_ms.unwrap_or_default());
-        let mut suspects = self.state.suspects.borrow_mut();
-        suspects.crashed(now, self.digest, crash);
-    }
-
     fn request(&self, target: &Target, from: From<'_>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -4,8 +4,10 @@
 //! platform's own words are, an adapter tells it in a [`dialect::Dialect`].
 
 pub mod clock;
+pub mod crash;
 pub mod departures;
 pub mod dialect;
+pub mod exchange;
 pub mod follower;
 pub mod generation;
 pub mod job;
@@ -17,10 +19,12 @@
 pub mod node;
 pub mod nodes;
 pub mod output;
+pub mod peer_link;
 pub mod peers;
 pub mod reply;
 pub mod request;
 pub mod settings;
 pub mod source;
 pub mod state;
+pub mod tell;
 pub mod whole;
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -20,12 +20,14 @@
 
 use crate::departures;
 use crate::dialect::Dialect;
+use crate::exchange;
 use crate::follower;
 use crate::listener;
 use crate::log;
 use crate::peers;
 use crate::settings::Settings;
 use crate::state::State;
+use crate::tell;
 
 /// How often doubts and idle connections are looked at.
 const TICK: Duration = Duration::from_millis(250);
@@ -94,7 +96,7 @@
         stopping,
     )));
     spawn(Box::pin(listener::serve_ready(Rc::clone(&state), ready)));
-    spawn(Box::pin(peers::serve(Rc::clone(&state), peers)));
+    spawn(Box::pin(tell::serve(Rc::clone(&state), peers)));
     spawn(Box::pin(peers::follow(Rc::clone(&state))));
     spawn(Box::pin(follower::follow(
         Rc::clone(&state),
@@ -104,6 +106,7 @@
         Rc::clone(&state),
         Table::Targets,
     )));
+    spawn(Box::pin(exchange::run(Rc::clone(&state))));
     spawn(Box::pin(departures::watch(Rc::clone(&state))));
     spawn(Box::pin(follower::register(Rc::clone(&state))));
     if let Some(mut address) = settings.metrics {
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -6,9 +6,7 @@
 
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
-use filbertpaddle_core::name::Name;
 use filbertpaddle_core::suspect::Standing;
-use filbertpaddle_forward::budget::Budget;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::drain;
 use filbertpaddle_forward::envelope::Envelope;
@@ -146,7 +144,7 @@
     let event_tokens = service
         .and_then(|service| service.engine.as_ref())
         .map_or(1, |engine| engine.event_tokens);
-    count_request(state, &ask.service);
+    state.budget(&ask.service, |budget| budget.requested(state.clock.now()));
     info!(state.log, "request admitted";
         "id" => id.as_str(), "route" => route.name.as_str(), "kind" => %route.kind,
         "customer" => customer.as_deref(), "service" => ask.service.as_str(),
@@ -263,7 +261,10 @@
         return;
     };
     let (outcome, reply) = match result {
-        Ok(reply) => ("answered".to_owned(), reply),
+        Ok(reply) => {
+            answered(job);
+            ("answered".to_owned(), reply)
+        }
         Err(Refusal::TimedOut) => {
             let refusal = job.refusal(&progress);
             (refusal.to_string(), job.refuse(refusal))
@@ -281,10 +282,7 @@
     match result {
         Ok(()) => {
             log_end(job, &progress, "complete", 200);
-            job.state
-                .suspects
-                .borrow_mut()
-                .answered(job.state.clock.now(), job.digest);
+            answered(job);
             output.close();
         }
         Err(Stop::CallerGone) => log_end(job, &progress, "caller_gone", 0),
@@ -312,6 +310,12 @@
     }
 }
 
+/// Clears a request that was answered whole of the crashes that it was part of.
+fn answered(job: &Job) {
+    let mut suspects = job.state.suspects.borrow_mut();
+    suspects.answered(job.state.clock.now(), job.digest);
+}
+
 fn stop_name(stop: &Stop) -> &'static str {
     match stop {
         Stop::Failed(_) => "failed",
@@ -327,19 +331,13 @@
     info!(state.log, "request ended";
         "id" => job.envelope.attempt.as_str(), "route" => job.route.name.as_str(),
         "outcome" => outcome, "status" => status, "sends" => progress.sends,
-        "may_have_run" => progress.may_have_run, "elapsed_ms" => elapsed_ms.0);
+        "may_have_run" => progress.may_have_run || progress.is_out, "elapsed_ms" => elapsed_ms.0);
     state.metrics.count(&format!("request.{outcome}"));
     state
         .metrics
         .time(&format!("request.{}", job.route.kind), elapsed_ms);
 }
 
-fn count_request(state: &State, service: &Name) {
-    let mut budgets = state.budgets.borrow_mut();
-    let budget = budgets.entry(service.clone()).or_insert_with(Budget::new);
-    budget.requested(state.clock.now());
-}
-
 fn ask(route: &Route, envelope: &Envelope) -> Ask {
     let service = route.pick_service(rand::random());
     let generation = envelope.generation.as_ref();
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -69,8 +69,7 @@
     pub board: RefCell<Board>,
     /// When the last link was lost, or the node could first have had one.
     pub link_lost_ms: Cell<Millis>,
-    /// Retries by service.
-    pub budgets: RefCell<IndexMap<Name, Budget>>,
+    budgets: RefCell<IndexMap<Name, Budget>>,
     /// Requests that were running when their target crashed.
     pub suspects: RefCell<Suspects>,
     /// Whether the node has tried to learn of the others.
@@ -126,6 +125,15 @@
         self.took("timer", now, &effect);
     }
 
+    /// Does something with the retry budget of a service.
+    pub fn budget<T, F>(&self, service: &Name, action: F) -> T
+    where
+        F: FnOnce(&mut Budget) -> T,
+    {
+        let mut budgets = self.budgets.borrow_mut();
+        action(budgets.entry(service.clone()).or_default())
+    }
+
     /// Tells when targets or the configuration change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/filbertpaddle-gateway/src/whole.rs
+++ b/filbertpaddle-gateway/src/whole.rs
@@ -23,6 +23,10 @@
 const PATIENCE: u64 = 3;
 
 /// Serves one request; the answer is final.
+///
+/// # Errors
+///
+/// Returns why no target's answer is passed on.
 pub async fn serve(job: &Job, progress: &mut Progress) -> Result<Reply, Refusal> {
     let mut last: Option<(Parts, Bytes)> = None;
     loop {
@@ -47,7 +51,7 @@
                     && progress.sends < job.route.max_attempts
                     && head.status.is_server_error();
                 if !may_repeat {
-                    return Ok(answer(job, head, bytes)?);
+                    return answer(job, head, bytes);
                 }
                 progress.passed_over.push(target.id.clone());
                 progress.may_have_run = true;
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -1,5 +1,7 @@
 //! The forwarding path on stand-ins of the users' platform, with real processes.
 
+#![expect(clippy::unwrap_used, reason = "a panic fails the test")]
+
 mod world;
 
 use filbertpaddle_adapter_standins::caller;
