--- a/filbertpaddle/tests/gateway/world.rs
+++ b/filbertpaddle/tests/gateway/world.rs
@@ -24,24 +24,24 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 const PROGRAM: &str = env!("CARGO_BIN_EXE_filbertpaddle");
 
-pub const KEY: &str = "key-of-huka";
-pub const STREAM: &str = "/stream/";
-pub const RESUMABLE: &str = "/resumable/";
-pub const READ: &str = "/read/";
-pub const WRITE: &str = "/write/";
-
-pub struct World {
-    pub store: Store,
-    pub ledger: Ledger,
-    pub targets: Vec<Target>,
-    pub nodes: Vec<Node>,
+pub(crate) const KEY: &str = "key-of-huka";
+pub(crate) const STREAM: &str = "/stream/";
+pub(crate) const RESUMABLE: &str = "/resumable/";
+pub(crate) const READ: &str = "/read/";
+pub(crate) const WRITE: &str = "/write/";
+
+pub(crate) struct World {
+    pub(crate) store: Store,
+    pub(crate) ledger: Ledger,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) nodes: Vec<Node>,
     copies: Copies,
     folder: PathBuf,
 }
 
 impl World {
     /// A store with a configuration, and nothing else.
-    pub async fn new(name: &str) -> Self {
+    pub(crate) async fn new(name: &str) -> Self {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::start().await.unwrap();
@@ -57,7 +57,7 @@
     }
 
     /// Two engines and two plain targets in one data centre, and `nodes` nodes.
-    pub async fn with_nodes(name: &str, nodes: usize) -> Self {
+    pub(crate) async fn with_nodes(name: &str, nodes: usize) -> Self {
         let mut world = Self::new(name).await;
         for (id, service) in [
             ("e1", "engine"),
@@ -74,7 +74,7 @@
         world
     }
 
-    pub async fn add_target(&mut self, id: &str, service: &str, data_centre: &str) {
+    pub(crate) async fn add_target(&mut self, id: &str, service: &str, data_centre: &str) {
         let options = target::Options {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -88,7 +88,7 @@
         self.targets.push(target);
     }
 
-    pub fn add_node(&mut self, name: &str, data_centre: &str) {
+    pub(crate) fn add_node(&mut self, name: &str, data_centre: &str) {
         let options = node::Options {
             name: name.to_owned(),
             data_centre: data_centre.to_owned(),
@@ -100,19 +100,19 @@
         self.nodes.push(node);
     }
 
-    pub async fn until_ready(&self) {
+    pub(crate) async fn until_ready(&self) {
         for node in &self.nodes {
             until("a node is ready", async || ready(node).await == 200).await;
         }
     }
 
-    pub fn target(&self, id: &str) -> &Target {
+    pub(crate) fn target(&self, id: &str) -> &Target {
         let found = self.targets.iter().find(|target| target.options.id == id);
         found.unwrap()
     }
 
     /// Takes a target out of the world, so that it can be closed.
-    pub fn take_target(&mut self, id: &str) -> Target {
+    pub(crate) fn take_target(&mut self, id: &str) -> Target {
         let index = self
             .targets
             .iter()
@@ -122,11 +122,11 @@
     }
 
     /// Sends to the first node.
-    pub async fn send(&self, ask: &Ask) -> Got {
+    pub(crate) async fn send(&self, ask: &Ask) -> Got {
         caller::send(self.nodes[0].addresses.callers, ask).await
     }
 
-    pub fn close(self) {
+    pub(crate) fn close(self) {
         for node in self.nodes {
             node.close().unwrap();
         }
@@ -134,13 +134,13 @@
 }
 
 /// The status that the balancer gets from a node.
-pub async fn ready(node: &Node) -> u16 {
+pub(crate) async fn ready(node: &Node) -> u16 {
     let question = ask("ready", Method::GET, "/ready", None);
     caller::send(node.addresses.ready, &question).await.code()
 }
 
 /// A request; generations state their output tokens.
-pub fn ask(attempt: &str, method: Method, path: &str, output_tokens: Option<u32>) -> Ask {
+pub(crate) fn ask(attempt: &str, method: Method, path: &str, output_tokens: Option<u32>) -> Ask {
     Ask {
         attempt: attempt.to_owned(),
         method,
@@ -152,14 +152,14 @@
 }
 
 /// The whole stream of an attempt with this many events.
-pub fn whole_stream(attempt: &str, events: u64) -> Vec<u8> {
+pub(crate) fn whole_stream(attempt: &str, events: u64) -> Vec<u8> {
     (1..=events)
         .flat_map(|id| event(attempt, id).to_vec())
         .collect()
 }
 
 /// Waits for something that must happen.
-pub async fn until<C>(what: &str, condition: C)
+pub(crate) async fn until<C>(what: &str, condition: C)
 where
     C: AsyncFn() -> bool,
 {
@@ -171,7 +171,7 @@
     assert!(waited.await.is_ok(), "never: {what}");
 }
 
-pub fn configuration(version: u64, key: &str) -> Value {
+pub(crate) fn configuration(version: u64, key: &str) -> Value {
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": caller::HOST, "prefix": prefix, "route_type": kind,
