Try another target after 120 ms without a connection

Cause: when a data centre is cut off, each request waited 300 ms for every target there and came late. Ruled out: longer passing over, which loses a target that is back. Change: a connection stands within 120 ms or another target is tried; no byte has left by then.

--- a/filbertpaddle-gateway/src/links.rs
+++ b/filbertpaddle-gateway/src/links.rs
@@ -32,7 +32,7 @@
 
 /// How long a connection may take to stand. Far above a round trip between
 /// data centres, and short enough to try another target in time.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// How long unacknowledged bytes wait before a connection is given up.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time after which a connection is probed, and between probes.
