Copy generations only where their engines can, and read one header once

Cause: engines of a deployment may not move generations, which the configuration says; the time that an idle connection is kept was decoded twice. Change: such streams are not copied; the adapter leaves that header alone.

--- a/filbertpaddle-gateway/src/dialect.rs
+++ b/filbertpaddle-gateway/src/dialect.rs
@@ -86,8 +86,6 @@
     pub is_not_run: bool,
     /// Whether another target stands at the address.
     pub is_other_target: bool,
-    /// How long the connection may be kept idle, if the target says so.
-    pub keep_alive_ms: Option<Millis>,
 }
 
 /// A call whose body and answer are small.
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -199,7 +199,10 @@
             let listed = directory.target(&source.target.id);
             !listed.is_some_and(|listed| listed.is_same_life(&source.target) && !listed.is_draining)
         };
-        if is_leaving && let Some(events) = self.last_event {
+        if is_leaving
+            && self.job.can_migrate
+            && let Some(events) = self.last_event
+        {
             self.mover.noticed(events);
         }
     }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -69,6 +69,8 @@
     pub ask: Ask,
     /// Most output tokens in one event.
     pub event_tokens: u32,
+    /// Whether its engines can copy a running generation to another.
+    pub can_migrate: bool,
 }
 
 /// How far a request has got at targets.
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -141,9 +141,7 @@
     }
     let ask = ask(route, &envelope);
     let service = configuration.services.get(&ask.service);
-    let event_tokens = service
-        .and_then(|service| service.engine.as_ref())
-        .map_or(1, |engine| engine.event_tokens);
+    let engine = service.and_then(|service| service.engine.as_ref());
     state.budget(&ask.service, |budget| budget.requested(state.clock.now()));
     info!(state.log, "request admitted";
         "id" => id.as_str(), "route" => route.name.as_str(), "kind" => %route.kind,
@@ -171,7 +169,8 @@
         received_ms,
         limit_ms,
         ask,
-        event_tokens,
+        event_tokens: engine.map_or(1, |engine| engine.event_tokens),
+        can_migrate: engine.is_some_and(|engine| engine.can_migrate),
     })
 }
 
