Put changed settings in force without a restart

Cause: settings were read again on SIGHUP, logged and not used; a file that changed without a signal was not noticed; a report's load was decoded for no one. Ruled out: reading addresses again, which would need new listeners. Change: seeds, retry terms and grace are taken on SIGHUP and every 5 s; unused fields and a function are gone. Figures: the test of a reload now changes the grace and fails without the change.

--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -171,14 +171,6 @@
         self.targets.get(id).map(|listed| &listed.target)
     }
 
-    /// When a doubted removal is next to be believed.
-    pub fn next_wake(&self) -> Option<Millis> {
-        self.targets
-            .values()
-            .filter_map(|listed| listed.removed_at_ms)
-            .min()
-    }
-
     /// Notes that a table could not be read.
     pub fn lost(&mut self, table: Table) {
         self.is_store_lost[table as usize] = true;
--- a/filbertpaddle-forward/src/target.rs
+++ b/filbertpaddle-forward/src/target.rs
@@ -33,17 +33,9 @@
     }
 }
 
-/// A target's own word of its load, some hundred milliseconds old.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// A target's own word of itself, some hundred milliseconds old.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Report {
-    /// Requests that wait to be admitted.
-    pub waiting: u32,
-    /// Requests that run.
-    pub running: u32,
-    /// Memory in use that cannot be evicted.
-    pub used_tokens: u32,
-    /// All memory.
-    pub total_tokens: u32,
     /// Whether the target is leaving.
     pub is_draining: bool,
 }
--- a/filbertpaddle-gateway/src/dialect.rs
+++ b/filbertpaddle-gateway/src/dialect.rs
@@ -102,9 +102,9 @@
 /// Calls to engines beside their requests.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineCalls {
-    /// Asks an engine for its load.
+    /// Asks an engine for its report.
     pub report: fn() -> Call,
-    /// Decodes the load.
+    /// Decodes the report.
     pub decode_report: fn(&[u8]) -> Result<Report, Undecodable>,
     /// Asks for a copy of a running generation.
     pub copy: fn(&CopyOrder<'_>) -> Call,
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -204,7 +204,7 @@
         let state = &self.state;
         let now = state.clock.now();
         let nodes = state.nodes.borrow().count();
-        let terms = state.settings.retries;
+        let terms = state.tuning.borrow().retries;
         let is_taken = state.budget(&self.ask.service, |budget| budget.take(now, &terms, nodes));
         if !is_taken {
             state.metrics.count("retry.refused");
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -31,6 +31,8 @@
 
 /// How often doubts and idle connections are looked at.
 const TICK: Duration = Duration::from_millis(250);
+/// How often the settings are read again.
+const REREAD: Duration = Duration::from_secs(5);
 /// How long after the signal the balancer may still send callers here: it asks
 /// once a second and takes two misses.
 const BALANCER_MS: Millis = Millis(2_500);
@@ -121,10 +123,16 @@
         }
     }
     let mut ticks = interval(TICK);
+    let mut rereads = interval(REREAD);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hang_up.recv() => reread(&state, reload),
+            _ = hang_up.recv() => {
+                info!(state.log, "told that the settings changed");
+                reread(&state, reload);
+            }
+            // The file may also change without a signal.
+            _ = rereads.tick() => reread(&state, reload),
             _ = ticks.tick() => {
                 state.tick();
                 state.links.close_stale();
@@ -135,22 +143,30 @@
     Ok(())
 }
 
-/// Reads the settings again. What they say of this process's addresses is fixed
-/// until it starts again; the rest is taken at once.
+/// Reads the settings again. Name, data centre and addresses stay those of the
+/// node's start; the rest is in force at once.
 fn reread(state: &State, reload: Reload) {
-    match reload() {
-        Ok(settings) => {
-            let is_same = settings == state.settings;
-            info!(state.log, "settings read again"; "changed" => !is_same);
+    let settings = match reload() {
+        Ok(settings) => settings,
+        Err(error) => {
+            warn!(state.log, "settings not read"; "error" => error);
+            return;
         }
-        Err(error) => warn!(state.log, "settings not read"; "error" => error),
+    };
+    let was = state.tuning.replace(settings.tuning.clone());
+    if was != settings.tuning {
+        info!(state.log, "settings changed";
+            "grace_ms" => settings.tuning.grace_ms.0,
+            "retry_ratio" => settings.tuning.retries.ratio,
+            "retry_slack" => settings.tuning.retries.slack,
+            "seeds" => settings.tuning.seeds.len());
     }
 }
 
 /// Finishes what runs and closes what is idle.
 async fn drain(state: &State, stop: &watch::Sender<bool>) {
     let began_ms = state.clock.now();
-    let grace_ms = state.settings.grace_ms;
+    let grace_ms = state.tuning.borrow().grace_ms;
     state.drain.set(Some(Drain { began_ms, grace_ms }));
     info!(state.log, "node stops"; "in_flight" => state.in_flight.get(), "grace_ms" => grace_ms.0);
     let elapsed_ms = || state.clock.now().since(began_ms);
--- a/filbertpaddle-gateway/src/peers.rs
+++ b/filbertpaddle-gateway/src/peers.rs
@@ -141,7 +141,8 @@
     if let Some(node) = known.choose(&mut rng) {
         return Some((Some(node.name.clone()), node.peers));
     }
-    let seeds: Vec<_> = settings
+    let tuning = state.tuning.borrow();
+    let seeds: Vec<_> = tuning
         .seeds
         .iter()
         .filter(|seed| **seed != settings.peers)
--- a/filbertpaddle-gateway/src/settings.rs
+++ b/filbertpaddle-gateway/src/settings.rs
@@ -21,14 +21,21 @@
     pub peers: SocketAddr,
     /// Address of the node's metrics.
     pub metrics: Option<SocketAddr>,
-    /// Peer addresses of some nodes, for when the store cannot be read.
-    pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Whether the whole system starts for the first time.
     pub is_first_start: bool,
     /// Processor that the node may use, in cores.
     pub cores: f64,
+    /// What may change while the node runs.
+    pub tuning: Tuning,
+}
+
+/// Settings that are in force as soon as they are read again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// Peer addresses of some nodes, for when the store cannot be read.
+    pub seeds: Vec<SocketAddr>,
     /// What all nodes together may retry.
     pub retries: budget::Terms,
     /// How long a node that was told to stop may finish its requests.
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -27,6 +27,7 @@
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
 use crate::settings::Settings;
+use crate::settings::Tuning;
 
 /// Age from which knowledge is doubted while calls to the store fail.
 const DOUBT_MS: Millis = Millis(400);
@@ -47,6 +48,8 @@
 pub struct State {
     /// Settings.
     pub settings: Settings,
+    /// Settings that may change while the node runs.
+    pub tuning: RefCell<Tuning>,
     /// How the platform speaks.
     pub dialect: Dialect,
     /// Steady clock.
@@ -89,6 +92,7 @@
         let clock = Clock::new();
         let fleet = Fleet::new(settings.data_centre.clone());
         Rc::new(Self {
+            tuning: RefCell::new(settings.tuning.clone()),
             settings,
             dialect,
             clock,
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -345,14 +345,27 @@
 
 #[tokio::test]
 async fn a_node_reads_its_settings_again_without_cutting_a_request() {
-    let world = World::with_nodes("reload", 1).await;
+    let mut world = World::with_nodes("reload", 1).await;
     let stream = ask("s", Method::POST, STREAM, Some(400));
     let hang_up = async {
         until("it runs", async || !world.ledger.runs_of("s").is_empty()).await;
+        let mut options = world.node_options("node-0", "dc-a");
+        options.grace_s = 1;
+        world.nodes[0].write_settings(&options).unwrap();
         world.nodes[0].process.hang_up().unwrap();
     };
     let (got, ()) = tokio::join!(world.send(&stream), hang_up);
     assert!(got.is_whole);
     assert_eq!(got.body, whole_stream("s", 100));
+    // The new grace is in force: a stream that would take longer is refused.
+    world.nodes[0].process.terminate().unwrap();
+    until("it is not ready", async || {
+        ready(&world.nodes[0]).await != 200
+    })
+    .await;
+    let long = world.send(&ask("l", Method::POST, STREAM, Some(40))).await;
+    assert_ne!(long.code(), 200);
+    assert!(world.ledger.runs_of("l").is_empty());
+    assert!(world.nodes[0].process.wait().unwrap().success());
     world.close();
 }
--- a/filbertpaddle/tests/gateway/world.rs
+++ b/filbertpaddle/tests/gateway/world.rs
@@ -88,14 +88,18 @@
         self.targets.push(target);
     }
 
-    pub(crate) fn add_node(&mut self, name: &str, data_centre: &str) {
-        let options = node::Options {
+    pub(crate) fn node_options(&self, name: &str, data_centre: &str) -> node::Options {
+        node::Options {
             name: name.to_owned(),
             data_centre: data_centre.to_owned(),
             store: self.store.address,
             seeds: Vec::new(),
             grace_s: 8,
-        };
+        }
+    }
+
+    pub(crate) fn add_node(&mut self, name: &str, data_centre: &str) {
+        let options = self.node_options(name, data_centre);
         let node = Node::start(Path::new(PROGRAM), &self.folder, &options).unwrap();
         self.nodes.push(node);
     }
