Pause and log when a table cannot be read after its history has gone

Cause: a failed reading after a 410 was counted and not logged, and the next call followed without a pause. Change: it is a failed call like any other.

--- a/filbertpaddle-gateway/src/follower.rs
+++ b/filbertpaddle-gateway/src/follower.rs
@@ -89,7 +89,11 @@
             }
             continue;
         }
-        let result = step(&state, table, failures > 0).await;
+        let mut result = step(&state, table, failures > 0).await;
+        if matches!(result, Err(Error::HistoryGone)) {
+            info!(state.log, "history gone, reading the whole table"; "table" => %table);
+            result = read(&state, table).await;
+        }
         match result {
             Ok(()) => {
                 if failures > 0 {
@@ -98,12 +102,6 @@
                 failures = 0;
                 sleep(GATHER).await;
             }
-            Err(Error::HistoryGone) => {
-                info!(state.log, "history gone, reading the whole table"; "table" => %table);
-                if read(&state, table).await.is_err() {
-                    failures += 1;
-                }
-            }
             Err(error) => {
                 failures += 1;
                 state.directory.borrow_mut().lost(table);
