--- a/filbertpaddle-standins/src/scenario.rs
+++ b/filbertpaddle-standins/src/scenario.rs
@@ -8,10 +8,10 @@
 use crate::workload::Burst;
 use crate::workload::Kind;
 
-/// Start of the disturbance, as a share of the run.
+/// Start of the disruption, as a share of the run.
 const DISTURBED_FROM: f64 = 0.3;
 
-/// End of the disturbance, as a share of the run.
+/// End of the disruption, as a share of the run.
 const DISTURBED_TO: f64 = 0.65;
 
 /// What a run puts the system through.
