--- a/filbertpaddle-standins/src/process.rs
+++ b/filbertpaddle-standins/src/process.rs
@@ -1,6 +1,7 @@
 //! Child processes of tests and experiments.
 
 use std::ffi::OsStr;
+use std::fs::File;
 use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
@@ -40,15 +41,22 @@
         I: IntoIterator<Item = S>,
         S: AsRef<OsStr>,
     {
-        Self::start_with(program, args, [])
+        Self::start_with(program, args, [], None)
     }
 
-    /// The same with some variables of its environment set.
+    /// The same with some variables of its environment set, and with what it
+    /// writes later appended to a file.
     ///
     /// # Errors
     ///
-    /// Returns an error if the program cannot be started or ends before that line.
-    pub fn start_with<'a, I, S, V>(program: &Path, args: I, variables: V) -> io::Result<Self>
+    /// Returns an error if the file cannot be opened, or if the program cannot
+    /// be started or ends before that line.
+    pub fn start_with<'a, I, S, V>(
+        program: &Path,
+        args: I,
+        variables: V,
+        output: Option<&Path>,
+    ) -> io::Result<Self>
     where
         I: IntoIterator<Item = S>,
         S: AsRef<OsStr>,
@@ -68,7 +76,11 @@
             .map_err(|error| io::Error::other(format!("{}: {error}", program.display())))?;
         let mut ready = String::new();
         if let Some(stdout) = child.stdout.take() {
-            BufReader::new(stdout).read_line(&mut ready)?;
+            let mut reader = BufReader::new(stdout);
+            reader.read_line(&mut ready)?;
+            if let Some(path) = output {
+                append(reader, path)?;
+            }
         }
         let process = Self { child, ready };
         if process.ready.is_empty() {
@@ -169,6 +181,20 @@
     }
 }
 
+/// Appends to a file what is read, on a thread of its own until it ends.
+fn append<R>(mut from: R, path: &Path) -> io::Result<()>
+where
+    R: io::Read + Send + 'static,
+{
+    let mut file = File::options().create(true).append(true).open(path)?;
+    std::thread::spawn(move || {
+        if let Err(error) = io::copy(&mut from, &mut file) {
+            eprintln!("output of a process not kept: {error}");
+        }
+    });
+    Ok(())
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.child.kill().ok();
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -129,7 +129,7 @@
         target.drain();
         world
             .store
-            .put_target(&first, &target.entry(target.address));
+            .put_target(&first, &target.announce(target.address));
     };
     let (got, ()) = tokio::join!(world.send(&stream), leave);
     assert!(got.is_whole);
--- a/filbertpaddle/tests/gateway/world.rs
+++ b/filbertpaddle/tests/gateway/world.rs
@@ -7,6 +7,11 @@
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::caller::Ask;
 use filbertpaddle_adapter_standins::caller::Got;
+use filbertpaddle_adapter_standins::configuration::Configuration;
+pub(crate) use filbertpaddle_adapter_standins::configuration::READ;
+pub(crate) use filbertpaddle_adapter_standins::configuration::RESUMABLE;
+pub(crate) use filbertpaddle_adapter_standins::configuration::STREAM;
+pub(crate) use filbertpaddle_adapter_standins::configuration::WRITE;
 use filbertpaddle_adapter_standins::ledger::Ledger;
 use filbertpaddle_adapter_standins::node;
 use filbertpaddle_adapter_standins::node::Node;
@@ -17,7 +22,6 @@
 use filbertpaddle_adapter_standins::target::event;
 use http::Method;
 use serde_json::Value;
-use serde_json::json;
 use tokio::time::sleep;
 
 /// How long anything that must happen may take on a busy machine.
@@ -25,10 +29,6 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_filbertpaddle");
 
 pub(crate) const KEY: &str = "key-of-huka";
-pub(crate) const STREAM: &str = "/stream/";
-pub(crate) const RESUMABLE: &str = "/resumable/";
-pub(crate) const READ: &str = "/read/";
-pub(crate) const WRITE: &str = "/write/";
 
 pub(crate) struct World {
     pub(crate) store: Store,
@@ -81,10 +81,12 @@
             data_centre: data_centre.to_owned(),
             event_ms: 20,
             work_ms: 5,
+            cold_ms: 0,
+            life: 1,
         };
         let started = Target::start(options, self.ledger.clone(), self.copies.clone());
         let target = started.await.unwrap();
-        self.store.put_target(id, &target.entry(target.address));
+        self.store.put_target(id, &target.announce(target.address));
         self.targets.push(target);
     }
 
@@ -176,38 +178,12 @@
 }
 
 pub(crate) fn configuration(version: u64, key: &str) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
-        json!({
-            "name": name, "host": caller::HOST, "prefix": prefix, "route_type": kind,
-            "timeout_ms": 14_000, "target_latency_ms": 400, "priority": 0, "service": service,
-            "max_attempts": 2, "public": false, "session_affinity": false,
-            "resumable": prefix == RESUMABLE, "gap_aim_ms": 180,
-        })
+    let configuration = Configuration {
+        version,
+        keys: vec![key.to_owned()],
+        stream_timeout_ms: 14_000,
+        plain_timeout_ms: 14_000,
+        cold_per_sec: 0.0,
     };
-    let service = |name: &str| {
-        json!({
-            "name": name, "health_path": "/health", "max_connections": 100,
-            "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
-        })
-    };
-    let mut engine = service("engine");
-    engine["engine"] = json!({
-        "slots": 24, "kv_capacity_tokens": 30_000, "kv_token_bytes": 1, "link_mbps": 1.0,
-        "moves": true, "backups": true, "stride": target::EVENT_TOKENS,
-    });
-    json!({
-        "version": version,
-        "routes": [
-            route("stream", STREAM, "streaming", "engine"),
-            route("resumable", RESUMABLE, "streaming", "engine"),
-            route("read", READ, "safe", "app"),
-            route("write", WRITE, "unsafe", "app"),
-        ],
-        "services": [engine, service("app")],
-        "limits": {
-            "max_header_bytes": 16_384, "max_body_bytes": 1_000,
-            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-        },
-        "tenants": [{ "name": "huka", "api_keys": [key] }],
-    })
+    configuration.to_json()
 }
--- /dev/null
+++ b/filbertpaddle/tests/soak/history.rs
@@ -0,0 +1,175 @@
+//! What happened in a run, as callers and the faults' author saw it.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use filbertpaddle_adapter_standins::caller::Got;
+
+/// What a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Kind {
+    /// Idempotent and short.
+    Read,
+    /// Short, and run at most once.
+    Write,
+    /// A generation that runs once.
+    Stream,
+    /// A generation that may be resumed.
+    Resumable,
+}
+
+impl Kind {
+    pub(crate) fn is_idempotent(self) -> bool {
+        matches!(self, Self::Read | Self::Resumable)
+    }
+
+    pub(crate) fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::Resumable)
+    }
+}
+
+/// A request and what came of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Exchange {
+    pub(crate) attempt: String,
+    pub(crate) kind: Kind,
+    /// Events of a stream.
+    pub(crate) events: u64,
+    /// Number of the node.
+    pub(crate) node: usize,
+    /// Version of the configuration whose key was sent.
+    pub(crate) key: u64,
+    pub(crate) sent: Instant,
+    pub(crate) ended: Instant,
+    /// Whether it went on a connection that had been used.
+    pub(crate) is_kept: bool,
+    /// How long its caller waited.
+    pub(crate) patience_ms: u64,
+    pub(crate) got: Got,
+}
+
+/// Where something was wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Place {
+    Store,
+    Node(usize),
+    /// A target by its identity.
+    Target(String),
+}
+
+/// A time in which something was wrong.
+#[derive(Clone, Debug)]
+pub(crate) struct Disturbance {
+    pub(crate) place: Place,
+    /// A stop that was asked for, or settings that changed.
+    pub(crate) is_planned: bool,
+    pub(crate) from: Instant,
+    /// `None` as long as it lasts.
+    pub(crate) to: Option<Instant>,
+}
+
+/// A change that must be in force some time after it was made.
+#[derive(Clone, Debug)]
+pub(crate) struct Change {
+    pub(crate) what: What,
+    pub(crate) at: Instant,
+    /// When it was taken back.
+    pub(crate) to: Option<Instant>,
+}
+
+/// What changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum What {
+    /// The key of this version replaced all before.
+    Key(u64),
+    /// Targets of this data centre are to get nothing.
+    Out(String),
+    /// This life of a target leaves; identity and life.
+    Leaves(String, u64),
+}
+
+/// A life of a target.
+#[derive(Clone, Debug)]
+pub(crate) struct Life {
+    pub(crate) id: String,
+    pub(crate) data_centre: String,
+    pub(crate) number: u64,
+    pub(crate) from: Instant,
+    pub(crate) cold: Duration,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Events {
+    pub(crate) exchanges: Vec<Exchange>,
+    pub(crate) disturbances: Vec<Disturbance>,
+    pub(crate) changes: Vec<Change>,
+    pub(crate) lives: Vec<Life>,
+    /// Promises that were broken.
+    pub(crate) broken: Vec<String>,
+}
+
+/// All that happened.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct History(Arc<Mutex<Events>>);
+
+impl History {
+    pub(crate) fn events(&self) -> MutexGuard<'_, Events> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that something is wrong from now on; returns its number.
+    pub(crate) fn disturb(&self, place: Place, is_planned: bool) -> usize {
+        let mut events = self.events();
+        events.disturbances.push(Disturbance {
+            place,
+            is_planned,
+            from: Instant::now(),
+            to: None,
+        });
+        events.disturbances.len() - 1
+    }
+
+    /// Notes that it is no longer.
+    pub(crate) fn calm(&self, number: usize) {
+        self.events().disturbances[number].to = Some(Instant::now());
+    }
+
+    /// Notes a change that was just made; returns its number.
+    pub(crate) fn change(&self, what: What) -> usize {
+        let mut events = self.events();
+        events.changes.push(Change {
+            what,
+            at: Instant::now(),
+            to: None,
+        });
+        events.changes.len() - 1
+    }
+
+    /// Notes that a change is about to be taken back.
+    pub(crate) fn take_back(&self, number: usize) {
+        self.events().changes[number].to = Some(Instant::now());
+    }
+
+    pub(crate) fn broken(&self, what: String) {
+        eprintln!("broken: {what}");
+        self.events().broken.push(what);
+    }
+}
+
+impl Events {
+    /// Whether nothing that `counts` was wrong between two moments.
+    pub(crate) fn is_calm<C>(&self, from: Instant, to: Instant, counts: C) -> bool
+    where
+        C: Fn(&Disturbance) -> bool,
+    {
+        !self.disturbances.iter().any(|disturbance| {
+            let is_over = disturbance.to.is_some_and(|end| end < from);
+            disturbance.from <= to && !is_over && counts(disturbance)
+        })
+    }
+}
