--- a/filbertpaddle-forward/src/budget.rs
+++ b/filbertpaddle-forward/src/budget.rs
@@ -45,11 +45,13 @@
         self.retries.push_back(now);
     }
 
-    /// Takes one retry; `false` if the node's share is used up.
-    pub fn take(&mut self, now: Millis, terms: &Terms, nodes: usize) -> bool {
+    /// Takes one retry; `false` if the node's share is used up. A node that does
+    /// not know how many `nodes` there are has no part of the slack.
+    pub fn take(&mut self, now: Millis, terms: &Terms, nodes: Option<usize>) -> bool {
         self.expire(now, terms.window_ms);
         let requests = self.requests.len() as f64;
-        let share = terms.ratio * requests + terms.slack / nodes.max(1) as f64;
+        let slack = nodes.map_or(0.0, |nodes| terms.slack / nodes.max(1) as f64);
+        let share = terms.ratio * requests + slack;
         if (self.retries.len() + 1) as f64 > share * USED_SHARE {
             return false;
         }
--- a/filbertpaddle-forward/tests/limits.rs
+++ b/filbertpaddle-forward/tests/limits.rs
@@ -33,7 +33,7 @@
             };
             budgets[node].requested(now);
             requests.push(now);
-            if rng.random_bool(0.7) && budgets[node].take(now, &TERMS, nodes) {
+            if rng.random_bool(0.7) && budgets[node].take(now, &TERMS, Some(nodes)) {
                 retries.push(now);
             }
         }
@@ -50,15 +50,26 @@
     }
 }
 
+#[test]
+fn a_node_that_knows_no_other_has_no_slack() {
+    let mut budget = Budget::new();
+    assert!(!budget.take(Millis(0), &TERMS, None));
+    for _ in 0..10 {
+        budget.requested(Millis(0));
+    }
+    assert!(budget.take(Millis(0), &TERMS, None));
+    assert!(!budget.take(Millis(0), &TERMS, None));
+}
+
 #[test]
 fn moves_use_up_retries() {
     let mut budget = Budget::new();
-    assert!(budget.take(Millis(0), &TERMS, 2));
+    assert!(budget.take(Millis(0), &TERMS, Some(2)));
     for _ in 0..50 {
         budget.moved(Millis(1));
     }
-    assert!(!budget.take(Millis(2), &TERMS, 2));
-    assert!(budget.take(Millis(20_000), &TERMS, 2));
+    assert!(!budget.take(Millis(2), &TERMS, Some(2)));
+    assert!(budget.take(Millis(20_000), &TERMS, Some(2)));
 }
 
 #[test]
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -232,7 +232,7 @@
                     return Err(Stop::Refused(self.job.refusal(self.progress)));
                 }
             };
-            if self.progress.sends > 0 && !self.job.take_retry() {
+            if !self.job.may_send(self.progress) {
                 return Err(Stop::Refused(self.job.refusal(self.progress)));
             }
             self.job.sent(self.progress, &target);
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -80,6 +80,8 @@
     pub sends: u32,
     /// Connections that were tried.
     pub connects: u32,
+    /// Whether it has reached one that stands where its target was.
+    pub was_misdirected: bool,
     /// Whether some target may have run it.
     pub may_have_run: bool,
     /// Whether a target has it now.
@@ -136,7 +138,7 @@
         let state = &self.state;
         let now = state.clock.now();
         let directory = state.directory.borrow();
-        let nodes = state.nodes.borrow().count();
+        let nodes = state.nodes.borrow().count().unwrap_or(1);
         let fleet = state.fleet.borrow();
         let passed_over = &progress.passed_over;
         let draw = rand::random::<f64>;
@@ -199,8 +201,13 @@
         is_allowed && progress.connects < MAX_CONNECTS && self.remaining_ms() > Millis::ZERO
     }
 
-    /// Takes one retry from the node's share of the service's budget.
-    pub fn take_retry(&self) -> bool {
+    /// Whether it may be sent now; a send after one that has reached any target
+    /// takes a retry from the node's share of the service's budget.
+    pub fn may_send(&self, progress: &Progress) -> bool {
+        (progress.sends == 0 && !progress.was_misdirected) || self.take_retry()
+    }
+
+    fn take_retry(&self) -> bool {
         let state = &self.state;
         let now = state.clock.now();
         let nodes = state.nodes.borrow().count();
@@ -248,6 +255,7 @@
             }
             Failure::NotRun => progress.sends += 1,
             Failure::OtherTarget => {
+                progress.was_misdirected = true;
                 shunned_until_ms = state.fleet.borrow_mut().failed(now, &target.id);
             }
             Failure::Unknown(_) => {
--- a/filbertpaddle-gateway/src/nodes.rs
+++ b/filbertpaddle-gateway/src/nodes.rs
@@ -68,9 +68,10 @@
         &self.list
     }
 
-    /// Number of nodes that are alive, this one among them.
-    pub fn count(&self) -> usize {
-        self.live.len().max(1)
+    /// Number of nodes that are alive, this one among them; `None` if no list
+    /// tells.
+    pub fn count(&self) -> Option<usize> {
+        Some(self.live.len()).filter(|count| *count > 0)
     }
 
     /// The nodes that are alive.
--- a/filbertpaddle-gateway/src/whole.rs
+++ b/filbertpaddle-gateway/src/whole.rs
@@ -33,8 +33,7 @@
         let Ok(target) = job.choose(progress) else {
             return finish(job, progress, last);
         };
-        let is_retry = progress.sends > 0;
-        if is_retry && !job.take_retry() {
+        if !job.may_send(progress) {
             return finish(job, progress, last);
         }
         job.sent(progress, &target);
--- a/filbertpaddle/tests/gateway/world.rs
+++ b/filbertpaddle/tests/gateway/world.rs
@@ -153,6 +153,7 @@
         path: path.to_owned(),
         key: Some(KEY.to_owned()),
         deadline_ms: 15_000,
+        content: None,
         tokens: output_tokens.map(|output| (1_000, output)),
     }
 }
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -21,6 +21,7 @@
 use filbertpaddle_adapter_standins::target::Copies;
 use filbertpaddle_adapter_standins::target::Target;
 use filbertpaddle_standins::proxy::Proxy;
+use tokio::task::JoinHandle;
 use tokio::task::block_in_place;
 
 use crate::history::History;
@@ -36,6 +37,8 @@
 const EVENT_MS: u64 = 20;
 const WORK_MS: u64 = 15;
 const COLD: Duration = Duration::from_secs(1);
+/// How long a target is down that a request has crashed.
+const DOWN: Duration = Duration::from_secs(1);
 /// How much longer than its grace a stopping node may live.
 const STOP_SLACK: Duration = Duration::from_secs(1);
 
@@ -86,11 +89,19 @@
     running: Running,
 }
 
-/// A target and the link to it.
+/// Where one life of a target follows another.
 #[derive(Debug)]
 pub(crate) struct Seat {
     pub(crate) options: target::Options,
-    pub(crate) target: Option<Target>,
+    pub(crate) life: Option<LiveTarget>,
+    /// When a target that a request crashed comes back, and the disturbance.
+    revival: Option<(Instant, usize)>,
+}
+
+/// A target and the link to it.
+#[derive(Debug)]
+pub(crate) struct LiveTarget {
+    pub(crate) target: Target,
     pub(crate) link: Proxy,
 }
 
@@ -103,6 +114,8 @@
     pub(crate) doors: Doors,
     pub(crate) vms: Vec<Vm>,
     pub(crate) seats: Vec<Seat>,
+    /// Callers that resend what crashes targets.
+    pub(crate) senders: Vec<JoinHandle<()>>,
     stopping: Vec<Stopping>,
     copies: Copies,
     folder: PathBuf,
@@ -126,6 +139,7 @@
             },
             vms: Vec::new(),
             seats: Vec::new(),
+            senders: Vec::new(),
             stopping: Vec::new(),
             copies: Copies::default(),
             folder,
@@ -197,39 +211,58 @@
         self.store.put_target(&options.id, &entry);
         Seat {
             options,
-            target: Some(target),
-            link,
+            life: Some(LiveTarget { target, link }),
+            revival: None,
         }
     }
 
     /// Writes the entries of all targets again.
     pub(crate) fn announce_all(&self) {
         for seat in &self.seats {
-            if let Some(target) = &seat.target {
-                let entry = target.announce(seat.link.address);
+            if let Some(life) = &seat.life {
+                let entry = life.target.announce(life.link.address);
                 self.store.put_target(&seat.options.id, &entry);
             }
         }
     }
 
     /// Closes a target, if it runs.
-    pub(crate) fn crash_target(&mut self, number: usize) {
-        if let Some(target) = self.seats[number].target.take() {
-            target.close();
+    pub(crate) async fn crash_target(&mut self, number: usize) {
+        if let Some(life) = self.seats[number].life.take() {
+            life.target.close();
+            life.link.close().await;
         }
     }
 
     /// Starts another life of a target that was closed, on another address.
     pub(crate) async fn revive_target(&mut self, number: usize) {
-        if self.seats[number].target.is_some() {
+        if self.seats[number].life.is_some() {
             return;
         }
         let mut options = self.seats[number].options.clone();
         options.life += 1;
         options.cold_ms = u64::try_from(COLD.as_millis()).unwrap();
-        let seat = self.start_target(options).await;
-        let old = std::mem::replace(&mut self.seats[number], seat);
-        old.link.close().await;
+        self.seats[number] = self.start_target(options).await;
+    }
+
+    /// Takes down targets that a request has crashed, and brings them back.
+    async fn watch_targets(&mut self) {
+        for number in 0..self.seats.len() {
+            let seat = &mut self.seats[number];
+            let crashed_at = seat.life.as_ref().and_then(|life| life.target.crashed_at());
+            if let Some(at) = crashed_at {
+                let place = Place::Target(seat.options.id.clone());
+                let disturbance = self.history.disturb_since(at, place);
+                seat.revival = Some((at + DOWN, disturbance));
+                self.crash_target(number).await;
+            } else if let Some((at, disturbance)) = seat.revival
+                && at <= Instant::now()
+            {
+                seat.revival = None;
+                self.revive_target(number).await;
+                self.history.calm(disturbance);
+            }
+        }
     }
 
     /// Starts a process on a VM that has none.
@@ -313,6 +346,7 @@
 
     /// Looks at the processes: none ends unless told, all that are told do.
     pub(crate) async fn watch(&mut self) {
+        self.watch_targets().await;
         for (number, vm) in self.vms.iter_mut().enumerate() {
             if let Some(running) = &mut vm.running
                 && running.node.process.has_ended().unwrap()
@@ -342,17 +376,15 @@
             })
     }
 
-    /// Whether all processes that were told to stop have ended.
+    /// Whether all processes that were told to stop have ended, and all senders.
     pub(crate) fn is_settled(&self) -> bool {
-        self.stopping.is_empty()
+        self.stopping.is_empty() && self.senders.iter().all(JoinHandle::is_finished)
     }
 
     /// Whether no target runs a generation.
     pub(crate) fn is_idle(&self) -> bool {
-        let targets = self.seats.iter().filter_map(|seat| seat.target.as_ref());
-        targets
-            .into_iter()
-            .all(|target| target.running().is_empty())
+        let mut lives = self.seats.iter().filter_map(|seat| seat.life.as_ref());
+        lives.all(|life| life.target.running().is_empty())
     }
 
     pub(crate) async fn close(self) {
@@ -365,8 +397,9 @@
         for stopping in self.stopping {
             stopping.running.close().await;
         }
-        for seat in self.seats {
-            seat.link.close().await;
+        for life in self.seats.into_iter().filter_map(|seat| seat.life) {
+            life.target.close();
+            life.link.close().await;
         }
         self.store.close();
     }
--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -7,10 +7,13 @@
 use filbertpaddle_standins::proxy::Link;
 
 use crate::cluster::Cluster;
+use crate::cluster::LiveTarget;
+use crate::cluster::Running;
 use crate::history::Place;
 use crate::history::What;
 use crate::schedule::DATA_CENTRES;
 use crate::schedule::Fault;
+use crate::traffic;
 
 /// How far the store's clock jumps.
 const JUMP_MS: u64 = 90_000;
@@ -54,15 +57,24 @@
         Fault::CallerLink(node, link) => on_running(cluster, node, |running| {
             running.callers.set_link(link);
         }),
-        Fault::TargetLink(target, link) => cluster.seats[target].link.set_link(link),
-        Fault::TargetDelay(target, delay_ms) => {
-            cluster.seats[target].link.set_faults(Faults {
+        Fault::TargetLink(target, link) => {
+            on_target(cluster, target, |life| life.link.set_link(link));
+        }
+        Fault::TargetDelay(target, delay_ms) => on_target(cluster, target, |life| {
+            life.link.set_faults(Faults {
                 link: Link::Open,
                 delay_ms,
             });
+        }),
+        Fault::Behaviour(target, behaviour) => {
+            on_target(cluster, target, |life| life.target.set_behaviour(behaviour));
         }
-        Fault::Behaviour(target, behaviour) => set_behaviour(cluster, target, behaviour),
-        Fault::TargetCrash(target) => cluster.crash_target(target),
+        Fault::Poison => {
+            let (doors, history) = (cluster.doors.clone(), cluster.history.clone());
+            let sender = tokio::spawn(traffic::poison(doors, history));
+            cluster.senders.push(sender);
+        }
+        Fault::TargetCrash(target) => cluster.crash_target(target).await,
         Fault::TargetLeaves(target) => begun.change = leave(cluster, target),
         Fault::Pause(node) => begun.frozen = cluster.freeze(node),
         Fault::Kill(node) => cluster.kill_node(node).await,
@@ -93,15 +105,17 @@
         Fault::PeerLink(node, _) => on_running(cluster, node, |running| running.peers.heal()),
         Fault::CallerLink(node, _) => on_running(cluster, node, |running| running.callers.heal()),
         Fault::TargetLink(target, _) | Fault::TargetDelay(target, _) => {
-            cluster.seats[target].link.heal();
+            on_target(cluster, target, |life| life.link.heal());
         }
-        Fault::Behaviour(target, _) => set_behaviour(cluster, target, Behaviour::Good),
+        Fault::Behaviour(target, _) => on_target(cluster, target, |life| {
+            life.target.set_behaviour(Behaviour::Good);
+        }),
         Fault::TargetCrash(target) => cluster.revive_target(target).await,
         Fault::TargetLeaves(target) => {
             cluster
                 .store
                 .remove_target(&cluster.seats[target].options.id);
-            cluster.crash_target(target);
+            cluster.crash_target(target).await;
             cluster.revive_target(target).await;
         }
         Fault::Pause(node) => {
@@ -111,7 +125,11 @@
         }
         Fault::Kill(node) | Fault::Terminate(node) => cluster.start_node(node).await,
         Fault::DataCentreOut(number) => cluster.store.set_data_centre(DATA_CENTRES[number], false),
-        Fault::StoreClock | Fault::HistoryGone | Fault::Reload(_) | Fault::NewKey => {}
+        Fault::StoreClock
+        | Fault::HistoryGone
+        | Fault::Reload(_)
+        | Fault::NewKey
+        | Fault::Poison => {}
     }
     if let Some(disturbance) = begun.disturbance {
         cluster.history.calm(disturbance);
@@ -137,31 +155,34 @@
         | Fault::TargetLeaves(target) => {
             Some(Place::Target(cluster.seats[target].options.id.clone()))
         }
-        Fault::PeerLink(..) | Fault::NewKey | Fault::DataCentreOut(_) => None,
+        Fault::PeerLink(..) | Fault::NewKey | Fault::DataCentreOut(_) | Fault::Poison => None,
     }
 }
 
 fn on_running<F>(cluster: &Cluster, node: usize, act: F)
 where
-    F: FnOnce(&crate::cluster::Running),
+    F: FnOnce(&Running),
 {
     if let Some(running) = &cluster.vms[node].running {
         act(running);
     }
 }
 
-fn set_behaviour(cluster: &Cluster, target: usize, behaviour: Behaviour) {
-    if let Some(target) = &cluster.seats[target].target {
-        target.set_behaviour(behaviour);
+fn on_target<F>(cluster: &Cluster, target: usize, act: F)
+where
+    F: FnOnce(&LiveTarget),
+{
+    if let Some(life) = &cluster.seats[target].life {
+        act(life);
     }
 }
 
 /// Announces that a target leaves.
 fn leave(cluster: &Cluster, number: usize) -> Option<usize> {
     let seat = &cluster.seats[number];
-    let target = seat.target.as_ref()?;
-    target.drain();
-    let entry = target.announce(seat.link.address);
+    let life = seat.life.as_ref()?;
+    life.target.drain();
+    let entry = life.target.announce(life.link.address);
     cluster.store.put_target(&seat.options.id, &entry);
     let what = What::Leaves(seat.options.id.clone(), seat.options.life);
     Some(cluster.history.change(what))
@@ -185,8 +206,10 @@
         });
     }
     for number in 0..cluster.seats.len() {
-        cluster.seats[number].link.heal();
-        set_behaviour(cluster, number, Behaviour::Good);
+        on_target(cluster, number, |life| {
+            life.link.heal();
+            life.target.set_behaviour(Behaviour::Good);
+        });
         cluster.revive_target(number).await;
     }
     cluster.announce_all();
--- a/filbertpaddle/tests/soak/history.rs
+++ b/filbertpaddle/tests/soak/history.rs
@@ -134,6 +134,13 @@
         events.disturbances.len() - 1
     }
 
+    /// Notes that a target has been down since a moment; returns its number.
+    pub(crate) fn disturb_since(&self, from: Instant, place: Place) -> usize {
+        let number = self.disturb(place, false);
+        self.events().disturbances[number].from = from;
+        number
+    }
+
     /// Notes that it is no longer.
     pub(crate) fn calm(&self, number: usize) {
         self.events().disturbances[number].to = Some(Instant::now());
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -31,7 +31,7 @@
 const USUAL: Size = Size {
     nodes: 4,
     targets: 4,
-    callers: 24,
+    callers: 40,
     faults: 14,
     span_ms: Millis(10_000),
 };
--- a/filbertpaddle/tests/soak/promises.rs
+++ b/filbertpaddle/tests/soak/promises.rs
@@ -6,6 +6,7 @@
 
 use filbertpaddle_adapter_standins::configuration::CUSTOMER;
 use filbertpaddle_adapter_standins::ledger::Run;
+use filbertpaddle_adapter_standins::target::POISON;
 use filbertpaddle_adapter_standins::target::event;
 
 use crate::history::Change;
@@ -30,11 +31,15 @@
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 const COLD_OVER: f64 = 1.5;
 const COLD_SLACK: f64 = 5.0;
+/// Crashes after which a request is known for what it is, and how often it may
+/// still be run once all nodes had time to learn it.
+const POISON_CRASHES: usize = 3;
+const POISON_RETRIES: usize = 3;
 
 /// Time that generations and plain requests may take.
 pub(crate) const STREAM_TIMEOUT_MS: u64 = 8_000;
 pub(crate) const PLAIN_TIMEOUT_MS: u64 = 2_000;
-pub(crate) const COLD_PER_SEC: f64 = 4.0;
+pub(crate) const COLD_PER_SEC: f64 = 1.0;
 pub(crate) const GRACE_SEC: u32 = 4;
 
 /// The customer's key of a version of the configuration.
@@ -102,6 +107,7 @@
         }
         check_retries(&events, &by_attempt, &mut broken);
         check_cold(&events, runs, &mut broken);
+        check_poison(runs, &mut broken);
     }
     broken.into_iter().for_each(|what| history.broken(what));
 }
@@ -293,6 +299,18 @@
     }
 }
 
+/// Checks that what crashes targets is stopped, through whichever nodes it comes.
+fn check_poison(runs: &[Run], broken: &mut Vec<String>) {
+    let mut poison = runs.iter().filter(|run| run.attempt.starts_with(POISON));
+    let Some(third) = poison.nth(POISON_CRASHES - 1) else {
+        return;
+    };
+    let count = poison.filter(|run| run.at > third.at + CALM).count();
+    if count > POISON_RETRIES {
+        broken.push(format!("{count} targets more were crashed by one request"));
+    }
+}
+
 /// Shares of requests by outcome, for the report of a run.
 pub(crate) fn tell(events: &Events) -> String {
     let count = |kind: Kind, is_good: bool| {
--- a/filbertpaddle/tests/soak/schedule.rs
+++ b/filbertpaddle/tests/soak/schedule.rs
@@ -51,6 +51,8 @@
     TargetDelay(usize, Millis),
     /// A target treats requests badly.
     Behaviour(usize, Behaviour),
+    /// A caller resends what crashes each target that runs it.
+    Poison,
     /// A target crashes and comes back cold.
     TargetCrash(usize),
     /// A target leaves, and another life of it takes its place.
@@ -85,11 +87,16 @@
     let mut events: Vec<_> = (0..size.faults)
         .map(|_| {
             let at_ms = rng.random_range(1_000..1_000 + size.span_ms.0);
-            let for_ms = rng.random_range(200..4_000);
+            let fault = draw_fault(&mut rng, size);
+            let for_ms = match fault {
+                // Long enough to be judged.
+                Fault::TargetLeaves(_) | Fault::DataCentreOut(_) => 8_000,
+                _ => rng.random_range(200..4_000),
+            };
             Event {
                 at_ms: Millis(at_ms),
                 until_ms: Millis(at_ms + for_ms),
-                fault: draw_fault(&mut rng, size),
+                fault,
             }
         })
         .collect();
@@ -110,7 +117,7 @@
             Link::HalfOpen,
         ],
     );
-    match rng.random_range(0..20) {
+    match rng.random_range(0..21) {
         0 | 1 => Fault::Store(one_of(
             rng,
             &[
@@ -143,6 +150,7 @@
                 ],
             ),
         ),
+        19 => Fault::Poison,
         12 => Fault::TargetCrash(target),
         13 | 14 => Fault::TargetLeaves(target),
         15 => Fault::Pause(node),
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -15,6 +15,7 @@
 use filbertpaddle_adapter_standins::configuration::STREAM;
 use filbertpaddle_adapter_standins::configuration::WRITE;
 use filbertpaddle_adapter_standins::target::EVENT_TOKENS;
+use filbertpaddle_adapter_standins::target::POISON;
 use http::Method;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -33,6 +34,9 @@
 const LEAVE_SHARE: f64 = 0.03;
 /// Share of requests on a new connection.
 const NEW_SHARE: f64 = 0.1;
+/// How often a request that crashes targets is sent, and the pause between.
+const POISON_COUNT: usize = 30;
+const POISON_PAUSE: Duration = Duration::from_millis(400);
 /// How the attempts of probes begin.
 pub(crate) const PROBE: &str = "probe-";
 const MAX_EVENTS: u64 = 150;
@@ -105,6 +109,32 @@
     caller::send(doors.address(node), &ask).await
 }
 
+/// Resends through one node after another what crashes its targets.
+pub(crate) async fn poison(doors: Doors, history: History) {
+    for number in 0..POISON_COUNT {
+        let node = number % doors.count();
+        let key = doors.key();
+        let attempt = format!("{POISON}-{}", rand::random::<u64>());
+        let mut ask = ask(Kind::Write, attempt, 0, key);
+        ask.content = Some(POISON.to_owned());
+        let sent = Instant::now();
+        let got = caller::send(doors.address(node), &ask).await;
+        history.events().exchanges.push(Exchange {
+            attempt: ask.attempt,
+            kind: Kind::Write,
+            events: 0,
+            node,
+            key,
+            sent,
+            ended: Instant::now(),
+            is_kept: false,
+            patience_ms: ask.deadline_ms,
+            got,
+        });
+        sleep(POISON_PAUSE).await;
+    }
+}
+
 fn draw(rng: &mut StdRng, attempt: String, key: u64) -> (Kind, u64, Ask) {
     let kind = match rng.random_range(0..10) {
         0..3 => Kind::Read,
@@ -137,6 +167,7 @@
         path: path.to_owned(),
         key: Some(promises::key(key)),
         deadline_ms: if kind.is_stream() { 9_000 } else { 3_000 },
+        content: None,
         tokens: kind.is_stream().then_some((PROMPT_TOKENS, output)),
     }
 }
