--- a/filbertpaddle-forward/src/fleet.rs
+++ b/filbertpaddle-forward/src/fleet.rs
@@ -30,6 +30,9 @@
 const FULL_SHARE: f64 = 1.0;
 /// Cost of a target whose memory is expected to overflow.
 const FULL_COST: f64 = 4.0;
+/// Cost of a cold target that has been given what it bears, to a generation that
+/// would otherwise be lost.
+const COLD_COST: f64 = 16.0;
 
 /// What a request asks of a target.
 #[derive(Clone, Debug, Default)]
@@ -69,22 +72,32 @@
 /// Load and health of all targets.
 #[derive(Clone, Debug)]
 pub struct Fleet {
+    node: Name,
     data_centre: Name,
+    /// The nodes that are alive, this one among them, as far as it is known.
+    nodes: Vec<Name>,
     loads: IndexMap<Name, Load>,
     /// Work of other nodes.
     others: ByTarget,
 }
 
 impl Fleet {
-    /// Knows of no load; the node stands in `data_centre`.
-    pub fn new(data_centre: Name) -> Self {
+    /// Knows of no load and no other node; `node` stands in `data_centre`.
+    pub fn new(node: Name, data_centre: Name) -> Self {
         Self {
+            nodes: Vec::new(),
+            node,
             data_centre,
             loads: IndexMap::new(),
             others: ByTarget::new(),
         }
     }
 
+    /// Takes over which nodes share the limits of targets.
+    pub fn set_nodes(&mut self, nodes: Vec<Name>) {
+        self.nodes = nodes;
+    }
+
     /// Takes over which targets there are; a new life starts without a past.
     pub fn update(&mut self, directory: &Directory) {
         for (target, _) in directory.targets() {
@@ -114,7 +127,6 @@
         directory: &'a Directory,
         ask: &Ask,
         passed_over: &[Name],
-        nodes: usize,
         mut draw: D,
     ) -> Result<&'a Target, NoTarget>
     where
@@ -134,7 +146,7 @@
                 reason = NoTarget::AllFailing;
                 continue;
             }
-            if !self.bears(now, configuration, target, read_ms, nodes) {
+            if !self.bears(now, configuration, target, read_ms) {
                 reason = NoTarget::AllCold;
                 continue;
             }
@@ -172,11 +184,12 @@
         };
         directory
             .targets()
-            .map(|(target, _)| target)
-            .filter(|target| may_take(target))
-            .map(|target| {
+            .filter(|(target, _)| may_take(target))
+            .map(|(target, read_ms)| {
+                let is_cold = !self.bears(now, configuration, target, read_ms);
                 let cost = self.cost(configuration, target, ask)
-                    + far(target, &source.data_centre, FAR_COPY_WEIGHT);
+                    + far(target, &source.data_centre, FAR_COPY_WEIGHT)
+                    + if is_cold { COLD_COST } else { 0.0 };
                 (cost + DRAW_WEIGHT * draw(), target)
             })
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
@@ -275,7 +288,6 @@
         configuration: &Configuration,
         target: &Target,
         read_ms: Millis,
-        nodes: usize,
     ) -> bool {
         if now >= read_ms + target.cold_ms {
             return true;
@@ -283,9 +295,12 @@
         let Some(service) = configuration.services.get(&target.service) else {
             return true;
         };
+        if service.cold_per_sec <= 0.0 {
+            return true;
+        }
+        let share = cold::share(&target.id, service.cold_per_sec, &self.node, &self.nodes);
         let load = self.loads.get(&target.id);
-        service.cold_per_sec <= 0.0
-            || load.is_none_or(|load| load.cold.has_room(now, service.cold_per_sec, nodes))
+        load.map_or(share > 0, |load| load.cold.has_room(now, share))
     }
 
     fn cost(&self, configuration: &Configuration, target: &Target, ask: &Ask) -> f64 {
--- a/filbertpaddle-forward/tests/fleet.rs
+++ b/filbertpaddle-forward/tests/fleet.rs
@@ -73,6 +73,13 @@
     directory.apply(Millis::ZERO, Millis::ZERO, &batch);
 }
 
+/// The only node.
+fn fleet(data_centre: &str) -> Fleet {
+    let mut fleet = Fleet::new("node".into(), data_centre.into());
+    fleet.set_nodes(vec!["node".into()]);
+    fleet
+}
+
 fn ask(prompt_tokens: u32, total_tokens: u32) -> Ask {
     Ask {
         service: "engine".into(),
@@ -82,14 +89,14 @@
 }
 
 fn choose(fleet: &Fleet, directory: &Directory, ask: &Ask) -> Result<Name, NoTarget> {
-    let chosen = fleet.choose(Millis(10_000), directory, ask, &[], 1, || 0.5);
+    let chosen = fleet.choose(Millis(10_000), directory, ask, &[], || 0.5);
     chosen.map(|target| target.id.clone())
 }
 
 #[test]
 fn prompts_that_are_still_read_keep_others_away() {
     let directory = directory(&[target("a", "dc"), target("b", "dc")]);
-    let mut fleet = Fleet::new("dc".into());
+    let mut fleet = fleet("dc");
     fleet.update(&directory);
     // One reads a prompt; the other decodes with more memory in use.
     fleet.sent(
@@ -111,7 +118,7 @@
 #[test]
 fn work_of_other_nodes_counts_like_own() {
     let directory = directory(&[target("a", "dc"), target("b", "dc")]);
-    let mut fleet = Fleet::new("dc".into());
+    let mut fleet = fleet("dc");
     fleet.update(&directory);
     let mut others = ByTarget::new();
     let busy = Work {
@@ -127,7 +134,7 @@
 #[test]
 fn another_data_centre_is_used_when_the_own_one_is_full() {
     let directory = directory(&[target("near", "dc-a"), target("far", "dc-b")]);
-    let mut fleet = Fleet::new("dc-a".into());
+    let mut fleet = fleet("dc-a");
     fleet.update(&directory);
     assert_eq!(
         choose(&fleet, &directory, &ask(500, 1_000)).unwrap(),
@@ -143,7 +150,7 @@
 #[test]
 fn a_failing_target_is_passed_over_for_ever_longer() {
     let directory = directory(&[target("a", "dc")]);
-    let mut fleet = Fleet::new("dc".into());
+    let mut fleet = fleet("dc");
     fleet.update(&directory);
     let spans: Vec<_> = (0..5)
         .map(|_| fleet.failed(Millis(10_000), "a").since(Millis(10_000)))
@@ -160,7 +167,7 @@
 #[test]
 fn ended_work_leaves_nothing_behind() {
     let directory = directory(&[target("a", "dc")]);
-    let mut fleet = Fleet::new("dc".into());
+    let mut fleet = fleet("dc");
     fleet.update(&directory);
     let target = directory.target("a").unwrap();
     for is_started in [true, false] {
@@ -182,13 +189,20 @@
         let mut cold = target("cold", "dc");
         cold.cold_ms = Millis(5_000);
         let directory = directory(&[cold]);
-        let nodes = rng.random_range(1..=6);
-        let mut fleets = vec![Fleet::new("dc".into()); nodes];
+        let nodes = rng.random_range(1..=100);
+        let names: Vec<Name> = (0..nodes).map(|node| format!("n{node}").into()).collect();
+        let mut fleets: Vec<_> = names
+            .iter()
+            .map(|name| Fleet::new(name.clone(), "dc".into()))
+            .collect();
+        for fleet in &mut fleets {
+            fleet.set_nodes(names.clone());
+        }
         let mut sent = Vec::new();
         for now in (0..4_000).map(Millis) {
             let fleet = &mut fleets[rng.random_range(0..nodes)];
             let ask = ask(1, 1);
-            let chosen = fleet.choose(now, &directory, &ask, &[], nodes, || 0.5);
+            let chosen = fleet.choose(now, &directory, &ask, &[], || 0.5);
             if let Ok(target) = chosen {
                 fleet.sent(now, target, &ask);
                 sent.push(now);
@@ -217,7 +231,7 @@
         target("far", "dc-b"),
     ];
     let directory = directory(&targets);
-    let mut fleet = Fleet::new("dc-b".into());
+    let mut fleet = fleet("dc-b");
     fleet.update(&directory);
     let ask = ask(0, 4_000);
     let destination = |passed_over: &[Name]| {
--- a/filbertpaddle-gateway/src/follower.rs
+++ b/filbertpaddle-gateway/src/follower.rs
@@ -189,8 +189,7 @@
     let calls = state.dialect.store;
     let bytes = ask(state, &(calls.read_nodes)(), ANSWER_MS).await?;
     let list = (calls.decode_nodes)(&bytes)?;
-    let now = state.clock.now();
-    Ok(state.nodes.borrow_mut().update(now, list))
+    Ok(state.take_nodes(list))
 }
 
 async fn step(state: &Rc<State>, table: Table, has_failed: bool) -> Result<(), Error> {
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -138,11 +138,10 @@
         let state = &self.state;
         let now = state.clock.now();
         let directory = state.directory.borrow();
-        let nodes = state.nodes.borrow().count().unwrap_or(1);
         let fleet = state.fleet.borrow();
         let passed_over = &progress.passed_over;
         let draw = rand::random::<f64>;
-        let target = fleet.choose(now, &directory, &self.ask, passed_over, nodes, draw)?;
+        let target = fleet.choose(now, &directory, &self.ask, passed_over, draw)?;
         Ok(target.clone())
     }
 
--- a/filbertpaddle-gateway/src/peers.rs
+++ b/filbertpaddle-gateway/src/peers.rs
@@ -117,7 +117,8 @@
             });
         }
         Message::Nodes(list) => {
-            state.nodes.borrow_mut().update(now, list);
+            // Who reads the store drops old entries.
+            state.take_nodes(list);
         }
         Message::Suspects(suspects) => take_suspects(state, &suspects),
         message => debug!(state.log, "unexpected message"; "message" => ?message),
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -23,6 +23,7 @@
 
 use crate::clock::Clock;
 use crate::dialect::Dialect;
+use crate::dialect::NodeList;
 use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
@@ -90,7 +91,7 @@
     /// Starts with nothing known.
     pub fn new(settings: Settings, dialect: Dialect, log: Logger) -> Rc<Self> {
         let clock = Clock::new();
-        let fleet = Fleet::new(settings.data_centre.clone());
+        let fleet = Fleet::new(settings.node.clone(), settings.data_centre.clone());
         Rc::new(Self {
             tuning: RefCell::new(settings.tuning.clone()),
             settings,
@@ -138,6 +139,15 @@
         action(budgets.entry(service.clone()).or_default())
     }
 
+    /// Takes over the list of nodes; returns the entries to drop.
+    pub fn take_nodes(&self, list: NodeList) -> Vec<Name> {
+        let mut nodes = self.nodes.borrow_mut();
+        let dropped = nodes.update(self.clock.now(), list);
+        let names = nodes.live().iter().map(|node| node.name.clone()).collect();
+        self.fleet.borrow_mut().set_nodes(names);
+        dropped
+    }
+
     /// Tells when targets or the configuration change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
