--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -359,6 +359,9 @@
                 return;
             }
         }
+        if !self.take_address(revision, target, effect) {
+            return;
+        }
         self.removed.shift_remove(id);
         effect.targets.push(id.clone());
         let listed = Listed {
@@ -371,6 +374,26 @@
         self.targets.insert(id.clone(), listed);
     }
 
+    /// Forgets older targets at a target's address: a crashed one stays listed
+    /// until its entry lapses, while another may have started in its place.
+    /// Returns `false` if the target is itself the older one.
+    fn take_address(&mut self, revision: u64, target: &Target, effect: &mut Effect) -> bool {
+        let others: Vec<_> = self
+            .targets
+            .values()
+            .filter(|listed| listed.target.address == target.address)
+            .filter(|listed| listed.target.id != target.id)
+            .map(|listed| (listed.target.id.clone(), listed.revision))
+            .collect();
+        if others.iter().any(|(_, other)| *other > revision) {
+            return false;
+        }
+        for (id, other) in others {
+            self.forget(&id, other, effect);
+        }
+        true
+    }
+
     fn remove(&mut self, now: Millis, revision: u64, id: &Name, effect: &mut Effect) {
         let Some(known) = self.targets.get_mut(id) else {
             return;
--- a/filbertpaddle-forward/tests/directory.rs
+++ b/filbertpaddle-forward/tests/directory.rs
@@ -15,7 +15,7 @@
     Target {
         id: id.into(),
         service: "engine".into(),
-        address: "127.0.0.1:1".into(),
+        address: format!("{id}.test:1").into(),
         data_centre: "dc-a".into(),
         slots: 4,
         is_draining,
@@ -173,6 +173,31 @@
     assert_eq!(ids(&directory), ["b"]);
 }
 
+/// Crashed targets stay listed for a while, and others start at their addresses.
+#[test]
+fn a_target_at_the_address_of_another_takes_its_place() {
+    let at = |id: &str| Target {
+        address: "shared.test:1".into(),
+        ..target(id, false)
+    };
+    let (old, new) = ((3, Entry::Target(at("old"))), (7, Entry::Target(at("new"))));
+    for changes in [[old.clone(), new.clone()], [new.clone(), old.clone()]] {
+        let mut directory = listed();
+        let effect = directory.apply(
+            Millis(20),
+            Millis(20),
+            &batch(Table::Targets, false, 7, changes.to_vec()),
+        );
+        assert_eq!(ids(&directory), ["a", "b", "new"]);
+        assert!(effect.targets.contains(&"new".into()));
+        // A word of the old one that is newer than the new one is believed.
+        let back = vec![(8, Entry::Target(at("old")))];
+        let again = batch(Table::Targets, false, 8, back);
+        directory.apply(Millis(30), Millis(30), &again);
+        assert_eq!(ids(&directory), ["a", "b", "old"]);
+    }
+}
+
 #[test]
 fn a_target_that_says_it_leaves_is_believed_until_a_new_life() {
     let mut directory = listed();
--- a/filbertpaddle-forward/tests/fleet.rs
+++ b/filbertpaddle-forward/tests/fleet.rs
@@ -29,7 +29,7 @@
     Target {
         id: id.into(),
         service: "engine".into(),
-        address: format!("127.0.0.1:{}", 1_000 + id.len()).into(),
+        address: format!("{id}.test:1").into(),
         data_centre: data_centre.into(),
         slots: 24,
         is_draining: false,
