--- a/filbertpaddle/tests/soak/history.rs
+++ b/filbertpaddle/tests/soak/history.rs
@@ -9,6 +9,11 @@
 
 use filbertpaddle_adapter_standins::caller::Got;
 
+/// How often it is looked whether this process gets processor time, and how long
+/// it may have got none: half of what an answer may be late.
+const TICK: Duration = Duration::from_millis(20);
+const STALL: Duration = Duration::from_millis(250);
+
 /// What a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -60,6 +65,8 @@
     Node(usize),
     /// A target by its identity.
     Target(String),
+    /// The machine: this process itself got no processor time.
+    Machine,
 }
 
 /// A time in which something was wrong.
@@ -141,6 +148,28 @@
         number
     }
 
+    /// Watches whether this process gets processor time, until the history ends.
+    pub(crate) fn watch_machine(&self) {
+        let events = Arc::downgrade(&self.0);
+        std::thread::spawn(move || {
+            let mut last = Instant::now();
+            while let Some(events) = events.upgrade() {
+                let now = Instant::now();
+                if now - last > STALL {
+                    Self(events).stalled(last, now);
+                }
+                last = now;
+                std::thread::sleep(TICK);
+            }
+        });
+    }
+
+    fn stalled(&self, from: Instant, to: Instant) {
+        eprintln!("the machine stalled for {:?}", to - from);
+        let number = self.disturb_since(from, Place::Machine);
+        self.events().disturbances[number].to = Some(to);
+    }
+
     /// Notes that it is no longer.
     pub(crate) fn calm(&self, number: usize) {
         self.events().disturbances[number].to = Some(Instant::now());
@@ -176,7 +205,8 @@
     {
         !self.disturbances.iter().any(|disturbance| {
             let is_over = disturbance.to.is_some_and(|end| end < from);
-            disturbance.from <= to && !is_over && counts(disturbance)
+            let is_counted = disturbance.place == Place::Machine || counts(disturbance);
+            disturbance.from <= to && !is_over && is_counted
         })
     }
 }
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -99,6 +99,7 @@
 async fn run(seed: u64, size: Size) -> Vec<String> {
     let mut cluster = Cluster::start(&format!("soak-{seed}"), &size).await;
     until_served(&cluster).await;
+    cluster.history.watch_machine();
     let traffic = Traffic {
         doors: cluster.doors.clone(),
         history: cluster.history.clone(),
--- a/filbertpaddle/tests/soak/promises.rs
+++ b/filbertpaddle/tests/soak/promises.rs
@@ -139,7 +139,7 @@
     events.is_calm(from - CALM, to, |disturbance| match &disturbance.place {
         Place::Store => true,
         Place::Node(number) => *number == node,
-        Place::Target(_) => false,
+        Place::Target(_) | Place::Machine => false,
     })
 }
 
@@ -165,7 +165,7 @@
             // An outage of the store alone excuses no plain request.
             Place::Store => kind.is_stream(),
             Place::Node(node) => *node == exchange.node && !disturbance.is_planned,
-            Place::Target(_) => true,
+            Place::Target(_) | Place::Machine => true,
         }
     });
     let has_left = took < timeout && took >= Duration::from_millis(exchange.patience_ms);
