--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -112,16 +112,13 @@
     if !takes(state, route, &envelope) {
         return Err(deny(state, &id, Refusal::Stopping, &route.name));
     }
-    let job = job(
-        state,
-        received_ms,
-        &configuration,
-        route,
-        customer,
+    let received = Received {
+        at_ms: received_ms,
         envelope,
         head,
         body,
-    );
+    };
+    let job = received.into_job(state, &configuration, route, customer);
     if state.suspects.borrow().standing(job.digest) == Standing::Condemned {
         return Err(deny(state, &id, Refusal::Quarantined, &route.name));
     }
@@ -130,43 +127,46 @@
     Ok(job)
 }
 
-/// Makes the job of a request that the configuration allows.
-#[expect(
-    clippy::too_many_arguments,
-    reason = "all that is known of a request meets here"
-)]
-fn job(
-    state: &Rc<State>,
-    received_ms: Millis,
-    configuration: &Configuration,
-    route: &Route,
-    customer: Option<&Customer>,
+/// A whole request as its caller sent it.
+struct Received {
+    at_ms: Millis,
     envelope: Envelope,
     head: Parts,
     body: Bytes,
-) -> Job {
-    let ask = ask(route, &envelope);
-    let service = configuration.services.get(&ask.service);
-    let engine = service.and_then(|service| service.engine.as_ref());
-    let own_priority = customer.and_then(|customer| customer.priority);
-    let customer = customer.map(|customer| customer.name.clone());
-    let deadline_ms = envelope.deadline_ms.unwrap_or(route.timeout_ms);
-    Job {
-        state: Rc::clone(state),
-        route: route.clone(),
-        priority: own_priority.unwrap_or(route.priority),
-        digest: digest(head.uri.path(), customer.as_deref(), &body),
-        customer,
-        envelope,
-        method: head.method,
-        uri: head.uri,
-        headers: forwarded(state, head.headers),
-        body,
-        received_ms,
-        limit_ms: received_ms + deadline_ms.min(route.timeout_ms),
-        ask,
-        event_tokens: engine.map_or(1, |engine| engine.event_tokens),
-        can_migrate: engine.is_some_and(|engine| engine.can_migrate),
+}
+
+impl Received {
+    /// Makes the job of a request that the configuration allows.
+    fn into_job(
+        self,
+        state: &Rc<State>,
+        configuration: &Configuration,
+        route: &Route,
+        customer: Option<&Customer>,
+    ) -> Job {
+        let ask = ask(route, &self.envelope);
+        let service = configuration.services.get(&ask.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let own_priority = customer.and_then(|customer| customer.priority);
+        let customer = customer.map(|customer| customer.name.clone());
+        let deadline_ms = self.envelope.deadline_ms.unwrap_or(route.timeout_ms);
+        Job {
+            state: Rc::clone(state),
+            route: route.clone(),
+            priority: own_priority.unwrap_or(route.priority),
+            digest: digest(self.head.uri.path(), customer.as_deref(), &self.body),
+            customer,
+            envelope: self.envelope,
+            method: self.head.method,
+            uri: self.head.uri,
+            headers: forwarded(state, self.head.headers),
+            body: self.body,
+            received_ms: self.at_ms,
+            limit_ms: self.at_ms + deadline_ms.min(route.timeout_ms),
+            ask,
+            event_tokens: engine.map_or(1, |engine| engine.event_tokens),
+            can_migrate: engine.is_some_and(|engine| engine.can_migrate),
+        }
     }
 }
 
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -2,19 +2,15 @@
 
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
+mod limits;
+mod streams;
 mod world;
 
-use std::time::Duration;
-
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::store::Fault;
 use filbertpaddle_adapter_standins::target::Behaviour;
-use filbertpaddle_adapter_standins::target::POISON;
-use filbertpaddle_adapter_standins::target::Target;
 use http::Method;
-use tokio::time::sleep;
 use world::READ;
-use world::RESUMABLE;
 use world::STREAM;
 use world::WRITE;
 use world::World;
@@ -24,10 +20,6 @@
 use world::until;
 use world::whole_stream;
 
-/// Retries that the nodes' settings allow for each request, and besides.
-const RETRY_RATIO: f64 = 0.2;
-const RETRY_SLACK: f64 = 58.0;
-
 #[tokio::test]
 async fn whole_answers_and_streams_arrive_unchanged() {
     let world = World::with_nodes("whole", 1).await;
@@ -108,115 +100,6 @@
     world.close();
 }
 
-#[tokio::test]
-async fn an_idempotent_request_is_sent_once_more_and_not_twice() {
-    let world = World::with_nodes("retry", 1).await;
-    world.target("p1").set_behaviour(Behaviour::Failing);
-    world.target("p2").set_behaviour(Behaviour::Failing);
-    let got = world.send(&ask("r", Method::GET, READ, None)).await;
-    assert_eq!((got.code(), got.is_sealed()), (500, true));
-    assert_eq!(world.ledger.runs_of("r").len(), 2);
-    let got = world.send(&ask("w", Method::POST, WRITE, None)).await;
-    assert_eq!((got.code(), got.is_sealed()), (500, true));
-    assert_eq!(world.ledger.runs_of("w").len(), 1);
-    world.close();
-}
-
-#[tokio::test]
-async fn a_stream_moves_from_a_leaving_target_and_stays_whole() {
-    let world = World::with_nodes("move", 1).await;
-    let stream = ask("s", Method::POST, STREAM, Some(800));
-    let leave = async {
-        until("the stream runs", async || {
-            let runs = world.ledger.runs_of("s");
-            runs.first()
-                .is_some_and(|run| world.target(&run.target).running().get("s") > Some(&10))
-        })
-        .await;
-        let first = world.ledger.runs_of("s").remove(0).target;
-        let target = world.target(&first);
-        target.drain();
-        world
-            .store
-            .put_target(&first, &target.announce(target.address));
-    };
-    let (got, ()) = tokio::join!(world.send(&stream), leave);
-    assert!(got.is_whole);
-    assert_eq!(got.body, whole_stream("s", 200));
-    let runs = world.ledger.runs_of("s");
-    assert_eq!(runs.len(), 2);
-    assert!(runs[1].is_moved && runs[1].target != runs[0].target);
-    world.close();
-}
-
-#[tokio::test]
-async fn a_stream_moves_while_the_store_is_silent() {
-    let world = World::with_nodes("blind", 1).await;
-    let stream = ask("s", Method::POST, STREAM, Some(1_600));
-    let leave = async {
-        until("the stream runs", async || {
-            !world.ledger.runs_of("s").is_empty()
-        })
-        .await;
-        world.store.set_fault(Fault::Silent);
-        let first = world.ledger.runs_of("s").remove(0).target;
-        world.target(&first).drain();
-    };
-    let (got, ()) = tokio::join!(world.send(&stream), leave);
-    assert!(got.is_whole);
-    assert_eq!(got.body, whole_stream("s", 400));
-    assert!(world.ledger.runs_of("s")[1].is_moved);
-    world.close();
-}
-
-#[tokio::test]
-async fn a_resumable_stream_goes_on_behind_its_last_event_and_another_is_cut() {
-    let mut world = World::with_nodes("crash", 1).await;
-    let resumable = ask("go", Method::POST, RESUMABLE, Some(400));
-    // Long enough to run until its target is closed.
-    let single = ask("cut", Method::POST, STREAM, Some(2_400));
-    let node = world.nodes[0].addresses.callers;
-    let going = tokio::spawn(async move { caller::send(node, &resumable).await });
-    let cut = tokio::spawn(async move { caller::send(node, &single).await });
-    until("both run", async || {
-        let has_events = |attempt| {
-            let running = |id| world.target(id).running().get(attempt).copied();
-            running("e1").max(running("e2")) > Some(5)
-        };
-        has_events("go") && has_events("cut")
-    })
-    .await;
-    let target = world.ledger.runs_of("go").remove(0).target;
-    world.take_target(&target).close();
-    let got = going.await.unwrap();
-    assert!(got.is_whole);
-    assert_eq!(got.body, whole_stream("go", 100));
-    assert_eq!(world.ledger.runs_of("go").len(), 2);
-    let other = world.ledger.runs_of("cut").remove(0).target;
-    if other != target {
-        world.take_target(&other).close();
-    }
-    let got = cut.await.unwrap();
-    assert!(!got.is_whole);
-    assert!(whole_stream("cut", 600).starts_with(&got.body));
-    assert_eq!(world.ledger.runs_of("cut").len(), 1);
-    world.close();
-}
-
-#[tokio::test]
-async fn a_caller_that_leaves_ends_the_work_at_its_target() {
-    let world = World::with_nodes("gone", 1).await;
-    let mut stream = ask("s", Method::POST, STREAM, Some(40_000));
-    stream.deadline_ms = 300;
-    let got = world.send(&stream).await;
-    assert!(!got.is_whole);
-    until("nothing runs", async || {
-        world.target("e1").running().is_empty() && world.target("e2").running().is_empty()
-    })
-    .await;
-    world.close();
-}
-
 #[tokio::test]
 async fn a_new_key_is_in_force_and_an_old_one_is_not() {
     let world = World::with_nodes("keys", 2).await;
@@ -378,64 +261,3 @@
     assert!(world.nodes[0].process.wait().unwrap().success());
     world.close();
 }
-
-#[tokio::test]
-async fn a_request_that_crashes_targets_is_stopped_through_any_node() {
-    let mut world = World::with_nodes("poison", 3).await;
-    for number in 3..9 {
-        world.add_target(&format!("p{number}"), "app", "dc-a").await;
-    }
-    until("all nodes are linked", async || {
-        world.store.nodes().len() == 3
-    })
-    .await;
-    let crashed = |world: &World| {
-        let targets = world.targets.iter();
-        targets.filter_map(Target::crashed_at).count()
-    };
-    let mut codes = Vec::new();
-    for number in 0..8 {
-        let node = world.nodes[number % 3].addresses.callers;
-        let mut poison = ask(&format!("poison-{number}"), Method::POST, WRITE, None);
-        poison.content = Some(POISON.to_owned());
-        let got = caller::send(node, &poison).await;
-        codes.push(got.code());
-        // A crash is known to all nodes within a second.
-        sleep(Duration::from_secs(1)).await;
-    }
-    assert_eq!(codes, [502, 502, 502, 503, 503, 503, 503, 503]);
-    assert_eq!(crashed(&world), 3);
-    let innocent = world.send(&ask("w", Method::POST, WRITE, None)).await;
-    assert_eq!(innocent.code(), 200);
-    world.close();
-}
-
-#[tokio::test]
-async fn refusals_by_targets_that_are_others_now_count_as_retries() {
-    let mut world = World::with_nodes("others", 1).await;
-    for number in 0..150 {
-        world.add_target(&format!("q{number}"), "app", "dc-a").await;
-    }
-    until("the node knows them", async || {
-        let attempt = format!("r{}", world.ledger.runs().len());
-        world.send(&ask(&attempt, Method::GET, READ, None)).await;
-        world.ledger.runs().iter().any(|run| run.target == "q149")
-    })
-    .await;
-    let before: u64 = world.targets.iter().map(Target::arrivals).sum();
-    for target in &world.targets {
-        target.set_behaviour(Behaviour::Another);
-    }
-    let requests = 40;
-    for number in 0..requests {
-        let got = world
-            .send(&ask(&format!("w{number}"), Method::POST, WRITE, None))
-            .await;
-        assert_eq!(got.code(), 503);
-    }
-    let arrivals: u64 = world.targets.iter().map(Target::arrivals).sum();
-    let allowed = RETRY_RATIO * (f64::from(requests) + before as f64) + RETRY_SLACK;
-    let repeats = (arrivals - before) as f64 - f64::from(requests);
-    assert!(repeats <= allowed, "{repeats} repeats, {allowed} allowed");
-    world.close();
-}
--- a/filbertpaddle/tests/gateway/world.rs
+++ b/filbertpaddle/tests/gateway/world.rs
@@ -117,6 +117,11 @@
         found.unwrap()
     }
 
+    /// The target that an attempt was first sent to.
+    pub(crate) fn target_of(&self, attempt: &str) -> &Target {
+        self.target(&self.ledger.runs_of(attempt)[0].target)
+    }
+
     /// Takes a target out of the world, so that it can be closed.
     pub(crate) fn take_target(&mut self, id: &str) -> Target {
         let index = self
