--- a/filbertpaddle-gateway/src/follower.rs
+++ b/filbertpaddle-gateway/src/follower.rs
@@ -35,7 +35,9 @@
 /// takes about 60 times its usual 4 ms.
 const ANSWER_MS: Millis = Millis(600);
 /// Pause after an answer, so that rows that change together come together.
-const GATHER: Duration = Duration::from_millis(40);
+const GATHER: Duration = Duration::from_millis(200);
+/// The same of a node that reads for itself alone.
+const GATHER_ALONE: Duration = Duration::from_millis(600);
 /// Pause of a node whose reader cannot read either; drawn, so that not all
 /// nodes try at once.
 const PROBE_MS: std::ops::Range<u64> = 1_500..3_500;
@@ -100,7 +102,8 @@
                     info!(state.log, "store regained"; "table" => %table, "failures" => failures);
                 }
                 failures = 0;
-                sleep(GATHER).await;
+                let is_reader = state.is_reader();
+                sleep(if is_reader { GATHER } else { GATHER_ALONE }).await;
             }
             Err(error) => {
                 failures += 1;
@@ -152,7 +155,8 @@
 /// Reads the list if nobody passes it on, drops old entries and renews its own
 /// before it would count as stale.
 async fn look(state: &Rc<State>) -> Result<(), Error> {
-    let dropped = if state.must_read() {
+    let is_stranger = !state.is_registered.get() && !state.link.get().is_up;
+    let dropped = if is_stranger || state.must_read() {
         read_nodes(state).await?
     } else {
         Vec::new()
--- a/filbertpaddle-gateway/src/peers.rs
+++ b/filbertpaddle-gateway/src/peers.rs
@@ -86,12 +86,25 @@
                 }
             }
         }
-        if state.is_reader() && !state.directory.borrow().is_store_lost() {
+        if !should_follow(state, address) {
             return Ok(());
         }
     }
 }
 
+/// Whether a node goes on following the one at an address.
+fn should_follow(state: &State, address: SocketAddr) -> bool {
+    if state.is_reader() {
+        return state.directory.borrow().is_store_lost();
+    }
+    let now = state.clock.now();
+    let nodes = state.nodes.borrow();
+    let readers = nodes.readers(now, &state.settings.data_centre);
+    !state.is_registered.get()
+        || readers.is_empty()
+        || readers.iter().any(|node| node.peers == address)
+}
+
 /// Takes what a followed node says.
 fn take(state: &State, message: Message) -> Result<(), Error> {
     let now = state.clock.now();
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -188,6 +188,10 @@
 
     /// Whether this node is one of those that read the store for others.
     pub fn is_reader(&self) -> bool {
+        // Its list of nodes may be incomplete before.
+        if !self.is_registered.get() {
+            return false;
+        }
         let now = self.clock.now();
         let nodes = self.nodes.borrow();
         let readers = nodes.readers(now, &self.settings.data_centre);
