--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -32,7 +32,7 @@
 use crate::state::State;
 
 /// Most connections that are tried for one request before it is refused.
-pub const MAX_CONNECTS: u32 = 4;
+pub const MAX_CONNECTS: u32 = 12;
 /// Least urgent rank that targets know.
 const MAX_URGENCY: u8 = 9;
 /// When a caller may come back after targets were full or failing.
