--- a/filbertpaddle-forward/src/board.rs
+++ b/filbertpaddle-forward/src/board.rs
@@ -18,6 +18,8 @@
     pub tokens: u64,
     /// Prompt tokens still to be read.
     pub prompt_tokens: u64,
+    /// Nodes whose connections it has refused of late.
+    pub refusals: u32,
 }
 
 /// Work by target.
@@ -44,6 +46,7 @@
         self.running += other.running;
         self.tokens += other.tokens;
         self.prompt_tokens += other.prompt_tokens;
+        self.refusals += other.refusals;
     }
 
     /// Returns what is left without `other`.
@@ -52,6 +55,7 @@
             running: self.running.saturating_sub(other.running),
             tokens: self.tokens.saturating_sub(other.tokens),
             prompt_tokens: self.prompt_tokens.saturating_sub(other.prompt_tokens),
+            refusals: self.refusals.saturating_sub(other.refusals),
         }
     }
 }
--- a/filbertpaddle-forward/src/fleet.rs
+++ b/filbertpaddle-forward/src/fleet.rs
@@ -30,6 +30,8 @@
 const FULL_SHARE: f64 = 1.0;
 /// Cost of a target whose memory is expected to overflow.
 const FULL_COST: f64 = 4.0;
+/// Cost of a target that refuses other nodes' connections and runs nothing.
+const GONE_COST: f64 = 8.0;
 /// Cost of a cold target that has been given what it bears, to a generation that
 /// would otherwise be lost.
 const COLD_COST: f64 = 16.0;
@@ -66,6 +68,8 @@
     own: Work,
     failures: u32,
     shunned_until_ms: Millis,
+    /// Whether nothing listened there when it failed last.
+    is_refusing: bool,
     cold: cold::Rate,
 }
 
@@ -109,6 +113,7 @@
             if !is_same {
                 load.failures = 0;
                 load.shunned_until_ms = Millis::ZERO;
+                load.is_refusing = false;
             }
             load.life = Some(target.clone());
         }
@@ -233,24 +238,42 @@
         if let Some(load) = self.loads.get_mut(id) {
             load.failures = 0;
             load.shunned_until_ms = Millis::ZERO;
+            load.is_refusing = false;
         }
     }
 
+    /// A target refused a connection; returns until when it is passed over.
+    ///
+    /// Other nodes are told, and pass over it where nothing runs: while the store
+    /// is away, lost targets stay listed and look idle.
+    pub fn refused(&mut self, now: Millis, id: &str) -> Millis {
+        let until_ms = self.failed(now, id);
+        if let Some(load) = self.loads.get_mut(id) {
+            load.is_refusing = true;
+        }
+        until_ms
+    }
+
     /// A target failed a request; returns until when it is passed over.
     pub fn failed(&mut self, now: Millis, id: &str) -> Millis {
         let load = self.loads.entry(id.into()).or_default();
         let span = Millis(SHUN_MS.0 << load.failures.min(8)).min(MAX_SHUN_MS);
         load.failures += 1;
+        load.is_refusing = false;
         load.shunned_until_ms = now + span;
         load.shunned_until_ms
     }
 
-    /// Work of this node by target.
-    pub fn own_work(&self) -> ByTarget {
+    /// Work of this node by target, and what refuses its connections.
+    pub fn own_work(&self, now: Millis) -> ByTarget {
+        let told = |load: &Load| Work {
+            refusals: u32::from(load.is_refusing && now < load.shunned_until_ms),
+            ..load.own
+        };
         self.loads
             .iter()
-            .filter(|(_, load)| !load.own.is_empty())
-            .map(|(id, load)| (id.clone(), load.own))
+            .map(|(id, load)| (id.clone(), told(load)))
+            .filter(|(_, work)| !work.is_empty())
             .collect()
     }
 
@@ -307,13 +330,15 @@
         let service = configuration.services.get(&target.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let work = self.work(&target.id);
+        let is_gone = work.refusals > 0 && work.running == 0;
+        let gone = if is_gone { GONE_COST } else { 0.0 };
         let Some(engine) = engine else {
-            return f64::from(work.running) / f64::from(target.slots.max(1));
+            return gone + f64::from(work.running) / f64::from(target.slots.max(1));
         };
         let memory = f64::from(engine.memory_tokens.max(1));
         let used = (work.tokens + u64::from(ask.total_tokens)) as f64 / memory;
         let full = if used > FULL_SHARE { FULL_COST } else { 0.0 };
-        full + used + PROMPT_WEIGHT * work.prompt_tokens as f64 / memory
+        full + gone + used + PROMPT_WEIGHT * work.prompt_tokens as f64 / memory
     }
 }
 
@@ -321,6 +346,7 @@
     fn from(ask: &Ask) -> Self {
         Self {
             running: 1,
+            refusals: 0,
             tokens: u64::from(ask.total_tokens),
             prompt_tokens: u64::from(ask.prompt_tokens),
         }
--- a/filbertpaddle-forward/tests/board.rs
+++ b/filbertpaddle-forward/tests/board.rs
@@ -17,6 +17,7 @@
                 running: rng.random_range(1..5),
                 tokens: rng.random_range(0..9_000),
                 prompt_tokens: rng.random_range(0..3_000),
+                refusals: rng.random_range(0..2),
             };
             (target, work)
         })
--- a/filbertpaddle-forward/tests/fleet.rs
+++ b/filbertpaddle-forward/tests/fleet.rs
@@ -115,6 +115,51 @@
     assert_eq!(choose(&fleet, &directory, &ask(2_000, 2_100)).unwrap(), "a");
 }
 
+/// While the store is away, targets that it still lists are lost, and each looks
+/// idle to a node that has not tried it.
+#[test]
+fn a_target_that_refuses_other_nodes_comes_last_unless_it_runs_something() {
+    let directory = directory(&[target("idle", "dc"), target("busy", "dc")]);
+    let mut fleet = fleet("dc");
+    fleet.update(&directory);
+    let busy = Work {
+        running: 5,
+        tokens: 20_000,
+        prompt_tokens: 2_000,
+        refusals: 0,
+    };
+    let refusing = Work {
+        refusals: 1,
+        ..Work::default()
+    };
+    let mut others = ByTarget::new();
+    others.insert("busy".into(), busy);
+    others.insert("idle".into(), refusing);
+    fleet.set_others(others.clone());
+    assert_eq!(choose(&fleet, &directory, &ask(100, 200)).unwrap(), "busy");
+    // One node is cut off from what serves all others.
+    let running = Work {
+        running: 1,
+        ..refusing
+    };
+    others.insert("idle".into(), running);
+    fleet.set_others(others);
+    assert_eq!(choose(&fleet, &directory, &ask(100, 200)).unwrap(), "idle");
+}
+
+#[test]
+fn a_refused_connection_is_told_until_it_is_tried_again() {
+    let directory = directory(&[target("a", "dc")]);
+    let mut fleet = fleet("dc");
+    fleet.update(&directory);
+    let until_ms = fleet.refused(Millis(10), "a");
+    assert_eq!(fleet.own_work(Millis(20))["a"].refusals, 1);
+    assert!(fleet.own_work(until_ms).is_empty());
+    fleet.refused(until_ms, "a");
+    fleet.succeeded("a");
+    assert!(fleet.own_work(until_ms).is_empty());
+}
+
 #[test]
 fn work_of_other_nodes_counts_like_own() {
     let directory = directory(&[target("a", "dc"), target("b", "dc")]);
@@ -125,6 +170,7 @@
         running: 5,
         tokens: 20_000,
         prompt_tokens: 0,
+        refusals: 0,
     };
     others.insert("a".into(), busy);
     fleet.set_others(others);
@@ -177,7 +223,7 @@
         }
         fleet.ended("a", &ask(100, 300), is_started);
     }
-    assert!(fleet.own_work().is_empty());
+    assert!(fleet.own_work(Millis(10_000)).is_empty());
 }
 
 /// Many nodes that place by their own draws and what they were last told: a
--- a/filbertpaddle-gateway/src/exchange.rs
+++ b/filbertpaddle-gateway/src/exchange.rs
@@ -42,7 +42,7 @@
 
 /// Counts this reader's own work in its group, and takes that of all others.
 fn share_own(state: &State) {
-    let own = state.fleet.borrow().own_work();
+    let own = state.fleet.borrow().own_work(state.clock.now());
     let mut board = state.board.borrow_mut();
     board.forget_member(&state.settings.node);
     let changes = own.iter().map(|(id, work)| (id.clone(), *work)).collect();
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -94,6 +94,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Failure {
+    /// Nothing listens at the target's address; no byte has left.
+    Refused,
     /// No byte has left.
     NotSent(String),
     /// The target proved that it did not run the request.
@@ -163,6 +165,7 @@
         };
         let sent = self.state.links.send(&target.address, request, reuse).await;
         let exchange = sent.map_err(|error| match error {
+            LinkError::Refused => Failure::Refused,
             LinkError::NotSent(reason) => Failure::NotSent(reason),
             LinkError::Unknown(reason) => Failure::Unknown(reason),
         })?;
@@ -191,7 +194,7 @@
     /// Whether one more send is allowed after a failure.
     pub fn may_retry(&self, progress: &Progress, failure: &Failure) -> bool {
         let is_allowed = match failure {
-            Failure::NotSent(_) | Failure::OtherTarget => true,
+            Failure::Refused | Failure::NotSent(_) | Failure::OtherTarget => true,
             Failure::NotRun => progress.sends < self.route.max_attempts,
             Failure::Unknown(_) => {
                 self.route.kind.is_idempotent() && progress.sends < self.route.max_attempts
@@ -249,6 +252,9 @@
         progress.is_out = false;
         progress.passed_over.push(target.id.clone());
         match failure {
+            Failure::Refused => {
+                shunned_until_ms = state.fleet.borrow_mut().refused(now, &target.id);
+            }
             Failure::NotSent(_) => {
                 shunned_until_ms = state.fleet.borrow_mut().failed(now, &target.id);
             }
@@ -319,6 +325,6 @@
 fn reason(failure: &Failure) -> &str {
     match failure {
         Failure::NotSent(reason) | Failure::Unknown(reason) => reason,
-        Failure::NotRun | Failure::OtherTarget => "",
+        Failure::Refused | Failure::NotRun | Failure::OtherTarget => "",
     }
 }
--- a/filbertpaddle-gateway/src/links.rs
+++ b/filbertpaddle-gateway/src/links.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::fmt;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,6 +50,9 @@
 /// Why a request got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
+    /// Nothing listens at the address; no byte of the request has left.
+    #[error("connection refused")]
+    Refused,
     /// No byte of the request has left.
     #[error("not sent: {0}")]
     NotSent(String),
@@ -302,6 +306,9 @@
 async fn connect(address: &Name) -> Result<Link, Error> {
     let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address.as_str())).await {
         Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(Error::Refused);
+        }
         Ok(Err(error)) => return Err(Error::NotSent(error.to_string())),
         Err(_) => return Err(Error::NotSent("connect timeout".to_owned())),
     };
