--- a/filbertpaddle-forward/src/fleet.rs
+++ b/filbertpaddle-forward/src/fleet.rs
@@ -30,6 +30,12 @@
 const FULL_SHARE: f64 = 1.0;
 /// Cost of a target whose memory is expected to overflow.
 const FULL_COST: f64 = 4.0;
+/// Targets among which a request's is chosen, where there are more. Nodes learn of
+/// each other's choices a tenth of a second late; in a large service many would
+/// choose the same.
+const CANDIDATES: f64 = 16.0;
+/// Cost of a target that is not drawn as a candidate: all candidates may be full.
+const NOT_DRAWN_COST: f64 = 2.0;
 /// Cost of a target that refuses other nodes' connections and runs nothing.
 const GONE_COST: f64 = 8.0;
 /// Cost of a cold target that has been given what it bears, to a generation that
@@ -140,6 +146,7 @@
         let configuration = directory.configuration().ok_or(NoTarget::NoneListed)?;
         let mut reason = NoTarget::NoneListed;
         let mut best: Option<(f64, &Target)> = None;
+        let share = candidate_share(directory, &ask.service);
         for (target, read_ms) in directory.targets() {
             if target.service != ask.service || target.is_draining {
                 continue;
@@ -155,9 +162,11 @@
                 reason = NoTarget::AllCold;
                 continue;
             }
+            let is_candidate = draw() < share;
             let cost = self.cost(configuration, target, ask)
                 + far(target, &self.data_centre, FAR_WEIGHT)
-                + DRAW_WEIGHT * draw();
+                + DRAW_WEIGHT * draw()
+                + if is_candidate { 0.0 } else { NOT_DRAWN_COST };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, target));
             }
@@ -353,6 +362,13 @@
     }
 }
 
+/// Share of a service's targets among which a request's is chosen.
+fn candidate_share(directory: &Directory, service: &Name) -> f64 {
+    let targets = directory.targets();
+    let count = targets.filter(|(target, _)| target.service == *service);
+    CANDIDATES / count.count().max(1) as f64
+}
+
 /// Cost of a target that stands in another data centre.
 fn far(target: &Target, data_centre: &Name, weight: f64) -> f64 {
     if target.data_centre == *data_centre {
--- a/filbertpaddle-forward/tests/fleet.rs
+++ b/filbertpaddle-forward/tests/fleet.rs
@@ -115,6 +115,54 @@
     assert_eq!(choose(&fleet, &directory, &ask(2_000, 2_100)).unwrap(), "a");
 }
 
+/// In a large service many nodes choose within the time in which they learn of
+/// each other's choices; not all may take the target that looks emptiest.
+#[test]
+fn nodes_that_choose_at_once_do_not_all_choose_alike() {
+    let names: Vec<_> = (0..60).map(|number| format!("t{number}")).collect();
+    let targets: Vec<_> = names.iter().map(|name| target(name, "dc")).collect();
+    let directory = directory(&targets);
+    let mut fleet = fleet("dc");
+    fleet.update(&directory);
+    let work = |tokens| Work {
+        running: 1,
+        tokens,
+        ..Work::default()
+    };
+    let others = names[1..]
+        .iter()
+        .map(|name| (name.as_str().into(), work(10_000)));
+    fleet.set_others(others.collect());
+    for seed in 0..100 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut choose = || {
+            let draw = || rng.random_range(0.0..1.0);
+            let chosen = fleet.choose(Millis(10_000), &directory, &ask(100, 200), &[], draw);
+            chosen.unwrap().id.clone()
+        };
+        let same = (0..20).filter(|_| choose() == "t0").count();
+        assert!(same <= 12, "seed {seed}: {same} of 20");
+    }
+}
+
+/// A service with few targets leaves none out.
+#[test]
+fn the_emptiest_of_a_few_targets_is_chosen() {
+    let directory = directory(&[target("a", "dc"), target("b", "dc"), target("c", "dc")]);
+    let mut fleet = fleet("dc");
+    fleet.update(&directory);
+    for id in ["a", "c"] {
+        let taken = directory.target(id).unwrap();
+        fleet.sent(Millis::ZERO, taken, &ask(1_000, 9_000));
+    }
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..100 {
+        let draw = || rng.random_range(0.0..1.0);
+        let chosen = fleet.choose(Millis(10_000), &directory, &ask(1, 2), &[], draw);
+        assert_eq!(chosen.unwrap().id, "b");
+    }
+}
+
 /// While the store is away, targets that it still lists are lost, and each looks
 /// idle to a node that has not tried it.
 #[test]
