--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -31,7 +31,10 @@
 /// Begins a fault.
 pub(crate) async fn begin(cluster: &mut Cluster, fault: Fault) -> Begun {
     let disturbance = place(cluster, fault).map(|place| {
-        let is_planned = matches!(fault, Fault::Terminate(_) | Fault::Reload(_));
+        let is_planned = matches!(
+            fault,
+            Fault::Terminate(_) | Fault::Reload(_) | Fault::TargetLeaves(_)
+        );
         cluster.history.disturb(place, is_planned)
     });
     let mut begun = Begun {
--- a/filbertpaddle/tests/soak/history.rs
+++ b/filbertpaddle/tests/soak/history.rs
@@ -73,7 +73,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Disturbance {
     pub(crate) place: Place,
-    /// A stop that was asked for, or settings that changed.
+    /// A stop or leave that was asked for, or settings that changed.
     pub(crate) is_planned: bool,
     pub(crate) from: Instant,
     /// `None` as long as it lasts.
--- a/filbertpaddle/tests/soak/promises.rs
+++ b/filbertpaddle/tests/soak/promises.rs
@@ -221,7 +221,7 @@
             _ => run.at,
         };
         let is_held_up = !events.is_calm(run.at - CALM, run.at, |disturbance| {
-            disturbance.place == Place::Target(run.target.clone())
+            disturbance.place == Place::Target(run.target.clone()) && !disturbance.is_planned
         });
         if since <= change.at + bound
             || is_held_up
