--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -224,13 +224,8 @@
     /// Finds a target and waits for its first event.
     async fn open(&mut self) -> Result<Source, Stop> {
         loop {
-            let target = match self.job.choose(self.progress) {
-                Ok(target) => target,
-                Err(reason) => {
-                    info!(self.job.state.log, "no target";
-                        "id" => self.job.envelope.attempt.as_str(), "reason" => %reason);
-                    return Err(Stop::Refused(self.job.refusal(self.progress)));
-                }
+            let Ok(target) = self.job.choose(self.progress) else {
+                return Err(Stop::Refused(self.job.refusal(self.progress)));
             };
             if !self.job.may_send(self.progress) {
                 return Err(Stop::Refused(self.job.refusal(self.progress)));
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -143,8 +143,14 @@
         let fleet = state.fleet.borrow();
         let passed_over = &progress.passed_over;
         let draw = rand::random::<f64>;
-        let target = fleet.choose(now, &directory, &self.ask, passed_over, draw)?;
-        Ok(target.clone())
+        let chosen = fleet.choose(now, &directory, &self.ask, passed_over, draw);
+        if let Err(reason) = &chosen {
+            info!(state.log, "no target";
+                "id" => self.envelope.attempt.as_str(), "reason" => %reason,
+                "passed_over" => passed_over.len(),
+                "age_ms" => state.age_ms(Table::Targets).0);
+        }
+        chosen.cloned()
     }
 
     /// Sends the request to a target and waits for the head of its answer.
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -345,6 +345,7 @@
     info!(state.log, "request ended";
         "id" => job.envelope.attempt.as_str(), "route" => job.route.name.as_str(),
         "outcome" => outcome, "status" => status, "sends" => progress.sends,
+        "connects" => progress.connects,
         "may_have_run" => progress.may_have_run || progress.is_out, "elapsed_ms" => elapsed_ms.0);
     state.metrics.count(&format!("request.{outcome}"));
     state
