--- a/filbertpaddle-forward/src/fleet.rs
+++ b/filbertpaddle-forward/src/fleet.rs
@@ -196,6 +196,7 @@
                 && !passed_over.contains(&target.id)
                 && !self.is_shunned(now, &target.id)
         };
+        let share = candidate_share(directory, &source.service);
         directory
             .targets()
             .filter(|(target, _)| may_take(target))
@@ -203,7 +204,8 @@
                 let is_cold = !self.bears(now, configuration, target, read_ms);
                 let cost = self.cost(configuration, target, ask)
                     + far(target, &source.data_centre, FAR_COPY_WEIGHT)
-                    + if is_cold { COLD_COST } else { 0.0 };
+                    + if is_cold { COLD_COST } else { 0.0 }
+                    + if draw() < share { 0.0 } else { NOT_DRAWN_COST };
                 (cost + DRAW_WEIGHT * draw(), target)
             })
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
--- a/filbertpaddle-forward/tests/fleet.rs
+++ b/filbertpaddle-forward/tests/fleet.rs
@@ -142,6 +142,15 @@
         };
         let same = (0..20).filter(|_| choose() == "t0").count();
         assert!(same <= 12, "seed {seed}: {same} of 20");
+        let source = directory.target("t59").unwrap();
+        let mut copy = || {
+            let draw = || rng.random_range(0.0..1.0);
+            let now = Millis(10_000);
+            let chosen = fleet.choose_destination(now, &directory, source, &ask(0, 200), &[], draw);
+            chosen.unwrap().id.clone()
+        };
+        let same = (0..20).filter(|_| copy() == "t0").count();
+        assert!(same <= 12, "seed {seed}: {same} of 20 copies");
     }
 }
 
