--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -95,8 +95,23 @@
     sequence: u64,
     target: Target,
     read_ms: Millis,
-    /// When a doubted removal is believed.
-    removed_at_ms: Option<Millis>,
+    /// A removal that is doubted.
+    removal: Option<Removal>,
+}
+
+/// A removal that is doubted for a while.
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    revision: u64,
+    believed_at_ms: Millis,
+}
+
+impl Listed {
+    /// Revision of the last word on the target.
+    fn newest(&self) -> u64 {
+        let removal = self.removal.map(|removal| removal.revision);
+        removal.unwrap_or(self.revision)
+    }
 }
 
 /// When something changed: by the store, and in the order of this node.
@@ -233,12 +248,12 @@
 
     /// Believes the removals whose doubt has passed.
     pub fn tick(&mut self, now: Millis) -> Effect {
-        let is_due = |listed: &Listed| listed.removed_at_ms.is_some_and(|at| at <= now);
         let due: Vec<_> = self
             .targets
             .iter()
-            .filter(|(_, listed)| is_due(listed))
-            .map(|(id, listed)| (id.clone(), listed.revision))
+            .filter_map(|(id, listed)| Some((id.clone(), listed.removal?)))
+            .filter(|(_, removal)| removal.believed_at_ms <= now)
+            .map(|(id, removal)| (id, removal.revision))
             .collect();
         let mut effect = Effect::default();
         for (id, revision) in due {
@@ -294,9 +309,16 @@
             .targets
             .values()
             .filter(|listed| listed.sequence > sequence)
-            .map(|listed| Change {
-                revision: listed.revision,
-                entry: Entry::Target(listed.target.clone()),
+            .map(|listed| match listed.removal {
+                // Whoever has not lost the store need not doubt.
+                Some(removal) if sequence > 0 => Change {
+                    revision: removal.revision,
+                    entry: Entry::NoTarget(listed.target.id.clone()),
+                },
+                _ => Change {
+                    revision: listed.revision,
+                    entry: Entry::Target(listed.target.clone()),
+                },
             });
         let removed = self
             .removed
@@ -353,11 +375,9 @@
         if removed.is_some_and(|removed| revision <= removed.revision) {
             return;
         }
-        if let Some(known) = self.targets.get_mut(id) {
-            known.removed_at_ms = None;
-            if revision <= known.revision {
-                return;
-            }
+        let known = self.targets.get(id);
+        if known.is_some_and(|known| revision <= known.newest()) {
+            return;
         }
         if !self.take_address(revision, target, effect) {
             return;
@@ -369,7 +389,7 @@
             sequence: self.next_at(revision).sequence,
             target: target.clone(),
             read_ms: now,
-            removed_at_ms: None,
+            removal: None,
         };
         self.targets.insert(id.clone(), listed);
     }
@@ -395,22 +415,34 @@
     }
 
     fn remove(&mut self, now: Millis, revision: u64, id: &Name, effect: &mut Effect) {
-        let Some(known) = self.targets.get_mut(id) else {
+        let Some(known) = self.targets.get(id) else {
             return;
         };
-        if revision <= known.revision {
+        if revision <= known.newest() {
             return;
         }
         let is_doubted = now < self.doubt_until_ms
             && self.doubt_revision.is_none_or(|newest| revision <= newest);
         if is_doubted && !known.target.is_draining {
-            known.removed_at_ms.get_or_insert(self.doubt_until_ms);
-            known.revision = revision;
+            self.doubt(id, revision);
             return;
         }
         self.forget(id, revision, effect);
     }
 
+    fn doubt(&mut self, id: &Name, revision: u64) {
+        let sequence = self.next_at(revision).sequence;
+        let believed_at_ms = self.doubt_until_ms;
+        if let Some(known) = self.targets.get_mut(id) {
+            let before = known.removal.map(|removal| removal.believed_at_ms);
+            known.sequence = sequence;
+            known.removal = Some(Removal {
+                revision,
+                believed_at_ms: before.unwrap_or(believed_at_ms),
+            });
+        }
+    }
+
     fn forget(&mut self, id: &Name, revision: u64, effect: &mut Effect) {
         self.targets.shift_remove(id);
         if self.removed.len() >= REMOVED_KEPT {
--- a/filbertpaddle-forward/tests/directory.rs
+++ b/filbertpaddle-forward/tests/directory.rs
@@ -140,6 +140,67 @@
 
 /// A node regains the store 0.5 s before a target leaves: taking that for a lapse
 /// would send to it for 2.5 s, beyond the platform's bound of 2 s.
+/// A reader that was cut off from the store doubts what it then hears to be gone;
+/// its followers, which were not, are told and need not.
+#[test]
+fn a_doubted_removal_is_told_to_those_who_need_not_doubt() {
+    let mut reader = listed();
+    let mut follower = Directory::new();
+    let told = reader.changes_after(Table::Targets, 0);
+    follower.apply(Millis(10), Millis(10), &told);
+    let sequence = reader.sequence();
+    reader.lost(Table::Targets);
+    reader.regained(Millis(5_000), Table::Targets);
+    let gone = batch(
+        Table::Targets,
+        false,
+        7,
+        vec![(7, Entry::NoTarget("a".into()))],
+    );
+    reader.apply(Millis(5_010), Millis(5_010), &gone);
+    assert_eq!(ids(&reader), ["a", "b"]);
+    let told = reader.changes_after(Table::Targets, sequence);
+    follower.apply(Millis(5_020), Millis(5_020), &told);
+    assert_eq!(ids(&follower), ["b"]);
+    // One that starts now takes it for listed until the reader is sure.
+    let mut newcomer = Directory::new();
+    newcomer.apply(
+        Millis(5_030),
+        Millis(5_030),
+        &reader.changes_after(Table::Targets, 0),
+    );
+    assert_eq!(ids(&newcomer), ["a", "b"]);
+    let sequence = reader.sequence();
+    reader.tick(Millis(60_000));
+    let told = reader.changes_after(Table::Targets, sequence);
+    newcomer.apply(Millis(60_010), Millis(60_010), &told);
+    assert_eq!(ids(&newcomer), ["b"]);
+}
+
+/// Peers may tell late what was listed before the removal.
+#[test]
+fn an_old_word_does_not_end_the_doubt() {
+    let mut directory = listed();
+    directory.lost(Table::Targets);
+    directory.regained(Millis(5_000), Table::Targets);
+    let gone = batch(
+        Table::Targets,
+        false,
+        7,
+        vec![(7, Entry::NoTarget("a".into()))],
+    );
+    directory.apply(Millis(5_010), Millis(5_010), &gone);
+    let old = batch(
+        Table::Targets,
+        false,
+        7,
+        vec![(1, Entry::Target(target("a", false)))],
+    );
+    directory.apply(Millis(5_020), Millis(5_020), &old);
+    directory.tick(Millis(60_000));
+    assert_eq!(ids(&directory), ["b"]);
+}
+
 #[test]
 fn a_removal_after_the_return_is_believed_at_once() {
     let mut directory = listed();
--- a/filbertpaddle/tests/soak/promises.rs
+++ b/filbertpaddle/tests/soak/promises.rs
@@ -165,7 +165,8 @@
             // An outage of the store alone excuses no plain request.
             Place::Store => kind.is_stream(),
             Place::Node(node) => *node == exchange.node && !disturbance.is_planned,
-            Place::Target(_) | Place::Machine => true,
+            Place::Target(id) => runs.iter().any(|run| run.target == *id),
+            Place::Machine => true,
         }
     });
     let has_left = took < timeout && took >= Duration::from_millis(exchange.patience_ms);
