--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -177,8 +177,13 @@
     while state.in_flight.get() > 0 && elapsed_ms() + EXIT_LEAD_MS < grace_ms {
         sleep(DRAIN_POLL).await;
     }
-    // Lets the last bytes and lines leave.
+    // What comes now would be cut, so it is refused unsent. The wait lets the last
+    // bytes and lines leave.
+    state.is_closing.set(true);
     sleep(DRAIN_POLL).await;
+    while state.in_flight.get() > 0 && elapsed_ms() + EXIT_LEAD_MS < grace_ms {
+        sleep(DRAIN_POLL).await;
+    }
     info!(state.log, "node stopped";
         "in_flight" => state.in_flight.get(), "elapsed_ms" => elapsed_ms().0);
 }
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -191,6 +191,9 @@
 
 /// Whether a stopping node can still end a request.
 fn takes(state: &State, route: &Route, envelope: &Envelope) -> bool {
+    if state.is_closing.get() {
+        return false;
+    }
     let Some(drain) = state.drain.get() else {
         return true;
     };
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -78,6 +78,8 @@
     pub suspects: RefCell<Suspects>,
     /// Whether the node has tried to learn of the others.
     pub is_registered: Cell<bool>,
+    /// Whether the node is about to end and takes nothing any more.
+    pub is_closing: Cell<bool>,
     /// When it last wrote its entry.
     pub written_ms: Cell<Option<Millis>>,
     /// The stop, once the node has been told to.
@@ -109,6 +111,7 @@
             budgets: RefCell::default(),
             suspects: RefCell::new(Suspects::new()),
             is_registered: Cell::new(false),
+            is_closing: Cell::new(false),
             written_ms: Cell::default(),
             drain: Cell::default(),
             in_flight: Cell::new(0),
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -6,10 +6,15 @@
 mod streams;
 mod world;
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::store::Fault;
 use filbertpaddle_adapter_standins::target::Behaviour;
 use http::Method;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
 use world::READ;
 use world::STREAM;
 use world::WRITE;
@@ -218,6 +223,44 @@
     world.close();
 }
 
+/// Requests come until the last moment; what has been sent on is answered.
+#[tokio::test]
+async fn a_stopping_node_cuts_nothing_that_comes_at_its_last_moment() {
+    let mut world = World::with_nodes("last", 1).await;
+    let node = world.nodes[0].addresses.callers;
+    let callers: Vec<_> = (0..3)
+        .map(|caller| tokio::spawn(ask_until_refused(node, caller)))
+        .collect();
+    world.nodes[0].process.terminate().unwrap();
+    let mut answered = Vec::new();
+    for caller in callers {
+        answered.extend(caller.await.unwrap());
+    }
+    for run in world.ledger.runs() {
+        assert!(answered.contains(&run.attempt), "{} was cut", run.attempt);
+    }
+    assert!(world.nodes[0].process.wait().unwrap().success());
+    world.close();
+}
+
+/// Sends short generations until no connection is accepted; returns those that
+/// were answered whole.
+async fn ask_until_refused(node: SocketAddr, caller: u32) -> Vec<String> {
+    let mut answered = Vec::new();
+    for number in 0.. {
+        let ask = ask(&format!("{caller}-{number}"), Method::POST, STREAM, Some(4));
+        let got = caller::send(node, &ask).await;
+        if got.status.is_none() && TcpStream::connect(node).await.is_err() {
+            break;
+        }
+        if got.is_whole {
+            answered.push(ask.attempt);
+        }
+        sleep(Duration::from_millis(20 + 7 * u64::from(caller))).await;
+    }
+    answered
+}
+
 #[tokio::test]
 async fn one_node_reads_the_store_for_its_data_centre_and_another_when_it_is_gone() {
     let mut world = World::with_nodes("readers", 3).await;
