--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -44,12 +44,12 @@
 
 /// Where callers reach the nodes, and the key that they send.
 #[derive(Clone, Debug)]
-pub(crate) struct Doors {
+pub(crate) struct Addresses {
     addresses: Arc<Vec<Mutex<SocketAddr>>>,
     key: Arc<AtomicU64>,
 }
 
-impl Doors {
+impl Addresses {
     pub(crate) fn address(&self, node: usize) -> SocketAddr {
         *self.addresses[node].lock().unwrap()
     }
@@ -91,10 +91,10 @@
 
 /// Where one life of a target follows another.
 #[derive(Debug)]
-pub(crate) struct Seat {
+pub(crate) struct TargetSlot {
     pub(crate) options: target::Options,
     pub(crate) life: Option<LiveTarget>,
-    /// When a target that a request crashed comes back, and the disturbance.
+    /// When a target that a request crashed comes back, and the disruption.
     revival: Option<(Instant, usize)>,
 }
 
@@ -111,9 +111,9 @@
     pub(crate) store: Store,
     pub(crate) ledger: Ledger,
     pub(crate) history: History,
-    pub(crate) doors: Doors,
+    pub(crate) addresses: Addresses,
     pub(crate) vms: Vec<Vm>,
-    pub(crate) seats: Vec<Seat>,
+    pub(crate) target_slots: Vec<TargetSlot>,
     /// Callers that resend what crashes targets.
     pub(crate) senders: Vec<JoinHandle<()>>,
     stopping: Vec<Stopping>,
@@ -133,12 +133,12 @@
             store: Store::start().await.unwrap(),
             ledger: Ledger::new(),
             history: History::default(),
-            doors: Doors {
+            addresses: Addresses {
                 addresses: Arc::new(addresses),
                 key: Arc::default(),
             },
             vms: Vec::new(),
-            seats: Vec::new(),
+            target_slots: Vec::new(),
             senders: Vec::new(),
             stopping: Vec::new(),
             copies: Copies::default(),
@@ -146,7 +146,7 @@
         };
         cluster.replace_key();
         for number in 0..2 * size.targets {
-            cluster.add_seat(number).await;
+            cluster.add_target_slot(number).await;
         }
         for number in 0..size.nodes {
             let to_store = Proxy::start(cluster.store.address).await.unwrap();
@@ -162,7 +162,7 @@
 
     /// Replaces the customer's key.
     pub(crate) fn replace_key(&mut self) {
-        let version = self.doors.key() + 1;
+        let version = self.addresses.key() + 1;
         let configuration = Configuration {
             version,
             keys: vec![promises::key(version)],
@@ -172,10 +172,10 @@
         };
         self.store.put_configuration(&configuration.to_json());
         self.history.change(What::Key(version));
-        self.doors.key.store(version, Ordering::Relaxed);
+        self.addresses.key.store(version, Ordering::Relaxed);
     }
 
-    async fn add_seat(&mut self, number: usize) {
+    async fn add_target_slot(&mut self, number: usize) {
         let service = if number.is_multiple_of(2) {
             ENGINE
         } else {
@@ -190,11 +190,11 @@
             cold_ms: 0,
             life: 1,
         };
-        let seat = self.start_target(options).await;
-        self.seats.push(seat);
+        let slot = self.start_target(options).await;
+        self.target_slots.push(slot);
     }
 
-    async fn start_target(&self, options: target::Options) -> Seat {
+    async fn start_target(&self, options: target::Options) -> TargetSlot {
         let (ledger, copies) = (self.ledger.clone(), self.copies.clone());
         let target = Target::start(options.clone(), ledger, copies)
             .await
@@ -209,7 +209,7 @@
         });
         let entry = target.announce(link.address);
         self.store.put_target(&options.id, &entry);
-        Seat {
+        TargetSlot {
             options,
             life: Some(LiveTarget { target, link }),
             revival: None,
@@ -218,17 +218,17 @@
 
     /// Writes the entries of all targets again.
     pub(crate) fn announce_all(&self) {
-        for seat in &self.seats {
-            if let Some(life) = &seat.life {
+        for slot in &self.target_slots {
+            if let Some(life) = &slot.life {
                 let entry = life.target.announce(life.link.address);
-                self.store.put_target(&seat.options.id, &entry);
+                self.store.put_target(&slot.options.id, &entry);
             }
         }
     }
 
     /// Closes a target, if it runs.
     pub(crate) async fn crash_target(&mut self, number: usize) {
-        if let Some(life) = self.seats[number].life.take() {
+        if let Some(life) = self.target_slots[number].life.take() {
             life.target.close();
             life.link.close().await;
         }
@@ -236,31 +236,31 @@
 
     /// Starts another life of a target that was closed, on another address.
     pub(crate) async fn revive_target(&mut self, number: usize) {
-        if self.seats[number].life.is_some() {
+        if self.target_slots[number].life.is_some() {
             return;
         }
-        let mut options = self.seats[number].options.clone();
+        let mut options = self.target_slots[number].options.clone();
         options.life += 1;
         options.cold_ms = u64::try_from(COLD.as_millis()).unwrap();
-        self.seats[number] = self.start_target(options).await;
+        self.target_slots[number] = self.start_target(options).await;
     }
 
     /// Takes down targets that a request has crashed, and brings them back.
     async fn watch_targets(&mut self) {
-        for number in 0..self.seats.len() {
-            let seat = &mut self.seats[number];
-            let crashed_at = seat.life.as_ref().and_then(|life| life.target.crashed_at());
+        for number in 0..self.target_slots.len() {
+            let slot = &mut self.target_slots[number];
+            let crashed_at = slot.life.as_ref().and_then(|life| life.target.crashed_at());
             if let Some(at) = crashed_at {
-                let place = Place::Target(seat.options.id.clone());
-                let disturbance = self.history.disturb_since(at, place);
-                seat.revival = Some((at + DOWN, disturbance));
+                let place = Place::Target(slot.options.id.clone());
+                let disruption = self.history.disrupt_since(at, place);
+                slot.revival = Some((at + DOWN, disruption));
                 self.crash_target(number).await;
-            } else if let Some((at, disturbance)) = seat.revival
+            } else if let Some((at, disruption)) = slot.revival
                 && at <= Instant::now()
             {
-                seat.revival = None;
+                slot.revival = None;
                 self.revive_target(number).await;
-                self.history.calm(disturbance);
+                self.history.calm(disruption);
             }
         }
     }
@@ -279,7 +279,7 @@
         let callers = Proxy::start(node.addresses.callers).await.unwrap();
         let peers = Proxy::start(node.addresses.peers).await.unwrap();
         self.store.readdress(node.addresses.peers, peers.address);
-        *self.doors.addresses[number].lock().unwrap() = callers.address;
+        *self.addresses.addresses[number].lock().unwrap() = callers.address;
         self.vms[number].running = Some(Running {
             node,
             life,
@@ -371,8 +371,8 @@
         let place = Place::Node(stopping.vm);
         let events = self.history.events();
         stopping.since.elapsed() > grace + STOP_SLACK
-            && events.is_calm(stopping.since, Instant::now(), |disturbance| {
-                disturbance.place == place && !disturbance.is_planned
+            && events.is_calm(stopping.since, Instant::now(), |disruption| {
+                disruption.place == place && !disruption.is_planned
             })
     }
 
@@ -383,7 +383,10 @@
 
     /// Whether no target runs a generation.
     pub(crate) fn is_idle(&self) -> bool {
-        let mut lives = self.seats.iter().filter_map(|seat| seat.life.as_ref());
+        let mut lives = self
+            .target_slots
+            .iter()
+            .filter_map(|slot| slot.life.as_ref());
         lives.all(|life| life.target.running().is_empty())
     }
 
@@ -397,7 +400,7 @@
         for stopping in self.stopping {
             stopping.running.close().await;
         }
-        for life in self.seats.into_iter().filter_map(|seat| seat.life) {
+        for life in self.target_slots.into_iter().filter_map(|slot| slot.life) {
             life.target.close();
             life.link.close().await;
         }
--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub(crate) struct Begun {
     fault: Fault,
-    disturbance: Option<usize>,
+    disruption: Option<usize>,
     change: Option<usize>,
     /// Life of a process that was frozen.
     frozen: Option<usize>,
@@ -30,16 +30,16 @@
 
 /// Begins a fault.
 pub(crate) async fn begin(cluster: &mut Cluster, fault: Fault) -> Begun {
-    let disturbance = place(cluster, fault).map(|place| {
+    let disruption = place(cluster, fault).map(|place| {
         let is_planned = matches!(
             fault,
             Fault::Terminate(_) | Fault::Reload(_) | Fault::TargetLeaves(_)
         );
-        cluster.history.disturb(place, is_planned)
+        cluster.history.disrupt(place, is_planned)
     });
     let mut begun = Begun {
         fault,
-        disturbance,
+        disruption,
         change: None,
         frozen: None,
     };
@@ -49,8 +49,8 @@
         Fault::HistoryGone => cluster.store.drop_history(),
         Fault::EntriesLapse => {
             cluster.store.set_fault(store::Fault::Busy);
-            for seat in &cluster.seats {
-                cluster.store.remove_target(&seat.options.id);
+            for slot in &cluster.target_slots {
+                cluster.store.remove_target(&slot.options.id);
             }
         }
         Fault::StoreLink(node, link) => cluster.vms[node].to_store.set_link(link),
@@ -73,8 +73,8 @@
             on_target(cluster, target, |life| life.target.set_behaviour(behaviour));
         }
         Fault::Poison => {
-            let (doors, history) = (cluster.doors.clone(), cluster.history.clone());
-            let sender = tokio::spawn(traffic::poison(doors, history));
+            let (addresses, history) = (cluster.addresses.clone(), cluster.history.clone());
+            let sender = tokio::spawn(traffic::poison(addresses, history));
             cluster.senders.push(sender);
         }
         Fault::TargetCrash(target) => cluster.crash_target(target).await,
@@ -117,7 +117,7 @@
         Fault::TargetLeaves(target) => {
             cluster
                 .store
-                .remove_target(&cluster.seats[target].options.id);
+                .remove_target(&cluster.target_slots[target].options.id);
             cluster.crash_target(target).await;
             cluster.revive_target(target).await;
         }
@@ -134,12 +134,12 @@
         | Fault::NewKey
         | Fault::Poison => {}
     }
-    if let Some(disturbance) = begun.disturbance {
-        cluster.history.calm(disturbance);
+    if let Some(disruption) = begun.disruption {
+        cluster.history.calm(disruption);
     }
 }
 
-/// What a fault disturbs; links between nodes excuse nothing.
+/// What a fault disrupts; links between nodes excuse nothing.
 fn place(cluster: &Cluster, fault: Fault) -> Option<Place> {
     match fault {
         Fault::Store(_) | Fault::StoreClock | Fault::HistoryGone | Fault::EntriesLapse => {
@@ -155,9 +155,9 @@
         | Fault::TargetDelay(target, _)
         | Fault::Behaviour(target, _)
         | Fault::TargetCrash(target)
-        | Fault::TargetLeaves(target) => {
-            Some(Place::Target(cluster.seats[target].options.id.clone()))
-        }
+        | Fault::TargetLeaves(target) => Some(Place::Target(
+            cluster.target_slots[target].options.id.clone(),
+        )),
         Fault::PeerLink(..) | Fault::NewKey | Fault::DataCentreOut(_) | Fault::Poison => None,
     }
 }
@@ -175,19 +175,19 @@
 where
     F: FnOnce(&LiveTarget),
 {
-    if let Some(life) = &cluster.seats[target].life {
+    if let Some(life) = &cluster.target_slots[target].life {
         act(life);
     }
 }
 
 /// Announces that a target leaves.
 fn leave(cluster: &Cluster, number: usize) -> Option<usize> {
-    let seat = &cluster.seats[number];
-    let life = seat.life.as_ref()?;
+    let slot = &cluster.target_slots[number];
+    let life = slot.life.as_ref()?;
     life.target.drain();
     let entry = life.target.announce(life.link.address);
-    cluster.store.put_target(&seat.options.id, &entry);
-    let what = What::Leaves(seat.options.id.clone(), seat.options.life);
+    cluster.store.put_target(&slot.options.id, &entry);
+    let what = What::Leaves(slot.options.id.clone(), slot.options.life);
     Some(cluster.history.change(what))
 }
 
@@ -208,7 +208,7 @@
             running.peers.heal();
         });
     }
-    for number in 0..cluster.seats.len() {
+    for number in 0..cluster.target_slots.len() {
         on_target(cluster, number, |life| {
             life.link.heal();
             life.target.set_behaviour(Behaviour::Good);
--- a/filbertpaddle/tests/soak/history.rs
+++ b/filbertpaddle/tests/soak/history.rs
@@ -71,7 +71,7 @@
 
 /// A time in which something was wrong.
 #[derive(Clone, Debug)]
-pub(crate) struct Disturbance {
+pub(crate) struct Disruption {
     pub(crate) place: Place,
     /// A stop or leave that was asked for, or settings that changed.
     pub(crate) is_planned: bool,
@@ -113,7 +113,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Events {
     pub(crate) exchanges: Vec<Exchange>,
-    pub(crate) disturbances: Vec<Disturbance>,
+    pub(crate) disruptions: Vec<Disruption>,
     pub(crate) changes: Vec<Change>,
     pub(crate) lives: Vec<Life>,
     /// Promises that were broken.
@@ -130,21 +130,21 @@
     }
 
     /// Notes that something is wrong from now on; returns its number.
-    pub(crate) fn disturb(&self, place: Place, is_planned: bool) -> usize {
+    pub(crate) fn disrupt(&self, place: Place, is_planned: bool) -> usize {
         let mut events = self.events();
-        events.disturbances.push(Disturbance {
+        events.disruptions.push(Disruption {
             place,
             is_planned,
             from: Instant::now(),
             to: None,
         });
-        events.disturbances.len() - 1
+        events.disruptions.len() - 1
     }
 
     /// Notes that a target has been down since a moment; returns its number.
-    pub(crate) fn disturb_since(&self, from: Instant, place: Place) -> usize {
-        let number = self.disturb(place, false);
-        self.events().disturbances[number].from = from;
+    pub(crate) fn disrupt_since(&self, from: Instant, place: Place) -> usize {
+        let number = self.disrupt(place, false);
+        self.events().disruptions[number].from = from;
         number
     }
 
@@ -166,13 +166,13 @@
 
     fn stalled(&self, from: Instant, to: Instant) {
         eprintln!("the machine stalled for {:?}", to - from);
-        let number = self.disturb_since(from, Place::Machine);
-        self.events().disturbances[number].to = Some(to);
+        let number = self.disrupt_since(from, Place::Machine);
+        self.events().disruptions[number].to = Some(to);
     }
 
     /// Notes that it is no longer.
     pub(crate) fn calm(&self, number: usize) {
-        self.events().disturbances[number].to = Some(Instant::now());
+        self.events().disruptions[number].to = Some(Instant::now());
     }
 
     /// Notes a change that was just made; returns its number.
@@ -201,12 +201,12 @@
     /// Whether nothing that `counts` was wrong between two moments.
     pub(crate) fn is_calm<C>(&self, from: Instant, to: Instant, counts: C) -> bool
     where
-        C: Fn(&Disturbance) -> bool,
+        C: Fn(&Disruption) -> bool,
     {
-        !self.disturbances.iter().any(|disturbance| {
-            let is_over = disturbance.to.is_some_and(|end| end < from);
-            let is_counted = disturbance.place == Place::Machine || counts(disturbance);
-            disturbance.from <= to && !is_over && is_counted
+        !self.disruptions.iter().any(|disruption| {
+            let is_over = disruption.to.is_some_and(|end| end < from);
+            let is_counted = disruption.place == Place::Machine || counts(disruption);
+            disruption.from <= to && !is_over && is_counted
         })
     }
 }
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -101,7 +101,7 @@
     until_served(&cluster).await;
     cluster.history.watch_machine();
     let traffic = Traffic {
-        doors: cluster.doors.clone(),
+        addresses: cluster.addresses.clone(),
         history: cluster.history.clone(),
         stop: Arc::new(AtomicBool::new(false)),
     };
@@ -161,7 +161,7 @@
 async fn until_served(cluster: &Cluster) {
     let end = Instant::now() + PATIENCE;
     for node in 0..cluster.vms.len() {
-        while traffic::probe(&cluster.doors, node, 0).await.code() != 200 {
+        while traffic::probe(&cluster.addresses, node, 0).await.code() != 200 {
             assert!(Instant::now() < end, "node {node} never serves");
             sleep(LOOK).await;
         }
@@ -172,7 +172,9 @@
 async fn check_served(cluster: &Cluster) {
     for node in 0..cluster.vms.len() {
         for number in 0..PROBES {
-            let code = traffic::probe(&cluster.doors, node, number).await.code();
+            let code = traffic::probe(&cluster.addresses, node, number)
+                .await
+                .code();
             if code != 200 {
                 cluster
                     .history
--- a/filbertpaddle/tests/soak/promises.rs
+++ b/filbertpaddle/tests/soak/promises.rs
@@ -19,7 +19,7 @@
 use crate::traffic::PROBE;
 
 // Bounds of the users' deployments.
-/// A machine is judged by the clock once nothing has disturbed it for this long.
+/// A machine is judged by the clock once nothing has disrupted it for this long.
 const CALM: Duration = Duration::from_secs(4);
 const CONFIGURATION: Duration = Duration::from_secs(3);
 const LEAVING: Duration = Duration::from_secs(3);
@@ -136,7 +136,7 @@
 
 /// Whether the node of a request was in touch with all until a moment.
 fn is_in_touch(events: &Events, node: usize, from: Instant, to: Instant) -> bool {
-    events.is_calm(from - CALM, to, |disturbance| match &disturbance.place {
+    events.is_calm(from - CALM, to, |disruption| match &disruption.place {
         Place::Store => true,
         Place::Node(number) => *number == node,
         Place::Target(_) | Place::Machine => false,
@@ -154,17 +154,17 @@
         false => PLAIN_TIMEOUT_MS,
     };
     let timeout = Duration::from_millis(timeout_ms);
-    let is_node_calm = events.is_calm(exchange.sent - CALM, exchange.ended, |disturbance| {
-        !disturbance.is_planned && disturbance.place == Place::Node(exchange.node)
+    let is_node_calm = events.is_calm(exchange.sent - CALM, exchange.ended, |disruption| {
+        !disruption.is_planned && disruption.place == Place::Node(exchange.node)
     });
     if is_node_calm && took > timeout + LATE {
         broken.push(format!("{attempt} had no end after {took:?}"));
     }
-    let is_all_calm = events.is_calm(exchange.sent - CALM, exchange.ended, |disturbance| {
-        match &disturbance.place {
+    let is_all_calm = events.is_calm(exchange.sent - CALM, exchange.ended, |disruption| {
+        match &disruption.place {
             // An outage of the store alone excuses no plain request.
             Place::Store => kind.is_stream(),
-            Place::Node(node) => *node == exchange.node && !disturbance.is_planned,
+            Place::Node(node) => *node == exchange.node && !disruption.is_planned,
             Place::Target(id) => runs.iter().any(|run| run.target == *id),
             Place::Machine => true,
         }
@@ -221,8 +221,8 @@
             What::Key(_) => exchange.sent,
             _ => run.at,
         };
-        let is_held_up = !events.is_calm(run.at - CALM, run.at, |disturbance| {
-            disturbance.place == Place::Target(run.target.clone()) && !disturbance.is_planned
+        let is_held_up = !events.is_calm(run.at - CALM, run.at, |disruption| {
+            disruption.place == Place::Target(run.target.clone()) && !disruption.is_planned
         });
         if since <= change.at + bound
             || is_held_up
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -22,7 +22,7 @@
 use rand::rngs::StdRng;
 use tokio::time::sleep;
 
-use crate::cluster::Doors;
+use crate::cluster::Addresses;
 use crate::history::Exchange;
 use crate::history::History;
 use crate::history::Kind;
@@ -45,7 +45,7 @@
 /// What all callers share.
 #[derive(Clone, Debug)]
 pub(crate) struct Traffic {
-    pub(crate) doors: Doors,
+    pub(crate) addresses: Addresses,
     pub(crate) history: History,
     pub(crate) stop: Arc<AtomicBool>,
 }
@@ -58,7 +58,7 @@
     while !traffic.stop.load(Ordering::Relaxed) {
         sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
         count += 1;
-        let key = traffic.doors.key();
+        let key = traffic.addresses.key();
         let (kind, events, ask) = draw(&mut rng, format!("{seed}-{number}-{count}"), key);
         if rng.random_bool(NEW_SHARE) {
             kept = None;
@@ -68,8 +68,8 @@
             None => false,
         };
         if !is_kept {
-            let node = rng.random_range(0..traffic.doors.count());
-            kept = open(&traffic.doors, node).await;
+            let node = rng.random_range(0..traffic.addresses.count());
+            kept = open(&traffic.addresses, node).await;
         }
         let Some((node, connection)) = &mut kept else {
             continue;
@@ -96,29 +96,29 @@
     }
 }
 
-async fn open(doors: &Doors, node: usize) -> Option<(usize, Connection)> {
-    let opened = Connection::open(doors.address(node));
+async fn open(addresses: &Addresses, node: usize) -> Option<(usize, Connection)> {
+    let opened = Connection::open(addresses.address(node));
     let connection = tokio::time::timeout(Duration::from_secs(1), opened).await;
     Some((node, connection.ok()??))
 }
 
 /// Sends one request on a new connection, which is not judged with the others.
-pub(crate) async fn probe(doors: &Doors, node: usize, number: usize) -> Got {
+pub(crate) async fn probe(addresses: &Addresses, node: usize, number: usize) -> Got {
     let attempt = format!("{PROBE}{node}-{number}");
-    let ask = ask(Kind::Read, attempt, 0, doors.key());
-    caller::send(doors.address(node), &ask).await
+    let ask = ask(Kind::Read, attempt, 0, addresses.key());
+    caller::send(addresses.address(node), &ask).await
 }
 
 /// Resends through one node after another what crashes its targets.
-pub(crate) async fn poison(doors: Doors, history: History) {
+pub(crate) async fn poison(addresses: Addresses, history: History) {
     for number in 0..POISON_COUNT {
-        let node = number % doors.count();
-        let key = doors.key();
+        let node = number % addresses.count();
+        let key = addresses.key();
         let attempt = format!("{POISON}-{}", rand::random::<u64>());
         let mut ask = ask(Kind::Write, attempt, 0, key);
         ask.content = Some(POISON.to_owned());
         let sent = Instant::now();
-        let got = caller::send(doors.address(node), &ask).await;
+        let got = caller::send(addresses.address(node), &ask).await;
         history.events().exchanges.push(Exchange {
             attempt: ask.attempt,
             kind: Kind::Write,
