Pass crash records on by sequence number, and to a new owner

A member that joined later or was not connected missed what was sent before, and what only some members had received was lost with the owner.

Change: each change of a record has a sequence number; the owner keeps the last one that each member was sent, and forgets it when a message finds no connection. A member sends all its records to an owner whose epoch is new to it.

Ruled out: repeating the last second's records, which costs messages while nothing changes and still misses longer breaks.

What still escapes: a message that is queued when its link breaks, until the next change or owner.

--- a/filbertpaddle-core/src/suspect.rs
+++ b/filbertpaddle-core/src/suspect.rs
@@ -72,12 +72,15 @@
 pub struct Suspects {
     entries: IndexMap<u64, Entry>,
     answered: IndexSet<u64>,
+    /// Sequence number of the last change of any record.
+    sequence: u64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Entry {
     record: CrashRecord,
-    changed_ms: Millis,
+    /// Sequence number of the record's last change.
+    sequence: u64,
     seen_ms: Millis,
 }
 
@@ -107,9 +110,12 @@
         }
         self.answered.insert(digest);
         if let Some(entry) = self.entries.get_mut(&digest) {
-            entry.record.cleared = entry.record.crashes.clone();
-            entry.changed_ms = now;
             entry.seen_ms = now;
+            if entry.record.cleared != entry.record.crashes {
+                entry.record.cleared = entry.record.crashes.clone();
+                self.sequence += 1;
+                entry.sequence = self.sequence;
+            }
         }
     }
 
@@ -120,7 +126,8 @@
         }
         let entry = self.entries.entry(digest).or_default();
         if entry.record.merge(record) {
-            entry.changed_ms = now;
+            self.sequence += 1;
+            entry.sequence = self.sequence;
         }
         entry.seen_ms = now;
     }
@@ -162,11 +169,17 @@
         }
     }
 
-    /// Returns the records that changed at or after `since`, for replication.
-    pub fn changed_since(&self, since: Millis) -> impl Iterator<Item = (u64, &CrashRecord)> {
+    /// Returns the sequence number of the last change, for [`Self::changed_after`].
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Returns the records that changed after the change with number `sequence`, for
+    /// replication; all records if it is 0.
+    pub fn changed_after(&self, sequence: u64) -> impl Iterator<Item = (u64, &CrashRecord)> {
         self.entries
             .iter()
-            .filter(move |(_, entry)| entry.changed_ms >= since)
+            .filter(move |(_, entry)| entry.sequence > sequence)
             .map(|(digest, entry)| (*digest, &entry.record))
     }
 
--- a/filbertpaddle-core/tests/quarantine.rs
+++ b/filbertpaddle-core/tests/quarantine.rs
@@ -331,3 +331,17 @@
     assert!(suspects.len() <= MAX_SUSPECTS);
     assert_eq!(suspects.status(CRASHING_DIGEST), QuarantineStatus::Blocked);
 }
+
+/// Guards against replication by time: a crash recorded in the millisecond in which
+/// records were last sent was not sent again.
+#[test]
+fn a_record_that_changes_in_the_millisecond_of_the_last_update_is_in_the_next() {
+    let mut suspects = Suspects::new();
+    suspects.record_crash(Millis(7), CRASHING_DIGEST, 1);
+    let sent = suspects.sequence();
+    suspects.record_crash(Millis(7), CRASHING_DIGEST, 2);
+    let changed: Vec<_> = suspects.changed_after(sent).collect();
+    assert_eq!(changed.len(), 1);
+    assert_eq!(changed[0].1.crashes, BTreeSet::from([1, 2]));
+    assert_eq!(suspects.changed_after(suspects.sequence()).count(), 0);
+}
--- a/filbertpaddle/src/coordinator.rs
+++ b/filbertpaddle/src/coordinator.rs
@@ -387,18 +387,7 @@
     }
 
     pub(crate) fn on_grant_message(&mut self, now: Millis, from: &NodeId, message: grant::Message) {
-        let name = match &message {
-            grant::Message::SlotRequest(name, _)
-            | grant::Message::Stamp(name, _)
-            | grant::Message::Withdraw(name, _)
-            | grant::Message::Grant(name, _)
-            | grant::Message::Refuse(name, _)
-            | grant::Message::Release(name, _, _)
-            | grant::Message::Deny(name, _, _)
-            | grant::Message::Suspect(name, _, _)
-            | grant::Message::CollectRequest(name, _)
-            | grant::Message::CollectReply(name, _) => name.clone(),
-        };
+        let name = message.pool().clone();
         if let Some(pool) = self.pools.get_mut(&name) {
             pool.on_message(now, from, message);
             pool.run_owner(now);
@@ -415,16 +404,25 @@
             if outgoing.is_empty() {
                 return;
             }
-            for Outgoing { to, message } in outgoing {
-                if to == self.id {
-                    self.on_grant_message(now, &to, message);
-                } else {
-                    self.peers.send(&to.name, Message::Grant(message));
-                }
+            for outgoing in outgoing {
+                self.send_slot_message(now, outgoing);
             }
         }
     }
 
+    fn send_slot_message(&mut self, now: Millis, outgoing: Outgoing) {
+        if outgoing.to == self.id {
+            self.on_grant_message(now, &outgoing.to, outgoing.message);
+            return;
+        }
+        let message = Message::Grant(outgoing.message.clone());
+        if !self.peers.send(&outgoing.to.name, message)
+            && let Some(pool) = self.pools.get_mut(outgoing.message.pool())
+        {
+            pool.on_unsent(&outgoing);
+        }
+    }
+
     fn send_member(&mut self, now: Millis, to: &NodeId, message: wire::Message) {
         if *to == self.id {
             let id = self.id.clone();
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -87,6 +87,8 @@
     pub(crate) last_stamp_ms: Millis,
     pub(crate) last_collect_ms: Millis,
     pub(crate) last_recount_ms: Millis,
+    /// Epoch of the last owner that this node has sent its crash records to.
+    suspects_epoch: u64,
     pub(crate) outgoing: Vec<Outgoing>,
 }
 
@@ -104,6 +106,7 @@
             last_stamp_ms: Millis::ZERO,
             last_collect_ms: Millis::ZERO,
             last_recount_ms: Millis::ZERO,
+            suspects_epoch: 0,
             outgoing: Vec::new(),
         }
     }
@@ -353,6 +356,29 @@
         let message = Message::CollectReply(self.name.clone(), message);
         let to = from.clone();
         self.outgoing.push(Outgoing { to, message });
+        self.send_suspects(from, collect.epoch);
+    }
+
+    /// Sends the crash records to a new owner: those that its predecessor had sent to some
+    /// members only would otherwise be lost with it.
+    fn send_suspects(&mut self, owner: &NodeId, epoch: u64) {
+        if epoch <= self.suspects_epoch {
+            return;
+        }
+        self.suspects_epoch = epoch;
+        for suspect in self.scheduler.suspects() {
+            let message = Message::Suspect(self.name.clone(), suspect.digest, suspect.record);
+            let to = owner.clone();
+            self.outgoing.push(Outgoing { to, message });
+        }
+    }
+
+    /// Handles a message that could not be sent because its receiver is not connected.
+    pub(crate) fn on_unsent(&mut self, unsent: &Outgoing) {
+        if matches!(unsent.message, Message::Suspect(..)) {
+            self.scheduler.mark_suspects_unsent(&unsent.to);
+            self.suspects_epoch = 0;
+        }
     }
 
     fn on_grant(&mut self, now: Millis, from: &NodeId, granted: grant::Grant) {
--- a/filbertpaddle/src/pool_owner.rs
+++ b/filbertpaddle/src/pool_owner.rs
@@ -78,11 +78,10 @@
             let to = denied.request.holder;
             self.outgoing.push(Outgoing { to, message });
         }
-        for suspect in self.scheduler.take_changed_suspects(now) {
-            let own = self.member.id();
-            for to in owner.members().iter().filter(|id| *id != own) {
-                let record = suspect.record.clone();
-                let message = Message::Suspect(self.name.clone(), suspect.digest, record);
+        let own = self.member.id();
+        for to in owner.members().iter().filter(|id| *id != own) {
+            for suspect in self.scheduler.take_changed_suspects(to) {
+                let message = Message::Suspect(self.name.clone(), suspect.digest, suspect.record);
                 let to = to.clone();
                 self.outgoing.push(Outgoing { to, message });
             }
--- a/filbertpaddle/src/pool_scheduler.rs
+++ b/filbertpaddle/src/pool_scheduler.rs
@@ -56,7 +56,8 @@
     placed: IndexMap<WorkKey, PlacedWork>,
     capacity_tokens: IndexMap<Name, u64>,
     next_id: u64,
-    suspects_taken_ms: Millis,
+    /// Sequence number of the last change of the crash records that each member was sent.
+    suspects_sent: IndexMap<NodeId, u64>,
 }
 
 impl PoolScheduler {
@@ -68,15 +69,15 @@
             placed: IndexMap::new(),
             capacity_tokens: IndexMap::new(),
             next_id: 0,
-            suspects_taken_ms: Millis::ZERO,
+            suspects_sent: IndexMap::new(),
         }
     }
 
     /// Resets the state for a new ownership; only crash records are kept.
     pub(crate) fn reset(&mut self, now: Millis) {
         let old = std::mem::replace(self, Self::new(self.settings));
-        for (digest, record) in old.scheduler.suspects().changed_since(Millis::ZERO) {
-            self.scheduler.merge_crash_record(now, digest, record);
+        for suspect in old.suspects() {
+            self.merge_crash_record(now, suspect.digest, &suspect.record);
         }
     }
 
@@ -241,10 +242,27 @@
         self.scheduler.merge_crash_record(now, digest, record);
     }
 
-    /// Returns the crash records that changed since the last call.
-    pub(crate) fn take_changed_suspects(&mut self, now: Millis) -> Vec<Suspect> {
-        let since = std::mem::replace(&mut self.suspects_taken_ms, now + Millis(1));
-        let changes = self.scheduler.suspects().changed_since(since);
+    /// Returns all crash records.
+    pub(crate) fn suspects(&self) -> Vec<Suspect> {
+        self.suspects_after(0)
+    }
+
+    /// Returns the crash records that changed since the last call for a member; all of them
+    /// in the first call.
+    pub(crate) fn take_changed_suspects(&mut self, member: &NodeId) -> Vec<Suspect> {
+        let sequence = self.scheduler.suspects().sequence();
+        let sent = self.suspects_sent.insert(member.clone(), sequence);
+        self.suspects_after(sent.unwrap_or_default())
+    }
+
+    /// Makes the next call of [`Self::take_changed_suspects`] return all crash records, since
+    /// some were not sent to the member.
+    pub(crate) fn mark_suspects_unsent(&mut self, member: &NodeId) {
+        self.suspects_sent.swap_remove(member);
+    }
+
+    fn suspects_after(&self, sequence: u64) -> Vec<Suspect> {
+        let changes = self.scheduler.suspects().changed_after(sequence);
         changes
             .map(|(digest, record)| Suspect {
                 digest,
