--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -119,6 +119,8 @@
     pub(crate) addresses: Addresses,
     pub(crate) vms: Vec<Vm>,
     pub(crate) target_hosts: Vec<TargetHost>,
+    /// Number of faults that keep each data centre out of service now.
+    outages: [usize; DATA_CENTRES.len()],
     /// Tasks that resend requests that crash targets.
     pub(crate) poison_senders: Vec<JoinHandle<()>>,
     stopping: Vec<StoppingNode>,
@@ -144,6 +146,7 @@
             },
             vms: Vec::new(),
             target_hosts: Vec::new(),
+            outages: Default::default(),
             poison_senders: Vec::new(),
             stopping: Vec::new(),
             copies: Copies::default(),
@@ -180,6 +183,20 @@
         self.addresses.key_version.store(version, Ordering::Relaxed);
     }
 
+    /// Takes a data centre out of service.
+    pub(crate) fn begin_outage(&mut self, number: usize) {
+        self.outages[number] += 1;
+        self.store.set_data_centre(DATA_CENTRES[number], true);
+    }
+
+    /// Takes a data centre back into service, unless another fault still keeps it out.
+    pub(crate) fn end_outage(&mut self, number: usize) {
+        self.outages[number] -= 1;
+        if self.outages[number] == 0 {
+            self.store.set_data_centre(DATA_CENTRES[number], false);
+        }
+    }
+
     async fn add_target_host(&mut self, number: usize) {
         let service = if number.is_multiple_of(2) {
             ENGINE_SERVICE
--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -89,13 +89,9 @@
         Fault::NodeReload(node) => reload_settings(cluster, node),
         Fault::KeyRotation => cluster.rotate_key(),
         Fault::DataCentreOut(number) => {
-            let name = DATA_CENTRES[number];
-            cluster.store.set_data_centre(name, true);
-            active.change = Some(
-                cluster
-                    .history
-                    .record_change(ChangeKind::DataCentreOut(name.to_owned())),
-            );
+            cluster.begin_outage(number);
+            let kind = ChangeKind::DataCentreOut(DATA_CENTRES[number].to_owned());
+            active.change = Some(cluster.history.record_change(kind));
         }
     }
     active
@@ -139,7 +135,7 @@
             }
         }
         Fault::NodeKill(node) | Fault::NodeTerminate(node) => cluster.start_node(node).await,
-        Fault::DataCentreOut(number) => cluster.store.set_data_centre(DATA_CENTRES[number], false),
+        Fault::DataCentreOut(number) => cluster.end_outage(number),
         Fault::StoreClockJump
         | Fault::StoreHistoryLoss
         | Fault::NodeReload(_)
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -15,7 +15,6 @@
 mod traffic;
 
 use std::collections::HashMap;
-use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -47,18 +46,28 @@
 /// Number of requests to each node after the recovery time.
 const PROBES_PER_NODE: usize = 5;
 
-/// Seeds that failed in the past, each with the cause.
-const FAILED: [u64; 0] = [];
+/// Seeds that failed in the past.
+const FAILED: [u64; 5] = [
+    // The soak paused a process twice and waited for a second stop that never came.
+    101, //
+    // The machine stalled for seconds, which was not recorded as a disruption.
+    417, 419, //
+    // Nodes excluded the reader that they could not reach for 10 s, and nobody received
+    // their crash records.
+    910_014, //
+    // Two outages of one data centre overlapped, and the end of the first ended both.
+    930_006,
+];
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_for_the_first_seeds() {
-    check_seeds(0..3, &DEFAULT_SIZE).await;
+    check_seeds(&[0, 1, 2], &DEFAULT_SIZE).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_for_previously_failed_seeds() {
-    for seed in FAILED {
-        check_seeds(seed..seed + 1, &DEFAULT_SIZE).await;
+    for seeds in FAILED.chunks(PARALLEL_RUNS) {
+        check_seeds(seeds, &DEFAULT_SIZE).await;
     }
 }
 
@@ -80,14 +89,15 @@
     let jobs = if factor > 1 { 1 } else { PARALLEL_RUNS };
     let seeds: Vec<u64> = (from.parse().unwrap()..to.parse().unwrap()).collect();
     for chunk in seeds.chunks(jobs) {
-        check_seeds(chunk[0]..chunk[chunk.len() - 1] + 1, &size).await;
+        check_seeds(chunk, &size).await;
     }
 }
 
 /// Runs the schedules of all seeds concurrently and checks that no invariant is violated.
-async fn check_seeds(seeds: Range<u64>, size: &Size) {
+async fn check_seeds(seeds: &[u64], size: &Size) {
     let runs: Vec<_> = seeds
-        .map(|seed| (seed, tokio::spawn(run_schedule(seed, *size))))
+        .iter()
+        .map(|seed| (seed, tokio::spawn(run_schedule(*seed, *size))))
         .collect();
     let mut violations = Vec::new();
     for (seed, run) in runs {
