Hold what is in force over a rollback of the store, and heed what targets announce

Change, store: revisions are ordered by era, then number. On a new era the tables are read as a whole, and for four intervals of targets' entries: the configuration never reverts; a data centre stays out although the copy lacks the order; targets that the copy lacks stay listed; one known to have gone is listed again only once it writes its entry; draining, restarted and cold targets stay so. Nodes write their entries again, spread over half a second, and count as live meanwhile. Batches and lists of an earlier era are ignored, and a follower leaves a node that is behind.

Change, targets: an incarnation that leaves is recorded, passed on to all nodes and kept against any entry. After 503 with Retry-After it gets nothing until the end of that time and half a second of spread; times are bounded, invalid ones logged. If all targets want nothing, callers are refused at once until the first is due.

Ruled out: going back with the copy, which breaks configurations, drains and data centres out for seconds; taking the highest number seen, which mixes two histories.

Tests: forward rollback (12), leaving_targets (4); adapter (3, with random header values); process tests gateway rollback (3) and announcements (4).

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -3,14 +3,20 @@
 //!
 //! As in `filbertpaddle-core`, nothing here performs I/O or reads a clock.
 
+pub mod admission;
+pub mod change;
 pub mod cold_limit;
 pub mod configuration;
 pub mod directory;
 pub mod drain;
 pub mod event_stream;
+pub mod leaving_targets;
 pub mod load_table;
 pub mod migration;
 pub mod request_metadata;
 pub mod retry_budget;
+pub mod revision;
+pub mod stream_pace;
 pub mod target;
+pub mod target_list;
 pub mod target_selector;
--- a/filbertpaddle-forward/src/target.rs
+++ b/filbertpaddle-forward/src/target.rs
@@ -26,7 +26,34 @@
     pub started_ms: Option<Millis>,
 }
 
+/// One run of a target, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// ID of the target.
+    pub id: Name,
+    /// Address, as `IP:PORT`.
+    pub address: Name,
+    /// Start time in Unix time.
+    pub started_ms: Option<Millis>,
+}
+
+impl Incarnation {
+    /// Returns whether the target has started again since: `other` is a later incarnation.
+    pub fn is_before(&self, other: &Self) -> bool {
+        self.id == other.id && self.started_ms < other.started_ms
+    }
+}
+
 impl Target {
+    /// Returns the incarnation that the entry describes.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            address: self.address.clone(),
+            started_ms: self.started_ms,
+        }
+    }
+
     /// Returns whether `other` is the same incarnation of the same target, not a restarted one.
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
         self.id == other.id && self.address == other.address && self.started_ms == other.started_ms
--- a/filbertpaddle-forward/tests/directory.rs
+++ b/filbertpaddle-forward/tests/directory.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::change::Batch;
+use filbertpaddle_forward::change::Change;
+use filbertpaddle_forward::change::Entry;
+use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Configuration;
-use filbertpaddle_forward::directory::Batch;
-use filbertpaddle_forward::directory::Change;
 use filbertpaddle_forward::directory::Directory;
-use filbertpaddle_forward::directory::Entry;
-use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::revision::Revision;
 use filbertpaddle_forward::target::Target;
 
 fn target(id: &str, is_draining: bool) -> Target {
@@ -27,12 +28,15 @@
 fn batch(table: Table, is_whole: bool, revision: u64, changes: Vec<(u64, Entry)>) -> Batch {
     let changes = changes
         .into_iter()
-        .map(|(revision, entry)| Change { revision, entry })
+        .map(|(revision, entry)| Change {
+            revision: Revision::new(0, revision),
+            entry,
+        })
         .collect();
     Batch {
         table,
         is_whole,
-        revision,
+        revision: Revision::new(0, revision),
         changes,
     }
 }
@@ -72,7 +76,7 @@
         directory.apply(now, now, &batch(Table::Operator, false, revision, changes));
     }
     assert_eq!(directory.configuration().unwrap().version, 7);
-    assert_eq!(directory.revision(Table::Operator), 10);
+    assert_eq!(directory.revision(Table::Operator).number, 10);
 }
 
 #[test]
@@ -131,9 +135,9 @@
     let back = vec![(11, Entry::Target(target("b", false)))];
     let now = Millis(6_500);
     directory.apply(now, now, &batch(Table::Targets, false, 11, back));
-    directory.apply_due_removals(Millis(7_499));
+    directory.apply_due(Millis(7_499));
     assert_eq!(ids(&directory), ["a", "b"]);
-    let applied = directory.apply_due_removals(Millis(7_500));
+    let applied = directory.apply_due(Millis(7_500));
     assert_eq!(ids(&directory), ["b"]);
     assert_eq!(applied.targets, ["a"]);
 }
@@ -169,7 +173,7 @@
     );
     assert_eq!(ids(&late_follower), ["a", "b"]);
     let sequence = reader.sequence();
-    reader.apply_due_removals(Millis(60_000));
+    reader.apply_due(Millis(60_000));
     let published = reader.changes_after(Table::Targets, sequence);
     late_follower.apply(Millis(60_010), Millis(60_010), &published);
     assert_eq!(ids(&late_follower), ["b"]);
@@ -195,7 +199,7 @@
         vec![(1, Entry::Target(target("a", false)))],
     );
     directory.apply(Millis(5_020), Millis(5_020), &old);
-    directory.apply_due_removals(Millis(60_000));
+    directory.apply_due(Millis(60_000));
     assert_eq!(ids(&directory), ["b"]);
 }
 
@@ -264,8 +268,8 @@
 #[test]
 fn target_stays_marked_as_draining_until_it_restarts() {
     let mut directory = directory_with_two_targets();
-    assert!(directory.mark_draining(&target("a", false)));
-    assert!(!directory.mark_draining(&target("a", false)));
+    assert!(directory.mark_draining(&target("a", false).incarnation()));
+    assert!(!directory.mark_draining(&target("a", false).incarnation()));
     assert!(directory.target("a").unwrap().is_draining);
     let mut restarted = target("a", false);
     restarted.started_ms = Some(Millis(2));
@@ -276,7 +280,7 @@
         &batch(Table::Targets, false, 3, changes),
     );
     assert!(!directory.target("a").unwrap().is_draining);
-    assert!(!directory.mark_draining(&target("a", false)));
+    assert!(!directory.mark_draining(&target("a", false).incarnation()));
 }
 
 #[test]
@@ -330,5 +334,5 @@
     assert_eq!(ids(&peer), ["b", "c"]);
     assert!(peer.target("b").unwrap().is_draining);
     assert_eq!(peer.configuration().unwrap().version, 3);
-    assert_eq!(peer.revision(Table::Targets), 6);
+    assert_eq!(peer.revision(Table::Targets).number, 6);
 }
--- a/filbertpaddle-gateway/src/drain_detection.rs
+++ b/filbertpaddle-gateway/src/drain_detection.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::state::State;
-use crate::store_sync::http_request;
+use crate::target_call;
 
 /// Targets announce a drain about two seconds ahead, and their reports are some
 /// hundred milliseconds old.
@@ -53,12 +53,9 @@
 
 async fn poll(state: &Rc<State>, target: &Target) {
     let calls = state.platform.engine;
-    let request = http_request(&target.address, &(calls.report)());
     state.metrics.count("target.reports");
-    let called = state
-        .connections
-        .call(&target.address, request, REPORT_TIMEOUT);
-    let report = match called.await {
+    let call = (calls.report)();
+    let report = match target_call::call(state, target, &call, REPORT_TIMEOUT).await {
         Ok((_, bytes)) => (calls.decode_report)(&bytes),
         Err(error) => {
             info!(state.log, "no report from target, polling it again";
@@ -67,7 +64,9 @@
         }
     };
     match report {
-        Ok(report) if report.is_draining => state.mark_target_draining(target),
+        Ok(report) if report.is_draining => {
+            state.mark_target_draining(&target.incarnation(), "report")
+        }
         Ok(_) => {}
         Err(error) => {
             info!(state.log, "report of target ignored: cannot be decoded";
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -19,7 +19,7 @@
 use crate::platform_api::CopyOutcome;
 use crate::platform_api::CopyRequest;
 use crate::state::State;
-use crate::store_sync::http_request;
+use crate::target_call;
 use crate::target_stream::TargetStream;
 
 /// Enough to copy the KV caches of several large generations over one link.
@@ -77,6 +77,12 @@
         self.migration.copy().is_some()
     }
 
+    /// Returns whether a complete copy exists at a target that can still be used.
+    pub fn has_usable_copy(&mut self) -> bool {
+        self.drop_lost_copy();
+        self.has_copy()
+    }
+
     /// Starts a copy if one is due; returns the next step.
     pub fn advance(&mut self, source: &TargetStream) -> Step {
         let now = self.job.state.clock.now();
@@ -169,7 +175,7 @@
         let call = request_copy(
             Rc::clone(&self.job.state),
             self.job.metadata.attempt.clone(),
-            source.target.address.clone(),
+            source.target.clone(),
             to.clone(),
         );
         self.migration.record_copy_started();
@@ -218,19 +224,15 @@
     }
 }
 
-async fn request_copy(state: Rc<State>, attempt: Name, address: Name, to: Target) -> CopyOutcome {
+async fn request_copy(state: Rc<State>, attempt: Name, source: Target, to: Target) -> CopyOutcome {
     let calls = state.platform.engine;
     let copy_request = CopyRequest {
         attempt: &attempt,
         to: &to,
     };
-    let request = http_request(&address, &(calls.copy)(&copy_request));
+    let call = (calls.copy)(&copy_request);
     state.metrics.count("target.copies");
-    match state
-        .connections
-        .call(&address, request, COPY_TIMEOUT)
-        .await
-    {
+    match target_call::call(&state, &source, &call, COPY_TIMEOUT).await {
         Ok((head, bytes)) => (calls.decode_copy)(&copy_request, head.status, &bytes),
         Err(error) => {
             info!(state.log, "copy request failed, treated as refused";
@@ -242,12 +244,7 @@
 
 async fn release_copy(state: &State, copy: &Copy, to: &Target) {
     let call = (state.platform.engine.release)(&copy.handle);
-    let request = http_request(&to.address, &call);
-    let called = state
-        .connections
-        .call(&to.address, request, RELEASE_TIMEOUT)
-        .await;
-    if let Err(error) = called {
+    if let Err(error) = target_call::call(state, to, &call, RELEASE_TIMEOUT).await {
         info!(state.log, "copy not released at target";
             "target" => to.id.as_str(), "error" => %error);
     }
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use filbertpaddle_core::clock::Millis;
-use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::drain::Drain;
 use slog::info;
 use slog::warn;
@@ -25,11 +25,12 @@
 use crate::peer_follower;
 use crate::peer_publisher;
 use crate::platform_api::PlatformApi;
+use crate::reader_probe;
 use crate::settings::Settings;
 use crate::state::State;
 use crate::store_sync;
 
-/// Interval at which due removals of targets are applied and stale connections closed.
+/// Interval at which due changes are applied and stale connections closed.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after the stop signal in which the balancer may still send callers here: it
@@ -108,6 +109,7 @@
         Table::Targets,
     )));
     spawn(Box::pin(load_exchange::run(Rc::clone(&state))));
+    spawn(Box::pin(reader_probe::run(Rc::clone(&state))));
     spawn(Box::pin(drain_detection::run(Rc::clone(&state))));
     spawn(Box::pin(store_sync::maintain_registration(Rc::clone(
         &state,
@@ -135,7 +137,7 @@
             // The settings may also change without a signal.
             _ = reloads.tick() => reload_settings(&state, reload),
             _ = ticks.tick() => {
-                state.apply_due_removals();
+                state.apply_due_changes();
                 state.connections.close_stale();
             }
         }
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_forward::directory::Batch;
-use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::change::Batch;
+use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::migration::Copy;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
+use filbertpaddle_forward::revision::Revision;
 use filbertpaddle_forward::target::Report;
 use filbertpaddle_forward::target::Target;
 use http::HeaderMap;
@@ -86,6 +87,22 @@
     pub is_not_run: bool,
     /// Whether another target now listens at the address.
     pub is_other_target: bool,
+    /// Whether the target has announced that it leaves.
+    pub is_leaving: bool,
+    /// How long the target wants no requests from this node.
+    pub retry_after: RetryAfter,
+}
+
+/// Time for which a target that refused a request wants none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RetryAfter {
+    /// The target states no time.
+    #[default]
+    Absent,
+    /// The stated time is no number of seconds, or is negative.
+    Invalid,
+    /// No requests for this time.
+    After(Millis),
 }
 
 /// An HTTP call with a small body and a small response.
@@ -142,9 +159,12 @@
     /// Reads a table, starting from a key if one is given.
     pub read: fn(Table, Option<&str>) -> Call,
     /// Waits for changes of a table after a revision (long poll).
-    pub watch: fn(Table, u64, Millis) -> Call,
-    /// Decodes the response to `read` (if the flag is set) or to `watch`.
-    pub decode: fn(Table, bool, &[u8]) -> Result<Page, DecodeError>,
+    pub watch: fn(Table, Revision, Millis) -> Call,
+    /// Decodes the response to `read` (if the flag is set) or to `watch`, which the store
+    /// gave in an era.
+    pub decode: fn(Table, bool, u64, &[u8]) -> Result<Page, DecodeError>,
+    /// Decodes the era of the store from the headers of any of its responses.
+    pub decode_era: fn(&HeaderMap) -> Option<u64>,
     /// Reads the list of nodes.
     pub read_nodes: fn() -> Call,
     /// Decodes the list of nodes.
@@ -171,6 +191,8 @@
     pub nodes: Vec<Node>,
     /// Time by the store's clock when the list was read.
     pub store_ms: Millis,
+    /// Era of the store in which it was read.
+    pub era: u64,
 }
 
 /// A response body that does not follow the platform's protocol.
--- a/filbertpaddle-gateway/src/settings.rs
+++ b/filbertpaddle-gateway/src/settings.rs
@@ -40,4 +40,7 @@
     pub retries: retry_budget::RetryLimits,
     /// Time that a stopping node has to finish its requests.
     pub grace_ms: Millis,
+    /// Time in which operators and targets write their entries again after the store was
+    /// rolled back to an older copy.
+    pub rewrite_ms: Millis,
 }
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::change::Table;
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
@@ -23,6 +23,7 @@
 use crate::nodes::RENEW_INTERVAL_MS;
 use crate::platform_api::Call;
 use crate::platform_api::DecodeError;
+use crate::platform_api::NodeList;
 use crate::platform_api::Page;
 use crate::state::State;
 
@@ -49,6 +50,9 @@
 /// Delay before a node of a first start reads the list of nodes. All nodes start
 /// within 0.3 s of each other and write their entries in this time.
 const FIRST_READ_DELAY: Duration = Duration::from_millis(500);
+/// Delay before a node writes its entry or reads the list of nodes again; random, so that not
+/// all nodes call the store at once.
+const REFRESH_DELAY_MS: std::ops::Range<u64> = 100..600;
 /// Delay before the second read, which finds the nodes that started with this one.
 const SECOND_READ_DELAY_MS: Millis = Millis::from_secs(2);
 
@@ -67,6 +71,12 @@
     /// The store no longer keeps the changes after this node's revision.
     #[error("the store no longer keeps the changes after this revision")]
     HistoryGone,
+    /// The store was rolled back since the revision at which the call continues.
+    #[error("the store was rolled back, so that the table must be read again")]
+    RolledBack,
+    /// The response is from before the store was rolled back.
+    #[error("response of the store from before it was rolled back")]
+    EarlierEra,
 }
 
 /// Watches one table for as long as the node runs.
@@ -90,9 +100,8 @@
             continue;
         }
         let mut result = read_or_watch(&state, table, failures > 0).await;
-        if matches!(result, Err(Error::HistoryGone)) {
-            info!(state.log, "changes no longer kept by the store, reading the whole table";
-                "table" => %table);
+        if let Err(error @ (Error::HistoryGone | Error::RolledBack)) = &result {
+            info!(state.log, "reading the whole table"; "table" => %table, "reason" => %error);
             result = read_table(&state, table).await;
         }
         match result {
@@ -148,12 +157,22 @@
         if !state.is_registered.replace(true) {
             state.peer_lost_ms.set(state.clock.now());
         }
-        match result {
-            Ok(()) => sleep(std::mem::replace(&mut delay, duration(RENEW_INTERVAL_MS))).await,
+        let pause = match result {
+            Ok(()) => std::mem::replace(&mut delay, duration(RENEW_INTERVAL_MS)),
             Err(error) => {
                 warn!(state.log, "node list or own entry not refreshed, retrying";
                     "error" => %error);
-                sleep(duration(Millis(rand::random_range(PROBE_INTERVAL_MS)))).await;
+                duration(Millis(rand::random_range(PROBE_INTERVAL_MS)))
+            }
+        };
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = state.registration_due.notified() => {
+                if state.written_ms.get().is_none() {
+                    // A second read finds the entries that the other nodes write now.
+                    delay = duration(SECOND_READ_DELAY_MS);
+                }
+                sleep(duration(Millis(rand::random_range(REFRESH_DELAY_MS)))).await;
             }
         }
     }
@@ -198,14 +217,20 @@
 
 async fn read_nodes(state: &Rc<State>) -> Result<Vec<Name>, Error> {
     let calls = state.platform.store;
-    let bytes = call_store(state, &(calls.read_nodes)(), RESPONSE_TIMEOUT_MS).await?;
-    let list = (calls.decode_nodes)(&bytes)?;
+    let (era, bytes) = call_store(state, &(calls.read_nodes)(), RESPONSE_TIMEOUT_MS).await?;
+    let list = NodeList {
+        era,
+        ..(calls.decode_nodes)(&bytes)?
+    };
     Ok(state.update_nodes(list))
 }
 
 async fn read_or_watch(state: &Rc<State>, table: Table, has_failed: bool) -> Result<(), Error> {
-    let revision = state.directory.borrow().revision(table);
-    if revision == 0 {
+    let (revision, era) = {
+        let directory = state.directory.borrow();
+        (directory.revision(table), directory.era())
+    };
+    if revision.is_zero() || revision.era != era {
         return read_table(state, table).await;
     }
     let wait_ms = if has_failed {
@@ -216,8 +241,11 @@
     let calls = state.platform.store;
     let requested_ms = state.clock.now();
     let call = (calls.watch)(table, revision, wait_ms);
-    let bytes = call_store(state, &call, wait_ms + RESPONSE_TIMEOUT_MS).await?;
-    let page = (calls.decode)(table, false, &bytes)?;
+    let (era, bytes) = call_store(state, &call, wait_ms + RESPONSE_TIMEOUT_MS).await?;
+    if era != revision.era {
+        return Err(Error::RolledBack);
+    }
+    let page = (calls.decode)(table, false, era, &bytes)?;
     apply_page(state, table, requested_ms, &page);
     Ok(())
 }
@@ -230,8 +258,14 @@
     let mut from: Option<String> = None;
     loop {
         let call = (calls.read)(table, from.as_deref());
-        let bytes = call_store(state, &call, RESPONSE_TIMEOUT_MS).await?;
-        let page = (calls.decode)(table, true, &bytes)?;
+        let (era, bytes) = call_store(state, &call, RESPONSE_TIMEOUT_MS).await?;
+        let page = (calls.decode)(table, true, era, &bytes)?;
+        if all
+            .as_ref()
+            .is_some_and(|all| all.batch.revision.era != era)
+        {
+            return Err(Error::RolledBack);
+        }
         from = page.next.clone();
         match &mut all {
             None => all = Some(page),
@@ -270,14 +304,25 @@
     state.apply("store", as_of_ms, &page.batch);
 }
 
-async fn call_store(state: &Rc<State>, call: &Call, timeout: Millis) -> Result<Bytes, Error> {
+/// Makes a call to the store; returns its era and the response.
+async fn call_store(
+    state: &Rc<State>,
+    call: &Call,
+    timeout: Millis,
+) -> Result<(u64, Bytes), Error> {
     let address: Name = state.settings.store.to_string().into();
     let request = http_request(&address, call);
     state.metrics.count("store.calls");
     let timeout: Duration = duration(timeout);
     let (head, bytes) = state.connections.call(&address, request, timeout).await?;
+    let known_era = state.directory.borrow().era();
+    let era = (state.platform.store.decode_era)(&head.headers).unwrap_or(known_era);
+    if era < known_era {
+        return Err(Error::EarlierEra);
+    }
+    state.record_era(era);
     match head.status {
-        StatusCode::OK => Ok(bytes),
+        StatusCode::OK => Ok((era, bytes)),
         StatusCode::GONE => Err(Error::HistoryGone),
         status => Err(Error::Status(status)),
     }
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -75,6 +75,15 @@
     }
 
     pub(crate) async fn add_target(&mut self, id: &str, service: &str, data_centre: &str) {
+        self.start_target(id, service, data_centre, 1).await;
+    }
+
+    /// Starts a later incarnation of a target in the first data centre.
+    pub(crate) async fn add_incarnation(&mut self, id: &str, service: &str, incarnation: u64) {
+        self.start_target(id, service, "dc-a", incarnation).await;
+    }
+
+    async fn start_target(&mut self, id: &str, service: &str, data_centre: &str, incarnation: u64) {
         let options = target::Options {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -82,7 +91,7 @@
             event_ms: 20,
             work_ms: 5,
             cold_ms: 0,
-            incarnation: 1,
+            incarnation,
         };
         let started = Target::start(options, self.run_log.clone(), self.copies.clone());
         let target = started.await.unwrap();
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -2,8 +2,10 @@
 
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
+mod announcements;
 mod cluster;
 mod limits;
+mod rollback;
 mod streams;
 
 use std::net::SocketAddr;
