Let every node know the load of all, from its start on and after readers change

A follower took over the list that its reader had read when few had started, found itself the reader, followed nobody and read the store by itself. And nodes that had been readers kept their old sums in those of others.

Change: an older list never replaces a later one. Peers state a hash of their list; a reader that hears of a later, other one, or of an unlisted node, reads it again. Links and sums of former readers are dropped. Readers exchange findings both ways, also with the next in rank of their data centre, and with the last listed nodes and the seeds if none is live. Nodes with old data are passed over for a second, not followed ten times a second.

What escapes: while a node reaches neither its reader nor any other data centre, it counts crashes by itself, until about a second after a link is back.

--- a/filbertpaddle-forward/src/load_table.rs
+++ b/filbertpaddle-forward/src/load_table.rs
@@ -86,6 +86,11 @@
         self.groups.shift_remove(reader);
     }
 
+    /// Removes the load of all groups but this node's own.
+    pub fn clear_groups(&mut self) {
+        self.groups.clear();
+    }
+
     /// Returns the total load of this node's group.
     pub fn group_total(&self) -> LoadByTarget {
         sum(self.members.values())
--- a/filbertpaddle-gateway/src/nodes.rs
+++ b/filbertpaddle-gateway/src/nodes.rs
@@ -9,6 +9,8 @@
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::platform_api::NodeList;
 
@@ -22,6 +24,11 @@
 const NODES_PER_READER: usize = 32;
 /// Minimum CPU cores of a reader, relative to the largest node of its data centre.
 const MIN_READER_CORES_RATIO: f64 = 0.6;
+/// Time in which live nodes write their entries again after the store was rolled back.
+/// Fewer known nodes would each take larger shares of limits.
+const REWRITE_MS: Millis = Millis::from_secs(5);
+/// How long a node whose data is old is not followed.
+const OUTDATED_MS: Millis = Millis::from_secs(1);
 /// How long a node that did not respond is not chosen as a reader.
 const UNRESPONSIVE_MS: Millis = Millis::from_secs(10);
 
@@ -49,6 +56,9 @@
     reads: u64,
     store_ms: Millis,
     read_ms: Millis,
+    /// Nodes that were live when the store was rolled back, and how long they count as live
+    /// though they have not written their entries again.
+    carried: (Vec<Node>, Millis),
     unresponsive_until: IndexMap<Name, Millis>,
 }
 
@@ -63,6 +73,27 @@
         self.reads
     }
 
+    /// Returns the time by the store's clock when the list was read.
+    pub fn listed_ms(&self) -> Millis {
+        self.list.store_ms
+    }
+
+    /// Returns whether a node is live.
+    pub fn is_live(&self, name: &str) -> bool {
+        self.live.iter().any(|node| node.name == name)
+    }
+
+    /// Returns a hash of the live nodes. Nodes with the same hash agree on the readers.
+    pub fn fingerprint(&self) -> u64 {
+        let hash = |node: &Node| {
+            let seed = xxh3_64(node.data_centre.as_bytes());
+            let seed = xxh3_64_with_seed(node.peers.to_string().as_bytes(), seed);
+            xxh3_64_with_seed(node.name.as_bytes(), seed)
+        };
+        // The order of the entries does not matter.
+        self.live.iter().map(hash).fold(0, u64::wrapping_add)
+    }
+
     /// Returns the list as last read, for followers.
     pub fn list(&self) -> &NodeList {
         &self.list
@@ -83,12 +114,38 @@
     ///
     /// The ranking depends on the entries alone, so nodes with the same list agree.
     pub fn readers(&self, now: Millis, data_centre: &Name) -> Vec<&Node> {
+        self.ranked_readers(data_centre, 0, |node| {
+            !self.is_unresponsive(now, &node.name)
+        })
+    }
+
+    /// Returns the readers of `data_centre` that this node currently excludes as unresponsive.
+    pub fn excluded_readers(&self, now: Millis, data_centre: &Name) -> Vec<&Node> {
+        let mut readers = self.ranked_readers(data_centre, 0, |_| true);
+        readers.retain(|node| self.is_unresponsive(now, &node.name));
+        readers
+    }
+
+    /// Returns the readers of `data_centre` and the node that would be the next one.
+    ///
+    /// The next one was a reader until now if this node has just started. Both learn of each
+    /// other by their link before they have read the same list.
+    pub fn readers_and_standby(&self, now: Millis, data_centre: &Name) -> Vec<&Node> {
+        self.ranked_readers(data_centre, 1, |node| {
+            !self.is_unresponsive(now, &node.name)
+        })
+    }
+
+    /// Returns the readers of `data_centre` among the included nodes, and up to `standbys`
+    /// nodes that are next in rank.
+    fn ranked_readers<F>(&self, data_centre: &Name, standbys: usize, is_included: F) -> Vec<&Node>
+    where
+        F: Fn(&Node) -> bool,
+    {
         let members: Vec<_> = self
             .live
             .iter()
-            .filter(|node| {
-                node.data_centre == *data_centre && !self.is_unresponsive(now, &node.name)
-            })
+            .filter(|node| node.data_centre == *data_centre && is_included(node))
             .collect();
         let largest = members.iter().map(|node| node.cores).fold(0.0, f64::max);
         let eligible = members
@@ -98,18 +155,40 @@
         let count = members.len().div_ceil(NODES_PER_READER);
         ranked
             .into_iter()
-            .take(count)
+            .take(count + standbys)
             .filter_map(|name| members.iter().find(|node| node.name == *name).copied())
             .collect()
     }
 
+    fn add_carried(&mut self, now: Millis) {
+        let (carried, until_ms) = &self.carried;
+        if now >= *until_ms {
+            return;
+        }
+        let is_listed = |node: &&Node| !self.live.iter().any(|live| live.name == node.name);
+        let missing: Vec<_> = carried.iter().filter(is_listed).cloned().collect();
+        self.live.extend(missing);
+    }
+
     /// Excludes a node from the readers for a while.
     pub fn mark_unresponsive(&mut self, now: Millis, name: &Name) {
         self.unresponsive_until
             .insert(name.clone(), now + UNRESPONSIVE_MS);
     }
 
-    fn is_unresponsive(&self, now: Millis, name: &Name) -> bool {
+    /// Excludes a node whose data is old for a moment: it may reach the store again soon.
+    pub fn mark_outdated(&mut self, now: Millis, name: &Name) {
+        self.unresponsive_until
+            .insert(name.clone(), now + OUTDATED_MS);
+    }
+
+    /// Ends the exclusion of a node that responds again.
+    pub fn mark_responsive(&mut self, name: &Name) {
+        self.unresponsive_until.shift_remove(name);
+    }
+
+    /// Returns whether a node is excluded.
+    pub fn is_unresponsive(&self, now: Millis, name: &Name) -> bool {
         self.unresponsive_until
             .get(name)
             .is_some_and(|until| now < *until)
@@ -120,8 +199,17 @@
         self.store_ms + now.since(self.read_ms)
     }
 
-    /// Replaces the list by the one read from the store; returns the entries to remove.
+    /// Replaces the list by one read from the store; returns the entries to remove.
+    ///
+    /// A list that was read before the known one is ignored: a peer's list may lack nodes
+    /// that have started since.
     pub fn update(&mut self, now: Millis, list: NodeList) -> Vec<Name> {
+        if (list.era, list.store_ms) < (self.list.era, self.list.store_ms) {
+            return Vec::new();
+        }
+        if list.era > self.list.era && !self.live.is_empty() {
+            self.carried = (self.live.clone(), now + REWRITE_MS);
+        }
         self.store_ms = list.store_ms;
         self.read_ms = now;
         self.reads += 1;
@@ -135,6 +223,7 @@
             .filter(|node| age(node) < STALE_AGE_MS)
             .cloned()
             .collect();
+        self.add_carried(now);
         dropped
     }
 }
--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -11,7 +11,7 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use rand::seq::IndexedRandom;
@@ -28,7 +28,7 @@
 use crate::peer_link::PUBLISH_INTERVAL;
 use crate::peer_link::PeerLink;
 use crate::peer_link::SILENCE_TIMEOUT;
-use crate::peer_link::merge_suspects;
+use crate::peer_link::merge_findings;
 use crate::state::FollowedPeer;
 use crate::state::State;
 
@@ -52,9 +52,13 @@
         state.set_followed_peer(FollowedPeer::default());
         info!(state.log, "stopped following a node";
             "peer" => %address, "reason" => result.as_ref().err().map(ToString::to_string));
-        if let (Err(_), Some(name)) = (result, name) {
+        if let (Err(error), Some(name)) = (result, name) {
             let now = state.clock.now();
-            state.nodes.borrow_mut().mark_unresponsive(now, &name);
+            let mut nodes = state.nodes.borrow_mut();
+            match error {
+                Error::TooOld => nodes.mark_outdated(now, &name),
+                _ => nodes.mark_unresponsive(now, &name),
+            }
         }
     }
 }
@@ -111,32 +115,31 @@
     let as_of = |age_ms: Millis| Millis(now.0.saturating_sub(age_ms.0));
     match message {
         Message::Table { age_ms, batch } => state.apply("peer", as_of(age_ms), &batch),
-        Message::Ages {
-            operator_ms,
-            targets_ms,
-            is_store_lost,
-        } => {
-            let is_old = operator_ms.max(targets_ms) > MAX_DATA_AGE_MS;
+        Message::Ages(ages) => {
+            state.record_peer_ages(&ages);
+            let is_behind = ages.era < state.directory.borrow().era();
+            let is_old = is_behind || ages.operator_ms.max(ages.targets_ms) > MAX_DATA_AGE_MS;
             if is_old && state.is_reader() {
                 return Err(Error::TooOld);
             }
             let mut directory = state.directory.borrow_mut();
-            directory.record_current(Table::Operator, as_of(operator_ms));
-            directory.record_current(Table::Targets, as_of(targets_ms));
+            directory.record_current(Table::Operator, as_of(ages.operator_ms));
+            directory.record_current(Table::Targets, as_of(ages.targets_ms));
             drop(directory);
             state.set_followed_peer(FollowedPeer {
                 is_up: true,
-                is_store_lost: is_store_lost || is_old,
+                is_store_lost: ages.is_store_lost || is_old,
             });
         }
         Message::Nodes(list) => {
             // Expired entries are removed by the nodes that read the store.
             state.update_nodes(list);
         }
-        Message::Suspects(suspects) => merge_suspects(state, &suspects),
         message => {
-            debug!(state.log, "unexpected message from followed node ignored";
-                "message" => ?message)
+            if let Some(message) = merge_findings(state, message) {
+                debug!(state.log, "unexpected message from followed node ignored";
+                    "message" => ?message);
+            }
         }
     }
     Ok(())
@@ -154,10 +157,15 @@
         nodes.readers(now, &settings.data_centre)
     };
     known.retain(|node| node.name != settings.node);
+    let is_list_known = !known.is_empty();
+    known.retain(|node| !nodes.is_unresponsive(now, &node.name));
     let mut rng = rand::rng();
     if let Some(node) = known.choose(&mut rng) {
         return Some((Some(node.name.clone()), node.peers));
     }
+    if is_list_known {
+        return None;
+    }
     let reloadable = state.reloadable.borrow();
     let seeds: Vec<_> = reloadable
         .seeds
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -8,10 +8,11 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::suspect::CrashRecord;
-use filbertpaddle_forward::directory::Batch;
+use filbertpaddle_forward::change::Batch;
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::load_table::LoadChanges;
+use filbertpaddle_forward::target::Incarnation;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use serde::Deserialize;
@@ -49,6 +50,8 @@
     Work(LoadChanges),
     /// New or changed suspects by digest.
     Suspects(Vec<(u64, CrashRecord)>),
+    /// Targets that have announced to some node that they leave.
+    Leaving(Vec<Incarnation>),
     /// Changes of a table.
     Table {
         /// Age of the sender's data.
@@ -56,15 +59,25 @@
         /// The changes.
         batch: Batch,
     },
-    /// Age of the sender's data of both tables.
-    Ages {
-        /// Age of the operators' table.
-        operator_ms: Millis,
-        /// Age of the targets' table.
-        targets_ms: Millis,
-        /// Whether the sender cannot get current data from the store.
-        is_store_lost: bool,
-    },
+    /// Age of the sender's data.
+    Ages(Ages),
+}
+
+/// Age and version of a node's data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ages {
+    /// Age of the operators' table.
+    pub operator_ms: Millis,
+    /// Age of the targets' table.
+    pub targets_ms: Millis,
+    /// Whether the node cannot get current data from the store.
+    pub is_store_lost: bool,
+    /// Latest era of the store that it knows.
+    pub era: u64,
+    /// Hash of the live nodes that it knows.
+    pub nodes_fingerprint: u64,
+    /// Time by the store's clock when it read the list of nodes.
+    pub listed_ms: Millis,
 }
 
 /// Reason why a link ended.
@@ -100,7 +113,10 @@
 pub struct PeerLink {
     socket: WebSocketStream<TcpStream>,
     published_load: LoadByTarget,
-    suspects_published_ms: Millis,
+    /// Sequence number of the last change of the suspects that was sent.
+    suspects_published: u64,
+    /// Sequence number of the last leaving target that was sent.
+    leaving_published: u64,
 }
 
 impl fmt::Debug for PeerLink {
@@ -185,7 +201,8 @@
         &self.published_load
     }
 
-    /// Publishes what changed in `load` and in the suspects since the last call.
+    /// Publishes what changed in `load`, in the suspects and in the leaving targets since the
+    /// last call.
     ///
     /// # Errors
     ///
@@ -196,20 +213,46 @@
             self.send(&Message::Work(changed)).await?;
             self.published_load = load;
         }
-        let now = state.clock.now();
-        let suspects: Vec<_> = {
+        self.publish_findings(state).await
+    }
+
+    /// Publishes what nodes find out about requests and targets: the suspects and the leaving
+    /// targets that are new since the last call.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the link has ended.
+    pub async fn publish_findings(&mut self, state: &State) -> Result<(), Error> {
+        self.publish_suspects(state).await?;
+        let (sequence, leaving) = {
+            let directory = state.directory.borrow();
+            let leaving = directory.leaving();
+            let new: Vec<_> = leaving
+                .reported_after(self.leaving_published)
+                .cloned()
+                .collect();
+            (leaving.sequence(), new)
+        };
+        if !leaving.is_empty() {
+            self.send(&Message::Leaving(leaving)).await?;
+        }
+        self.leaving_published = sequence;
+        Ok(())
+    }
+
+    async fn publish_suspects(&mut self, state: &State) -> Result<(), Error> {
+        let (sequence, changed) = {
             let suspects = state.suspects.borrow();
-            let changes = suspects.changed_since(self.suspects_published_ms);
-            changes
+            let changes = suspects.changed_after(self.suspects_published);
+            let changed: Vec<_> = changes
                 .map(|(digest, record)| (digest, record.clone()))
-                .collect()
+                .collect();
+            (suspects.sequence(), changed)
         };
-        if !suspects.is_empty() {
-            self.send(&Message::Suspects(suspects)).await?;
+        if !changed.is_empty() {
+            self.send(&Message::Suspects(changed)).await?;
         }
-        // Changes later in the same millisecond are found by the next call, which repeats
-        // those already sent.
-        self.suspects_published_ms = now;
+        self.suspects_published = sequence;
         Ok(())
     }
 
@@ -217,13 +260,25 @@
         Self {
             socket,
             published_load: LoadByTarget::new(),
-            suspects_published_ms: Millis::ZERO,
+            suspects_published: 0,
+            leaving_published: 0,
         }
     }
 }
 
-/// Merges suspects received from another node.
-pub fn merge_suspects(state: &State, suspects: &[(u64, CrashRecord)]) {
+/// Merges suspects and leaving targets received from another node; returns any other message.
+pub fn merge_findings(state: &State, message: Message) -> Option<Message> {
+    match message {
+        Message::Suspects(suspects) => merge_suspects(state, &suspects),
+        Message::Leaving(leaving) => leaving
+            .iter()
+            .for_each(|incarnation| state.mark_target_draining(incarnation, "peer")),
+        other => return Some(other),
+    }
+    None
+}
+
+fn merge_suspects(state: &State, suspects: &[(u64, CrashRecord)]) {
     let now = state.clock.now();
     let mut known = state.suspects.borrow_mut();
     for (digest, record) in suspects {
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -1,24 +1,27 @@
 //! Publishes this node's data to the nodes that are linked to it.
 //!
-//! Followers receive the store's tables, the list of nodes, the load of all nodes and
-//! the suspects. Readers receive the load of this node's group and the suspects.
+//! Followers receive the store's tables, the list of nodes, the load of all nodes,
+//! the suspects and the leaving targets. Readers receive the load of this node's group, the
+//! suspects and the leaving targets.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use filbertpaddle_core::name::Name;
-use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::change::Table;
+use filbertpaddle_forward::load_table::LoadByTarget;
 use slog::debug;
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::interval;
 
+use crate::peer_link::Ages;
 use crate::peer_link::Error;
 use crate::peer_link::Message;
 use crate::peer_link::PUBLISH_INTERVAL;
 use crate::peer_link::PeerLink;
-use crate::peer_link::merge_suspects;
+use crate::peer_link::merge_findings;
 use crate::state::State;
 
 /// Interval at which the age of this node's data is sent.
@@ -55,6 +58,7 @@
 
 async fn serve_peer(state: &State, stream: TcpStream) -> Result<(), Error> {
     let (mut link, node, is_reader) = PeerLink::accept(stream).await?;
+    state.record_peer(&node);
     if is_reader {
         return publish_to_reader(state, &mut link).await;
     }
@@ -63,22 +67,37 @@
     result
 }
 
-/// Publishes the load of this node's group to another reader.
+/// Publishes the load of this node's group to another reader, and receives what it finds out.
 async fn publish_to_reader(state: &State, link: &mut PeerLink) -> Result<(), Error> {
     let mut publish_timer = interval(PUBLISH_INTERVAL);
     let mut heartbeat = interval(HEARTBEAT_INTERVAL);
     loop {
         tokio::select! {
             _ = publish_timer.tick() => {
-                let group_load = state.load_table.borrow().group_total();
+                let group_load = group_load(state);
                 link.publish(state, group_load).await?;
             }
             _ = heartbeat.tick() => link.send(&ages_message(state)).await?,
-            message = link.receive() => drop(message?),
+            message = link.receive() => {
+                if let Some(message) = merge_findings(state, message?) {
+                    debug!(state.log, "unexpected message from reader ignored";
+                        "message" => ?message);
+                }
+            }
         }
     }
 }
 
+/// Returns the load of this node's group. A node that is no reader has none: its own load is
+/// part of the group of the reader that it follows.
+fn group_load(state: &State) -> LoadByTarget {
+    if state.is_reader() {
+        state.load_table.borrow().group_total()
+    } else {
+        LoadByTarget::new()
+    }
+}
+
 /// Publishes the store's tables and the load of all nodes to a follower.
 async fn publish_to_follower(state: &State, link: &mut PeerLink, node: &Name) -> Result<(), Error> {
     let mut changes = state.subscribe();
@@ -95,11 +114,18 @@
                 link.publish(state, total).await?;
             }
             _ = heartbeat.tick() => link.send(&ages_message(state)).await?,
-            message = link.receive() => match message? {
-                Message::Work(changes) => state.load_table.borrow_mut().update_member(node, &changes),
-                Message::Suspects(suspects) => merge_suspects(state, &suspects),
-                message => debug!(state.log, "unexpected message from follower ignored";
-                    "message" => ?message),
+            message = link.receive() => receive_from_follower(state, node, message?),
+        }
+    }
+}
+
+fn receive_from_follower(state: &State, node: &Name, message: Message) {
+    match message {
+        Message::Work(changes) => state.load_table.borrow_mut().update_member(node, &changes),
+        message => {
+            if let Some(message) = merge_findings(state, message) {
+                debug!(state.log, "unexpected message from follower ignored";
+                    "message" => ?message);
             }
         }
     }
@@ -118,7 +144,7 @@
         (directory.sequence(), batches)
     };
     for batch in batches {
-        if batch.revision > 0 && !batch.changes.is_empty() {
+        if !batch.revision.is_zero() && !batch.changes.is_empty() {
             let age_ms = state.data_age_ms(batch.table);
             link.send(&Message::Table { age_ms, batch }).await?;
         }
@@ -143,9 +169,15 @@
 }
 
 fn ages_message(state: &State) -> Message {
-    Message::Ages {
+    let nodes = state.nodes.borrow();
+    let (nodes_fingerprint, listed_ms) = (nodes.fingerprint(), nodes.listed_ms());
+    drop(nodes);
+    Message::Ages(Ages {
         operator_ms: state.data_age_ms(Table::Operator),
         targets_ms: state.data_age_ms(Table::Targets),
         is_store_lost: state.is_store_lost(),
-    }
+        era: state.directory.borrow().era(),
+        nodes_fingerprint,
+        listed_ms,
+    })
 }
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -7,24 +7,28 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::suspect::Suspects;
-use filbertpaddle_forward::directory::AppliedChanges;
-use filbertpaddle_forward::directory::Batch;
+use filbertpaddle_forward::admission::Contention;
+use filbertpaddle_forward::change::AppliedChanges;
+use filbertpaddle_forward::change::Batch;
+use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::directory::Directory;
-use filbertpaddle_forward::directory::Table;
 use filbertpaddle_forward::drain::Drain;
 use filbertpaddle_forward::load_table::LoadTable;
 use filbertpaddle_forward::retry_budget::RetryBudget;
-use filbertpaddle_forward::target::Target;
+use filbertpaddle_forward::target::Incarnation;
 use filbertpaddle_forward::target_selector::TargetSelector;
 use indexmap::IndexMap;
 use slog::Logger;
 use slog::info;
+use slog::warn;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
 use crate::metrics::Metrics;
 use crate::nodes::Nodes;
+use crate::peer_link::Ages;
 use crate::platform_api::NodeList;
 use crate::platform_api::PlatformApi;
 use crate::settings::Reloadable;
@@ -69,11 +73,14 @@
     pub nodes: RefCell<Nodes>,
     /// Status of the node that this one follows.
     pub followed_peer: Cell<FollowedPeer>,
+    /// Time when the load of other nodes was last updated.
+    pub other_load_ms: Cell<Millis>,
     /// Load that nodes have placed on targets.
     pub load_table: RefCell<LoadTable>,
     /// Time when the followed node was lost, or when this node could first follow one.
     pub peer_lost_ms: Cell<Millis>,
     budgets: RefCell<IndexMap<Name, RetryBudget>>,
+    contention: RefCell<IndexMap<Name, Contention>>,
     /// Requests that were running when their target crashed.
     pub suspects: RefCell<Suspects>,
     /// Whether the node has tried to read the list of nodes.
@@ -82,6 +89,8 @@
     pub is_closing: Cell<bool>,
     /// Time when the node last wrote its entry to the store.
     pub written_ms: Cell<Option<Millis>>,
+    /// Notified when the node's entry is to be written again, or the list of nodes read again.
+    pub registration_due: Notify,
     /// Drain of this node, once it has been signalled to stop.
     pub drain: Cell<Option<Drain>>,
     /// Number of requests that are being served.
@@ -107,12 +116,15 @@
             nodes: RefCell::new(Nodes::new()),
             followed_peer: Cell::default(),
             peer_lost_ms: Cell::default(),
+            other_load_ms: Cell::default(),
             load_table: RefCell::new(LoadTable::new()),
             budgets: RefCell::default(),
+            contention: RefCell::default(),
             suspects: RefCell::new(Suspects::new()),
             is_registered: Cell::new(false),
             is_closing: Cell::new(false),
             written_ms: Cell::default(),
+            registration_due: Notify::new(),
             drain: Cell::default(),
             in_flight: Cell::new(0),
             changes: watch::Sender::new(0),
@@ -121,18 +133,37 @@
 
     /// Applies a batch from `source` that was up to date at `as_of_ms`.
     pub fn apply(&self, source: &str, as_of_ms: Millis, batch: &Batch) {
+        self.record_era(batch.revision.era);
         let now = self.clock.now();
         let applied = self.directory.borrow_mut().apply(now, as_of_ms, batch);
         self.record_applied(source, as_of_ms, &applied);
     }
 
-    /// Applies removals of targets whose waiting time is over.
-    pub fn apply_due_removals(&self) {
+    /// Applies deferred changes whose waiting time is over.
+    pub fn apply_due_changes(&self) {
         let now = self.clock.now();
-        let applied = self.directory.borrow_mut().apply_due_removals(now);
+        let applied = self.directory.borrow_mut().apply_due(now);
         self.record_applied("timer", now, &applied);
     }
 
+    /// Records an era of the store. After a rollback, the tables are read again as a whole,
+    /// and this node writes its own entry again.
+    pub fn record_era(&self, era: u64) {
+        let now = self.clock.now();
+        let rewrite_ms = self.reloadable.borrow().rewrite_ms;
+        let mut directory = self.directory.borrow_mut();
+        let previous = directory.era();
+        if !directory.record_era(now, era, rewrite_ms) {
+            return;
+        }
+        drop(directory);
+        warn!(self.log, "store was rolled back to an older copy, reading it again";
+            "previous_era" => previous, "era" => era, "held_ms" => rewrite_ms.0);
+        self.metrics.count("store.rolled_back");
+        self.written_ms.set(None);
+        self.registration_due.notify_one();
+    }
+
     /// Calls `action` with the retry budget of a service.
     pub fn with_budget<T, F>(&self, service: &Name, action: F) -> T
     where
@@ -142,6 +173,15 @@
         action(budgets.entry(service.clone()).or_default())
     }
 
+    /// Calls `action` with the refusals of a service for want of room.
+    pub fn with_contention<T, F>(&self, service: &Name, action: F) -> T
+    where
+        F: FnOnce(&mut Contention) -> T,
+    {
+        let mut contention = self.contention.borrow_mut();
+        action(contention.entry(service.clone()).or_default())
+    }
+
     /// Replaces the list of nodes; returns the entries to remove.
     pub fn update_nodes(&self, list: NodeList) -> Vec<Name> {
         let mut nodes = self.nodes.borrow_mut();
@@ -151,6 +191,27 @@
         dropped
     }
 
+    /// Records what a peer states about its data. If it knows a later list of nodes than this
+    /// reader, and other nodes, the list is read again.
+    pub fn record_peer_ages(&self, ages: &Ages) {
+        self.record_era(ages.era);
+        let nodes = self.nodes.borrow();
+        let is_later = ages.listed_ms > nodes.listed_ms();
+        let is_other = ages.nodes_fingerprint != nodes.fingerprint();
+        drop(nodes);
+        if is_later && is_other && self.is_reader() {
+            self.registration_due.notify_one();
+        }
+    }
+
+    /// Records that a node has opened a link. If it is not in this reader's list, the list is
+    /// read again.
+    pub fn record_peer(&self, node: &Name) {
+        if !self.nodes.borrow().is_live(node) && self.is_reader() {
+            self.registration_due.notify_one();
+        }
+    }
+
     /// Returns a receiver that is notified when targets, the configuration or the followed
     /// node's status change.
     pub fn subscribe(&self) -> watch::Receiver<u64> {
@@ -162,12 +223,14 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// Marks a target as draining after its own report shows that it drains.
-    pub fn mark_target_draining(&self, target: &Target) {
+    /// Marks a target as draining after it has announced itself that it leaves, to this node
+    /// or to the one that `source` names.
+    pub fn mark_target_draining(&self, target: &Incarnation, source: &str) {
         let is_new = self.directory.borrow_mut().mark_draining(target);
         if is_new {
-            info!(self.log, "target reports that it drains, sending no more requests";
-                "target" => target.id.as_str());
+            info!(self.log, "target announces that it leaves, sending no more requests";
+                "target" => target.id.as_str(), "address" => target.address.as_str(),
+                "source" => source);
             self.notify();
         }
     }
