Refuse at once what targets cannot serve in time, and release abandoned load

Cause: nothing was turned away at any load. Besides, a plain request that its caller gave up stayed in its target's load for good.

Change: admission, without I/O. A generation has room at a target if its memory holds what is expected there, and the prompts ahead leave its first event in time (time per prompt token is learned from first events). It waits an eighth of its goal at its node, where it can still be placed anywhere; then it is refused, not run, with a time to return that grows with what was refused and is spread. Callers that return go before new ones, started generations before both; brief ones may use a little more. The load of a plain request is released however it ends.

--- /dev/null
+++ b/filbertpaddle-forward/src/admission.rs
@@ -0,0 +1,211 @@
+//! Admission of generations to the memory of the targets.
+//!
+//! Load pattern: more generations arrive than the targets' memory holds, or many targets
+//! leave at once. Engines then preempt running generations and process their prompts again,
+//! streams stall, and fewer are complete in time than at a lower load. A generation that
+//! finds no room is therefore refused before it takes any, and its caller returns when
+//! room is expected.
+
+use std::collections::VecDeque;
+
+use filbertpaddle_core::clock::Millis;
+
+use crate::configuration::Engine;
+use crate::load_table::TargetLoad;
+use crate::migration::TOKEN_MS;
+use crate::target_selector::RequestDemand;
+
+/// Fraction of the latency goal for which a generation may wait at its node for room.
+/// Running generations end all the time, so a short wait often suffices.
+const WAIT_GOAL_DIVISOR: u64 = 8;
+/// Output tokens up to which a generation is brief: it returns its memory in about a second.
+const BRIEF_OUTPUT_TOKENS: u32 = 64;
+/// Part of the latency goal that prompts at a target may take, in percent. The rest is for
+/// what other nodes send there meanwhile.
+const PREFILL_GOAL_PERCENT: u64 = 60;
+/// Time for one prompt token to assume before any is measured, in microseconds.
+const INITIAL_US_PER_TOKEN: f64 = 150.0;
+/// Weight of a new sample in the learned time.
+const SAMPLE_WEIGHT: f64 = 0.05;
+/// Largest sample, as a multiple of the learned time.
+const MAX_SAMPLE_FACTOR: f64 = 3.0;
+/// Window over which refused generations count as contenders for the room that is expected.
+const CONTENTION_WINDOW_MS: Millis = Millis::from_secs(2);
+/// Shortest time after which a refused caller returns.
+const MIN_RETURN_MS: f64 = 200.0;
+/// Part of its remaining time after which a refused caller returns at the latest, so that
+/// the generation can still complete.
+const MAX_RETURN_DIVISOR: u64 = 3;
+
+/// Claim of a generation on the targets' memory, from the weakest to the strongest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Claim {
+    /// Its caller sends it for the first time.
+    #[default]
+    New,
+    /// Its caller has waited and returned after a refusal.
+    Returning,
+    /// It has already made output, which would be lost.
+    Started,
+}
+
+impl Claim {
+    /// Returns the part of a target's memory up to which the generation may fill it.
+    ///
+    /// Generations that are further on leave room that newer ones may not take, so that
+    /// they go first when room becomes free.
+    fn memory_share(self) -> f64 {
+        match self {
+            Self::New => 0.85,
+            Self::Returning => 0.95,
+            Self::Started => 1.25,
+        }
+    }
+}
+
+/// Part of a target's memory that brief generations may use beyond the share of their claim.
+/// They seldom overlap, and make room again before a long one misses it.
+const BRIEF_EXTRA_SHARE: f64 = 0.1;
+
+/// Returns whether a target with a load has room for a request, so that its first event is
+/// in time.
+///
+/// A target that runs nothing has room for any request: a larger one would otherwise never
+/// be served.
+pub fn has_room(
+    load: &TargetLoad,
+    engine: &Engine,
+    demand: &RequestDemand,
+    prefill: &PrefillRate,
+) -> bool {
+    if load.running == 0 {
+        return true;
+    }
+    let ahead_tokens = load.prompt_tokens + u64::from(demand.prompt_tokens);
+    if load.prompt_tokens > 0 && prefill.expected_ms(ahead_tokens) > demand.max_prefill_ms {
+        return false;
+    }
+    let brief_share = if is_brief(demand) {
+        BRIEF_EXTRA_SHARE
+    } else {
+        0.0
+    };
+    let share = demand.claim.memory_share() + brief_share;
+    let tokens = load.tokens + u64::from(demand.total_tokens);
+    load.running < engine.slots && tokens as f64 <= f64::from(engine.memory_tokens) * share
+}
+
+/// Returns how long the prompts at a target, the generation's own included, may take.
+pub fn max_prefill_ms(latency_goal_ms: Millis) -> Millis {
+    Millis(latency_goal_ms.0 * PREFILL_GOAL_PERCENT / 100)
+}
+
+/// Returns how long a generation may wait for room at its node.
+pub fn max_wait_ms(latency_goal_ms: Millis) -> Millis {
+    Millis(latency_goal_ms.0 / WAIT_GOAL_DIVISOR)
+}
+
+fn is_brief(demand: &RequestDemand) -> bool {
+    output_tokens(demand) <= BRIEF_OUTPUT_TOKENS
+}
+
+fn output_tokens(demand: &RequestDemand) -> u32 {
+    demand.total_tokens.saturating_sub(demand.prompt_tokens)
+}
+
+/// Time that the engines of a service take for prompts, learned from first events.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PrefillRate {
+    us_per_token: f64,
+}
+
+impl Default for PrefillRate {
+    fn default() -> Self {
+        Self {
+            us_per_token: INITIAL_US_PER_TOKEN,
+        }
+    }
+}
+
+impl PrefillRate {
+    /// Creates the rate to assume before any first event.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that a first event came after `waited_ms`, with `tokens` of prompts to process
+    /// before it.
+    pub fn record(&mut self, tokens: u64, waited_ms: Millis) {
+        if tokens == 0 {
+            return;
+        }
+        let sample = waited_ms.0 as f64 * 1_000.0 / tokens as f64;
+        // A request may also have waited for memory, or behind prompts of other nodes.
+        let sample = sample.min(self.us_per_token * MAX_SAMPLE_FACTOR);
+        self.us_per_token += SAMPLE_WEIGHT * (sample - self.us_per_token);
+    }
+
+    /// Returns the expected time to process `tokens` of prompts.
+    pub fn expected_ms(&self, tokens: u64) -> Millis {
+        Millis((tokens as f64 * self.us_per_token / 1_000.0) as u64)
+    }
+}
+
+/// What becomes free, and for how many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Memory, in tokens, that generations hold at all targets of the service.
+    pub running_tokens: u64,
+    /// Number of nodes whose callers share it.
+    pub nodes: usize,
+}
+
+/// The generations of one service that this node has refused for want of room.
+#[derive(Clone, Debug, Default)]
+pub struct Contention {
+    refused: VecDeque<(Millis, u32)>,
+}
+
+impl Contention {
+    /// Creates a record without refusals.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records a refused generation and returns after which time its caller should return.
+    ///
+    /// The memory that generations hold now becomes free over about the
+    /// duration of a generation. The refused generations of all `nodes` share it. `draw`, a
+    /// random number from 0 to 1, spreads the callers over that time, which ends before the
+    /// caller's `remaining_ms`.
+    pub fn retry_after(
+        &mut self,
+        now: Millis,
+        demand: &RequestDemand,
+        Room {
+            running_tokens,
+            nodes,
+        }: Room,
+        remaining_ms: Millis,
+        draw: f64,
+    ) -> Millis {
+        let is_recent = |at: &Millis| now.since(*at) < CONTENTION_WINDOW_MS;
+        while self.refused.front().is_some_and(|(at, _)| !is_recent(at)) {
+            self.refused.pop_front();
+        }
+        self.refused.push_back((now, demand.total_tokens));
+        let own: u64 = self
+            .refused
+            .iter()
+            .map(|(_, tokens)| u64::from(*tokens))
+            .sum();
+        let wanted = own as f64 * nodes.max(1) as f64;
+        let lifetime_ms = (u64::from(output_tokens(demand)) * TOKEN_MS) as f64;
+        let wait_ms = lifetime_ms * wanted / running_tokens.max(1) as f64;
+        let max_ms = (remaining_ms.0 / MAX_RETURN_DIVISOR) as f64;
+        // Callers return from half to one and a half of the expected wait.
+        let spread_ms = wait_ms.min(max_ms / 1.5) * (0.5 + draw);
+        Millis(spread_ms.max(MIN_RETURN_MS).min(max_ms) as u64)
+    }
+}
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -5,6 +5,9 @@
 use filbertpaddle_core::name::Name;
 use indexmap::IndexMap;
 
+use crate::admission;
+use crate::admission::Claim;
+use crate::admission::PrefillRate;
 use crate::cold_limit;
 use crate::configuration::Configuration;
 use crate::directory::Directory;
@@ -17,6 +20,8 @@
 const INITIAL_BACKOFF_MS: Millis = Millis(400);
 /// Maximum back-off.
 const MAX_BACKOFF_MS: Millis = Millis(3_200);
+/// Time over which nodes return to a target that has asked them for no requests.
+const RETURN_SPREAD_MS: Millis = Millis(500);
 /// Weight of unprocessed prompt tokens relative to memory in use, since prompt processing
 /// delays every other stream of the target.
 const PREFILL_WEIGHT: f64 = 5.0;
@@ -54,6 +59,10 @@
     pub prompt_tokens: u32,
     /// Memory, in tokens, that the request is expected to need when it ends.
     pub total_tokens: u32,
+    /// Claim on the targets' memory.
+    pub claim: Claim,
+    /// How long prompts, its own included, may take before its first output.
+    pub max_prefill_ms: Millis,
 }
 
 /// Reason why no target can be given a request.
@@ -68,6 +77,12 @@
     /// The available targets are cold and have reached their rate limit.
     #[error("available targets of the service are cold and at their rate limit")]
     AllCold,
+    /// The available targets have asked this node for no requests for now.
+    #[error("available targets of the service want no requests for now")]
+    AllDeferred,
+    /// The available targets have no memory left for the request.
+    #[error("available targets of the service have no memory left for the request")]
+    AllFull,
 }
 
 /// This node's load on one target, and the target's health.
@@ -79,6 +94,8 @@
     backoff_until_ms: Millis,
     /// Whether its last failure was a refused connection.
     is_refusing: bool,
+    /// Time until which the target has asked for no requests.
+    deferred_until_ms: Millis,
     cold: cold_limit::SendRate,
 }
 
@@ -92,6 +109,8 @@
     states: IndexMap<Name, TargetState>,
     /// Load of the other nodes.
     others: LoadByTarget,
+    /// Time that the engines of each service take for prompts.
+    prefill: IndexMap<Name, PrefillRate>,
 }
 
 impl TargetSelector {
@@ -103,6 +122,7 @@
             data_centre,
             states: IndexMap::new(),
             others: LoadByTarget::new(),
+            prefill: IndexMap::new(),
         }
     }
 
@@ -124,6 +144,7 @@
                 state.failures = 0;
                 state.backoff_until_ms = Millis::ZERO;
                 state.is_refusing = false;
+                state.deferred_until_ms = Millis::ZERO;
             }
             state.incarnation = Some(target.clone());
         }
@@ -152,6 +173,7 @@
             .configuration()
             .ok_or(PlacementError::NoneInService)?;
         let mut reason = PlacementError::NoneInService;
+        let mut is_full = false;
         let mut best: Option<(f64, &Target)> = None;
         let share = candidate_share(directory, &demand.service);
         for (target, read_ms) in directory.targets() {
@@ -165,10 +187,18 @@
                 reason = PlacementError::AllFailing;
                 continue;
             }
+            if self.is_deferred(now, &target.id) {
+                reason = PlacementError::AllDeferred;
+                continue;
+            }
             if !self.is_within_cold_limit(now, configuration, target, read_ms) {
                 reason = PlacementError::AllCold;
                 continue;
             }
+            if !self.has_room(configuration, target, demand) {
+                is_full = true;
+                continue;
+            }
             let is_candidate = draw() < share;
             let cost = self.cost(configuration, target, demand)
                 + cross_data_centre_cost(target, &self.data_centre, CROSS_DATA_CENTRE_COST)
@@ -182,6 +212,10 @@
                 best = Some((cost, target));
             }
         }
+        // Room is expected soon, whatever the other targets lack.
+        if is_full {
+            reason = PlacementError::AllFull;
+        }
         best.map(|(_, target)| target).ok_or(reason)
     }
 
@@ -206,6 +240,7 @@
                 && !directory.is_out(&target.data_centre)
                 && !excluded.contains(&target.id)
                 && !self.is_in_backoff(now, &target.id)
+                && !self.is_deferred(now, &target.id)
         };
         let share = candidate_share(directory, &source.service);
         directory
@@ -238,6 +273,19 @@
         state.cold.record_sent(now);
     }
 
+    /// Records that a request's first event came after `waited_ms`, with `ahead_tokens` of
+    /// other prompts at its target when it was sent.
+    pub fn record_first_event(
+        &mut self,
+        demand: &RequestDemand,
+        ahead_tokens: u64,
+        waited_ms: Millis,
+    ) {
+        let tokens = ahead_tokens + u64::from(demand.prompt_tokens);
+        let rate = self.prefill.entry(demand.service.clone()).or_default();
+        rate.record(tokens, waited_ms);
+    }
+
     /// Records that a target has processed a request's prompt.
     pub fn record_prefilled(&mut self, id: &str, demand: &RequestDemand) {
         if let Some(state) = self.states.get_mut(id) {
@@ -295,6 +343,52 @@
         state.backoff_until_ms
     }
 
+    /// Records that a target has refused a request and wants none for `span`, and returns when
+    /// this node sends to it again; `draw` is a random number from 0 to 1.
+    ///
+    /// Nodes that were refused together return one after the other.
+    pub fn record_retry_after(&mut self, now: Millis, id: &str, span: Millis, draw: f64) -> Millis {
+        let spread_ms = Millis((RETURN_SPREAD_MS.0 as f64 * draw) as u64);
+        let state = self.states.entry(id.into()).or_default();
+        state.deferred_until_ms = state.deferred_until_ms.max(now + span + spread_ms);
+        state.deferred_until_ms
+    }
+
+    /// Returns the time until one of a service's targets, all of which fail or have asked for
+    /// no requests, may be sent one; `None` if it has none in service.
+    pub fn until_available_ms(
+        &self,
+        now: Millis,
+        directory: &Directory,
+        service: &str,
+    ) -> Option<Millis> {
+        let is_usable = |target: &Target| {
+            target.service == service
+                && !target.is_draining
+                && !directory.is_out(&target.data_centre)
+        };
+        directory
+            .targets()
+            .filter(|(target, _)| is_usable(target))
+            .map(|(target, _)| {
+                let state = self.states.get(&target.id);
+                let until_ms = state.map_or(Millis::ZERO, |state| {
+                    state.backoff_until_ms.max(state.deferred_until_ms)
+                });
+                until_ms.since(now)
+            })
+            .min()
+    }
+
+    /// Returns the memory, in tokens, that all nodes' requests need at a service's targets.
+    pub fn running_tokens(&self, directory: &Directory, service: &str) -> u64 {
+        directory
+            .targets()
+            .filter(|(target, _)| target.service == service)
+            .map(|(target, _)| self.total_load(&target.id).tokens)
+            .sum()
+    }
+
     /// Returns this node's load by target, and which targets refuse its connections.
     pub fn own_load(&self, now: Millis) -> LoadByTarget {
         let reported = |state: &TargetState| TargetLoad {
@@ -314,7 +408,7 @@
     }
 
     /// Returns the load of all nodes on a target.
-    fn total_load(&self, id: &str) -> TargetLoad {
+    pub fn total_load(&self, id: &str) -> TargetLoad {
         let mut load = self
             .states
             .get(id)
@@ -336,6 +430,27 @@
             .is_some_and(|state| now < state.backoff_until_ms)
     }
 
+    fn is_deferred(&self, now: Millis, id: &str) -> bool {
+        self.states
+            .get(id)
+            .is_some_and(|state| now < state.deferred_until_ms)
+    }
+
+    fn has_room(
+        &self,
+        configuration: &Configuration,
+        target: &Target,
+        demand: &RequestDemand,
+    ) -> bool {
+        let service = configuration.services.get(&target.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            return true;
+        };
+        let prefill = self.prefill.get(&target.service).copied();
+        let load = self.total_load(&target.id);
+        admission::has_room(&load, engine, demand, &prefill.unwrap_or_default())
+    }
+
     fn is_within_cold_limit(
         &self,
         now: Millis,
--- a/filbertpaddle-forward/tests/target_selector.rs
+++ b/filbertpaddle-forward/tests/target_selector.rs
@@ -4,16 +4,17 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_forward::change::Batch;
+use filbertpaddle_forward::change::Change;
+use filbertpaddle_forward::change::Entry;
+use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Configuration;
 use filbertpaddle_forward::configuration::Engine;
 use filbertpaddle_forward::configuration::Service;
-use filbertpaddle_forward::directory::Batch;
-use filbertpaddle_forward::directory::Change;
 use filbertpaddle_forward::directory::Directory;
-use filbertpaddle_forward::directory::Entry;
-use filbertpaddle_forward::directory::Table;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::load_table::TargetLoad;
+use filbertpaddle_forward::revision::Revision;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
 use filbertpaddle_forward::target_selector::RequestDemand;
@@ -63,11 +64,12 @@
 }
 
 fn apply(directory: &mut Directory, table: Table, entries: Vec<Entry>) {
-    let change = |entry| Change { revision: 1, entry };
+    let revision = Revision::new(0, 1);
+    let change = |entry| Change { revision, entry };
     let batch = Batch {
         table,
         is_whole: true,
-        revision: 1,
+        revision,
         changes: entries.into_iter().map(change).collect(),
     };
     directory.apply(Millis::ZERO, Millis::ZERO, &batch);
@@ -85,6 +87,7 @@
         service: "engine".into(),
         prompt_tokens,
         total_tokens,
+        ..RequestDemand::default()
     }
 }
 
--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -24,6 +24,8 @@
 
 /// Serves one request, with retries at other targets where the route allows them.
 ///
+/// If this is cancelled, [`Job::release`] removes the request from its target's load.
+///
 /// # Errors
 ///
 /// Returns the refusal to send if no target's response can be forwarded.
@@ -37,11 +39,12 @@
             return finish(job, progress, last);
         }
         job.mark_sent(progress, &target);
+        progress.placed_on = Some(target.id.clone());
         let result = attempt(job, progress, &target).await;
-        let mut selector = job.state.selector.borrow_mut();
-        selector.record_ended(&target.id, &job.demand, false);
+        job.release(progress);
         match result {
             Ok((head, bytes)) => {
+                let mut selector = job.state.selector.borrow_mut();
                 selector.record_success(&target.id);
                 drop(selector);
                 progress.sends += 1;
@@ -57,7 +60,6 @@
                 last = Some((head, bytes));
             }
             Err(failure) => {
-                drop(selector);
                 job.mark_failed(progress, &target, &failure);
                 if !job.may_retry(progress, &failure) {
                     return finish(job, progress, last);
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -5,15 +5,19 @@
 
 use std::fmt;
 use std::future::pending;
+use std::time::Duration;
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::admission;
 use filbertpaddle_forward::event_stream::Event;
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::target::Target;
+use filbertpaddle_forward::target_selector::PlacementError;
 use slog::info;
 use tokio::select;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
@@ -38,6 +42,10 @@
 /// Callers abandon a stream after two seconds.
 const STALL_TIMEOUT_MS: Millis = Millis(900);
 
+/// Interval at which a generation that waits for room looks for it. Nodes publish their
+/// load every 50 ms.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Multiple of the latency goal that a resumable stream waits for its first event at one
 /// target. A busy target needs longer than the goal, and its prefill work is lost if the
 /// request goes to another target.
@@ -78,6 +86,9 @@
 struct Placement {
     target: Target,
     is_started: bool,
+    sent_ms: Millis,
+    /// Prompt tokens that were at the target before.
+    ahead_tokens: u64,
 }
 
 /// A generation that is being served.
@@ -211,7 +222,8 @@
     }
 
     async fn deliver(&mut self, event: Event) -> Result<(), StopReason> {
-        self.last_activity_ms = self.job.state.clock.now();
+        let now = self.job.state.clock.now();
+        self.last_activity_ms = now;
         if let Some(id) = event.id {
             match self.last_event {
                 // Repeated by a target that resumed from a copy.
@@ -220,6 +232,8 @@
                 _ => self.last_event = Some(id),
             }
         }
+        let goal_ms = self.job.route.gap_goal_ms;
+        self.progress.pace.record_event(now, goal_ms);
         self.writer.send_part(Ok(event.bytes)).await?;
         Ok(())
     }
@@ -227,14 +241,13 @@
     /// Places the generation on a target and waits for the first event there.
     async fn open(&mut self) -> Result<TargetStream, StopReason> {
         loop {
-            let Ok(target) = self.job.choose_target(self.progress) else {
+            let Some(target) = self.place().await else {
                 return Err(StopReason::Refused(self.job.refusal(self.progress)));
             };
             if !self.job.may_send(self.progress) {
                 return Err(StopReason::Refused(self.job.refusal(self.progress)));
             }
-            self.job.mark_sent(self.progress, &target);
-            self.record_placement(target.clone());
+            self.place_on(&target);
             let failure = match self.wait_first_event(&target).await {
                 Ok(source) => return Ok(source),
                 Err(OpenError::Stopped(stop)) => return Err(stop),
@@ -248,6 +261,22 @@
         }
     }
 
+    /// Chooses a target, and waits a moment for room if all are full.
+    async fn place(&mut self) -> Option<Target> {
+        let clock = self.job.state.clock;
+        let max_wait_ms = admission::max_wait_ms(self.job.route.latency_goal_ms);
+        let give_up_at_ms = clock.now() + max_wait_ms;
+        loop {
+            match self.job.choose_target(self.progress) {
+                Ok(target) => return Some(target),
+                Err(PlacementError::AllFull) if clock.now() < give_up_at_ms => {
+                    sleep(ROOM_POLL_INTERVAL).await;
+                }
+                Err(_) => return None,
+            }
+        }
+    }
+
     async fn wait_first_event(&mut self, target: &Target) -> Result<TargetStream, OpenError> {
         let resume = ResumePoint {
             last_event: self.last_event,
@@ -304,20 +333,28 @@
         let now = state.clock.now();
         let silent_ms = now.since(self.last_activity_ms);
         self.last_activity_ms = now;
-        if self.writer.is_started() {
+        let is_resumed = self.writer.is_started();
+        if is_resumed {
             info!(state.log, "generation resumed at another target";
                 "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
                 "last_event" => self.last_event, "silent_ms" => silent_ms.0);
             state.metrics.time("generation.move_pause", silent_ms);
         }
-        state
-            .selector
-            .borrow_mut()
-            .record_prefilled(&target.id, &self.job.demand);
+        let mut selector = state.selector.borrow_mut();
+        selector.record_prefilled(&target.id, &self.job.demand);
         if let Some(placement) = &mut self.placement {
             placement.is_started = true;
+            // A resumed generation does not process its whole prompt again.
+            if !is_resumed {
+                let waited_ms = now.since(placement.sent_ms);
+                selector.record_first_event(&self.job.demand, placement.ahead_tokens, waited_ms);
+            }
         }
+        drop(selector);
         let waited_ms = self.last_activity_ms.since(self.job.received_ms);
+        info!(state.log, "first event from target";
+            "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
+            "waited_ms" => waited_ms.0);
         state.metrics.time("generation.first_event", waited_ms);
     }
 
@@ -338,7 +375,7 @@
             .borrow_mut()
             .record_failure(state.clock.now(), &source.target.id);
         crash::record_if_crashed(state, &source.target, self.job.digest);
-        if self.migrator.has_copy() {
+        if self.migrator.has_usable_copy() {
             return self.switch_to_copy(source).await;
         }
         self.reopen(source).await
@@ -373,8 +410,7 @@
         source.close();
         self.release_placement();
         self.job.charge_migration();
-        self.job.mark_sent(self.progress, &target);
-        self.record_placement(target.clone());
+        self.place_on(&target);
         let resume = ResumePoint {
             last_event: self.last_event,
             copy: Some(CopySource {
@@ -406,10 +442,13 @@
         self.job.route.kind.is_idempotent() && self.progress.sends < self.job.route.max_attempts
     }
 
-    fn record_placement(&mut self, target: Target) {
+    fn place_on(&mut self, target: &Target) {
+        let load = self.job.mark_sent(self.progress, target);
         self.placement = Some(Placement {
-            target,
+            target: target.clone(),
             is_started: false,
+            sent_ms: self.job.state.clock.now(),
+            ahead_tokens: load.prompt_tokens,
         });
     }
 
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -5,9 +5,13 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_forward::admission::Claim;
+use filbertpaddle_forward::admission::Room;
+use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Route;
-use filbertpaddle_forward::directory::Table;
+use filbertpaddle_forward::load_table::TargetLoad;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
+use filbertpaddle_forward::stream_pace::StreamPace;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
 use filbertpaddle_forward::target_selector::RequestDemand;
@@ -16,7 +20,6 @@
 use http::Request;
 use http::Uri;
 use http::header;
-use http::response::Parts;
 use http_body_util::Full;
 use slog::info;
 
@@ -30,6 +33,7 @@
 use crate::reply;
 use crate::reply::Refusal;
 use crate::state::State;
+use crate::target_call;
 
 /// Maximum number of connection attempts for one request before it is refused.
 pub const MAX_CONNECT_ATTEMPTS: u32 = 12;
@@ -87,8 +91,14 @@
     pub may_have_run: bool,
     /// Whether it is being sent or run at a target now.
     pub is_in_flight: bool,
+    /// Target whose load includes it, as a whole response.
+    pub placed_on: Option<Name>,
     /// Targets that it must not be sent to again.
     pub excluded_targets: Vec<Name>,
+    /// Why no target could be chosen last.
+    pub placement_error: Option<PlacementError>,
+    /// Pace of the events that were delivered.
+    pub pace: StreamPace,
 }
 
 /// Reason why a target gave no response to return to the caller.
@@ -137,21 +147,39 @@
     /// # Errors
     ///
     /// Returns [`PlacementError`] if the request cannot be placed on any target now.
-    pub fn choose_target(&self, progress: &Progress) -> Result<Target, PlacementError> {
+    pub fn choose_target(&self, progress: &mut Progress) -> Result<Target, PlacementError> {
         let state = &self.state;
         let now = state.clock.now();
         let directory = state.directory.borrow();
         let selector = state.selector.borrow();
         let excluded_targets = &progress.excluded_targets;
         let draw = rand::random::<f64>;
-        let chosen = selector.choose(now, &directory, &self.demand, excluded_targets, draw);
-        if let Err(reason) = &chosen {
+        let demand = RequestDemand {
+            claim: self.claim(progress),
+            ..self.demand.clone()
+        };
+        let chosen = selector.choose(now, &directory, &demand, excluded_targets, draw);
+        let error = chosen.as_ref().err().copied();
+        if let Some(reason) = error
+            && progress.placement_error != error
+        {
             info!(state.log, "no target can take the request";
                 "id" => self.metadata.attempt.as_str(), "reason" => %reason,
-                "passed_over" => excluded_targets.len(),
+                "claim" => %demand.claim, "passed_over" => excluded_targets.len(),
                 "age_ms" => state.data_age_ms(Table::Targets).0);
         }
-        chosen.cloned()
+        let chosen = chosen.cloned();
+        progress.placement_error = error;
+        chosen
+    }
+
+    /// Returns the request's claim on the targets' memory.
+    fn claim(&self, progress: &Progress) -> Claim {
+        if progress.may_have_run {
+            Claim::Started
+        } else {
+            self.demand.claim
+        }
     }
 
     /// Sends the request to a target and waits for the head of its response.
@@ -180,14 +208,13 @@
             ConnectionError::NotSent(reason) => Failure::NotSent(reason),
             ConnectionError::Unknown(reason) => Failure::Unknown(reason),
         })?;
-        let response_metadata = self.verify_response(&response.head)?;
-        Ok((response, response_metadata))
+        let metadata = target_call::record_response(&self.state, target, &response.head);
+        self.verify_response(&metadata)?;
+        Ok((response, metadata))
     }
 
     /// Checks that a response belongs to this attempt and was made by the target itself.
-    fn verify_response(&self, head: &Parts) -> Result<ResponseMetadata, Failure> {
-        let response_metadata =
-            (self.state.platform.headers.decode_response)(head.status, &head.headers);
+    fn verify_response(&self, response_metadata: &ResponseMetadata) -> Result<(), Failure> {
         if response_metadata.is_other_target {
             return Err(Failure::OtherTarget);
         }
@@ -204,7 +231,7 @@
                 "response has no seal of the target".to_owned(),
             ));
         }
-        Ok(response_metadata)
+        Ok(())
     }
 
     /// Returns whether the request may be sent once more after a failure.
@@ -248,18 +275,32 @@
     }
 
     /// Records that the request is being sent: adds it to the target's load and logs it.
-    pub fn mark_sent(&self, progress: &mut Progress, target: &Target) {
+    ///
+    /// Returns the load that all nodes have placed on the target before.
+    pub fn mark_sent(&self, progress: &mut Progress, target: &Target) -> TargetLoad {
         let state = &self.state;
         let now = state.clock.now();
         let mut selector = state.selector.borrow_mut();
+        let load = selector.total_load(&target.id);
         info!(state.log, "sending request to target";
             "id" => self.metadata.attempt.as_str(), "target" => target.id.as_str(),
             "data_centre" => target.data_centre.as_str(),
-            "running" => selector.running(&target.id), "attempt" => progress.sends + 1,
+            "running" => selector.running(&target.id), "all_running" => load.running,
+            "all_tokens" => load.tokens, "all_prompt_tokens" => load.prompt_tokens, "attempt" => progress.sends + 1,
             "remaining_ms" => self.remaining_ms().0, "age_ms" => state.data_age_ms(Table::Targets).0);
         selector.record_sent(now, target, &self.demand);
         progress.connects += 1;
         progress.is_in_flight = true;
+        load
+    }
+
+    /// Removes a request with a whole response from the load of the target that it was placed
+    /// on, if it was. It may have been given up there by its caller or at its deadline.
+    pub fn release(&self, progress: &mut Progress) {
+        if let Some(id) = progress.placed_on.take() {
+            let mut selector = self.state.selector.borrow_mut();
+            selector.record_ended(&id, &self.demand, false);
+        }
     }
 
     /// Records a failed send. Excludes the target for this request and, unless it only
@@ -299,10 +340,12 @@
     /// Returns the refusal that states correctly whether the request may have run.
     pub fn refusal(&self, progress: &Progress) -> Refusal {
         let is_late = self.remaining_ms() == Millis::ZERO;
+        let is_full = progress.placement_error == Some(PlacementError::AllFull);
         match (progress.may_have_run || progress.is_in_flight, is_late) {
             (true, true) => Refusal::TimedOut,
             (true, false) => Refusal::TargetFailed,
             (false, true) => Refusal::TimedOutUnsent,
+            (false, false) if is_full => Refusal::Overloaded,
             (false, false) if progress.sends > 0 => Refusal::TargetsFull,
             (false, false) => Refusal::NoTarget,
         }
@@ -311,12 +354,39 @@
     /// Builds the reply for a refusal.
     pub fn refusal_reply(&self, refusal: Refusal) -> reply::Reply {
         let retry_after_ms = match refusal {
-            Refusal::NoTarget | Refusal::TargetsFull => Some(RETRY_AFTER_MS),
+            Refusal::NoTarget | Refusal::TargetsFull => Some(self.until_available_ms()),
+            Refusal::Overloaded => Some(self.until_room_ms()),
             _ => None,
         };
         reply::refuse(refusal, retry_after_ms)
     }
 
+    /// Returns the time until a target of the service may be sent a request.
+    fn until_available_ms(&self) -> Millis {
+        let state = &self.state;
+        let now = state.clock.now();
+        let directory = state.directory.borrow();
+        let selector = state.selector.borrow();
+        let until_ms = selector.until_available_ms(now, &directory, &self.demand.service);
+        until_ms.unwrap_or(RETRY_AFTER_MS).max(RETRY_AFTER_MS)
+    }
+
+    /// Returns the time until the service's targets are expected to have room again.
+    fn until_room_ms(&self) -> Millis {
+        let state = &self.state;
+        let now = state.clock.now();
+        let service = &self.demand.service;
+        let directory = state.directory.borrow();
+        let room = Room {
+            running_tokens: state.selector.borrow().running_tokens(&directory, service),
+            nodes: state.nodes.borrow().count().unwrap_or(1),
+        };
+        let remaining_ms = self.remaining_ms();
+        state.with_contention(service, |contention| {
+            contention.retry_after(now, &self.demand, room, remaining_ms, rand::random())
+        })
+    }
+
     fn build_request(&self, target: &Target, resume: ResumePoint<'_>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/filbertpaddle-gateway/src/reply.rs
+++ b/filbertpaddle-gateway/src/reply.rs
@@ -49,6 +49,8 @@
     NoTarget,
     /// Targets refused the request; it has not run.
     TargetsFull,
+    /// The targets have no memory left for the request; it has not run.
+    Overloaded,
     /// Earlier attempts crashed the targets that ran them; this attempt has not run.
     Quarantined,
     /// A target failed; the request may have run.
@@ -72,6 +74,7 @@
             | Self::Stopping
             | Self::NoTarget
             | Self::TargetsFull
+            | Self::Overloaded
             | Self::Quarantined
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::suspect::QuarantineStatus;
+use filbertpaddle_forward::admission;
+use filbertpaddle_forward::admission::Claim;
 use filbertpaddle_forward::configuration::Configuration;
 use filbertpaddle_forward::configuration::Customer;
 use filbertpaddle_forward::configuration::Route;
@@ -44,6 +46,8 @@
 const NOT_READY_RETRY_MS: Millis = Millis(500);
 /// Time after which a caller may retry, at another node, while this one stops.
 const STOPPING_RETRY_MS: Millis = Millis(50);
+/// Shortest time that a caller has spent when it returns after a refusal.
+const RETURN_MIN_MS: Millis = Millis(150);
 /// Time after which a caller may retry a request that crashed targets.
 const QUARANTINE_RETRY_MS: Millis = Millis::from_secs(60);
 
@@ -283,6 +287,7 @@
         () = tokio::time::sleep_until(deadline) => Some(Err(Refusal::TimedOut)),
         result = buffered::serve(job, &mut progress) => Some(result),
     };
+    job.release(&mut progress);
     let Some(result) = result else {
         log_end(job, &progress, "caller_gone", 0);
         return;
@@ -359,7 +364,9 @@
         "id" => job.metadata.attempt.as_str(), "route" => job.route.name.as_str(),
         "outcome" => outcome, "status" => status, "sends" => progress.sends,
         "connects" => progress.connects,
-        "may_have_run" => progress.may_have_run || progress.is_in_flight, "elapsed_ms" => elapsed_ms.0);
+        "may_have_run" => progress.may_have_run || progress.is_in_flight,
+        "events" => progress.pace.events(), "late_gaps" => progress.pace.late_gaps(),
+        "longest_gap_ms" => progress.pace.longest_gap_ms().0, "elapsed_ms" => elapsed_ms.0);
     state.metrics.count(&format!("request.{outcome}"));
     state
         .metrics
@@ -373,6 +380,19 @@
         service: service.cloned().unwrap_or_default(),
         prompt_tokens: generation.map_or(0, |generation| generation.prompt_tokens),
         total_tokens: generation.map_or(0, |generation| generation.expected_tokens()),
+        claim: claim(route, metadata),
+        max_prefill_ms: admission::max_prefill_ms(route.latency_goal_ms),
+    }
+}
+
+/// Returns the claim of a generation on the targets' memory. A caller that returns after a
+/// refusal has less time left than the route gives it.
+fn claim(route: &Route, metadata: &RequestMetadata) -> Claim {
+    let is_shorter = |deadline_ms: Millis| deadline_ms + RETURN_MIN_MS <= route.timeout_ms;
+    if metadata.deadline_ms.is_some_and(is_shorter) {
+        Claim::Returning
+    } else {
+        Claim::New
     }
 }
 
--- a/filbertpaddle-wire/src/frame.rs
+++ b/filbertpaddle-wire/src/frame.rs
@@ -63,7 +63,7 @@
     }
 
     fn encode_batch(&mut self, messages: &[Message]) -> Result<Vec<u8>, Error> {
-        let values: Result<Vec<_>, _> = messages.iter().map(|m| self.to_value(m)).collect();
+        let values: Result<Vec<_>, _> = messages.iter().map(|m| self.value_of(m)).collect();
         let mut bytes = Vec::with_capacity(messages.len() * 32);
         ciborium::into_writer(&Value::Array(values?), &mut bytes)?;
         check_len(&bytes)?;
@@ -72,7 +72,7 @@
 
     /// Converts a message; names are numbered in slot messages only, which repeat them for
     /// each request.
-    fn to_value(&mut self, message: &Message) -> Result<Value, Error> {
+    fn value_of(&mut self, message: &Message) -> Result<Value, Error> {
         let value = Value::serialized(message)?;
         Ok(match message {
             Message::Grant(_) => self.names.compress(value),
--- a/filbertpaddle/tests/gateway/limits.rs
+++ b/filbertpaddle/tests/gateway/limits.rs
@@ -37,6 +37,35 @@
     cluster.close();
 }
 
+/// Guards against load that stays counted: callers that give up while a target does not
+/// respond must not make the target look busy for good.
+#[tokio::test]
+async fn a_target_is_used_again_after_its_callers_have_given_up() {
+    let cluster = Cluster::with_nodes("given-up", 1).await;
+    let target = cluster.target("p1");
+    target.set_behaviour(Behaviour::Unresponsive);
+    wait_until("callers have given up at the target", async || {
+        let mut abandoned = request("w", Method::POST, WRITE_PATH, None);
+        abandoned.deadline_ms = 40;
+        cluster.send(&abandoned).await;
+        target.arrivals() >= 6
+    })
+    .await;
+    target.set_behaviour(Behaviour::Normal);
+    wait_until("the target is used as much as the other", async || {
+        let before = (target.arrivals(), cluster.target("p2").arrivals());
+        for number in 0..10 {
+            let read = request(&format!("r{number}"), Method::GET, READ_PATH, None);
+            cluster.send(&read).await;
+        }
+        let here = target.arrivals() - before.0;
+        let there = cluster.target("p2").arrivals() - before.1;
+        here >= 3 && there >= 3
+    })
+    .await;
+    cluster.close();
+}
+
 #[tokio::test]
 async fn a_request_that_crashes_targets_is_quarantined_by_all_nodes() {
     let mut cluster = Cluster::with_nodes("poison", 3).await;
