Place late callers last, refuse without a wait, and pass over a data centre cut off

Change: a claim 'late' below 'new'. No wait at the node: refused at once. After two targets of a data centre accept no connection in time, its targets come last for half a second, doubled up to two, or until one responds.

--- a/filbertpaddle-forward/src/admission.rs
+++ b/filbertpaddle-forward/src/admission.rs
@@ -3,8 +3,10 @@
 //! Load pattern: more generations arrive than the targets' memory holds, or many targets
 //! leave at once. Engines then preempt running generations and process their prompts again,
 //! streams stall, and fewer are complete in time than at a lower load. A generation that
-//! finds no room is therefore refused before it takes any, and its caller returns when
-//! room is expected.
+//! finds no room is therefore refused at once, and its caller returns when room is expected.
+//!
+//! It does not wait at its node: many nodes whose generations wait learn of new room at the
+//! same moment and all take it.
 
 use std::collections::VecDeque;
 
@@ -15,9 +17,6 @@
 use crate::migration::TOKEN_MS;
 use crate::target_selector::RequestDemand;
 
-/// Fraction of the latency goal for which a generation may wait at its node for room.
-/// Running generations end all the time, so a short wait often suffices.
-const WAIT_GOAL_DIVISOR: u64 = 8;
 /// Output tokens up to which a generation is brief: it returns its memory in about a second.
 const BRIEF_OUTPUT_TOKENS: u32 = 64;
 /// Part of the latency goal that prompts at a target may take, in percent. The rest is for
@@ -41,10 +40,12 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum Claim {
+    /// Its caller returns too late for its goal. What it takes would make others late as well.
+    Late,
     /// Its caller sends it for the first time.
     #[default]
     New,
-    /// Its caller has waited and returned after a refusal.
+    /// Its caller has waited and returned after a refusal, and can still be in time.
     Returning,
     /// It has already made output, which would be lost.
     Started,
@@ -57,6 +58,7 @@
     /// they go first when room becomes free.
     fn memory_share(self) -> f64 {
         match self {
+            Self::Late => 0.7,
             Self::New => 0.85,
             Self::Returning => 0.95,
             Self::Started => 1.25,
@@ -101,11 +103,6 @@
     Millis(latency_goal_ms.0 * PREFILL_GOAL_PERCENT / 100)
 }
 
-/// Returns how long a generation may wait for room at its node.
-pub fn max_wait_ms(latency_goal_ms: Millis) -> Millis {
-    Millis(latency_goal_ms.0 / WAIT_GOAL_DIVISOR)
-}
-
 fn is_brief(demand: &RequestDemand) -> bool {
     output_tokens(demand) <= BRIEF_OUTPUT_TOKENS
 }
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod leaving_targets;
 pub mod load_table;
 pub mod migration;
+pub mod reachability;
 pub mod request_metadata;
 pub mod retry_budget;
 pub mod revision;
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -13,6 +13,7 @@
 use crate::directory::Directory;
 use crate::load_table::LoadByTarget;
 use crate::load_table::TargetLoad;
+use crate::reachability::Reachability;
 use crate::target::Target;
 
 /// Time for which a target gets no requests after its first failure; it doubles with each
@@ -44,7 +45,8 @@
 /// Cost of a target that is not drawn as a candidate. It can still be chosen, because all
 /// candidates may be full.
 const NON_CANDIDATE_COST: f64 = 2.0;
-/// Cost of a target that refuses connections of other nodes and runs no requests.
+/// Cost of a target that refuses connections of other nodes and runs no requests, or whose
+/// data centre this node does not reach.
 const UNREACHABLE_COST: f64 = 8.0;
 /// Cost of copying to a cold target above its rate limit. The copy is still allowed,
 /// because the generation would otherwise be lost.
@@ -111,6 +113,7 @@
     others: LoadByTarget,
     /// Time that the engines of each service take for prompts.
     prefill: IndexMap<Name, PrefillRate>,
+    reachability: Reachability,
 }
 
 impl TargetSelector {
@@ -123,6 +126,7 @@
             states: IndexMap::new(),
             others: LoadByTarget::new(),
             prefill: IndexMap::new(),
+            reachability: Reachability::new(),
         }
     }
 
@@ -201,6 +205,7 @@
             }
             let is_candidate = draw() < share;
             let cost = self.cost(configuration, target, demand)
+                + self.unreachable_cost(now, target)
                 + cross_data_centre_cost(target, &self.data_centre, CROSS_DATA_CENTRE_COST)
                 + JITTER_COST * draw()
                 + if is_candidate {
@@ -249,6 +254,7 @@
             .map(|(target, read_ms)| {
                 let is_over_limit = !self.is_within_cold_limit(now, configuration, target, read_ms);
                 let cost = self.cost(configuration, target, demand)
+                    + self.unreachable_cost(now, target)
                     + cross_data_centre_cost(
                         target,
                         &source.data_centre,
@@ -333,6 +339,19 @@
         until_ms
     }
 
+    /// Records that a target did not accept a connection in time, and returns the end of its
+    /// back-off.
+    pub fn record_unreachable(&mut self, now: Millis, target: &Target) -> Millis {
+        self.reachability
+            .record_timeout(now, &target.data_centre, &target.id);
+        self.record_failure(now, &target.id)
+    }
+
+    /// Records that a target has responded in some way, so that its data centre is reachable.
+    pub fn record_response(&mut self, target: &Target) {
+        self.reachability.record_response(&target.data_centre);
+    }
+
     /// Records a failed request, and returns the end of the target's back-off.
     pub fn record_failure(&mut self, now: Millis, id: &str) -> Millis {
         let state = self.states.entry(id.into()).or_default();
@@ -430,6 +449,15 @@
             .is_some_and(|state| now < state.backoff_until_ms)
     }
 
+    /// Returns the cost of a target in a data centre that this node does not reach.
+    fn unreachable_cost(&self, now: Millis, target: &Target) -> f64 {
+        if self.reachability.is_avoided(now, &target.data_centre) {
+            UNREACHABLE_COST
+        } else {
+            0.0
+        }
+    }
+
     fn is_deferred(&self, now: Millis, id: &str) -> bool {
         self.states
             .get(id)
--- a/filbertpaddle-forward/tests/admission.rs
+++ b/filbertpaddle-forward/tests/admission.rs
@@ -278,6 +278,7 @@
         };
         admission::has_room(&load, &engine(), &demand, &PrefillRate::new())
     };
+    assert!(!has_room(Claim::Late, 12));
     assert!(!has_room(Claim::New, 500));
     assert!(has_room(Claim::Returning, 500));
     assert!(has_room(Claim::Started, 500));
--- a/filbertpaddle-forward/tests/target_selector.rs
+++ b/filbertpaddle-forward/tests/target_selector.rs
@@ -87,6 +87,7 @@
         service: "engine".into(),
         prompt_tokens,
         total_tokens,
+        max_prefill_ms: Millis(1_000),
         ..RequestDemand::default()
     }
 }
@@ -377,3 +378,31 @@
     assert_eq!(destination(&["near".into()]).unwrap(), "far");
     assert_eq!(destination(&["near".into(), "far".into()]), None);
 }
+
+/// A data centre is cut off without a sign: its targets look idle. After two of them have not
+/// accepted a connection, requests go elsewhere until one responds or a while has passed.
+#[test]
+fn targets_of_an_unreachable_data_centre_come_last() {
+    let far = ["b", "c", "d", "e"].map(|id| target(id, "far"));
+    let mut targets = far.to_vec();
+    targets.push(target("a", "dc"));
+    let directory = directory(&targets);
+    let mut selector = selector("dc");
+    selector.update_targets(&directory);
+    let now = Millis(10_000);
+    let busy = demand(0, 20_000);
+    selector.record_sent(now, directory.target("a").unwrap(), &busy);
+    let chosen = |selector: &TargetSelector, now| {
+        let chosen = selector.choose(now, &directory, &demand(1_000, 1_500), &[], || 0.5);
+        chosen.unwrap().data_centre.clone()
+    };
+    assert_eq!(chosen(&selector, now), "far");
+    selector.record_unreachable(now, &far[0]);
+    assert_eq!(chosen(&selector, now), "far");
+    selector.record_unreachable(now, &far[1]);
+    assert_eq!(chosen(&selector, now), "dc");
+    // It is tried again after a while.
+    assert_eq!(chosen(&selector, now + Millis(2_000)), "far");
+    selector.record_response(&far[2]);
+    assert_eq!(chosen(&selector, now), "far");
+}
--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -52,6 +52,9 @@
     /// Nothing listens at the address; no byte of the request has left.
     #[error("connection refused, request not sent")]
     Refused,
+    /// No connection was accepted in time; no byte of the request has left.
+    #[error("no connection within {CONNECT_TIMEOUT:?}, request not sent")]
+    Unreachable,
     /// No byte of the request has left.
     #[error("request not sent: {0}")]
     NotSent(String),
@@ -312,11 +315,7 @@
             return Err(Error::Refused);
         }
         Ok(Err(error)) => return Err(Error::NotSent(error.to_string())),
-        Err(_) => {
-            return Err(Error::NotSent(format!(
-                "no connection within {CONNECT_TIMEOUT:?}"
-            )));
-        }
+        Err(_) => return Err(Error::Unreachable),
     };
     set_socket_options(&stream).map_err(|error| Error::NotSent(error.to_string()))?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream))
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -107,6 +107,8 @@
 pub enum Failure {
     /// Nothing listens at the target's address; no byte of the request has left.
     Refused,
+    /// The target accepted no connection in time; no byte of the request has left.
+    Unreachable,
     /// No byte of the request has left.
     NotSent(String),
     /// The target proved that it did not run the request.
@@ -205,6 +207,7 @@
             .await;
         let response = sent.map_err(|error| match error {
             ConnectionError::Refused => Failure::Refused,
+            ConnectionError::Unreachable => Failure::Unreachable,
             ConnectionError::NotSent(reason) => Failure::NotSent(reason),
             ConnectionError::Unknown(reason) => Failure::Unknown(reason),
         })?;
@@ -237,7 +240,10 @@
     /// Returns whether the request may be sent once more after a failure.
     pub fn may_retry(&self, progress: &Progress, failure: &Failure) -> bool {
         let is_allowed = match failure {
-            Failure::Refused | Failure::NotSent(_) | Failure::OtherTarget => true,
+            Failure::Refused
+            | Failure::Unreachable
+            | Failure::NotSent(_)
+            | Failure::OtherTarget => true,
             Failure::NotRun => progress.sends < self.route.max_attempts,
             Failure::Unknown(_) => {
                 self.route.kind.is_idempotent() && progress.sends < self.route.max_attempts
@@ -315,6 +321,9 @@
             Failure::Refused => {
                 backoff_until_ms = state.selector.borrow_mut().record_refused(now, &target.id);
             }
+            Failure::Unreachable => {
+                backoff_until_ms = state.selector.borrow_mut().record_unreachable(now, target);
+            }
             Failure::NotSent(_) => {
                 backoff_until_ms = state.selector.borrow_mut().record_failure(now, &target.id);
             }
@@ -414,6 +423,6 @@
 fn failure_reason(failure: &Failure) -> &str {
     match failure {
         Failure::NotSent(reason) | Failure::Unknown(reason) => reason,
-        Failure::Refused | Failure::NotRun | Failure::OtherTarget => "",
+        Failure::Refused | Failure::Unreachable | Failure::NotRun | Failure::OtherTarget => "",
     }
 }
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -388,11 +388,13 @@
 /// Returns the claim of a generation on the targets' memory. A caller that returns after a
 /// refusal has less time left than the route gives it.
 fn claim(route: &Route, metadata: &RequestMetadata) -> Claim {
-    let is_shorter = |deadline_ms: Millis| deadline_ms + RETURN_MIN_MS <= route.timeout_ms;
-    if metadata.deadline_ms.is_some_and(is_shorter) {
-        Claim::Returning
-    } else {
-        Claim::New
+    let spent_ms = metadata.deadline_ms.map_or(Millis::ZERO, |deadline_ms| {
+        route.timeout_ms.since(deadline_ms)
+    });
+    match spent_ms {
+        _ if spent_ms < RETURN_MIN_MS => Claim::New,
+        _ if spent_ms < route.latency_goal_ms => Claim::Returning,
+        _ => Claim::Late,
     }
 }
 
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -39,6 +39,7 @@
 /// wants no requests for a while.
 pub fn record_response(state: &State, target: &Target, head: &Parts) -> ResponseMetadata {
     let metadata = (state.platform.headers.decode_response)(head.status, &head.headers);
+    state.selector.borrow_mut().record_response(target);
     if metadata.is_other_target {
         return metadata;
     }
