--- a/filbertpaddle-forward/src/admission.rs
+++ b/filbertpaddle-forward/src/admission.rs
@@ -5,8 +5,8 @@
 //! streams stall, and fewer are complete in time than at a lower load. A generation that
 //! finds no room is therefore refused at once, and its caller returns when room is expected.
 //!
-//! It does not wait at its node: many nodes whose generations wait learn of new room at the
-//! same moment and all take it.
+//! It waits at its node only if none was refused there lately: under overload, many nodes
+//! whose generations wait learn of new room at the same moment and all take it.
 
 use std::collections::VecDeque;
 
@@ -19,6 +19,9 @@
 
 /// Output tokens up to which a generation is brief: it returns its memory in about a second.
 const BRIEF_OUTPUT_TOKENS: u32 = 64;
+/// Fraction of the latency goal for which a generation may wait at its node for room.
+/// Running generations end all the time, so a short wait often suffices.
+const WAIT_GOAL_DIVISOR: u64 = 8;
 /// Part of the latency goal that prompts at a target may take, in percent. The rest is for
 /// what other nodes send there meanwhile.
 const PREFILL_GOAL_PERCENT: u64 = 60;
@@ -58,9 +61,9 @@
     /// they go first when room becomes free.
     fn memory_share(self) -> f64 {
         match self {
-            Self::Late => 0.7,
-            Self::New => 0.85,
-            Self::Returning => 0.95,
+            Self::Late => 0.8,
+            Self::New => 0.95,
+            Self::Returning => 1.0,
             Self::Started => 1.25,
         }
     }
@@ -68,7 +71,7 @@
 
 /// Part of a target's memory that brief generations may use beyond the share of their claim.
 /// They seldom overlap, and make room again before a long one misses it.
-const BRIEF_EXTRA_SHARE: f64 = 0.1;
+const BRIEF_EXTRA_SHARE: f64 = 0.05;
 
 /// Returns whether a target with a load has room for a request, so that its first event is
 /// in time.
@@ -170,6 +173,16 @@
         Self::default()
     }
 
+    /// Returns how long a generation may wait for room at its node: not at all if one was
+    /// refused lately.
+    pub fn max_wait_ms(&self, now: Millis, latency_goal_ms: Millis) -> Millis {
+        let is_recent = |(at, _): &(Millis, u32)| now.since(*at) < CONTENTION_WINDOW_MS;
+        if self.refused.iter().any(is_recent) {
+            return Millis::ZERO;
+        }
+        Millis(latency_goal_ms.0 / WAIT_GOAL_DIVISOR)
+    }
+
     /// Records a refused generation and returns after which time its caller should return.
     ///
     /// The memory that generations hold now becomes free over about the
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -6,6 +6,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::admission::Claim;
+use filbertpaddle_forward::admission::Contention;
 use filbertpaddle_forward::admission::Room;
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Route;
@@ -380,6 +381,15 @@
         until_ms.unwrap_or(RETRY_AFTER_MS).max(RETRY_AFTER_MS)
     }
 
+    /// Returns how long the request may wait here for room at its service's targets.
+    pub fn max_room_wait_ms(&self) -> Millis {
+        let now = self.state.clock.now();
+        let goal_ms = self.route.latency_goal_ms;
+        let max_wait_ms = |contention: &mut Contention| contention.max_wait_ms(now, goal_ms);
+        self.state
+            .with_contention(&self.demand.service, max_wait_ms)
+    }
+
     /// Returns the time until the service's targets are expected to have room again.
     fn until_room_ms(&self) -> Millis {
         let state = &self.state;
