--- a/filbertpaddle-forward/src/admission.rs
+++ b/filbertpaddle-forward/src/admission.rs
@@ -8,8 +8,6 @@
 //! It waits at its node only if none was refused there lately: under overload, many nodes
 //! whose generations wait learn of new room at the same moment and all take it.
 
-use std::collections::VecDeque;
-
 use filbertpaddle_core::clock::Millis;
 
 use crate::configuration::Engine;
@@ -164,7 +162,19 @@
 /// The generations of one service that this node has refused for want of room.
 #[derive(Clone, Debug, Default)]
 pub struct Contention {
-    refused: VecDeque<(Millis, u32)>,
+    refused: Vec<RefusedGeneration>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RefusedGeneration {
+    at_ms: Millis,
+    tokens: u32,
+}
+
+impl RefusedGeneration {
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.at_ms) < CONTENTION_WINDOW_MS
+    }
 }
 
 impl Contention {
@@ -176,8 +186,7 @@
     /// Returns how long a generation may wait for room at its node: not at all if one was
     /// refused lately.
     pub fn max_wait_ms(&self, now: Millis, latency_goal_ms: Millis) -> Millis {
-        let is_recent = |(at, _): &(Millis, u32)| now.since(*at) < CONTENTION_WINDOW_MS;
-        if self.refused.iter().any(is_recent) {
+        if self.refused.iter().any(|refused| refused.is_recent(now)) {
             return Millis::ZERO;
         }
         Millis(latency_goal_ms.0 / WAIT_GOAL_DIVISOR)
@@ -200,16 +209,13 @@
         remaining_ms: Millis,
         draw: f64,
     ) -> Millis {
-        let is_recent = |at: &Millis| now.since(*at) < CONTENTION_WINDOW_MS;
-        while self.refused.front().is_some_and(|(at, _)| !is_recent(at)) {
-            self.refused.pop_front();
-        }
-        self.refused.push_back((now, demand.total_tokens));
-        let own: u64 = self
-            .refused
-            .iter()
-            .map(|(_, tokens)| u64::from(*tokens))
-            .sum();
+        self.refused.retain(|refused| refused.is_recent(now));
+        self.refused.push(RefusedGeneration {
+            at_ms: now,
+            tokens: demand.total_tokens,
+        });
+        let tokens = self.refused.iter().map(|refused| u64::from(refused.tokens));
+        let own: u64 = tokens.sum();
         let wanted = own as f64 * nodes.max(1) as f64;
         let lifetime_ms = (u64::from(output_tokens(demand)) * TOKEN_MS) as f64;
         let wait_ms = lifetime_ms * wanted / running_tokens.max(1) as f64;
--- a/filbertpaddle-forward/src/target_list.rs
+++ b/filbertpaddle-forward/src/target_list.rs
@@ -46,12 +46,20 @@
     target: Target,
     read_ms: Millis,
     /// Removal that has not taken effect yet.
-    removal: Option<Deferred>,
+    removal: Option<DeferredRemoval>,
 }
 
-/// Change that takes effect later, unless a later one replaces it before.
+/// Removal that takes effect later, unless the target is listed again before.
 #[derive(Clone, Copy, Debug)]
-struct Deferred {
+struct DeferredRemoval {
+    revision: Revision,
+    effective_at_ms: Millis,
+}
+
+/// Listing that takes effect later, unless the target is removed before.
+#[derive(Clone, Debug)]
+struct DeferredListing {
+    target: Target,
     revision: Revision,
     effective_at_ms: Millis,
 }
@@ -79,7 +87,7 @@
     listed: IndexMap<Name, ListedTarget>,
     tombstones: IndexMap<Name, Tombstone>,
     /// Removed targets that an older copy of the store lists again.
-    relisted: IndexMap<Name, (Target, Deferred)>,
+    relisted: IndexMap<Name, DeferredListing>,
     leaving: LeavingTargets,
     deferral: RemovalDeferral,
     /// End of the time in which targets write their entries again after a rollback.
@@ -203,7 +211,7 @@
             .removal
             .map_or(self.deferral.until_ms, |removal| removal.effective_at_ms);
         known.sequence = sequence.assign();
-        known.removal = Some(Deferred {
+        known.removal = Some(DeferredRemoval {
             revision,
             effective_at_ms,
         });
@@ -243,16 +251,11 @@
         for (id, removal) in due {
             self.delete(sequence, &id, removal.revision, changed);
         }
-        let is_due = |(_, deferred): &(Target, Deferred)| deferred.effective_at_ms <= now;
-        let due: Vec<_> = self
-            .relisted
-            .values()
-            .filter(|r| is_due(r))
-            .cloned()
-            .collect();
-        for (target, deferred) in due {
-            self.relisted.shift_remove(&target.id);
-            self.upsert(now, sequence, deferred.revision, &target, changed);
+        let is_due = |listing: &&DeferredListing| listing.effective_at_ms <= now;
+        let due: Vec<_> = self.relisted.values().filter(is_due).cloned().collect();
+        for listing in due {
+            self.relisted.shift_remove(&listing.target.id);
+            self.upsert(now, sequence, listing.revision, &listing.target, changed);
         }
     }
 
@@ -308,17 +311,17 @@
         let has_gone =
             tombstone.is_some_and(|tombstone| tombstone.incarnation == target.incarnation());
         let deferred = self.relisted.get(&target.id);
-        let is_rewritten = deferred.is_some_and(|(_, deferred)| deferred.revision < revision);
+        let is_rewritten = deferred.is_some_and(|listing| listing.revision < revision);
         if !self.is_rewriting(now) || !has_gone || is_rewritten {
             self.relisted.shift_remove(&target.id);
             return false;
         }
-        let deferred = Deferred {
+        let listing = DeferredListing {
+            target: target.clone(),
             revision,
             effective_at_ms: self.rewrite_until_ms,
         };
-        self.relisted
-            .insert(target.id.clone(), (target.clone(), deferred));
+        self.relisted.insert(target.id.clone(), listing);
         true
     }
 
--- a/filbertpaddle-gateway/src/nodes.rs
+++ b/filbertpaddle-gateway/src/nodes.rs
@@ -47,6 +47,14 @@
     pub written_ms: Millis,
 }
 
+/// Nodes that were live when the store was rolled back. They count as live for a while though
+/// they have not written their entries again.
+#[derive(Clone, Debug, Default)]
+struct CarriedNodes {
+    nodes: Vec<Node>,
+    until_ms: Millis,
+}
+
 /// The list of nodes and the live ones among them.
 #[derive(Clone, Debug, Default)]
 pub struct Nodes {
@@ -56,9 +64,7 @@
     reads: u64,
     store_ms: Millis,
     read_ms: Millis,
-    /// Nodes that were live when the store was rolled back, and how long they count as live
-    /// though they have not written their entries again.
-    carried: (Vec<Node>, Millis),
+    carried: CarriedNodes,
     unresponsive_until: IndexMap<Name, Millis>,
 }
 
@@ -161,12 +167,12 @@
     }
 
     fn add_carried(&mut self, now: Millis) {
-        let (carried, until_ms) = &self.carried;
-        if now >= *until_ms {
+        if now >= self.carried.until_ms {
             return;
         }
-        let is_listed = |node: &&Node| !self.live.iter().any(|live| live.name == node.name);
-        let missing: Vec<_> = carried.iter().filter(is_listed).cloned().collect();
+        let is_missing = |node: &&Node| !self.is_live(&node.name);
+        let carried = self.carried.nodes.iter();
+        let missing: Vec<_> = carried.filter(is_missing).cloned().collect();
         self.live.extend(missing);
     }
 
@@ -208,7 +214,10 @@
             return Vec::new();
         }
         if list.era > self.list.era && !self.live.is_empty() {
-            self.carried = (self.live.clone(), now + REWRITE_MS);
+            self.carried = CarriedNodes {
+                nodes: self.live.clone(),
+                until_ms: now + REWRITE_MS,
+            };
         }
         self.store_ms = list.store_ms;
         self.read_ms = now;
