--- a/filbertpaddle-gateway/src/nodes.rs
+++ b/filbertpaddle-gateway/src/nodes.rs
@@ -65,6 +65,8 @@
     store_ms: Millis,
     read_ms: Millis,
     carried: CarriedNodes,
+    /// Computed with each new list, since it is sent on all links several times a second.
+    fingerprint: u64,
     unresponsive_until: IndexMap<Name, Millis>,
 }
 
@@ -91,13 +93,7 @@
 
     /// Returns a hash of the live nodes. Nodes with the same hash agree on the readers.
     pub fn fingerprint(&self) -> u64 {
-        let hash = |node: &Node| {
-            let seed = xxh3_64(node.data_centre.as_bytes());
-            let seed = xxh3_64_with_seed(node.peers.to_string().as_bytes(), seed);
-            xxh3_64_with_seed(node.name.as_bytes(), seed)
-        };
-        // The order of the entries does not matter.
-        self.live.iter().map(hash).fold(0, u64::wrapping_add)
+        self.fingerprint
     }
 
     /// Returns the list as last read, for followers.
@@ -233,6 +229,17 @@
             .cloned()
             .collect();
         self.add_carried(now);
+        self.fingerprint = fingerprint(&self.live);
         dropped
     }
 }
+
+/// Returns a hash of nodes that does not depend on their order.
+fn fingerprint(nodes: &[Node]) -> u64 {
+    let hash = |node: &Node| {
+        let seed = xxh3_64(node.data_centre.as_bytes());
+        let seed = xxh3_64_with_seed(node.peers.to_string().as_bytes(), seed);
+        xxh3_64_with_seed(node.name.as_bytes(), seed)
+    };
+    nodes.iter().map(hash).fold(0, u64::wrapping_add)
+}
