--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -137,6 +137,7 @@
             // The settings may also change without a signal.
             _ = reloads.tick() => reload_settings(&state, reload),
             _ = ticks.tick() => {
+                state.record_data_ages();
                 state.apply_due_changes();
                 state.connections.close_stale();
             }
--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -126,10 +126,16 @@
             directory.record_current(Table::Operator, as_of(ages.operator_ms));
             directory.record_current(Table::Targets, as_of(ages.targets_ms));
             drop(directory);
-            state.set_followed_peer(FollowedPeer {
+            let status = FollowedPeer {
                 is_up: true,
                 is_store_lost: ages.is_store_lost || is_old,
-            });
+            };
+            if state.followed_peer.get() != status {
+                info!(state.log, "status of followed node changed";
+                    "is_store_lost" => status.is_store_lost,
+                    "operator_age_ms" => ages.operator_ms.0, "targets_age_ms" => ages.targets_ms.0);
+            }
+            state.set_followed_peer(status);
         }
         Message::Nodes(list) => {
             // Expired entries are removed by the nodes that read the store.
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -9,6 +9,7 @@
 use filbertpaddle_core::suspect::QuarantineStatus;
 use filbertpaddle_forward::admission;
 use filbertpaddle_forward::admission::Claim;
+use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Configuration;
 use filbertpaddle_forward::configuration::Customer;
 use filbertpaddle_forward::configuration::Route;
@@ -192,7 +193,9 @@
         "service" => job.demand.service.as_str(), "priority" => job.priority,
         "tokens" => job.demand.total_tokens,
         "deadline_ms" => job.metadata.deadline_ms.map(|span| span.0),
-        "configuration" => version, "in_flight" => job.state.in_flight.get());
+        "configuration" => version,
+        "configuration_age_ms" => job.state.data_age_ms(Table::Operator).0,
+        "in_flight" => job.state.in_flight.get());
 }
 
 /// Returns whether the request can finish before this node stops, if it is stopping.
@@ -253,7 +256,8 @@
         .configuration()
         .map_or(0, |configuration| configuration.version);
     info!(state.log, "request refused at admission";
-        "id" => id, "refusal" => %refusal, "reason" => reason, "configuration" => version);
+        "id" => id, "refusal" => %refusal, "reason" => reason, "configuration" => version,
+        "configuration_age_ms" => state.data_age_ms(Table::Operator).0);
     state.metrics.count(&format!("denied.{refusal}"));
     reply::refuse(refusal, retry_ms)
 }
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -241,6 +241,14 @@
         self.clock.now().since(as_of_ms)
     }
 
+    /// Records the age of this node's data in the metrics.
+    pub fn record_data_ages(&self) {
+        let operator_ms = self.data_age_ms(Table::Operator);
+        let targets_ms = self.data_age_ms(Table::Targets);
+        self.metrics.time("age.operator", operator_ms);
+        self.metrics.time("age.targets", targets_ms);
+    }
+
     /// Returns whether this node reads the store: as a reader for others, because the node
     /// that it follows has lost the store, or because it has found no node to follow in time.
     pub fn must_read(&self) -> bool {
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -99,6 +99,7 @@
             }
             continue;
         }
+        let called_ms = state.clock.now();
         let mut result = read_or_watch(&state, table, failures > 0).await;
         if let Err(error @ (Error::HistoryGone | Error::RolledBack)) = &result {
             info!(state.log, "reading the whole table"; "table" => %table, "reason" => %error);
@@ -124,7 +125,9 @@
                 state.directory.borrow_mut().record_store_lost(table);
                 if failures == 1 {
                     warn!(state.log, "call to the store failed, retrying";
-                        "table" => %table, "error" => %error);
+                        "table" => %table, "error" => %error,
+                        "waited_ms" => state.clock.now().since(called_ms).0,
+                        "age_ms" => state.data_age_ms(table).0);
                     state.metrics.count("store.lost");
                 }
                 sleep(duration(retry_delay_ms(&state, failures))).await;
