Add a failing test: followers of a reader that is cut off apply a change too late

Three nodes of one data centre reach the store through a proxy each. Both tables change, the reader starts its long polls anew, its path to the store goes silent without a reset, and the operators write a configuration.

--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -110,8 +110,11 @@
     }
 
     pub(crate) fn add_node(&mut self, name: &str, data_centre: &str) {
-        let options = self.node_options(name, data_centre);
-        let node = Node::start(Path::new(PROGRAM), &self.folder, &options).unwrap();
+        self.start_node(&self.node_options(name, data_centre));
+    }
+
+    pub(crate) fn start_node(&mut self, options: &node::Options) {
+        let node = Node::start(Path::new(PROGRAM), &self.folder, options).unwrap();
         self.nodes.push(node);
     }
 
@@ -126,6 +129,13 @@
         found.unwrap()
     }
 
+    /// Writes the entry of a target again, as the target does.
+    pub(crate) fn announce(&self, id: &str) {
+        let target = self.target(id);
+        let entry = target.announce(target.address);
+        self.store.put_target(id, &entry);
+    }
+
     /// Returns the target that an attempt was first sent to.
     pub(crate) fn first_target_of(&self, attempt: &str) -> &Target {
         self.target(&self.run_log.runs_of(attempt)[0].target)
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 
 mod announcements;
 mod cluster;
+mod cut_reader;
 mod limits;
 mod rollback;
 mod streams;
--- a/filbertpaddle/tests/gateway/rollback.rs
+++ b/filbertpaddle/tests/gateway/rollback.rs
@@ -30,13 +30,6 @@
         self.store.set_fault(Fault::None);
     }
 
-    /// Writes the entry of a target again, as the target does.
-    fn announce(&self, id: &str) {
-        let target = self.target(id);
-        let entry = target.announce(target.address);
-        self.store.put_target(id, &entry);
-    }
-
     /// Returns the status of a request with an API key to a node.
     async fn status(&self, node: &Node, key: &str) -> u16 {
         let mut sent = request("a", Method::GET, READ_PATH, None);
