Derive the age of data that nodes rely on from the time in which changes must be in force

Callers saw: a route is refused with 404 more than 2 s after the store has acknowledged the version that adds it.

Cause: only the reader of a data centre reads the store; its followers take the lack of changes for their absence. If the reader's path to the store goes silent without a reset, the reader waited 0.2 s between calls, 1.8 s of long poll and 0.6 s for the response, told its followers up to 0.3 s later, and they relied on data up to 2.8 s old in any case. The bound is 2 s. The limits were chosen for the cost of calls and the pace of a slow store, without the bound. Class: a failure detector that is slower than the promise it serves.

Evidence:, reader c-3: last call answered before 4.32 s, "no complete response within 2.4s" at 6.721 s, its followers refuse at 6.369 and 6.693 s with version 13. Ruled out: a link between nodes that stalls (the reader itself had read nothing), versions dropped as older (four later ones are missing too, not only those written in a race).

--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -32,9 +32,6 @@
 use crate::state::FollowedPeer;
 use crate::state::State;
 
-/// Age of a node's data above which it is not worth following. Exceeds the time that the
-/// store may hold back a response plus the time that the response may take.
-const MAX_DATA_AGE_MS: Millis = Millis(2_800);
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Follows another node whenever this one needs to, for as long as it runs.
@@ -117,8 +114,9 @@
         Message::Table { age_ms, batch } => state.apply("peer", as_of(age_ms), &batch),
         Message::Ages(ages) => {
             state.record_peer_ages(&ages);
+            let max_age_ms = state.age_limits().max_age_ms;
             let is_behind = ages.era < state.directory.borrow().era();
-            let is_old = is_behind || ages.operator_ms.max(ages.targets_ms) > MAX_DATA_AGE_MS;
+            let is_old = is_behind || ages.operator_ms.max(ages.targets_ms) > max_age_ms;
             if is_old && state.is_reader() {
                 return Err(Error::TooOld);
             }
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -34,6 +34,8 @@
     sequence: u64,
     /// Number of reads of the list of nodes at the last sent list.
     reads: u64,
+    /// Whether this node had lost the store when its ages were last sent.
+    is_store_lost: bool,
 }
 
 /// Accepts links from other nodes for as long as this one runs.
@@ -107,13 +109,17 @@
     loop {
         send_tables(state, link, &mut published).await?;
         send_nodes(state, link, &mut published).await?;
+        if published.is_store_lost != state.is_store_lost() {
+            // Followers read the store themselves from now on, or no longer.
+            send_ages(state, link, &mut published).await?;
+        }
         tokio::select! {
             _ = changes.changed() => {}
             _ = publish_timer.tick() => {
                 let total = state.load_table.borrow().total();
                 link.publish(state, total).await?;
             }
-            _ = heartbeat.tick() => link.send(&ages_message(state)).await?,
+            _ = heartbeat.tick() => send_ages(state, link, &mut published).await?,
             message = link.receive() => receive_from_follower(state, node, message?),
         }
     }
@@ -168,6 +174,16 @@
     Ok(())
 }
 
+/// Sends the age of this node's data.
+async fn send_ages(
+    state: &State,
+    link: &mut PeerLink,
+    published: &mut Published,
+) -> Result<(), Error> {
+    published.is_store_lost = state.is_store_lost();
+    link.send(&ages_message(state)).await
+}
+
 fn ages_message(state: &State) -> Message {
     let nodes = state.nodes.borrow();
     let (nodes_fingerprint, listed_ms) = (nodes.fingerprint(), nodes.listed_ms());
--- a/filbertpaddle-gateway/src/settings.rs
+++ b/filbertpaddle-gateway/src/settings.rs
@@ -40,6 +40,8 @@
     pub retries: retry_budget::RetryLimits,
     /// Time that a stopping node has to finish its requests.
     pub grace_ms: Millis,
+    /// Time within which a change that the store has acknowledged must be in force.
+    pub apply_ms: Millis,
     /// Time in which operators and targets write their entries again after the store was
     /// rolled back to an older copy.
     pub rewrite_ms: Millis,
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -13,6 +13,7 @@
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::directory::Directory;
 use filbertpaddle_forward::drain::Drain;
+use filbertpaddle_forward::freshness::AgeLimits;
 use filbertpaddle_forward::load_table::LoadTable;
 use filbertpaddle_forward::retry_budget::RetryBudget;
 use filbertpaddle_forward::target::Incarnation;
@@ -241,6 +242,11 @@
         self.clock.now().since(as_of_ms)
     }
 
+    /// Returns the limits on the age of data that the settings in force require.
+    pub fn age_limits(&self) -> AgeLimits {
+        AgeLimits::within(self.reloadable.borrow().apply_ms)
+    }
+
     /// Records the age of this node's data in the metrics.
     pub fn record_data_ages(&self) {
         let operator_ms = self.data_age_ms(Table::Operator);
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -10,6 +10,8 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::change::Table;
+use filbertpaddle_forward::freshness::READER_PAUSE_MS;
+use filbertpaddle_forward::freshness::RESPONSE_TIMEOUT_MS;
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
@@ -27,18 +29,11 @@
 use crate::platform_api::Page;
 use crate::state::State;
 
-/// How long the store may hold back its response until something changes. Short,
-/// since a connection may go silent without a reset, and only the timeout shows it.
-const LONG_POLL_MS: Millis = Millis(1_800);
-/// The same after a failed call, to detect early that the store is back.
+/// Time that the store may hold back its response after a failed call, to detect early
+/// that it is back.
 const LONG_POLL_AFTER_FAILURE_MS: Millis = Millis(300);
-/// How long a response may take beyond the time it is held back. A slow store
-/// takes about 60 times its usual 4 ms.
-const RESPONSE_TIMEOUT_MS: Millis = Millis(600);
-/// Pause between calls, so that rows that change together arrive in one batch.
-const READER_BATCH_INTERVAL: Duration = Duration::from_millis(200);
-/// The same for a node that reads for itself only.
-const SOLO_BATCH_INTERVAL: Duration = Duration::from_millis(600);
+/// Pause between calls of a node that reads for itself only.
+const SOLO_PAUSE_MS: Millis = Millis(600);
 /// Retry delay of a node whose reader cannot read either; random, so that not all
 /// nodes retry at once.
 const PROBE_INTERVAL_MS: std::ops::Range<u64> = 1_500..3_500;
@@ -113,11 +108,11 @@
                 }
                 failures = 0;
                 let is_reader = state.is_reader();
-                sleep(if is_reader {
-                    READER_BATCH_INTERVAL
+                sleep(duration(if is_reader {
+                    READER_PAUSE_MS
                 } else {
-                    SOLO_BATCH_INTERVAL
-                })
+                    SOLO_PAUSE_MS
+                }))
                 .await;
             }
             Err(error) => {
@@ -129,6 +124,7 @@
                         "waited_ms" => state.clock.now().since(called_ms).0,
                         "age_ms" => state.data_age_ms(table).0);
                     state.metrics.count("store.lost");
+                    state.notify();
                 }
                 sleep(duration(retry_delay_ms(&state, failures))).await;
             }
@@ -239,7 +235,7 @@
     let wait_ms = if has_failed {
         LONG_POLL_AFTER_FAILURE_MS
     } else {
-        LONG_POLL_MS
+        state.age_limits().long_poll_ms
     };
     let calls = state.platform.store;
     let requested_ms = state.clock.now();
