Let the soak cut node after node from the store with nothing else to excuse the others

The new kind of schedule cuts one node after another from the store, in all five ways that a link fails, with a key rotation 300 ms before and 100 ms after the start of each cut.

--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //!
 //! `SOAK_SEEDS=0..50 cargo test --release -p filbertpaddle --test soak -- --ignored`
 //! runs more seeds; `SOAK_NODES` sets the number of nodes of each run. The nodes
-//! write their logs to `tmp/soak-SEED` in the target folder.
+//! write their logs to `tmp/soak-KIND-SEED` in the target folder.
 
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
@@ -23,6 +23,8 @@
 use cluster::Cluster;
 use fault::Step;
 use filbertpaddle_core::clock::Millis;
+use schedule::ScheduleKind;
+use schedule::ScheduledFault;
 use schedule::Size;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -61,13 +63,18 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_for_the_first_seeds() {
-    check_seeds(&[0, 1, 2], &DEFAULT_SIZE).await;
+    check_seeds(&[0, 1, 2], &DEFAULT_SIZE, ScheduleKind::Mixed).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn invariants_hold_while_nodes_lose_the_store() {
+    check_seeds(&[0, 1], &DEFAULT_SIZE, ScheduleKind::StoreCuts).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_for_previously_failed_seeds() {
     for seeds in FAILED.chunks(PARALLEL_RUNS) {
-        check_seeds(seeds, &DEFAULT_SIZE).await;
+        check_seeds(seeds, &DEFAULT_SIZE, ScheduleKind::Mixed).await;
     }
 }
 
@@ -89,15 +96,16 @@
     let jobs = if factor > 1 { 1 } else { PARALLEL_RUNS };
     let seeds: Vec<u64> = (from.parse().unwrap()..to.parse().unwrap()).collect();
     for chunk in seeds.chunks(jobs) {
-        check_seeds(chunk, &size).await;
+        check_seeds(chunk, &size, ScheduleKind::Mixed).await;
+        check_seeds(chunk, &size, ScheduleKind::StoreCuts).await;
     }
 }
 
 /// Runs the schedules of all seeds concurrently and checks that no invariant is violated.
-async fn check_seeds(seeds: &[u64], size: &Size) {
+async fn check_seeds(seeds: &[u64], size: &Size, kind: ScheduleKind) {
     let runs: Vec<_> = seeds
         .iter()
-        .map(|seed| (seed, tokio::spawn(run_schedule(*seed, *size))))
+        .map(|seed| (seed, tokio::spawn(run_schedule(*seed, *size, kind))))
         .collect();
     let mut violations = Vec::new();
     for (seed, run) in runs {
@@ -105,15 +113,15 @@
         violations.extend(
             run_violations
                 .into_iter()
-                .map(|violation| format!("seed {seed}: {violation}")),
+                .map(|violation| format!("{kind} seed {seed}: {violation}")),
         );
     }
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
 /// Runs the schedule of one seed; returns the violations.
-async fn run_schedule(seed: u64, size: Size) -> Vec<String> {
-    let mut cluster = Cluster::start(&format!("soak-{seed}"), &size).await;
+async fn run_schedule(seed: u64, size: Size, kind: ScheduleKind) -> Vec<String> {
+    let mut cluster = Cluster::start(&format!("soak-{kind}-{seed}"), &size).await;
     wait_until_served(&cluster).await;
     cluster.history.watch_for_stalls();
     let context = CallerContext {
@@ -124,7 +132,7 @@
     let callers: Vec<_> = (0..size.callers)
         .map(|number| tokio::spawn(traffic::run_caller(context.clone(), seed, number)))
         .collect();
-    apply_schedule(&mut cluster, &schedule::generate(seed, &size)).await;
+    apply_schedule(&mut cluster, &kind.generate(seed, &size)).await;
     fault::heal_all(&mut cluster).await;
     watch_for(&mut cluster, RECOVERY_TIME).await;
     check_recovered(&cluster).await;
@@ -136,7 +144,7 @@
     invariants::check_run(&cluster.history, &cluster.run_log.runs());
     let violations = {
         let events = cluster.history.events();
-        println!("seed {seed}: {}", invariants::summary(&events));
+        println!("{kind} seed {seed}: {}", invariants::summary(&events));
         events.violations.clone()
     };
     cluster.close().await;
@@ -144,7 +152,7 @@
 }
 
 /// Begins and ends each fault of a schedule at its time.
-async fn apply_schedule(cluster: &mut Cluster, faults: &[schedule::ScheduledFault]) {
+async fn apply_schedule(cluster: &mut Cluster, faults: &[ScheduledFault]) {
     let start = Instant::now();
     let mut active_faults = HashMap::new();
     for (at_ms, step) in fault::steps(faults) {
--- a/filbertpaddle/tests/soak/schedule.rs
+++ b/filbertpaddle/tests/soak/schedule.rs
@@ -12,8 +12,20 @@
 /// Names of the cluster's data centres.
 pub(crate) const DATA_CENTRES: [&str; 2] = ["dc-a", "dc-b"];
 
+/// Ways in which a link fails.
+const LINK_FAULTS: [Link; 5] = [
+    Link::Cut,
+    Link::CutForward,
+    Link::CutBackward,
+    Link::Stall,
+    Link::HalfOpen,
+];
+/// Time between the starts of two cuts of nodes from the store.
+const STORE_CUT_INTERVAL_MS: usize = 4_000;
 /// Time from the start of a node's cut from the store to the key rotation in it.
 const ROTATION_DELAY_MS: Millis = Millis(100);
+/// Time from the key rotation before a node's cut from the store to the cut.
+const ROTATION_LEAD_MS: Millis = Millis(300);
 
 /// Size of the cluster, its load and its fault schedule.
 #[derive(Clone, Copy, Debug)]
@@ -84,11 +96,35 @@
     pub(crate) fault: Fault,
 }
 
-/// Returns the schedule of a seed, sorted by start; a seed always gives the same
-/// schedule.
-pub(crate) fn generate(seed: u64, size: &Size) -> Vec<ScheduledFault> {
+/// Kind of a schedule.
+#[derive(Clone, Copy, Debug, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum ScheduleKind {
+    /// All faults, in series and overlapping.
+    Mixed,
+    /// One node after another loses the store, and nothing happens that would excuse the
+    /// other nodes.
+    StoreCuts,
+}
+
+impl ScheduleKind {
+    /// Returns the schedule of a seed, sorted by start; a seed always gives the same
+    /// schedule.
+    pub(crate) fn generate(self, seed: u64, size: &Size) -> Vec<ScheduledFault> {
+        let mut faults = match self {
+            Self::Mixed => mixed(seed, size),
+            Self::StoreCuts => store_cuts(seed, size),
+        };
+        let rotations = rotations_during_cuts(&faults);
+        faults.extend(rotations);
+        faults.sort_by_key(|fault| fault.start_ms);
+        faults
+    }
+}
+
+fn mixed(seed: u64, size: &Size) -> Vec<ScheduledFault> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut faults: Vec<_> = (0..size.faults)
+    (0..size.faults)
         .map(|_| {
             let start_ms = rng.random_range(1_000..1_000 + size.span_ms.0);
             let fault = random_fault(&mut rng, size);
@@ -103,41 +139,49 @@
                 fault,
             }
         })
-        .collect();
-    let rotations = rotations_during_cuts(&faults);
-    faults.extend(rotations);
-    faults.sort_by_key(|fault| fault.start_ms);
-    faults
+        .collect()
+}
+
+fn store_cuts(seed: u64, size: &Size) -> Vec<ScheduledFault> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let starts = (1_000..1_000 + size.span_ms.0).step_by(STORE_CUT_INTERVAL_MS);
+    starts
+        .map(|start_ms| {
+            let node = rng.random_range(0..size.nodes);
+            let link = choose_one(&mut rng, &LINK_FAULTS);
+            ScheduledFault {
+                start_ms: Millis(start_ms),
+                end_ms: Millis(start_ms + rng.random_range(2_500..3_500)),
+                fault: Fault::StoreLink(node, link),
+            }
+        })
+        .collect()
 }
 
-/// Returns a key rotation for each node that loses the store, shortly after it has: the
-/// others must apply the new key in time.
+/// Returns two key rotations for each node that loses the store. After the one before the
+/// cut, it waits for the next change; the others must apply the one in the cut in time.
 fn rotations_during_cuts(faults: &[ScheduledFault]) -> Vec<ScheduledFault> {
     let cuts = faults
         .iter()
         .filter(|fault| matches!(fault.fault, Fault::StoreLink(..)));
-    cuts.map(|cut| cut.start_ms + ROTATION_DELAY_MS)
-        .map(|at_ms| ScheduledFault {
-            start_ms: at_ms,
-            end_ms: at_ms,
-            fault: Fault::KeyRotation,
-        })
-        .collect()
+    cuts.flat_map(|cut| {
+        [
+            cut.start_ms.since(ROTATION_LEAD_MS),
+            cut.start_ms + ROTATION_DELAY_MS,
+        ]
+    })
+    .map(|at_ms| ScheduledFault {
+        start_ms: at_ms,
+        end_ms: at_ms,
+        fault: Fault::KeyRotation,
+    })
+    .collect()
 }
 
 fn random_fault(rng: &mut StdRng, size: &Size) -> Fault {
     let node = rng.random_range(0..size.nodes);
     let target = rng.random_range(0..2 * size.targets);
-    let link = choose_one(
-        rng,
-        &[
-            Link::Cut,
-            Link::CutForward,
-            Link::CutBackward,
-            Link::Stall,
-            Link::HalfOpen,
-        ],
-    );
+    let link = choose_one(rng, &LINK_FAULTS);
     match rng.random_range(0..21) {
         0 | 1 => Fault::Store(choose_one(
             rng,
