Do not defer removals after a cut of a node's own path while a peer read the store

Callers saw: a request was sent to a target 2.44 s after the store had acknowledged that it leaves, and cut when the target ended (bound 2 s).

Cause: a node whose reads of the store failed defers the removals in its first batch after them for 2.5 s, as entries of live targets expire in an outage. It did so too when only its own path had been cut and it had followed a peer that read the store all the while. Ruled out: a late change of the store and the link between nodes.

Now they are deferred only if no peer has read the targets since this node's reads began to fail, or not within 1.8 s. The new test failed before; record_store_lost takes the time, so the calls in the tests state one. The finding of 2,243 ms on the further site fits this cause, but is not confirmed.

--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -31,6 +31,10 @@
 /// take about 2 s to list themselves again.
 const RELIST_GRACE_MS: Millis = Millis(2_500);
 
+/// Time without news of the store, through a peer either, in which no entry of a live target
+/// expires: half of the three intervals of 1.2 s after which one does.
+const MAX_UNSEEN_MS: Millis = Millis(1_800);
+
 /// Position of a change: the store's revision, and this node's own sequence number.
 #[derive(Clone, Copy, Debug, Default)]
 struct ChangeStamp {
@@ -59,7 +63,8 @@
     operator_revision: Revision,
     targets_revision: Revision,
     current_at_ms: [Millis; 2],
-    is_store_lost: [bool; 2],
+    /// Time since which the reads of each table fail.
+    store_lost_at_ms: [Option<Millis>; 2],
     /// Latest known era of the store.
     era: u64,
     /// End of the time in which operators write their entries again after a rollback.
@@ -139,28 +144,37 @@
     }
 
     /// Records that a table could not be read.
-    pub fn record_store_lost(&mut self, table: Table) {
-        self.is_store_lost[table as usize] = true;
+    pub fn record_store_lost(&mut self, now: Millis, table: Table) {
+        self.store_lost_at_ms[table as usize].get_or_insert(now);
     }
 
     /// Returns whether the last attempt to read any of the tables failed.
     pub fn is_store_lost(&self) -> bool {
-        self.is_store_lost.contains(&true)
+        self.store_lost_at_ms.iter().any(Option::is_some)
     }
 
     /// Records that a table could be read.
     ///
     /// Entries of live targets expire while the store is unavailable. Removals up to the
-    /// revision of the first batch after an outage are therefore deferred. Later ones, and
-    /// those of draining targets, take effect at once.
+    /// revision of the first batch after an outage are therefore deferred. Later ones, those
+    /// of draining targets, and those after a failure of this node's path alone take effect at
+    /// once.
     pub fn record_store_regained(&mut self, now: Millis, table: Table) {
-        let was_lost = std::mem::take(&mut self.is_store_lost[table as usize]);
-        if was_lost && table == Table::Targets {
+        let lost_at_ms = self.store_lost_at_ms[table as usize].take();
+        let is_outage = |lost_at_ms: Millis| !self.has_followed_store(now, lost_at_ms);
+        if table == Table::Targets && lost_at_ms.is_some_and(is_outage) {
             let until_ms = (now + RELIST_GRACE_MS).max(self.rewrite_until_ms);
             self.targets.defer_removals(until_ms);
         }
     }
 
+    /// Returns whether a peer has read the targets from the store since this node's own reads
+    /// began to fail: then only this node's path has failed, and no entry has expired.
+    fn has_followed_store(&self, now: Millis, lost_at_ms: Millis) -> bool {
+        let current_at_ms = self.current_at_ms(Table::Targets);
+        current_at_ms > lost_at_ms && now.since(current_at_ms) <= MAX_UNSEEN_MS
+    }
+
     /// Records that a table was up to date at `as_of_ms`.
     pub fn record_current(&mut self, table: Table, as_of_ms: Millis) {
         let current_at_ms = &mut self.current_at_ms[table as usize];
--- a/filbertpaddle-forward/tests/directory.rs
+++ b/filbertpaddle-forward/tests/directory.rs
@@ -121,7 +121,7 @@
 #[test]
 fn removals_after_an_outage_are_deferred() {
     let mut directory = directory_with_two_targets();
-    directory.record_store_lost(Table::Targets);
+    directory.record_store_lost(Millis(25), Table::Targets);
     assert!(directory.is_store_lost());
     directory.record_store_regained(Millis(5_000), Table::Targets);
     let removal = vec![
@@ -151,7 +151,7 @@
     let published = reader.changes_after(Table::Targets, 0);
     follower.apply(Millis(10), Millis(10), &published);
     let sequence = reader.sequence();
-    reader.record_store_lost(Table::Targets);
+    reader.record_store_lost(Millis(25), Table::Targets);
     reader.record_store_regained(Millis(5_000), Table::Targets);
     let gone = batch(
         Table::Targets,
@@ -183,7 +183,7 @@
 #[test]
 fn outdated_entry_does_not_cancel_a_deferred_removal() {
     let mut directory = directory_with_two_targets();
-    directory.record_store_lost(Table::Targets);
+    directory.record_store_lost(Millis(25), Table::Targets);
     directory.record_store_regained(Millis(5_000), Table::Targets);
     let gone = batch(
         Table::Targets,
@@ -209,7 +209,7 @@
 #[test]
 fn removal_after_the_first_batch_takes_effect_at_once() {
     let mut directory = directory_with_two_targets();
-    directory.record_store_lost(Table::Targets);
+    directory.record_store_lost(Millis(25), Table::Targets);
     directory.record_store_regained(Millis(5_000), Table::Targets);
     let first = batch(Table::Targets, false, 9, Vec::new());
     directory.apply(Millis(5_001), Millis(5_001), &first);
@@ -219,6 +219,34 @@
     assert_eq!(ids(&directory), ["b"]);
 }
 
+/// A node whose own path to the store is cut follows a peer that reads the store, so the
+/// store is up, no entry of a live target has expired, and a removal that the node then reads
+/// itself must not be deferred beyond the 2 s that the platform allows.
+#[test]
+fn removal_is_not_deferred_by_a_node_that_followed_a_peer_with_the_store_meanwhile() {
+    let mut directory = directory_with_two_targets();
+    directory.record_store_lost(Millis(1_000), Table::Targets);
+    directory.record_current(Table::Targets, Millis(4_700));
+    directory.record_store_regained(Millis(5_000), Table::Targets);
+    let removal = vec![(8, Entry::NoTarget("a".into()))];
+    let now = Millis(5_001);
+    directory.apply(now, now, &batch(Table::Targets, false, 8, removal));
+    assert_eq!(ids(&directory), ["b"]);
+}
+
+/// The peer has lost the store as well, and entries have expired since.
+#[test]
+fn removal_is_deferred_by_a_node_whose_peer_has_lost_the_store_too() {
+    let mut directory = directory_with_two_targets();
+    directory.record_store_lost(Millis(1_000), Table::Targets);
+    directory.record_current(Table::Targets, Millis(2_000));
+    directory.record_store_regained(Millis(5_000), Table::Targets);
+    let removal = vec![(8, Entry::NoTarget("a".into()))];
+    let now = Millis(5_001);
+    directory.apply(now, now, &batch(Table::Targets, false, 8, removal));
+    assert_eq!(ids(&directory), ["a", "b"]);
+}
+
 #[test]
 fn removal_of_a_draining_target_is_not_deferred() {
     let mut directory = directory_with_two_targets();
@@ -228,7 +256,7 @@
         Millis(20),
         &batch(Table::Targets, false, 3, leaving),
     );
-    directory.record_store_lost(Table::Targets);
+    directory.record_store_lost(Millis(25), Table::Targets);
     directory.record_store_regained(Millis(30), Table::Targets);
     let removal = vec![(4, Entry::NoTarget("a".into()))];
     directory.apply(
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -117,7 +117,8 @@
             }
             Err(error) => {
                 failures += 1;
-                state.directory.borrow_mut().record_store_lost(table);
+                let now = state.clock.now();
+                state.directory.borrow_mut().record_store_lost(now, table);
                 if failures == 1 {
                     warn!(state.log, "call to the store failed, retrying";
                         "table" => %table, "error" => %error,
