Split the selection of targets: health of a target, and cost of placing a request

Now target_health has back-off, refused connections and Retry-After of one target, placement_cost the weights and sums of a choice, and target_selector (461 lines) the choice itself.

--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -13,44 +13,19 @@
 use crate::directory::Directory;
 use crate::load_table::LoadByTarget;
 use crate::load_table::TargetLoad;
+use crate::placement_cost::COLD_COPY_COST;
+use crate::placement_cost::CROSS_DATA_CENTRE_COPY_COST;
+use crate::placement_cost::CROSS_DATA_CENTRE_COST;
+use crate::placement_cost::JITTER_COST;
+use crate::placement_cost::UNREACHABLE_COST;
+use crate::placement_cost::candidate_cost;
+use crate::placement_cost::candidate_share;
+use crate::placement_cost::cost_if;
+use crate::placement_cost::cross_data_centre_cost;
+use crate::placement_cost::load_cost;
 use crate::reachability::Reachability;
 use crate::target::Target;
-
-/// Time for which a target gets no requests after its first failure; it doubles with each
-/// further one.
-const INITIAL_BACKOFF_MS: Millis = Millis(400);
-/// Maximum back-off.
-const MAX_BACKOFF_MS: Millis = Millis(3_200);
-/// Time over which nodes return to a target that has asked them for no requests.
-const RETURN_SPREAD_MS: Millis = Millis(500);
-/// Weight of unprocessed prompt tokens relative to memory in use, since prompt processing
-/// delays every other stream of the target.
-const PREFILL_WEIGHT: f64 = 5.0;
-/// Cost of a target in another data centre, as a fraction of a target's memory.
-const CROSS_DATA_CENTRE_COST: f64 = 0.25;
-/// Cost of a copy to another data centre, which takes twice as long as one within a data
-/// centre and delays the copies queued behind it.
-const CROSS_DATA_CENTRE_COPY_COST: f64 = 0.5;
-/// Upper bound of a random cost that keeps nodes from all choosing the same target.
-const JITTER_COST: f64 = 0.08;
-/// Expected memory use, as a fraction of a target's memory, above which
-/// [`OVERCOMMIT_COST`] applies.
-const MAX_MEMORY_SHARE: f64 = 1.0;
-/// Cost of a target whose memory is expected to be overcommitted.
-const OVERCOMMIT_COST: f64 = 4.0;
-/// Expected number of candidates that are drawn for a request if the service has more
-/// targets. Nodes learn of each other's choices with a delay of about 100 ms; without the
-/// draw, many nodes would choose the same target of a large service.
-const EXPECTED_CANDIDATES: f64 = 16.0;
-/// Cost of a target that is not drawn as a candidate. It can still be chosen, because all
-/// candidates may be full.
-const NON_CANDIDATE_COST: f64 = 2.0;
-/// Cost of a target that refuses connections of other nodes and runs no requests, or whose
-/// data centre this node does not reach.
-const UNREACHABLE_COST: f64 = 8.0;
-/// Cost of copying to a cold target above its rate limit. The copy is still allowed,
-/// because the generation would otherwise be lost.
-const COLD_COPY_COST: f64 = 16.0;
+use crate::target_health::TargetHealth;
 
 /// Resources that a request needs at a target.
 #[derive(Clone, Debug, Default)]
@@ -92,12 +67,7 @@
 struct TargetState {
     incarnation: Option<Target>,
     own: TargetLoad,
-    failures: u32,
-    backoff_until_ms: Millis,
-    /// Whether its last failure was a refused connection.
-    is_refusing: bool,
-    /// Time until which the target has asked for no requests.
-    deferred_until_ms: Millis,
+    health: TargetHealth,
     cold: cold_limit::SendRate,
 }
 
@@ -145,10 +115,7 @@
                 .as_ref()
                 .is_some_and(|incarnation| incarnation.is_same_incarnation(target));
             if !is_same {
-                state.failures = 0;
-                state.backoff_until_ms = Millis::ZERO;
-                state.is_refusing = false;
-                state.deferred_until_ms = Millis::ZERO;
+                state.health = TargetHealth::default();
             }
             state.incarnation = Some(target.clone());
         }
@@ -179,7 +146,7 @@
         let mut reason = PlacementError::NoneInService;
         let mut is_full = false;
         let mut best: Option<(f64, &Target)> = None;
-        let share = candidate_share(directory, &demand.service);
+        let share = candidate_share(count_targets(directory, &demand.service));
         for (target, read_ms) in directory.targets() {
             if target.service != demand.service || target.is_draining {
                 continue;
@@ -187,11 +154,11 @@
             if directory.is_out(&target.data_centre) {
                 continue;
             }
-            if excluded.contains(&target.id) || self.is_in_backoff(now, &target.id) {
+            if excluded.contains(&target.id) || self.health(&target.id).is_in_backoff(now) {
                 reason = PlacementError::AllFailing;
                 continue;
             }
-            if self.is_deferred(now, &target.id) {
+            if self.health(&target.id).is_deferred(now) {
                 reason = PlacementError::AllDeferred;
                 continue;
             }
@@ -203,16 +170,12 @@
                 is_full = true;
                 continue;
             }
-            let is_candidate = draw() < share;
+            let candidate_cost = candidate_cost(draw(), share);
             let cost = self.cost(configuration, target, demand)
                 + self.unreachable_cost(now, target)
                 + cross_data_centre_cost(target, &self.data_centre, CROSS_DATA_CENTRE_COST)
                 + JITTER_COST * draw()
-                + if is_candidate {
-                    0.0
-                } else {
-                    NON_CANDIDATE_COST
-                };
+                + candidate_cost;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, target));
             }
@@ -244,10 +207,10 @@
                 && !target.is_draining
                 && !directory.is_out(&target.data_centre)
                 && !excluded.contains(&target.id)
-                && !self.is_in_backoff(now, &target.id)
-                && !self.is_deferred(now, &target.id)
+                && !self.health(&target.id).is_in_backoff(now)
+                && !self.health(&target.id).is_deferred(now)
         };
-        let share = candidate_share(directory, &source.service);
+        let share = candidate_share(count_targets(directory, &source.service));
         directory
             .targets()
             .filter(|(target, _)| is_eligible(target))
@@ -260,12 +223,8 @@
                         &source.data_centre,
                         CROSS_DATA_CENTRE_COPY_COST,
                     )
-                    + if is_over_limit { COLD_COPY_COST } else { 0.0 }
-                    + if draw() < share {
-                        0.0
-                    } else {
-                        NON_CANDIDATE_COST
-                    };
+                    + cost_if(is_over_limit, COLD_COPY_COST)
+                    + candidate_cost(draw(), share);
                 (cost + JITTER_COST * draw(), target)
             })
             .min_by(|(a, _), (b, _)| a.total_cmp(b))
@@ -321,9 +280,7 @@
     /// Records a successful response, which ends the target's back-off.
     pub fn record_success(&mut self, id: &str) {
         if let Some(state) = self.states.get_mut(id) {
-            state.failures = 0;
-            state.backoff_until_ms = Millis::ZERO;
-            state.is_refusing = false;
+            state.health.record_success();
         }
     }
 
@@ -332,11 +289,7 @@
     /// The refusal is published to the other nodes, which avoid the target if it runs no
     /// requests: failed targets stay listed and look idle while the store is unavailable.
     pub fn record_refused(&mut self, now: Millis, id: &str) -> Millis {
-        let until_ms = self.record_failure(now, id);
-        if let Some(state) = self.states.get_mut(id) {
-            state.is_refusing = true;
-        }
-        until_ms
+        self.health_mut(id).record_refused(now)
     }
 
     /// Records that a target did not accept a connection in time, and returns the end of its
@@ -354,23 +307,13 @@
 
     /// Records a failed request, and returns the end of the target's back-off.
     pub fn record_failure(&mut self, now: Millis, id: &str) -> Millis {
-        let state = self.states.entry(id.into()).or_default();
-        let backoff_ms = Millis(INITIAL_BACKOFF_MS.0 << state.failures.min(8)).min(MAX_BACKOFF_MS);
-        state.failures += 1;
-        state.is_refusing = false;
-        state.backoff_until_ms = now + backoff_ms;
-        state.backoff_until_ms
+        self.health_mut(id).record_failure(now)
     }
 
     /// Records that a target has refused a request and wants none for `span`, and returns when
     /// this node sends to it again; `draw` is a random number from 0 to 1.
-    ///
-    /// Nodes that were refused together return one after the other.
     pub fn record_retry_after(&mut self, now: Millis, id: &str, span: Millis, draw: f64) -> Millis {
-        let spread_ms = Millis((RETURN_SPREAD_MS.0 as f64 * draw) as u64);
-        let state = self.states.entry(id.into()).or_default();
-        state.deferred_until_ms = state.deferred_until_ms.max(now + span + spread_ms);
-        state.deferred_until_ms
+        self.health_mut(id).record_retry_after(now, span, draw)
     }
 
     /// Returns the time until one of a service's targets, all of which fail or have asked for
@@ -389,13 +332,7 @@
         directory
             .targets()
             .filter(|(target, _)| is_usable(target))
-            .map(|(target, _)| {
-                let state = self.states.get(&target.id);
-                let until_ms = state.map_or(Millis::ZERO, |state| {
-                    state.backoff_until_ms.max(state.deferred_until_ms)
-                });
-                until_ms.since(now)
-            })
+            .map(|(target, _)| self.health(&target.id).available_at_ms().since(now))
             .min()
     }
 
@@ -411,7 +348,7 @@
     /// Returns this node's load by target, and which targets refuse its connections.
     pub fn own_load(&self, now: Millis) -> LoadByTarget {
         let reported = |state: &TargetState| TargetLoad {
-            refusals: u32::from(state.is_refusing && now < state.backoff_until_ms),
+            refusals: u32::from(state.health.is_refusing(now)),
             ..state.own
         };
         self.states
@@ -443,25 +380,21 @@
         self.states.get(id).map_or(0, |state| state.own.running)
     }
 
-    fn is_in_backoff(&self, now: Millis, id: &str) -> bool {
+    /// Returns the health of a target; that of an unknown one is good.
+    fn health(&self, id: &str) -> TargetHealth {
         self.states
             .get(id)
-            .is_some_and(|state| now < state.backoff_until_ms)
+            .map_or_else(TargetHealth::default, |state| state.health)
     }
 
-    /// Returns the cost of a target in a data centre that this node does not reach.
-    fn unreachable_cost(&self, now: Millis, target: &Target) -> f64 {
-        if self.reachability.is_avoided(now, &target.data_centre) {
-            UNREACHABLE_COST
-        } else {
-            0.0
-        }
+    fn health_mut(&mut self, id: &str) -> &mut TargetHealth {
+        &mut self.states.entry(id.into()).or_default().health
     }
 
-    fn is_deferred(&self, now: Millis, id: &str) -> bool {
-        self.states
-            .get(id)
-            .is_some_and(|state| now < state.deferred_until_ms)
+    /// Returns the cost of a target in a data centre that this node does not reach.
+    fn unreachable_cost(&self, now: Millis, target: &Target) -> f64 {
+        let is_avoided = self.reachability.is_avoided(now, &target.data_centre);
+        cost_if(is_avoided, UNREACHABLE_COST)
     }
 
     fn has_room(
@@ -505,26 +438,7 @@
         let service = configuration.services.get(&target.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let load = self.total_load(&target.id);
-        let is_unreachable = load.refusals > 0 && load.running == 0;
-        let unreachable_cost = if is_unreachable {
-            UNREACHABLE_COST
-        } else {
-            0.0
-        };
-        let Some(engine) = engine else {
-            return unreachable_cost + f64::from(load.running) / f64::from(target.slots.max(1));
-        };
-        let memory = f64::from(engine.memory_tokens.max(1));
-        let used = (load.tokens + u64::from(demand.total_tokens)) as f64 / memory;
-        let overcommit_cost = if used > MAX_MEMORY_SHARE {
-            OVERCOMMIT_COST
-        } else {
-            0.0
-        };
-        overcommit_cost
-            + unreachable_cost
-            + used
-            + PREFILL_WEIGHT * load.prompt_tokens as f64 / memory
+        load_cost(&load, engine, target, demand.total_tokens)
     }
 }
 
@@ -539,19 +453,9 @@
     }
 }
 
-/// Returns the probability with which a target of a service is drawn as a candidate; 1 or
-/// more if all are.
-fn candidate_share(directory: &Directory, service: &Name) -> f64 {
+fn count_targets(directory: &Directory, service: &Name) -> usize {
     let targets = directory.targets();
-    let count = targets.filter(|(target, _)| target.service == *service);
-    EXPECTED_CANDIDATES / count.count().max(1) as f64
-}
-
-/// Returns `cost` if a target is in another data centre than `data_centre`, else 0.
-fn cross_data_centre_cost(target: &Target, data_centre: &Name, cost: f64) -> f64 {
-    if target.data_centre == *data_centre {
-        0.0
-    } else {
-        cost
-    }
+    targets
+        .filter(|(target, _)| target.service == *service)
+        .count()
 }
