--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -31,9 +31,9 @@
 /// take about 2 s to list themselves again.
 const RELIST_GRACE_MS: Millis = Millis(2_500);
 
-/// Time without news of the store, through a peer either, in which no entry of a live target
-/// expires: half of the three intervals of 1.2 s after which one does.
-const MAX_UNSEEN_MS: Millis = Millis(1_800);
+/// Time for which neither this node nor a peer may have read the store while no entry of a
+/// live target has expired: half of the three intervals of 1.2 s after which one does.
+const MAX_UNREAD_MS: Millis = Millis(1_800);
 
 /// Position of a change: the store's revision, and this node's own sequence number.
 #[derive(Clone, Copy, Debug, Default)]
@@ -161,7 +161,7 @@
     /// once.
     pub fn record_store_regained(&mut self, now: Millis, table: Table) {
         let lost_at_ms = self.store_lost_at_ms[table as usize].take();
-        let is_outage = |lost_at_ms: Millis| !self.has_followed_store(now, lost_at_ms);
+        let is_outage = |lost_at_ms: Millis| !self.has_peer_read_store(now, lost_at_ms);
         if table == Table::Targets && lost_at_ms.is_some_and(is_outage) {
             let until_ms = (now + RELIST_GRACE_MS).max(self.rewrite_until_ms);
             self.targets.defer_removals(until_ms);
@@ -170,9 +170,9 @@
 
     /// Returns whether a peer has read the targets from the store since this node's own reads
     /// began to fail: then only this node's path has failed, and no entry has expired.
-    fn has_followed_store(&self, now: Millis, lost_at_ms: Millis) -> bool {
+    fn has_peer_read_store(&self, now: Millis, lost_at_ms: Millis) -> bool {
         let current_at_ms = self.current_at_ms(Table::Targets);
-        current_at_ms > lost_at_ms && now.since(current_at_ms) <= MAX_UNSEEN_MS
+        current_at_ms > lost_at_ms && now.since(current_at_ms) <= MAX_UNREAD_MS
     }
 
     /// Records that a table was up to date at `as_of_ms`.
--- a/filbertpaddle-forward/src/freshness.rs
+++ b/filbertpaddle-forward/src/freshness.rs
@@ -1,7 +1,7 @@
 //! Time limits on the way of a change from the store to every node.
 //!
-//! A reader whose path to the store goes silent learns it only when a call times out, and
-//! its followers take the lack of changes for their absence until then. So the limits are
+//! If a reader's path to the store goes silent, only the timeout of a call shows it, and until
+//! then its followers cannot distinguish that from a time without changes. So the limits are
 //! derived from the time within which a change must be in force: even a change that is made
 //! just after the path went silent has to reach the followers in that time.
 
@@ -15,9 +15,9 @@
 /// Time for the followers to be notified that their reader has lost the store, and to read
 /// it themselves.
 pub const HANDOVER_MS: Millis = Millis(500);
-/// Longer ones save few calls, and a connection may go silent without a reset.
+/// Longer long polls save few calls, and a connection may go silent without a reset.
 const MAX_LONG_POLL_MS: Millis = Millis(1_800);
-/// Shorter ones would exhaust the store's rate of calls.
+/// Shorter long polls could exhaust the store's rate of calls.
 const MIN_LONG_POLL_MS: Millis = Millis(200);
 
 /// Time limits for reading the store's tables and for following a node that reads them.
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -162,6 +162,7 @@
     if previous != settings.reloadable {
         info!(state.log, "settings reloaded";
             "grace_ms" => settings.reloadable.grace_ms.0,
+            "apply_ms" => settings.reloadable.apply_ms.0,
             "retry_ratio" => settings.reloadable.retries.ratio,
             "retry_slack" => settings.reloadable.retries.slack,
             "seeds" => settings.reloadable.seeds.len());
