--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod request_metadata;
 pub mod retry_budget;
 pub mod revision;
+pub mod stated_rate;
 pub mod stream_pace;
 pub mod target;
 pub mod target_health;
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -23,6 +23,7 @@
 use crate::placement_cost::cross_data_centre_cost;
 use crate::placement_cost::load_cost;
 use crate::reachability::Reachability;
+use crate::stated_rate::StatedRates;
 use crate::target::Target;
 use crate::target_health::TargetHealth;
 
@@ -83,6 +84,7 @@
     /// Time that the engines of each service take for prompts.
     prefill: IndexMap<Name, PrefillRate>,
     reachability: Reachability,
+    stated_rates: StatedRates,
 }
 
 impl TargetSelector {
@@ -96,6 +98,7 @@
             others: LoadByTarget::new(),
             prefill: IndexMap::new(),
             reachability: Reachability::new(),
+            stated_rates: StatedRates::new(),
         }
     }
 
@@ -120,6 +123,8 @@
         }
         self.states
             .retain(|id, state| state.own.running > 0 || directory.target(id).is_some());
+        self.stated_rates
+            .retain(|id| directory.target(id).is_some());
     }
 
     /// Chooses the target with the lowest cost for a request; `draw` returns random numbers
@@ -317,6 +322,24 @@
         self.health_mut(id).record_retry_after(now, span, draw)
     }
 
+    /// Records the request rate that a target's response states as its limit, or that it
+    /// states none; returns whether that has changed.
+    pub fn record_stated_rate(
+        &mut self,
+        now: Millis,
+        target: &Target,
+        per_sec: Option<f64>,
+    ) -> bool {
+        let incarnation = target.incarnation();
+        self.stated_rates
+            .record_response(now, &incarnation, per_sec)
+    }
+
+    /// Returns the request rate that a target states as its limit, if it states one.
+    pub fn stated_rate(&self, target: &Target) -> Option<f64> {
+        self.stated_rates.per_sec(&target.incarnation())
+    }
+
     /// Returns the time until one of a service's targets, all of which fail or have asked for
     /// no requests, may be sent one; `None` if it has none in service.
     pub fn until_available_ms(
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -294,6 +294,7 @@
             "data_centre" => target.data_centre.as_str(),
             "running" => selector.running(&target.id), "all_running" => load.running,
             "all_tokens" => load.tokens, "all_prompt_tokens" => load.prompt_tokens, "attempt" => progress.sends + 1,
+            "limit_per_sec" => selector.stated_rate(target),
             "remaining_ms" => self.remaining_ms().0, "age_ms" => state.data_age_ms(Table::Targets).0);
         selector.record_sent(now, target, &self.demand);
         progress.connects += 1;
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -77,7 +77,7 @@
 }
 
 /// What a target states about its response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Attempt that the response belongs to.
     pub attempt: Option<Name>,
@@ -91,6 +91,20 @@
     pub is_leaving: bool,
     /// How long the target wants no requests from this node.
     pub retry_after: RetryAfter,
+    /// Rate at which the target takes requests.
+    pub rate_limit: RateLimit,
+}
+
+/// Limit that a target in need states on the requests of all nodes together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateLimit {
+    /// The target states no limit.
+    #[default]
+    Absent,
+    /// The stated limit is no number, or is negative.
+    Invalid,
+    /// Requests per second.
+    PerSec(f64),
 }
 
 /// Time for which a target that refused a request wants none.
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -11,6 +11,7 @@
 
 use crate::connection_pool::Error;
 use crate::platform_api::Call;
+use crate::platform_api::RateLimit;
 use crate::platform_api::ResponseMetadata;
 use crate::platform_api::RetryAfter;
 use crate::state::State;
@@ -35,8 +36,8 @@
     Ok((head, bytes))
 }
 
-/// Decodes the metadata of a target's response, and records whether the target leaves or
-/// wants no requests for a while.
+/// Decodes the metadata of a target's response, and records whether the target leaves, wants
+/// no requests for a while, or states a limit on their rate.
 pub fn record_response(state: &State, target: &Target, head: &Parts) -> ResponseMetadata {
     let metadata = (state.platform.headers.decode_response)(head.status, &head.headers);
     state.selector.borrow_mut().record_response(target);
@@ -49,9 +50,31 @@
     if head.status == StatusCode::SERVICE_UNAVAILABLE {
         record_retry_after(state, target, metadata.retry_after);
     }
+    record_rate_limit(state, target, metadata.rate_limit);
     metadata
 }
 
+fn record_rate_limit(state: &State, target: &Target, rate_limit: RateLimit) {
+    let per_sec = match rate_limit {
+        RateLimit::Absent => None,
+        RateLimit::PerSec(per_sec) => Some(per_sec),
+        RateLimit::Invalid => {
+            warn!(state.log, "target states an invalid rate limit, ignored";
+                "target" => target.id.as_str());
+            return;
+        }
+    };
+    let now = state.clock.now();
+    let mut selector = state.selector.borrow_mut();
+    let previous = selector.stated_rate(target);
+    if selector.record_stated_rate(now, target, per_sec) {
+        info!(state.log, "rate limit of target changed";
+            "target" => target.id.as_str(), "per_sec" => per_sec, "previous" => previous,
+            "source" => "response");
+        state.metrics.count("target.rate_limit_changed");
+    }
+}
+
 fn record_retry_after(state: &State, target: &Target, retry_after: RetryAfter) {
     match retry_after {
         RetryAfter::Absent => {}
