Add failing tests: targets get more than the rate that they state

Three nodes send 110 requests in 4 s to a target that has stated 5 a second to each of them; 35 are allowed. Nodes that have not received the statement themselves send 74, and callers are not refused when no target takes more.

wait_until_registered, which stood in rollback and three more tests, moves to the cluster.

--- a/filbertpaddle/tests/gateway/announcements.rs
+++ b/filbertpaddle/tests/gateway/announcements.rs
@@ -29,10 +29,7 @@
 #[tokio::test]
 async fn a_target_that_says_it_leaves_gets_nothing_from_any_node_whatever_the_store_lists() {
     let mut cluster = Cluster::with_nodes("leaving", 2).await;
-    wait_until("all nodes are registered", async || {
-        cluster.store.nodes().len() == 2
-    })
-    .await;
+    cluster.wait_until_registered().await;
     // The store lists it as ready all the while.
     cluster.target("p1").drain();
     wait_until("its first response says that it leaves", async || {
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -124,6 +124,14 @@
         }
     }
 
+    /// Waits until the store lists all nodes.
+    pub(crate) async fn wait_until_registered(&self) {
+        wait_until("all nodes are registered", async || {
+            self.store.nodes().len() == self.nodes.len()
+        })
+        .await;
+    }
+
     pub(crate) fn target(&self, id: &str) -> &Target {
         let found = self.targets.iter().find(|target| target.options.id == id);
         found.unwrap()
--- a/filbertpaddle/tests/gateway/limits.rs
+++ b/filbertpaddle/tests/gateway/limits.rs
@@ -74,10 +74,7 @@
             .add_target(&format!("p{number}"), "app", "dc-a")
             .await;
     }
-    wait_until("all nodes are registered", async || {
-        cluster.store.nodes().len() == 3
-    })
-    .await;
+    cluster.wait_until_registered().await;
     let crashed = |cluster: &Cluster| {
         let targets = cluster.targets.iter();
         targets.filter_map(Target::crashed_at).count()
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod cut_reader;
 mod limits;
+mod rate_limits;
 mod rollback;
 mod streams;
 
@@ -305,10 +306,7 @@
 #[tokio::test]
 async fn configuration_changes_reach_all_nodes_after_one_is_gone() {
     let mut cluster = Cluster::with_nodes("readers", 3).await;
-    wait_until("all nodes are registered", async || {
-        cluster.store.nodes().len() == 3
-    })
-    .await;
+    cluster.wait_until_registered().await;
     // This node may be the reader, in which case another has to read the store.
     cluster.nodes.remove(0).close().unwrap();
     cluster.store.put_configuration(&configuration(2, "new"));
--- a/filbertpaddle/tests/gateway/rollback.rs
+++ b/filbertpaddle/tests/gateway/rollback.rs
@@ -46,13 +46,6 @@
         }
         target.arrivals() > before
     }
-
-    async fn wait_until_registered(&self) {
-        wait_until("all nodes are registered", async || {
-            self.nodes.len() == self.store.nodes().len()
-        })
-        .await;
-    }
 }
 
 #[tokio::test]
