Divide the request rate that a target states among the nodes

Cause: no node read the statement, so no decision knew of it. Ruled out: nodes that each keep to the rate alone, and responses that lift it too early; the log of the failing test shows the rate at each node and unchanged sends.

Now each node has a token bucket for its equal share of a stated rate. Bursts of all nodes together are bounded by two seconds' requests, so that 4 s carry at most one and a half times the rate; where nodes are more than such a burst, a hash picks those with a share. Requests and copies beyond it go to other targets; if none has any left, the caller is refused at once and told when the next request fits. Nodes pass rates on to each other. A rate ends only by a response to a request that was sent after the last statement came, as responses overtake each other; that end is learned by each node itself, from its share or, without one, in turn.

--- a/filbertpaddle-forward/src/cold_limit.rs
+++ b/filbertpaddle-forward/src/cold_limit.rs
@@ -4,8 +4,8 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use xxhash_rust::xxh3::xxh3_64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::node_rank::NodeRank;
 
 const WINDOW_MS: Millis = Millis::from_secs(1);
 
@@ -18,17 +18,13 @@
 /// requests. A node that is not in `nodes` may send none.
 pub fn node_share(target: &str, per_sec: f64, node: &Name, nodes: &[Name]) -> usize {
     let limit = (per_sec as usize).max(1);
-    if !nodes.contains(node) {
+    let Some(NodeRank { rank, count }) = NodeRank::new(target, node, nodes) else {
         return 0;
+    };
+    if count <= limit {
+        return limit / count;
     }
-    if nodes.len() <= limit {
-        return limit / nodes.len();
-    }
-    let seed = xxh3_64(target.as_bytes());
-    let rank = |name: &Name| xxh3_64_with_seed(name.as_bytes(), seed);
-    let own_rank = rank(node);
-    let lower = nodes.iter().filter(|name| rank(name) < own_rank).count();
-    usize::from(lower < limit)
+    usize::from(rank < limit)
 }
 
 /// Sliding window over the requests that a node has sent to one cold target.
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -23,6 +23,7 @@
 use crate::placement_cost::cross_data_centre_cost;
 use crate::placement_cost::load_cost;
 use crate::reachability::Reachability;
+use crate::stated_rate::RateStatement;
 use crate::stated_rate::StatedRates;
 use crate::target::Target;
 use crate::target_health::TargetHealth;
@@ -54,6 +55,9 @@
     /// The available targets are cold and have reached their rate limit.
     #[error("available targets of the service are cold and at their rate limit")]
     AllCold,
+    /// The available targets have reached the rates that they state as their limits.
+    #[error("available targets of the service have reached the request rates that they state")]
+    AllAtStatedRate,
     /// The available targets have asked this node for no requests for now.
     #[error("available targets of the service want no requests for now")]
     AllDeferred,
@@ -124,7 +128,7 @@
         self.states
             .retain(|id, state| state.own.running > 0 || directory.target(id).is_some());
         self.stated_rates
-            .retain(|id| directory.target(id).is_some());
+            .retain_listed(|id| directory.target(id).is_some());
     }
 
     /// Chooses the target with the lowest cost for a request; `draw` returns random numbers
@@ -170,6 +174,10 @@
                 reason = PlacementError::AllCold;
                 continue;
             }
+            if !self.is_within_stated_rate(now, target) {
+                reason = PlacementError::AllAtStatedRate;
+                continue;
+            }
             if !self.has_room(configuration, target, demand) {
                 is_full = true;
                 continue;
@@ -217,6 +225,7 @@
                 && !self.health(&target.id).is_in_backoff(now)
                 && !self.health(&target.id).is_deferred(now)
                 && self.is_within_cold_limit(now, configuration, target, read_ms)
+                && self.is_within_stated_rate(now, target)
         };
         let share = candidate_share(count_targets(directory, &source.service));
         directory
@@ -242,6 +251,8 @@
         let state = self.states.entry(target.id.clone()).or_default();
         state.own.add(&TargetLoad::from(demand));
         state.cold.record_sent(now);
+        self.stated_rates
+            .record_sent(now, &target.incarnation(), &self.node, &self.nodes);
     }
 
     /// Records that a request's first event came after `waited_ms`, with `ahead_tokens` of
@@ -322,17 +333,22 @@
         self.health_mut(id).record_retry_after(now, span, draw)
     }
 
-    /// Records the request rate that a target's response states as its limit, or that it
-    /// states none; returns whether that has changed.
-    pub fn record_stated_rate(
-        &mut self,
-        now: Millis,
-        target: &Target,
-        per_sec: Option<f64>,
-    ) -> bool {
+    /// Records the request rate that a target's response states as its limit; returns whether
+    /// it has changed.
+    pub fn record_stated_rate(&mut self, statement: &RateStatement) -> bool {
+        self.stated_rates.record_stated(statement)
+    }
+
+    /// Records a request rate that another node has learned; returns whether it has changed.
+    pub fn merge_stated_rate(&mut self, statement: &RateStatement) -> bool {
+        self.stated_rates.merge(statement)
+    }
+
+    /// Records that the response to a request that was sent at `sent_ms` states no rate;
+    /// returns whether that ends a rate.
+    pub fn record_no_stated_rate(&mut self, now: Millis, target: &Target, sent_ms: Millis) -> bool {
         let incarnation = target.incarnation();
-        self.stated_rates
-            .record_response(now, &incarnation, per_sec)
+        self.stated_rates.record_none(now, &incarnation, sent_ms)
     }
 
     /// Returns the request rate that a target states as its limit, if it states one.
@@ -340,8 +356,14 @@
         self.stated_rates.per_sec(&target.incarnation())
     }
 
-    /// Returns the time until one of a service's targets, all of which fail or have asked for
-    /// no requests, may be sent one; `None` if it has none in service.
+    /// Returns the request rates that targets state, as known to this node.
+    pub fn stated_rates(&self) -> &StatedRates {
+        &self.stated_rates
+    }
+
+    /// Returns the time until one of a service's targets, all of which fail, have asked for no
+    /// requests or have reached the rates that they state, may be sent one; `None` if it has
+    /// none in service.
     pub fn until_available_ms(
         &self,
         now: Millis,
@@ -356,7 +378,10 @@
         directory
             .targets()
             .filter(|(target, _)| is_usable(target))
-            .map(|(target, _)| self.health(&target.id).available_at_ms().since(now))
+            .map(|(target, _)| {
+                let available_ms = self.health(&target.id).available_at_ms().since(now);
+                available_ms.max(self.until_stated_rate_ms(now, target))
+            })
             .min()
     }
 
@@ -458,6 +483,18 @@
         state.map_or(share > 0, |state| state.cold.has_capacity(now, share))
     }
 
+    fn is_within_stated_rate(&self, now: Millis, target: &Target) -> bool {
+        let incarnation = target.incarnation();
+        self.stated_rates
+            .has_capacity(now, &incarnation, &self.node, &self.nodes)
+    }
+
+    fn until_stated_rate_ms(&self, now: Millis, target: &Target) -> Millis {
+        let incarnation = target.incarnation();
+        self.stated_rates
+            .until_capacity_ms(now, &incarnation, &self.node, &self.nodes)
+    }
+
     fn cost(&self, configuration: &Configuration, target: &Target, demand: &RequestDemand) -> f64 {
         let service = configuration.services.get(&target.service);
         let engine = service.and_then(|service| service.engine.as_ref());
--- a/filbertpaddle-forward/tests/target_selector.rs
+++ b/filbertpaddle-forward/tests/target_selector.rs
@@ -15,6 +15,7 @@
 use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::load_table::TargetLoad;
 use filbertpaddle_forward::revision::Revision;
+use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
 use filbertpaddle_forward::target_selector::RequestDemand;
@@ -432,3 +433,59 @@
     selector.record_response(&far[2]);
     assert_eq!(chosen(&selector, now), "far");
 }
+
+/// The nearest target states a rate below what its data centre wants.
+#[test]
+fn requests_beyond_a_stated_rate_go_to_other_targets() {
+    let near = target("near", "dc");
+    let directory = directory(&[near.clone(), target("far", "dc-b")]);
+    let mut selector = selector("dc");
+    selector.update_targets(&directory);
+    selector.record_stated_rate(&RateStatement {
+        incarnation: near.incarnation(),
+        per_sec: 2.0,
+        at_ms: Millis::ZERO,
+    });
+    let mut sent = [0, 0];
+    for now in (0..10_000).step_by(50).map(Millis) {
+        let demand = demand(1, 1);
+        let chosen = selector.choose(now, &directory, &demand, &[], || 0.5);
+        let chosen = chosen.unwrap();
+        selector.record_sent(now, chosen, &demand);
+        selector.record_ended(&chosen.id, &demand, false);
+        sent[usize::from(chosen.id != "near")] += 1;
+    }
+    assert!((15..=21).contains(&sent[0]), "{sent:?}");
+    assert_eq!(sent[0] + sent[1], 200);
+}
+
+/// Many generations leave their target at the same moment, and the only other one states a
+/// rate.
+#[test]
+fn generations_that_move_together_respect_a_stated_rate() {
+    let source = target("source", "dc");
+    let other = target("other", "dc");
+    let directory = directory(&[source.clone(), other.clone()]);
+    let mut selector = selector("dc");
+    selector.update_targets(&directory);
+    selector.record_stated_rate(&RateStatement {
+        incarnation: other.incarnation(),
+        per_sec: 3.0,
+        at_ms: Millis::ZERO,
+    });
+    let now = Millis(10_000);
+    let demand = demand(0, 200);
+    let mut copies = 0;
+    for _ in 0..30 {
+        let chosen = selector.choose_copy_target(now, &directory, &source, &demand, &[], || 0.5);
+        if let Some(target) = chosen {
+            selector.record_sent(now, target, &demand);
+            copies += 1;
+        }
+    }
+    assert_eq!(copies, 6);
+    let refused = choose(&selector, &directory, &demand).unwrap();
+    assert_eq!(refused, "source");
+    let until_ms = selector.until_available_ms(now, &directory, "engine");
+    assert_eq!(until_ms, Some(Millis::ZERO));
+}
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -35,6 +35,7 @@
 use crate::reply::Refusal;
 use crate::state::State;
 use crate::target_call;
+use crate::target_call::Sent;
 
 /// Maximum number of connection attempts for one request before it is refused.
 pub const MAX_CONNECT_ATTEMPTS: u32 = 12;
@@ -201,18 +202,22 @@
         } else {
             Reuse::New
         };
-        let sent = self
+        let sent = Sent {
+            attempt: Some(&self.metadata.attempt),
+            at_ms: self.state.clock.now(),
+        };
+        let answered = self
             .state
             .connections
             .send(&target.address, request, reuse)
             .await;
-        let response = sent.map_err(|error| match error {
+        let response = answered.map_err(|error| match error {
             ConnectionError::Refused => Failure::Refused,
             ConnectionError::Unreachable => Failure::Unreachable,
             ConnectionError::NotSent(reason) => Failure::NotSent(reason),
             ConnectionError::Unknown(reason) => Failure::Unknown(reason),
         })?;
-        let metadata = target_call::record_response(&self.state, target, &response.head);
+        let metadata = target_call::record_response(&self.state, target, sent, &response.head);
         self.verify_response(&metadata)?;
         Ok((response, metadata))
     }
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -12,6 +12,7 @@
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::load_table::LoadChanges;
+use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::target::Incarnation;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
@@ -52,6 +53,8 @@
     Suspects(Vec<(u64, CrashRecord)>),
     /// Targets that have announced to some node that they leave.
     Leaving(Vec<Incarnation>),
+    /// Request rates that targets have stated to some node.
+    Rates(Vec<SentRate>),
     /// Changes of a table.
     Table {
         /// Age of the sender's data.
@@ -63,6 +66,17 @@
     Ages(Ages),
 }
 
+/// Request rate that a target states as its limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SentRate {
+    /// Incarnation that states it.
+    pub incarnation: Incarnation,
+    /// Requests per second that it takes from all nodes together.
+    pub per_sec: f64,
+    /// Age of the statement.
+    pub age_ms: Millis,
+}
+
 /// Age and version of a node's data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ages {
@@ -117,6 +131,8 @@
     suspects_published: u64,
     /// Sequence number of the last leaving target that was sent.
     leaving_published: u64,
+    /// Sequence number of the last stated rate that was sent.
+    rates_published: u64,
 }
 
 impl fmt::Debug for PeerLink {
@@ -201,8 +217,7 @@
         &self.published_load
     }
 
-    /// Publishes what changed in `load`, in the suspects and in the leaving targets since the
-    /// last call.
+    /// Publishes what changed in `load` and in what nodes find out since the last call.
     ///
     /// # Errors
     ///
@@ -216,14 +231,15 @@
         self.publish_findings(state).await
     }
 
-    /// Publishes what nodes find out about requests and targets: the suspects and the leaving
-    /// targets that are new since the last call.
+    /// Publishes what nodes find out about requests and targets: the suspects, the stated rates
+    /// and the leaving targets that are new since the last call.
     ///
     /// # Errors
     ///
     /// Returns an error if the link has ended.
     pub async fn publish_findings(&mut self, state: &State) -> Result<(), Error> {
         self.publish_suspects(state).await?;
+        self.publish_rates(state).await?;
         let (sequence, leaving) = {
             let directory = state.directory.borrow();
             let leaving = directory.leaving();
@@ -256,28 +272,61 @@
         Ok(())
     }
 
+    async fn publish_rates(&mut self, state: &State) -> Result<(), Error> {
+        let (sequence, rates) = {
+            let now = state.clock.now();
+            let selector = state.selector.borrow();
+            let stated = selector.stated_rates();
+            let sent = |statement: RateStatement| SentRate {
+                age_ms: now.since(statement.at_ms),
+                incarnation: statement.incarnation,
+                per_sec: statement.per_sec,
+            };
+            let new = stated.stated_after(self.rates_published);
+            (stated.sequence(), new.map(sent).collect::<Vec<_>>())
+        };
+        if !rates.is_empty() {
+            self.send(&Message::Rates(rates)).await?;
+        }
+        self.rates_published = sequence;
+        Ok(())
+    }
+
     fn new(socket: WebSocketStream<TcpStream>) -> Self {
         Self {
             socket,
             published_load: LoadByTarget::new(),
             suspects_published: 0,
             leaving_published: 0,
+            rates_published: 0,
         }
     }
 }
 
-/// Merges suspects and leaving targets received from another node; returns any other message.
+/// Merges suspects, stated rates and leaving targets received from another node; returns any other message.
 pub fn merge_findings(state: &State, message: Message) -> Option<Message> {
     match message {
         Message::Suspects(suspects) => merge_suspects(state, &suspects),
         Message::Leaving(leaving) => leaving
             .iter()
             .for_each(|incarnation| state.mark_target_draining(incarnation, "peer")),
+        Message::Rates(rates) => merge_rates(state, rates),
         other => return Some(other),
     }
     None
 }
 
+fn merge_rates(state: &State, rates: Vec<SentRate>) {
+    let now = state.clock.now();
+    for rate in rates {
+        state.merge_stated_rate(&RateStatement {
+            incarnation: rate.incarnation,
+            per_sec: rate.per_sec,
+            at_ms: Millis(now.0.saturating_sub(rate.age_ms.0)),
+        });
+    }
+}
+
 fn merge_suspects(state: &State, suspects: &[(u64, CrashRecord)]) {
     let now = state.clock.now();
     let mut known = state.suspects.borrow_mut();
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -1,8 +1,8 @@
 //! Publishes this node's data to the nodes that are linked to it.
 //!
-//! Followers receive the store's tables, the list of nodes, the load of all nodes,
-//! the suspects and the leaving targets. Readers receive the load of this node's group, the
-//! suspects and the leaving targets.
+//! Followers receive the store's tables, the list of nodes, the load of all nodes, and the
+//! findings: suspects, stated rates and leaving targets. Readers receive the load of this
+//! node's group and the findings.
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -16,7 +16,9 @@
 use filbertpaddle_forward::freshness::AgeLimits;
 use filbertpaddle_forward::load_table::LoadTable;
 use filbertpaddle_forward::retry_budget::RetryBudget;
+use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::target::Incarnation;
+use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::TargetSelector;
 use indexmap::IndexMap;
 use slog::Logger;
@@ -236,6 +238,41 @@
         }
     }
 
+    /// Records the request rate that a target states as its limit in a response to this node.
+    pub fn record_stated_rate(&self, statement: &RateStatement) {
+        if self.selector.borrow_mut().record_stated_rate(statement) {
+            self.log_stated_rate(&statement.incarnation.id, Some(statement), "response");
+        }
+    }
+
+    /// Records a request rate that another node has learned.
+    pub fn merge_stated_rate(&self, statement: &RateStatement) {
+        if self.selector.borrow_mut().merge_stated_rate(statement) {
+            self.log_stated_rate(&statement.incarnation.id, Some(statement), "peer");
+        }
+    }
+
+    /// Records that the response to a request that was sent at `sent_ms` states no rate.
+    pub fn record_no_stated_rate(&self, target: &Target, sent_ms: Millis) {
+        let now = self.clock.now();
+        let mut selector = self.selector.borrow_mut();
+        let is_ended = selector.record_no_stated_rate(now, target, sent_ms);
+        drop(selector);
+        if is_ended {
+            self.log_stated_rate(&target.id, None, "response");
+        }
+    }
+
+    fn log_stated_rate(&self, target: &str, statement: Option<&RateStatement>, source: &str) {
+        let now = self.clock.now();
+        info!(self.log, "rate limit of target changed";
+            "target" => target, "source" => source,
+            "per_sec" => statement.map(|statement| statement.per_sec),
+            "age_ms" => statement.map(|statement| now.since(statement.at_ms).0),
+            "nodes" => self.nodes.borrow().count());
+        self.metrics.count("target.rate_limit_changed");
+    }
+
     /// Returns the age of this node's data of a table.
     pub fn data_age_ms(&self, table: Table) -> Millis {
         let as_of_ms = self.directory.borrow().current_at_ms(table);
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::target::Target;
 use http::StatusCode;
 use http::response::Parts;
@@ -17,6 +19,15 @@
 use crate::state::State;
 use crate::store_sync::http_request;
 
+/// What was sent to a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Sent<'a> {
+    /// Attempt of the request; `None` for other calls, whose responses name none.
+    pub attempt: Option<&'a str>,
+    /// Time when it was sent.
+    pub at_ms: Millis,
+}
+
 /// Makes a call to a target other than a request and reads the whole response.
 ///
 /// # Errors
@@ -30,15 +41,24 @@
 ) -> Result<(Parts, Bytes), Error> {
     let address = &target.address;
     let request = http_request(address, call);
+    let sent = Sent {
+        attempt: None,
+        at_ms: state.clock.now(),
+    };
     let called = state.connections.call(address, request, time_limit);
     let (head, bytes) = called.await?;
-    record_response(state, target, &head);
+    record_response(state, target, sent, &head);
     Ok((head, bytes))
 }
 
 /// Decodes the metadata of a target's response, and records whether the target leaves, wants
 /// no requests for a while, or states a limit on their rate.
-pub fn record_response(state: &State, target: &Target, head: &Parts) -> ResponseMetadata {
+pub fn record_response(
+    state: &State,
+    target: &Target,
+    sent: Sent<'_>,
+    head: &Parts,
+) -> ResponseMetadata {
     let metadata = (state.platform.headers.decode_response)(head.status, &head.headers);
     state.selector.borrow_mut().record_response(target);
     if metadata.is_other_target {
@@ -50,28 +70,31 @@
     if head.status == StatusCode::SERVICE_UNAVAILABLE {
         record_retry_after(state, target, metadata.retry_after);
     }
-    record_rate_limit(state, target, metadata.rate_limit);
+    record_rate_limit(state, target, sent, &metadata);
     metadata
 }
 
-fn record_rate_limit(state: &State, target: &Target, rate_limit: RateLimit) {
-    let per_sec = match rate_limit {
-        RateLimit::Absent => None,
-        RateLimit::PerSec(per_sec) => Some(per_sec),
+/// Records the rate that a response states, or that it states none. A response to another
+/// attempt may be an old one, and only one to this attempt can end a rate.
+fn record_rate_limit(state: &State, target: &Target, sent: Sent<'_>, metadata: &ResponseMetadata) {
+    let attempt = metadata.attempt.as_deref();
+    let is_own = attempt.is_some() && attempt == sent.attempt;
+    match metadata.rate_limit {
+        _ if attempt.is_some() && !is_own => {}
+        RateLimit::PerSec(per_sec) => {
+            let statement = RateStatement {
+                incarnation: target.incarnation(),
+                per_sec,
+                at_ms: state.clock.now(),
+            };
+            state.record_stated_rate(&statement);
+        }
         RateLimit::Invalid => {
             warn!(state.log, "target states an invalid rate limit, ignored";
                 "target" => target.id.as_str());
-            return;
         }
-    };
-    let now = state.clock.now();
-    let mut selector = state.selector.borrow_mut();
-    let previous = selector.stated_rate(target);
-    if selector.record_stated_rate(now, target, per_sec) {
-        info!(state.log, "rate limit of target changed";
-            "target" => target.id.as_str(), "per_sec" => per_sec, "previous" => previous,
-            "source" => "response");
-        state.metrics.count("target.rate_limit_changed");
+        RateLimit::Absent if is_own => state.record_no_stated_rate(target, sent.at_ms),
+        RateLimit::Absent => {}
     }
 }
 
