Bound what a node buffers of responses without end

What callers would see: a node that fills its memory, which ends all its requests. Cause: a body was read to its end without a limit; only the time limit of the call ended it, 14 s in the test, and 16 such bodies took all that the link carried.

Heads have 64 KiB in place of 400, events of streams 256 KiB in place of 1 MiB, and the end of an event is searched only in new bytes: a megabyte sent byte by byte was searched anew for each. What exceeds a limit counts as sent and possibly run.

--- a/filbertpaddle-forward/src/event_stream.rs
+++ b/filbertpaddle-forward/src/event_stream.rs
@@ -4,7 +4,7 @@
 use bytes::BytesMut;
 
 /// Maximum size of an event. A larger one counts as a failure of the target.
-pub const MAX_EVENT_BYTES: usize = 1 << 20;
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Complete event, byte for byte as received.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,6 +19,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// Number of pending bytes that are known to contain no end of an event.
+    searched: usize,
+    /// Start of the line at which the search goes on.
+    line_start: usize,
 }
 
 /// Error for an event that is larger than [`MAX_EVENT_BYTES`].
@@ -49,8 +53,10 @@
 
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = event_end(&self.pending)?;
+        let end = self.find_event_end()?;
         let bytes = self.pending.split_to(end).freeze();
+        self.searched = 0;
+        self.line_start = 0;
         Some(Event {
             id: event_id(&bytes),
             bytes,
@@ -61,22 +67,24 @@
     pub fn has_partial_event(&self) -> bool {
         !self.pending.is_empty()
     }
-}
 
-/// Returns the index just after the blank line that ends the first event.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line_start > 0 && (line.is_empty() || line == b"\r") {
-            return Some(index + 1);
+    /// Returns the index just after the blank line that ends the first event. Goes on where
+    /// the last search ended, as a faulty target may send a long event byte by byte.
+    fn find_event_end(&mut self) -> Option<usize> {
+        while let Some(byte) = self.pending.get(self.searched) {
+            let index = self.searched;
+            self.searched += 1;
+            if *byte != b'\n' {
+                continue;
+            }
+            let line = &self.pending[self.line_start..index];
+            if self.line_start > 0 && (line.is_empty() || line == b"\r") {
+                return Some(index + 1);
+            }
+            self.line_start = index + 1;
         }
-        line_start = index + 1;
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -78,7 +78,10 @@
         let (response, _) = job.send(target, ResumePoint::default()).await?;
         let mut body = response.body;
         let unknown = |error: crate::connection_pool::Error| Failure::Unknown(error.to_string());
-        let bytes = body.read_to_end().await.map_err(unknown)?;
+        let bytes = body
+            .read_to_end(&job.state.target_buffers)
+            .await
+            .map_err(unknown)?;
         body.recycle(&response.head.headers);
         Ok((response.head, bytes))
     };
--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use http::HeaderMap;
@@ -29,6 +30,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::buffer_limit::BufferLimit;
 use crate::clock::Clock;
 
 /// Far above a round trip between data centres, and short enough to try another target
@@ -45,6 +47,8 @@
 /// Maximum idle time of a reused connection.
 const MAX_IDLE_MS: Millis = Millis::from_secs(4);
 const MAX_IDLE_PER_ADDRESS: usize = 8;
+/// Maximum size of the head of a response, and of what is read of a body at once.
+const MAX_READ_BYTES: usize = 64 << 10;
 
 /// Reason why a request got no response.
 #[derive(Debug, thiserror::Error)]
@@ -151,11 +155,12 @@
         address: &Name,
         request: Request<Full<Bytes>>,
         time_limit: Duration,
+        buffers: &BufferLimit,
     ) -> Result<(http::response::Parts, Bytes), Error> {
         let response = async {
             let response = self.send(address, request, Reuse::Idle).await?;
             let PendingResponse { head, mut body } = response;
-            let bytes = body.read_to_end().await?;
+            let bytes = body.read_to_end(buffers).await?;
             body.recycle(&head.headers);
             Ok((head, bytes))
         };
@@ -259,27 +264,20 @@
         Ok(None)
     }
 
-    /// Reads the rest of the body.
+    /// Reads the rest of the body, within the limit on what is buffered.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Unknown`] if the response breaks off.
-    pub async fn read_to_end(&mut self) -> Result<Bytes, Error> {
-        let Some(first) = self.next().await? else {
-            return Ok(Bytes::new());
-        };
-        let mut all = Vec::new();
+    /// Returns [`Error::Unknown`] if the response breaks off or exceeds the limit.
+    pub async fn read_to_end(&mut self, buffers: &BufferLimit) -> Result<Bytes, Error> {
+        let mut buffered = buffers.start_body();
+        let mut all = BytesMut::new();
         while let Some(more) = self.next().await? {
-            if all.is_empty() {
-                all.extend_from_slice(&first);
-            }
+            let added = buffered.add(more.len());
+            added.map_err(|error| Error::Unknown(error.to_string()))?;
             all.extend_from_slice(&more);
         }
-        Ok(if all.is_empty() {
-            first
-        } else {
-            Bytes::from(all)
-        })
+        Ok(all.freeze())
     }
 
     /// Returns the connection of a fully read body to the pool, unless the response's
@@ -318,7 +316,9 @@
         Err(_) => return Err(Error::Unreachable),
     };
     set_socket_options(&stream).map_err(|error| Error::NotSent(error.to_string()))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| Error::NotSent(describe(&error)))?;
     let driver = tokio::task::spawn_local(async move {
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -305,7 +305,10 @@
         if !response.head.status.is_success() {
             let unknown =
                 |error: crate::connection_pool::Error| Failure::Unknown(error.to_string());
-            let bytes = body.read_to_end().await.map_err(unknown)?;
+            let bytes = body
+                .read_to_end(&self.job.state.target_buffers)
+                .await
+                .map_err(unknown)?;
             let reply = reply::forward(response.head, bytes);
             return Err(OpenError::Stopped(StopReason::Failed(Box::new(reply))));
         }
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -27,6 +27,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::buffer_limit::BufferLimit;
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
 use crate::metrics::Metrics;
@@ -68,6 +69,10 @@
     pub metrics: Metrics,
     /// Connections to targets and the store.
     pub connections: Rc<ConnectionPool>,
+    /// Limit on the buffered responses of targets.
+    pub target_buffers: BufferLimit,
+    /// Limit on the buffered responses of the store.
+    pub store_buffers: BufferLimit,
     /// Configuration, targets and data centres as read from the store.
     pub directory: RefCell<Directory>,
     /// Load and health of targets; selects the target of a request.
@@ -114,6 +119,8 @@
             log,
             metrics: Metrics::new(),
             connections: ConnectionPool::new(clock),
+            target_buffers: BufferLimit::new(),
+            store_buffers: BufferLimit::new(),
             directory: RefCell::new(Directory::new()),
             selector: RefCell::new(selector),
             nodes: RefCell::new(Nodes::new()),
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -314,7 +314,9 @@
     let request = http_request(&address, call);
     state.metrics.count("store.calls");
     let timeout: Duration = duration(timeout);
-    let (head, bytes) = state.connections.call(&address, request, timeout).await?;
+    let buffers = &state.store_buffers;
+    let called = state.connections.call(&address, request, timeout, buffers);
+    let (head, bytes) = called.await?;
     let known_era = state.directory.borrow().era();
     let era = (state.platform.store.decode_era)(&head.headers).unwrap_or(known_era);
     if era < known_era {
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -45,7 +45,9 @@
         attempt: None,
         at_ms: state.clock.now(),
     };
-    let called = state.connections.call(address, request, time_limit);
+    let called = state
+        .connections
+        .call(address, request, time_limit, &state.target_buffers);
     let (head, bytes) = called.await?;
     record_response(state, target, sent, &head);
     Ok((head, bytes))
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod announcements;
 mod cluster;
 mod cut_reader;
+mod endless;
 mod limits;
 mod rate_limits;
 mod rollback;
