Keep a stalled stream at its target if no other can take it

Callers got half a stream: a resumable stream without an event for 0.9 s was closed at its target before another one was chosen; with none to choose, or no retry left in the budget, it ended there.

Now the other target is chosen and its retry taken first; otherwise the stream stays and is looked at again after the same time. The test failed before: incomplete after a pause of 1.5 s of the only engine; now complete, with one run.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -165,7 +165,7 @@
                 WaitOutcome::Item(StreamItem::Broken(reason)) => {
                     source = self.recover(source, &reason).await?;
                 }
-                WaitOutcome::Stalled => source = self.recover(source, "stalled").await?,
+                WaitOutcome::Stalled => source = self.leave_stalled(source).await?,
                 WaitOutcome::Copied(copied) => self.migrator.record_copy_result(&source, copied),
                 WaitOutcome::Switch => source = self.switch_to_copy(source).await?,
                 WaitOutcome::Changed => {}
@@ -239,13 +239,20 @@
 
     /// Places the generation on a target and waits for the first event there.
     async fn open(&mut self) -> Result<TargetStream, StopReason> {
+        let target = self.next_target().await?;
+        self.open_at(target).await
+    }
+
+    /// Chooses a target that may be sent the request.
+    async fn next_target(&mut self) -> Result<Target, StopReason> {
+        let chosen = self.place().await;
+        let sendable = chosen.filter(|_| self.job.may_send(self.progress));
+        sendable.ok_or_else(|| StopReason::Refused(self.job.refusal(self.progress)))
+    }
+
+    /// Waits for the first event at a target, or at others after that one has failed.
+    async fn open_at(&mut self, mut target: Target) -> Result<TargetStream, StopReason> {
         loop {
-            let Some(target) = self.place().await else {
-                return Err(StopReason::Refused(self.job.refusal(self.progress)));
-            };
-            if !self.job.may_send(self.progress) {
-                return Err(StopReason::Refused(self.job.refusal(self.progress)));
-            }
             self.place_on(&target);
             let failure = match self.wait_first_event(&target).await {
                 Ok(source) => return Ok(source),
@@ -257,6 +264,7 @@
             if !self.job.may_retry(self.progress, &failure) {
                 return Err(StopReason::Refused(self.job.refusal(self.progress)));
             }
+            target = self.next_target().await?;
         }
     }
 
@@ -359,12 +367,54 @@
         state.metrics.time("generation.first_event", waited_ms);
     }
 
-    /// Resumes after the stream of `source` has broken off or stalled.
+    /// Resumes at another target after the stream of `source` has stalled. If no other target
+    /// can take it now, the stream stays: it may be slow but sound.
+    async fn leave_stalled(&mut self, source: TargetStream) -> Result<TargetStream, StopReason> {
+        if self.migrator.has_usable_copy() {
+            return self.recover(source, "stalled").await;
+        }
+        let Some(target) = self.choose_replacement(&source.target) else {
+            self.last_activity_ms = self.job.state.clock.now();
+            info!(self.job.state.log, "stream of target stalled, no other can take it now";
+                "id" => self.job.metadata.attempt.as_str(),
+                "target" => source.target.id.as_str(), "last_event" => self.last_event);
+            return Ok(source);
+        };
+        self.record_broken(&source, "stalled");
+        source.close();
+        self.release_placement();
+        self.open_at(target).await
+    }
+
+    /// Chooses a target other than `source` that may be sent the request now, and excludes
+    /// `source` if there is one.
+    fn choose_replacement(&mut self, source: &Target) -> Option<Target> {
+        if !self.may_resend() {
+            return None;
+        }
+        self.progress.excluded_targets.push(source.id.clone());
+        let chosen = self.job.choose_target(self.progress).ok();
+        let sendable = chosen.filter(|_| self.job.may_send(self.progress));
+        if sendable.is_none() {
+            self.progress.excluded_targets.pop();
+        }
+        sendable
+    }
+
+    /// Resumes after the stream of `source` has broken off, or has stalled with a copy made.
     async fn recover(
         &mut self,
         source: TargetStream,
         reason: &str,
     ) -> Result<TargetStream, StopReason> {
+        self.record_broken(&source, reason);
+        if self.migrator.has_usable_copy() {
+            return self.switch_to_copy(source).await;
+        }
+        self.reopen(source).await
+    }
+
+    fn record_broken(&mut self, source: &TargetStream, reason: &str) {
         let state = &self.job.state;
         info!(state.log, "stream of target broke off or stalled";
             "id" => self.job.metadata.attempt.as_str(),
@@ -376,10 +426,6 @@
             .borrow_mut()
             .record_failure(state.clock.now(), &source.target.id);
         crash::record_if_crashed(state, &source.target, self.job.digest);
-        if self.migrator.has_usable_copy() {
-            return self.switch_to_copy(source).await;
-        }
-        self.reopen(source).await
     }
 
     /// Sends the request to another target, to resume after the last event, if the route
--- a/filbertpaddle/tests/gateway/streams.rs
+++ b/filbertpaddle/tests/gateway/streams.rs
@@ -1,8 +1,12 @@
 //! Streams that migrate, resume at another target, are cut off or time out.
 
+use std::time::Duration;
+
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::store::Fault;
+use filbertpaddle_adapter_standins::target::Stall;
 use http::Method;
+use tokio::time::sleep;
 
 use crate::cluster::Cluster;
 use crate::cluster::RESUMABLE_PATH;
@@ -101,3 +105,37 @@
     .await;
     cluster.close();
 }
+
+/// Longer than a stream may stall before it resumes elsewhere, shorter than callers wait.
+const STALL: Duration = Duration::from_millis(1_500);
+
+async fn wait_until_delivered(cluster: &Cluster, attempt: &str) {
+    wait_until("the stream has delivered events", async || {
+        let running = |id| cluster.target(id).running().get(attempt).copied();
+        let engines = cluster.targets.iter().map(|target| &target.options);
+        let mut engines = engines.filter(|options| options.service == "engine");
+        engines.any(|options| running(&options.id) > Some(5))
+    })
+    .await;
+}
+
+/// A sound stream that paused was cut because no other target could take it.
+#[tokio::test]
+async fn a_paused_stream_goes_on_at_its_target_if_no_other_can_take_it() {
+    let mut cluster = Cluster::new("pause").await;
+    cluster.add_target("e1", "engine", "dc-a").await;
+    cluster.add_node("node-0", "dc-a");
+    cluster.wait_until_ready().await;
+    let stream = request("s", Method::POST, RESUMABLE_PATH, Some(400));
+    let pause = async {
+        wait_until_delivered(&cluster, "s").await;
+        cluster.target("e1").set_stall(Stall::Silent);
+        sleep(STALL).await;
+        cluster.target("e1").set_stall(Stall::None);
+    };
+    let (response, ()) = tokio::join!(cluster.send(&stream), pause);
+    assert!(response.is_complete);
+    assert_eq!(response.body, complete_stream("s", 100));
+    assert_eq!(cluster.run_log.runs_of("s").len(), 1);
+    cluster.close();
+}
