--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -222,7 +222,7 @@
 
     async fn deliver(&mut self, event: Event) -> Result<(), StopReason> {
         let now = self.job.state.clock.now();
-        self.last_activity_ms = now;
+        // Comments and repeated events do not show that the target goes on.
         if let Some(id) = event.id {
             match self.last_event {
                 // Repeated by a target that resumed from a copy.
@@ -230,6 +230,7 @@
                 Some(last) if id > last + 1 => return Err(StopReason::Broken),
                 _ => self.last_event = Some(id),
             }
+            self.last_activity_ms = now;
         }
         let goal_ms = self.job.route.gap_goal_ms;
         self.progress.pace.record_event(now, goal_ms);
--- a/filbertpaddle/tests/gateway/streams.rs
+++ b/filbertpaddle/tests/gateway/streams.rs
@@ -139,3 +139,27 @@
     assert_eq!(cluster.run_log.runs_of("s").len(), 1);
     cluster.close();
 }
+
+/// A stalled target that sent a comment now and then kept its streams to the deadline.
+#[tokio::test]
+async fn a_stream_of_comments_alone_counts_as_stalled() {
+    let cluster = Cluster::with_nodes("comments", 1).await;
+    let stream = request("s", Method::POST, RESUMABLE_PATH, Some(400));
+    let stall = async {
+        wait_until_delivered(&cluster, "s").await;
+        cluster.first_target_of("s").set_stall(Stall::Comments);
+        wait_until("it resumes at another target", async || {
+            cluster.run_log.runs_of("s").len() == 2
+        })
+        .await;
+    };
+    let (response, ()) = tokio::join!(cluster.send(&stream), stall);
+    assert!(response.is_complete);
+    let events = String::from_utf8(response.body)
+        .unwrap()
+        .replace(":\n\n", "");
+    assert_eq!(events.as_bytes(), complete_stream("s", 100));
+    let runs = cluster.run_log.runs_of("s");
+    assert_ne!(runs[0].target, runs[1].target);
+    cluster.close();
+}
