--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -193,8 +193,10 @@
             }
         };
         select! {
-            item = source.next() => WaitOutcome::Item(item),
+            // What has arrived goes before the timers: this task may have waited for the caller.
+            biased;
             copied = self.migrator.wait_for_copy() => WaitOutcome::Copied(copied),
+            item = source.next() => WaitOutcome::Item(item),
             _ = self.changes.changed() => WaitOutcome::Changed,
             () = at(due_ms) => WaitOutcome::Changed,
             () = at(stall_ms) => WaitOutcome::Stalled,
@@ -230,11 +232,15 @@
                 Some(last) if id > last + 1 => return Err(StopReason::Broken),
                 _ => self.last_event = Some(id),
             }
-            self.last_activity_ms = now;
         }
         let goal_ms = self.job.route.gap_goal_ms;
         self.progress.pace.record_event(now, goal_ms);
+        let is_progress = event.id.is_some();
         self.writer.send_part(Ok(event.bytes)).await?;
+        if is_progress {
+            // Later than `now` by the time in which the caller did not read.
+            self.last_activity_ms = self.job.state.clock.now();
+        }
         Ok(())
     }
 
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -43,6 +43,10 @@
     /// Starts a store with a configuration, without targets or nodes.
     pub(crate) async fn new(name: &str) -> Self {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        // Logs of former runs would count as this one's.
+        if folder.exists() {
+            std::fs::remove_dir_all(&folder).unwrap();
+        }
         std::fs::create_dir_all(&folder).unwrap();
         let store = Store::start().await.unwrap();
         store.put_configuration(&configuration(1, KEY));
@@ -132,6 +136,11 @@
         .await;
     }
 
+    /// Returns what a node has logged so far.
+    pub(crate) fn log(&self, node: &str) -> String {
+        std::fs::read_to_string(self.folder.join(format!("{node}.log"))).unwrap()
+    }
+
     pub(crate) fn target(&self, id: &str) -> &Target {
         let found = self.targets.iter().find(|target| target.options.id == id);
         found.unwrap()
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod rate_limits;
 mod rollback;
+mod slow_caller;
 mod streams;
 
 use std::net::SocketAddr;
