Answer requests that arrive at a stopping node instead of cutting them

From 2.5 s after the signal to stop, a new connection was closed before its first request was read: it counted as idle. And requests that had arrived on kept connections, but were not read yet when a late node closed idle ones, were discarded with them. An order can be repeated safely only if its caller knows that it was not read.

Now a connection that is accepted while the node stops serves one request, connections are read once more for 20 ms before they are closed as idle, and the node accepts no more and waits for its connections to end before it exits, within the grace period.

Reading before the timer alone did not help (24 of 24 cut): the timer of a paused process fires before its sockets are looked at.

--- a/filbertpaddle-gateway/src/listener.rs
+++ b/filbertpaddle-gateway/src/listener.rs
@@ -1,6 +1,7 @@
 //! Listeners for callers, readiness checks and metrics.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use filbertpaddle_core::clock::Millis;
 use http::Response;
@@ -14,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::clock::duration;
 use crate::connection_pool::set_socket_options;
@@ -26,14 +28,36 @@
 /// How much longer than configured an idle connection is kept, so that a request sent
 /// at the last moment does not cross the close.
 const IDLE_SLACK_MS: Millis = Millis::from_secs(1);
+/// Time for which a connection is read before it is closed as idle. A node that is late may
+/// not have seen yet what has arrived on it.
+const LAST_READ_TIME: Duration = Duration::from_millis(20);
 
-/// Accepts callers' connections; idle ones close once `stopping` is true.
-pub async fn serve(state: Rc<State>, listener: TcpListener, stopping: watch::Receiver<bool>) {
+/// How a node treats callers' connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Connections are kept open between requests.
+    Running,
+    /// Idle connections are closed; a new one serves one request.
+    Draining,
+    /// No connections are accepted any more.
+    Closing,
+}
+
+/// Accepts callers' connections until the node closes.
+pub async fn serve(state: Rc<State>, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
-                let (state, stopping) = (Rc::clone(&state), stopping.clone());
-                tokio::task::spawn_local(handle_connection(state, stream, stopping));
+                let (state, phase) = (Rc::clone(&state), phase.clone());
+                tokio::task::spawn_local(async move {
+                    state.connected.set(state.connected.get() + 1);
+                    handle_connection(&state, stream, phase).await;
+                    state.connected.set(state.connected.get() - 1);
+                });
             }
             Err(error) => {
                 warn!(state.log, "connection from a caller not accepted"; "error" => %error)
@@ -43,31 +67,43 @@
 }
 
 async fn handle_connection(
-    state: Rc<State>,
+    state: &Rc<State>,
     stream: TcpStream,
-    mut stopping: watch::Receiver<bool>,
+    mut phase: watch::Receiver<Phase>,
 ) {
     if let Err(error) = set_socket_options(&stream) {
         debug!(state.log, "socket options not set, closing caller's connection"; "error" => %error);
         return;
     }
-    let idle_ms = idle_timeout_ms(&state);
-    let log = state.log.clone();
-    let service = service_fn(move |request| request::serve(Rc::clone(&state), request));
+    let is_running = *phase.borrow() == Phase::Running;
+    let end = if is_running {
+        Phase::Draining
+    } else {
+        Phase::Closing
+    };
+    let served = Rc::clone(state);
+    let service = service_fn(move |request| request::serve(Rc::clone(&served), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(duration(idle_ms))
+        .header_read_timeout(duration(idle_timeout_ms(state)))
+        .keep_alive(is_running)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let closing = async {
+        // A closed channel means that the node exits.
+        phase.wait_for(|phase| *phase >= end).await.ok();
+        sleep(LAST_READ_TIME).await;
+    };
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
-        _ = stopping.wait_for(|is_stopping| *is_stopping) => {
+        () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
     };
     if let Err(error) = result {
-        debug!(log, "caller's connection ended with an error"; "error" => %error);
+        debug!(state.log, "caller's connection ended with an error"; "error" => %error);
     }
 }
 
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -20,6 +20,7 @@
 
 use crate::drain_detection;
 use crate::listener;
+use crate::listener::Phase;
 use crate::load_exchange;
 use crate::log;
 use crate::peer_follower;
@@ -90,12 +91,12 @@
         "data_centre" => settings.data_centre.as_str(), "callers" => %settings.callers,
         "ready" => %settings.ready, "peers" => %settings.peers,
         "store" => %settings.store, "version" => env!("CARGO_PKG_VERSION"));
-    let (stop, stopping) = watch::channel(false);
+    let (phase, phases) = watch::channel(Phase::Running);
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     spawn(Box::pin(listener::serve(
         Rc::clone(&state),
         callers,
-        stopping,
+        phases,
     )));
     spawn(Box::pin(listener::serve_ready(Rc::clone(&state), ready)));
     spawn(Box::pin(peer_publisher::serve(Rc::clone(&state), peers)));
@@ -143,7 +144,7 @@
             }
         }
     }
-    drain(&state, &stop).await;
+    drain(&state, &phase).await;
     Ok(())
 }
 
@@ -169,8 +170,8 @@
     }
 }
 
-/// Finishes running requests and closes idle connections.
-async fn drain(state: &State, stop: &watch::Sender<bool>) {
+/// Finishes running requests and closes callers' connections.
+async fn drain(state: &State, phase: &watch::Sender<Phase>) {
     let began_ms = state.clock.now();
     let grace_ms = state.reloadable.borrow().grace_ms;
     state.drain.set(Some(Drain { began_ms, grace_ms }));
@@ -180,19 +181,22 @@
     while elapsed_ms() < BALANCER_GRACE_MS.min(grace_ms) {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    stop.send_replace(true);
-    while state.in_flight.get() > 0 && elapsed_ms() + EXIT_MARGIN_MS < grace_ms {
+    phase.send_replace(Phase::Draining);
+    let end_ms = Millis(grace_ms.0.saturating_sub(EXIT_MARGIN_MS.0));
+    while state.in_flight.get() > 0 && elapsed_ms() < end_ms {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    // A request admitted now would be cut off, so further ones are refused unsent. The
-    // wait lets the last response bytes and log lines out.
+    // A request admitted now would be cut off, so further ones are refused unsent.
     state.is_closing.set(true);
+    phase.send_replace(Phase::Closing);
+    // Lets the last response bytes and log lines out.
     sleep(DRAIN_POLL_INTERVAL).await;
-    while state.in_flight.get() > 0 && elapsed_ms() + EXIT_MARGIN_MS < grace_ms {
+    while state.connected.get() > 0 && elapsed_ms() < end_ms {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     info!(state.log, "node stopped";
-        "in_flight" => state.in_flight.get(), "elapsed_ms" => elapsed_ms().0);
+        "in_flight" => state.in_flight.get(), "connected" => state.connected.get(),
+        "elapsed_ms" => elapsed_ms().0);
 }
 
 /// Binds an address and updates it with the port if the system chose one.
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -101,6 +101,8 @@
     pub registration_due: Notify,
     /// Drain of this node, once it has been signalled to stop.
     pub drain: Cell<Option<Drain>>,
+    /// Number of callers' connections.
+    pub connected: Cell<usize>,
     /// Number of requests that are being served.
     pub in_flight: Cell<usize>,
     changes: watch::Sender<u64>,
@@ -136,6 +138,7 @@
             written_ms: Cell::default(),
             registration_due: Notify::new(),
             drain: Cell::default(),
+            connected: Cell::new(0),
             in_flight: Cell::new(0),
             changes: watch::Sender::new(0),
         })
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod rate_limits;
 mod rollback;
 mod slow_caller;
+mod stopping;
 mod streams;
 
 use std::net::SocketAddr;
