Make each call to a target on a connection of its own

Requests were safe: a response names its attempt. The response to a copy request does not, so the handle of one generation's copy could be taken for that of the next, and a generation resume from another's memory; a report could be an old one.

Now such a call takes a new connection and closes it. The test fails with an idle connection, as before: /copy-0 in place of /copy-1.

The bound of the tests of responses without end is now the smallest VM's memory, 88 MB in place of 110; they hold.

--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -110,6 +110,17 @@
     New,
 }
 
+/// How a call is made whose response is read as a whole.
+#[derive(Clone, Copy, Debug)]
+pub struct CallOptions<'a> {
+    /// Limit on the time until the response is complete.
+    pub time_limit: Duration,
+    /// Connections that it may use. One of its own is closed after it.
+    pub reuse: Reuse,
+    /// Limit on what is buffered of the response.
+    pub buffers: &'a BufferLimit,
+}
+
 impl ConnectionPool {
     /// Creates an empty pool.
     pub fn new(clock: Clock) -> Rc<Self> {
@@ -154,14 +165,20 @@
         self: &Rc<Self>,
         address: &Name,
         request: Request<Full<Bytes>>,
-        time_limit: Duration,
-        buffers: &BufferLimit,
+        options: CallOptions<'_>,
     ) -> Result<(http::response::Parts, Bytes), Error> {
+        let CallOptions {
+            time_limit,
+            reuse,
+            buffers,
+        } = options;
         let response = async {
-            let response = self.send(address, request, Reuse::Idle).await?;
+            let response = self.send(address, request, reuse).await?;
             let PendingResponse { head, mut body } = response;
             let bytes = body.read_to_end(buffers).await?;
-            body.recycle(&head.headers);
+            if reuse == Reuse::Idle {
+                body.recycle(&head.headers);
+            }
             Ok((head, bytes))
         };
         let timed_out = || Error::Unknown(format!("no complete response within {time_limit:?}"));
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -21,6 +21,8 @@
 
 use crate::clock::duration;
 use crate::connection_pool;
+use crate::connection_pool::CallOptions;
+use crate::connection_pool::Reuse;
 use crate::nodes::Node;
 use crate::nodes::RENEW_INTERVAL_MS;
 use crate::platform_api::Call;
@@ -313,9 +315,12 @@
     let address: Name = state.settings.store.to_string().into();
     let request = http_request(&address, call);
     state.metrics.count("store.calls");
-    let timeout: Duration = duration(timeout);
-    let buffers = &state.store_buffers;
-    let called = state.connections.call(&address, request, timeout, buffers);
+    let options = CallOptions {
+        time_limit: duration(timeout),
+        reuse: Reuse::Idle,
+        buffers: &state.store_buffers,
+    };
+    let called = state.connections.call(&address, request, options);
     let (head, bytes) = called.await?;
     let known_era = state.directory.borrow().era();
     let era = (state.platform.store.decode_era)(&head.headers).unwrap_or(known_era);
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -11,7 +11,9 @@
 use slog::info;
 use slog::warn;
 
+use crate::connection_pool::CallOptions;
 use crate::connection_pool::Error;
+use crate::connection_pool::Reuse;
 use crate::platform_api::Call;
 use crate::platform_api::RateLimit;
 use crate::platform_api::ResponseMetadata;
@@ -45,9 +47,14 @@
         attempt: None,
         at_ms: state.clock.now(),
     };
-    let called = state
-        .connections
-        .call(address, request, time_limit, &state.target_buffers);
+    let options = CallOptions {
+        time_limit,
+        // Its response does not say which call it belongs to. On a connection in use again,
+        // it could be a second one to an earlier call, such as the handle of another copy.
+        reuse: Reuse::New,
+        buffers: &state.target_buffers,
+    };
+    let called = state.connections.call(address, request, options);
     let (head, bytes) = called.await?;
     record_response(state, target, sent, &head);
     Ok((head, bytes))
--- a/filbertpaddle-gateway/tests/buffer_limit.rs
+++ b/filbertpaddle-gateway/tests/buffer_limit.rs
@@ -4,7 +4,7 @@
 use filbertpaddle_gateway::buffer_limit::ExceededLimit;
 
 const CHUNK_BYTES: usize = 16 << 10;
-/// A share of the memory of the smallest VM of the users' deployments, 110 MB.
+/// A share of the memory of the smallest VM of the users' deployments, 88 MB.
 const MAX_BUFFERED_BYTES: usize = 24 << 20;
 
 #[test]
--- a/filbertpaddle/tests/gateway/endless.rs
+++ b/filbertpaddle/tests/gateway/endless.rs
@@ -20,7 +20,7 @@
 use crate::cluster::request;
 
 /// Memory of the smallest VM of the users' deployments.
-const MAX_MEMORY_KIB: u64 = 110 << 10;
+const MAX_MEMORY_KIB: u64 = 88 << 10;
 /// Time in which a response that cannot be one is given up; the request has 14 s.
 const MAX_WAIT: Duration = Duration::from_secs(6);
 const REQUESTS: usize = 16;
