Let targets of the soak state rates, and check that nodes together keep to them

A third kind of schedule: up to four targets state a rate each, among a quarter of the faults of a mixed one. Each run is assigned to the node that sent it; nodes that have not passed on a response with the statement for half a second, or were disrupted since, are excused, as the users' pages say. The schedules of the other kinds are unchanged.

--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -88,6 +88,7 @@
         Fault::NodeTerminate(node) => cluster.terminate_node(node),
         Fault::NodeReload(node) => reload_settings(cluster, node),
         Fault::KeyRotation => cluster.rotate_key(),
+        Fault::TargetRate(target, tenths) => active.change = state_rate(cluster, target, tenths),
         Fault::DataCentreOut(number) => {
             cluster.begin_outage(number);
             let kind = ChangeKind::DataCentreOut(DATA_CENTRES[number].to_owned());
@@ -121,6 +122,9 @@
         Fault::TargetBehaviour(target, _) => with_running_target(cluster, target, |running| {
             running.target.set_behaviour(Behaviour::Normal);
         }),
+        Fault::TargetRate(target, _) => with_running_target(cluster, target, |running| {
+            running.target.set_rate_limit(None);
+        }),
         Fault::TargetCrash(target) => cluster.restart_target(target).await,
         Fault::TargetDrain(target) => {
             cluster
@@ -168,7 +172,11 @@
         | Fault::TargetDrain(target) => Some(Component::Target(
             cluster.target_hosts[target].options.id.clone(),
         )),
-        Fault::PeerLink(..) | Fault::KeyRotation | Fault::DataCentreOut(_) | Fault::Poison => None,
+        Fault::PeerLink(..)
+        | Fault::KeyRotation
+        | Fault::DataCentreOut(_)
+        | Fault::TargetRate(..)
+        | Fault::Poison => None,
     }
 }
 
@@ -201,6 +209,16 @@
     Some(cluster.history.record_change(kind))
 }
 
+/// Lets a target state a rate; returns the number of the recorded change.
+fn state_rate(cluster: &Cluster, number: usize, tenths_per_sec: u32) -> Option<usize> {
+    let host = &cluster.target_hosts[number];
+    let running = host.running.as_ref()?;
+    let per_sec = f64::from(tenths_per_sec) / 10.0;
+    running.target.set_rate_limit(Some(&per_sec.to_string()));
+    let kind = ChangeKind::RateStated(host.options.id.clone(), tenths_per_sec);
+    Some(cluster.history.record_change(kind))
+}
+
 fn reload_settings(cluster: &Cluster, node: usize) {
     if let Some(running) = &cluster.vms[node].running {
         running.node.process.hang_up().unwrap();
--- a/filbertpaddle/tests/soak/invariants.rs
+++ b/filbertpaddle/tests/soak/invariants.rs
@@ -16,11 +16,12 @@
 use crate::history::Exchange;
 use crate::history::History;
 use crate::history::RequestKind;
+use crate::rate_limits;
 use crate::traffic::PROBE_PREFIX;
 
 // Bounds that the users' deployments require.
 /// Time after a disruption for which its effects are still tolerated.
-const RECOVERY_GRACE: Duration = Duration::from_secs(4);
+pub(crate) const RECOVERY_GRACE: Duration = Duration::from_secs(4);
 /// Time within which a new API key must be in force on all nodes.
 const MAX_CONFIGURATION_DELAY: Duration = Duration::from_secs(2);
 /// Time within which a draining target must stop receiving requests.
@@ -134,6 +135,7 @@
         }
         check_retries(&events, &by_attempt, &mut violations);
         check_cold_targets(&events, runs, &mut violations);
+        rate_limits::check(&events, runs, &sent, &mut violations);
         check_quarantine(runs, &mut violations);
     }
     violations
@@ -272,6 +274,8 @@
         ChangeKind::KeyRotated(_) => MAX_CONFIGURATION_DELAY,
         ChangeKind::DataCentreOut(_) => MAX_DATA_CENTRE_OUT_DELAY,
         ChangeKind::TargetDraining(..) => MAX_DRAIN_DELAY,
+        // Checked over all runs together.
+        ChangeKind::RateStated(..) => return,
     };
     for run in runs {
         let is_later = run.at > change.at + bound && change.to.is_none_or(|to| run.at < to);
@@ -317,6 +321,7 @@
         ChangeKind::DataCentreOut(name) => {
             incarnation.is_some_and(|incarnation| incarnation.data_centre == *name)
         }
+        ChangeKind::RateStated(..) => false,
         ChangeKind::TargetDraining(id, number) => {
             *id == run.target
                 && incarnation.is_some_and(|incarnation| incarnation.number == *number)
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -11,6 +11,7 @@
 mod fault;
 mod history;
 mod invariants;
+mod rate_limits;
 mod schedule;
 mod traffic;
 
@@ -73,6 +74,11 @@
     check_seeds(&[0, 1], &DEFAULT_SIZE, ScheduleKind::StoreCuts).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn invariants_hold_while_targets_state_rates() {
+    check_seeds(&[0, 1], &DEFAULT_SIZE, ScheduleKind::StatedRates).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_for_previously_failed_seeds() {
     for seeds in FAILED.chunks(PARALLEL_RUNS) {
@@ -100,6 +106,7 @@
     for chunk in seeds.chunks(jobs) {
         check_seeds(chunk, &size, ScheduleKind::Mixed).await;
         check_seeds(chunk, &size, ScheduleKind::StoreCuts).await;
+        check_seeds(chunk, &size, ScheduleKind::StatedRates).await;
     }
 }
 
--- a/filbertpaddle/tests/soak/schedule.rs
+++ b/filbertpaddle/tests/soak/schedule.rs
@@ -22,6 +22,10 @@
 ];
 /// Time between the starts of two cuts of nodes from the store.
 const STORE_CUT_INTERVAL_MS: usize = 4_000;
+/// Time between the starts of two statements of rates.
+const RATE_INTERVAL_MS: usize = 3_000;
+/// Time for which a target states a rate: two windows of its bound and the time before it.
+const RATE_TIME_MS: Millis = Millis::from_secs(11);
 /// Time from the start of a node's cut from the store to the key rotation in it.
 const ROTATION_DELAY_MS: Millis = Millis(100);
 /// Time from the key rotation before a node's cut from the store to the cut.
@@ -84,6 +88,9 @@
     KeyRotation,
     /// A data centre is taken out of service.
     DataCentreOut(usize),
+    /// A target states the rate, in tenths of requests per second, that it takes from all
+    /// nodes together.
+    TargetRate(usize, u32),
 }
 
 /// A fault with its start and end.
@@ -105,6 +112,8 @@
     /// One node after another loses the store, and nothing happens that would excuse the
     /// other nodes.
     StoreCuts,
+    /// Targets state the rates that they take, among other faults.
+    StatedRates,
 }
 
 impl ScheduleKind {
@@ -114,6 +123,7 @@
         let mut faults = match self {
             Self::Mixed => mixed(seed, size),
             Self::StoreCuts => store_cuts(seed, size),
+            Self::StatedRates => stated_rates(seed, size),
         };
         let rotations = rotations_during_cuts(&faults);
         faults.extend(rotations);
@@ -158,6 +168,28 @@
         .collect()
 }
 
+/// Returns statements of rates, up to four of which overlap at different targets, and a
+/// quarter of the faults of a mixed schedule.
+fn stated_rates(seed: u64, size: &Size) -> Vec<ScheduledFault> {
+    let others = Size {
+        faults: size.faults / 4,
+        ..*size
+    };
+    let mut faults = mixed(seed, &others);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let first = rng.random_range(0..2 * size.targets);
+    let starts = (500..500 + size.span_ms.0).step_by(RATE_INTERVAL_MS);
+    for (index, start_ms) in starts.enumerate() {
+        let target = (first + index) % (2 * size.targets);
+        faults.push(ScheduledFault {
+            start_ms: Millis(start_ms),
+            end_ms: Millis(start_ms) + RATE_TIME_MS,
+            fault: Fault::TargetRate(target, rng.random_range(5..80)),
+        });
+    }
+    faults
+}
+
 /// Returns two key rotations for each node that loses the store. After the one before the
 /// cut, it waits for the next change; the others must apply the one in the cut in time.
 fn rotations_during_cuts(faults: &[ScheduledFault]) -> Vec<ScheduledFault> {
