Split the reasons of a stop and the demand of a request from the files that had grown large

The choice of a target and that of a copy's target check availability by the same function now, which stood twice.

--- a/filbertpaddle-forward/src/admission.rs
+++ b/filbertpaddle-forward/src/admission.rs
@@ -13,7 +13,7 @@
 use crate::configuration::Engine;
 use crate::load_table::TargetLoad;
 use crate::migration::TOKEN_MS;
-use crate::target_selector::RequestDemand;
+use crate::request_demand::RequestDemand;
 
 /// Output tokens up to which a generation is brief: it returns its memory in about a second.
 const BRIEF_OUTPUT_TOKENS: u32 = 64;
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod node_rank;
 pub mod placement_cost;
 pub mod reachability;
+pub mod request_demand;
 pub mod request_metadata;
 pub mod retry_budget;
 pub mod revision;
--- /dev/null
+++ b/filbertpaddle-forward/src/request_demand.rs
@@ -0,0 +1,33 @@
+//! Demand of a request on its target.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+
+use crate::admission::Claim;
+use crate::load_table::TargetLoad;
+
+/// Resources that a request needs at a target.
+#[derive(Clone, Debug, Default)]
+pub struct RequestDemand {
+    /// Service that runs the request.
+    pub service: Name,
+    /// Prompt tokens that are processed before the first output.
+    pub prompt_tokens: u32,
+    /// Memory, in tokens, that the request is expected to need when it ends.
+    pub total_tokens: u32,
+    /// Claim on the targets' memory.
+    pub claim: Claim,
+    /// How long prompts, its own included, may take before its first output.
+    pub max_prefill_ms: Millis,
+}
+
+impl From<&RequestDemand> for TargetLoad {
+    fn from(demand: &RequestDemand) -> Self {
+        Self {
+            running: 1,
+            refusals: 0,
+            tokens: u64::from(demand.total_tokens),
+            prompt_tokens: u64::from(demand.prompt_tokens),
+        }
+    }
+}
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -6,7 +6,6 @@
 use indexmap::IndexMap;
 
 use crate::admission;
-use crate::admission::Claim;
 use crate::admission::PrefillRate;
 use crate::cold_limit;
 use crate::configuration::Configuration;
@@ -23,26 +22,11 @@
 use crate::placement_cost::cross_data_centre_cost;
 use crate::placement_cost::load_cost;
 use crate::reachability::Reachability;
-use crate::stated_rate::RateStatement;
+use crate::request_demand::RequestDemand;
 use crate::stated_rate::StatedRates;
 use crate::target::Target;
 use crate::target_health::TargetHealth;
 
-/// Resources that a request needs at a target.
-#[derive(Clone, Debug, Default)]
-pub struct RequestDemand {
-    /// Service that runs the request.
-    pub service: Name,
-    /// Prompt tokens that are processed before the first output.
-    pub prompt_tokens: u32,
-    /// Memory, in tokens, that the request is expected to need when it ends.
-    pub total_tokens: u32,
-    /// Claim on the targets' memory.
-    pub claim: Claim,
-    /// How long prompts, its own included, may take before its first output.
-    pub max_prefill_ms: Millis,
-}
-
 /// Reason why no target can be given a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum PlacementError {
@@ -162,20 +146,9 @@
             if directory.is_out(&target.data_centre) {
                 continue;
             }
-            if excluded.contains(&target.id) || self.health(&target.id).is_in_backoff(now) {
-                reason = PlacementError::AllFailing;
-                continue;
-            }
-            if self.health(&target.id).is_deferred(now) {
-                reason = PlacementError::AllDeferred;
-                continue;
-            }
-            if !self.is_within_cold_limit(now, configuration, target, read_ms) {
-                reason = PlacementError::AllCold;
-                continue;
-            }
-            if !self.is_within_stated_rate(now, target) {
-                reason = PlacementError::AllAtStatedRate;
+            if let Err(error) = self.check_available(now, configuration, target, read_ms, excluded)
+            {
+                reason = error;
                 continue;
             }
             if !self.has_room(configuration, target, demand) {
@@ -221,11 +194,9 @@
                 && target.id != source.id
                 && !target.is_draining
                 && !directory.is_out(&target.data_centre)
-                && !excluded.contains(&target.id)
-                && !self.health(&target.id).is_in_backoff(now)
-                && !self.health(&target.id).is_deferred(now)
-                && self.is_within_cold_limit(now, configuration, target, read_ms)
-                && self.is_within_stated_rate(now, target)
+                && self
+                    .check_available(now, configuration, target, read_ms, excluded)
+                    .is_ok()
         };
         let share = candidate_share(count_targets(directory, &source.service));
         directory
@@ -333,34 +304,16 @@
         self.health_mut(id).record_retry_after(now, span, draw)
     }
 
-    /// Records the request rate that a target's response states as its limit; returns whether
-    /// it has changed.
-    pub fn record_stated_rate(&mut self, statement: &RateStatement) -> bool {
-        self.stated_rates.record_stated(statement)
-    }
-
-    /// Records a request rate that another node has learned; returns whether it has changed.
-    pub fn merge_stated_rate(&mut self, statement: &RateStatement) -> bool {
-        self.stated_rates.merge(statement)
-    }
-
-    /// Records that the response to a request that was sent at `sent_ms` states no rate;
-    /// returns whether that ends a rate.
-    pub fn record_no_stated_rate(&mut self, now: Millis, target: &Target, sent_ms: Millis) -> bool {
-        let incarnation = target.incarnation();
-        self.stated_rates.record_none(now, &incarnation, sent_ms)
-    }
-
-    /// Returns the request rate that a target states as its limit, if it states one.
-    pub fn stated_rate(&self, target: &Target) -> Option<f64> {
-        self.stated_rates.per_sec(&target.incarnation())
-    }
-
     /// Returns the request rates that targets state, as known to this node.
     pub fn stated_rates(&self) -> &StatedRates {
         &self.stated_rates
     }
 
+    /// Returns the request rates that targets state, to record statements.
+    pub fn stated_rates_mut(&mut self) -> &mut StatedRates {
+        &mut self.stated_rates
+    }
+
     /// Returns the time until one of a service's targets, all of which fail, have asked for no
     /// requests or have reached the rates that they state, may be sent one; `None` if it has
     /// none in service.
@@ -440,6 +393,31 @@
         &mut self.states.entry(id.into()).or_default().health
     }
 
+    /// Checks that a target in service may be sent a request now.
+    fn check_available(
+        &self,
+        now: Millis,
+        configuration: &Configuration,
+        target: &Target,
+        read_ms: Millis,
+        excluded: &[Name],
+    ) -> Result<(), PlacementError> {
+        let health = self.health(&target.id);
+        if excluded.contains(&target.id) || health.is_in_backoff(now) {
+            return Err(PlacementError::AllFailing);
+        }
+        if health.is_deferred(now) {
+            return Err(PlacementError::AllDeferred);
+        }
+        if !self.is_within_cold_limit(now, configuration, target, read_ms) {
+            return Err(PlacementError::AllCold);
+        }
+        if !self.is_within_stated_rate(now, target) {
+            return Err(PlacementError::AllAtStatedRate);
+        }
+        Ok(())
+    }
+
     /// Returns the cost of a target in a data centre that this node does not reach.
     fn unreachable_cost(&self, now: Millis, target: &Target) -> f64 {
         let is_avoided = self.reachability.is_avoided(now, &target.data_centre);
@@ -503,17 +481,6 @@
     }
 }
 
-impl From<&RequestDemand> for TargetLoad {
-    fn from(demand: &RequestDemand) -> Self {
-        Self {
-            running: 1,
-            refusals: 0,
-            tokens: u64::from(demand.total_tokens),
-            prompt_tokens: u64::from(demand.prompt_tokens),
-        }
-    }
-}
-
 fn count_targets(directory: &Directory, service: &Name) -> usize {
     let targets = directory.targets();
     targets
--- a/filbertpaddle-forward/tests/target_selector.rs
+++ b/filbertpaddle-forward/tests/target_selector.rs
@@ -14,11 +14,11 @@
 use filbertpaddle_forward::directory::Directory;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::load_table::TargetLoad;
+use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::revision::Revision;
 use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
-use filbertpaddle_forward::target_selector::RequestDemand;
 use filbertpaddle_forward::target_selector::TargetSelector;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -441,7 +441,7 @@
     let directory = directory(&[near.clone(), target("far", "dc-b")]);
     let mut selector = selector("dc");
     selector.update_targets(&directory);
-    selector.record_stated_rate(&RateStatement {
+    selector.stated_rates_mut().record_stated(&RateStatement {
         incarnation: near.incarnation(),
         per_sec: 2.0,
         at_ms: Millis::ZERO,
@@ -468,7 +468,7 @@
     let directory = directory(&[source.clone(), other.clone()]);
     let mut selector = selector("dc");
     selector.update_targets(&directory);
-    selector.record_stated_rate(&RateStatement {
+    selector.stated_rates_mut().record_stated(&RateStatement {
         incarnation: other.incarnation(),
         per_sec: 3.0,
         at_ms: Millis::ZERO,
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -30,10 +30,9 @@
 use crate::migrator::Migrator;
 use crate::platform_api::CopySource;
 use crate::reply;
-use crate::reply::Refusal;
-use crate::reply::Reply;
-use crate::response_writer::CallerGone;
 use crate::response_writer::ResponseWriter;
+use crate::stop_reason::OpenError;
+use crate::stop_reason::StopReason;
 use crate::target_stream::StreamItem;
 use crate::target_stream::TargetStream;
 
@@ -50,27 +49,6 @@
 /// request goes to another target.
 const FIRST_EVENT_GOAL_FACTOR: u64 = 2;
 
-/// Reason why a generation ended before it was complete.
-#[derive(Debug)]
-pub enum StopReason {
-    /// A target answered with an error status, which is forwarded.
-    Failed(Box<Reply>),
-    /// The node refuses the request.
-    Refused(Refusal),
-    /// The stream broke off and could not be resumed.
-    Broken,
-    /// The deadline has passed.
-    TimedOut,
-    /// The caller closed its connection.
-    CallerGone,
-}
-
-impl std::convert::From<CallerGone> for StopReason {
-    fn from(_: CallerGone) -> Self {
-        Self::CallerGone
-    }
-}
-
 /// Outcome of waiting in the main loop.
 enum WaitOutcome {
     Item(StreamItem),
@@ -514,15 +492,3 @@
         selector.record_ended(&placement.target.id, &self.job.demand, placement.is_started);
     }
 }
-
-/// Reason why a stream did not start.
-enum OpenError {
-    Failed(Failure),
-    Stopped(StopReason),
-}
-
-impl std::convert::From<Failure> for OpenError {
-    fn from(failure: Failure) -> Self {
-        Self::Failed(failure)
-    }
-}
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -11,11 +11,11 @@
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::load_table::TargetLoad;
+use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::stream_pace::StreamPace;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
-use filbertpaddle_forward::target_selector::RequestDemand;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -299,7 +299,7 @@
             "data_centre" => target.data_centre.as_str(),
             "running" => selector.running(&target.id), "all_running" => load.running,
             "all_tokens" => load.tokens, "all_prompt_tokens" => load.prompt_tokens, "attempt" => progress.sends + 1,
-            "limit_per_sec" => selector.stated_rate(target),
+            "limit_per_sec" => selector.stated_rates().per_sec(&target.incarnation()),
             "remaining_ms" => self.remaining_ms().0, "age_ms" => state.data_age_ms(Table::Targets).0);
         selector.record_sent(now, target, &self.demand);
         progress.connects += 1;
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod response_writer;
 pub mod settings;
 pub mod state;
+pub mod stop_reason;
 pub mod store_sync;
 pub mod target_call;
 pub mod target_stream;
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -11,8 +11,8 @@
 use filbertpaddle_forward::migration::Copy;
 use filbertpaddle_forward::migration::Migration;
 use filbertpaddle_forward::migration::Step;
+use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::target::Target;
-use filbertpaddle_forward::target_selector::RequestDemand;
 use slog::info;
 
 use crate::job::Job;
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -14,8 +14,8 @@
 use filbertpaddle_forward::configuration::Customer;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::drain;
+use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
-use filbertpaddle_forward::target_selector::RequestDemand;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -32,7 +32,6 @@
 use crate::buffered;
 use crate::clock::duration;
 use crate::generation;
-use crate::generation::StopReason;
 use crate::job::Job;
 use crate::job::Progress;
 use crate::reply;
@@ -40,6 +39,7 @@
 use crate::reply::Reply;
 use crate::response_writer::ResponseWriter;
 use crate::state::State;
+use crate::stop_reason::StopReason;
 
 /// Time limit for receiving a body if the caller states no deadline.
 const BODY_TIMEOUT_MS: Millis = Millis::from_secs(10);
@@ -323,7 +323,7 @@
         }
         Err(StopReason::CallerGone) => log_end(job, &progress, "caller_gone", 0),
         Err(stop) if is_started => {
-            log_end(job, &progress, stop_reason_name(&stop), 200);
+            log_end(job, &progress, stop.name(), 200);
             writer.abort();
         }
         Err(StopReason::Failed(reply)) => {
@@ -352,15 +352,6 @@
     suspects.record_answer(job.state.clock.now(), job.digest);
 }
 
-fn stop_reason_name(stop: &StopReason) -> &'static str {
-    match stop {
-        StopReason::Failed(_) => "failed",
-        StopReason::Refused(_) | StopReason::Broken => "broken",
-        StopReason::TimedOut => "timed_out",
-        StopReason::CallerGone => "caller_gone",
-    }
-}
-
 fn log_end(job: &Job, progress: &Progress, outcome: &str, status: u16) {
     let state = &job.state;
     let elapsed_ms = state.clock.now().since(job.received_ms);
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -250,14 +250,20 @@
 
     /// Records the request rate that a target states as its limit in a response to this node.
     pub fn record_stated_rate(&self, statement: &RateStatement) {
-        if self.selector.borrow_mut().record_stated_rate(statement) {
+        let mut selector = self.selector.borrow_mut();
+        let is_changed = selector.stated_rates_mut().record_stated(statement);
+        drop(selector);
+        if is_changed {
             self.log_stated_rate(&statement.incarnation.id, Some(statement), "response");
         }
     }
 
     /// Records a request rate that another node has learned.
     pub fn merge_stated_rate(&self, statement: &RateStatement) {
-        if self.selector.borrow_mut().merge_stated_rate(statement) {
+        let mut selector = self.selector.borrow_mut();
+        let is_changed = selector.stated_rates_mut().merge(statement);
+        drop(selector);
+        if is_changed {
             self.log_stated_rate(&statement.incarnation.id, Some(statement), "peer");
         }
     }
@@ -265,8 +271,10 @@
     /// Records that the response to a request that was sent at `sent_ms` states no rate.
     pub fn record_no_stated_rate(&self, target: &Target, sent_ms: Millis) {
         let now = self.clock.now();
+        let incarnation = target.incarnation();
         let mut selector = self.selector.borrow_mut();
-        let is_ended = selector.record_no_stated_rate(now, target, sent_ms);
+        let rates = selector.stated_rates_mut();
+        let is_ended = rates.record_none(now, &incarnation, sent_ms);
         drop(selector);
         if is_ended {
             self.log_stated_rate(&target.id, None, "response");
