Let only tokens count as progress of an engine's stream

In the project's own interface, a stalled engine that sent a byte now and then kept its streams for good: the time limit started anew with each chunk (from the operators' list of what went wrong elsewhere). It runs from the last token now. The test failed before: no end within 10 s at a limit of 0.4 s.

--- a/filbertpaddle-target/src/stream.rs
+++ b/filbertpaddle-target/src/stream.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use filbertpaddle_core::name::Name;
 use reqwest::Response;
+use tokio::time::Instant;
 
 use crate::error::Error;
 use crate::error::UnknownOutcome;
@@ -53,6 +54,8 @@
     next_index: u32,
     buffer: BytesMut,
     idle_timeout: Duration,
+    /// Time of the last token, or of the start of the stream.
+    last_token: Instant,
     ended: bool,
 }
 
@@ -79,6 +82,7 @@
             next_index: from,
             buffer: BytesMut::new(),
             idle_timeout,
+            last_token: Instant::now(),
             ended: false,
         }
     }
@@ -94,7 +98,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection is lost, nothing arrives within the time limit, a
+    /// Returns an error if the connection is lost, no token arrives within the time limit, a
     /// token is missing or a line is malformed. The attempt can then be resumed.
     pub async fn next(&mut self) -> Result<Option<Received>, Error> {
         if self.ended {
@@ -122,6 +126,7 @@
             EventBody::Token { .. } if index < self.next_index => Ok(Received::Repeated { index }),
             EventBody::Token { text } => {
                 self.next_index += 1;
+                self.last_token = Instant::now();
                 Ok(Received::Token { index, text })
             }
             EventBody::End { .. } if index < self.next_index => Err(Error::Unknown(
@@ -151,7 +156,9 @@
     }
 
     async fn read_chunk(&mut self) -> Result<(), Error> {
-        let chunk = tokio::time::timeout(self.idle_timeout, self.response.chunk()).await;
+        // Bytes that complete no token do not show that the target goes on.
+        let due = self.last_token + self.idle_timeout;
+        let chunk = tokio::time::timeout_at(due, self.response.chunk()).await;
         let chunk = chunk.map_err(|_| Error::Unknown(UnknownOutcome::Timeout))??;
         match chunk {
             Some(chunk) => self.buffer.extend_from_slice(&chunk),
