Take a refusal as proof only if it names the attempt, and bound answers that are read whole

A refusal did not say which attempt it refuses. A second one to an earlier attempt, late on a connection that is in use again, proved that the next attempt had not run; a request that may run once was then sent to another target while the first could run it. Refusals carry the attempt or order now; one without it, or with another, proves nothing. And an answer without end was read into memory until the time limit of the call, 30 s; answers have 8 MiB and refusals 64 KiB now.

refusal_of_an_earlier_attempt_proves_nothing failed before (not started: leaving). The test of the endless answer was not run on the former code, which would have filled the memory.

--- a/filbertpaddle-standins/src/engine_http.rs
+++ b/filbertpaddle-standins/src/engine_http.rs
@@ -134,28 +134,29 @@
 fn submit(submit: Submit, state: SharedState) -> Response {
     match state.submit(&submit) {
         Ok(subscription) => stream(state, submit.attempt, 0, subscription),
-        Err(cause) => refuse(cause),
+        Err(cause) => refuse(submit.attempt, cause),
     }
 }
 
 fn resume(attempt: String, query: ResumeQuery, state: SharedState) -> Response {
+    let attempt = Name::new(attempt);
     match state.subscribe(&attempt) {
-        Some(subscription) => stream(state, Name::new(attempt), query.from, subscription),
-        None => refuse(RefusalCause::UnknownAttempt),
+        Some(subscription) => stream(state, attempt, query.from, subscription),
+        None => refuse(attempt, RefusalCause::UnknownAttempt),
     }
 }
 
 fn cancel(attempt: String, state: SharedState) -> Response {
     match state.cancel(&attempt) {
         Ok(()) => StatusCode::NO_CONTENT.into_response(),
-        Err(cause) => refuse(cause),
+        Err(cause) => refuse(Name::new(attempt), cause),
     }
 }
 
 fn order(order: Order, state: SharedState) -> Response {
     match state.order(&order) {
         Ok(state) => json(&OrderAnswer { state }),
-        Err(cause) => refuse(cause),
+        Err(cause) => refuse(order.id, cause),
     }
 }
 
@@ -166,13 +167,13 @@
     warp::reply::json(value).into_response()
 }
 
-fn refuse(cause: RefusalCause) -> Response {
+fn refuse(id: Name, cause: RefusalCause) -> Response {
     let status = match cause {
         RefusalCause::UnknownAttempt => StatusCode::NOT_FOUND,
         RefusalCause::Leaving | RefusalCause::NotLoaded => StatusCode::SERVICE_UNAVAILABLE,
         RefusalCause::StaleFence | RefusalCause::DuplicateAttempt => StatusCode::CONFLICT,
     };
-    let body = warp::reply::json(&Refusal { cause });
+    let body = warp::reply::json(&Refusal { id, cause });
     warp::reply::with_status(body, status).into_response()
 }
 
--- a/filbertpaddle-target/src/client.rs
+++ b/filbertpaddle-target/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use reqwest::RequestBuilder;
@@ -22,6 +23,11 @@
 use crate::protocol::Submit;
 use crate::stream::Tokens;
 
+/// Maximum size of an answer that is read as a whole.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Maximum size of the body of a refusal.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+
 /// Time limits of a client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -31,7 +37,7 @@
     pub answer_timeout_ms: Millis,
     /// Time limit for the answer of a plain service.
     pub call_timeout_ms: Millis,
-    /// Maximum time between two chunks of a token stream.
+    /// Maximum time between two tokens of a stream.
     pub idle_timeout_ms: Millis,
 }
 
@@ -105,7 +111,8 @@
     pub async fn cancel(&self, address: SocketAddr, attempt: &Name) -> Result<(), Error> {
         let path = format!("generations/{attempt}");
         let request = self.http.delete(url(address, &path));
-        self.send(request, self.settings.answer_timeout_ms).await?;
+        let timeout_ms = self.settings.answer_timeout_ms;
+        self.send(request, attempt, timeout_ms).await?;
         Ok(())
     }
 
@@ -116,9 +123,9 @@
     /// Returns [`Error::NotStarted`] only if the request provably had no effect.
     pub async fn call(&self, address: SocketAddr, submit: &Submit) -> Result<CallAnswer, Error> {
         let request = self.http.post(url(address, "calls")).json(submit);
-        let answer: CallAnswer = self
-            .request_json(request, self.settings.call_timeout_ms)
-            .await?;
+        let timeout_ms = self.settings.call_timeout_ms;
+        let called = self.request_json(request, &submit.attempt, timeout_ms);
+        let answer: CallAnswer = called.await?;
         if answer.attempt != submit.attempt {
             return Err(Error::Unknown(UnknownOutcome::OtherAttempt(answer.attempt)));
         }
@@ -160,8 +167,8 @@
     /// Returns [`Error::NotStarted`] only if the request provably had no effect.
     pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderAnswer, Error> {
         let request = self.http.post(url(address, "orders")).json(order);
-        self.request_json(request, self.settings.answer_timeout_ms)
-            .await
+        let timeout_ms = self.settings.answer_timeout_ms;
+        self.request_json(request, &order.id, timeout_ms).await
     }
 
     async fn get_json<T>(&self, address: SocketAddr, path: &str) -> Result<T, Error>
@@ -169,7 +176,9 @@
         T: DeserializeOwned,
     {
         let request = self.http.get(url(address, path));
-        self.request_json(request, self.settings.answer_timeout_ms)
+        let timeout_ms = self.settings.answer_timeout_ms;
+        // A read is never refused.
+        self.request_json(request, &Name::default(), timeout_ms)
             .await
     }
 
@@ -179,18 +188,26 @@
         attempt: Name,
         from: u32,
     ) -> Result<Tokens, Error> {
-        let response = self.send(request, self.settings.answer_timeout_ms).await?;
+        let timeout_ms = self.settings.answer_timeout_ms;
+        let response = self.send(request, &attempt, timeout_ms).await?;
         let idle_timeout = duration(self.settings.idle_timeout_ms);
         Ok(Tokens::new(response, attempt, from, idle_timeout))
     }
 
-    async fn request_json<T>(&self, request: RequestBuilder, timeout_ms: Millis) -> Result<T, Error>
+    /// Sends the request of an attempt or order and decodes the answer.
+    async fn request_json<T>(
+        &self,
+        request: RequestBuilder,
+        id: &Name,
+        timeout_ms: Millis,
+    ) -> Result<T, Error>
     where
         T: DeserializeOwned,
     {
         let answer = async {
-            let response = self.send(request, timeout_ms).await?;
-            Ok(response.json().await?)
+            let response = self.send(request, id, timeout_ms).await?;
+            let body = read_body(response, MAX_ANSWER_BYTES).await?;
+            serde_json::from_slice(&body).map_err(|error| malformed(&error.to_string()))
         };
         match tokio::time::timeout(duration(timeout_ms), answer).await {
             Ok(answer) => answer,
@@ -198,30 +215,58 @@
         }
     }
 
-    async fn send(&self, request: RequestBuilder, timeout_ms: Millis) -> Result<Response, Error> {
+    async fn send(
+        &self,
+        request: RequestBuilder,
+        id: &Name,
+        timeout_ms: Millis,
+    ) -> Result<Response, Error> {
         let sent = tokio::time::timeout(duration(timeout_ms), request.send()).await;
         let response = sent.map_err(|_| Error::Unknown(UnknownOutcome::Timeout))??;
         match response.status() {
             status if status.is_success() => Ok(response),
             StatusCode::CONFLICT | StatusCode::SERVICE_UNAVAILABLE | StatusCode::NOT_FOUND => {
-                Err(self.read_refusal(response).await)
+                Err(self.read_refusal(response, id).await)
             }
             status => Err(Error::Unknown(UnknownOutcome::Status(status.as_u16()))),
         }
     }
 
-    /// Reads the body of a refusal. Only a well-formed one proves that the request did not run.
-    async fn read_refusal(&self, response: Response) -> Error {
+    /// Reads the body of a refusal. Only a well-formed one that names the attempt or order
+    /// proves that it did not run.
+    async fn read_refusal(&self, response: Response, id: &Name) -> Error {
         let status = response.status().as_u16();
         let timeout = duration(self.settings.answer_timeout_ms);
-        match tokio::time::timeout(timeout, response.json::<Refusal>()).await {
-            Ok(Ok(refusal)) => refusal.cause.into(),
-            Ok(Err(_)) => Error::Unknown(UnknownOutcome::Status(status)),
-            Err(_) => Error::Unknown(UnknownOutcome::Timeout),
+        let body = match tokio::time::timeout(timeout, read_body(response, MAX_REFUSAL_BYTES)).await
+        {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => return error,
+            Err(_) => return Error::Unknown(UnknownOutcome::Timeout),
+        };
+        match serde_json::from_slice::<Refusal>(&body) {
+            Ok(refusal) if refusal.id == *id => refusal.cause.into(),
+            Ok(refusal) => Error::Unknown(UnknownOutcome::OtherAttempt(refusal.id)),
+            Err(_) => Error::Unknown(UnknownOutcome::Status(status)),
         }
     }
 }
 
+/// Reads a body up to a maximum size: a faulty target may send without end.
+async fn read_body(mut response: Response, max_bytes: usize) -> Result<BytesMut, Error> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = response.chunk().await? {
+        if body.len() + chunk.len() > max_bytes {
+            return Err(malformed(&format!("larger than {max_bytes} bytes")));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
+fn malformed(reason: &str) -> Error {
+    Error::Unknown(UnknownOutcome::Malformed(reason.to_owned()))
+}
+
 fn url(address: SocketAddr, path: &str) -> String {
     format!("http://{address}/v1/{path}")
 }
--- a/filbertpaddle-target/src/error.rs
+++ b/filbertpaddle-target/src/error.rs
@@ -42,8 +42,8 @@
     /// The answer could not be decoded.
     #[error("cannot decode the answer: {0}")]
     Malformed(String),
-    /// The answer belongs to another attempt and was discarded.
-    #[error("answer belongs to another attempt, {0}")]
+    /// The answer belongs to another attempt or order and was discarded.
+    #[error("answer belongs to another attempt or order, `{0}`")]
     OtherAttempt(Name),
     /// The attempt ID was used before with another body.
     #[error("attempt ID already used with another body")]
--- a/filbertpaddle-target/src/protocol.rs
+++ b/filbertpaddle-target/src/protocol.rs
@@ -84,6 +84,10 @@
 /// 404, 409 or 503.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
+    /// Attempt or order that was refused. A refusal without it proves nothing: it may be a late
+    /// second answer to an earlier request.
+    #[serde(default)]
+    pub id: Name,
     /// Cause of the refusal.
     pub cause: RefusalCause,
 }
