Bound the messages about stated rates by links, not by targets

Each stated rate was passed on once a second on every link. If an overload lets all targets of the target size (12,000) state one, that is about a megabyte a second at each node, against 16 KB for all control. Refreshes go out every 4 s now, well before a statement is stale at 10 s, and a link carries five statements in 50 ms at most, in order, so that none is left out. A node that has not heard of a rate learns it from its first request.

By calculation, not measured.

--- a/filbertpaddle-forward/src/stated_rate.rs
+++ b/filbertpaddle-forward/src/stated_rate.rs
@@ -16,17 +16,17 @@
 use crate::token_bucket::FillRate;
 use crate::token_bucket::TokenBucket;
 
-/// Time whose requests all nodes together may send at once. Half of it stays below the
-/// overshoot that targets tolerate, and a request at least falls to each sharing node.
+/// Time whose requests all nodes together may send at once. Over four seconds, it adds half of
+/// the rate, which is the overshoot that targets tolerate.
 const BURST_SECS: f64 = 2.0;
-/// Age of a statement at which it is passed on once more.
-const REFRESH_MS: Millis = Millis::from_secs(1);
+/// Age of a statement at which it is passed on once more, well before it is stale.
+const REFRESH_MS: Millis = Millis::from_secs(4);
 /// Difference in time from which a peer's statement is later than the known one. Its age is
 /// known only up to the delay of the links on its way.
 const MIN_LATER_MS: Millis = Millis(500);
 /// Age of a statement from which nodes without a share may ask again with one request each.
 const STALE_MS: Millis = Millis::from_secs(10);
-/// Time from the turn of one node to ask again to that of the next.
+/// Time between the turns of two nodes to ask again.
 const TURN_MS: Millis = Millis::from_secs(1);
 
 /// A target's statement about its rate.
@@ -40,6 +40,15 @@
     pub at_ms: Millis,
 }
 
+/// A statement to pass on to other nodes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NumberedStatement {
+    /// Number of the statement at this node.
+    pub sequence: u64,
+    /// The statement.
+    pub statement: RateStatement,
+}
+
 /// What is known about the rate of one target.
 #[derive(Clone, Debug)]
 struct Entry {
@@ -187,23 +196,15 @@
         self.entries.retain(|id, _| is_listed(id));
     }
 
-    /// Returns the sequence number of the last statement, for [`Self::stated_after`].
-    pub fn sequence(&self) -> u64 {
-        self.sequence
-    }
-
-    /// Returns the statements to pass on that were recorded after the one with number
-    /// `sequence`; all of them if it is 0.
-    pub fn stated_after(&self, sequence: u64) -> impl Iterator<Item = RateStatement> {
+    /// Returns the first `max` statements to pass on after the one with number `sequence`,
+    /// in the order of their numbers; from the first one on if it is 0.
+    pub fn stated_after(&self, sequence: u64, max: usize) -> Vec<NumberedStatement> {
         let later = self.entries.values();
-        let later = later.filter(move |entry| entry.sequence > sequence);
-        later.filter_map(|entry| {
-            Some(RateStatement {
-                incarnation: entry.incarnation.clone(),
-                per_sec: entry.per_sec?,
-                at_ms: entry.at_ms,
-            })
-        })
+        let later = later.filter(|entry| entry.sequence > sequence);
+        let mut stated: Vec<_> = later.filter_map(Entry::to_statement).collect();
+        stated.sort_unstable_by_key(|statement| statement.sequence);
+        stated.truncate(max);
+        stated
     }
 
     fn entry(&self, incarnation: &Incarnation) -> Option<&Entry> {
@@ -237,6 +238,18 @@
 }
 
 impl Entry {
+    /// Returns the statement to pass on, if the rate has not ended.
+    fn to_statement(&self) -> Option<NumberedStatement> {
+        Some(NumberedStatement {
+            sequence: self.sequence,
+            statement: RateStatement {
+                incarnation: self.incarnation.clone(),
+                per_sec: self.per_sec?,
+                at_ms: self.at_ms,
+            },
+        })
+    }
+
     /// Returns whether a node that has no token may send one request, because nobody has
     /// received a statement for long.
     fn may_ask_again(&self, now: Millis, NodeRank { rank, count }: NodeRank) -> bool {
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -34,6 +34,10 @@
 /// Interval at which changed load and suspects are published.
 pub const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Maximum number of stated rates published at a time: 100 a second on a link, about 10 KB,
+/// however many targets state one. Further ones follow.
+const MAX_PUBLISHED_RATES: usize = 5;
+
 /// A message between nodes, encoded as CBOR.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -273,23 +277,22 @@
     }
 
     async fn publish_rates(&mut self, state: &State) -> Result<(), Error> {
-        let (sequence, rates) = {
-            let now = state.clock.now();
+        let now = state.clock.now();
+        let stated = {
             let selector = state.selector.borrow();
-            let stated = selector.stated_rates();
-            let sent = |statement: RateStatement| SentRate {
-                age_ms: now.since(statement.at_ms),
-                incarnation: statement.incarnation,
-                per_sec: statement.per_sec,
-            };
-            let new = stated.stated_after(self.rates_published);
-            (stated.sequence(), new.map(sent).collect::<Vec<_>>())
+            let rates = selector.stated_rates();
+            rates.stated_after(self.rates_published, MAX_PUBLISHED_RATES)
         };
-        if !rates.is_empty() {
-            self.send(&Message::Rates(rates)).await?;
-        }
-        self.rates_published = sequence;
-        Ok(())
+        let Some(last) = stated.last() else {
+            return Ok(());
+        };
+        self.rates_published = last.sequence;
+        let rates = stated.into_iter().map(|numbered| SentRate {
+            age_ms: now.since(numbered.statement.at_ms),
+            incarnation: numbered.statement.incarnation,
+            per_sec: numbered.statement.per_sec,
+        });
+        self.send(&Message::Rates(rates.collect())).await
     }
 
     fn new(socket: WebSocketStream<TcpStream>) -> Self {
