Keep the platform's headers out of the tests of responses without end and slow callers

Cause: both tests wrote the platform's headers and entries themselves, each with a target of raw bytes of its own.

--- a/filbertpaddle/tests/gateway/endless.rs
+++ b/filbertpaddle/tests/gateway/endless.rs
@@ -1,17 +1,13 @@
 //! Targets that send bytes without end until their connection is closed.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use filbertpaddle_adapter_standins::caller;
+use filbertpaddle_adapter_standins::raw_target::RawTarget;
+use filbertpaddle_adapter_standins::raw_target::start_of_head;
 use http::Method;
-use serde_json::json;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::cluster::Cluster;
@@ -24,39 +20,7 @@
 /// Time in which a response that cannot be one is given up; the request has 14 s.
 const MAX_WAIT: Duration = Duration::from_secs(6);
 const REQUESTS: usize = 16;
-/// Bytes that are sent at full speed, to bound the memory of a node that has no limit.
-const FAST_BYTES: usize = 32 << 20;
-const SLOW_PAUSE: Duration = Duration::from_millis(50);
-
-const SUCCESS: &str =
-    "HTTP/1.1 200 OK\r\nFilbertpaddle-Attempt-Id: a\r\nFilbertpaddle-Response-Seal: s\r\n";
-
-/// Sends `start` and then `more` over and over.
-async fn send_without_end(mut stream: TcpStream, start: String, more: String) {
-    let mut request = [0; 4_096];
-    let mut sent = 0;
-    if stream.read(&mut request).await.is_err() || stream.write_all(start.as_bytes()).await.is_err()
-    {
-        return;
-    }
-    while stream.write_all(more.as_bytes()).await.is_ok() {
-        sent += more.len();
-        if sent > FAST_BYTES {
-            sleep(SLOW_PAUSE).await;
-        }
-    }
-}
-
-async fn start_endless_target(start: String, more: String) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(send_without_end(stream, start.clone(), more.clone()));
-        }
-    });
-    address
-}
+const ATTEMPT: &str = "a";
 
 /// Returns the largest amount of memory that a process has used.
 fn peak_memory_kib(process: u32) -> u64 {
@@ -73,7 +37,7 @@
     let mut callers = JoinSet::new();
     for _ in 0..REQUESTS {
         callers.spawn(async move {
-            let sent = request("a", Method::POST, path, tokens);
+            let sent = request(ATTEMPT, Method::POST, path, tokens);
             let answer = timeout(MAX_WAIT, caller::send(node, &sent)).await;
             answer.ok().map(|answer| answer.code())
         });
@@ -83,12 +47,11 @@
 
 async fn check_endless(name: &str, path: &'static str, start: String, more: String) {
     let mut cluster = Cluster::new(name).await;
-    let address = start_endless_target(start, more).await;
+    let more = Bytes::from(more);
+    let target = RawTarget::start(start, move |_| Some(more.clone())).await;
+    let target = target.unwrap();
     let service = if path == STREAM_PATH { "engine" } else { "app" };
-    let entry = json!({
-        "service": service, "address": address.to_string(), "zone": "dc-a", "version": "v1",
-        "slots": 24, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1,
-    });
+    let entry = target.entry(service, "dc-a");
     cluster.store.put_target("endless", &entry);
     cluster.add_node("node-0", "dc-a");
     cluster.wait_until_ready().await;
@@ -106,9 +69,10 @@
 #[tokio::test]
 async fn body_without_end_is_given_up_within_the_memory_of_a_small_vm() {
     let chunk = format!("{:x}\r\n{}\r\n", 1 << 16, "x".repeat(1 << 16));
-    let chunked = format!("{SUCCESS}Transfer-Encoding: chunked\r\n\r\n");
+    let head = start_of_head(ATTEMPT);
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
     check_endless("endless-chunks", WRITE_PATH, chunked, chunk).await;
-    let unframed = format!("{SUCCESS}Connection: close\r\n\r\n");
+    let unframed = format!("{head}Connection: close\r\n\r\n");
     let bytes = "x".repeat(1 << 16);
     check_endless("endless-body", WRITE_PATH, unframed, bytes).await;
 }
@@ -116,14 +80,15 @@
 #[tokio::test]
 async fn head_without_end_is_given_up_within_the_memory_of_a_small_vm() {
     let field = format!("X-Filler: {}\r\n", "x".repeat(1 << 10));
-    check_endless("endless-head", WRITE_PATH, SUCCESS.to_owned(), field).await;
+    check_endless("endless-head", WRITE_PATH, start_of_head(ATTEMPT), field).await;
     let name = "x".repeat(1 << 16);
-    check_endless("endless-field", WRITE_PATH, SUCCESS.to_owned(), name).await;
+    check_endless("endless-field", WRITE_PATH, start_of_head(ATTEMPT), name).await;
 }
 
 #[tokio::test]
 async fn event_without_end_is_given_up_within_the_memory_of_a_small_vm() {
-    let start = format!("{SUCCESS}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ");
+    let head = start_of_head(ATTEMPT);
+    let start = format!("{head}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ");
     let bytes = "x".repeat(1 << 12);
     check_endless("endless-event", STREAM_PATH, start, bytes).await;
 }
