Update stated rates in one place, and reword comments that read oddly

Cause: three methods of the node's state repeated how a changed rate is logged, and a match arm stood for an early return. Conclusion: one function holds the update and its log.

--- a/filbertpaddle-forward/src/stated_rate.rs
+++ b/filbertpaddle-forward/src/stated_rate.rs
@@ -1,8 +1,8 @@
 //! Request rates that targets state as their limit, and this node's share of each.
 //!
 //! A target in need states in its responses how many requests a second it takes from all
-//! nodes together. The rate holds until a response of the target comes without one. Nodes
-//! tell each other the rates but not their ends: each learns those from its own requests.
+//! nodes together. The rate holds until a response of the target comes without one. Rates are
+//! passed on between nodes; the end of a rate is not, each node finds it by its own requests.
 //!
 //! Load pattern: the target's nearest nodes alone send it several times what it takes, while
 //! others send little. The rate is divided equally; what is left over goes to other targets.
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -17,6 +17,7 @@
 use filbertpaddle_forward::load_table::LoadTable;
 use filbertpaddle_forward::retry_budget::RetryBudget;
 use filbertpaddle_forward::stated_rate::RateStatement;
+use filbertpaddle_forward::stated_rate::StatedRates;
 use filbertpaddle_forward::target::Incarnation;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::TargetSelector;
@@ -250,34 +251,39 @@
 
     /// Records the request rate that a target states as its limit in a response to this node.
     pub fn record_stated_rate(&self, statement: &RateStatement) {
-        let mut selector = self.selector.borrow_mut();
-        let is_changed = selector.stated_rates_mut().record_stated(statement);
-        drop(selector);
-        if is_changed {
-            self.log_stated_rate(&statement.incarnation.id, Some(statement), "response");
-        }
+        let id = &statement.incarnation.id;
+        let record = |rates: &mut StatedRates| rates.record_stated(statement);
+        self.update_stated_rates(id, Some(statement), "response", record);
     }
 
     /// Records a request rate that another node has learned.
     pub fn merge_stated_rate(&self, statement: &RateStatement) {
-        let mut selector = self.selector.borrow_mut();
-        let is_changed = selector.stated_rates_mut().merge(statement);
-        drop(selector);
-        if is_changed {
-            self.log_stated_rate(&statement.incarnation.id, Some(statement), "peer");
-        }
+        let id = &statement.incarnation.id;
+        let merge = |rates: &mut StatedRates| rates.merge(statement);
+        self.update_stated_rates(id, Some(statement), "peer", merge);
     }
 
     /// Records that the response to a request that was sent at `sent_ms` states no rate.
     pub fn record_no_stated_rate(&self, target: &Target, sent_ms: Millis) {
         let now = self.clock.now();
         let incarnation = target.incarnation();
-        let mut selector = self.selector.borrow_mut();
-        let rates = selector.stated_rates_mut();
-        let is_ended = rates.record_none(now, &incarnation, sent_ms);
-        drop(selector);
-        if is_ended {
-            self.log_stated_rate(&target.id, None, "response");
+        let end = |rates: &mut StatedRates| rates.record_none(now, &incarnation, sent_ms);
+        self.update_stated_rates(&target.id, None, "response", end);
+    }
+
+    /// Calls `update`, and logs the rate that it has changed for a target.
+    fn update_stated_rates<F>(
+        &self,
+        target: &str,
+        statement: Option<&RateStatement>,
+        source: &str,
+        update: F,
+    ) where
+        F: FnOnce(&mut StatedRates) -> bool,
+    {
+        let is_changed = update(self.selector.borrow_mut().stated_rates_mut());
+        if is_changed {
+            self.log_stated_rate(target, statement, source);
         }
     }
 
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -49,8 +49,8 @@
     };
     let options = CallOptions {
         time_limit,
-        // Its response does not say which call it belongs to. On a connection in use again,
-        // it could be a second one to an earlier call, such as the handle of another copy.
+        // Responses carry no ID of their call. On a reused connection, a late second response
+        // to an earlier call would be taken for this one's, such as the handle of another copy.
         reuse: Reuse::New,
         buffers: &state.target_buffers,
     };
@@ -88,8 +88,10 @@
 fn record_rate_limit(state: &State, target: &Target, sent: Sent<'_>, metadata: &ResponseMetadata) {
     let attempt = metadata.attempt.as_deref();
     let is_own = attempt.is_some() && attempt == sent.attempt;
+    if attempt.is_some() && !is_own {
+        return;
+    }
     match metadata.rate_limit {
-        _ if attempt.is_some() && !is_own => {}
         RateLimit::PerSec(per_sec) => {
             let statement = RateStatement {
                 incarnation: target.incarnation(),
