Log the parts of a prompt, and how crash suspects become known and are cleared

Cause: the logs of a crash name a digest of the request only; they cannot tell whether requests that crash targets have something in common, whether nodes learn of each other's suspects, or what clears one.

Change: prompt parts in the lines of admission and of crash suspects; lines for suspects that are cleared or updated by another node. No decision changes.

--- a/filbertpaddle-forward/src/request_metadata.rs
+++ b/filbertpaddle-forward/src/request_metadata.rs
@@ -18,6 +18,13 @@
     pub last_event: Option<u64>,
 }
 
+impl RequestMetadata {
+    /// Returns the IDs of the first parts of a generation's prompt, for logs.
+    pub fn part_ids(&self) -> Option<String> {
+        self.generation.as_ref().map(GenerationSize::part_ids)
+    }
+}
+
 /// Size of a generation, as stated by its caller.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct GenerationSize {
@@ -31,7 +38,17 @@
     pub prompt_parts: Vec<(Name, u32)>,
 }
 
+/// Number of prompt parts that a log line names.
+const LOGGED_PARTS: usize = 8;
+
 impl GenerationSize {
+    /// Returns the IDs of the first parts of the prompt, for logs.
+    pub fn part_ids(&self) -> String {
+        let ids = self.prompt_parts.iter().take(LOGGED_PARTS);
+        let ids: Vec<&str> = ids.map(|(id, _)| id.as_str()).collect();
+        ids.join(",")
+    }
+
     /// Returns the expected number of output tokens: the caller's estimate, if there is one,
     /// and at most the maximum.
     pub fn expected_output_tokens(&self) -> u32 {
--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::job::Job;
 use crate::state::State;
 
 /// Delay between a broken connection and the check of its target. A crashed target
@@ -20,8 +21,10 @@
 
 /// Records a request as a crash suspect after its connection broke, if the target is
 /// down and is not listed as draining.
-pub fn record_if_crashed(state: &Rc<State>, target: &Target, digest: u64) {
-    let (state, target) = (Rc::clone(state), target.clone());
+pub fn record_if_crashed(job: &Job, target: &Target) {
+    let (state, target) = (Rc::clone(&job.state), target.clone());
+    let (attempt, digest) = (job.metadata.attempt.clone(), job.digest);
+    let parts = job.metadata.part_ids();
     tokio::task::spawn_local(async move {
         sleep(CHECK_DELAY).await;
         if is_listed_as_draining(&state, &target) || is_up(&target).await {
@@ -32,7 +35,8 @@
         let mut suspects = state.suspects.borrow_mut();
         suspects.record_crash(now, digest, crash);
         info!(state.log, "request recorded as crash suspect: its target went down";
-            "digest" => digest, "target" => target.id.as_str(),
+            "id" => attempt.as_str(), "digest" => digest, "prompt_parts" => parts,
+            "target" => target.id.as_str(),
             "crashes" => suspects.uncleared_crashes(digest));
     });
 }
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -410,7 +410,7 @@
             .selector
             .borrow_mut()
             .record_failure(state.clock.now(), &source.target.id);
-        crash::record_if_crashed(state, &source.target, self.job.digest);
+        crash::record_if_crashed(self.job, &source.target);
     }
 
     /// Sends the request to another target, to resume after the last event, if the route
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -343,7 +343,7 @@
                 progress.sends += 1;
                 progress.may_have_run = true;
                 backoff_until_ms = state.selector.borrow_mut().record_failure(now, &target.id);
-                crash::record_if_crashed(state, target, self.digest);
+                crash::record_if_crashed(self, target);
             }
         }
         state.metrics.count("send.failed");
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -18,6 +18,7 @@
 use futures_util::StreamExt;
 use serde::Deserialize;
 use serde::Serialize;
+use slog::info;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
@@ -334,6 +335,12 @@
     let now = state.clock.now();
     let mut known = state.suspects.borrow_mut();
     for (digest, record) in suspects {
+        let crashes = known.uncleared_crashes(*digest);
         known.merge(now, *digest, record);
+        let merged = known.uncleared_crashes(*digest);
+        if merged != crashes {
+            info!(state.log, "crash suspect updated by another node";
+                "digest" => digest, "crashes" => merged, "former_crashes" => crashes);
+        }
     }
 }
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -192,6 +192,7 @@
         "kind" => %job.route.kind, "customer" => job.customer.as_deref(),
         "service" => job.demand.service.as_str(), "priority" => job.priority,
         "tokens" => job.demand.total_tokens,
+        "prompt_parts" => job.metadata.part_ids(),
         "deadline_ms" => job.metadata.deadline_ms.map(|span| span.0),
         "configuration" => version,
         "configuration_age_ms" => job.state.data_age_ms(Table::Operator).0,
@@ -348,8 +349,15 @@
 
 /// Clears a request from the crash suspects after it was completed.
 fn clear_suspect(job: &Job) {
-    let mut suspects = job.state.suspects.borrow_mut();
-    suspects.record_answer(job.state.clock.now(), job.digest);
+    let state = &job.state;
+    let mut suspects = state.suspects.borrow_mut();
+    let crashes = suspects.uncleared_crashes(job.digest);
+    suspects.record_answer(state.clock.now(), job.digest);
+    if crashes > 0 {
+        info!(state.log, "request cleared of crashes: it was completed";
+            "id" => job.metadata.attempt.as_str(), "digest" => job.digest,
+            "prompt_parts" => job.metadata.part_ids(), "crashes" => crashes);
+    }
 }
 
 fn log_end(job: &Job, progress: &Progress, outcome: &str, status: u16) {
