Add failing tests: requests that share a part of their prompt crash target after target

Cause: none mended here. The stand-in of a target crashes shortly after the head of a response to a prompt with a given part, as the users describe; callers send prompts with shared parts.

A fourth test, that targets which leave as announced accuse no part, passes and guards the fix.

--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -201,6 +201,7 @@
         deadline_ms: 15_000,
         content: None,
         tokens: output_tokens.map(|output| (1_000, output)),
+        shared_parts: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/filbertpaddle/tests/gateway/crashing_parts.rs
@@ -0,0 +1,172 @@
+//! Requests that share a part of their prompt which crashes targets.
+
+use std::time::Duration;
+
+use filbertpaddle_adapter_standins::caller;
+use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
+use filbertpaddle_adapter_standins::caller::SentRequest;
+use filbertpaddle_adapter_standins::target::DEADLY_PART;
+use filbertpaddle_adapter_standins::target::Stall;
+use http::Method;
+use tokio::time::sleep;
+
+use crate::cluster::Cluster;
+use crate::cluster::RESUMABLE_PATH;
+use crate::cluster::STREAM_PATH;
+use crate::cluster::complete_stream;
+use crate::cluster::request;
+use crate::cluster::wait_until;
+
+/// Number of crashes after which the users' deployments bound the requests that reach targets.
+const MAX_CRASHES: usize = 5;
+/// Number of such requests that may still reach targets.
+const MAX_LATER_RUNS: usize = 3;
+/// Time within which all nodes must know what the others have found out.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+const ENGINES: usize = 12;
+/// Parts that sound requests and those that crash targets have in common.
+const FIRST_PART: &str = "f1";
+const CUSTOMER_PART: &str = "c1";
+
+fn generation(attempt: &str, path: &str, parts: &[&str]) -> SentRequest {
+    SentRequest {
+        shared_parts: parts.iter().map(|part| (*part).to_owned()).collect(),
+        ..request(attempt, Method::POST, path, Some(40))
+    }
+}
+
+impl Cluster {
+    async fn with_engines(name: &str, nodes: usize) -> Self {
+        let mut cluster = Self::new(name).await;
+        for number in 0..ENGINES {
+            cluster
+                .add_target(&format!("e{number}"), "engine", "dc-a")
+                .await;
+        }
+        for number in 0..nodes {
+            cluster.add_node(&format!("node-{number}"), "dc-a");
+        }
+        cluster.wait_until_ready().await;
+        cluster.wait_until_registered().await;
+        cluster
+    }
+
+    /// Sends a generation to one of the nodes in turn.
+    async fn send_in_turn(&self, number: usize, request: &SentRequest) -> ReceivedAnswer {
+        let node = &self.nodes[number % self.nodes.len()];
+        caller::send(node.addresses.callers, request).await
+    }
+
+    /// Sends `count` requests, no two alike, with a part that crashes targets; returns the
+    /// status codes.
+    async fn send_deadly(&self, prefix: &str, path: &str, count: usize) -> Vec<u16> {
+        let mut codes = Vec::new();
+        for number in 0..count {
+            let parts = [FIRST_PART, CUSTOMER_PART, DEADLY_PART];
+            let deadly = generation(&format!("{prefix}-{number}"), path, &parts);
+            codes.push(self.send_in_turn(number, &deadly).await.code());
+            sleep(Duration::from_millis(300)).await;
+        }
+        codes
+    }
+
+    fn crashes(&self) -> usize {
+        let crashed = self.targets.iter().filter_map(|target| target.crashed_at());
+        crashed.count()
+    }
+
+    fn deadly_runs(&self, prefix: &str) -> usize {
+        let runs = self.run_log.runs().into_iter();
+        runs.filter(|run| run.attempt.starts_with(prefix)).count()
+    }
+}
+
+#[tokio::test]
+async fn requests_that_share_a_crashing_part_do_not_crash_target_after_target() {
+    let mut cluster = Cluster::with_engines("crashing-part", 3).await;
+    cluster.send_deadly("deadly", STREAM_PATH, 8).await;
+    assert!(
+        cluster.crashes() <= MAX_CRASHES,
+        "{} crashed",
+        cluster.crashes()
+    );
+    sleep(CONTACT_TIME).await;
+    cluster.add_node("node-new", "dc-a");
+    cluster.wait_until_ready().await;
+    let codes = cluster.send_deadly("later", STREAM_PATH, 8).await;
+    assert!(cluster.deadly_runs("later") <= MAX_LATER_RUNS);
+    assert_eq!(*codes.last().unwrap(), 503);
+    cluster.close();
+}
+
+#[tokio::test]
+async fn retries_of_a_resumable_request_stop_at_a_crashing_part() {
+    let cluster = Cluster::with_engines("crashing-part-retries", 3).await;
+    cluster.send_deadly("deadly", RESUMABLE_PATH, 8).await;
+    assert!(
+        cluster.crashes() <= MAX_CRASHES,
+        "{} crashed",
+        cluster.crashes()
+    );
+    cluster.close();
+}
+
+#[tokio::test]
+async fn sound_requests_go_on_beside_a_crashing_part() {
+    let cluster = Cluster::with_engines("beside-crashing-part", 3).await;
+    let parts = [
+        &[FIRST_PART, CUSTOMER_PART][..],
+        &[FIRST_PART],
+        &[FIRST_PART, "c2"],
+    ];
+    cluster.send_deadly("deadly", STREAM_PATH, 8).await;
+    assert!(cluster.crashes() <= MAX_CRASHES);
+    for number in 0..12 {
+        let attempt = format!("sound-{number}");
+        let sound = generation(&attempt, STREAM_PATH, parts[number % parts.len()]);
+        let answer = cluster.send_in_turn(number, &sound).await;
+        assert!(
+            answer.is_complete && answer.body == complete_stream(&attempt, 10),
+            "{attempt}: status {}",
+            answer.code()
+        );
+    }
+    cluster.close();
+}
+
+/// Targets that leave as announced, with a request of the part waiting at each.
+#[tokio::test]
+async fn targets_that_leave_accuse_no_part() {
+    let mut cluster = Cluster::with_engines("leaving-accuse-no-part", 1).await;
+    let address = cluster.nodes[0].addresses.callers;
+    for number in 0..4 {
+        for target in &cluster.targets {
+            target.set_stall(Stall::Silent);
+        }
+        let attempt = format!("waiting-{number}");
+        let waiting = generation(&attempt, STREAM_PATH, &[FIRST_PART]);
+        let caller = tokio::spawn(async move { caller::send(address, &waiting).await });
+        wait_until("the request runs", async || {
+            !cluster.run_log.runs_of(&attempt).is_empty()
+        })
+        .await;
+        let id = cluster.first_target_of(&attempt).options.id.clone();
+        cluster.target(&id).drain();
+        cluster.announce(&id);
+        wait_until("the node knows that the target leaves", async || {
+            let log = cluster.log("node-0");
+            let mut lines = log.lines();
+            lines.any(|line| line.contains(&id) && line.contains("\"is_draining\":true"))
+        })
+        .await;
+        cluster.take_target(&id).close();
+        caller.await.unwrap();
+    }
+    for target in &cluster.targets {
+        target.set_stall(Stall::None);
+    }
+    let sound = generation("sound", STREAM_PATH, &[FIRST_PART]);
+    let answer = cluster.send(&sound).await;
+    assert!(answer.is_complete, "status {}", answer.code());
+    cluster.close();
+}
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 
 mod announcements;
 mod cluster;
+mod crashing_parts;
 mod cut_reader;
 mod endless;
 mod limits;
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -176,5 +176,6 @@
         deadline_ms: if kind.is_stream() { 9_000 } else { 3_000 },
         content: None,
         tokens: kind.is_stream().then_some((PROMPT_TOKENS, output)),
+        shared_parts: Vec::new(),
     }
 }
