Attribute crashes of targets to the parts that prompts share

Cause: a crash accused a digest of the whole request. No two of the requests are alike, so each began without a crash recorded. Class: a fault is attributed to an instance, not to what its instances share. Ruled out by the logs: exchange between nodes (240 updates, all of suspects with one crash) and early clearing (none).

Change: a request has fingerprints, of itself and of each prompt part but the last. A crash accuses those of the requests that waited for their answer there, not of streams that went on past their first event; an answer that goes on clears them, at the node that had it and, on hearing of the accusation, at all others. Three uncleared crashes block a fingerprint, unless another that the request lacks was present at all of them: so the first part and the customer's part, which come with the crashing one, do not stop the sound requests. Checked before every send, retries too; a target that is down is looked for at once instead of after 200 ms. A target that is silent, draining or not listed accuses nobody. Records are bounded in number, length and messages.

The soak sends such requests too.

--- /dev/null
+++ b/filbertpaddle-core/src/crash_attribution.rs
@@ -0,0 +1,138 @@
+//! Attribution of target crashes to what the requests that ran there have in common.
+//!
+//! A request has several fingerprints: of itself as a whole, and of each part of its prompt that
+//! other requests share. A crash accuses all fingerprints of the requests that were waiting for
+//! their answer at the target. An answer clears all of its request's fingerprints.
+//!
+//! Load pattern: requests that share one part crash each target that begins to answer them, no
+//! two of them alike, among sound requests that share their other parts.
+
+use indexmap::IndexMap;
+
+use crate::clock::Millis;
+use crate::suspect::CRASH_LIMIT;
+use crate::suspect::CrashRecord;
+use crate::suspect::NumberedRecord;
+use crate::suspect::Suspects;
+
+/// Time for which an answer shows that its request's fingerprints are sound, whatever crashes
+/// follow. What crashes targets is never answered.
+const RECENT_ANSWER_MS: Millis = Millis::from_secs(2);
+/// Number of fingerprints above which those not answered recently are dropped.
+const MAX_ANSWERED: usize = 4_096;
+/// Largest number of crashes that are recorded for one fingerprint.
+const MAX_CRASHES: usize = 32;
+
+/// Fingerprints that crashes accuse, as known to one node.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashAttribution {
+    suspects: Suspects,
+    /// Time of the last answer, by fingerprint.
+    answered_ms: IndexMap<u64, Millis>,
+}
+
+impl CrashAttribution {
+    /// Creates an attribution without crashes or answers.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that a request with these fingerprints was waiting for its answer at a target when
+    /// that crashed. Fingerprints that were answered recently are not accused.
+    pub fn record_crash(&mut self, now: Millis, fingerprints: &[u64], crash: u64) {
+        for fingerprint in fingerprints {
+            if !self.is_answered(now, *fingerprint) && self.make_room(*fingerprint) {
+                self.suspects.record_crash(now, *fingerprint, crash);
+            }
+        }
+    }
+
+    /// Records that a request with these fingerprints was answered; returns those that this
+    /// clears of crashes.
+    pub fn record_answer(&mut self, now: Millis, fingerprints: &[u64]) -> Vec<u64> {
+        for fingerprint in fingerprints {
+            self.insert_answered(now, *fingerprint);
+        }
+        let accused = fingerprints.iter().copied();
+        let cleared: Vec<_> = accused.filter(|one| self.crashes(*one) > 0).collect();
+        for fingerprint in &cleared {
+            self.suspects.record_answer(now, *fingerprint);
+        }
+        cleared
+    }
+
+    /// Merges another node's record of a fingerprint, and clears it if this node has had an
+    /// answer recently.
+    pub fn merge(&mut self, now: Millis, fingerprint: u64, record: &CrashRecord) {
+        if !self.make_room(fingerprint) {
+            return;
+        }
+        self.suspects.merge(now, fingerprint, record);
+        if self.is_answered(now, fingerprint) && self.crashes(fingerprint) > 0 {
+            self.suspects.record_answer(now, fingerprint);
+        }
+    }
+
+    /// Returns the number of crashes that a fingerprint is not cleared of.
+    pub fn crashes(&self, fingerprint: u64) -> usize {
+        self.suspects.uncleared_crashes(fingerprint)
+    }
+
+    /// Returns the fingerprint for which a request with these ones must not run: it has
+    /// [`CRASH_LIMIT`] crashes or more that no fingerprint of other requests explains.
+    pub fn blocked_by(&self, fingerprints: &[u64]) -> Option<u64> {
+        let mut candidates = fingerprints.iter().copied();
+        candidates.find(|fingerprint| {
+            let record = self.suspects.record(*fingerprint);
+            record.is_some_and(|record| {
+                record.uncleared_crashes() >= CRASH_LIMIT
+                    && !self.is_explained(record, fingerprints)
+            })
+        })
+    }
+
+    /// Returns the first `max` records that changed after the change with number `sequence`, in
+    /// the order of their changes.
+    pub fn changed_after(&self, sequence: u64, max: usize) -> Vec<NumberedRecord> {
+        self.suspects.numbered_after(sequence, max)
+    }
+
+    /// Returns whether a fingerprint that this request lacks was present at all of the crashes.
+    /// Then the request shows which of the two is to blame.
+    fn is_explained(&self, record: &CrashRecord, fingerprints: &[u64]) -> bool {
+        let mut others = self.suspects.changed_after(0);
+        others.any(|(other, explaining)| {
+            !fingerprints.contains(&other) && explaining.is_superset_of(record)
+        })
+    }
+
+    fn is_answered(&self, now: Millis, fingerprint: u64) -> bool {
+        let answered_ms = self.answered_ms.get(&fingerprint);
+        answered_ms.is_some_and(|at_ms| now.since(*at_ms) < RECENT_ANSWER_MS)
+    }
+
+    fn insert_answered(&mut self, now: Millis, fingerprint: u64) {
+        if self.answered_ms.len() >= MAX_ANSWERED {
+            self.answered_ms
+                .retain(|_, at_ms| now.since(*at_ms) < RECENT_ANSWER_MS);
+        }
+        if self.answered_ms.len() >= MAX_ANSWERED {
+            self.answered_ms.swap_remove_index(0);
+        }
+        self.answered_ms.insert(fingerprint, now);
+    }
+
+    /// Drops a long record of crashes if all are cleared; returns whether one more crash can be
+    /// recorded.
+    fn make_room(&mut self, fingerprint: u64) -> bool {
+        let record = self.suspects.record(fingerprint);
+        if record.is_none_or(|record| record.crashes.len() < MAX_CRASHES) {
+            return true;
+        }
+        if self.crashes(fingerprint) > 0 {
+            return false;
+        }
+        self.suspects.forget(fingerprint);
+        true
+    }
+}
--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod commit;
 pub mod config;
+pub mod crash_attribution;
 pub mod delivery;
 pub mod edit;
 pub mod gossip;
--- a/filbertpaddle-core/src/suspect.rs
+++ b/filbertpaddle-core/src/suspect.rs
@@ -44,6 +44,13 @@
         self.crashes.difference(&self.cleared).count()
     }
 
+    /// Returns whether the record has all crashes that `other` is not cleared of, and is not
+    /// cleared of them either.
+    pub fn is_superset_of(&self, other: &Self) -> bool {
+        let mut uncleared = other.crashes.difference(&other.cleared);
+        uncleared.all(|crash| self.crashes.contains(crash) && !self.cleared.contains(crash))
+    }
+
     /// Merges another node's record; returns whether it added anything.
     pub fn merge(&mut self, other: &Self) -> bool {
         let before = (self.crashes.len(), self.cleared.len());
@@ -53,6 +60,17 @@
     }
 }
 
+/// A record to pass on to other nodes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NumberedRecord {
+    /// Sequence number of the record's last change at this node.
+    pub sequence: u64,
+    /// Digest of the suspect.
+    pub digest: u64,
+    /// The record.
+    pub record: CrashRecord,
+}
+
 /// Restriction on running a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum QuarantineStatus {
@@ -183,6 +201,33 @@
             .map(|(digest, entry)| (*digest, &entry.record))
     }
 
+    /// Returns the first `max` records that changed after the change with number `sequence`, in
+    /// the order of their changes.
+    pub fn numbered_after(&self, sequence: u64, max: usize) -> Vec<NumberedRecord> {
+        let changed = self.entries.iter();
+        let mut changed: Vec<_> = changed
+            .filter(|(_, entry)| entry.sequence > sequence)
+            .collect();
+        changed.sort_unstable_by_key(|(_, entry)| entry.sequence);
+        changed.truncate(max);
+        let numbered = changed.into_iter().map(|(digest, entry)| NumberedRecord {
+            sequence: entry.sequence,
+            digest: *digest,
+            record: entry.record.clone(),
+        });
+        numbered.collect()
+    }
+
+    /// Returns the record of a suspect.
+    pub fn record(&self, digest: u64) -> Option<&CrashRecord> {
+        self.entries.get(&digest).map(|entry| &entry.record)
+    }
+
+    /// Drops the record of a suspect.
+    pub fn forget(&mut self, digest: u64) {
+        self.entries.swap_remove(&digest);
+    }
+
     /// Returns the number of recorded requests.
     pub fn len(&self) -> usize {
         self.entries.len()
--- /dev/null
+++ b/filbertpaddle-core/tests/crash_attribution.rs
@@ -0,0 +1,213 @@
+//! Attribution of crashes to the parts that requests share.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::crash_attribution::CrashAttribution;
+use filbertpaddle_core::suspect::CRASH_LIMIT;
+use filbertpaddle_core::suspect::CrashRecord;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const FIRST: u64 = 1;
+const CUSTOMER: u64 = 2;
+const DEADLY: u64 = 3;
+/// Time after which answers no longer clear later crashes.
+const LONG_MS: Millis = Millis::from_secs(10);
+
+/// Returns the fingerprints of the `number`th request with the given parts.
+fn request(number: u64, parts: &[u64]) -> Vec<u64> {
+    std::iter::once(1_000 + number)
+        .chain(parts.iter().copied())
+        .collect()
+}
+
+/// Returns an attribution in which `count` different requests with the given parts crashed a
+/// target each.
+fn after_crashes(count: u64, parts: &[u64]) -> CrashAttribution {
+    let mut suspects = CrashAttribution::new();
+    for crash in 0..count {
+        suspects.record_crash(Millis(crash), &request(crash, parts), crash);
+    }
+    suspects
+}
+
+#[test]
+fn requests_that_share_a_crashing_part_are_blocked_at_the_limit() {
+    let limit = CRASH_LIMIT as u64;
+    let parts = [FIRST, CUSTOMER, DEADLY];
+    let below = after_crashes(limit - 1, &parts);
+    assert_eq!(below.blocked_by(&request(50, &parts)), None);
+    let at_limit = after_crashes(limit, &parts);
+    assert!(at_limit.blocked_by(&request(50, &parts)).is_some());
+}
+
+#[test]
+fn sound_requests_that_share_the_other_parts_are_not_blocked() {
+    let mut suspects = after_crashes(5, &[FIRST, CUSTOMER, DEADLY]);
+    for parts in [&[FIRST, CUSTOMER][..], &[FIRST], &[CUSTOMER], &[FIRST, 9]] {
+        assert_eq!(suspects.blocked_by(&request(50, parts)), None, "{parts:?}");
+    }
+    let cleared = suspects.record_answer(Millis(10), &request(51, &[FIRST, CUSTOMER]));
+    assert_eq!(cleared, [FIRST, CUSTOMER]);
+    let deadly = request(52, &[FIRST, CUSTOMER, DEADLY]);
+    assert_eq!(suspects.blocked_by(&deadly), Some(DEADLY));
+}
+
+/// Without an answer, a request that has one of two suspect parts shows which is to blame.
+#[test]
+fn a_part_that_crashes_without_the_others_explains_their_crashes() {
+    let mut suspects = after_crashes(3, &[FIRST, DEADLY]);
+    let deadly = request(60, &[8, DEADLY]);
+    assert_eq!(suspects.blocked_by(&deadly), None);
+    suspects.record_crash(Millis(5), &deadly, 99);
+    assert_eq!(
+        suspects.blocked_by(&request(61, &[7, DEADLY])),
+        Some(DEADLY)
+    );
+    assert_eq!(suspects.blocked_by(&request(62, &[FIRST])), None);
+}
+
+/// Load pattern: many targets crash at once, for another reason, under a part in steady use.
+#[test]
+fn a_part_in_use_is_not_accused_by_many_crashes_at_once() {
+    let mut suspects = CrashAttribution::new();
+    suspects.record_answer(Millis(900), &request(1, &[FIRST]));
+    for crash in 0..40 {
+        suspects.record_crash(Millis(1_000), &request(crash, &[FIRST]), crash);
+    }
+    assert_eq!(suspects.crashes(FIRST), 0);
+}
+
+#[test]
+fn a_part_that_begins_to_crash_targets_is_blocked_though_it_was_sound_before() {
+    let mut suspects = CrashAttribution::new();
+    suspects.record_answer(Millis::ZERO, &request(1, &[DEADLY]));
+    for crash in 0..3 {
+        suspects.record_crash(LONG_MS, &request(10 + crash, &[DEADLY]), crash);
+    }
+    assert!(suspects.blocked_by(&request(2, &[DEADLY])).is_some());
+}
+
+/// One node sees the crashes, another the answers.
+#[test]
+fn a_node_that_had_an_answer_clears_the_part_for_all() {
+    let mut other = CrashAttribution::new();
+    other.record_answer(Millis(100), &request(1, &[FIRST]));
+    let mut accusing = after_crashes(3, &[FIRST]);
+    pass_on(Millis(200), &accusing, &mut other);
+    pass_on(Millis(250), &other, &mut accusing);
+    assert_eq!(accusing.crashes(FIRST), 0);
+    assert_eq!(accusing.blocked_by(&request(9, &[FIRST])), None);
+}
+
+#[test]
+fn three_nodes_with_one_crash_each_block_the_part_and_a_new_node_does_too() {
+    let mut nodes = [const { Vec::new() }; 3].map(|_: Vec<u64>| CrashAttribution::new());
+    for (crash, node) in nodes.iter_mut().enumerate() {
+        node.record_crash(Millis(1), &request(crash as u64, &[DEADLY]), crash as u64);
+    }
+    let mut new = CrashAttribution::new();
+    for node in &nodes {
+        pass_on(Millis(200), node, &mut new);
+    }
+    assert_eq!(new.blocked_by(&request(7, &[DEADLY])), Some(DEADLY));
+}
+
+#[test]
+fn records_and_answers_are_bounded_and_the_blocked_part_is_kept() {
+    let mut suspects = after_crashes(3, &[DEADLY]);
+    for number in 0..20_000 {
+        suspects.record_answer(LONG_MS, &[100_000 + number]);
+        suspects.record_crash(LONG_MS, &[900_000 + number, FIRST], number);
+        if number % 10 == 0 {
+            suspects.record_answer(LONG_MS + LONG_MS, &[FIRST]);
+        }
+    }
+    assert!(suspects.changed_after(0, usize::MAX).len() <= 4_096);
+    let records = suspects.changed_after(0, usize::MAX);
+    let longest = records.iter().map(|numbered| numbered.record.crashes.len());
+    assert!(longest.max().unwrap_or_default() <= 64);
+    assert_eq!(suspects.blocked_by(&request(1, &[DEADLY])), Some(DEADLY));
+}
+
+#[test]
+fn changes_are_passed_on_in_bounded_messages_without_a_gap() {
+    let suspects = after_crashes(50, &[FIRST]);
+    let mut sequence = 0;
+    let mut passed_on = Vec::new();
+    loop {
+        let next = suspects.changed_after(sequence, 7);
+        let Some(last) = next.last() else { break };
+        assert!(next.len() <= 7);
+        sequence = last.sequence;
+        passed_on.extend(next.into_iter().map(|numbered| numbered.digest));
+    }
+    passed_on.sort_unstable();
+    let mut all: Vec<_> = suspects.changed_after(0, usize::MAX);
+    all.sort_unstable_by_key(|numbered| numbered.digest);
+    assert!(all.iter().map(|numbered| numbered.digest).eq(passed_on));
+}
+
+/// Load pattern: a share of the requests of one customer, drawn at random, has the part. Nodes
+/// exchange what they find out a moment later.
+#[test]
+fn drawn_traffic_crashes_few_targets_and_sound_requests_go_on() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut nodes: Vec<_> = (0..5).map(|_| CrashAttribution::new()).collect();
+        let share = rng.random_range(0.03..0.4);
+        let (mut crashes, mut refused) = (0, 0);
+        for number in 0..600 {
+            let now = Millis(number * 100);
+            let node = rng.random_range(0..nodes.len());
+            let first = rng.random_range(100..104);
+            let customer = rng.random_range(200..210);
+            let is_deadly = rng.random_bool(share);
+            let mut parts = vec![first, customer];
+            if is_deadly {
+                parts = vec![100, 200, DEADLY];
+            }
+            let sent = request(number, &parts);
+            match (nodes[node].blocked_by(&sent), is_deadly) {
+                (Some(_), true) => {}
+                (Some(_), false) => refused += 1,
+                (None, true) => {
+                    nodes[node].record_crash(now, &sent, number);
+                    crashes += 1;
+                }
+                (None, false) => drop(nodes[node].record_answer(now, &sent)),
+            }
+            let other = rng.random_range(0..nodes.len());
+            let from = nodes[node].clone();
+            pass_on(now, &from, &mut nodes[other]);
+        }
+        assert!(crashes <= 8, "seed {seed}: {crashes} targets crashed");
+        assert_eq!(refused, 0, "seed {seed}");
+    }
+}
+
+/// A record that a node keeps after its crashes were cleared must not come back uncleared.
+#[test]
+fn merging_in_any_order_gives_the_same_crashes() {
+    let crashed = CrashRecord {
+        crashes: [1, 2, 3].into(),
+        cleared: [].into(),
+    };
+    let cleared = CrashRecord {
+        cleared: [1, 2, 3].into(),
+        ..crashed.clone()
+    };
+    for records in [[&crashed, &cleared], [&cleared, &crashed]] {
+        let mut suspects = CrashAttribution::new();
+        records
+            .iter()
+            .for_each(|record| suspects.merge(LONG_MS, FIRST, record));
+        assert_eq!(suspects.crashes(FIRST), 0);
+    }
+}
+
+fn pass_on(now: Millis, from: &CrashAttribution, to: &mut CrashAttribution) {
+    for numbered in from.changed_after(0, usize::MAX) {
+        to.merge(now, numbered.digest, &numbered.record);
+    }
+}
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod drain;
 pub mod event_stream;
+pub mod fingerprint;
 pub mod freshness;
 pub mod leaving_targets;
 pub mod load_table;
--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -61,6 +61,7 @@
             }
             Err(failure) => {
                 job.mark_failed(progress, &target, &failure);
+                job.check_crash(&target, &failure).await;
                 if !job.may_retry(progress, &failure) {
                     return finish(job, progress, last);
                 }
--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -1,4 +1,4 @@
-//! Detects target crashes and records the requests that were running there as suspects.
+//! Detects target crashes and accuses the requests that were waiting for their answer there.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,42 +13,58 @@
 use crate::job::Job;
 use crate::state::State;
 
-/// Delay between a broken connection and the check of its target. A crashed target
+/// Time until a target that still accepted a connection is checked once more. A crashed target
 /// stays down for some seconds.
-const CHECK_DELAY: Duration = Duration::from_millis(200);
-/// Time within which a live target accepts a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
-/// Records a request as a crash suspect after its connection broke, if the target is
-/// down and is not listed as draining.
-pub fn record_if_crashed(job: &Job, target: &Target) {
-    let (state, target) = (Rc::clone(&job.state), target.clone());
-    let (attempt, digest) = (job.metadata.attempt.clone(), job.digest);
-    let parts = job.metadata.part_ids();
-    tokio::task::spawn_local(async move {
-        sleep(CHECK_DELAY).await;
-        if is_listed_as_draining(&state, &target) || is_up(&target).await {
-            return;
-        }
-        let now = state.clock.now();
-        let crash = crash_id(&target.id, target.started_ms.unwrap_or_default());
-        let mut suspects = state.suspects.borrow_mut();
-        suspects.record_crash(now, digest, crash);
-        info!(state.log, "request recorded as crash suspect: its target went down";
-            "id" => attempt.as_str(), "digest" => digest, "prompt_parts" => parts,
-            "target" => target.id.as_str(),
-            "crashes" => suspects.uncleared_crashes(digest));
-    });
-}
+const RECHECK_DELAY: Duration = Duration::from_millis(200);
+/// Time within which a target that is down refuses a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-fn is_listed_as_draining(state: &State, target: &Target) -> bool {
-    let directory = state.directory.borrow();
-    directory
-        .target(&target.id)
-        .is_some_and(|listed| listed.is_draining)
+/// Accuses a request whose connection broke before its answer had begun, if its target is down.
+/// Returns once a target that is down has refused a connection, so that the request is not sent
+/// to another one before.
+///
+/// A target that does not respond at all may be cut off, and one that is draining or no longer
+/// listed was stopped; these accuse nothing.
+pub async fn check(job: &Job, target: &Target) {
+    if is_listed(&job.state, target) && !record_if_down(job, target).await {
+        let (job, target) = (job.clone(), target.clone());
+        tokio::task::spawn_local(async move {
+            sleep(RECHECK_DELAY).await;
+            if is_listed(&job.state, &target) {
+                record_if_down(&job, &target).await;
+            }
+        });
+    }
 }
 
-async fn is_up(target: &Target) -> bool {
+/// Returns whether the target is down, and accuses the request if so.
+async fn record_if_down(job: &Job, target: &Target) -> bool {
     let connect = TcpStream::connect(target.address.as_str());
-    matches!(timeout(CONNECT_TIMEOUT, connect).await, Ok(Ok(_)))
+    let is_down = match timeout(CONNECT_TIMEOUT, connect).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    };
+    if is_down {
+        record(job, target);
+    }
+    is_down
+}
+
+fn record(job: &Job, target: &Target) {
+    let state = &job.state;
+    let now = state.clock.now();
+    let crash = crash_id(&target.id, target.started_ms.unwrap_or_default());
+    let mut suspects = state.suspects.borrow_mut();
+    suspects.record_crash(now, &job.fingerprints, crash);
+    let counts = job.fingerprints.iter().map(|one| suspects.crashes(*one));
+    info!(state.log, "request recorded as crash suspect: its target went down";
+        "id" => job.metadata.attempt.as_str(), "target" => target.id.as_str(),
+        "fingerprints" => ?job.fingerprints, "crashes" => ?counts.collect::<Vec<_>>(),
+        "prompt_parts" => job.metadata.part_ids());
+}
+
+fn is_listed(state: &Rc<State>, target: &Target) -> bool {
+    let directory = state.directory.borrow();
+    let listed = directory.target(&target.id);
+    listed.is_some_and(|listed| !listed.is_draining)
 }
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -49,6 +49,9 @@
 /// request goes to another target.
 const FIRST_EVENT_GOAL_FACTOR: u64 = 2;
 
+/// Number of events of one target that show that the request does not crash it.
+const SOUND_EVENTS: u64 = 2;
+
 /// Outcome of waiting in the main loop.
 enum WaitOutcome {
     Item(StreamItem),
@@ -75,6 +78,8 @@
     writer: &'a mut ResponseWriter,
     last_event: Option<u64>,
     last_activity_ms: Millis,
+    /// Number of new events that the current target has sent.
+    events_here: u64,
     placement: Option<Placement>,
     migrator: Migrator<'a>,
     changes: watch::Receiver<u64>,
@@ -115,6 +120,7 @@
         Self {
             last_event: job.metadata.last_event,
             last_activity_ms: job.received_ms,
+            events_here: 0,
             placement: None,
             migrator: Migrator::new(job),
             changes: job.state.subscribe(),
@@ -138,6 +144,9 @@
                 WaitOutcome::Item(StreamItem::End) => {
                     let mut selector = self.job.state.selector.borrow_mut();
                     selector.record_success(&source.target.id);
+                    if self.events_here > 0 {
+                        self.job.record_sound();
+                    }
                     return Ok(());
                 }
                 WaitOutcome::Item(StreamItem::Broken(reason)) => {
@@ -214,6 +223,12 @@
         let goal_ms = self.job.route.gap_goal_ms;
         self.progress.pace.record_event(now, goal_ms);
         let is_progress = event.id.is_some();
+        if is_progress {
+            self.events_here += 1;
+            if self.events_here == SOUND_EVENTS {
+                self.job.record_sound();
+            }
+        }
         self.writer.send_part(Ok(event.bytes)).await?;
         if is_progress {
             // Later than `now` by the time in which the caller did not read.
@@ -246,6 +261,7 @@
             };
             self.release_placement();
             self.job.mark_failed(self.progress, &target, &failure);
+            self.job.check_crash(&target, &failure).await;
             if !self.job.may_retry(self.progress, &failure) {
                 return Err(StopReason::Refused(self.job.refusal(self.progress)));
             }
@@ -365,7 +381,7 @@
                 "target" => source.target.id.as_str(), "last_event" => self.last_event);
             return Ok(source);
         };
-        self.record_broken(&source, "stalled");
+        self.record_broken(&source, "stalled").await;
         source.close();
         self.release_placement();
         self.open_at(target).await
@@ -392,14 +408,14 @@
         source: TargetStream,
         reason: &str,
     ) -> Result<TargetStream, StopReason> {
-        self.record_broken(&source, reason);
+        self.record_broken(&source, reason).await;
         if self.migrator.has_usable_copy() {
             return self.switch_to_copy(source).await;
         }
         self.reopen(source).await
     }
 
-    fn record_broken(&mut self, source: &TargetStream, reason: &str) {
+    async fn record_broken(&mut self, source: &TargetStream, reason: &str) {
         let state = &self.job.state;
         info!(state.log, "stream of target broke off or stalled";
             "id" => self.job.metadata.attempt.as_str(),
@@ -410,7 +426,9 @@
             .selector
             .borrow_mut()
             .record_failure(state.clock.now(), &source.target.id);
-        crash::record_if_crashed(self.job, &source.target);
+        if self.events_here < SOUND_EVENTS {
+            crash::check(self.job, &source.target).await;
+        }
     }
 
     /// Sends the request to another target, to resume after the last event, if the route
@@ -456,6 +474,7 @@
             Err(OpenError::Failed(failure)) => {
                 self.release_placement();
                 self.job.mark_failed(self.progress, &target, &failure);
+                self.job.check_crash(&target, &failure).await;
                 if !self.may_resend() {
                     return Err(StopReason::Broken);
                 }
@@ -475,6 +494,7 @@
     }
 
     fn place_on(&mut self, target: &Target) {
+        self.events_here = 0;
         let load = self.job.mark_sent(self.progress, target);
         self.placement = Some(Placement {
             target: target.clone(),
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -43,9 +43,11 @@
 const LOWEST_PRIORITY: u8 = 9;
 /// Time after which a caller may retry if targets were full or failing.
 const RETRY_AFTER_MS: Millis = Millis(250);
+/// Time after which a caller may retry a request that crashes targets.
+const QUARANTINE_RETRY_MS: Millis = Millis::from_secs(60);
 
 /// One admitted request.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Job {
     /// State of the node.
     pub state: Rc<State>,
@@ -66,8 +68,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
-    /// Hash of path, customer and body, which identifies repeated requests.
-    pub digest: u64,
+    /// What it has in common with others that may crash targets.
+    pub fingerprints: Vec<u64>,
     /// Time when the request arrived.
     pub received_ms: Millis,
     /// Time when the caller's deadline or the route's timeout expires.
@@ -258,12 +260,56 @@
         is_allowed && progress.connects < MAX_CONNECT_ATTEMPTS && self.remaining_ms() > Millis::ZERO
     }
 
-    /// Returns whether the request may be sent now. Once it has reached any target, each
-    /// further send takes a retry from this node's share of the service's budget.
+    /// Returns whether the request may be sent now: it must not crash targets, and once it has
+    /// reached any, each further send takes a retry from this node's share of the service's
+    /// budget.
     pub fn may_send(&self, progress: &Progress) -> bool {
+        if self.is_quarantined() {
+            return false;
+        }
         (progress.sends == 0 && !progress.was_misdirected) || self.take_retry()
     }
 
+    /// Returns whether the request would crash its target, by what is known of others.
+    pub fn is_quarantined(&self) -> bool {
+        let Some(fingerprint) = self.blocked_by() else {
+            return false;
+        };
+        let suspects = self.state.suspects.borrow();
+        info!(self.state.log, "request must not run: others like it crashed targets";
+            "id" => self.metadata.attempt.as_str(), "fingerprint" => fingerprint,
+            "crashes" => suspects.crashes(fingerprint),
+            "prompt_parts" => self.metadata.part_ids());
+        true
+    }
+
+    /// Returns the fingerprint for which the request must not run.
+    fn blocked_by(&self) -> Option<u64> {
+        let suspects = self.state.suspects.borrow();
+        suspects.blocked_by(&self.fingerprints)
+    }
+
+    /// Records that a target goes on with its answer, or has completed it: the request does not
+    /// crash targets.
+    pub fn record_sound(&self) {
+        let state = &self.state;
+        let now = state.clock.now();
+        let mut suspects = state.suspects.borrow_mut();
+        let cleared = suspects.record_answer(now, &self.fingerprints);
+        if !cleared.is_empty() {
+            info!(state.log, "crash suspects cleared: a request like them is answered";
+                "id" => self.metadata.attempt.as_str(), "fingerprints" => ?cleared,
+                "prompt_parts" => self.metadata.part_ids());
+        }
+    }
+
+    /// Accuses the request if its target has crashed without an answer to it.
+    pub async fn check_crash(&self, target: &Target, failure: &Failure) {
+        if let Failure::Unknown(_) = failure {
+            crash::check(self, target).await;
+        }
+    }
+
     fn take_retry(&self) -> bool {
         let state = &self.state;
         let now = state.clock.now();
@@ -343,7 +389,6 @@
                 progress.sends += 1;
                 progress.may_have_run = true;
                 backoff_until_ms = state.selector.borrow_mut().record_failure(now, &target.id);
-                crash::record_if_crashed(self, target);
             }
         }
         state.metrics.count("send.failed");
@@ -361,6 +406,7 @@
             (true, true) => Refusal::TimedOut,
             (true, false) => Refusal::TargetFailed,
             (false, true) => Refusal::TimedOutUnsent,
+            (false, false) if self.blocked_by().is_some() => Refusal::Quarantined,
             (false, false) if is_full => Refusal::Overloaded,
             (false, false) if progress.sends > 0 => Refusal::TargetsFull,
             (false, false) => Refusal::NoTarget,
@@ -372,6 +418,7 @@
         let retry_after_ms = match refusal {
             Refusal::NoTarget | Refusal::TargetsFull => Some(self.until_available_ms()),
             Refusal::Overloaded => Some(self.until_room_ms()),
+            Refusal::Quarantined => Some(QUARANTINE_RETRY_MS),
             _ => None,
         };
         reply::refuse(refusal, retry_after_ms)
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -38,6 +38,9 @@
 /// Maximum number of stated rates published at a time: 100 a second on a link, about 10 KB,
 /// however many targets state one. Further ones follow.
 const MAX_PUBLISHED_RATES: usize = 5;
+/// Maximum number of crash suspects published at a time: 200 a second on a link, about 10 KB,
+/// however many requests wait at targets that crash. Further ones follow.
+const MAX_PUBLISHED_SUSPECTS: usize = 10;
 
 /// A message between nodes, encoded as CBOR.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -54,7 +57,7 @@
     /// Changed load: of the node that opened the link, or the sum that the other node
     /// publishes.
     Work(LoadChanges),
-    /// New or changed suspects by digest.
+    /// New or changed crash suspects by fingerprint.
     Suspects(Vec<(u64, CrashRecord)>),
     /// Targets that have announced to some node that they leave.
     Leaving(Vec<Incarnation>),
@@ -262,19 +265,17 @@
     }
 
     async fn publish_suspects(&mut self, state: &State) -> Result<(), Error> {
-        let (sequence, changed) = {
+        let changed = {
             let suspects = state.suspects.borrow();
-            let changes = suspects.changed_after(self.suspects_published);
-            let changed: Vec<_> = changes
-                .map(|(digest, record)| (digest, record.clone()))
-                .collect();
-            (suspects.sequence(), changed)
+            suspects.changed_after(self.suspects_published, MAX_PUBLISHED_SUSPECTS)
         };
-        if !changed.is_empty() {
-            self.send(&Message::Suspects(changed)).await?;
-        }
-        self.suspects_published = sequence;
-        Ok(())
+        let Some(last) = changed.last() else {
+            return Ok(());
+        };
+        self.suspects_published = last.sequence;
+        let records = changed.into_iter();
+        let records = records.map(|numbered| (numbered.digest, numbered.record));
+        self.send(&Message::Suspects(records.collect())).await
     }
 
     async fn publish_rates(&mut self, state: &State) -> Result<(), Error> {
@@ -334,13 +335,13 @@
 fn merge_suspects(state: &State, suspects: &[(u64, CrashRecord)]) {
     let now = state.clock.now();
     let mut known = state.suspects.borrow_mut();
-    for (digest, record) in suspects {
-        let crashes = known.uncleared_crashes(*digest);
-        known.merge(now, *digest, record);
-        let merged = known.uncleared_crashes(*digest);
+    for (fingerprint, record) in suspects {
+        let crashes = known.crashes(*fingerprint);
+        known.merge(now, *fingerprint, record);
+        let merged = known.crashes(*fingerprint);
         if merged != crashes {
             info!(state.log, "crash suspect updated by another node";
-                "digest" => digest, "crashes" => merged, "former_crashes" => crashes);
+                "fingerprint" => fingerprint, "crashes" => merged, "former_crashes" => crashes);
         }
     }
 }
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
-use filbertpaddle_core::suspect::QuarantineStatus;
 use filbertpaddle_forward::admission;
 use filbertpaddle_forward::admission::Claim;
 use filbertpaddle_forward::change::Table;
@@ -14,6 +13,7 @@
 use filbertpaddle_forward::configuration::Customer;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::drain;
+use filbertpaddle_forward::fingerprint::fingerprints;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use http::HeaderMap;
@@ -27,7 +27,6 @@
 use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::buffered;
 use crate::clock::duration;
@@ -49,8 +48,6 @@
 const STOPPING_RETRY_MS: Millis = Millis(50);
 /// Shortest time that a caller has spent when it returns after a refusal.
 const RETURN_MIN_MS: Millis = Millis(150);
-/// Time after which a caller may retry a request that crashed targets.
-const QUARANTINE_RETRY_MS: Millis = Millis::from_secs(60);
 
 /// Serves one request.
 ///
@@ -124,8 +121,9 @@
         body,
     };
     let job = received.into_job(state, &configuration, route, customer);
-    if state.suspects.borrow().status(job.digest) == QuarantineStatus::Blocked {
-        return Err(deny(state, &id, Refusal::Quarantined, &route.name));
+    if job.is_quarantined() {
+        state.metrics.count("denied.quarantined");
+        return Err(job.refusal_reply(Refusal::Quarantined));
     }
     state.with_budget(&job.demand.service, |budget| {
         budget.record_request(received_ms)
@@ -161,7 +159,12 @@
             state: Rc::clone(state),
             route: route.clone(),
             priority: own_priority.unwrap_or(route.priority),
-            digest: digest(self.head.uri.path(), customer.as_deref(), &self.body),
+            fingerprints: fingerprints(
+                self.head.uri.path(),
+                customer.as_deref(),
+                &self.body,
+                self.metadata.generation.as_ref(),
+            ),
             customer,
             metadata: self.metadata,
             method: self.head.method,
@@ -247,7 +250,6 @@
 fn deny(state: &State, id: &str, refusal: Refusal, reason: &str) -> Reply {
     let retry_ms = match refusal {
         Refusal::NoConfiguration => Some(NOT_READY_RETRY_MS),
-        Refusal::Quarantined => Some(QUARANTINE_RETRY_MS),
         Refusal::Stopping => Some(STOPPING_RETRY_MS),
         _ => None,
     };
@@ -299,7 +301,7 @@
     };
     let (outcome, reply) = match result {
         Ok(reply) => {
-            clear_suspect(job);
+            job.record_sound();
             ("answered".to_owned(), reply)
         }
         Err(Refusal::TimedOut) => {
@@ -319,7 +321,6 @@
     match result {
         Ok(()) => {
             log_end(job, &progress, "complete", 200);
-            clear_suspect(job);
             writer.finish();
         }
         Err(StopReason::CallerGone) => log_end(job, &progress, "caller_gone", 0),
@@ -347,19 +348,6 @@
     }
 }
 
-/// Clears a request from the crash suspects after it was completed.
-fn clear_suspect(job: &Job) {
-    let state = &job.state;
-    let mut suspects = state.suspects.borrow_mut();
-    let crashes = suspects.uncleared_crashes(job.digest);
-    suspects.record_answer(state.clock.now(), job.digest);
-    if crashes > 0 {
-        info!(state.log, "request cleared of crashes: it was completed";
-            "id" => job.metadata.attempt.as_str(), "digest" => job.digest,
-            "prompt_parts" => job.metadata.part_ids(), "crashes" => crashes);
-    }
-}
-
 fn log_end(job: &Job, progress: &Progress, outcome: &str, status: u16) {
     let state = &job.state;
     let elapsed_ms = state.clock.now().since(job.received_ms);
@@ -410,8 +398,3 @@
         .unwrap_or_default();
     host.rsplit_once(':').map_or(host, |(name, _)| name)
 }
-
-fn digest(path: &str, customer: Option<&str>, body: &[u8]) -> u64 {
-    let seed = xxh3_64_with_seed(customer.unwrap_or_default().as_bytes(), 0);
-    xxh3_64_with_seed(body, xxh3_64_with_seed(path.as_bytes(), seed))
-}
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::crash_attribution::CrashAttribution;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_core::suspect::Suspects;
 use filbertpaddle_forward::admission::Contention;
 use filbertpaddle_forward::change::AppliedChanges;
 use filbertpaddle_forward::change::Batch;
@@ -90,8 +90,8 @@
     pub peer_lost_ms: Cell<Millis>,
     budgets: RefCell<IndexMap<Name, RetryBudget>>,
     contention: RefCell<IndexMap<Name, Contention>>,
-    /// Requests that were running when their target crashed.
-    pub suspects: RefCell<Suspects>,
+    /// What requests have in common that were waiting when their target crashed.
+    pub suspects: RefCell<CrashAttribution>,
     /// Whether the node has tried to read the list of nodes.
     pub is_registered: Cell<bool>,
     /// Whether the node is about to exit and refuses all requests.
@@ -133,7 +133,7 @@
             load_table: RefCell::new(LoadTable::new()),
             budgets: RefCell::default(),
             contention: RefCell::default(),
-            suspects: RefCell::new(Suspects::new()),
+            suspects: RefCell::new(CrashAttribution::new()),
             is_registered: Cell::new(false),
             is_closing: Cell::new(false),
             written_ms: Cell::default(),
--- a/filbertpaddle/tests/soak/invariants.rs
+++ b/filbertpaddle/tests/soak/invariants.rs
@@ -17,6 +17,7 @@
 use crate::history::History;
 use crate::history::RequestKind;
 use crate::rate_limits;
+use crate::traffic::DEADLY_PREFIX;
 use crate::traffic::PROBE_PREFIX;
 
 // Bounds that the users' deployments require.
@@ -43,6 +44,8 @@
 const COLD_RATE_SLACK: f64 = 5.0;
 /// Number of crashes after which a request must be quarantined.
 const POISON_CRASHES: usize = 3;
+/// Number of crashes after which all requests with the same crashing part must be quarantined.
+const DEADLY_PART_CRASHES: usize = 5;
 /// Number of times that a quarantined request may still run once all nodes have had
 /// time to receive its crash record.
 const MAX_RUNS_AFTER_QUARANTINE: usize = 3;
@@ -66,6 +69,12 @@
     let answer = &exchange.answer;
     let is_success = answer.status.is_some_and(|status| status.is_success());
     let expected = expected_body(exchange);
+    if answer.code() == 503 && answer.body == b"quarantined\n" {
+        history.record_violation(format!(
+            "{} was quarantined, but crashes no target",
+            exchange.attempt
+        ));
+    }
     if is_success && !answer.is_sealed() {
         history.record_violation(format!(
             "successful answer to {} lacks the response seal",
@@ -136,7 +145,8 @@
         check_retries(&events, &by_attempt, &mut violations);
         check_cold_targets(&events, runs, &mut violations);
         rate_limits::check(&events, runs, &sent, &mut violations);
-        check_quarantine(runs, &mut violations);
+        check_quarantine(runs, POISON, POISON_CRASHES, &mut violations);
+        check_quarantine(runs, DEADLY_PREFIX, DEADLY_PART_CRASHES, &mut violations);
     }
     violations
         .into_iter()
@@ -381,10 +391,11 @@
     }
 }
 
-/// Checks that a request that crashes targets is quarantined on all nodes.
-fn check_quarantine(runs: &[Run], violations: &mut Vec<String>) {
-    let mut poison = runs.iter().filter(|run| run.attempt.starts_with(POISON));
-    let Some(threshold_crash) = poison.nth(POISON_CRASHES - 1) else {
+/// Checks that requests whose attempts have a prefix are quarantined on all nodes after they
+/// have crashed this many targets.
+fn check_quarantine(runs: &[Run], prefix: &str, crashes: usize, violations: &mut Vec<String>) {
+    let mut poison = runs.iter().filter(|run| run.attempt.starts_with(prefix));
+    let Some(threshold_crash) = poison.nth(crashes - 1) else {
         return;
     };
     let count = poison
@@ -392,7 +403,7 @@
         .count();
     if count > MAX_RUNS_AFTER_QUARANTINE {
         violations.push(format!(
-            "a request crashed {count} more targets after it had to be quarantined; \
+            "requests {prefix} crashed {count} more targets after they had to be quarantined; \
              at most {MAX_RUNS_AFTER_QUARANTINE} allowed"
         ));
     }
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -15,6 +15,7 @@
 use filbertpaddle_adapter_standins::configuration::RESUMABLE_PATH;
 use filbertpaddle_adapter_standins::configuration::STREAM_PATH;
 use filbertpaddle_adapter_standins::configuration::WRITE_PATH;
+use filbertpaddle_adapter_standins::target::DEADLY_PART;
 use filbertpaddle_adapter_standins::target::EVENT_TOKENS;
 use filbertpaddle_adapter_standins::target::POISON;
 use http::Method;
@@ -35,10 +36,17 @@
 const ABORT_SHARE: f64 = 0.03;
 /// Share of requests sent on a new connection.
 const NEW_CONNECTION_SHARE: f64 = 0.1;
-/// Number of times that a request that crashes targets is sent.
-const POISON_REQUESTS: usize = 30;
+/// Number of requests that crash targets.
+const POISON_REQUESTS: usize = 60;
 /// Pause between two such requests.
-const POISON_PAUSE: Duration = Duration::from_millis(400);
+const POISON_PAUSE: Duration = Duration::from_millis(200);
+/// Number of events of a generation that crashes targets.
+const DEADLY_EVENTS: u64 = 20;
+/// Prefix of the attempt names of requests with a part that crashes targets.
+pub(crate) const DEADLY_PREFIX: &str = "deadly-";
+/// Parts that prompts share: the first one, and the second one.
+const FIRST_PARTS: [&str; 3] = ["f1", "f2", "f3"];
+const SECOND_PARTS: [&str; 3] = ["c1", "c2", "c3"];
 /// Prefix of the attempt names of probes.
 pub(crate) const PROBE_PREFIX: &str = "probe-";
 const MAX_STREAM_EVENTS: u64 = 150;
@@ -112,20 +120,26 @@
     caller::send(addresses.address(node), &request).await
 }
 
-/// Sends a request that crashes targets through one node after another.
+/// Sends requests that crash targets through one node after another: one that is repeated, and
+/// in between others that have only a part of their prompt in common.
 pub(crate) async fn send_poison(addresses: Addresses, history: History) {
     for number in 0..POISON_REQUESTS {
-        let node = number % addresses.count();
+        let node = number / 2 % addresses.count();
         let key_version = addresses.key_version();
-        let attempt = format!("{POISON}-{}", rand::random::<u64>());
-        let mut request = build_request(RequestKind::Write, attempt, 0, key_version);
-        request.content = Some(POISON.to_owned());
+        let request = match number % 2 {
+            0 => repeated_poison(key_version),
+            _ => deadly_generation(key_version),
+        };
+        let (kind, events) = match request.tokens {
+            None => (RequestKind::Write, 0),
+            Some(_) => (RequestKind::Stream, DEADLY_EVENTS),
+        };
         let sent = Instant::now();
         let answer = caller::send(addresses.address(node), &request).await;
         history.events().exchanges.push(Exchange {
             attempt: request.attempt,
-            kind: RequestKind::Write,
-            events: 0,
+            kind,
+            events,
             node,
             key_version,
             sent,
@@ -138,6 +152,23 @@
     }
 }
 
+fn repeated_poison(key_version: u64) -> SentRequest {
+    let attempt = format!("{POISON}-{}", rand::random::<u64>());
+    SentRequest {
+        content: Some(POISON.to_owned()),
+        ..build_request(RequestKind::Write, attempt, 0, key_version)
+    }
+}
+
+fn deadly_generation(key_version: u64) -> SentRequest {
+    let attempt = format!("{DEADLY_PREFIX}{}", rand::random::<u64>());
+    let parts = [FIRST_PARTS[0], SECOND_PARTS[0], DEADLY_PART];
+    SentRequest {
+        shared_parts: parts.map(str::to_owned).to_vec(),
+        ..build_request(RequestKind::Stream, attempt, DEADLY_EVENTS, key_version)
+    }
+}
+
 fn random_request(
     rng: &mut StdRng,
     attempt: String,
@@ -154,6 +185,11 @@
         false => 0,
     };
     let mut request = build_request(kind, attempt, events, key_version);
+    if kind.is_stream() {
+        let first = FIRST_PARTS[events as usize % FIRST_PARTS.len()];
+        let second = SECOND_PARTS[events as usize / 10 % SECOND_PARTS.len()];
+        request.shared_parts = vec![first.to_owned(), second.to_owned()];
+    }
     if rng.random_bool(ABORT_SHARE) {
         request.deadline_ms = rng.random_range(1..300);
     }
