--- a/filbertpaddle-core/benches/scheduler.rs
+++ b/filbertpaddle-core/benches/scheduler.rs
@@ -37,6 +37,7 @@
         prefix: id % 50 + 1,
         prefix_tokens: 256,
         digest: id + 1,
+        parts: Vec::new(),
         arrived_ms: now,
         deadline_ms: now + Millis::from_secs(600),
     }
--- a/filbertpaddle-core/examples/embed.rs
+++ b/filbertpaddle-core/examples/embed.rs
@@ -65,6 +65,7 @@
         prefix: 0,
         prefix_tokens: 0,
         digest: number,
+        parts: Vec::new(),
         arrived_ms: now,
         deadline_ms: now + Millis::from_secs(30),
     }
--- a/filbertpaddle-core/src/crash_attribution.rs
+++ b/filbertpaddle-core/src/crash_attribution.rs
@@ -7,8 +7,6 @@
 //! Load pattern: requests that share one part crash each target that begins to answer them, no
 //! two of them alike, among sound requests that share their other parts.
 
-use indexmap::IndexMap;
-
 use crate::clock::Millis;
 use crate::suspect::CRASH_LIMIT;
 use crate::suspect::CrashRecord;
@@ -18,8 +16,6 @@
 /// Time for which an answer shows that its request's fingerprints are sound, whatever crashes
 /// follow. What crashes targets is never answered.
 const RECENT_ANSWER_MS: Millis = Millis::from_secs(2);
-/// Number of fingerprints above which those not answered recently are dropped.
-const MAX_ANSWERED: usize = 4_096;
 /// Largest number of crashes that are recorded for one fingerprint.
 const MAX_CRASHES: usize = 32;
 
@@ -27,8 +23,6 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashAttribution {
     suspects: Suspects,
-    /// Time of the last answer, by fingerprint.
-    answered_ms: IndexMap<u64, Millis>,
 }
 
 impl CrashAttribution {
@@ -50,12 +44,9 @@
     /// Records that a request with these fingerprints was answered; returns those that this
     /// clears of crashes.
     pub fn record_answer(&mut self, now: Millis, fingerprints: &[u64]) -> Vec<u64> {
-        for fingerprint in fingerprints {
-            self.insert_answered(now, *fingerprint);
-        }
         let accused = fingerprints.iter().copied();
         let cleared: Vec<_> = accused.filter(|one| self.crashes(*one) > 0).collect();
-        for fingerprint in &cleared {
+        for fingerprint in fingerprints {
             self.suspects.record_answer(now, *fingerprint);
         }
         cleared
@@ -78,6 +69,16 @@
         self.suspects.uncleared_crashes(fingerprint)
     }
 
+    /// Returns the records, and how many copies of each request may run.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
+    /// Renews the retention of a suspect that was sent again.
+    pub fn touch(&mut self, now: Millis, fingerprint: u64) {
+        self.suspects.touch(now, fingerprint);
+    }
+
     /// Returns the fingerprint for which a request with these ones must not run: it has
     /// [`CRASH_LIMIT`] crashes or more that no fingerprint of other requests explains.
     pub fn blocked_by(&self, fingerprints: &[u64]) -> Option<u64> {
@@ -107,19 +108,8 @@
     }
 
     fn is_answered(&self, now: Millis, fingerprint: u64) -> bool {
-        let answered_ms = self.answered_ms.get(&fingerprint);
-        answered_ms.is_some_and(|at_ms| now.since(*at_ms) < RECENT_ANSWER_MS)
-    }
-
-    fn insert_answered(&mut self, now: Millis, fingerprint: u64) {
-        if self.answered_ms.len() >= MAX_ANSWERED {
-            self.answered_ms
-                .retain(|_, at_ms| now.since(*at_ms) < RECENT_ANSWER_MS);
-        }
-        if self.answered_ms.len() >= MAX_ANSWERED {
-            self.answered_ms.swap_remove_index(0);
-        }
-        self.answered_ms.insert(fingerprint, now);
+        let answered_ms = self.suspects.answered_at_ms(fingerprint);
+        answered_ms.is_some_and(|at_ms| now.since(at_ms) < RECENT_ANSWER_MS)
     }
 
     /// Drops a long record of crashes if all are cleared; returns whether one more crash can be
--- a/filbertpaddle-core/src/isolated_queue.rs
+++ b/filbertpaddle-core/src/isolated_queue.rs
@@ -47,11 +47,6 @@
         entry
     }
 
-    /// Removes and returns all requests of a digest.
-    pub fn remove_digest(&mut self, digest: u64) -> VecDeque<Entry> {
-        self.waiting.shift_remove(&digest).unwrap_or_default()
-    }
-
     /// Removes and returns one request.
     pub fn remove(&mut self, id: RequestId) -> Option<Entry> {
         self.remove_where(|entry| entry.request.id == id).pop()
@@ -86,7 +81,8 @@
             .min()
     }
 
-    fn remove_where<Predicate>(&mut self, predicate: Predicate) -> Vec<Entry>
+    /// Removes and returns the requests for which `predicate` holds.
+    pub fn remove_where<Predicate>(&mut self, predicate: Predicate) -> Vec<Entry>
     where
         Predicate: Fn(&Entry) -> bool,
     {
--- a/filbertpaddle-core/src/scheduler.rs
+++ b/filbertpaddle-core/src/scheduler.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 
 use crate::clock::Millis;
+use crate::crash_attribution::CrashAttribution;
 use crate::isolated_queue::IsolatedQueue;
 use crate::name::Name;
 use crate::outcome::Reason;
@@ -31,6 +32,8 @@
 
 /// Number of queued requests that a call tries before it returns nothing.
 const LOOKAHEAD_REQUESTS: usize = 4;
+/// Number of tokens that show that a prompt does not crash its target.
+const SOUND_TOKENS: u32 = 2;
 /// Interval at which queued work is retried without an event, since the forecast
 /// memory of running work changes with time.
 const POLL_INTERVAL_MS: Millis = Millis(50);
@@ -49,7 +52,7 @@
     placement_rate: PlacementRate,
     gap_model: GapModel,
     output_lengths: OutputLengths,
-    suspects: Suspects,
+    suspects: CrashAttribution,
     target_states: IndexMap<Name, TargetState>,
     slots: IndexMap<SlotId, Name>,
     running_copies: IndexMap<u64, usize>,
@@ -71,7 +74,7 @@
             placement_rate: PlacementRate::default(),
             gap_model: GapModel::new(),
             output_lengths: OutputLengths::new(),
-            suspects: Suspects::new(),
+            suspects: CrashAttribution::new(),
             target_states: IndexMap::new(),
             slots: IndexMap::new(),
             running_copies: IndexMap::new(),
@@ -104,7 +107,7 @@
             request,
             cost_tokens,
         };
-        if self.suspects.status(entry.request.digest) == QuarantineStatus::Suspect {
+        if self.status(&entry.request) == QuarantineStatus::Suspect {
             self.isolated.push(entry);
         } else {
             self.queue.push(entry);
@@ -120,7 +123,7 @@
         max_wait: Millis,
     ) -> Result<(), Reason> {
         self.suspects.touch(now, request.digest);
-        let status = self.suspects.status(request.digest);
+        let status = self.status(request);
         if status == QuarantineStatus::Blocked {
             return Err(Reason::Quarantined);
         }
@@ -224,11 +227,10 @@
             if restricted_ids.is_empty() {
                 return;
             }
-            for entry in restricted_ids
-                .into_iter()
-                .filter_map(|id| self.queue.remove(id))
-            {
-                if self.suspects.status(entry.request.digest) == QuarantineStatus::Blocked {
+            let restricted = restricted_ids.into_iter();
+            let restricted: Vec<_> = restricted.filter_map(|id| self.queue.remove(id)).collect();
+            for entry in restricted {
+                if self.status(&entry.request) == QuarantineStatus::Blocked {
                     self.pending_refusals
                         .push(quarantine_refusal(entry.request.id));
                 } else {
@@ -239,7 +241,7 @@
     }
 
     fn may_share_target(&self, request: &SlotRequest) -> bool {
-        let status = self.suspects.status(request.digest);
+        let status = self.status(request);
         let is_unrestricted = matches!(
             status,
             QuarantineStatus::Unknown | QuarantineStatus::Cleared
@@ -247,13 +249,23 @@
         is_unrestricted && self.may_run_copy(request)
     }
 
+    /// Returns the restriction on running a request: its own, or that on others with a part of
+    /// its prompt.
+    pub fn status(&self, request: &SlotRequest) -> QuarantineStatus {
+        let own = self.suspects().status(request.digest);
+        match self.suspects.blocked_by(&request.fingerprints()) {
+            Some(_) => QuarantineStatus::Blocked,
+            None => own,
+        }
+    }
+
     fn may_run_copy(&self, request: &SlotRequest) -> bool {
         let running = self
             .running_copies
             .get(&request.digest)
             .copied()
             .unwrap_or(0);
-        request.digest == 0 || running < self.suspects.max_copies(request.digest)
+        request.digest == 0 || running < self.suspects().max_copies(request.digest)
     }
 
     fn choose_target(
@@ -262,7 +274,7 @@
         request: &SlotRequest,
         targets: &[TargetView],
     ) -> Option<Name> {
-        let suspect = self.suspects.status(request.digest) == QuarantineStatus::Suspect;
+        let suspect = self.suspects().status(request.digest) == QuarantineStatus::Suspect;
         let candidates: Vec<&TargetView> = targets
             .iter()
             .filter(|view| view.free_slots > 0 && !self.is_in_backoff(now, &view.name))
@@ -295,7 +307,7 @@
         self.target_states.get(target).is_some_and(|state| {
             state
                 .running()
-                .any(|running| self.suspects.uncleared_crashes(running.request.digest) > 0)
+                .any(|running| self.suspects.crashes(running.request.digest) > 0)
         })
     }
 
@@ -339,7 +351,7 @@
                 state.record_gap(&running, tokens, &mut self.gap_model);
                 self.output_lengths
                     .record_complete(&request.template, tokens);
-                self.suspects.record_answer(now, request.digest);
+                self.suspects.record_answer(now, &request.fingerprints());
             }
             Ending::Cancelled | Ending::Unknown if tokens > 0 => {
                 self.output_lengths
@@ -347,7 +359,14 @@
             }
             Ending::Failed => {
                 let crash = suspect::crash_id(&target, state.record_crash_time(now, &running));
-                self.suspects.record_crash(now, request.digest, crash);
+                // An answer that goes on past its first token shows that the parts are sound.
+                if tokens < SOUND_TOKENS {
+                    self.suspects
+                        .record_crash(now, &request.fingerprints(), crash);
+                } else {
+                    self.suspects.record_crash(now, &[request.digest], crash);
+                    self.suspects.record_answer(now, &request.parts);
+                }
                 state.start_backoff(now);
             }
             Ending::Refused => state.start_backoff(now),
@@ -364,7 +383,9 @@
             used_tokens,
         );
         self.release_copy(request.digest);
-        self.refuse_blocked(request.digest);
+        if ending == Ending::Failed {
+            self.refuse_blocked();
+        }
     }
 
     fn release_copy(&mut self, digest: u64) {
@@ -377,11 +398,12 @@
         }
     }
 
-    fn refuse_blocked(&mut self, digest: u64) {
-        if self.suspects.status(digest) != QuarantineStatus::Blocked {
-            return;
-        }
-        let refused = self.isolated.remove_digest(digest);
+    /// Refuses the isolated requests that must no longer run.
+    fn refuse_blocked(&mut self) {
+        let suspects = &self.suspects;
+        let is_blocked =
+            |entry: &Entry| suspects.blocked_by(&entry.request.fingerprints()).is_some();
+        let refused = self.isolated.remove_where(is_blocked);
         self.pending_refusals.extend(
             refused
                 .iter()
@@ -425,13 +447,13 @@
     /// Merges another node's record of a request that was running during crashes.
     pub fn merge_crash_record(&mut self, now: Millis, digest: u64, record: &suspect::CrashRecord) {
         self.suspects.merge(now, digest, record);
-        self.refuse_blocked(digest);
+        self.refuse_blocked();
     }
 
     /// Returns the requests that were running during crashes, for replication to other
     /// nodes.
     pub fn suspects(&self) -> &Suspects {
-        &self.suspects
+        self.suspects.suspects()
     }
 
     /// Removes the requests that no longer get a slot and returns their refusals: the
--- a/filbertpaddle-core/src/slot_request.rs
+++ b/filbertpaddle-core/src/slot_request.rs
@@ -41,12 +41,22 @@
     pub prefix_tokens: u32,
     /// Digest of the whole request; a resent request has the same.
     pub digest: u64,
+    /// Digests of the parts of the prompt, which other requests may share.
+    pub parts: Vec<u64>,
     /// When the request reached the owner.
     pub arrived_ms: Millis,
     /// When the request expires in the queue.
     pub deadline_ms: Millis,
 }
 
+impl SlotRequest {
+    /// Returns what the request has in common with others that may crash targets.
+    pub fn fingerprints(&self) -> Vec<u64> {
+        let parts = self.parts.iter().copied();
+        std::iter::once(self.digest).chain(parts).collect()
+    }
+}
+
 /// A target's state as the scheduler needs it for placement.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct TargetView {
--- a/filbertpaddle-core/src/suspect.rs
+++ b/filbertpaddle-core/src/suspect.rs
@@ -6,7 +6,6 @@
 use std::collections::BTreeSet;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -17,6 +16,8 @@
 pub const CRASH_LIMIT: usize = 3;
 /// Largest number of recorded suspects.
 pub const MAX_SUSPECTS: usize = 4_096;
+/// Number of answered requests at which the older half of them is forgotten.
+const MAX_ANSWERED: usize = 4_096;
 /// Time for which a suspect is recorded after it was last seen.
 const SUSPECT_TTL_MS: Millis = Millis::from_secs(3_600);
 
@@ -89,7 +90,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Suspects {
     entries: IndexMap<u64, Entry>,
-    answered: IndexSet<u64>,
+    /// Time of the last complete answer, by digest.
+    answered_ms: IndexMap<u64, Millis>,
     /// Sequence number of the last change of any record.
     sequence: u64,
 }
@@ -113,7 +115,7 @@
         if digest == 0 {
             return;
         }
-        self.answered.swap_remove(&digest);
+        self.answered_ms.swap_remove(&digest);
         let record = CrashRecord {
             crashes: BTreeSet::from([crash]),
             cleared: BTreeSet::new(),
@@ -123,10 +125,10 @@
 
     /// Records that a request gave a complete answer.
     pub fn record_answer(&mut self, now: Millis, digest: u64) {
-        if self.answered.len() >= MAX_SUSPECTS {
-            self.answered.swap_remove_index(0);
+        if self.answered_ms.len() >= MAX_ANSWERED {
+            self.answered_ms.drain(..MAX_ANSWERED / 2);
         }
-        self.answered.insert(digest);
+        self.answered_ms.insert(digest, now);
         if let Some(entry) = self.entries.get_mut(&digest) {
             entry.seen_ms = now;
             if entry.record.cleared != entry.record.crashes {
@@ -137,6 +139,11 @@
         }
     }
 
+    /// Returns the time of the last complete answer to a request since its last crash.
+    pub fn answered_at_ms(&self, digest: u64) -> Option<Millis> {
+        self.answered_ms.get(&digest).copied()
+    }
+
     /// Merges another node's record of a request.
     pub fn merge(&mut self, now: Millis, digest: u64, record: &CrashRecord) {
         if self.entries.len() >= MAX_SUSPECTS && !self.entries.contains_key(&digest) {
@@ -160,7 +167,7 @@
     /// Returns the restriction on running a request.
     pub fn status(&self, digest: u64) -> QuarantineStatus {
         match self.uncleared_crashes(digest) {
-            0 if self.answered.contains(&digest) => QuarantineStatus::Cleared,
+            0 if self.answered_ms.contains_key(&digest) => QuarantineStatus::Cleared,
             0 => QuarantineStatus::Unknown,
             crashes if crashes < CRASH_LIMIT => QuarantineStatus::Suspect,
             _ => QuarantineStatus::Blocked,
--- a/filbertpaddle-core/tests/quarantine.rs
+++ b/filbertpaddle-core/tests/quarantine.rs
@@ -28,6 +28,24 @@
 const CRASHING_DIGEST: u64 = 666;
 const SLOTS: u32 = 6;
 
+fn slot_request(now: Millis, digest: u64) -> SlotRequest {
+    SlotRequest {
+        id: RequestId(digest),
+        customer: Name::new(format!("customer-{}", digest % 3)),
+        template: Name::new("summary"),
+        priority: Priority(0),
+        weight: 1,
+        prompt_tokens: 100,
+        max_tokens: 1_000,
+        prefix: 0,
+        prefix_tokens: 0,
+        digest,
+        parts: Vec::new(),
+        arrived_ms: now,
+        deadline_ms: now + Millis::from_secs(600),
+    }
+}
+
 /// Pool whose targets crash when they run one of the `crashing` digests.
 ///
 /// Each request lost in a crash is sent again, until it is answered or refused as
@@ -72,17 +90,7 @@
         self.digests.insert(RequestId(self.next_id), digest);
         let request = SlotRequest {
             id: RequestId(self.next_id),
-            customer: Name::new(format!("customer-{}", digest % 3)),
-            template: Name::new("summary"),
-            priority: Priority(0),
-            weight: 1,
-            prompt_tokens: 100,
-            max_tokens: 1_000,
-            prefix: 0,
-            prefix_tokens: 0,
-            digest,
-            arrived_ms: self.now,
-            deadline_ms: self.now + Millis::from_secs(600),
+            ..slot_request(self.now, digest)
         };
         if let Err(refusal) = self.scheduler.push(self.now, request)
             && refusal.reason == Reason::Quarantined
@@ -345,3 +353,72 @@
     assert_eq!(changed[0].1.crashes, BTreeSet::from([1, 2]));
     assert_eq!(suspects.changed_after(suspects.sequence()).count(), 0);
 }
+
+/// Load pattern: requests of one template, no two alike, of which those with one parameter crash
+/// each target before its first token.
+#[test]
+fn requests_that_share_a_crashing_part_are_blocked_and_others_of_the_template_go_on() {
+    const TEMPLATE_PART: u64 = 70;
+    const CRASHING_PART: u64 = 71;
+    let mut scheduler = Scheduler::new(Settings::default());
+    let targets = ["t-0", "t-1", "t-2", "t-3"].map(Name::new);
+    let mut crashes = 0;
+    let mut answers = 0;
+    for number in 1..=30 {
+        let now = Millis(number * 3_000);
+        let is_crashing = number % 3 != 0;
+        let parts = match is_crashing {
+            true => vec![TEMPLATE_PART, CRASHING_PART],
+            false => vec![TEMPLATE_PART],
+        };
+        let request = SlotRequest {
+            parts,
+            ..slot_request(now, number)
+        };
+        let views = targets.clone().map(|name| TargetView {
+            name,
+            free_slots: SLOTS,
+            capacity_tokens: 0,
+            warm: true,
+        });
+        let pushed = scheduler.push(now, request);
+        let reason = pushed.as_ref().err().map(|refusal| refusal.reason);
+        assert!(reason.is_none_or(|reason| is_crashing && reason == Reason::Quarantined));
+        let Some(placement) = scheduler.next_placement(now, &views) else {
+            continue;
+        };
+        scheduler.record_start(now, SlotId(number), &placement);
+        let (tokens, ending) = match is_crashing {
+            true => (0, Ending::Failed),
+            false => (40, Ending::Complete),
+        };
+        scheduler.record_end(now, SlotId(number), tokens, ending);
+        crashes += usize::from(is_crashing);
+        answers += usize::from(!is_crashing);
+    }
+    assert_eq!(crashes, CRASH_LIMIT);
+    assert_eq!(answers, 10);
+}
+
+/// A template's prompt is sound if its generations went on, however often targets fail later.
+#[test]
+fn targets_that_fail_in_the_middle_of_generations_accuse_no_part() {
+    let mut scheduler = Scheduler::new(Settings::default());
+    for number in 1..=10 {
+        let now = Millis(number * 3_000);
+        let request = SlotRequest {
+            parts: vec![70],
+            ..slot_request(now, number)
+        };
+        scheduler.push(now, request).unwrap();
+        let views = [TargetView {
+            name: Name::new(format!("t-{number}")),
+            free_slots: SLOTS,
+            capacity_tokens: 0,
+            warm: true,
+        }];
+        let placement = scheduler.next_placement(now, &views).unwrap();
+        scheduler.record_start(now, SlotId(number), &placement);
+        scheduler.record_end(now, SlotId(number), 30, Ending::Failed);
+    }
+}
--- a/filbertpaddle-core/tests/queue.rs
+++ b/filbertpaddle-core/tests/queue.rs
@@ -23,6 +23,7 @@
             prefix: 0,
             prefix_tokens: 0,
             digest: 0,
+            parts: Vec::new(),
             arrived_ms: Millis(arrived_ms),
             deadline_ms: Millis(arrived_ms + 1_000_000),
         },
--- a/filbertpaddle-core/tests/scheduler.rs
+++ b/filbertpaddle-core/tests/scheduler.rs
@@ -32,6 +32,7 @@
         prefix: 0,
         prefix_tokens: 0,
         digest: id + 1,
+        parts: Vec::new(),
         arrived_ms: now,
         deadline_ms: now + Millis::from_secs(10),
     }
--- a/filbertpaddle-standins/examples/placement/pool.rs
+++ b/filbertpaddle-standins/examples/placement/pool.rs
@@ -152,6 +152,7 @@
             prefix: arrival.prefix,
             prefix_tokens: arrival.request.blocks.len() as u32 * engine::BLOCK_TOKENS,
             digest: index as u64 + 1,
+            parts: Vec::new(),
             arrived_ms: now,
             deadline_ms: now + self.max_wait,
         };
--- a/filbertpaddle-standins/src/pool.rs
+++ b/filbertpaddle-standins/src/pool.rs
@@ -121,6 +121,7 @@
             prefix: blocks.last().copied().unwrap_or_default(),
             prefix_tokens: blocks.len() as u32 * BLOCK_TOKENS,
             digest: xxh3_64(prompt.as_bytes()),
+            parts: Vec::new(),
             arrived_ms: Millis::ZERO,
             deadline_ms: Millis::ZERO,
         };
--- a/filbertpaddle/src/pool.rs
+++ b/filbertpaddle/src/pool.rs
@@ -233,7 +233,7 @@
     /// request is quarantined.
     pub(crate) fn take_shares(&mut self, now: Millis, roster: &Roster) {
         while let Some(waiter) = self.waiters.first() {
-            if self.scheduler.is_blocked(waiter.want.digest) {
+            if self.scheduler.is_blocked(now, &waiter.want) {
                 let waiter = self.waiters.remove(0);
                 waiter
                     .reply
--- a/filbertpaddle/src/pool_scheduler.rs
+++ b/filbertpaddle/src/pool_scheduler.rs
@@ -25,6 +25,7 @@
 use filbertpaddle_wire::grant::End;
 use filbertpaddle_wire::grant::WorkSpec;
 use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A request that is refused a slot.
 #[derive(Debug)]
@@ -232,9 +233,10 @@
             .for_each(|key| self.record_end(now, key, end));
     }
 
-    /// Returns whether a request digest is blocked for crashing too many targets.
-    pub(crate) fn is_blocked(&self, digest: u64) -> bool {
-        self.scheduler.suspects().status(digest) == QuarantineStatus::Blocked
+    /// Returns whether a request is blocked because others like it crashed too many targets.
+    pub(crate) fn is_blocked(&self, now: Millis, want: &WorkSpec) -> bool {
+        let request = scheduler_request(now, RequestId(0), want);
+        self.scheduler.status(&request) == QuarantineStatus::Blocked
     }
 
     /// Merges another node's crash record of a request digest.
@@ -298,7 +300,14 @@
         prefix: want.prefix,
         prefix_tokens: want.prefix_tokens,
         digest: want.digest,
+        parts: vec![template_digest(want)],
         arrived_ms: now,
         deadline_ms: now + want.wait_ms,
     }
 }
+
+/// Returns the digest of what all requests of a template have in common. It changes with the
+/// complete blocks of the template's prompt.
+fn template_digest(want: &WorkSpec) -> u64 {
+    xxh3_64_with_seed(want.template.as_bytes(), want.prefix)
+}
