Decode and log the versions of targets, and the attempt that a caller resumes

Cause: the logs of streams that change their target do not name versions; they cannot tell whether choices ignore the version or go by old lists.

Change: the version of a target's entry and the header Resumes are decoded and logged. No decision changes.

--- a/filbertpaddle-forward/src/request_metadata.rs
+++ b/filbertpaddle-forward/src/request_metadata.rs
@@ -16,6 +16,8 @@
     pub generation: Option<GenerationSize>,
     /// ID of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Attempt that received the first event of the stream, if it resumes one.
+    pub resumed_attempt: Option<Name>,
 }
 
 impl RequestMetadata {
--- a/filbertpaddle-forward/src/target.rs
+++ b/filbertpaddle-forward/src/target.rs
@@ -24,6 +24,8 @@
     pub cold_ms: Millis,
     /// Start time in Unix time, which distinguishes incarnations of the target.
     pub started_ms: Option<Millis>,
+    /// Version of its software, if known.
+    pub version: Option<Name>,
 }
 
 /// One run of a target, from its start to its end.
--- a/filbertpaddle-forward/tests/admission.rs
+++ b/filbertpaddle-forward/tests/admission.rs
@@ -61,6 +61,7 @@
         is_draining: false,
         cold_ms: Millis::ZERO,
         started_ms: None,
+        version: None,
     }
 }
 
--- a/filbertpaddle-forward/tests/target_selector.rs
+++ b/filbertpaddle-forward/tests/target_selector.rs
@@ -37,6 +37,7 @@
         is_draining: false,
         cold_ms: Millis::ZERO,
         started_ms: None,
+        version: None,
     }
 }
 
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -342,7 +342,7 @@
         let load = selector.total_load(&target.id);
         info!(state.log, "sending request to target";
             "id" => self.metadata.attempt.as_str(), "target" => target.id.as_str(),
-            "data_centre" => target.data_centre.as_str(),
+            "data_centre" => target.data_centre.as_str(), "version" => target.version.as_deref(),
             "running" => selector.running(&target.id), "all_running" => load.running,
             "all_tokens" => load.tokens, "all_prompt_tokens" => load.prompt_tokens, "attempt" => progress.sends + 1,
             "limit_per_sec" => selector.stated_rates().per_sec(&target.incarnation()),
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -196,6 +196,8 @@
         "service" => job.demand.service.as_str(), "priority" => job.priority,
         "tokens" => job.demand.total_tokens,
         "prompt_parts" => job.metadata.part_ids(),
+        "last_event" => job.metadata.last_event,
+        "resumes" => job.metadata.resumed_attempt.as_deref(),
         "deadline_ms" => job.metadata.deadline_ms.map(|span| span.0),
         "configuration" => version,
         "configuration_age_ms" => job.state.data_age_ms(Table::Operator).0,
