Add failing tests: streams go on at targets of another software version

Cause: none mended here. Stand-ins of targets state a version, and callers resume streams with Last-Event-Id and Resumes.

Evidence, on unchanged decisions: with one target of the version that began six streams and four of another, streams move and resume at the other version, within the answer and in the next attempt; a stream of unknown version is run. A sixth test, that such a stream goes on where only one version serves, passes and guards the fix.

--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -79,27 +79,33 @@
     }
 
     pub(crate) async fn add_target(&mut self, id: &str, service: &str, data_centre: &str) {
-        self.start_target(id, service, data_centre, 1).await;
+        self.start_target(target_options(id, service, data_centre))
+            .await;
     }
 
     /// Starts a later incarnation of a target in the first data centre.
     pub(crate) async fn add_incarnation(&mut self, id: &str, service: &str, incarnation: u64) {
-        self.start_target(id, service, "dc-a", incarnation).await;
+        let options = target::Options {
+            incarnation,
+            ..target_options(id, service, "dc-a")
+        };
+        self.start_target(options).await;
     }
 
-    async fn start_target(&mut self, id: &str, service: &str, data_centre: &str, incarnation: u64) {
+    /// Starts an engine with a version of its software in the first data centre.
+    pub(crate) async fn add_engine(&mut self, id: &str, version: &str) {
         let options = target::Options {
-            id: id.to_owned(),
-            service: service.to_owned(),
-            data_centre: data_centre.to_owned(),
-            event_ms: 20,
-            work_ms: 5,
-            cold_ms: 0,
-            incarnation,
+            version: version.to_owned(),
+            ..target_options(id, "engine", "dc-a")
         };
+        self.start_target(options).await;
+    }
+
+    async fn start_target(&mut self, options: target::Options) {
+        let id = options.id.clone();
         let started = Target::start(options, self.run_log.clone(), self.copies.clone());
         let target = started.await.unwrap();
-        self.store.put_target(id, &target.announce(target.address));
+        self.store.put_target(&id, &target.announce(target.address));
         self.targets.push(target);
     }
 
@@ -180,6 +186,19 @@
     }
 }
 
+fn target_options(id: &str, service: &str, data_centre: &str) -> target::Options {
+    target::Options {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        data_centre: data_centre.to_owned(),
+        event_ms: 20,
+        work_ms: 5,
+        cold_ms: 0,
+        version: "v1".to_owned(),
+        incarnation: 1,
+    }
+}
+
 /// Returns the status of a node's readiness check.
 pub(crate) async fn readiness(node: &Node) -> u16 {
     let check = request("ready", Method::GET, "/ready", None);
@@ -202,6 +221,7 @@
         content: None,
         tokens: output_tokens.map(|output| (1_000, output)),
         shared_parts: Vec::new(),
+        resume: None,
     }
 }
 
--- /dev/null
+++ b/filbertpaddle/tests/gateway/versions.rs
@@ -0,0 +1,206 @@
+//! Streams go on only at the software version of the target that began them.
+
+use std::time::Duration;
+
+use filbertpaddle_adapter_standins::caller;
+use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
+use filbertpaddle_adapter_standins::caller::Resume;
+use filbertpaddle_adapter_standins::caller::SentRequest;
+use http::Method;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::cluster::Cluster;
+use crate::cluster::RESUMABLE_PATH;
+use crate::cluster::STREAM_PATH;
+use crate::cluster::complete_stream;
+use crate::cluster::request;
+use crate::cluster::wait_until;
+
+const OLD: &str = "v1";
+const NEW: &str = "v2";
+/// Number of targets of the other version, so that a choice without regard to it shows.
+const OTHERS: usize = 4;
+const STREAMS: usize = 6;
+const EVENTS: u64 = 200;
+const OUTPUT_TOKENS: u32 = 800;
+/// Time within which a refusal counts as immediate.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+fn stream(number: usize, path: &str) -> SentRequest {
+    let attempt = format!("s{number}");
+    request(&attempt, Method::POST, path, Some(OUTPUT_TOKENS))
+}
+
+/// Returns the caller's next attempt, which resumes the stream of another one.
+fn next_attempt(name: &str, attempt: Option<&str>, last_event: u64) -> SentRequest {
+    SentRequest {
+        resume: Some(Resume {
+            attempt: attempt.map(str::to_owned),
+            last_event,
+        }),
+        ..request(name, Method::POST, RESUMABLE_PATH, Some(OUTPUT_TOKENS))
+    }
+}
+
+impl Cluster {
+    /// Starts nodes and the target `first`, at which all streams begin.
+    async fn with_one_engine(name: &str, nodes: usize) -> Self {
+        let mut cluster = Self::new(name).await;
+        cluster.add_engine("first", OLD).await;
+        for number in 0..nodes {
+            cluster.add_node(&format!("node-{number}"), "dc-a");
+        }
+        cluster.wait_until_ready().await;
+        cluster.wait_until_registered().await;
+        cluster
+    }
+
+    /// Starts targets of the other version, and one of the same if `has_same`; waits until the
+    /// nodes list them.
+    async fn add_engines(&mut self, has_same: bool, nodes: &[&str]) {
+        for number in 0..OTHERS {
+            self.add_engine(&format!("other-{number}"), NEW).await;
+        }
+        if has_same {
+            self.add_engine("same", OLD).await;
+        }
+        let last = if has_same { "same" } else { "other-3" };
+        let listed = format!("\"target\":\"{last}\"");
+        let is_listed = |line: &str| line.contains("target added") && line.contains(&listed);
+        for node in nodes {
+            wait_until("the node lists the targets", async || {
+                self.log(node).lines().any(is_listed)
+            })
+            .await;
+        }
+    }
+
+    /// Starts streams at `first` through a node and waits until each has some events.
+    async fn start_streams(&self, node: usize, path: &str) -> JoinSet<(usize, ReceivedAnswer)> {
+        let address = self.nodes[node].addresses.callers;
+        let mut callers = JoinSet::new();
+        for number in 0..STREAMS {
+            let sent = stream(number, path);
+            let attempt = sent.attempt.clone();
+            callers.spawn(async move { (number, caller::send(address, &sent).await) });
+            wait_until("the stream has events", async || {
+                self.target("first").running().get(&attempt) > Some(&3)
+            })
+            .await;
+        }
+        callers
+    }
+
+    /// Returns the targets on which an attempt ran.
+    fn targets_of(&self, attempt: &str) -> Vec<String> {
+        let runs = self.run_log.runs_of(attempt).into_iter();
+        runs.map(|run| run.target).collect()
+    }
+}
+
+#[tokio::test]
+async fn streams_that_move_with_a_copy_stay_at_their_version() {
+    let mut cluster = Cluster::with_one_engine("versions-move", 1).await;
+    let callers = cluster.start_streams(0, STREAM_PATH).await;
+    cluster.add_engines(true, &["node-0"]).await;
+    cluster.target("first").drain();
+    cluster.announce("first");
+    for (number, answer) in callers.join_all().await {
+        let attempt = format!("s{number}");
+        assert_eq!(cluster.targets_of(&attempt), ["first", "same"]);
+        assert_eq!(answer.body, complete_stream(&attempt, EVENTS));
+    }
+    cluster.close();
+}
+
+#[tokio::test]
+async fn streams_that_resume_within_the_answer_stay_at_their_version() {
+    let mut cluster = Cluster::with_one_engine("versions-resume", 1).await;
+    let callers = cluster.start_streams(0, RESUMABLE_PATH).await;
+    cluster.add_engines(true, &["node-0"]).await;
+    cluster.take_target("first").close();
+    for (number, answer) in callers.join_all().await {
+        let attempt = format!("s{number}");
+        assert_eq!(cluster.targets_of(&attempt), ["first", "same"]);
+        assert_eq!(answer.body, complete_stream(&attempt, EVENTS));
+    }
+    cluster.close();
+}
+
+#[tokio::test]
+async fn streams_whose_version_is_gone_end_at_once_as_incomplete() {
+    let mut cluster = Cluster::with_one_engine("versions-gone", 1).await;
+    let callers = cluster.start_streams(0, RESUMABLE_PATH).await;
+    cluster.add_engines(false, &["node-0"]).await;
+    let closed = Instant::now();
+    cluster.take_target("first").close();
+    for (number, answer) in callers.join_all().await {
+        let attempt = format!("s{number}");
+        assert_eq!(cluster.targets_of(&attempt), ["first"]);
+        assert!(!answer.is_complete);
+    }
+    assert!(closed.elapsed() < AT_ONCE, "took {:?}", closed.elapsed());
+    cluster.close();
+}
+
+/// The node that served the first attempts is killed; their callers come to the others.
+#[tokio::test]
+async fn next_attempts_at_other_nodes_go_on_at_the_version_that_began() {
+    let mut cluster = Cluster::with_one_engine("versions-attempts", 4).await;
+    let callers = cluster.start_streams(0, RESUMABLE_PATH).await;
+    cluster.nodes.remove(0).close().unwrap();
+    for (_, answer) in callers.join_all().await {
+        assert!(!answer.is_complete);
+    }
+    cluster
+        .add_engines(true, &["node-1", "node-2", "node-3"])
+        .await;
+    cluster.add_node("node-new", "dc-a");
+    cluster.wait_until_ready().await;
+    for number in 0..STREAMS {
+        let name = format!("again-{number}");
+        let again = next_attempt(&name, Some(&format!("s{number}")), 3);
+        let node = &cluster.nodes[number % cluster.nodes.len()];
+        let answer = caller::send(node.addresses.callers, &again).await;
+        assert!(
+            answer.is_complete,
+            "attempt {number}: status {}",
+            answer.code()
+        );
+        let targets = cluster.targets_of(&name);
+        assert!(
+            ["first", "same"].contains(&targets[0].as_str()),
+            "{targets:?}"
+        );
+    }
+    cluster.close();
+}
+
+/// What began a stream is unknown: it must not be resumed, and its caller is told at once.
+#[tokio::test]
+async fn a_stream_of_unknown_version_is_refused_at_once_where_versions_differ() {
+    let mut cluster = Cluster::with_one_engine("versions-unknown", 2).await;
+    cluster.add_engines(true, &["node-0"]).await;
+    for attempt in [Some("unheard-of"), None] {
+        let name = format!("again-{}", attempt.unwrap_or("unnamed"));
+        let sent = Instant::now();
+        let answer = cluster.send(&next_attempt(&name, attempt, 3)).await;
+        assert_eq!(answer.code(), 503);
+        assert!(answer.retry_after_sec().is_some());
+        assert_eq!(answer.body, b"stream_not_resumable\n");
+        assert!(sent.elapsed() < AT_ONCE, "took {:?}", sent.elapsed());
+        assert_eq!(cluster.targets_of(&name), Vec::<String>::new());
+    }
+    cluster.close();
+}
+
+#[tokio::test]
+async fn a_stream_of_unknown_version_goes_on_where_only_one_version_serves() {
+    let cluster = Cluster::with_one_engine("versions-single", 2).await;
+    let answer = cluster.send(&next_attempt("again", None, 3)).await;
+    assert!(answer.is_complete, "status {}", answer.code());
+    sleep(Duration::from_millis(10)).await;
+    cluster.close();
+}
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -210,6 +210,7 @@
             event_ms: EVENT_INTERVAL_MS,
             work_ms: PLAIN_REQUEST_MS,
             cold_ms: 0,
+            version: "v1".to_owned(),
             incarnation: 1,
         };
         let host = self.start_target(options).await;
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -213,5 +213,6 @@
         content: None,
         tokens: kind.is_stream().then_some((PROMPT_TOKENS, output)),
         shared_parts: Vec::new(),
+        resume: None,
     }
 }
