Let a stream go on only at the software version that wrote its first event

What callers saw: streams with events of two software versions, within one answer.

Cause: the version of a target was not part of any choice; moves with a copy, resumptions after a break or a stall, and copies took any target of the service. Class: an identity that must stay the same over the steps of one piece of work is left out of the choice of each step.

Change: when the first event arrives, the stream is bound to its target's software version, a hash of service and version. Selection and the destinations of copies pass over all other targets. If none is in service, the stream ends at once as incomplete (or is refused as stream_not_resumable).

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod request_metadata;
 pub mod retry_budget;
 pub mod revision;
+pub mod software_version;
 pub mod stated_rate;
 pub mod stream_pace;
 pub mod target;
--- a/filbertpaddle-forward/src/request_demand.rs
+++ b/filbertpaddle-forward/src/request_demand.rs
@@ -5,6 +5,7 @@
 
 use crate::admission::Claim;
 use crate::load_table::TargetLoad;
+use crate::software_version::VersionBinding;
 
 /// Resources that a request needs at a target.
 #[derive(Clone, Debug, Default)]
@@ -19,6 +20,8 @@
     pub claim: Claim,
     /// How long prompts, its own included, may take before its first output.
     pub max_prefill_ms: Millis,
+    /// Software versions of the targets that may run it.
+    pub version: VersionBinding,
 }
 
 impl From<&RequestDemand> for TargetLoad {
--- a/filbertpaddle-forward/src/target.rs
+++ b/filbertpaddle-forward/src/target.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::software_version::SoftwareVersion;
+
 /// Target, as listed by the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -24,8 +26,9 @@
     pub cold_ms: Millis,
     /// Start time in Unix time, which distinguishes incarnations of the target.
     pub started_ms: Option<Millis>,
-    /// Version of its software, if known.
-    pub version: Option<Name>,
+    /// Version of its software; empty if it is not known.
+    #[serde(default)]
+    pub version: Name,
 }
 
 /// One run of a target, from its start to its end.
@@ -56,6 +59,12 @@
         }
     }
 
+    /// Returns the version of its software among the versions of all services, if it is known.
+    pub fn software(&self) -> Option<SoftwareVersion> {
+        let is_known = !self.version.is_empty();
+        is_known.then(|| SoftwareVersion::new(&self.service, &self.version))
+    }
+
     /// Returns whether `other` is the same incarnation of the same target, not a restarted one.
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
         self.id == other.id && self.address == other.address && self.started_ms == other.started_ms
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -33,6 +33,9 @@
     /// The service has no target that is in service and not draining.
     #[error("service has no target that is in service and not draining")]
     NoneInService,
+    /// No target that is in service and not draining may continue the stream.
+    #[error("no target in service has the software version that began the stream")]
+    NoneOfVersion,
     /// The targets failed recently, or are excluded for this request.
     #[error("targets of the service failed recently or are excluded for this request")]
     AllFailing,
@@ -146,6 +149,12 @@
             if directory.is_out(&target.data_centre) {
                 continue;
             }
+            if !demand.version.allows(target) {
+                if reason == PlacementError::NoneInService {
+                    reason = PlacementError::NoneOfVersion;
+                }
+                continue;
+            }
             if let Err(error) = self.check_available(now, configuration, target, read_ms, excluded)
             {
                 reason = error;
@@ -193,6 +202,7 @@
             target.service == source.service
                 && target.id != source.id
                 && !target.is_draining
+                && demand.version.allows(target)
                 && !directory.is_out(&target.data_centre)
                 && self
                     .check_available(now, configuration, target, read_ms, excluded)
--- a/filbertpaddle-forward/tests/admission.rs
+++ b/filbertpaddle-forward/tests/admission.rs
@@ -61,7 +61,7 @@
         is_draining: false,
         cold_ms: Millis::ZERO,
         started_ms: None,
-        version: None,
+        version: "v1".into(),
     }
 }
 
@@ -108,6 +108,7 @@
         total_tokens: prompt_tokens + output_tokens,
         claim: Claim::New,
         max_prefill_ms: admission::max_prefill_ms(GOAL_MS),
+        ..RequestDemand::default()
     }
 }
 
--- a/filbertpaddle-forward/tests/directory.rs
+++ b/filbertpaddle-forward/tests/directory.rs
@@ -22,7 +22,7 @@
         is_draining,
         cold_ms: Millis::ZERO,
         started_ms: Some(Millis(1)),
-        version: None,
+        version: "v1".into(),
     }
 }
 
--- a/filbertpaddle-forward/tests/rollback.rs
+++ b/filbertpaddle-forward/tests/rollback.rs
@@ -29,7 +29,7 @@
         is_draining: false,
         cold_ms: Millis::ZERO,
         started_ms: Some(Millis(100)),
-        version: None,
+        version: "v1".into(),
     }
 }
 
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -327,6 +327,7 @@
             StreamItem::End => {}
             StreamItem::Broken(reason) => return Err(Failure::Unknown(reason).into()),
         }
+        self.job.record_first_event(self.progress, target);
         self.record_started(target);
         if !self.writer.is_started() {
             let started = self.writer.start_stream(response.head);
@@ -347,7 +348,7 @@
         if is_resumed {
             info!(state.log, "generation resumed at another target";
                 "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
-                "version" => target.version.as_deref(),
+                "version" => target.version.as_str(),
                 "last_event" => self.last_event, "silent_ms" => silent_ms.0);
             state.metrics.time("generation.move_pause", silent_ms);
         }
@@ -365,7 +366,7 @@
         let waited_ms = self.last_activity_ms.since(self.job.received_ms);
         info!(state.log, "first event from target";
             "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
-            "version" => target.version.as_deref(), "waited_ms" => waited_ms.0);
+            "version" => target.version.as_str(), "waited_ms" => waited_ms.0);
         state.metrics.time("generation.first_event", waited_ms);
     }
 
@@ -454,8 +455,8 @@
         let state = &self.job.state;
         info!(state.log, "generation moving to the target of its copy";
             "id" => self.job.metadata.attempt.as_str(),
-            "from" => source.target.id.as_str(), "from_version" => source.target.version.as_deref(),
-            "to" => target.id.as_str(), "version" => target.version.as_deref(),
+            "from" => source.target.id.as_str(), "from_version" => source.target.version.as_str(),
+            "to" => target.id.as_str(), "version" => target.version.as_str(),
             "last_event" => self.last_event, "copied_events" => copy.events);
         state.metrics.count("generation.moved");
         let address = source.target.address.clone();
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -13,6 +13,7 @@
 use filbertpaddle_forward::load_table::TargetLoad;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
+use filbertpaddle_forward::software_version::VersionBinding;
 use filbertpaddle_forward::stream_pace::StreamPace;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
@@ -43,6 +44,9 @@
 const LOWEST_PRIORITY: u8 = 9;
 /// Time after which a caller may retry if targets were full or failing.
 const RETRY_AFTER_MS: Millis = Millis(250);
+/// Time after which a caller may try again to resume a stream. Crashed targets of its version may
+/// be back by then.
+const RESUME_RETRY_MS: Millis = Millis::from_secs(1);
 /// Time after which a caller may retry a request that crashes targets.
 const QUARANTINE_RETRY_MS: Millis = Millis::from_secs(60);
 
@@ -101,6 +105,8 @@
     pub excluded_targets: Vec<Name>,
     /// Why no target could be chosen last.
     pub placement_error: Option<PlacementError>,
+    /// Software version that wrote the first event of the stream, if this attempt received it.
+    pub version: VersionBinding,
     /// Pace of the events that were delivered.
     pub pace: StreamPace,
 }
@@ -162,6 +168,7 @@
         let draw = rand::random::<f64>;
         let demand = RequestDemand {
             claim: self.claim(progress),
+            version: self.version(progress),
             ..self.demand.clone()
         };
         let chosen = selector.choose(now, &directory, &demand, excluded_targets, draw);
@@ -188,6 +195,21 @@
         }
     }
 
+    /// Returns which targets may run the request, by their software version.
+    fn version(&self, progress: &Progress) -> VersionBinding {
+        match progress.version {
+            VersionBinding::Free => self.demand.version,
+            bound => bound,
+        }
+    }
+
+    /// Records that a target is about to deliver the first event of the stream to the caller.
+    pub fn record_first_event(&self, progress: &mut Progress, target: &Target) {
+        if self.version(progress) == VersionBinding::Free {
+            progress.version = VersionBinding::to_target(target);
+        }
+    }
+
     /// Sends the request to a target and waits for the head of its response.
     ///
     /// # Errors
@@ -342,7 +364,7 @@
         let load = selector.total_load(&target.id);
         info!(state.log, "sending request to target";
             "id" => self.metadata.attempt.as_str(), "target" => target.id.as_str(),
-            "data_centre" => target.data_centre.as_str(), "version" => target.version.as_deref(),
+            "data_centre" => target.data_centre.as_str(), "version" => target.version.as_str(),
             "running" => selector.running(&target.id), "all_running" => load.running,
             "all_tokens" => load.tokens, "all_prompt_tokens" => load.prompt_tokens, "attempt" => progress.sends + 1,
             "limit_per_sec" => selector.stated_rates().per_sec(&target.incarnation()),
@@ -402,11 +424,13 @@
     pub fn refusal(&self, progress: &Progress) -> Refusal {
         let is_late = self.remaining_ms() == Millis::ZERO;
         let is_full = progress.placement_error == Some(PlacementError::AllFull);
+        let is_versionless = progress.placement_error == Some(PlacementError::NoneOfVersion);
         match (progress.may_have_run || progress.is_in_flight, is_late) {
             (true, true) => Refusal::TimedOut,
             (true, false) => Refusal::TargetFailed,
             (false, true) => Refusal::TimedOutUnsent,
             (false, false) if self.blocked_by().is_some() => Refusal::Quarantined,
+            (false, false) if is_versionless => Refusal::NotResumable,
             (false, false) if is_full => Refusal::Overloaded,
             (false, false) if progress.sends > 0 => Refusal::TargetsFull,
             (false, false) => Refusal::NoTarget,
@@ -419,6 +443,7 @@
             Refusal::NoTarget | Refusal::TargetsFull => Some(self.until_available_ms()),
             Refusal::Overloaded => Some(self.until_room_ms()),
             Refusal::Quarantined => Some(QUARANTINE_RETRY_MS),
+            Refusal::NotResumable => Some(RESUME_RETRY_MS),
             _ => None,
         };
         reply::refuse(refusal, retry_after_ms)
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -12,6 +12,7 @@
 use filbertpaddle_forward::migration::Migration;
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::request_demand::RequestDemand;
+use filbertpaddle_forward::software_version::VersionBinding;
 use filbertpaddle_forward::target::Target;
 use slog::info;
 
@@ -195,7 +196,10 @@
         let state = &self.job.state;
         let directory = state.directory.borrow();
         let selector = state.selector.borrow();
-        let demand = self.resume_demand();
+        let demand = RequestDemand {
+            version: VersionBinding::to_target(&source.target),
+            ..self.resume_demand()
+        };
         let draw = rand::random::<f64>;
         let chosen = selector.choose_copy_target(
             now,
--- a/filbertpaddle-gateway/src/reply.rs
+++ b/filbertpaddle-gateway/src/reply.rs
@@ -53,6 +53,10 @@
     Overloaded,
     /// Earlier attempts crashed the targets that ran them; this attempt has not run.
     Quarantined,
+    /// No target has the software version that began the stream, or that version is not known.
+    /// This attempt has not run; without the last event's ID it would begin a new stream.
+    #[strum(serialize = "stream_not_resumable")]
+    NotResumable,
     /// A target failed; the request may have run.
     TargetFailed,
     /// The deadline has passed; the request may have run.
@@ -76,6 +80,7 @@
             | Self::TargetsFull
             | Self::Overloaded
             | Self::Quarantined
+            | Self::NotResumable
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -16,6 +16,7 @@
 use filbertpaddle_forward::fingerprint::fingerprints;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
+use filbertpaddle_forward::software_version::VersionBinding;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -375,6 +376,7 @@
         total_tokens: generation.map_or(0, |generation| generation.expected_tokens()),
         claim: claim(route, metadata),
         max_prefill_ms: admission::max_prefill_ms(route.latency_goal_ms),
+        version: VersionBinding::Free,
     }
 }
 
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -399,7 +399,7 @@
         match directory.target(id) {
             Some(target) => info!(self.log, "target added or changed";
                 "target" => id, "address" => target.address.as_str(),
-                "version" => target.version.as_deref(),
+                "version" => target.version.as_str(),
                 "is_draining" => target.is_draining, "cold_ms" => target.cold_ms.0,
                 "source" => source, "age_ms" => age_ms),
             None => info!(self.log, "target removed";
