Take a stream that ends with its connection before any event as failed

What callers would see: an answer 200 with an empty, complete stream, if a target whose response has neither a length nor chunks crashes after the head and its connection is closed in order.

Cause: the end of such a connection counts as the end of the stream, also before the first event. Class: absence of data is taken for its regular end.

Change: without framing and events, a stream that the caller has no event of has failed; it is retried where allowed, and its target is checked for a crash.

Evidence: a_stream_that_ends_with_its_connection_before_any_event_has_failed answers 200 before, 502 now. Three further tests of such responses pass before and after.

Conclusion: fixed. One that ends in order between two events cannot be told from a whole one.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -12,6 +12,8 @@
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
+use http::HeaderMap;
+use http::header;
 use slog::info;
 use tokio::select;
 use tokio::sync::oneshot;
@@ -324,6 +326,10 @@
         let mut source = TargetStream::new(target.clone(), body);
         match source.next().await {
             StreamItem::Event(event) => source.put_back(event),
+            StreamItem::End if self.last_event.is_none() && is_unframed(&response.head.headers) => {
+                let reason = "connection closed before the first event".to_owned();
+                return Err(Failure::Unknown(reason).into());
+            }
             StreamItem::End => {}
             StreamItem::Broken(reason) => return Err(Failure::Unknown(reason).into()),
         }
@@ -515,3 +521,9 @@
         selector.record_ended(&placement.target.id, &self.job.demand, placement.is_started);
     }
 }
+
+/// Returns whether a body has neither a length nor chunks, so that it ends with its connection.
+fn is_unframed(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod slow_caller;
 mod stopping;
 mod streams;
+mod unframed;
 mod versions;
 
 use std::net::SocketAddr;
