--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -1,4 +1,5 @@
-//! Detects target crashes and accuses the requests that were waiting for their answer there.
+//! Detects target crashes, accuses the requests that were waiting for their answer there, and
+//! tells which requests must not run.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::job::Failure;
 use crate::job::Job;
 use crate::state::State;
 
@@ -68,3 +70,45 @@
     let listed = directory.target(&target.id);
     listed.is_some_and(|listed| !listed.is_draining)
 }
+
+impl Job {
+    /// Returns whether the request would crash its target, by what is known of others.
+    pub fn is_quarantined(&self) -> bool {
+        let Some(fingerprint) = self.blocked_by() else {
+            return false;
+        };
+        let suspects = self.state.suspects.borrow();
+        info!(self.state.log, "request must not run: others like it crashed targets";
+            "id" => self.metadata.attempt.as_str(), "fingerprint" => fingerprint,
+            "crashes" => suspects.crashes(fingerprint),
+            "prompt_parts" => self.metadata.part_ids());
+        true
+    }
+
+    /// Returns the fingerprint for which the request must not run.
+    pub fn blocked_by(&self) -> Option<u64> {
+        let suspects = self.state.suspects.borrow();
+        suspects.blocked_by(&self.fingerprints)
+    }
+
+    /// Records that a target goes on with its answer, or has completed it: the request does not
+    /// crash targets.
+    pub fn record_sound(&self) {
+        let state = &self.state;
+        let now = state.clock.now();
+        let mut suspects = state.suspects.borrow_mut();
+        let cleared = suspects.record_answer(now, &self.fingerprints);
+        if !cleared.is_empty() {
+            info!(state.log, "crash suspects cleared: a request like them is answered";
+                "id" => self.metadata.attempt.as_str(), "fingerprints" => ?cleared,
+                "prompt_parts" => self.metadata.part_ids());
+        }
+    }
+
+    /// Accuses the request if its target has crashed without an answer to it.
+    pub async fn check_crash(&self, target: &Target, failure: &Failure) {
+        if let Failure::Unknown(_) = failure {
+            check(self, target).await;
+        }
+    }
+}
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -12,8 +12,6 @@
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
-use http::HeaderMap;
-use http::header;
 use slog::info;
 use tokio::select;
 use tokio::sync::oneshot;
@@ -24,6 +22,7 @@
 
 use crate::clock::duration;
 use crate::crash;
+use crate::generation_load::Placement;
 use crate::job::Failure;
 use crate::job::Job;
 use crate::job::Progress;
@@ -37,6 +36,7 @@
 use crate::stop_reason::StopReason;
 use crate::target_stream::StreamItem;
 use crate::target_stream::TargetStream;
+use crate::target_stream::is_unframed;
 
 /// Time without an event after which a generation resumes at another target if it can.
 /// Callers abandon a stream after two seconds.
@@ -63,26 +63,16 @@
     Changed,
 }
 
-/// Target on which a generation is placed.
-#[derive(Clone, Debug)]
-struct Placement {
-    target: Target,
-    is_started: bool,
-    sent_ms: Millis,
-    /// Prompt tokens that were at the target before.
-    ahead_tokens: u64,
-}
-
 /// A generation that is being served.
 pub struct Generation<'a> {
-    job: &'a Job,
-    progress: &'a mut Progress,
-    writer: &'a mut ResponseWriter,
-    last_event: Option<u64>,
-    last_activity_ms: Millis,
+    pub(crate) job: &'a Job,
+    pub(crate) progress: &'a mut Progress,
+    pub(crate) writer: &'a mut ResponseWriter,
+    pub(crate) last_event: Option<u64>,
+    pub(crate) last_activity_ms: Millis,
     /// Number of new events that the current target has sent.
-    events_here: u64,
-    placement: Option<Placement>,
+    pub(crate) events_here: u64,
+    pub(crate) placement: Option<Placement>,
     migrator: Migrator<'a>,
     changes: watch::Receiver<u64>,
 }
@@ -342,40 +332,6 @@
         Ok(source)
     }
 
-    fn record_started(&mut self, target: &Target) {
-        let state = &self.job.state;
-        self.progress.sends += 1;
-        self.progress.is_in_flight = false;
-        self.progress.may_have_run = true;
-        let now = state.clock.now();
-        let silent_ms = now.since(self.last_activity_ms);
-        self.last_activity_ms = now;
-        let is_resumed = self.writer.is_started();
-        if is_resumed {
-            info!(state.log, "generation resumed at another target";
-                "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
-                "version" => target.version.as_str(),
-                "last_event" => self.last_event, "silent_ms" => silent_ms.0);
-            state.metrics.time("generation.move_pause", silent_ms);
-        }
-        let mut selector = state.selector.borrow_mut();
-        selector.record_prefilled(&target.id, &self.job.demand);
-        if let Some(placement) = &mut self.placement {
-            placement.is_started = true;
-            // A resumed generation does not process its whole prompt again.
-            if !is_resumed {
-                let waited_ms = now.since(placement.sent_ms);
-                selector.record_first_event(&self.job.demand, placement.ahead_tokens, waited_ms);
-            }
-        }
-        drop(selector);
-        let waited_ms = self.last_activity_ms.since(self.job.received_ms);
-        info!(state.log, "first event from target";
-            "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
-            "version" => target.version.as_str(), "waited_ms" => waited_ms.0);
-        state.metrics.time("generation.first_event", waited_ms);
-    }
-
     /// Resumes at another target after the stream of `source` has stalled. If no other target
     /// can take it now, the stream stays: it may be slow but sound.
     async fn leave_stalled(&mut self, source: TargetStream) -> Result<TargetStream, StopReason> {
@@ -501,29 +457,4 @@
     fn may_resend(&self) -> bool {
         self.job.route.kind.is_idempotent() && self.progress.sends < self.job.route.max_attempts
     }
-
-    fn place_on(&mut self, target: &Target) {
-        self.events_here = 0;
-        let load = self.job.mark_sent(self.progress, target);
-        self.placement = Some(Placement {
-            target: target.clone(),
-            is_started: false,
-            sent_ms: self.job.state.clock.now(),
-            ahead_tokens: load.prompt_tokens,
-        });
-    }
-
-    fn release_placement(&mut self) {
-        let Some(placement) = self.placement.take() else {
-            return;
-        };
-        let mut selector = self.job.state.selector.borrow_mut();
-        selector.record_ended(&placement.target.id, &self.job.demand, placement.is_started);
-    }
-}
-
-/// Returns whether a body has neither a length nor chunks, so that it ends with its connection.
-fn is_unframed(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
 }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -6,8 +6,6 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::admission::Claim;
-use filbertpaddle_forward::admission::Contention;
-use filbertpaddle_forward::admission::Room;
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::load_table::TargetLoad;
@@ -15,7 +13,6 @@
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::software_version::VersionBinding;
 use filbertpaddle_forward::stream_pace::StreamPace;
-use filbertpaddle_forward::stream_versions::attempt_key;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
 use http::HeaderMap;
@@ -29,28 +26,17 @@
 use crate::connection_pool::Error as ConnectionError;
 use crate::connection_pool::PendingResponse;
 use crate::connection_pool::Reuse;
-use crate::crash;
 use crate::platform_api::CopySource;
 use crate::platform_api::ResponseMetadata;
 use crate::platform_api::TargetHeaders;
-use crate::reply;
-use crate::reply::Refusal;
 use crate::state::State;
 use crate::target_call;
 use crate::target_call::Sent;
-use crate::version_exchange;
 
 /// Maximum number of connection attempts for one request before it is refused.
 pub const MAX_CONNECT_ATTEMPTS: u32 = 12;
 /// Lowest priority that targets accept.
 const LOWEST_PRIORITY: u8 = 9;
-/// Time after which a caller may retry if targets were full or failing.
-pub const RETRY_AFTER_MS: Millis = Millis(250);
-/// Time after which a caller may try again to resume a stream. Crashed targets of its version may
-/// be back by then.
-pub const RESUME_RETRY_MS: Millis = Millis::from_secs(1);
-/// Time after which a caller may retry a request that crashes targets.
-const QUARANTINE_RETRY_MS: Millis = Millis::from_secs(60);
 
 /// One admitted request.
 #[derive(Clone, Debug)]
@@ -199,49 +185,6 @@
         }
     }
 
-    /// Returns which targets may run the request, by their software version.
-    fn version(&self, progress: &Progress) -> VersionBinding {
-        match progress.version {
-            VersionBinding::Free => self.demand.version,
-            bound => bound,
-        }
-    }
-
-    /// Records that a target is about to deliver the first event of the stream to the caller.
-    pub fn record_first_event(&self, progress: &mut Progress, target: &Target) {
-        if self.version(progress) != VersionBinding::Free {
-            return;
-        }
-        progress.version = VersionBinding::to_target(target);
-        if let VersionBinding::Bound(version) = progress.version
-            && self.route.kind.is_idempotent()
-        {
-            let key = attempt_key(&self.metadata.attempt);
-            let mut versions = self.state.stream_versions.borrow_mut();
-            versions.record(key, version);
-            drop(versions);
-            self.pass_version_on(progress);
-        }
-    }
-
-    /// Passes the version that began a resumable stream on to other nodes, once targets of the
-    /// service have different ones.
-    pub fn pass_version_on(&self, progress: &mut Progress) {
-        let VersionBinding::Bound(version) = progress.version else {
-            return;
-        };
-        let state = &self.state;
-        let now = state.clock.now();
-        let is_mixed = || {
-            let history = state.version_history.borrow();
-            history.is_mixed(now, &self.demand.service)
-        };
-        if self.route.kind.is_idempotent() && !progress.is_version_passed_on && is_mixed() {
-            version_exchange::pass_on(state, &self.metadata.attempt, version);
-            progress.is_version_passed_on = true;
-        }
-    }
-
     /// Sends the request to a target and waits for the head of its response.
     ///
     /// # Errors
@@ -324,46 +267,6 @@
         (progress.sends == 0 && !progress.was_misdirected) || self.take_retry()
     }
 
-    /// Returns whether the request would crash its target, by what is known of others.
-    pub fn is_quarantined(&self) -> bool {
-        let Some(fingerprint) = self.blocked_by() else {
-            return false;
-        };
-        let suspects = self.state.suspects.borrow();
-        info!(self.state.log, "request must not run: others like it crashed targets";
-            "id" => self.metadata.attempt.as_str(), "fingerprint" => fingerprint,
-            "crashes" => suspects.crashes(fingerprint),
-            "prompt_parts" => self.metadata.part_ids());
-        true
-    }
-
-    /// Returns the fingerprint for which the request must not run.
-    fn blocked_by(&self) -> Option<u64> {
-        let suspects = self.state.suspects.borrow();
-        suspects.blocked_by(&self.fingerprints)
-    }
-
-    /// Records that a target goes on with its answer, or has completed it: the request does not
-    /// crash targets.
-    pub fn record_sound(&self) {
-        let state = &self.state;
-        let now = state.clock.now();
-        let mut suspects = state.suspects.borrow_mut();
-        let cleared = suspects.record_answer(now, &self.fingerprints);
-        if !cleared.is_empty() {
-            info!(state.log, "crash suspects cleared: a request like them is answered";
-                "id" => self.metadata.attempt.as_str(), "fingerprints" => ?cleared,
-                "prompt_parts" => self.metadata.part_ids());
-        }
-    }
-
-    /// Accuses the request if its target has crashed without an answer to it.
-    pub async fn check_crash(&self, target: &Target, failure: &Failure) {
-        if let Failure::Unknown(_) = failure {
-            crash::check(self, target).await;
-        }
-    }
-
     fn take_retry(&self) -> bool {
         let state = &self.state;
         let now = state.clock.now();
@@ -452,70 +355,6 @@
             "passed_over_ms" => backoff_until_ms.since(now).0);
     }
 
-    /// Returns the refusal that states correctly whether the request may have run.
-    pub fn refusal(&self, progress: &Progress) -> Refusal {
-        let is_late = self.remaining_ms() == Millis::ZERO;
-        let is_full = progress.placement_error == Some(PlacementError::AllFull);
-        let is_versionless = progress.placement_error == Some(PlacementError::NoneOfVersion);
-        match (progress.may_have_run || progress.is_in_flight, is_late) {
-            (true, true) => Refusal::TimedOut,
-            (true, false) => Refusal::TargetFailed,
-            (false, true) => Refusal::TimedOutUnsent,
-            (false, false) if self.blocked_by().is_some() => Refusal::Quarantined,
-            (false, false) if is_versionless => Refusal::NotResumable,
-            (false, false) if is_full => Refusal::Overloaded,
-            (false, false) if progress.sends > 0 => Refusal::TargetsFull,
-            (false, false) => Refusal::NoTarget,
-        }
-    }
-
-    /// Builds the reply for a refusal.
-    pub fn refusal_reply(&self, refusal: Refusal) -> reply::Reply {
-        let retry_after_ms = match refusal {
-            Refusal::NoTarget | Refusal::TargetsFull => Some(self.until_available_ms()),
-            Refusal::Overloaded => Some(self.until_room_ms()),
-            Refusal::Quarantined => Some(QUARANTINE_RETRY_MS),
-            Refusal::NotResumable => Some(RESUME_RETRY_MS),
-            _ => None,
-        };
-        reply::refuse(refusal, retry_after_ms)
-    }
-
-    /// Returns the time until a target of the service may be sent a request.
-    fn until_available_ms(&self) -> Millis {
-        let state = &self.state;
-        let now = state.clock.now();
-        let directory = state.directory.borrow();
-        let selector = state.selector.borrow();
-        let until_ms = selector.until_available_ms(now, &directory, &self.demand.service);
-        until_ms.unwrap_or(RETRY_AFTER_MS).max(RETRY_AFTER_MS)
-    }
-
-    /// Returns how long the request may wait here for room at its service's targets.
-    pub fn max_room_wait_ms(&self) -> Millis {
-        let now = self.state.clock.now();
-        let goal_ms = self.route.latency_goal_ms;
-        let max_wait_ms = |contention: &mut Contention| contention.max_wait_ms(now, goal_ms);
-        self.state
-            .with_contention(&self.demand.service, max_wait_ms)
-    }
-
-    /// Returns the time until the service's targets are expected to have room again.
-    fn until_room_ms(&self) -> Millis {
-        let state = &self.state;
-        let now = state.clock.now();
-        let service = &self.demand.service;
-        let directory = state.directory.borrow();
-        let room = Room {
-            running_tokens: state.selector.borrow().running_tokens(&directory, service),
-            nodes: state.nodes.borrow().count().unwrap_or(1),
-        };
-        let remaining_ms = self.remaining_ms();
-        state.with_contention(service, |contention| {
-            contention.retry_after(now, &self.demand, room, remaining_ms, rand::random())
-        })
-    }
-
     fn build_request(&self, target: &Target, resume: ResumePoint<'_>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/filbertpaddle-gateway/src/resumption.rs
+++ b/filbertpaddle-gateway/src/resumption.rs
@@ -1,4 +1,4 @@
-//! Streams that callers resume in a new attempt: which targets may continue them.
+//! Which targets may continue a stream, within its answer and in its caller's next attempt.
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
@@ -6,8 +6,13 @@
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::software_version::SoftwareVersion;
+use filbertpaddle_forward::software_version::VersionBinding;
+use filbertpaddle_forward::stream_versions::attempt_key;
+use filbertpaddle_forward::target::Target;
 use slog::info;
 
+use crate::job::Job;
+use crate::job::Progress;
 use crate::reply::Refusal;
 use crate::state::State;
 use crate::version_exchange;
@@ -68,3 +73,48 @@
         })
         .collect()
 }
+
+impl Job {
+    /// Returns which targets may run the request, by their software version.
+    pub fn version(&self, progress: &Progress) -> VersionBinding {
+        match progress.version {
+            VersionBinding::Free => self.demand.version,
+            bound => bound,
+        }
+    }
+
+    /// Records that a target is about to deliver the first event of the stream to the caller.
+    pub fn record_first_event(&self, progress: &mut Progress, target: &Target) {
+        if self.version(progress) != VersionBinding::Free {
+            return;
+        }
+        progress.version = VersionBinding::to_target(target);
+        if let VersionBinding::Bound(version) = progress.version
+            && self.route.kind.is_idempotent()
+        {
+            let key = attempt_key(&self.metadata.attempt);
+            let mut versions = self.state.stream_versions.borrow_mut();
+            versions.record(key, version);
+            drop(versions);
+            self.pass_version_on(progress);
+        }
+    }
+
+    /// Passes the version that began a resumable stream on to other nodes, once targets of the
+    /// service have different ones.
+    pub fn pass_version_on(&self, progress: &mut Progress) {
+        let VersionBinding::Bound(version) = progress.version else {
+            return;
+        };
+        let state = &self.state;
+        let now = state.clock.now();
+        let is_mixed = || {
+            let history = state.version_history.borrow();
+            history.is_mixed(now, &self.demand.service)
+        };
+        if self.route.kind.is_idempotent() && !progress.is_version_passed_on && is_mixed() {
+            version_exchange::pass_on(state, &self.metadata.attempt, version);
+            progress.is_version_passed_on = true;
+        }
+    }
+}
--- a/filbertpaddle-gateway/src/target_stream.rs
+++ b/filbertpaddle-gateway/src/target_stream.rs
@@ -5,6 +5,8 @@
 use filbertpaddle_forward::event_stream::Event;
 use filbertpaddle_forward::event_stream::EventSplitter;
 use filbertpaddle_forward::target::Target;
+use http::HeaderMap;
+use http::header;
 
 use crate::connection_pool::Body;
 
@@ -74,3 +76,9 @@
         drop(self.body);
     }
 }
+
+/// Returns whether a body has neither a length nor chunks, so that it ends with its connection.
+pub fn is_unframed(headers: &HeaderMap) -> bool {
+    !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
