Let the targets of the soak have two software versions, and its callers resume broken streams

Until now all targets of the soak had one version and no caller took a stream up again, so neither could go wrong there.

Change: half of the targets begin with each of two versions and change it with each incarnation; a resumable stream that breaks off is taken up at any node, until an attempt brings no event. The fault proxy forwards datagrams while its link is open.

--- a/filbertpaddle-standins/src/proxy.rs
+++ b/filbertpaddle-standins/src/proxy.rs
@@ -1,4 +1,5 @@
-//! TCP proxy that injects link faults: delays, cuts, stalls and half-open connections.
+//! TCP proxy that injects link faults: delays, cuts, stalls and half-open connections. Datagrams
+//! to its address pass while the link is open.
 
 use std::io;
 use std::net::Ipv4Addr;
@@ -12,6 +13,7 @@
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use warp::Filter;
@@ -23,6 +25,9 @@
 use crate::proxy_connection;
 use crate::server::Server;
 
+/// Size of the largest datagram that is forwarded.
+const MAX_DATAGRAM_BYTES: usize = 2_048;
+
 /// Faults of the link in effect; the default is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -76,6 +81,7 @@
     pub control: SocketAddr,
     state: ProxyState,
     accept_task: tokio::task::JoinHandle<()>,
+    datagram_task: tokio::task::JoinHandle<()>,
     control_server: Server,
 }
 
@@ -124,11 +130,14 @@
         let address = listener.local_addr()?;
         let control_server = Server::start(control, routes(&state)).await?;
         let accept_task = tokio::spawn(accept(listener, upstream, state.clone()));
+        let datagrams = UdpSocket::bind(address).await?;
+        let datagram_task = tokio::spawn(relay_datagrams(datagrams, upstream, state.clone()));
         Ok(Self {
             address,
             control: control_server.address,
             state,
             accept_task,
+            datagram_task,
             control_server,
         })
     }
@@ -160,6 +169,7 @@
     pub async fn close(self) {
         self.set_link(Link::Cut);
         self.accept_task.abort();
+        self.datagram_task.abort();
         self.control_server.close().await;
     }
 }
@@ -189,6 +199,21 @@
     }
 }
 
+/// Forwards datagrams to `upstream` while the link is open; others are lost. Replies do not come
+/// back this way.
+async fn relay_datagrams(socket: UdpSocket, upstream: SocketAddr, state: ProxyState) {
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        if state.faults.borrow().link == Link::Open {
+            // A datagram may be lost.
+            socket.send_to(&buffer[..length], upstream).await.ok();
+        }
+    }
+}
+
 async fn serve(client: TcpStream, upstream: SocketAddr, state: ProxyState) {
     // An error on either side ends both connections; nothing else depends on it.
     let _ = proxy_connection::relay_connection(client, upstream, &state).await;
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -210,7 +210,7 @@
             event_ms: EVENT_INTERVAL_MS,
             work_ms: PLAIN_REQUEST_MS,
             cold_ms: 0,
-            version: "v1".to_owned(),
+            version: software_version(number, 1),
             incarnation: 1,
         };
         let host = self.start_target(options).await;
@@ -268,6 +268,7 @@
         }
         let mut options = self.target_hosts[number].options.clone();
         options.incarnation += 1;
+        options.version = software_version(number, options.incarnation);
         options.cold_ms = u64::try_from(COLD_PERIOD.as_millis()).unwrap();
         self.target_hosts[number] = self.start_target(options).await;
     }
@@ -474,3 +475,10 @@
         self.peers.close().await;
     }
 }
+
+/// Returns the version of a target's software, which changes with its incarnations: half of the
+/// targets of each service begin with each of two versions.
+fn software_version(number: usize, incarnation: u64) -> String {
+    let turn = number as u64 / 2 + incarnation;
+    format!("v{}", turn % 2 + 1)
+}
--- a/filbertpaddle/tests/soak/history.rs
+++ b/filbertpaddle/tests/soak/history.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
+use filbertpaddle_adapter_standins::caller::Resume;
 
 /// Interval of the check whether this process gets processor time.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -56,9 +57,25 @@
     pub(crate) is_connection_reused: bool,
     /// Time after which the caller aborts the request.
     pub(crate) caller_timeout_ms: u64,
+    /// Stream that it resumes.
+    pub(crate) resume: Option<Resume>,
     pub(crate) answer: ReceivedAnswer,
 }
 
+impl Exchange {
+    /// Returns the attempt that began the stream.
+    pub(crate) fn first_attempt(&self) -> &str {
+        let resumed = self.resume.as_ref();
+        let first = resumed.and_then(|resume| resume.attempt.as_deref());
+        first.unwrap_or(&self.attempt)
+    }
+
+    /// Returns the ID of the last event that the caller had before.
+    pub(crate) fn former_events(&self) -> u64 {
+        self.resume.as_ref().map_or(0, |resume| resume.last_event)
+    }
+}
+
 /// A component that can be disrupted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Component {
--- a/filbertpaddle/tests/soak/invariants.rs
+++ b/filbertpaddle/tests/soak/invariants.rs
@@ -19,6 +19,7 @@
 use crate::rate_limits;
 use crate::traffic::DEADLY_PREFIX;
 use crate::traffic::PROBE_PREFIX;
+use crate::versions;
 
 // Bounds that the users' deployments require.
 /// Time after a disruption for which its effects are still tolerated.
@@ -103,11 +104,17 @@
     if !exchange.kind.is_stream() {
         return format!("answer to {}", exchange.attempt).into_bytes();
     }
-    (1..=exchange.events)
+    (exchange.former_events() + 1..=exchange.events)
         .flat_map(|id| event(&exchange.attempt, id).to_vec())
         .collect()
 }
 
+/// Returns the number of whole events that an attempt has received.
+pub(crate) fn complete_events(exchange: &Exchange) -> u64 {
+    let is_end = |pair: &&[u8]| *pair == b"\n\n";
+    exchange.answer.body.windows(2).filter(is_end).count() as u64
+}
+
 /// Checks what can be judged only from the record of the whole run.
 pub(crate) fn check_run(history: &History, runs: &[Run]) {
     let mut violations = Vec::new();
@@ -145,6 +152,7 @@
         check_retries(&events, &by_attempt, &mut violations);
         check_cold_targets(&events, runs, &mut violations);
         rate_limits::check(&events, runs, &sent, &mut violations);
+        versions::check(&events, runs, &mut violations);
         check_quarantine(runs, POISON, POISON_CRASHES, &mut violations);
         check_quarantine(runs, DEADLY_PREFIX, DEADLY_PART_CRASHES, &mut violations);
     }
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod rate_limits;
 mod schedule;
 mod traffic;
+mod versions;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -10,6 +10,7 @@
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::caller::Connection;
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
+use filbertpaddle_adapter_standins::caller::Resume;
 use filbertpaddle_adapter_standins::caller::SentRequest;
 use filbertpaddle_adapter_standins::configuration::READ_PATH;
 use filbertpaddle_adapter_standins::configuration::RESUMABLE_PATH;
@@ -97,13 +98,57 @@
             ended: Instant::now(),
             is_connection_reused,
             caller_timeout_ms: request.deadline_ms,
+            resume: None,
             answer,
         };
         if !exchange.answer.is_complete {
             open = None;
         }
         invariants::check_answer(&context.history, &exchange);
-        context.history.events().exchanges.push(exchange);
+        context.history.events().exchanges.push(exchange.clone());
+        if kind == RequestKind::Resumable {
+            resume_broken(&context, &mut rng, exchange).await;
+        }
+    }
+}
+
+/// Takes up a stream that has broken off, at any node, until it is complete or an attempt brings
+/// no event.
+async fn resume_broken(context: &CallerContext, rng: &mut StdRng, mut exchange: Exchange) {
+    for number in 1.. {
+        let last_event = exchange.former_events() + invariants::complete_events(&exchange);
+        let has_progress = last_event > exchange.former_events();
+        if exchange.answer.is_complete || !has_progress || context.stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let first = exchange.first_attempt().to_owned();
+        let attempt = format!("{first}-again-{number}");
+        let key_version = context.addresses.key_version();
+        let resume = Resume {
+            attempt: Some(first),
+            last_event,
+        };
+        let request = SentRequest {
+            resume: Some(resume.clone()),
+            ..build_request(exchange.kind, attempt, exchange.events, key_version)
+        };
+        let node = rng.random_range(0..context.addresses.count());
+        let sent = Instant::now();
+        let answer = caller::send(context.addresses.address(node), &request).await;
+        exchange = Exchange {
+            attempt: request.attempt,
+            node,
+            key_version,
+            sent,
+            ended: Instant::now(),
+            is_connection_reused: false,
+            caller_timeout_ms: request.deadline_ms,
+            resume: Some(resume),
+            answer,
+            ..exchange
+        };
+        invariants::check_answer(&context.history, &exchange);
+        context.history.events().exchanges.push(exchange.clone());
     }
 }
 
@@ -146,6 +191,7 @@
             ended: Instant::now(),
             is_connection_reused: false,
             caller_timeout_ms: request.deadline_ms,
+            resume: None,
             answer,
         });
         sleep(POISON_PAUSE).await;
