Let a quarantine of a prompt's part lapse, and keep long crash records open to news

Cause, found on reading the change again: a fingerprint stayed blocked for as long as it was remembered, since the time limit was applied only when the memory was full; one blocked for crashes of another reason would never have been tried again. And a record of 32 crashes with one uncleared took up neither new crashes nor what clears it.

Change: an hour after the last crash a request may run again, and one crash blocks the part anew. Of a long record the cleared crashes are dropped; one that is full of uncleared ones still takes up what clears them.

Evidence: two decision tests.

--- a/filbertpaddle-core/src/crash_attribution.rs
+++ b/filbertpaddle-core/src/crash_attribution.rs
@@ -16,6 +16,9 @@
 /// Time for which an answer shows that its request's fingerprints are sound, whatever crashes
 /// follow. What crashes targets is never answered.
 const RECENT_ANSWER_MS: Millis = Millis::from_secs(2);
+/// Time for which a fingerprint is blocked after its last crash. What was blocked for crashes that
+/// had another reason must not stay so.
+const BLOCK_TIME_MS: Millis = Millis::from_secs(3_600);
 /// Largest number of crashes that are recorded for one fingerprint.
 const MAX_CRASHES: usize = 32;
 
@@ -55,10 +58,14 @@
     /// Merges another node's record of a fingerprint, and clears it if this node has had an
     /// answer recently.
     pub fn merge(&mut self, now: Millis, fingerprint: u64, record: &CrashRecord) {
-        if !self.make_room(fingerprint) {
-            return;
+        let has_room = self.make_room(fingerprint);
+        match self.suspects.record(fingerprint).filter(|_| !has_room) {
+            Some(known) => {
+                let known = record.restricted_to(known);
+                self.suspects.merge(now, fingerprint, &known);
+            }
+            None => self.suspects.merge(now, fingerprint, record),
         }
-        self.suspects.merge(now, fingerprint, record);
         if self.is_answered(now, fingerprint) && self.crashes(fingerprint) > 0 {
             self.suspects.record_answer(now, fingerprint);
         }
@@ -81,12 +88,15 @@
 
     /// Returns the fingerprint for which a request with these ones must not run: it has
     /// [`CRASH_LIMIT`] crashes or more that no fingerprint of other requests explains.
-    pub fn blocked_by(&self, fingerprints: &[u64]) -> Option<u64> {
+    ///
+    /// An hour after the last crash a request may run again, and a crash blocks it anew.
+    pub fn blocked_by(&self, now: Millis, fingerprints: &[u64]) -> Option<u64> {
         let mut candidates = fingerprints.iter().copied();
         candidates.find(|fingerprint| {
             let record = self.suspects.record(*fingerprint);
             record.is_some_and(|record| {
                 record.uncleared_crashes() >= CRASH_LIMIT
+                    && self.is_recent(now, *fingerprint)
                     && !self.is_explained(record, fingerprints)
             })
         })
@@ -107,22 +117,24 @@
         })
     }
 
+    fn is_recent(&self, now: Millis, fingerprint: u64) -> bool {
+        let learned_ms = self.suspects.learned_at_ms(fingerprint);
+        learned_ms.is_some_and(|at_ms| now.since(at_ms) < BLOCK_TIME_MS)
+    }
+
     fn is_answered(&self, now: Millis, fingerprint: u64) -> bool {
         let answered_ms = self.suspects.answered_at_ms(fingerprint);
         answered_ms.is_some_and(|at_ms| now.since(at_ms) < RECENT_ANSWER_MS)
     }
 
-    /// Drops a long record of crashes if all are cleared; returns whether one more crash can be
+    /// Drops the cleared crashes of a long record; returns whether one more crash can be
     /// recorded.
     fn make_room(&mut self, fingerprint: u64) -> bool {
         let record = self.suspects.record(fingerprint);
         if record.is_none_or(|record| record.crashes.len() < MAX_CRASHES) {
             return true;
         }
-        if self.crashes(fingerprint) > 0 {
-            return false;
-        }
-        self.suspects.forget(fingerprint);
-        true
+        self.suspects.prune_cleared(fingerprint);
+        self.crashes(fingerprint) < MAX_CRASHES
     }
 }
--- a/filbertpaddle-core/src/scheduler.rs
+++ b/filbertpaddle-core/src/scheduler.rs
@@ -107,7 +107,7 @@
             request,
             cost_tokens,
         };
-        if self.status(&entry.request) == QuarantineStatus::Suspect {
+        if self.status(now, &entry.request) == QuarantineStatus::Suspect {
             self.isolated.push(entry);
         } else {
             self.queue.push(entry);
@@ -123,7 +123,7 @@
         max_wait: Millis,
     ) -> Result<(), Reason> {
         self.suspects.touch(now, request.digest);
-        let status = self.status(request);
+        let status = self.status(now, request);
         if status == QuarantineStatus::Blocked {
             return Err(Reason::Quarantined);
         }
@@ -221,7 +221,7 @@
                 .queue
                 .heads(now, LOOKAHEAD_REQUESTS)
                 .into_iter()
-                .filter(|entry| !self.may_share_target(&entry.request))
+                .filter(|entry| !self.may_share_target(now, &entry.request))
                 .map(|entry| entry.request.id)
                 .collect();
             if restricted_ids.is_empty() {
@@ -230,7 +230,7 @@
             let restricted = restricted_ids.into_iter();
             let restricted: Vec<_> = restricted.filter_map(|id| self.queue.remove(id)).collect();
             for entry in restricted {
-                if self.status(&entry.request) == QuarantineStatus::Blocked {
+                if self.status(now, &entry.request) == QuarantineStatus::Blocked {
                     self.pending_refusals
                         .push(quarantine_refusal(entry.request.id));
                 } else {
@@ -240,8 +240,8 @@
         }
     }
 
-    fn may_share_target(&self, request: &SlotRequest) -> bool {
-        let status = self.status(request);
+    fn may_share_target(&self, now: Millis, request: &SlotRequest) -> bool {
+        let status = self.status(now, request);
         let is_unrestricted = matches!(
             status,
             QuarantineStatus::Unknown | QuarantineStatus::Cleared
@@ -251,9 +251,9 @@
 
     /// Returns the restriction on running a request: its own, or that on others with a part of
     /// its prompt.
-    pub fn status(&self, request: &SlotRequest) -> QuarantineStatus {
+    pub fn status(&self, now: Millis, request: &SlotRequest) -> QuarantineStatus {
         let own = self.suspects().status(request.digest);
-        match self.suspects.blocked_by(&request.fingerprints()) {
+        match self.suspects.blocked_by(now, &request.fingerprints()) {
             Some(_) => QuarantineStatus::Blocked,
             None => own,
         }
@@ -384,7 +384,7 @@
         );
         self.release_copy(request.digest);
         if ending == Ending::Failed {
-            self.refuse_blocked();
+            self.refuse_blocked(now);
         }
     }
 
@@ -399,10 +399,13 @@
     }
 
     /// Refuses the isolated requests that must no longer run.
-    fn refuse_blocked(&mut self) {
+    fn refuse_blocked(&mut self, now: Millis) {
         let suspects = &self.suspects;
-        let is_blocked =
-            |entry: &Entry| suspects.blocked_by(&entry.request.fingerprints()).is_some();
+        let is_blocked = |entry: &Entry| {
+            suspects
+                .blocked_by(now, &entry.request.fingerprints())
+                .is_some()
+        };
         let refused = self.isolated.remove_where(is_blocked);
         self.pending_refusals.extend(
             refused
@@ -447,7 +450,7 @@
     /// Merges another node's record of a request that was running during crashes.
     pub fn merge_crash_record(&mut self, now: Millis, digest: u64, record: &suspect::CrashRecord) {
         self.suspects.merge(now, digest, record);
-        self.refuse_blocked();
+        self.refuse_blocked(now);
     }
 
     /// Returns the requests that were running during crashes, for replication to other
--- a/filbertpaddle-core/src/suspect.rs
+++ b/filbertpaddle-core/src/suspect.rs
@@ -45,6 +45,15 @@
         self.crashes.difference(&self.cleared).count()
     }
 
+    /// Returns the part of the record that concerns the crashes of `other`.
+    pub fn restricted_to(&self, other: &Self) -> Self {
+        let known = |crash: &&u64| other.crashes.contains(*crash);
+        Self {
+            crashes: self.crashes.iter().filter(known).copied().collect(),
+            cleared: self.cleared.iter().filter(known).copied().collect(),
+        }
+    }
+
     /// Returns whether the record has all crashes that `other` is not cleared of, and is not
     /// cleared of them either.
     pub fn is_superset_of(&self, other: &Self) -> bool {
@@ -102,6 +111,8 @@
     /// Sequence number of the record's last change.
     sequence: u64,
     seen_ms: Millis,
+    /// Time when this node last learned something new about its crashes.
+    learned_ms: Millis,
 }
 
 impl Suspects {
@@ -153,6 +164,7 @@
         if entry.record.merge(record) {
             self.sequence += 1;
             entry.sequence = self.sequence;
+            entry.learned_ms = now;
         }
         entry.seen_ms = now;
     }
@@ -230,9 +242,20 @@
         self.entries.get(&digest).map(|entry| &entry.record)
     }
 
-    /// Drops the record of a suspect.
-    pub fn forget(&mut self, digest: u64) {
-        self.entries.swap_remove(&digest);
+    /// Returns when this node last learned something new about the crashes of a suspect.
+    pub fn learned_at_ms(&self, digest: u64) -> Option<Millis> {
+        self.entries.get(&digest).map(|entry| entry.learned_ms)
+    }
+
+    /// Drops the crashes that a suspect is cleared of.
+    pub fn prune_cleared(&mut self, digest: u64) {
+        if let Some(entry) = self.entries.get_mut(&digest) {
+            let cleared = std::mem::take(&mut entry.record.cleared);
+            entry
+                .record
+                .crashes
+                .retain(|crash| !cleared.contains(crash));
+        }
     }
 
     /// Returns the number of recorded requests.
--- a/filbertpaddle-core/tests/crash_attribution.rs
+++ b/filbertpaddle-core/tests/crash_attribution.rs
@@ -36,21 +36,29 @@
     let limit = CRASH_LIMIT as u64;
     let parts = [FIRST, CUSTOMER, DEADLY];
     let below = after_crashes(limit - 1, &parts);
-    assert_eq!(below.blocked_by(&request(50, &parts)), None);
+    assert_eq!(below.blocked_by(Millis(6), &request(50, &parts)), None);
     let at_limit = after_crashes(limit, &parts);
-    assert!(at_limit.blocked_by(&request(50, &parts)).is_some());
+    assert!(
+        at_limit
+            .blocked_by(Millis(6), &request(50, &parts))
+            .is_some()
+    );
 }
 
 #[test]
 fn sound_requests_that_share_the_other_parts_are_not_blocked() {
     let mut suspects = after_crashes(5, &[FIRST, CUSTOMER, DEADLY]);
     for parts in [&[FIRST, CUSTOMER][..], &[FIRST], &[CUSTOMER], &[FIRST, 9]] {
-        assert_eq!(suspects.blocked_by(&request(50, parts)), None, "{parts:?}");
+        assert_eq!(
+            suspects.blocked_by(Millis(6), &request(50, parts)),
+            None,
+            "{parts:?}"
+        );
     }
     let cleared = suspects.record_answer(Millis(10), &request(51, &[FIRST, CUSTOMER]));
     assert_eq!(cleared, [FIRST, CUSTOMER]);
     let deadly = request(52, &[FIRST, CUSTOMER, DEADLY]);
-    assert_eq!(suspects.blocked_by(&deadly), Some(DEADLY));
+    assert_eq!(suspects.blocked_by(Millis(6), &deadly), Some(DEADLY));
 }
 
 /// Without an answer, a request that has one of two suspect parts shows which is to blame.
@@ -58,13 +66,13 @@
 fn a_part_that_crashes_without_the_others_explains_their_crashes() {
     let mut suspects = after_crashes(3, &[FIRST, DEADLY]);
     let deadly = request(60, &[8, DEADLY]);
-    assert_eq!(suspects.blocked_by(&deadly), None);
+    assert_eq!(suspects.blocked_by(Millis(6), &deadly), None);
     suspects.record_crash(Millis(5), &deadly, 99);
     assert_eq!(
-        suspects.blocked_by(&request(61, &[7, DEADLY])),
+        suspects.blocked_by(Millis(6), &request(61, &[7, DEADLY])),
         Some(DEADLY)
     );
-    assert_eq!(suspects.blocked_by(&request(62, &[FIRST])), None);
+    assert_eq!(suspects.blocked_by(Millis(6), &request(62, &[FIRST])), None);
 }
 
 /// Load pattern: many targets crash at once, for another reason, under a part in steady use.
@@ -85,7 +93,11 @@
     for crash in 0..3 {
         suspects.record_crash(LONG_MS, &request(10 + crash, &[DEADLY]), crash);
     }
-    assert!(suspects.blocked_by(&request(2, &[DEADLY])).is_some());
+    assert!(
+        suspects
+            .blocked_by(Millis(6), &request(2, &[DEADLY]))
+            .is_some()
+    );
 }
 
 /// One node sees the crashes, another the answers.
@@ -97,7 +109,7 @@
     pass_on(Millis(200), &accusing, &mut other);
     pass_on(Millis(250), &other, &mut accusing);
     assert_eq!(accusing.crashes(FIRST), 0);
-    assert_eq!(accusing.blocked_by(&request(9, &[FIRST])), None);
+    assert_eq!(accusing.blocked_by(Millis(6), &request(9, &[FIRST])), None);
 }
 
 #[test]
@@ -110,7 +122,10 @@
     for node in &nodes {
         pass_on(Millis(200), node, &mut new);
     }
-    assert_eq!(new.blocked_by(&request(7, &[DEADLY])), Some(DEADLY));
+    assert_eq!(
+        new.blocked_by(Millis(6), &request(7, &[DEADLY])),
+        Some(DEADLY)
+    );
 }
 
 #[test]
@@ -127,7 +142,40 @@
     let records = suspects.changed_after(0, usize::MAX);
     let longest = records.iter().map(|numbered| numbered.record.crashes.len());
     assert!(longest.max().unwrap_or_default() <= 64);
-    assert_eq!(suspects.blocked_by(&request(1, &[DEADLY])), Some(DEADLY));
+    assert_eq!(
+        suspects.blocked_by(LONG_MS, &request(1, &[DEADLY])),
+        Some(DEADLY)
+    );
+}
+
+/// A part in steady use is accused and cleared many times before it begins to crash targets.
+#[test]
+fn a_long_record_of_cleared_crashes_does_not_hide_new_ones() {
+    let mut suspects = CrashAttribution::new();
+    for crash in 0..100 {
+        let now = Millis(crash * 10_000);
+        suspects.record_crash(now, &[DEADLY], crash);
+        suspects.record_answer(now + Millis(100), &[DEADLY]);
+    }
+    let now = Millis::from_secs(2_000);
+    for crash in 200..203 {
+        suspects.record_crash(now, &[DEADLY], crash);
+    }
+    assert_eq!(suspects.blocked_by(now, &[DEADLY]), Some(DEADLY));
+    let mut other = CrashAttribution::new();
+    other.record_answer(now, &[DEADLY]);
+    pass_on(now, &suspects, &mut other);
+    pass_on(now, &other, &mut suspects);
+    assert_eq!(suspects.crashes(DEADLY), 0);
+}
+
+#[test]
+fn a_blocked_part_may_be_tried_again_after_an_hour_and_one_crash_blocks_it_anew() {
+    let mut suspects = after_crashes(3, &[DEADLY]);
+    let later = Millis::from_secs(3_700);
+    assert_eq!(suspects.blocked_by(later, &[DEADLY]), None);
+    suspects.record_crash(later, &[DEADLY], 99);
+    assert_eq!(suspects.blocked_by(later, &[DEADLY]), Some(DEADLY));
 }
 
 #[test]
@@ -168,7 +216,7 @@
                 parts = vec![100, 200, DEADLY];
             }
             let sent = request(number, &parts);
-            match (nodes[node].blocked_by(&sent), is_deadly) {
+            match (nodes[node].blocked_by(now, &sent), is_deadly) {
                 (Some(_), true) => {}
                 (Some(_), false) => refused += 1,
                 (None, true) => {
--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -88,7 +88,7 @@
     /// Returns the fingerprint for which the request must not run.
     pub fn blocked_by(&self) -> Option<u64> {
         let suspects = self.state.suspects.borrow();
-        suspects.blocked_by(&self.fingerprints)
+        suspects.blocked_by(self.state.clock.now(), &self.fingerprints)
     }
 
     /// Records that a target goes on with its answer, or has completed it: the request does not
--- a/filbertpaddle/src/pool_scheduler.rs
+++ b/filbertpaddle/src/pool_scheduler.rs
@@ -236,7 +236,7 @@
     /// Returns whether a request is blocked because others like it crashed too many targets.
     pub(crate) fn is_blocked(&self, now: Millis, want: &WorkSpec) -> bool {
         let request = scheduler_request(now, RequestId(0), want);
-        self.scheduler.status(&request) == QuarantineStatus::Blocked
+        self.scheduler.status(now, &request) == QuarantineStatus::Blocked
     }
 
     /// Merges another node's crash record of a request digest.
