--- a/filbertpaddle/tests/gateway/versions.rs
+++ b/filbertpaddle/tests/gateway/versions.rs
@@ -93,6 +93,16 @@
         callers
     }
 
+    /// Checks that all streams are complete, and that only the target of the same version has
+    /// continued them.
+    async fn check_streams_go_on(&self, callers: JoinSet<(usize, ReceivedAnswer)>) {
+        for (number, answer) in callers.join_all().await {
+            let attempt = format!("s{number}");
+            assert_eq!(self.targets_of(&attempt), ["first", "same"]);
+            assert_eq!(answer.body, complete_stream(&attempt, EVENTS));
+        }
+    }
+
     /// Returns the targets on which an attempt ran.
     fn targets_of(&self, attempt: &str) -> Vec<String> {
         let runs = self.run_log.runs_of(attempt).into_iter();
@@ -107,11 +117,7 @@
     cluster.add_engines(true, &["node-0"]).await;
     cluster.target("first").drain();
     cluster.announce("first");
-    for (number, answer) in callers.join_all().await {
-        let attempt = format!("s{number}");
-        assert_eq!(cluster.targets_of(&attempt), ["first", "same"]);
-        assert_eq!(answer.body, complete_stream(&attempt, EVENTS));
-    }
+    cluster.check_streams_go_on(callers).await;
     cluster.close();
 }
 
@@ -121,11 +127,7 @@
     let callers = cluster.start_streams(0, RESUMABLE_PATH).await;
     cluster.add_engines(true, &["node-0"]).await;
     cluster.take_target("first").close();
-    for (number, answer) in callers.join_all().await {
-        let attempt = format!("s{number}");
-        assert_eq!(cluster.targets_of(&attempt), ["first", "same"]);
-        assert_eq!(answer.body, complete_stream(&attempt, EVENTS));
-    }
+    cluster.check_streams_go_on(callers).await;
     cluster.close();
 }
 
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -129,29 +129,49 @@
             last_event,
         };
         let request = SentRequest {
-            resume: Some(resume.clone()),
+            resume: Some(resume),
             ..build_request(exchange.kind, attempt, exchange.events, key_version)
         };
         let node = rng.random_range(0..context.addresses.count());
-        let sent = Instant::now();
-        let answer = caller::send(context.addresses.address(node), &request).await;
-        exchange = Exchange {
-            attempt: request.attempt,
+        let (kind, events) = (exchange.kind, exchange.events);
+        exchange = send_once(
+            &context.addresses,
             node,
-            key_version,
-            sent,
-            ended: Instant::now(),
-            is_connection_reused: false,
-            caller_timeout_ms: request.deadline_ms,
-            resume: Some(resume),
-            answer,
-            ..exchange
-        };
+            kind,
+            events,
+            (key_version, request),
+        )
+        .await;
         invariants::check_answer(&context.history, &exchange);
         context.history.events().exchanges.push(exchange.clone());
     }
 }
 
+/// Sends one request, built with this version of the API key, on a new connection.
+async fn send_once(
+    addresses: &Addresses,
+    node: usize,
+    kind: RequestKind,
+    events: u64,
+    (key_version, request): (u64, SentRequest),
+) -> Exchange {
+    let sent = Instant::now();
+    let answer = caller::send(addresses.address(node), &request).await;
+    Exchange {
+        attempt: request.attempt,
+        kind,
+        events,
+        node,
+        key_version,
+        sent,
+        ended: Instant::now(),
+        is_connection_reused: false,
+        caller_timeout_ms: request.deadline_ms,
+        resume: request.resume,
+        answer,
+    }
+}
+
 async fn connect(addresses: &Addresses, node: usize) -> Option<(usize, Connection)> {
     let opened = Connection::open(addresses.address(node));
     let connection = tokio::time::timeout(Duration::from_secs(1), opened).await;
@@ -179,21 +199,8 @@
             None => (RequestKind::Write, 0),
             Some(_) => (RequestKind::Stream, DEADLY_EVENTS),
         };
-        let sent = Instant::now();
-        let answer = caller::send(addresses.address(node), &request).await;
-        history.events().exchanges.push(Exchange {
-            attempt: request.attempt,
-            kind,
-            events,
-            node,
-            key_version,
-            sent,
-            ended: Instant::now(),
-            is_connection_reused: false,
-            caller_timeout_ms: request.deadline_ms,
-            resume: None,
-            answer,
-        });
+        let exchange = send_once(&addresses, node, kind, events, (key_version, request)).await;
+        history.events().exchanges.push(exchange);
         sleep(POISON_PAUSE).await;
     }
 }
