--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod revision;
 pub mod roster;
 pub mod scheduler;
+pub mod scheduler_quarantine;
 pub mod slot;
 pub mod slot_request;
 pub mod suspect;
--- a/filbertpaddle-core/src/scheduler.rs
+++ b/filbertpaddle-core/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::policy::Settings;
 use crate::queue::Entry;
 use crate::queue::Queue;
+use crate::scheduler_quarantine::quarantine_refusal;
 pub use crate::slot_request::Ending;
 pub use crate::slot_request::Load;
 pub use crate::slot_request::Placement;
@@ -26,7 +27,6 @@
 pub use crate::slot_request::TargetView;
 use crate::suspect;
 use crate::suspect::QuarantineStatus;
-use crate::suspect::Suspects;
 use crate::target_state::TargetState;
 use crate::token_gap::GapModel;
 
@@ -47,15 +47,15 @@
 pub struct Scheduler {
     settings: Settings,
     queue: Queue,
-    isolated: IsolatedQueue,
-    pending_refusals: Vec<Refusal>,
+    pub(crate) isolated: IsolatedQueue,
+    pub(crate) pending_refusals: Vec<Refusal>,
     placement_rate: PlacementRate,
     gap_model: GapModel,
     output_lengths: OutputLengths,
-    suspects: CrashAttribution,
-    target_states: IndexMap<Name, TargetState>,
+    pub(crate) suspects: CrashAttribution,
+    pub(crate) target_states: IndexMap<Name, TargetState>,
     slots: IndexMap<SlotId, Name>,
-    running_copies: IndexMap<u64, usize>,
+    pub(crate) running_copies: IndexMap<u64, usize>,
     round_robin_turn: usize,
 }
 
@@ -240,34 +240,6 @@
         }
     }
 
-    fn may_share_target(&self, now: Millis, request: &SlotRequest) -> bool {
-        let status = self.status(now, request);
-        let is_unrestricted = matches!(
-            status,
-            QuarantineStatus::Unknown | QuarantineStatus::Cleared
-        );
-        is_unrestricted && self.may_run_copy(request)
-    }
-
-    /// Returns the restriction on running a request: its own, or that on others with a part of
-    /// its prompt.
-    pub fn status(&self, now: Millis, request: &SlotRequest) -> QuarantineStatus {
-        let own = self.suspects().status(request.digest);
-        match self.suspects.blocked_by(now, &request.fingerprints()) {
-            Some(_) => QuarantineStatus::Blocked,
-            None => own,
-        }
-    }
-
-    fn may_run_copy(&self, request: &SlotRequest) -> bool {
-        let running = self
-            .running_copies
-            .get(&request.digest)
-            .copied()
-            .unwrap_or(0);
-        request.digest == 0 || running < self.suspects().max_copies(request.digest)
-    }
-
     fn choose_target(
         &mut self,
         now: Millis,
@@ -303,14 +275,6 @@
             .is_some_and(|state| state.is_in_backoff(now))
     }
 
-    fn runs_suspect(&self, target: &Name) -> bool {
-        self.target_states.get(target).is_some_and(|state| {
-            state
-                .running()
-                .any(|running| self.suspects.crashes(running.request.digest) > 0)
-        })
-    }
-
     /// Records that a slot was granted for a placement.
     ///
     /// A new owner also records in this way the work that it finds running.
@@ -388,32 +352,6 @@
         }
     }
 
-    fn release_copy(&mut self, digest: u64) {
-        let Some(count) = self.running_copies.get_mut(&digest) else {
-            return;
-        };
-        *count -= 1;
-        if *count == 0 {
-            self.running_copies.swap_remove(&digest);
-        }
-    }
-
-    /// Refuses the isolated requests that must no longer run.
-    fn refuse_blocked(&mut self, now: Millis) {
-        let suspects = &self.suspects;
-        let is_blocked = |entry: &Entry| {
-            suspects
-                .blocked_by(now, &entry.request.fingerprints())
-                .is_some()
-        };
-        let refused = self.isolated.remove_where(is_blocked);
-        self.pending_refusals.extend(
-            refused
-                .iter()
-                .map(|entry| quarantine_refusal(entry.request.id)),
-        );
-    }
-
     /// Records a load report, which may be late or repeated.
     pub fn record_load(&mut self, now: Millis, target: &Name, load: &Load) {
         if let Some(state) = self.target_states.get_mut(target) {
@@ -447,18 +385,6 @@
         }
     }
 
-    /// Merges another node's record of a request that was running during crashes.
-    pub fn merge_crash_record(&mut self, now: Millis, digest: u64, record: &suspect::CrashRecord) {
-        self.suspects.merge(now, digest, record);
-        self.refuse_blocked(now);
-    }
-
-    /// Returns the requests that were running during crashes, for replication to other
-    /// nodes.
-    pub fn suspects(&self) -> &Suspects {
-        self.suspects.suspects()
-    }
-
     /// Removes the requests that no longer get a slot and returns their refusals: the
     /// deadline has passed or the request is quarantined.
     pub fn take_refusals(&mut self, now: Millis) -> Vec<Refusal> {
@@ -505,11 +431,3 @@
         self.queue.len() + self.isolated.len()
     }
 }
-
-fn quarantine_refusal(id: RequestId) -> Refusal {
-    Refusal {
-        id,
-        reason: Reason::Quarantined,
-        retry_after_ms: None,
-    }
-}
--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -1,5 +1,5 @@
 //! Detects target crashes, accuses the requests that were waiting for their answer there, and
-//! tells which requests must not run.
+//! keeps requests like them from further targets.
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/filbertpaddle/tests/gateway/crashing_parts.rs
+++ b/filbertpaddle/tests/gateway/crashing_parts.rs
@@ -5,7 +5,7 @@
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
 use filbertpaddle_adapter_standins::caller::SentRequest;
-use filbertpaddle_adapter_standins::target::DEADLY_PART;
+use filbertpaddle_adapter_standins::poison::DEADLY_PART;
 use filbertpaddle_adapter_standins::target::Stall;
 use http::Method;
 use tokio::time::sleep;
--- a/filbertpaddle/tests/gateway/limits.rs
+++ b/filbertpaddle/tests/gateway/limits.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use filbertpaddle_adapter_standins::caller;
+use filbertpaddle_adapter_standins::poison::POISON;
 use filbertpaddle_adapter_standins::target::Behaviour;
-use filbertpaddle_adapter_standins::target::POISON;
 use filbertpaddle_adapter_standins::target::Target;
 use http::Method;
 use tokio::time::sleep;
--- a/filbertpaddle/tests/gateway/versions.rs
+++ b/filbertpaddle/tests/gateway/versions.rs
@@ -180,7 +180,7 @@
     cluster.close();
 }
 
-/// What began a stream is unknown: it must not be resumed, and its caller is told at once.
+/// What began a stream is unknown: it must not be resumed, and is refused at once.
 #[tokio::test]
 async fn a_stream_of_unknown_version_is_refused_at_once_where_versions_differ() {
     let mut cluster = Cluster::with_one_engine("versions-unknown", 2).await;
--- a/filbertpaddle/tests/soak/invariants.rs
+++ b/filbertpaddle/tests/soak/invariants.rs
@@ -5,8 +5,8 @@
 use std::time::Instant;
 
 use filbertpaddle_adapter_standins::configuration::CUSTOMER;
+use filbertpaddle_adapter_standins::poison::POISON;
 use filbertpaddle_adapter_standins::run_log::Run;
-use filbertpaddle_adapter_standins::target::POISON;
 use filbertpaddle_adapter_standins::target::event;
 
 use crate::history::Change;
