Send blocked crash suspects first on a new link between nodes

Cause, found on reading the change again: records go in the order of their changes, 200 a second. After months of crashes for other reasons up to 4,096 are kept, and a node that starts would learn of a blocked part up to 20 s late, of 3 s allowed.

Change: up to 100 records with three crashes or more go ahead of the others, those with the most first.

Evidence: a decision test with 3,000 other suspects.

Conclusion: what a new node needs comes in the first message.

--- a/filbertpaddle-core/src/crash_attribution.rs
+++ b/filbertpaddle-core/src/crash_attribution.rs
@@ -7,6 +7,8 @@
 //! Load pattern: requests that share one part crash each target that begins to answer them, no
 //! two of them alike, among sound requests that share their other parts.
 
+use std::cmp::Reverse;
+
 use crate::clock::Millis;
 use crate::suspect::CRASH_LIMIT;
 use crate::suspect::CrashRecord;
@@ -102,6 +104,16 @@
         })
     }
 
+    /// Returns up to `max` records of fingerprints that may be blocked, those with the most crashes
+    /// first: what a node that has just started needs before all others.
+    pub fn worst(&self, max: usize) -> Vec<NumberedRecord> {
+        let mut worst = self.suspects.numbered_after(0, usize::MAX);
+        worst.retain(|numbered| numbered.record.uncleared_crashes() >= CRASH_LIMIT);
+        worst.sort_by_key(|numbered| Reverse(numbered.record.uncleared_crashes()));
+        worst.truncate(max);
+        worst
+    }
+
     /// Returns the first `max` records that changed after the change with number `sequence`, in
     /// the order of their changes.
     pub fn changed_after(&self, sequence: u64, max: usize) -> Vec<NumberedRecord> {
--- a/filbertpaddle-core/tests/crash_attribution.rs
+++ b/filbertpaddle-core/tests/crash_attribution.rs
@@ -196,6 +196,27 @@
     assert!(all.iter().map(|numbered| numbered.digest).eq(passed_on));
 }
 
+/// After months of crashes for other reasons, a node that starts must learn of the blocked parts
+/// before the rest.
+#[test]
+fn blocked_parts_go_before_thousands_of_other_suspects() {
+    let mut suspects = CrashAttribution::new();
+    for number in 0..3_000 {
+        suspects.record_crash(Millis(1), &[10_000 + number], number);
+    }
+    for crash in 0..3 {
+        suspects.record_crash(Millis(2), &request(crash, &[DEADLY]), 5_000 + crash);
+    }
+    suspects.record_crash(Millis(3), &[20_000], 6_000);
+    let worst = suspects.worst(100);
+    assert!(worst.iter().map(|numbered| numbered.digest).eq([DEADLY]));
+    let mut new = CrashAttribution::new();
+    for numbered in worst {
+        new.merge(Millis(4), numbered.digest, &numbered.record);
+    }
+    assert_eq!(new.blocked_by(Millis(4), &[DEADLY]), Some(DEADLY));
+}
+
 /// Load pattern: a share of the requests of one customer, drawn at random, has the part. Nodes
 /// exchange what they find out a moment later.
 #[test]
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -8,6 +8,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_core::suspect::CrashRecord;
+use filbertpaddle_core::suspect::NumberedRecord;
 use filbertpaddle_forward::change::Batch;
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
@@ -41,6 +42,9 @@
 /// Maximum number of crash suspects published at a time: 200 a second on a link, about 10 KB,
 /// however many requests wait at targets that crash. Further ones follow.
 const MAX_PUBLISHED_SUSPECTS: usize = 10;
+/// Maximum number of crash suspects that go ahead of the others on a new link, about 10 KB. The
+/// others may take 20 s.
+const MAX_WORST_SUSPECTS: usize = 100;
 
 /// A message between nodes, encoded as CBOR.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -265,15 +269,25 @@
     }
 
     async fn publish_suspects(&mut self, state: &State) -> Result<(), Error> {
+        if self.suspects_published == 0 {
+            let worst = state.suspects.borrow().worst(MAX_WORST_SUSPECTS);
+            self.send_suspects(worst).await?;
+        }
         let changed = {
             let suspects = state.suspects.borrow();
             suspects.changed_after(self.suspects_published, MAX_PUBLISHED_SUSPECTS)
         };
-        let Some(last) = changed.last() else {
+        if let Some(last) = changed.last() {
+            self.suspects_published = last.sequence;
+        }
+        self.send_suspects(changed).await
+    }
+
+    async fn send_suspects(&mut self, suspects: Vec<NumberedRecord>) -> Result<(), Error> {
+        if suspects.is_empty() {
             return Ok(());
-        };
-        self.suspects_published = last.sequence;
-        let records = changed.into_iter();
+        }
+        let records = suspects.into_iter();
         let records = records.map(|numbered| (numbered.digest, numbered.record));
         self.send(&Message::Suspects(records.collect())).await
     }
