--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -8,6 +8,7 @@
 use filbertpaddle_forward::target::Target;
 use slog::info;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -20,23 +21,33 @@
 const RECHECK_DELAY: Duration = Duration::from_millis(200);
 /// Time within which a target that is down refuses a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a request waits for that: more than a round trip within a region. It must not be
+/// held up by a target that is cut off.
+const MAX_WAIT: Duration = Duration::from_millis(10);
 
 /// Accuses a request whose connection broke before its answer had begun, if its target is down.
 /// Returns once a target that is down has refused a connection, so that the request is not sent
-/// to another one before.
+/// to another one before, or after [`MAX_WAIT`].
 ///
 /// A target that does not respond at all may be cut off, and one that is draining or no longer
 /// listed was stopped; these accuse nothing.
 pub async fn check(job: &Job, target: &Target) {
-    if is_listed(&job.state, target) && !record_if_down(job, target).await {
-        let (job, target) = (job.clone(), target.clone());
-        tokio::task::spawn_local(async move {
+    if !is_listed(&job.state, target) {
+        return;
+    }
+    let (job, target) = (job.clone(), target.clone());
+    let (is_checked, checked) = oneshot::channel();
+    tokio::task::spawn_local(async move {
+        let is_down = record_if_down(&job, &target).await;
+        is_checked.send(()).ok();
+        if !is_down {
             sleep(RECHECK_DELAY).await;
             if is_listed(&job.state, &target) {
                 record_if_down(&job, &target).await;
             }
-        });
-    }
+        }
+    });
+    timeout(MAX_WAIT, checked).await.ok();
 }
 
 /// Returns whether the target is down, and accuses the request if so.
