--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -27,7 +27,7 @@
 
 /// Accuses a request whose connection broke before its answer had begun, if its target is down.
 /// Returns once a target that is down has refused a connection, so that the request is not sent
-/// to another one before, or after [`MAX_WAIT`].
+/// to another one before, or after a short time.
 ///
 /// A target that does not respond at all may be cut off, and one that is draining or no longer
 /// listed was stopped; these accuse nothing.
