Let only answers count as answers when crashes of a prompt's part are cleared

Cause: a node that had had an answer cleared what other nodes accused by recording one more answer, with the time of the accusation. Accusations that came within 2 s of each other kept the first answer alive for ever, and the part was never refused.

The clearing is logged with its reason and the age of the answer.

--- a/filbertpaddle-core/src/crash_attribution.rs
+++ b/filbertpaddle-core/src/crash_attribution.rs
@@ -58,8 +58,8 @@
     }
 
     /// Merges another node's record of a fingerprint, and clears it if this node has had an
-    /// answer recently.
-    pub fn merge(&mut self, now: Millis, fingerprint: u64, record: &CrashRecord) {
+    /// answer recently; returns the age of that answer if it cleared any crash.
+    pub fn merge(&mut self, now: Millis, fingerprint: u64, record: &CrashRecord) -> Option<Millis> {
         let has_room = self.make_room(fingerprint);
         match self.suspects.record(fingerprint).filter(|_| !has_room) {
             Some(known) => {
@@ -68,9 +68,10 @@
             }
             None => self.suspects.merge(now, fingerprint, record),
         }
-        if self.is_answered(now, fingerprint) && self.crashes(fingerprint) > 0 {
-            self.suspects.record_answer(now, fingerprint);
-        }
+        let age_ms = self.answer_age_ms(now, fingerprint)?;
+        let is_cleared = self.crashes(fingerprint) > 0;
+        self.suspects.clear(now, fingerprint);
+        is_cleared.then_some(age_ms)
     }
 
     /// Returns the number of crashes that a fingerprint is not cleared of.
@@ -135,8 +136,13 @@
     }
 
     fn is_answered(&self, now: Millis, fingerprint: u64) -> bool {
-        let answered_ms = self.suspects.answered_at_ms(fingerprint);
-        answered_ms.is_some_and(|at_ms| now.since(at_ms) < RECENT_ANSWER_MS)
+        self.answer_age_ms(now, fingerprint).is_some()
+    }
+
+    /// Returns the age of the last answer if it is recent.
+    fn answer_age_ms(&self, now: Millis, fingerprint: u64) -> Option<Millis> {
+        let answered_ms = self.suspects.answered_at_ms(fingerprint)?;
+        Some(now.since(answered_ms)).filter(|age_ms| *age_ms < RECENT_ANSWER_MS)
     }
 
     /// Drops the cleared crashes of a long record; returns whether one more crash can be
--- a/filbertpaddle-core/src/suspect.rs
+++ b/filbertpaddle-core/src/suspect.rs
@@ -140,6 +140,11 @@
             self.answered_ms.drain(..MAX_ANSWERED / 2);
         }
         self.answered_ms.insert(digest, now);
+        self.clear(now, digest);
+    }
+
+    /// Clears a request of its crashes.
+    pub fn clear(&mut self, now: Millis, digest: u64) {
         if let Some(entry) = self.entries.get_mut(&digest) {
             entry.seen_ms = now;
             if entry.record.cleared != entry.record.crashes {
--- a/filbertpaddle-core/tests/crash_attribution.rs
+++ b/filbertpaddle-core/tests/crash_attribution.rs
@@ -255,6 +255,55 @@
     }
 }
 
+/// Load pattern: one answer at one node, then a crash each 1.9 s at others. Accusations that come
+/// sooner than answers lapse must not keep the one answer alive.
+#[test]
+fn one_answer_does_not_clear_a_part_of_crashes_for_ever() {
+    let mut answering = CrashAttribution::new();
+    answering.record_answer(Millis::ZERO, &request(1, &[DEADLY]));
+    let mut accusing = CrashAttribution::new();
+    for crash in 1..=6 {
+        let now = Millis(crash * 1_900);
+        accusing.record_crash(now, &request(10 + crash, &[DEADLY]), crash);
+        pass_on(now, &accusing, &mut answering);
+        pass_on(now, &answering, &mut accusing);
+    }
+    let now = Millis(7 * 1_900);
+    let deadly = request(99, &[DEADLY]);
+    assert_eq!(accusing.blocked_by(now, &deadly), Some(DEADLY));
+    assert_eq!(answering.blocked_by(now, &deadly), Some(DEADLY));
+}
+
+/// The same at three nodes, with drawn intervals, orders of exchange, and one answer in between.
+#[test]
+fn drawn_accusations_after_one_answer_block_the_part() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut nodes: Vec<_> = (0..3).map(|_| CrashAttribution::new()).collect();
+        let mut now = Millis::ZERO;
+        nodes[0].record_answer(now, &request(1, &[DEADLY]));
+        let (mut crashes, mut late_crashes) = (0, 0);
+        while crashes < 20 {
+            now = now + Millis(rng.random_range(200..1_950));
+            let node = rng.random_range(0..nodes.len());
+            let sent = request(10 + crashes, &[DEADLY]);
+            if nodes[node].blocked_by(now, &sent).is_some() {
+                break;
+            }
+            nodes[node].record_crash(now, &sent, crashes);
+            crashes += 1;
+            late_crashes += usize::from(now >= Millis(2_000));
+            for _ in 0..6 {
+                let from = nodes[rng.random_range(0..3)].clone();
+                pass_on(now, &from, &mut nodes[rng.random_range(0..3)]);
+            }
+        }
+        // Two at each node that the others do not know of yet.
+        let allowed = nodes.len() * (CRASH_LIMIT - 1);
+        assert!(late_crashes <= allowed, "seed {seed}: {late_crashes}");
+    }
+}
+
 /// A record that a node keeps after its crashes were cleared must not come back uncleared.
 #[test]
 fn merging_in_any_order_gives_the_same_crashes() {
@@ -268,9 +317,9 @@
     };
     for records in [[&crashed, &cleared], [&cleared, &crashed]] {
         let mut suspects = CrashAttribution::new();
-        records
-            .iter()
-            .for_each(|record| suspects.merge(LONG_MS, FIRST, record));
+        for record in records {
+            suspects.merge(LONG_MS, FIRST, record);
+        }
         assert_eq!(suspects.crashes(FIRST), 0);
     }
 }
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -351,8 +351,12 @@
     let mut known = state.suspects.borrow_mut();
     for (fingerprint, record) in suspects {
         let crashes = known.crashes(*fingerprint);
-        known.merge(now, *fingerprint, record);
+        let answer_age_ms = known.merge(now, *fingerprint, record);
         let merged = known.crashes(*fingerprint);
+        if let Some(age_ms) = answer_age_ms {
+            info!(state.log, "crash suspect of another node cleared: answered here recently";
+                "fingerprint" => fingerprint, "answer_age_ms" => age_ms.0);
+        }
         if merged != crashes {
             info!(state.log, "crash suspect updated by another node";
                 "fingerprint" => fingerprint, "crashes" => merged, "former_crashes" => crashes);
