Take a stream as sound only once it is complete or has gone on for a second

Cause: two events counted as a sound answer, which cleared the request's parts on all nodes and kept the crash from accusing them. A target that is going down can send them: on a busy machine they came before the crash.

Weighed: complete answers only would leave the long streams of a customer unable to clear anything for tens of seconds; a crash that takes back what its stream had cleared needs one more kind of record between nodes. A second is far above the time in which a target that crashes answers. The own interface counts tokens: 25 instead of 2, which is as long.

The stand-in crashes after the head or after the first, second or tenth event, in the soak in turn.

--- a/filbertpaddle-core/src/scheduler.rs
+++ b/filbertpaddle-core/src/scheduler.rs
@@ -32,8 +32,9 @@
 
 /// Number of queued requests that a call tries before it returns nothing.
 const LOOKAHEAD_REQUESTS: usize = 4;
-/// Number of tokens that show that a prompt does not crash its target.
-const SOUND_TOKENS: u32 = 2;
+/// Number of tokens that show that a prompt does not crash its target: about a second. Until
+/// then, the target may have failed already when its last tokens arrive.
+const SOUND_TOKENS: u32 = 25;
 /// Interval at which queued work is retried without an event, since the forecast
 /// memory of running work changes with time.
 const POLL_INTERVAL_MS: Millis = Millis(50);
@@ -323,7 +324,7 @@
             }
             Ending::Failed => {
                 let crash = suspect::crash_id(&target, state.record_crash_time(now, &running));
-                // An answer that goes on past its first token shows that the parts are sound.
+                // An answer that goes on for a while shows that the parts are sound.
                 if tokens < SOUND_TOKENS {
                     self.suspects
                         .record_crash(now, &request.fingerprints(), crash);
--- a/filbertpaddle-core/tests/quarantine.rs
+++ b/filbertpaddle-core/tests/quarantine.rs
@@ -400,6 +400,36 @@
     assert_eq!(answers, 10);
 }
 
+/// Targets go on with a crashing prompt for some tokens.
+#[test]
+fn a_template_that_crashes_targets_after_some_tokens_is_refused() {
+    for tokens in [1, 2, 10] {
+        let mut scheduler = Scheduler::new(Settings::default());
+        let mut crashes = 0;
+        for number in 1..=10 {
+            let now = Millis(number * 3_000);
+            let request = SlotRequest {
+                parts: vec![70],
+                ..slot_request(now, number)
+            };
+            if scheduler.push(now, request).is_err() {
+                continue;
+            }
+            let views = [TargetView {
+                name: Name::new(format!("t-{number}")),
+                free_slots: SLOTS,
+                capacity_tokens: 0,
+                warm: true,
+            }];
+            let placement = scheduler.next_placement(now, &views).unwrap();
+            scheduler.record_start(now, SlotId(number), &placement);
+            scheduler.record_end(now, SlotId(number), tokens, Ending::Failed);
+            crashes += 1;
+        }
+        assert_eq!(crashes, CRASH_LIMIT, "after {tokens} tokens");
+    }
+}
+
 /// A template's prompt is sound if its generations went on, however often targets fail later.
 #[test]
 fn targets_that_fail_in_the_middle_of_generations_accuse_no_part() {
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -51,8 +51,9 @@
 /// request goes to another target.
 const FIRST_EVENT_GOAL_FACTOR: u64 = 2;
 
-/// Number of events of one target that show that the request does not crash it.
-const SOUND_EVENTS: u64 = 2;
+/// Time for which a target goes on after its first event that shows that the request does not
+/// crash it. Until then, the target may have failed already when its last events arrive.
+const SOUND_TIME_MS: Millis = Millis::from_secs(1);
 
 /// Outcome of waiting in the main loop.
 enum WaitOutcome {
@@ -72,6 +73,10 @@
     pub(crate) last_activity_ms: Millis,
     /// Number of new events that the current target has sent.
     pub(crate) events_here: u64,
+    /// Time of the first of them.
+    first_event_ms: Millis,
+    /// Whether the current target has shown that the request does not crash it.
+    pub(crate) is_sound: bool,
     pub(crate) placement: Option<Placement>,
     migrator: Migrator<'a>,
     changes: watch::Receiver<u64>,
@@ -113,6 +118,8 @@
             last_event: job.metadata.last_event,
             last_activity_ms: job.received_ms,
             events_here: 0,
+            first_event_ms: Millis::ZERO,
+            is_sound: false,
             placement: None,
             migrator: Migrator::new(job),
             changes: job.state.subscribe(),
@@ -216,10 +223,7 @@
         self.progress.pace.record_event(now, goal_ms);
         let is_progress = event.id.is_some();
         if is_progress {
-            self.events_here += 1;
-            if self.events_here == SOUND_EVENTS {
-                self.job.record_sound();
-            }
+            self.record_progress(now);
         }
         self.writer.send_part(Ok(event.bytes)).await?;
         if is_progress {
@@ -229,6 +233,18 @@
         Ok(())
     }
 
+    /// Records that the target has sent a new event.
+    fn record_progress(&mut self, now: Millis) {
+        if self.events_here == 0 {
+            self.first_event_ms = now;
+        }
+        self.events_here += 1;
+        if !self.is_sound && now.since(self.first_event_ms) >= SOUND_TIME_MS {
+            self.is_sound = true;
+            self.job.record_sound();
+        }
+    }
+
     /// Places the generation on a target and waits for the first event there.
     async fn open(&mut self) -> Result<TargetStream, StopReason> {
         let target = self.next_target().await?;
@@ -390,7 +406,7 @@
             .selector
             .borrow_mut()
             .record_failure(state.clock.now(), &source.target.id);
-        if self.events_here < SOUND_EVENTS {
+        if !self.is_sound {
             crash::check(self.job, &source.target).await;
         }
     }
--- a/filbertpaddle/tests/gateway/crashing_parts.rs
+++ b/filbertpaddle/tests/gateway/crashing_parts.rs
@@ -6,6 +6,7 @@
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
 use filbertpaddle_adapter_standins::caller::SentRequest;
 use filbertpaddle_adapter_standins::poison::DEADLY_PART;
+use filbertpaddle_adapter_standins::poison::crash_after;
 use filbertpaddle_adapter_standins::target::Stall;
 use http::Method;
 use tokio::time::sleep;
@@ -99,6 +100,30 @@
     cluster.close();
 }
 
+/// Targets go on with such requests for some events: what they have answered so far must not
+/// pass for a sound answer.
+#[tokio::test]
+async fn a_part_that_crashes_targets_after_some_events_does_not_crash_target_after_target() {
+    for event in [1, 2, 10] {
+        let name = format!("crashing-part-after-{event}");
+        let cluster = Cluster::with_engines(&name, 3).await;
+        for number in 0..8 {
+            let after = crash_after(event);
+            let parts = [FIRST_PART, CUSTOMER_PART, DEADLY_PART, &after];
+            let attempt = format!("deadly-{number}");
+            let deadly = SentRequest {
+                tokens: Some((1_000, 80)),
+                ..generation(&attempt, STREAM_PATH, &parts)
+            };
+            cluster.send_in_turn(number, &deadly).await;
+            sleep(Duration::from_millis(300)).await;
+        }
+        let crashes = cluster.crashes();
+        assert!(crashes <= MAX_CRASHES, "event {event}: {crashes} crashed");
+        cluster.close();
+    }
+}
+
 #[tokio::test]
 async fn retries_of_a_resumable_request_stop_at_a_crashing_part() {
     let cluster = Cluster::with_engines("crashing-part-retries", 3).await;
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -18,6 +18,7 @@
 use filbertpaddle_adapter_standins::configuration::WRITE_PATH;
 use filbertpaddle_adapter_standins::poison::DEADLY_PART;
 use filbertpaddle_adapter_standins::poison::POISON;
+use filbertpaddle_adapter_standins::poison::crash_after;
 use filbertpaddle_adapter_standins::target::EVENT_TOKENS;
 use http::Method;
 use rand::RngExt;
@@ -43,6 +44,8 @@
 const POISON_PAUSE: Duration = Duration::from_millis(200);
 /// Number of events of a generation that crashes targets.
 const DEADLY_EVENTS: u64 = 20;
+/// Events after which they crash their target in turn; 0 for a moment after the head.
+const DEADLY_AFTER: [u64; 4] = [0, 1, 2, 10];
 /// Prefix of the attempt names of requests with a part that crashes targets.
 pub(crate) const DEADLY_PREFIX: &str = "deadly-";
 /// Parts that prompts share: the first one, and the second one.
@@ -193,7 +196,7 @@
         let key_version = addresses.key_version();
         let request = match number % 2 {
             0 => repeated_poison(key_version),
-            _ => deadly_generation(key_version),
+            _ => deadly_generation(key_version, DEADLY_AFTER[number / 2 % DEADLY_AFTER.len()]),
         };
         let (kind, events) = match request.tokens {
             None => (RequestKind::Write, 0),
@@ -213,11 +216,15 @@
     }
 }
 
-fn deadly_generation(key_version: u64) -> SentRequest {
+fn deadly_generation(key_version: u64, after_event: u64) -> SentRequest {
     let attempt = format!("{DEADLY_PREFIX}{}", rand::random::<u64>());
     let parts = [FIRST_PARTS[0], SECOND_PARTS[0], DEADLY_PART];
+    let mut parts = parts.map(str::to_owned).to_vec();
+    if after_event > 0 {
+        parts.push(crash_after(after_event));
+    }
     SentRequest {
-        shared_parts: parts.map(str::to_owned).to_vec(),
+        shared_parts: parts,
         ..build_request(RequestKind::Stream, attempt, DEADLY_EVENTS, key_version)
     }
 }
