Log whether a node reaches targets itself, and probe them while that is in doubt

A node that a target does not accept now tries others at once and each 250 ms, without a request, and logs when it reaches none and when it does again. Nothing is decided by it yet.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod change;
 pub mod cold_limit;
 pub mod configuration;
+pub mod direct_path;
 pub mod directory;
 pub mod drain;
 pub mod event_stream;
--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -141,6 +141,26 @@
         request: Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<PendingResponse, Error> {
+        let connect = async || connect_tcp(address).await;
+        self.send_with(address, request, reuse, connect).await
+    }
+
+    /// Sends a request, on a connection that `connect` opens unless an idle one may be used, and
+    /// waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] proves that no byte of the request has left.
+    pub async fn send_with<C>(
+        self: &Rc<Self>,
+        address: &Name,
+        request: Request<Full<Bytes>>,
+        reuse: Reuse,
+        connect: C,
+    ) -> Result<PendingResponse, Error>
+    where
+        C: AsyncFnOnce() -> Result<TcpStream, Error>,
+    {
         let mut request = request;
         while reuse == Reuse::Idle
             && let Some(connection) = self.take_idle(address)
@@ -151,7 +171,7 @@
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
-        let connection = connect(address).await?;
+        let connection = handshake(connect().await?).await?;
         let sent = self.send_on(address, connection, request).await;
         sent.map_err(|(error, _)| error)
     }
@@ -167,13 +187,33 @@
         request: Request<Full<Bytes>>,
         options: CallOptions<'_>,
     ) -> Result<(http::response::Parts, Bytes), Error> {
+        let connect = async || connect_tcp(address).await;
+        self.call_with(address, request, options, connect).await
+    }
+
+    /// Does what [`Self::call`] does, on a connection that `connect` opens unless an idle one may
+    /// be used.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] proves that no byte of the request has left.
+    pub async fn call_with<C>(
+        self: &Rc<Self>,
+        address: &Name,
+        request: Request<Full<Bytes>>,
+        options: CallOptions<'_>,
+        connect: C,
+    ) -> Result<(http::response::Parts, Bytes), Error>
+    where
+        C: AsyncFnOnce() -> Result<TcpStream, Error>,
+    {
         let CallOptions {
             time_limit,
             reuse,
             buffers,
         } = options;
         let response = async {
-            let response = self.send(address, request, reuse).await?;
+            let response = self.send_with(address, request, reuse, connect).await?;
             let PendingResponse { head, mut body } = response;
             let bytes = body.read_to_end(buffers).await?;
             if reuse == Reuse::Idle {
@@ -323,8 +363,13 @@
     }
 }
 
-async fn connect(address: &Name) -> Result<Connection, Error> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address.as_str())).await {
+/// Opens a connection.
+///
+/// # Errors
+///
+/// Returns [`Error`] if it is not accepted in time.
+pub(crate) async fn connect_tcp(address: &str) -> Result<TcpStream, Error> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
             return Err(Error::Refused);
@@ -333,6 +378,10 @@
         Err(_) => return Err(Error::Unreachable),
     };
     set_socket_options(&stream).map_err(|error| Error::NotSent(error.to_string()))?;
+    Ok(stream)
+}
+
+async fn handshake(stream: TcpStream) -> Result<Connection, Error> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BYTES)
         .handshake(TokioIo::new(stream))
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -32,6 +32,7 @@
 use crate::state::State;
 use crate::target_call;
 use crate::target_call::Sent;
+use crate::target_connection;
 
 /// Maximum number of connection attempts for one request before it is refused.
 pub const MAX_CONNECT_ATTEMPTS: u32 = 12;
@@ -208,7 +209,9 @@
         let answered = self
             .state
             .connections
-            .send(&target.address, request, reuse)
+            .send_with(&target.address, request, reuse, async || {
+                target_connection::open_directly(&self.state, target).await
+            })
             .await;
         let response = answered.map_err(|error| match error {
             ConnectionError::Refused => Failure::Refused,
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -36,5 +36,6 @@
 pub mod stop_reason;
 pub mod store_sync;
 pub mod target_call;
+pub mod target_connection;
 pub mod target_stream;
 pub mod version_exchange;
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -30,6 +30,7 @@
 use crate::settings::Settings;
 use crate::state::State;
 use crate::store_sync;
+use crate::target_connection;
 use crate::version_exchange;
 use crate::version_exchange::VersionExchange;
 
@@ -120,6 +121,10 @@
     spawn(Box::pin(version_exchange::serve(Rc::clone(&state))));
     spawn(Box::pin(reader_probe::run(Rc::clone(&state))));
     spawn(Box::pin(drain_detection::run(Rc::clone(&state))));
+    let probing = Rc::clone(&state);
+    spawn(Box::pin(async move {
+        target_connection::run_probes(&probing).await;
+    }));
     spawn(Box::pin(store_sync::maintain_registration(Rc::clone(
         &state,
     ))));
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -12,6 +12,7 @@
 use filbertpaddle_forward::change::AppliedChanges;
 use filbertpaddle_forward::change::Batch;
 use filbertpaddle_forward::change::Table;
+use filbertpaddle_forward::direct_path::DirectPath;
 use filbertpaddle_forward::directory::Directory;
 use filbertpaddle_forward::drain::Drain;
 use filbertpaddle_forward::freshness::AgeLimits;
@@ -80,6 +81,10 @@
     pub store_buffers: BufferLimit,
     /// Configuration, targets and data centres as read from the store.
     pub directory: RefCell<Directory>,
+    /// Whether this node reaches targets itself.
+    pub direct_path: RefCell<DirectPath>,
+    /// Notified when a connection to a target failed.
+    pub probe_due: Notify,
     /// Load and health of targets; selects the target of a request.
     pub selector: RefCell<TargetSelector>,
     /// Live nodes.
@@ -135,6 +140,8 @@
             target_buffers: BufferLimit::new(),
             store_buffers: BufferLimit::new(),
             directory: RefCell::new(Directory::new()),
+            direct_path: RefCell::new(DirectPath::new()),
+            probe_due: Notify::new(),
             selector: RefCell::new(selector),
             nodes: RefCell::new(Nodes::new()),
             followed_peer: Cell::default(),
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -20,6 +20,7 @@
 use crate::platform_api::RetryAfter;
 use crate::state::State;
 use crate::store_sync::http_request;
+use crate::target_connection;
 
 /// What was sent to a target.
 #[derive(Clone, Copy, Debug)]
@@ -54,7 +55,10 @@
         reuse: Reuse::New,
         buffers: &state.target_buffers,
     };
-    let called = state.connections.call(address, request, options);
+    let connect = async || target_connection::open_directly(state, target).await;
+    let called = state
+        .connections
+        .call_with(address, request, options, connect);
     let (head, bytes) = called.await?;
     record_response(state, target, sent, &head);
     Ok((head, bytes))
