Add failing tests: nodes that reach no target refuse what others could serve

A gate in the stand-ins ignores or refuses connections, and views of the store give each node targets' addresses of its own, so that one node is cut off from targets that others reach.

--- /dev/null
+++ b/filbertpaddle-standins/src/gate.rs
@@ -0,0 +1,180 @@
+//! TCP gate before a listening address, which can refuse or ignore new connections: what a node
+//! sees of targets that it is cut off from.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use crate::proxy::Faults;
+use crate::proxy::Link;
+use crate::proxy::ProxyState;
+use crate::proxy_connection;
+
+/// Length of the queue of connections that an open gate has not accepted yet.
+const BACKLOG: i32 = 1_024;
+/// Time after which a connection that is not established shows that the queue is full.
+const FULL_QUEUE_TIME: Duration = Duration::from_millis(20);
+
+/// What passes a gate.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Passage {
+    /// All connections pass.
+    #[default]
+    Open,
+    /// New connections get no response, and bytes on open ones are held.
+    Silent,
+    /// New connections are refused, and open ones are reset.
+    Reset,
+    /// New connections are refused, and open ones live on.
+    RefuseNew,
+}
+
+impl Passage {
+    /// Returns the state of the link of connections that were open before.
+    fn link(self) -> Link {
+        match self {
+            Self::Open | Self::RefuseNew => Link::Open,
+            Self::Silent => Link::Stall,
+            Self::Reset => Link::Cut,
+        }
+    }
+}
+
+/// A running gate.
+#[derive(Debug)]
+pub struct Gate {
+    /// Address that clients connect to.
+    pub address: SocketAddr,
+    upstream: SocketAddr,
+    state: ProxyState,
+    /// Keeps the port while nothing listens there, so that connections are refused.
+    _holder: Socket,
+    entrance: Entrance,
+}
+
+/// What happens to new connections.
+#[derive(Debug)]
+enum Entrance {
+    Accepting(JoinHandle<()>),
+    Refusing,
+    /// A listener whose queue these connections fill: the system ignores further ones.
+    Ignoring {
+        _listener: Socket,
+        _queued: Vec<TcpStream>,
+    },
+}
+
+impl Entrance {
+    /// Closes the listener, if there is one, and waits until it is closed.
+    async fn close(self) {
+        if let Self::Accepting(task) = self {
+            task.abort();
+            task.await.ok();
+        }
+    }
+}
+
+impl Gate {
+    /// Starts an open gate on a free local port that forwards to `upstream`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn start(upstream: SocketAddr) -> io::Result<Self> {
+        let holder = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let local = holder.local_addr()?;
+        let address = local.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let state = ProxyState {
+            faults: Arc::new(watch::Sender::new(Faults::default())),
+            counters: Arc::default(),
+        };
+        let entrance = accept(address, upstream, &state)?;
+        Ok(Self {
+            address,
+            upstream,
+            state,
+            _holder: holder,
+            entrance,
+        })
+    }
+
+    /// Sets what passes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the port cannot be bound again.
+    pub async fn set(&mut self, passage: Passage) -> io::Result<()> {
+        let former = std::mem::replace(&mut self.entrance, Entrance::Refusing);
+        former.close().await;
+        self.state.faults.send_replace(Faults {
+            link: passage.link(),
+            ..Faults::default()
+        });
+        self.entrance = match passage {
+            Passage::Open => accept(self.address, self.upstream, &self.state)?,
+            Passage::Silent => ignore(self.address).await?,
+            Passage::Reset | Passage::RefuseNew => Entrance::Refusing,
+        };
+        Ok(())
+    }
+
+    /// Resets all connections and refuses new ones.
+    pub async fn close(self) {
+        self.entrance.close().await;
+        self.state.faults.send_replace(Faults {
+            link: Link::Cut,
+            ..Faults::default()
+        });
+    }
+}
+
+fn bind(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+fn accept(address: SocketAddr, upstream: SocketAddr, state: &ProxyState) -> io::Result<Entrance> {
+    let socket = bind(address)?;
+    socket.listen(BACKLOG)?;
+    let listener = TcpListener::from_std(socket.into())?;
+    let state = state.clone();
+    let task = tokio::spawn(async move {
+        while let Ok((client, _)) = listener.accept().await {
+            let state = state.clone();
+            // Not ended with the listener: connections may outlive it.
+            tokio::spawn(async move {
+                // An error on either side ends both connections; nothing else depends on it.
+                let _ = proxy_connection::relay_connection(client, upstream, &state).await;
+            });
+        }
+    });
+    Ok(Entrance::Accepting(task))
+}
+
+async fn ignore(address: SocketAddr) -> io::Result<Entrance> {
+    let listener = bind(address)?;
+    listener.listen(0)?;
+    let mut queued = Vec::new();
+    while let Ok(connected) = timeout(FULL_QUEUE_TIME, TcpStream::connect(address)).await {
+        queued.push(connected?);
+    }
+    Ok(Entrance::Ignoring {
+        _listener: listener,
+        _queued: queued,
+    })
+}
--- a/filbertpaddle-standins/src/lib.rs
+++ b/filbertpaddle-standins/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod engine_state;
 pub mod experiment;
 pub mod fleet;
+pub mod gate;
 pub mod lengths;
 pub mod marker;
 pub mod node_settings;
--- /dev/null
+++ b/filbertpaddle-standins/tests/gate.rs
@@ -0,0 +1,55 @@
+//! Tests of the gate: what a client sees of each passage.
+
+#![expect(clippy::unwrap_used, reason = "a failed set-up fails the test")]
+
+use std::io::ErrorKind;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use filbertpaddle_standins::gate::Gate;
+use filbertpaddle_standins::gate::Passage;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Long enough for bytes to arrive that are not held.
+const HOLD_TIME: Duration = Duration::from_millis(100);
+
+async fn open_connection(listener: &TcpListener, gate: &Gate) -> (TcpStream, TcpStream) {
+    let client = TcpStream::connect(gate.address).await.unwrap();
+    let (server, _) = listener.accept().await.unwrap();
+    (client, server)
+}
+
+async fn passes(from: &mut TcpStream, to: &mut TcpStream) -> bool {
+    from.write_all(b"ping").await.unwrap();
+    let mut buffer = [0; 4];
+    let read = timeout(HOLD_TIME, to.read_exact(&mut buffer)).await;
+    matches!(read, Ok(Ok(_)))
+}
+
+#[tokio::test]
+async fn each_passage_affects_new_and_open_connections_as_stated() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let mut gate = Gate::start(listener.local_addr().unwrap()).await.unwrap();
+    let (mut client, mut server) = open_connection(&listener, &gate).await;
+    gate.set(Passage::RefuseNew).await.unwrap();
+    let refused = TcpStream::connect(gate.address).await;
+    assert_eq!(refused.unwrap_err().kind(), ErrorKind::ConnectionRefused);
+    assert!(passes(&mut client, &mut server).await);
+    gate.set(Passage::Silent).await.unwrap();
+    let ignored = timeout(HOLD_TIME, TcpStream::connect(gate.address)).await;
+    assert!(ignored.is_err());
+    assert!(!passes(&mut client, &mut server).await);
+    gate.set(Passage::Open).await.unwrap();
+    let (mut second, mut second_server) = open_connection(&listener, &gate).await;
+    assert!(passes(&mut second, &mut second_server).await);
+    gate.set(Passage::Reset).await.unwrap();
+    let refused = TcpStream::connect(gate.address).await;
+    assert_eq!(refused.unwrap_err().kind(), ErrorKind::ConnectionRefused);
+    let mut buffer = [0; 8];
+    let ended = timeout(HOLD_TIME, second.read(&mut buffer)).await.unwrap();
+    assert!(ended.is_err() || ended.unwrap() == 0);
+}
--- /dev/null
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -0,0 +1,280 @@
+//! Nodes that reach no target, while callers, the store and the other nodes reach them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use filbertpaddle_adapter_standins::caller;
+use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
+use filbertpaddle_adapter_standins::caller::SentRequest;
+use filbertpaddle_standins::gate::Gate;
+use filbertpaddle_standins::gate::Passage;
+use http::Method;
+use tokio::time::sleep;
+
+use crate::cluster::Cluster;
+use crate::cluster::READ_PATH;
+use crate::cluster::RESUMABLE_PATH;
+use crate::cluster::STREAM_PATH;
+use crate::cluster::WRITE_PATH;
+use crate::cluster::complete_stream;
+use crate::cluster::request;
+use crate::cluster::wait_until;
+
+const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+/// Forms in which a node is cut off.
+const CUTS: [Passage; 3] = [Passage::Silent, Passage::Reset, Passage::RefuseNew];
+/// Time after which the cut counts for the users, less than they allow.
+const NOTICE_TIME: Duration = Duration::from_millis(1_500);
+/// Time within which a request that no node can serve is refused.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// Output tokens of ten events.
+const TOKENS: u32 = 40;
+
+/// One node in each of three data centres, each of which reaches the targets through gates of its
+/// own.
+struct GatedCluster {
+    cluster: Cluster,
+    /// Gates by node.
+    gates: Vec<Vec<Gate>>,
+}
+
+impl GatedCluster {
+    async fn start(name: &str) -> Self {
+        let mut cluster = Cluster::new(name).await;
+        let mut views = Vec::new();
+        for _ in DATA_CENTRES {
+            views.push(cluster.store.add_view().await.unwrap());
+        }
+        let mut gates: Vec<_> = DATA_CENTRES.iter().map(|_| Vec::new()).collect();
+        for (id, service, data_centre) in [
+            ("e1", "engine", "dc-a"),
+            ("e2", "engine", "dc-b"),
+            ("p1", "app", "dc-a"),
+            ("p2", "app", "dc-b"),
+        ] {
+            cluster.add_target(id, service, data_centre).await;
+            let address = cluster.target(id).address;
+            for (view, gates) in views.iter().zip(&mut gates) {
+                let gate = Gate::start(address).await.unwrap();
+                cluster.store.replace_in_view(*view, address, gate.address);
+                gates.push(gate);
+            }
+        }
+        for (number, (data_centre, view)) in DATA_CENTRES.iter().zip(&views).enumerate() {
+            let mut options = cluster.node_options(&format!("node-{number}"), data_centre);
+            options.store = view.address;
+            cluster.start_node(&options);
+        }
+        cluster.wait_until_ready().await;
+        cluster.wait_until_registered().await;
+        let started = Self { cluster, gates };
+        started.wait_until_linked().await;
+        started
+    }
+
+    /// Waits until each node knows all others.
+    async fn wait_until_linked(&self) {
+        for number in 0..DATA_CENTRES.len() {
+            let attempt = format!("linked-{number}");
+            let read = request(&attempt, Method::GET, READ_PATH, None);
+            wait_until("a node serves", async || {
+                self.send(number, &read).await.code() == 200
+            })
+            .await;
+        }
+        // Nodes read the list of nodes anew within this time after the last one has started.
+        sleep(Duration::from_secs(1)).await;
+    }
+
+    async fn set(&mut self, node: usize, passage: Passage) {
+        for gate in &mut self.gates[node] {
+            gate.set(passage).await.unwrap();
+        }
+    }
+
+    async fn send(&self, node: usize, request: &SentRequest) -> ReceivedAnswer {
+        caller::send(self.cluster.nodes[node].addresses.callers, request).await
+    }
+
+    /// Sends one request of each kind, and returns those that were not served whole at the first
+    /// attempt.
+    async fn unserved(&self, node: usize, prefix: &str) -> Vec<String> {
+        let mut unserved = Vec::new();
+        for sent in requests(prefix) {
+            let answer = self.send(node, &sent).await;
+            let is_whole = match sent.tokens {
+                Some(_) => answer.is_complete && answer.body == complete_stream(&sent.attempt, 10),
+                None => answer.body == format!("answer to {}", sent.attempt).into_bytes(),
+            };
+            if answer.code() != 200 || !is_whole || !answer.is_sealed() {
+                unserved.push(format!("{}: {}", sent.attempt, answer.code()));
+            }
+            let runs = self.cluster.run_log.runs_of(&sent.attempt).len();
+            assert!(runs <= 1, "{} ran {runs} times", sent.attempt);
+        }
+        unserved
+    }
+
+    /// Sends requests for the time that nodes may take to notice a cut.
+    async fn send_until_noticed(&self, node: usize, prefix: &str) {
+        let start = Instant::now();
+        let mut round = 0;
+        while start.elapsed() < NOTICE_TIME {
+            let write = format!("{prefix}-{round}");
+            let write = request(&write, Method::POST, WRITE_PATH, None);
+            self.send(node, &write).await;
+            sleep(Duration::from_millis(50)).await;
+            round += 1;
+        }
+    }
+
+    fn close(self) {
+        self.cluster.close();
+    }
+}
+
+fn requests(prefix: &str) -> [SentRequest; 4] {
+    let attempt = |kind: &str| format!("{prefix}-{kind}");
+    [
+        request(&attempt("write"), Method::POST, WRITE_PATH, None),
+        request(&attempt("read"), Method::GET, READ_PATH, None),
+        request(&attempt("stream"), Method::POST, STREAM_PATH, Some(TOKENS)),
+        request(
+            &attempt("resumable"),
+            Method::POST,
+            RESUMABLE_PATH,
+            Some(TOKENS),
+        ),
+    ]
+}
+
+#[tokio::test]
+async fn callers_of_a_node_that_reaches_no_target_are_served() {
+    for cut in CUTS {
+        let mut gated = GatedCluster::start(&format!("cut-{cut:?}")).await;
+        gated.set(0, cut).await;
+        gated.send_until_noticed(0, "early").await;
+        for round in 0..5 {
+            let unserved = gated.unserved(0, &format!("cut-{round}")).await;
+            assert_eq!(unserved, [""; 0], "{cut:?}");
+            let unserved = gated.unserved(1, &format!("sound-{round}")).await;
+            assert_eq!(unserved, [""; 0], "{cut:?}, at a node that is not cut off");
+        }
+        gated.set(0, Passage::Open).await;
+        gated.send_until_noticed(0, "after").await;
+        assert_eq!(gated.unserved(0, "healed").await, [""; 0], "{cut:?}");
+        gated.close();
+    }
+}
+
+#[tokio::test]
+async fn one_node_that_reaches_targets_is_enough() {
+    for cut in CUTS {
+        let mut gated = GatedCluster::start(&format!("most-cut-{cut:?}")).await;
+        gated.set(0, cut).await;
+        gated.set(1, cut).await;
+        for node in [0, 1] {
+            let prefix = format!("early-{node}");
+            gated.send_until_noticed(node, &prefix).await;
+        }
+        for node in [0, 1, 2] {
+            let unserved = gated.unserved(node, &format!("cut-{node}")).await;
+            assert_eq!(unserved, [""; 0], "{cut:?}");
+        }
+        gated.close();
+    }
+}
+
+/// What waited at targets when the connections to all of them broke must not be taken for what
+/// crashed them.
+#[tokio::test]
+async fn a_cut_of_all_nodes_is_refused_at_once_and_accuses_no_request() {
+    let mut gated = GatedCluster::start("all-cut").await;
+    for round in 0..4 {
+        for node in 0..DATA_CENTRES.len() {
+            gated.set(node, Passage::Reset).await;
+        }
+        for node in 0..DATA_CENTRES.len() {
+            let prefix = format!("early-{round}-{node}");
+            gated.send_until_noticed(node, &prefix).await;
+            let refused = format!("refused-{round}-{node}");
+            let refused = request(&refused, Method::POST, WRITE_PATH, None);
+            let start = Instant::now();
+            let answer = gated.send(node, &refused).await;
+            assert_eq!(answer.code(), 503);
+            assert!(answer.retry_after_sec().is_some());
+            assert!(start.elapsed() < REFUSAL_TIME, "{:?}", start.elapsed());
+            assert!(gated.cluster.run_log.runs_of(&refused.attempt).is_empty());
+        }
+        for node in 0..DATA_CENTRES.len() {
+            gated.set(node, Passage::Open).await;
+        }
+        for node in 0..DATA_CENTRES.len() {
+            let prefix = format!("after-{round}-{node}");
+            gated.send_until_noticed(node, &prefix).await;
+            let prefix = format!("healed-{round}-{node}");
+            assert_eq!(gated.unserved(node, &prefix).await, [""; 0]);
+        }
+    }
+    gated.close();
+}
+
+/// Requests with a common part wait at targets when the connections to these are reset.
+#[tokio::test]
+async fn connections_that_a_cut_resets_accuse_no_part_of_a_prompt() {
+    let mut gated = GatedCluster::start("cut-accuses-no-part").await;
+    let with_part = |attempt: &str| SentRequest {
+        shared_parts: vec!["f1".to_owned()],
+        ..request(attempt, Method::POST, STREAM_PATH, Some(400))
+    };
+    for round in 0..4 {
+        let mut waiting = Vec::new();
+        for number in 0..4 {
+            let sent = with_part(&format!("waiting-{round}-{number}"));
+            let address = gated.cluster.nodes[0].addresses.callers;
+            waiting.push(tokio::spawn(
+                async move { caller::send(address, &sent).await },
+            ));
+        }
+        wait_until("the requests run", async || {
+            let run_log = &gated.cluster.run_log;
+            (0..4).all(|number| {
+                !run_log
+                    .runs_of(&format!("waiting-{round}-{number}"))
+                    .is_empty()
+            })
+        })
+        .await;
+        gated.set(0, Passage::Reset).await;
+        for caller in waiting {
+            caller.await.unwrap();
+        }
+        gated.set(0, Passage::Open).await;
+        sleep(NOTICE_TIME).await;
+    }
+    let sound = SentRequest {
+        tokens: Some((1_000, TOKENS)),
+        ..with_part("sound")
+    };
+    let answer = gated.send(0, &sound).await;
+    assert!(answer.is_complete, "status {}", answer.code());
+    gated.close();
+}
+
+#[tokio::test]
+async fn streams_on_connections_that_live_on_are_not_moved() {
+    let mut gated = GatedCluster::start("cut-live-on").await;
+    let address = gated.cluster.nodes[0].addresses.callers;
+    let long = request("long", Method::POST, STREAM_PATH, Some(400));
+    let caller = tokio::spawn(async move { caller::send(address, &long).await });
+    wait_until("the stream runs", async || {
+        !gated.cluster.run_log.runs_of("long").is_empty()
+    })
+    .await;
+    gated.set(0, Passage::RefuseNew).await;
+    gated.send_until_noticed(0, "early").await;
+    let answer = caller.await.unwrap();
+    assert_eq!(answer.body, complete_stream("long", 100));
+    assert_eq!(gated.cluster.run_log.runs_of("long").len(), 1);
+    gated.close();
+}
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod announcements;
 mod cluster;
 mod crashing_parts;
+mod cut_from_targets;
 mod cut_reader;
 mod endless;
 mod limits;
