Relay connections to targets through other nodes where a node reaches none itself

Callers of nodes that were cut off from all targets were refused: a request went from the caller's node to a target or nowhere.

Class: a node takes its own links for the state of what lies behind them.

The node that has the request goes on deciding everything about it; only the connection is opened by another node, which passes bytes on. So attempts, seals, events, deadlines, load, budgets and rates stay where they were, and what was sent is known as exactly as on a direct connection: a link that breaks after the body has left is 'may have run'. Weighed: passing requests on (a second place that decides, outcomes across the hop), withdrawing readiness (open connections stay, and the balancer goes back to all), asking callers to return (their first attempt has failed). Price: three round trips more for a connection, and the bytes.

Two targets in a row that accept no connection, with none that does in between, and a probe of others, make a node count as cut off; probes end it. What such a node saw of its targets is forgotten: it reports no refusals, starts no back-off, accuses no request of a crash unless another target still accepts it or another node finds the target down.

The soak has a kind of schedule with such cuts.

--- a/filbertpaddle-forward/src/load_table.rs
+++ b/filbertpaddle-forward/src/load_table.rs
@@ -36,6 +36,13 @@
 }
 
 impl TargetLoad {
+    /// Returns load without what it states about targets that refuse connections.
+    pub fn without_refusals(mut load: LoadByTarget) -> LoadByTarget {
+        load.values_mut().for_each(|load| load.refusals = 0);
+        load.retain(|_, load| !load.is_empty());
+        load
+    }
+
     /// Returns whether there is no load.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
@@ -136,3 +143,10 @@
     }
     total
 }
+
+/// Returns load without what it states about targets that refuse connections.
+pub fn without_refusals(mut load: LoadByTarget) -> LoadByTarget {
+    load.values_mut().for_each(|load| load.refusals = 0);
+    load.retain(|_, load| !load.is_empty());
+    load
+}
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -62,6 +62,15 @@
     cold: cold_limit::SendRate,
 }
 
+/// Targets among which one is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Paths {
+    /// Those that this node is likely to reach itself.
+    Direct,
+    /// Also those that it does not reach.
+    Any,
+}
+
 /// Load and health of all targets, as seen by one node.
 #[derive(Clone, Debug)]
 pub struct TargetSelector {
@@ -130,6 +139,41 @@
         directory: &'a Directory,
         demand: &RequestDemand,
         excluded: &[Name],
+        draw: D,
+    ) -> Result<&'a Target, PlacementError>
+    where
+        D: FnMut() -> f64,
+    {
+        self.choose_by(Paths::Direct, now, directory, demand, excluded, draw)
+    }
+
+    /// Does what [`Self::choose`] does, also among targets that did not accept a connection of
+    /// this node: another node may reach them.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlacementError`] if no target can be given the request now.
+    pub fn choose_relayed<'a, D>(
+        &self,
+        now: Millis,
+        directory: &'a Directory,
+        demand: &RequestDemand,
+        excluded: &[Name],
+        draw: D,
+    ) -> Result<&'a Target, PlacementError>
+    where
+        D: FnMut() -> f64,
+    {
+        self.choose_by(Paths::Any, now, directory, demand, excluded, draw)
+    }
+
+    fn choose_by<'a, D>(
+        &self,
+        paths: Paths,
+        now: Millis,
+        directory: &'a Directory,
+        demand: &RequestDemand,
+        excluded: &[Name],
         mut draw: D,
     ) -> Result<&'a Target, PlacementError>
     where
@@ -155,6 +199,10 @@
                 }
                 continue;
             }
+            if paths == Paths::Direct && self.is_unreached(now, &target.id) {
+                reason = PlacementError::AllFailing;
+                continue;
+            }
             if let Err(error) = self.check_available(now, configuration, target, read_ms, excluded)
             {
                 reason = error;
@@ -204,6 +252,7 @@
                 && !target.is_draining
                 && demand.version.allows(target)
                 && !directory.is_out(&target.data_centre)
+                && !self.is_unreached(now, &target.id)
                 && self
                     .check_available(now, configuration, target, read_ms, excluded)
                     .is_ok()
@@ -287,7 +336,7 @@
     /// The refusal is published to the other nodes, which avoid the target if it runs no
     /// requests: failed targets stay listed and look idle while the store is unavailable.
     pub fn record_refused(&mut self, now: Millis, id: &str) -> Millis {
-        self.health_mut(id).record_refused(now)
+        self.health_mut(id).record_unreached(now, true)
     }
 
     /// Records that a target did not accept a connection in time, and returns the end of its
@@ -295,7 +344,28 @@
     pub fn record_unreachable(&mut self, now: Millis, target: &Target) -> Millis {
         self.reachability
             .record_timeout(now, &target.data_centre, &target.id);
-        self.record_failure(now, &target.id)
+        self.health_mut(&target.id).record_unreached(now, false)
+    }
+
+    /// Records that a target accepted a connection of this node.
+    pub fn record_reached(&mut self, id: &str) {
+        if let Some(state) = self.states.get_mut(id) {
+            state.health.record_reached();
+        }
+    }
+
+    /// Forgets the failures of all targets and data centres: this node is, or was, cut off from
+    /// all of them.
+    pub fn forget_failures(&mut self) {
+        self.reachability = Reachability::new();
+        self.states
+            .values_mut()
+            .for_each(|state| state.health.forget_failures());
+    }
+
+    /// Returns whether a target did not accept a connection of this node a short while ago.
+    pub fn is_unreached(&self, now: Millis, id: &str) -> bool {
+        self.health(id).is_unreached(now)
     }
 
     /// Records that a target has responded in some way, so that its data centre is reachable.
--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -26,12 +26,15 @@
 use indexmap::IndexMap;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::buffer_limit::BufferLimit;
 use crate::clock::Clock;
+use crate::tunnel::RelayedStream;
 
 /// Far above a round trip between data centres, and short enough to try another target
 /// in time.
@@ -59,6 +62,10 @@
     /// No connection was accepted in time; no byte of the request has left.
     #[error("no connection within {CONNECT_TIMEOUT:?}, request not sent")]
     Unreachable,
+    /// Neither this node nor any other that was asked reaches targets; no byte of the request has
+    /// left.
+    #[error("no node was found that reaches targets, request not sent")]
+    NoPath,
     /// No byte of the request has left.
     #[error("request not sent: {0}")]
     NotSent(String),
@@ -82,6 +89,16 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    is_relayed: bool,
+}
+
+/// A new connection that carries no request yet.
+#[derive(Debug)]
+pub enum Transport {
+    /// A connection of this node.
+    Direct(TcpStream),
+    /// A connection of another node.
+    Relayed(Box<RelayedStream>),
 }
 
 /// A response whose body is still to be read.
@@ -106,6 +123,8 @@
 pub enum Reuse {
     /// An idle connection if there is one, else a new one.
     Idle,
+    /// The same, but none of this node's own idle connections.
+    IdleRelayed,
     /// Only a new connection, which the target cannot have closed while idle.
     New,
 }
@@ -141,7 +160,7 @@
         request: Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<PendingResponse, Error> {
-        let connect = async || connect_tcp(address).await;
+        let connect = async || connect_tcp(address).await.map(Transport::Direct);
         self.send_with(address, request, reuse, connect).await
     }
 
@@ -159,19 +178,17 @@
         connect: C,
     ) -> Result<PendingResponse, Error>
     where
-        C: AsyncFnOnce() -> Result<TcpStream, Error>,
+        C: AsyncFnOnce() -> Result<Transport, Error>,
     {
         let mut request = request;
-        while reuse == Reuse::Idle
-            && let Some(connection) = self.take_idle(address)
-        {
+        while let Some(connection) = self.take_idle(address, reuse) {
             match self.send_on(address, connection, request).await {
                 Ok(response) => return Ok(response),
                 Err((error, None)) => return Err(error),
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
-        let connection = handshake(connect().await?).await?;
+        let connection = open(connect().await?).await?;
         let sent = self.send_on(address, connection, request).await;
         sent.map_err(|(error, _)| error)
     }
@@ -187,7 +204,7 @@
         request: Request<Full<Bytes>>,
         options: CallOptions<'_>,
     ) -> Result<(http::response::Parts, Bytes), Error> {
-        let connect = async || connect_tcp(address).await;
+        let connect = async || connect_tcp(address).await.map(Transport::Direct);
         self.call_with(address, request, options, connect).await
     }
 
@@ -205,7 +222,7 @@
         connect: C,
     ) -> Result<(http::response::Parts, Bytes), Error>
     where
-        C: AsyncFnOnce() -> Result<TcpStream, Error>,
+        C: AsyncFnOnce() -> Result<Transport, Error>,
     {
         let CallOptions {
             time_limit,
@@ -265,20 +282,17 @@
         }
     }
 
-    fn take_idle(&self, address: &Name) -> Option<Connection> {
+    fn take_idle(&self, address: &Name, reuse: Reuse) -> Option<Connection> {
+        if reuse == Reuse::New {
+            return None;
+        }
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
-        while let Some(IdleConnection {
-            connection,
-            usable_until_ms,
-        }) = connections.pop()
-        {
-            if now < usable_until_ms && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|idle| now < idle.usable_until_ms && idle.connection.sender.is_ready());
+        let is_allowed = |idle: &IdleConnection| reuse == Reuse::Idle || idle.connection.is_relayed;
+        let position = connections.iter().rposition(is_allowed)?;
+        Some(connections.remove(position).connection)
     }
 
     fn return_idle(&self, address: Name, connection: Connection, headers: &HeaderMap) {
@@ -381,7 +395,17 @@
     Ok(stream)
 }
 
-async fn handshake(stream: TcpStream) -> Result<Connection, Error> {
+async fn open(transport: Transport) -> Result<Connection, Error> {
+    match transport {
+        Transport::Direct(stream) => handshake(stream, false).await,
+        Transport::Relayed(stream) => handshake(*stream, true).await,
+    }
+}
+
+async fn handshake<S>(stream: S, is_relayed: bool) -> Result<Connection, Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BYTES)
         .handshake(TokioIo::new(stream))
@@ -391,7 +415,11 @@
         // An error here also fails the request, which reports it.
         connection.await.ok();
     });
-    Ok(Connection { sender, driver })
+    Ok(Connection {
+        sender,
+        driver,
+        is_relayed,
+    })
 }
 
 /// Sets the options by which a connection fails when its other end goes silent.
--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -7,7 +7,6 @@
 use filbertpaddle_core::suspect::crash_id;
 use filbertpaddle_forward::target::Target;
 use slog::info;
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -15,12 +14,11 @@
 use crate::job::Failure;
 use crate::job::Job;
 use crate::state::State;
+use crate::target_connection;
 
 /// Time until a target that still accepted a connection is checked once more. A crashed target
 /// stays down for some seconds.
 const RECHECK_DELAY: Duration = Duration::from_millis(200);
-/// Time within which a target that is down refuses a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which a request waits for that: more than a round trip within a region. It must not be
 /// held up by a target that is cut off.
 const MAX_WAIT: Duration = Duration::from_millis(10);
@@ -29,8 +27,8 @@
 /// Returns once a target that is down has refused a connection, so that the request is not sent
 /// to another one before, or after a short time.
 ///
-/// A target that does not respond at all may be cut off, and one that is draining or no longer
-/// listed was stopped; these accuse nothing.
+/// A target that does not respond at all may be cut off, as is this node if it reaches no other
+/// target either, and one that is draining or no longer listed was stopped; these accuse nothing.
 pub async fn check(job: &Job, target: &Target) {
     if !is_listed(&job.state, target) {
         return;
@@ -52,11 +50,7 @@
 
 /// Returns whether the target is down, and accuses the request if so.
 async fn record_if_down(job: &Job, target: &Target) -> bool {
-    let connect = TcpStream::connect(target.address.as_str());
-    let is_down = match timeout(CONNECT_TIMEOUT, connect).await {
-        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    };
+    let is_down = target_connection::is_down(&job.state, target).await;
     if is_down {
         record(job, target);
     }
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -402,10 +402,7 @@
             "target" => source.target.id.as_str(), "reason" => reason,
             "last_event" => self.last_event, "has_copy" => self.migrator.has_copy());
         state.metrics.count("stream.broken");
-        state
-            .selector
-            .borrow_mut()
-            .record_failure(state.clock.now(), &source.target.id);
+        state.record_target_failure(&source.target);
         if !self.is_sound {
             crash::check(self.job, &source.target).await;
         }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -33,6 +33,7 @@
 use crate::target_call;
 use crate::target_call::Sent;
 use crate::target_connection;
+use crate::tunnel::Purpose;
 
 /// Maximum number of connection attempts for one request before it is refused.
 pub const MAX_CONNECT_ATTEMPTS: u32 = 12;
@@ -92,6 +93,8 @@
     pub placed_on: Option<Name>,
     /// Targets that it must not be sent to again.
     pub excluded_targets: Vec<Name>,
+    /// Targets that did not accept a connection of this node for it.
+    pub unreached_targets: Vec<Name>,
     /// Why no target could be chosen last.
     pub placement_error: Option<PlacementError>,
     /// Software version that wrote the first event of the stream, if this attempt received it.
@@ -110,6 +113,9 @@
     Refused,
     /// The target accepted no connection in time; no byte of the request has left.
     Unreachable,
+    /// Neither this node nor another that was asked reaches targets; no byte of the request has
+    /// left.
+    NoPath,
     /// No byte of the request has left.
     NotSent(String),
     /// The target proved that it did not run the request.
@@ -155,21 +161,26 @@
         let now = state.clock.now();
         let directory = state.directory.borrow();
         let selector = state.selector.borrow();
-        let excluded_targets = &progress.excluded_targets;
+        let excluded = &progress.excluded_targets;
+        let unreached = progress.unreached_targets.iter();
+        let failed: Vec<_> = excluded.iter().chain(unreached).cloned().collect();
         let draw = rand::random::<f64>;
         let demand = RequestDemand {
             claim: self.claim(progress),
             version: self.version(progress),
             ..self.demand.clone()
         };
-        let chosen = selector.choose(now, &directory, &demand, excluded_targets, draw);
+        let mut chosen = selector.choose(now, &directory, &demand, &failed, draw);
+        if chosen == Err(PlacementError::AllFailing) {
+            chosen = selector.choose_relayed(now, &directory, &demand, excluded, draw);
+        }
         let error = chosen.as_ref().err().copied();
         if let Some(reason) = error
             && progress.placement_error != error
         {
             info!(state.log, "no target can take the request";
                 "id" => self.metadata.attempt.as_str(), "reason" => %reason,
-                "claim" => %demand.claim, "passed_over" => excluded_targets.len(),
+                "claim" => %demand.claim, "passed_over" => failed.len(),
                 "age_ms" => state.data_age_ms(Table::Targets).0);
         }
         let chosen = chosen.cloned();
@@ -197,10 +208,10 @@
         resume: ResumePoint<'_>,
     ) -> Result<(PendingResponse, ResponseMetadata), Failure> {
         let request = self.build_request(target, resume);
-        let reuse = if self.route.kind.is_idempotent() && !self.route.kind.is_stream() {
-            Reuse::Idle
-        } else {
-            Reuse::New
+        let reuse = match self.route.kind.is_idempotent() && !self.route.kind.is_stream() {
+            true if self.state.direct_path.borrow().is_silent() => Reuse::IdleRelayed,
+            true => Reuse::Idle,
+            false => Reuse::New,
         };
         let sent = Sent {
             attempt: Some(&self.metadata.attempt),
@@ -210,12 +221,13 @@
             .state
             .connections
             .send_with(&target.address, request, reuse, async || {
-                target_connection::open_directly(&self.state, target).await
+                target_connection::open(&self.state, target, Purpose::Request).await
             })
             .await;
         let response = answered.map_err(|error| match error {
             ConnectionError::Refused => Failure::Refused,
             ConnectionError::Unreachable => Failure::Unreachable,
+            ConnectionError::NoPath => Failure::NoPath,
             ConnectionError::NotSent(reason) => Failure::NotSent(reason),
             ConnectionError::Unknown(reason) => Failure::Unknown(reason),
         })?;
@@ -248,6 +260,7 @@
     /// Returns whether the request may be sent once more after a failure.
     pub fn may_retry(&self, progress: &Progress, failure: &Failure) -> bool {
         let is_allowed = match failure {
+            Failure::NoPath => false,
             Failure::Refused
             | Failure::Unreachable
             | Failure::NotSent(_)
@@ -329,7 +342,12 @@
         let now = state.clock.now();
         let mut backoff_until_ms = Millis::ZERO;
         progress.is_in_flight = false;
-        progress.excluded_targets.push(target.id.clone());
+        let is_unreached = matches!(failure, Failure::Refused | Failure::Unreachable);
+        if is_unreached && !progress.unreached_targets.contains(&target.id) {
+            progress.unreached_targets.push(target.id.clone());
+        } else {
+            progress.excluded_targets.push(target.id.clone());
+        }
         match failure {
             Failure::Refused => {
                 backoff_until_ms = state.selector.borrow_mut().record_refused(now, &target.id);
@@ -337,18 +355,20 @@
             Failure::Unreachable => {
                 backoff_until_ms = state.selector.borrow_mut().record_unreachable(now, target);
             }
+            // It says nothing of the target.
+            Failure::NoPath => {}
             Failure::NotSent(_) => {
-                backoff_until_ms = state.selector.borrow_mut().record_failure(now, &target.id);
+                backoff_until_ms = state.record_target_failure(target);
             }
             Failure::NotRun => progress.sends += 1,
             Failure::OtherTarget => {
                 progress.was_misdirected = true;
-                backoff_until_ms = state.selector.borrow_mut().record_failure(now, &target.id);
+                backoff_until_ms = state.record_target_failure(target);
             }
             Failure::Unknown(_) => {
                 progress.sends += 1;
                 progress.may_have_run = true;
-                backoff_until_ms = state.selector.borrow_mut().record_failure(now, &target.id);
+                backoff_until_ms = state.record_target_failure(target);
             }
         }
         state.metrics.count("send.failed");
@@ -385,6 +405,10 @@
 fn failure_reason(failure: &Failure) -> &str {
     match failure {
         Failure::NotSent(reason) | Failure::Unknown(reason) => reason,
-        Failure::Refused | Failure::Unreachable | Failure::NotRun | Failure::OtherTarget => "",
+        Failure::Refused
+        | Failure::Unreachable
+        | Failure::NoPath
+        | Failure::NotRun
+        | Failure::OtherTarget => "",
     }
 }
--- a/filbertpaddle-gateway/src/load_exchange.rs
+++ b/filbertpaddle-gateway/src/load_exchange.rs
@@ -100,7 +100,7 @@
 /// Updates this reader's share of its group's load, and the load of other nodes as
 /// the target selector sees it.
 fn update_own_load(state: &State) {
-    let own = state.selector.borrow().own_load(state.clock.now());
+    let own = state.published_load();
     let mut load_table = state.load_table.borrow_mut();
     load_table.remove_member(&state.settings.node);
     let changes = own.iter().map(|(id, load)| (id.clone(), *load)).collect();
--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -72,7 +72,7 @@
     loop {
         tokio::select! {
             _ = publish_timer.tick() => {
-                let own = state.selector.borrow().own_load(state.clock.now());
+                let own = state.published_load();
                 link.publish(state, own).await?;
             }
             () = sleep_until(last_received + SILENCE_TIMEOUT) => return Err(Error::Timeout),
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -23,11 +23,17 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::accept_async_with_config;
+use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite::Message as Frame;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::connection_pool::set_socket_options;
 use crate::platform_api::NodeList;
 use crate::state::State;
+use crate::tunnel::MAX_FRAME_BYTES;
+use crate::tunnel::OpenRequest;
+use crate::tunnel::RelayRefusal;
 
 /// Limit on each step of opening a link.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
@@ -56,6 +62,10 @@
         /// Whether it reads the store itself and wants only the load of the other's group.
         is_reader: bool,
     },
+    /// First message on a link that becomes a tunnel.
+    Open(OpenRequest),
+    /// Answer to [`Message::Open`]. If the connection is open, its bytes follow.
+    Opened(Result<(), RelayRefusal>),
     /// The list of nodes as last read from the store.
     Nodes(NodeList),
     /// Changed load: of the node that opened the link, or the sum that the other node
@@ -160,34 +170,48 @@
     ///
     /// Returns an error if the link cannot be opened in time.
     pub async fn dial(state: &State, address: SocketAddr, is_reader: bool) -> Result<Self, Error> {
+        let node = state.settings.node.clone();
+        Self::dial_with(address, &Message::Hello { node, is_reader }).await
+    }
+
+    /// Opens a link to a node and sends its first message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the link cannot be opened in time.
+    pub async fn dial_with(address: SocketAddr, first: &Message) -> Result<Self, Error> {
         let connected = timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connected
             .map_err(|_| Error::Timeout)?
             .map_err(Error::Connect)?;
         set_socket_options(&stream).map_err(Error::Connect)?;
         let url = format!("ws://{address}/");
-        let opened = timeout(OPEN_TIMEOUT, tokio_tungstenite::client_async(url, stream));
-        let (socket, _) = opened.await.map_err(|_| Error::Timeout)??;
+        let opening = client_async_with_config(url, stream, Some(socket_config()));
+        let opened = timeout(OPEN_TIMEOUT, opening).await;
+        let (socket, _) = opened.map_err(|_| Error::Timeout)??;
         let mut link = Self::new(socket);
-        let node = state.settings.node.clone();
-        link.send(&Message::Hello { node, is_reader }).await?;
+        link.send(first).await?;
         Ok(link)
     }
 
-    /// Accepts a link; returns the other node's name and whether it is a reader.
+    /// Accepts a link; returns its first message.
     ///
     /// # Errors
     ///
-    /// Returns an error if the first message is not [`Message::Hello`].
-    pub async fn accept(stream: TcpStream) -> Result<(Self, Name, bool), Error> {
+    /// Returns an error if there is none in time.
+    pub async fn accept(stream: TcpStream) -> Result<(Self, Message), Error> {
         set_socket_options(&stream).map_err(Error::Connect)?;
-        let accepted = timeout(OPEN_TIMEOUT, tokio_tungstenite::accept_async(stream));
-        let mut link = Self::new(accepted.await.map_err(|_| Error::Timeout)??);
-        let hello = timeout(OPEN_TIMEOUT, link.receive()).await;
-        match hello.map_err(|_| Error::Timeout)?? {
-            Message::Hello { node, is_reader } => Ok((link, node, is_reader)),
-            _ => Err(Error::Unreadable("first message is not Hello".to_owned())),
-        }
+        let accepting = accept_async_with_config(stream, Some(socket_config()));
+        let accepted = timeout(OPEN_TIMEOUT, accepting).await;
+        let mut link = Self::new(accepted.map_err(|_| Error::Timeout)??);
+        let first = timeout(OPEN_TIMEOUT, link.receive()).await;
+        let first = first.map_err(|_| Error::Timeout)??;
+        Ok((link, first))
+    }
+
+    /// Returns the connection of a link that becomes a tunnel.
+    pub fn into_socket(self) -> WebSocketStream<TcpStream> {
+        self.socket
     }
 
     /// Sends a message.
@@ -322,6 +346,13 @@
     }
 }
 
+/// Returns the options of links. There may be hundreds, each with buffers of this size.
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(MAX_FRAME_BYTES)
+        .write_buffer_size(MAX_FRAME_BYTES)
+}
+
 /// Merges suspects, stated rates and leaving targets received from another node; returns any other message.
 pub fn merge_findings(state: &State, message: Message) -> Option<Message> {
     match message {
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -4,6 +4,7 @@
 //! findings: suspects, stated rates and leaving targets. Readers receive the load of this
 //! node's group and the findings.
 
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use crate::peer_link::PeerLink;
 use crate::peer_link::merge_findings;
 use crate::state::State;
+use crate::tunnel_server;
 
 /// Interval at which the age of this node's data is sent.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
@@ -45,7 +47,7 @@
             Ok((stream, from)) => {
                 let state = Rc::clone(&state);
                 tokio::task::spawn_local(async move {
-                    if let Err(error) = serve_peer(&state, stream).await {
+                    if let Err(error) = serve_peer(&state, stream, from.ip()).await {
                         debug!(state.log, "link from a node ended";
                             "from" => %from, "error" => %error);
                     }
@@ -58,8 +60,13 @@
     }
 }
 
-async fn serve_peer(state: &State, stream: TcpStream) -> Result<(), Error> {
-    let (mut link, node, is_reader) = PeerLink::accept(stream).await?;
+async fn serve_peer(state: &State, stream: TcpStream, from: IpAddr) -> Result<(), Error> {
+    let (mut link, first) = PeerLink::accept(stream).await?;
+    let (node, is_reader) = match first {
+        Message::Hello { node, is_reader } => (node, is_reader),
+        Message::Open(request) => return tunnel_server::serve(state, link, from, request).await,
+        _ => return Err(Error::Unreadable("unexpected first message".to_owned())),
+    };
     state.record_peer(&node);
     if is_reader {
         return publish_to_reader(state, &mut link).await;
--- a/filbertpaddle-gateway/src/settings.rs
+++ b/filbertpaddle-gateway/src/settings.rs
@@ -13,6 +13,9 @@
     pub node: Name,
     /// Data centre of the node.
     pub data_centre: Name,
+    /// Data centres of the node's region, to which callers' requests may be passed; empty if
+    /// there is only one region.
+    pub region: Vec<Name>,
     /// Listening address for callers.
     pub callers: SocketAddr,
     /// Listening address for the balancer's readiness checks.
@@ -31,6 +34,13 @@
     pub reloadable: Reloadable,
 }
 
+impl Settings {
+    /// Returns whether a data centre is in the node's region.
+    pub fn is_in_region(&self, data_centre: &Name) -> bool {
+        self.region.is_empty() || self.region.contains(data_centre)
+    }
+}
+
 /// Settings that take effect as soon as they are reread.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reloadable {
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -17,6 +17,7 @@
 use filbertpaddle_forward::drain::Drain;
 use filbertpaddle_forward::freshness::AgeLimits;
 use filbertpaddle_forward::load_table::LoadTable;
+use filbertpaddle_forward::relay_choice::RelayChoice;
 use filbertpaddle_forward::retry_budget::RetryBudget;
 use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::stated_rate::StatedRates;
@@ -85,6 +86,10 @@
     pub direct_path: RefCell<DirectPath>,
     /// Notified when a connection to a target failed.
     pub probe_due: Notify,
+    /// Which nodes are asked for connections to targets that this one does not reach.
+    pub relay_choice: RefCell<RelayChoice>,
+    /// Number of connections that this node relays for others.
+    pub tunnels: Cell<usize>,
     /// Load and health of targets; selects the target of a request.
     pub selector: RefCell<TargetSelector>,
     /// Live nodes.
@@ -142,6 +147,8 @@
             directory: RefCell::new(Directory::new()),
             direct_path: RefCell::new(DirectPath::new()),
             probe_due: Notify::new(),
+            relay_choice: RefCell::new(RelayChoice::new()),
+            tunnels: Cell::new(0),
             selector: RefCell::new(selector),
             nodes: RefCell::new(Nodes::new()),
             followed_peer: Cell::default(),
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -21,6 +21,7 @@
 use crate::state::State;
 use crate::store_sync::http_request;
 use crate::target_connection;
+use crate::tunnel::Purpose;
 
 /// What was sent to a target.
 #[derive(Clone, Copy, Debug)]
@@ -55,7 +56,7 @@
         reuse: Reuse::New,
         buffers: &state.target_buffers,
     };
-    let connect = async || target_connection::open_directly(state, target).await;
+    let connect = async || target_connection::open(state, target, Purpose::Call).await;
     let called = state
         .connections
         .call_with(address, request, options, connect);
--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -6,7 +6,11 @@
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::direct_path::ConnectFailure;
 use filbertpaddle_forward::direct_path::PathChange;
+use filbertpaddle_forward::load_table;
+use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::target::Target;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rand::seq::SliceRandom;
 use slog::info;
 use tokio::net::TcpStream;
@@ -14,13 +18,39 @@
 
 use crate::connection_pool;
 use crate::connection_pool::Error;
+use crate::connection_pool::Transport;
+use crate::relay;
 use crate::state::State;
+use crate::tunnel::Purpose;
 
 /// Interval at which a node that is cut off tries to reach a target.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of targets that are tried at a time.
 const PROBED_TARGETS: usize = 3;
 
+/// Opens a connection to a target: from this node, or through another if this one does not reach
+/// the target.
+///
+/// # Errors
+///
+/// Returns [`Error`] if the target accepts none in time. No byte of a request has left.
+pub async fn open(state: &State, target: &Target, purpose: Purpose) -> Result<Transport, Error> {
+    if !state.must_relay(target) {
+        match open_directly(state, target).await {
+            Ok(stream) => return Ok(Transport::Direct(stream)),
+            Err(error) if !state.direct_path.borrow().is_cut_off() => return Err(error),
+            Err(_) => {}
+        }
+    }
+    let relayed = relay::open(state, target, purpose).await;
+    if let Err(Error::Refused | Error::Unreachable) = relayed {
+        // No path to it is known, so no other request tries it for a while.
+        let now = state.clock.now();
+        state.selector.borrow_mut().record_failure(now, &target.id);
+    }
+    relayed.map(|stream| Transport::Relayed(Box::new(stream)))
+}
+
 /// Opens a connection from this node to a target.
 ///
 /// # Errors
@@ -29,9 +59,9 @@
 pub async fn open_directly(state: &State, target: &Target) -> Result<TcpStream, Error> {
     let connected = connection_pool::connect_tcp(&target.address).await;
     match &connected {
-        Ok(_) => state.record_connected(),
-        Err(Error::Refused) => state.record_connect_failed(&target.id, ConnectFailure::Refused),
-        Err(Error::Unreachable) => state.record_connect_failed(&target.id, ConnectFailure::Silent),
+        Ok(_) => state.record_connected(target),
+        Err(Error::Refused) => state.record_connect_failed(target, ConnectFailure::Refused),
+        Err(Error::Unreachable) => state.record_connect_failed(target, ConnectFailure::Silent),
         Err(_) => {}
     }
     connected
@@ -52,10 +82,37 @@
     }
 }
 
+/// Returns whether a target refuses connections though others accept some: it is down. One that
+/// does not respond at all may be cut off.
+pub async fn is_down(state: &State, target: &Target) -> bool {
+    if !state.direct_path.borrow().is_cut_off() {
+        let since = state.clock.now();
+        match open_directly(state, target).await {
+            Err(Error::Refused) if has_path(state, target, since).await => return true,
+            Err(Error::Refused) => {}
+            Ok(_) | Err(_) => return false,
+        }
+    }
+    let relayed = relay::open(state, target, Purpose::Call).await;
+    matches!(relayed, Err(Error::Refused))
+}
+
+/// Returns whether this node has reached some target since `since`, after one failed to accept
+/// its connection; tries others if it has not.
+pub async fn has_path(state: &State, failed: &Target, since: Millis) -> bool {
+    if state.direct_path.borrow().is_connected_since(since) {
+        return true;
+    }
+    probe(state, Some(&failed.id)).await
+}
+
 /// Tries to reach targets other than `except`; returns whether one accepted a connection.
-pub async fn probe(state: &State, except: Option<&Name>) -> bool {
-    for target in probed_targets(state, except) {
-        if open_directly(state, &target).await.is_ok() {
+async fn probe(state: &State, except: Option<&Name>) -> bool {
+    let targets = probed_targets(state, except);
+    let attempts = targets.iter().map(|target| open_directly(state, target));
+    let mut attempts: FuturesUnordered<_> = attempts.collect();
+    while let Some(connected) = attempts.next().await {
+        if connected.is_ok() {
             return true;
         }
     }
@@ -79,8 +136,27 @@
 }
 
 impl State {
+    /// Returns whether a connection to a target is to be opened by another node.
+    fn must_relay(&self, target: &Target) -> bool {
+        let now = self.clock.now();
+        self.direct_path.borrow().is_cut_off()
+            || self.selector.borrow().is_unreached(now, &target.id)
+    }
+
+    /// Returns this node's load by target, and which targets refuse its connections. A node that
+    /// may be cut off accuses none.
+    pub fn published_load(&self) -> LoadByTarget {
+        let load = self.selector.borrow().own_load(self.clock.now());
+        if self.direct_path.borrow().is_in_doubt() {
+            load_table::without_refusals(load)
+        } else {
+            load
+        }
+    }
+
     /// Records that a target accepted a connection of this node.
-    fn record_connected(&self) {
+    fn record_connected(&self, target: &Target) {
+        self.selector.borrow_mut().record_reached(&target.id);
         let change = self
             .direct_path
             .borrow_mut()
@@ -89,15 +165,29 @@
     }
 
     /// Records that a target accepted no connection of this node.
-    fn record_connect_failed(&self, target: &Name, failure: ConnectFailure) {
+    fn record_connect_failed(&self, target: &Target, failure: ConnectFailure) {
         let mut direct_path = self.direct_path.borrow_mut();
-        let change = direct_path.record_failed(target, failure);
+        let change = direct_path.record_failed(&target.id, failure);
         drop(direct_path);
         self.log_path_change(change);
         self.probe_due.notify_one();
     }
 
+    /// Records that a connection to a target broke or a request failed there, and returns the end
+    /// of the target's back-off. It says nothing of the target while this node is cut off.
+    pub fn record_target_failure(&self, target: &Target) -> Millis {
+        if self.direct_path.borrow().is_cut_off() {
+            return Millis::ZERO;
+        }
+        let now = self.clock.now();
+        self.selector.borrow_mut().record_failure(now, &target.id)
+    }
+
     fn log_path_change(&self, change: Option<PathChange>) {
+        if change.is_some() {
+            // Until now the node's links looked like its targets' faults.
+            self.selector.borrow_mut().forget_failures();
+        }
         let direct_path = self.direct_path.borrow();
         match change {
             Some(PathChange::CutOff) => {
--- a/filbertpaddle/tests/gateway/cut_from_targets.rs
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -6,10 +6,15 @@
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
 use filbertpaddle_adapter_standins::caller::SentRequest;
+use filbertpaddle_adapter_standins::target::Behaviour;
 use filbertpaddle_standins::gate::Gate;
 use filbertpaddle_standins::gate::Passage;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
 use http::Method;
+use serde::Serialize;
 use tokio::time::sleep;
+use tokio_tungstenite::tungstenite::Message as Frame;
 
 use crate::cluster::Cluster;
 use crate::cluster::READ_PATH;
@@ -245,6 +250,8 @@
             })
         })
         .await;
+        // A cut is there at all targets before the first connection is reset.
+        gated.set(0, Passage::RefuseNew).await;
         gated.set(0, Passage::Reset).await;
         for caller in waiting {
             caller.await.unwrap();
@@ -278,3 +285,85 @@
     assert_eq!(gated.cluster.run_log.runs_of("long").len(), 1);
     gated.close();
 }
+
+/// The request has left through another node, and that one is killed.
+#[tokio::test]
+async fn a_request_whose_relay_is_lost_is_not_said_not_to_have_run() {
+    let mut gated = GatedCluster::start("relay-lost").await;
+    gated.set(0, Passage::Reset).await;
+    gated.set(2, Passage::Reset).await;
+    for node in [0, 2] {
+        let prefix = format!("early-{node}");
+        gated.send_until_noticed(node, &prefix).await;
+    }
+    for id in ["p1", "p2"] {
+        let target = gated.cluster.target(id);
+        target.set_behaviour(Behaviour::Unresponsive);
+    }
+    let address = gated.cluster.nodes[0].addresses.callers;
+    let write = request("lost", Method::POST, WRITE_PATH, None);
+    let caller = tokio::spawn(async move { caller::send(address, &write).await });
+    let run_log = gated.cluster.run_log.clone();
+    wait_until("the request runs", async || {
+        !run_log.runs_of("lost").is_empty()
+    })
+    .await;
+    gated.cluster.nodes.remove(1).close().unwrap();
+    let answer = caller.await.unwrap();
+    assert_eq!(answer.code(), 502);
+    assert_eq!(run_log.runs_of("lost").len(), 1);
+    gated.close();
+}
+
+#[tokio::test]
+async fn a_relayed_stream_ends_at_its_target_when_the_caller_leaves() {
+    let mut gated = GatedCluster::start("relayed-caller-gone").await;
+    gated.set(0, Passage::Silent).await;
+    gated.send_until_noticed(0, "early").await;
+    let address = gated.cluster.nodes[0].addresses.callers;
+    let long = request("long", Method::POST, STREAM_PATH, Some(4_000));
+    let caller = tokio::spawn(async move { caller::send(address, &long).await });
+    wait_until("the stream runs", async || {
+        !gated.cluster.run_log.runs_of("long").is_empty()
+    })
+    .await;
+    caller.abort();
+    let target = gated.cluster.first_target_of("long");
+    wait_until("the stream ends", async || target.running().is_empty()).await;
+    gated.close();
+}
+
+/// First message of a link that asks for a connection to a target.
+#[derive(Serialize)]
+enum FirstMessage {
+    Open {
+        node: &'static str,
+        target: &'static str,
+        started_ms: Option<u64>,
+        purpose: &'static str,
+    },
+}
+
+#[tokio::test]
+async fn only_nodes_in_the_store_get_connections_to_targets() {
+    let gated = GatedCluster::start("relay-strangers").await;
+    let mut answers = Vec::new();
+    for node in ["node-1", "nobody"] {
+        let url = format!("ws://{}/", gated.cluster.nodes[0].addresses.peers);
+        let (mut socket, _) = tokio_tungstenite::connect_async(url).await.unwrap();
+        let first = FirstMessage::Open {
+            node,
+            target: "p1",
+            started_ms: Some(1),
+            purpose: "request",
+        };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&first, &mut bytes).unwrap();
+        socket.send(Frame::Binary(bytes.into())).await.unwrap();
+        let answer = socket.next().await.unwrap().unwrap().into_data();
+        answers.push(String::from_utf8_lossy(&answer).into_owned());
+    }
+    assert!(answers[0].contains("Ok"), "{answers:?}");
+    assert!(answers[1].contains("unknown_node"), "{answers:?}");
+    gated.close();
+}
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -18,9 +18,12 @@
 use filbertpaddle_adapter_standins::node::Node;
 use filbertpaddle_adapter_standins::run_log::RunLog;
 use filbertpaddle_adapter_standins::store::Store;
+use filbertpaddle_adapter_standins::store::View;
 use filbertpaddle_adapter_standins::target;
 use filbertpaddle_adapter_standins::target::Copies;
 use filbertpaddle_adapter_standins::target::Target;
+use filbertpaddle_standins::gate::Gate;
+use filbertpaddle_standins::gate::Passage;
 use filbertpaddle_standins::proxy::Proxy;
 use tokio::task::JoinHandle;
 use tokio::task::block_in_place;
@@ -108,6 +111,8 @@
 pub(crate) struct RunningTarget {
     pub(crate) target: Target,
     pub(crate) link: Proxy,
+    /// Gates before the link, one for the nodes of each data centre.
+    gates: Vec<Gate>,
 }
 
 /// A cluster of nodes and targets with its store, and the record of the run.
@@ -119,6 +124,10 @@
     pub(crate) addresses: Addresses,
     pub(crate) vms: Vec<Vm>,
     pub(crate) target_hosts: Vec<TargetHost>,
+    /// Views of the store for the nodes of each data centre.
+    views: Vec<View>,
+    /// What passes from the nodes of each data centre to targets.
+    passages: [Passage; DATA_CENTRES.len()],
     /// Number of faults that keep each data centre out of service now.
     outages: [usize; DATA_CENTRES.len()],
     /// Tasks that resend requests that crash targets.
@@ -136,8 +145,15 @@
         std::fs::create_dir_all(&folder).unwrap();
         let unset = SocketAddr::from(([127, 0, 0, 1], 0));
         let addresses = (0..size.nodes).map(|_| Mutex::new(unset)).collect();
+        let mut store = Store::start().await.unwrap();
+        let mut views = Vec::new();
+        for _ in DATA_CENTRES {
+            views.push(store.add_view().await.unwrap());
+        }
         let mut cluster = Self {
-            store: Store::start().await.unwrap(),
+            store,
+            views,
+            passages: Default::default(),
             run_log: RunLog::new(),
             history: History::default(),
             addresses: Addresses {
@@ -157,7 +173,8 @@
             cluster.add_target_host(number).await;
         }
         for number in 0..size.nodes {
-            let to_store = Proxy::start(cluster.store.address).await.unwrap();
+            let view = cluster.views[number % DATA_CENTRES.len()];
+            let to_store = Proxy::start(view.address).await.unwrap();
             cluster.vms.push(Vm {
                 to_store,
                 running: None,
@@ -223,6 +240,14 @@
             .await
             .unwrap();
         let link = Proxy::start(target.address).await.unwrap();
+        let mut gates = Vec::new();
+        for (view, passage) in self.views.iter().zip(self.passages) {
+            let mut gate = Gate::start(link.address).await.unwrap();
+            gate.set(passage).await.unwrap();
+            let (from, to) = (link.address, gate.address);
+            self.store.replace_in_view(*view, from, to);
+            gates.push(gate);
+        }
         self.history
             .events()
             .target_incarnations
@@ -237,11 +262,31 @@
         self.store.put_target(&options.id, &entry);
         TargetHost {
             options,
-            running: Some(RunningTarget { target, link }),
+            running: Some(RunningTarget {
+                target,
+                link,
+                gates,
+            }),
             restart: None,
         }
     }
 
+    /// Sets what passes from the nodes of a data centre to all targets. A cut is there at all of
+    /// them before the first connection is reset.
+    pub(crate) async fn set_passage(&mut self, data_centre: usize, passage: Passage) {
+        self.passages[data_centre] = passage;
+        let steps: &[_] = match passage {
+            Passage::Reset => &[Passage::RefuseNew, Passage::Reset],
+            other => &[other],
+        };
+        for step in steps {
+            let hosts = self.target_hosts.iter_mut();
+            for running in hosts.filter_map(|host| host.running.as_mut()) {
+                running.gates[data_centre].set(*step).await.unwrap();
+            }
+        }
+    }
+
     /// Writes the entries of all running targets to the store again.
     pub(crate) fn announce_all_targets(&self) {
         for host in &self.target_hosts {
@@ -255,8 +300,7 @@
     /// Stops a target without notice, if it runs.
     pub(crate) async fn crash_target(&mut self, number: usize) {
         if let Some(running) = self.target_hosts[number].running.take() {
-            running.target.close();
-            running.link.close().await;
+            running.close().await;
         }
     }
 
@@ -441,8 +485,7 @@
             .into_iter()
             .filter_map(|host| host.running)
         {
-            running.target.close();
-            running.link.close().await;
+            running.close().await;
         }
         self.store.close();
     }
@@ -468,6 +511,16 @@
     }
 }
 
+impl RunningTarget {
+    async fn close(self) {
+        self.target.close();
+        self.link.close().await;
+        for gate in self.gates {
+            gate.close().await;
+        }
+    }
+}
+
 impl RunningNode {
     async fn close(self) {
         self.node.close().unwrap();
--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -3,6 +3,7 @@
 use filbertpaddle_adapter_standins::store;
 use filbertpaddle_adapter_standins::target::Behaviour;
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_standins::gate::Passage;
 use filbertpaddle_standins::proxy::Faults;
 use filbertpaddle_standins::proxy::Link;
 
@@ -89,6 +90,11 @@
         Fault::NodeReload(node) => reload_settings(cluster, node),
         Fault::KeyRotation => cluster.rotate_key(),
         Fault::TargetRate(target, tenths) => active.change = state_rate(cluster, target, tenths),
+        Fault::TargetsCut(number, cut) => {
+            cluster.set_passage(number, cut).await;
+            let kind = ChangeKind::TargetsCut(number);
+            active.change = Some(cluster.history.record_change(kind));
+        }
         Fault::DataCentreOut(number) => {
             cluster.begin_outage(number);
             let kind = ChangeKind::DataCentreOut(DATA_CENTRES[number].to_owned());
@@ -140,6 +146,7 @@
         }
         Fault::NodeKill(node) | Fault::NodeTerminate(node) => cluster.start_node(node).await,
         Fault::DataCentreOut(number) => cluster.end_outage(number),
+        Fault::TargetsCut(number, _) => cluster.set_passage(number, Passage::Open).await,
         Fault::StoreClockJump
         | Fault::StoreHistoryLoss
         | Fault::NodeReload(_)
@@ -175,6 +182,7 @@
         Fault::PeerLink(..)
         | Fault::KeyRotation
         | Fault::DataCentreOut(_)
+        | Fault::TargetsCut(..)
         | Fault::TargetRate(..)
         | Fault::Poison => None,
     }
@@ -228,6 +236,9 @@
 /// Removes all faults, including those that remain after overlapping faults have ended.
 pub(crate) async fn heal_all(cluster: &mut Cluster) {
     cluster.store.set_fault(store::Fault::None);
+    for number in 0..DATA_CENTRES.len() {
+        cluster.set_passage(number, Passage::Open).await;
+    }
     for number in 0..cluster.vms.len() {
         cluster.vms[number].to_store.heal();
         cluster.start_node(number).await;
--- a/filbertpaddle/tests/soak/history.rs
+++ b/filbertpaddle/tests/soak/history.rs
@@ -116,6 +116,8 @@
     DataCentreOut(String),
     /// A target drains; its identity and the number of its incarnation.
     TargetDraining(String, u64),
+    /// The nodes of a data centre reach no target.
+    TargetsCut(usize),
     /// A target states a rate; its identity and the rate in tenths of requests per second.
     RateStated(String, u32),
 }
--- a/filbertpaddle/tests/soak/invariants.rs
+++ b/filbertpaddle/tests/soak/invariants.rs
@@ -17,6 +17,7 @@
 use crate::history::History;
 use crate::history::RequestKind;
 use crate::rate_limits;
+use crate::target_cuts;
 use crate::traffic::DEADLY_PREFIX;
 use crate::traffic::PROBE_PREFIX;
 use crate::versions;
@@ -153,6 +154,7 @@
         check_cold_targets(&events, runs, &mut violations);
         rate_limits::check(&events, runs, &sent, &mut violations);
         versions::check(&events, runs, &mut violations);
+        target_cuts::check(&events, &mut violations);
         check_quarantine(runs, POISON, POISON_CRASHES, &mut violations);
         check_quarantine(runs, DEADLY_PREFIX, DEADLY_PART_CRASHES, &mut violations);
     }
@@ -247,6 +249,8 @@
     );
     let has_caller_left =
         took < timeout && took >= Duration::from_millis(exchange.caller_timeout_ms);
+    // A cut breaks the connections to targets that it finds open.
+    let is_path_undisrupted = is_path_undisrupted && !target_cuts::is_in_flight(events, exchange);
     if is_path_undisrupted && !has_caller_left && !answer.is_complete && !runs.is_empty() {
         let code = answer.code();
         violations.push(format!(
@@ -293,7 +297,7 @@
         ChangeKind::DataCentreOut(_) => MAX_DATA_CENTRE_OUT_DELAY,
         ChangeKind::TargetDraining(..) => MAX_DRAIN_DELAY,
         // Checked over all runs together.
-        ChangeKind::RateStated(..) => return,
+        ChangeKind::RateStated(..) | ChangeKind::TargetsCut(_) => return,
     };
     for run in runs {
         let is_later = run.at > change.at + bound && change.to.is_none_or(|to| run.at < to);
@@ -339,7 +343,7 @@
         ChangeKind::DataCentreOut(name) => {
             incarnation.is_some_and(|incarnation| incarnation.data_centre == *name)
         }
-        ChangeKind::RateStated(..) => false,
+        ChangeKind::RateStated(..) | ChangeKind::TargetsCut(_) => false,
         ChangeKind::TargetDraining(id, number) => {
             *id == run.target
                 && incarnation.is_some_and(|incarnation| incarnation.number == *number)
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -13,6 +13,7 @@
 mod invariants;
 mod rate_limits;
 mod schedule;
+mod target_cuts;
 mod traffic;
 mod versions;
 
@@ -80,6 +81,11 @@
     check_seeds(&[0, 1], &DEFAULT_SIZE, ScheduleKind::StatedRates).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn invariants_hold_while_nodes_reach_no_target() {
+    check_seeds(&[0, 1, 2], &DEFAULT_SIZE, ScheduleKind::TargetCuts).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_for_previously_failed_seeds() {
     for seeds in FAILED.chunks(PARALLEL_RUNS) {
@@ -108,6 +114,7 @@
         check_seeds(chunk, &size, ScheduleKind::Mixed).await;
         check_seeds(chunk, &size, ScheduleKind::StoreCuts).await;
         check_seeds(chunk, &size, ScheduleKind::StatedRates).await;
+        check_seeds(chunk, &size, ScheduleKind::TargetCuts).await;
     }
 }
 
--- a/filbertpaddle/tests/soak/schedule.rs
+++ b/filbertpaddle/tests/soak/schedule.rs
@@ -3,6 +3,7 @@
 use filbertpaddle_adapter_standins::store;
 use filbertpaddle_adapter_standins::target::Behaviour;
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_standins::gate::Passage;
 use filbertpaddle_standins::proxy::Link;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -22,6 +23,10 @@
 ];
 /// Time between the starts of two cuts of nodes from the store.
 const STORE_CUT_INTERVAL_MS: usize = 4_000;
+/// Forms in which nodes are cut off from all targets.
+const CUTS: [Passage; 3] = [Passage::Silent, Passage::Reset, Passage::RefuseNew];
+/// Time between the starts of two cuts of nodes from all targets.
+const TARGETS_CUT_INTERVAL_MS: usize = 5_500;
 /// Time between the starts of two statements of rates.
 const RATE_INTERVAL_MS: usize = 3_000;
 /// Time for which a target states a rate: two windows of its bound and the time before it.
@@ -88,6 +93,8 @@
     KeyRotation,
     /// A data centre is taken out of service.
     DataCentreOut(usize),
+    /// The nodes of a data centre reach no target.
+    TargetsCut(usize, Passage),
     /// A target states the rate, in tenths of requests per second, that it takes from all
     /// nodes together.
     TargetRate(usize, u32),
@@ -114,6 +121,9 @@
     StoreCuts,
     /// Targets state the rates that they take, among other faults.
     StatedRates,
+    /// The nodes of one data centre after another lose their links to all targets, and a few other
+    /// faults overlap.
+    TargetCuts,
 }
 
 impl ScheduleKind {
@@ -124,6 +134,7 @@
             Self::Mixed => mixed(seed, size),
             Self::StoreCuts => store_cuts(seed, size),
             Self::StatedRates => stated_rates(seed, size),
+            Self::TargetCuts => target_cuts(seed, size),
         };
         let rotations = rotations_during_cuts(&faults);
         faults.extend(rotations);
@@ -190,6 +201,36 @@
     faults
 }
 
+/// Returns cuts of the nodes of one data centre, and of both for a while with every third seed,
+/// and an eighth of the faults of a mixed schedule with every second seed.
+fn target_cuts(seed: u64, size: &Size) -> Vec<ScheduledFault> {
+    let others = Size {
+        faults: size.faults / 8 * (seed as usize % 2),
+        ..*size
+    };
+    let mut faults = mixed(seed, &others);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let starts = (1_000..1_000 + size.span_ms.0).step_by(TARGETS_CUT_INTERVAL_MS);
+    for start_ms in starts {
+        let data_centre = rng.random_range(0..DATA_CENTRES.len());
+        let cut = choose_one(&mut rng, &CUTS);
+        faults.push(ScheduledFault {
+            start_ms: Millis(start_ms),
+            end_ms: Millis(start_ms + rng.random_range(3_500..5_000)),
+            fault: Fault::TargetsCut(data_centre, cut),
+        });
+        if seed.is_multiple_of(3) {
+            let from_ms = start_ms + rng.random_range(2_500..3_500);
+            faults.push(ScheduledFault {
+                start_ms: Millis(from_ms),
+                end_ms: Millis(from_ms + rng.random_range(200..1_500)),
+                fault: Fault::TargetsCut(1 - data_centre, cut),
+            });
+        }
+    }
+    faults
+}
+
 /// Returns two key rotations for each node that loses the store. After the one before the
 /// cut, it waits for the next change; the others must apply the one in the cut in time.
 fn rotations_during_cuts(faults: &[ScheduledFault]) -> Vec<ScheduledFault> {
