Copy streams away when a node stops reaching the targets that run them

A stream that stalls while its node reaches no target is now copied like one whose target leaves: the copy is requested through another node, and goes on there.

Before (test, a cut ten events into a stream of 250): ten events, then silence until the deadline. After: whole, with one pause of 2.0 s (0.9 s until it counts as stalled, once more until the cut is known where there is no other traffic). The stand-in of a target accepts the copies under each address at which nodes reach it; without that, no stream of the soak had migrated since its nodes have views.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -34,6 +34,7 @@
 use crate::response_writer::ResponseWriter;
 use crate::stop_reason::OpenError;
 use crate::stop_reason::StopReason;
+use crate::target_connection;
 use crate::target_stream::StreamItem;
 use crate::target_stream::TargetStream;
 use crate::target_stream::is_unframed;
@@ -168,8 +169,7 @@
             Step::Wait(at) => at,
             Step::Copy => None,
         };
-        let stall_ms = self
-            .can_resume()
+        let stall_ms = (self.can_resume() || self.job.can_migrate)
             .then(|| self.last_activity_ms + STALL_TIMEOUT_MS)
             .filter(|_| self.last_event.is_some());
         let at = |at: Option<Millis>| async move {
@@ -354,6 +354,10 @@
         if self.migrator.has_usable_copy() {
             return self.recover(source, "stalled").await;
         }
+        if !self.may_resend() {
+            self.copy_if_cut_off(&source).await;
+            return Ok(source);
+        }
         let Some(target) = self.choose_replacement(&source.target) else {
             self.last_activity_ms = self.job.state.clock.now();
             info!(self.job.state.log, "stream of target stalled, no other can take it now";
@@ -367,6 +371,28 @@
         self.open_at(target).await
     }
 
+    /// Schedules a copy of a stalled stream that may not run twice, if it is this node that does
+    /// not reach the targets: the copy is requested through another node.
+    async fn copy_if_cut_off(&mut self, source: &TargetStream) {
+        let state = &self.job.state;
+        let is_cut_off = || state.direct_path.borrow().is_cut_off();
+        if !is_cut_off() {
+            // A failure has others probed, before the stream is looked at again.
+            target_connection::open_directly(state, &source.target)
+                .await
+                .ok();
+        }
+        self.last_activity_ms = state.clock.now();
+        if is_cut_off()
+            && let Some(events) = self.last_event
+        {
+            info!(state.log, "stream stalled while this node reaches no target, copying it";
+                "id" => self.job.metadata.attempt.as_str(),
+                "target" => source.target.id.as_str(), "last_event" => events);
+            self.migrator.schedule_migration(events);
+        }
+    }
+
     /// Chooses a target other than `source` that may be sent the request now, and excludes
     /// `source` if there is one.
     fn choose_replacement(&mut self, source: &Target) -> Option<Target> {
--- a/filbertpaddle/tests/gateway/cut_from_targets.rs
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -62,6 +62,7 @@
             for (view, gates) in views.iter().zip(&mut gates) {
                 let gate = Gate::start(address).await.unwrap();
                 cluster.store.replace_in_view(*view, address, gate.address);
+                cluster.target(id).add_address(gate.address);
                 gates.push(gate);
             }
         }
@@ -281,11 +282,36 @@
     gated.set(0, Passage::RefuseNew).await;
     gated.send_until_noticed(0, "early").await;
     let answer = caller.await.unwrap();
-    assert_eq!(answer.body, complete_stream("long", 100));
+    assert!(answer.body == complete_stream("long", 100));
     assert_eq!(gated.cluster.run_log.runs_of("long").len(), 1);
     gated.close();
 }
 
+/// Streams that may not run twice ended with their connections, three seconds after these had
+/// fallen silent.
+#[tokio::test]
+async fn streams_on_connections_that_fall_silent_go_on_from_a_copy() {
+    let mut gated = GatedCluster::start("cut-in-stream").await;
+    let address = gated.cluster.nodes[0].addresses.callers;
+    let long = request("long", Method::POST, STREAM_PATH, Some(1_000));
+    let caller = tokio::spawn(async move { caller::send(address, &long).await });
+    wait_until("the stream has begun", async || {
+        let runs = gated.cluster.run_log.runs_of("long");
+        runs.first().is_some_and(|run| {
+            let running = gated.cluster.target(&run.target).running();
+            running.get("long").is_some_and(|events| *events >= 10)
+        })
+    })
+    .await;
+    gated.set(0, Passage::Silent).await;
+    let answer = caller.await.unwrap();
+    assert!(answer.is_complete, "{} bytes", answer.body.len());
+    assert!(answer.body == complete_stream("long", 250));
+    let runs = gated.cluster.run_log.runs_of("long");
+    assert!(runs.len() == 2 && runs[1].is_migrated);
+    gated.close();
+}
+
 /// The request has left through another node, and that one is killed.
 #[tokio::test]
 async fn a_request_whose_relay_is_lost_is_not_said_not_to_have_run() {
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -246,6 +246,7 @@
             gate.set(passage).await.unwrap();
             let (from, to) = (link.address, gate.address);
             self.store.replace_in_view(*view, from, to);
+            target.add_address(to);
             gates.push(gate);
         }
         self.history
