Divide the places of targets that crash when they refuse too many requests

The header was not decoded: each node found a target full by asking it, and the refusals of all nodes added up. Class: a limit of another system's that holds for all nodes together, as with stated rates.

Nodes divide a brittle target's places; a node that is refused pauses for as long as keeps all nodes together at half of what is stated; with more nodes than places each has one in some slices of half a second. A plain request waits a moment for a place, as generations do.

Open: with many more nodes than places about half of these stay empty while the targets are brittle.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod node_rank;
 pub mod placement_cost;
 pub mod reachability;
+pub mod refusal_limit;
 pub mod relay_choice;
 pub mod request_demand;
 pub mod request_metadata;
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -22,6 +22,7 @@
 use crate::placement_cost::cross_data_centre_cost;
 use crate::placement_cost::load_cost;
 use crate::reachability::Reachability;
+use crate::refusal_limit::BrittleTargets;
 use crate::request_demand::RequestDemand;
 use crate::stated_rate::StatedRates;
 use crate::target::Target;
@@ -85,6 +86,7 @@
     prefill: IndexMap<Name, PrefillRate>,
     reachability: Reachability,
     stated_rates: StatedRates,
+    brittle: BrittleTargets,
 }
 
 impl TargetSelector {
@@ -99,6 +101,7 @@
             prefill: IndexMap::new(),
             reachability: Reachability::new(),
             stated_rates: StatedRates::new(),
+            brittle: BrittleTargets::new(),
         }
     }
 
@@ -125,6 +128,8 @@
             .retain(|id, state| state.own.running > 0 || directory.target(id).is_some());
         self.stated_rates
             .retain_listed(|id| directory.target(id).is_some());
+        self.brittle
+            .retain_listed(|id| directory.target(id).is_some());
     }
 
     /// Chooses the target with the lowest cost for a request; `draw` returns random numbers
@@ -208,7 +213,7 @@
                 reason = error;
                 continue;
             }
-            if !self.has_room(configuration, target, demand) {
+            if !self.has_room(configuration, target, demand) || !self.has_place(now, target) {
                 is_full = true;
                 continue;
             }
@@ -384,6 +389,17 @@
         self.health_mut(id).record_retry_after(now, span, draw)
     }
 
+    /// Records that a target refused a request for want of room, and returns the time until which
+    /// this node sends it none, if it is brittle.
+    pub fn record_room_refused(&mut self, now: Millis, target: &Target) -> Millis {
+        self.brittle.record_refused(now, target, self.nodes.len())
+    }
+
+    /// Returns what targets state about refusals, to record statements.
+    pub fn brittle_mut(&mut self) -> &mut BrittleTargets {
+        &mut self.brittle
+    }
+
     /// Returns the request rates that targets state, as known to this node.
     pub fn stated_rates(&self) -> &StatedRates {
         &self.stated_rates
@@ -519,6 +535,12 @@
         admission::has_room(&load, engine, demand, &prefill.unwrap_or_default())
     }
 
+    fn has_place(&self, now: Millis, target: &Target) -> bool {
+        let own = self.running(&target.id);
+        self.brittle
+            .has_place(now, target, own, &self.node, &self.nodes)
+    }
+
     fn is_within_cold_limit(
         &self,
         now: Millis,
--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -32,7 +32,7 @@
 pub async fn serve(job: &Job, progress: &mut Progress) -> Result<Reply, Refusal> {
     let mut last: Option<(Parts, Bytes)> = None;
     loop {
-        let Ok(target) = job.choose_target(progress) else {
+        let Some(target) = job.place(progress).await else {
             return finish(job, progress, last);
         };
         if !job.may_send(progress) {
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -5,18 +5,15 @@
 
 use std::fmt;
 use std::future::pending;
-use std::time::Duration;
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::event_stream::Event;
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::target::Target;
-use filbertpaddle_forward::target_selector::PlacementError;
 use slog::info;
 use tokio::select;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
@@ -43,10 +40,6 @@
 /// Callers abandon a stream after two seconds.
 const STALL_TIMEOUT_MS: Millis = Millis(900);
 
-/// Interval at which a generation that waits for room looks for it. Nodes publish their
-/// load every 50 ms.
-const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(25);
-
 /// Multiple of the latency goal that a resumable stream waits for its first event at one
 /// target. A busy target needs longer than the goal, and its prefill work is lost if the
 /// request goes to another target.
@@ -253,7 +246,7 @@
 
     /// Chooses a target that may be sent the request.
     async fn next_target(&mut self) -> Result<Target, StopReason> {
-        let chosen = self.place().await;
+        let chosen = self.job.place(self.progress).await;
         let sendable = chosen.filter(|_| self.job.may_send(self.progress));
         sendable.ok_or_else(|| StopReason::Refused(self.job.refusal(self.progress)))
     }
@@ -277,21 +270,6 @@
         }
     }
 
-    /// Chooses a target, and waits a moment for room if all are full.
-    async fn place(&mut self) -> Option<Target> {
-        let clock = self.job.state.clock;
-        let give_up_at_ms = clock.now() + self.job.max_room_wait_ms();
-        loop {
-            match self.job.choose_target(self.progress) {
-                Ok(target) => return Some(target),
-                Err(PlacementError::AllFull) if clock.now() < give_up_at_ms => {
-                    sleep(ROOM_POLL_INTERVAL).await;
-                }
-                Err(_) => return None,
-            }
-        }
-    }
-
     async fn wait_first_event(&mut self, target: &Target) -> Result<TargetStream, OpenError> {
         let resume = ResumePoint {
             last_event: self.last_event,
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -1,6 +1,7 @@
 //! An admitted request, and the rules for sending and resending it to targets.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
@@ -22,6 +23,7 @@
 use http::header;
 use http_body_util::Full;
 use slog::info;
+use tokio::time::sleep;
 
 use crate::connection_pool::Error as ConnectionError;
 use crate::connection_pool::PendingResponse;
@@ -37,6 +39,9 @@
 
 /// Maximum number of connection attempts for one request before it is refused.
 pub const MAX_CONNECT_ATTEMPTS: u32 = 12;
+/// Interval at which a request that waits for room looks for it. Nodes publish their load every
+/// 50 ms.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Lowest priority that targets accept.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -188,6 +193,21 @@
         chosen
     }
 
+    /// Chooses a target, and waits a moment for room if all are full.
+    pub async fn place(&self, progress: &mut Progress) -> Option<Target> {
+        let clock = self.state.clock;
+        let give_up_at_ms = clock.now() + self.max_room_wait_ms();
+        loop {
+            match self.choose_target(progress) {
+                Ok(target) => return Some(target),
+                Err(PlacementError::AllFull) if clock.now() < give_up_at_ms => {
+                    sleep(ROOM_POLL_INTERVAL).await;
+                }
+                Err(_) => return None,
+            }
+        }
+    }
+
     /// Returns the request's claim on the targets' memory.
     fn claim(&self, progress: &Progress) -> Claim {
         if progress.may_have_run {
@@ -360,7 +380,11 @@
             Failure::NotSent(_) => {
                 backoff_until_ms = state.record_target_failure(target);
             }
-            Failure::NotRun => progress.sends += 1,
+            Failure::NotRun => {
+                progress.sends += 1;
+                let mut selector = state.selector.borrow_mut();
+                backoff_until_ms = selector.record_room_refused(now, target);
+            }
             Failure::OtherTarget => {
                 progress.was_misdirected = true;
                 backoff_until_ms = state.record_target_failure(target);
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -93,9 +93,11 @@
     pub retry_after: RetryAfter,
     /// Rate at which the target takes requests.
     pub rate_limit: RateLimit,
+    /// Rate at which a brittle target can refuse requests for want of room before it crashes.
+    pub refusal_limit: RateLimit,
 }
 
-/// Limit that a target in need states on the requests of all nodes together.
+/// Limit that a target states on the requests of all nodes together, or on its refusals.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum RateLimit {
     /// The target states no limit.
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -85,9 +85,42 @@
         record_retry_after(state, target, metadata.retry_after);
     }
     record_rate_limit(state, target, sent, &metadata);
+    record_refusal_limit(state, target, sent, &metadata);
     metadata
 }
 
+/// Records that a target states how many requests it can refuse, or that it states nothing.
+fn record_refusal_limit(
+    state: &State,
+    target: &Target,
+    sent: Sent<'_>,
+    metadata: &ResponseMetadata,
+) {
+    let attempt = metadata.attempt.as_deref();
+    let is_own = attempt.is_some() && attempt == sent.attempt;
+    let service = &target.service;
+    let mut selector = state.selector.borrow_mut();
+    let is_changed = match metadata.refusal_limit {
+        RateLimit::PerSec(per_sec) => {
+            let now = state.clock.now();
+            selector.brittle_mut().record_stated(now, service, per_sec)
+        }
+        RateLimit::Invalid => {
+            warn!(state.log, "target states an invalid limit on refusals, ignored";
+                "target" => target.id.as_str());
+            false
+        }
+        RateLimit::Absent if is_own => selector.brittle_mut().record_none(service, sent.at_ms),
+        RateLimit::Absent => false,
+    };
+    if is_changed {
+        info!(state.log, "limit on refusals of a service's targets changed";
+            "service" => service.as_str(), "target" => target.id.as_str(),
+            "per_sec" => selector.brittle_mut().per_sec(service));
+        state.metrics.count("target.refusal_limit_changed");
+    }
+}
+
 /// Records the rate that a response states, or that it states none. A response to another
 /// attempt may be an old one, and only one to this attempt can end a rate.
 fn record_rate_limit(state: &State, target: &Target, sent: Sent<'_>, metadata: &ResponseMetadata) {
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -83,6 +83,16 @@
             .await;
     }
 
+    /// Starts a target in the first data centre with six slots, whose plain requests take a time.
+    pub(crate) async fn add_slow_target(&mut self, id: &str, service: &str, work_ms: u64) {
+        let options = target::Options {
+            work_ms,
+            slots: 6,
+            ..target_options(id, service, "dc-a")
+        };
+        self.start_target(options).await;
+    }
+
     /// Starts a later incarnation of a target in the first data centre.
     pub(crate) async fn add_incarnation(&mut self, id: &str, service: &str, incarnation: u64) {
         let options = target::Options {
@@ -193,6 +203,7 @@
         data_centre: data_centre.to_owned(),
         event_ms: 20,
         work_ms: 5,
+        slots: 24,
         cold_ms: 0,
         version: "v1".to_owned(),
         incarnation: 1,
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
 mod announcements;
+mod brittle;
 mod cluster;
 mod crashing_parts;
 mod cut_from_targets;
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -226,6 +226,7 @@
             data_centre: DATA_CENTRES[number / 2 % DATA_CENTRES.len()].to_owned(),
             event_ms: EVENT_INTERVAL_MS,
             work_ms: PLAIN_REQUEST_MS,
+            slots: 24,
             cold_ms: 0,
             version: software_version(number, 1),
             incarnation: 1,
