Let streams stay at a target that is silent for a second

The users' new line: a sound target may fall silent for a second or so and go on. A resumable stream left its target after 0.9 s without an event, and its prompt was processed again elsewhere. Now after 1.4 s; callers abandon a stream after two.

Before (test, one of two targets silent for 1.0 s under six streams): both of its streams move. Plain requests that may run again leave after three times their goal, as before.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -36,9 +36,9 @@
 use crate::target_stream::TargetStream;
 use crate::target_stream::is_unframed;
 
-/// Time without an event after which a generation resumes at another target if it can.
-/// Callers abandon a stream after two seconds.
-const STALL_TIMEOUT_MS: Millis = Millis(900);
+/// Time without an event after which a generation resumes at another target if it can. Sound
+/// targets are silent for a second at times, and callers abandon a stream after two.
+const STALL_TIMEOUT_MS: Millis = Millis(1_400);
 
 /// Multiple of the latency goal that a resumable stream waits for its first event at one
 /// target. A busy target needs longer than the goal, and its prefill work is lost if the
@@ -355,10 +355,14 @@
         let state = &self.job.state;
         let is_cut_off = || state.direct_path.borrow().is_cut_off();
         if !is_cut_off() {
-            // A failure has others probed, before the stream is looked at again.
-            target_connection::open_directly(state, &source.target)
+            let since = state.clock.now();
+            let target = &source.target;
+            if target_connection::open_directly(state, target)
                 .await
-                .ok();
+                .is_err()
+            {
+                target_connection::has_path(state, target, since).await;
+            }
         }
         self.last_activity_ms = state.clock.now();
         if is_cut_off()
--- a/filbertpaddle/tests/gateway/streams.rs
+++ b/filbertpaddle/tests/gateway/streams.rs
@@ -15,6 +15,9 @@
 use crate::cluster::request;
 use crate::cluster::wait_until;
 
+/// Time for which a sound target may be silent.
+const SILENT_TIME: Duration = Duration::from_millis(1_000);
+
 #[tokio::test]
 async fn a_stream_migrates_from_a_draining_target_and_stays_complete() {
     let cluster = Cluster::with_nodes("move", 1).await;
@@ -163,3 +166,33 @@
     assert_ne!(runs[0].target, runs[1].target);
     cluster.close();
 }
+
+/// Sound targets fall silent for a second at times. Streams that may run again left them, and
+/// their prompts were processed twice.
+#[tokio::test]
+async fn streams_stay_at_a_target_that_is_silent_for_a_second() {
+    let cluster = Cluster::with_nodes("silent-second", 1).await;
+    let address = cluster.nodes[0].addresses.callers;
+    let mut callers = tokio::task::JoinSet::new();
+    for number in 0..6 {
+        let attempt = format!("s-{number}");
+        let sent = request(&attempt, Method::POST, RESUMABLE_PATH, Some(200));
+        callers.spawn(async move { (attempt, caller::send(address, &sent).await) });
+    }
+    let e1 = cluster.target("e1");
+    wait_until("streams go on at the target", async || {
+        e1.running().values().filter(|events| **events >= 5).count() >= 2
+    })
+    .await;
+    e1.set_stall(Stall::Silent);
+    sleep(SILENT_TIME).await;
+    e1.set_stall(Stall::None);
+    let mut moved = 0;
+    while let Some(ended) = callers.join_next().await {
+        let (attempt, answer) = ended.unwrap();
+        assert!(answer.is_complete, "{attempt}: status {}", answer.code());
+        moved += cluster.run_log.runs_of(&attempt).len() - 1;
+    }
+    assert_eq!(moved, 0);
+    cluster.close();
+}
