--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod target;
 pub mod target_health;
 pub mod target_list;
+pub mod target_records;
 pub mod target_selector;
 pub mod token_bucket;
