Forget what a node saw of its targets only once another node has reached one

Two targets that crash together at a node with few requests made it forget its back-offs, twice, though no link was cut: the next requests would wait for both again. Now only a relayed connection proves that the node's own links are at fault. And a request whose service's targets are all down is refused after two that other nodes do not reach either, instead of after each of them. Tests: two targets that crash together prove no cut; the cuts' tests hold as before.

--- a/filbertpaddle-forward/src/direct_path.rs
+++ b/filbertpaddle-forward/src/direct_path.rs
@@ -26,7 +26,10 @@
     /// It reaches no target now.
     CutOff,
     /// It reaches targets again.
-    Restored,
+    Restored {
+        /// Whether another node has reached some meanwhile, so that this node's links were cut.
+        is_proven: bool,
+    },
 }
 
 /// This node's attempts to connect to targets since the last one that succeeded.
@@ -35,6 +38,8 @@
     /// The first targets, no two the same, that accepted no connection since.
     failed: Vec<Name>,
     last_failure: Option<ConnectFailure>,
+    /// Whether another node has reached a target since.
+    is_proven: bool,
     connected_ms: Option<Millis>,
 }
 
@@ -46,11 +51,14 @@
 
     /// Records that a target accepted a connection.
     pub fn record_connected(&mut self, now: Millis) -> Option<PathChange> {
-        let was_cut_off = self.is_cut_off();
+        let is_proven = std::mem::take(&mut self.is_proven);
+        let change = self
+            .is_cut_off()
+            .then_some(PathChange::Restored { is_proven });
         self.connected_ms = Some(now);
         self.failed.clear();
         self.last_failure = None;
-        was_cut_off.then_some(PathChange::Restored)
+        change
     }
 
     /// Records that a target accepted no connection.
@@ -63,6 +71,14 @@
         (!was_cut_off && self.is_cut_off()).then_some(PathChange::CutOff)
     }
 
+    /// Records that another node has reached a target; returns whether that proves for the first
+    /// time that this node is cut off, and not its targets down.
+    pub fn record_relayed(&mut self) -> bool {
+        let is_first = self.is_cut_off() && !self.is_proven;
+        self.is_proven |= is_first;
+        is_first
+    }
+
     /// Returns whether the node reaches no target.
     pub fn is_cut_off(&self) -> bool {
         self.failed.len() >= MIN_FAILED_TARGETS
--- a/filbertpaddle-forward/tests/direct_path.rs
+++ b/filbertpaddle-forward/tests/direct_path.rs
@@ -34,14 +34,27 @@
     assert_eq!(change, Some(PathChange::CutOff));
     assert_eq!(path.record_failed(&name(3), ConnectFailure::Silent), None);
     assert!(path.is_cut_off() && path.is_silent());
+    assert!(path.record_relayed() && !path.record_relayed());
     assert!(path.is_connected_since(Millis(100)) && !path.is_connected_since(Millis(101)));
     assert_eq!(
         path.record_connected(Millis(900)),
-        Some(PathChange::Restored)
+        Some(PathChange::Restored { is_proven: true })
     );
+    assert!(!path.record_relayed());
     assert!(!path.is_cut_off() && path.is_connected_since(Millis(101)));
 }
 
+/// Load pattern: two targets crash together, at a node with few requests. What it knows of them
+/// must not be forgotten when a third one accepts its connection.
+#[test]
+fn targets_that_no_other_node_reaches_prove_no_cut() {
+    let mut path = DirectPath::new();
+    path.record_failed(&name(1), ConnectFailure::Refused);
+    path.record_failed(&name(2), ConnectFailure::Refused);
+    let change = path.record_connected(Millis(5));
+    assert_eq!(change, Some(PathChange::Restored { is_proven: false }));
+}
+
 /// Open connections may live on where new ones are refused.
 #[test]
 fn refused_connections_do_not_show_that_open_ones_are_silent() {
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -39,6 +39,8 @@
 
 /// Maximum number of connection attempts for one request before it is refused.
 pub const MAX_CONNECT_ATTEMPTS: u32 = 12;
+/// Number of targets that other nodes do not reach for a request before it is refused.
+const MAX_RELAY_FAILURES: u32 = 2;
 /// Interval at which a request that waits for room looks for it. Nodes publish their load every
 /// 50 ms.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -100,6 +102,8 @@
     pub excluded_targets: Vec<Name>,
     /// Targets that did not accept a connection of this node for it.
     pub unreached_targets: Vec<Name>,
+    /// Number of these that other nodes did not reach for it either.
+    pub relay_failures: u32,
     /// Why no target could be chosen last.
     pub placement_error: Option<PlacementError>,
     /// Software version that wrote the first event of the stream, if this attempt received it.
@@ -176,7 +180,9 @@
             ..self.demand.clone()
         };
         let mut chosen = selector.choose(now, &directory, &demand, &failed, draw);
-        if chosen == Err(PlacementError::AllFailing) {
+        // Targets that are down look the same, and must not hold the request up one by one.
+        let may_relay = progress.relay_failures < MAX_RELAY_FAILURES;
+        if chosen == Err(PlacementError::AllFailing) && may_relay {
             chosen = selector.choose_relayed(now, &directory, &demand, excluded, draw);
         }
         let error = chosen.as_ref().err().copied();
@@ -366,6 +372,7 @@
         if is_unreached && !progress.unreached_targets.contains(&target.id) {
             progress.unreached_targets.push(target.id.clone());
         } else {
+            progress.relay_failures += u32::from(is_unreached);
             progress.excluded_targets.push(target.id.clone());
         }
         match failure {
--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -43,10 +43,17 @@
         }
     }
     let relayed = relay::open(state, target, purpose).await;
-    if let Err(Error::Refused | Error::Unreachable) = relayed {
-        // No path to it is known, so no other request tries it for a while.
-        let now = state.clock.now();
-        state.selector.borrow_mut().record_failure(now, &target.id);
+    match &relayed {
+        Ok(_) if state.direct_path.borrow_mut().record_relayed() => {
+            // What this node saw of its targets until now were the faults of its own links.
+            state.selector.borrow_mut().forget_failures();
+        }
+        Err(Error::Refused | Error::Unreachable) => {
+            // No path to it is known, so no other request tries it for a while.
+            let now = state.clock.now();
+            state.selector.borrow_mut().record_failure(now, &target.id);
+        }
+        _ => {}
     }
     relayed.map(|stream| Transport::Relayed(Box::new(stream)))
 }
@@ -184,10 +191,6 @@
     }
 
     fn log_path_change(&self, change: Option<PathChange>) {
-        if change.is_some() {
-            // Until now the node's links looked like its targets' faults.
-            self.selector.borrow_mut().forget_failures();
-        }
         let direct_path = self.direct_path.borrow();
         match change {
             Some(PathChange::CutOff) => {
@@ -197,8 +200,11 @@
                     "connected_age_ms" => self.clock.now().since(connected_ms).0);
                 self.metrics.count("targets.cut_off");
             }
-            Some(PathChange::Restored) => {
-                info!(self.log, "node reaches targets itself again");
+            Some(PathChange::Restored { is_proven }) => {
+                if is_proven {
+                    self.selector.borrow_mut().forget_failures();
+                }
+                info!(self.log, "node reaches targets itself again"; "was_cut_off" => is_proven);
                 self.metrics.count("targets.reached_again");
             }
             None => {}
