Put no target into back-off for a VM that cannot connect, if it reports to the owner

Such a slot now ends as unreached, and the owner goes by its own link: a load report within the last second (it asks four times a second) shows that the target can be reached.

Before, such slots ended as refused, which is a back-off of one second always (test target_that_refused_work_is_in_backoff). After: none if the target reports, else as before (test). Protocol version 3 between nodes of the own interface, since the ending is new on their links. Open: the VM's own callers are still refused.

--- a/filbertpaddle-core/src/scheduler.rs
+++ b/filbertpaddle-core/src/scheduler.rs
@@ -335,10 +335,13 @@
                 state.start_backoff(now);
             }
             Ending::Refused => state.start_backoff(now),
+            // It is the VM that is cut off if the target has reported to the owner lately.
+            Ending::Unreached if state.has_reported(now) => {}
+            Ending::Unreached => state.start_backoff(now),
             Ending::Cancelled | Ending::Unknown | Ending::Unsent => {}
         }
         let used_tokens = match ending {
-            Ending::Unsent | Ending::Refused => 0,
+            Ending::Unsent | Ending::Refused | Ending::Unreached => 0,
             _ => u64::from(request.prompt_tokens) + u64::from(tokens),
         };
         self.queue.settle(
@@ -356,6 +359,7 @@
     /// Records a load report, which may be late or repeated.
     pub fn record_load(&mut self, now: Millis, target: &Name, load: &Load) {
         if let Some(state) = self.target_states.get_mut(target) {
+            state.record_report(now);
             state.update_memory_correction(now, load, &self.gap_model);
         }
     }
--- a/filbertpaddle-core/src/slot_request.rs
+++ b/filbertpaddle-core/src/slot_request.rs
@@ -120,6 +120,9 @@
     /// The target refused the work before it started.
     #[serde(rename = "r")]
     Refused,
+    /// The VM could not connect to the target, so nothing was sent.
+    #[serde(rename = "n")]
+    Unreached,
     /// The target crashed or the stream broke while the work ran.
     #[serde(rename = "f")]
     Failed,
@@ -131,6 +134,9 @@
 impl Ending {
     /// Returns whether the target has certainly stopped working on the attempt.
     pub const fn is_over(self) -> bool {
-        matches!(self, Self::Complete | Self::Unsent | Self::Refused)
+        matches!(
+            self,
+            Self::Complete | Self::Unsent | Self::Refused | Self::Unreached
+        )
     }
 }
--- a/filbertpaddle-core/src/target_state.rs
+++ b/filbertpaddle-core/src/target_state.rs
@@ -29,6 +29,9 @@
 const UNLIMITED_START_BATCH: usize = 8;
 /// Time for which a target gets no work after it failed or refused some.
 const FAILURE_BACKOFF_MS: Millis = Millis(1_000);
+/// Time for which a load report shows that the target can be reached: four times that between
+/// two of them.
+const REPORT_VALIDITY_MS: Millis = Millis(1_000);
 /// Time for which ended work is kept for comparison with late load reports.
 const ENDED_RETENTION_MS: Millis = Millis::from_secs(5);
 /// Ended attempts kept for comparison with late load reports.
@@ -77,6 +80,8 @@
     pub prefixes: CachedPrefixes,
     burst: StartBurst,
     backoff_until_ms: Millis,
+    /// Time when its last load report arrived.
+    reported_ms: Option<Millis>,
     crashed_ms: Option<Millis>,
     progress: TokenProgress,
     running: IndexMap<SlotId, RunningAttempt>,
@@ -94,6 +99,7 @@
             prefixes: CachedPrefixes::default(),
             burst: StartBurst::default(),
             backoff_until_ms: Millis::ZERO,
+            reported_ms: None,
             crashed_ms: None,
             progress: TokenProgress::new(now),
             running: IndexMap::new(),
@@ -204,6 +210,17 @@
         self.backoff_until_ms = now + FAILURE_BACKOFF_MS;
     }
 
+    /// Records that a load report of the target has arrived.
+    pub fn record_report(&mut self, now: Millis) {
+        self.reported_ms = Some(now);
+    }
+
+    /// Returns whether a load report has arrived a short while ago.
+    pub fn has_reported(&self, now: Millis) -> bool {
+        self.reported_ms
+            .is_some_and(|at_ms| now.since(at_ms) < REPORT_VALIDITY_MS)
+    }
+
     /// Returns whether the backoff after a failure or refusal is still in effect.
     pub fn is_in_backoff(&self, now: Millis) -> bool {
         now < self.backoff_until_ms
--- a/filbertpaddle-core/tests/scheduler.rs
+++ b/filbertpaddle-core/tests/scheduler.rs
@@ -216,6 +216,34 @@
     assert_eq!(placement.target, "a");
 }
 
+/// Load pattern: a VM loses its links to all targets, and each of its requests fails to connect to
+/// one after the other. The other VMs would lose the targets as well.
+#[test]
+fn a_vm_that_cannot_connect_puts_no_target_into_backoff_that_reports_to_the_owner() {
+    for has_reported in [true, false] {
+        let mut scheduler = scheduler(Policy::LeastConnections);
+        let views = [view("a", 1, 0), view("b", 1, 0)];
+        scheduler.push(Millis(0), request(1, Millis(0))).unwrap();
+        let placement = scheduler.next_placement(Millis(0), &views).unwrap();
+        assert_eq!(placement.target, "a");
+        scheduler.record_start(Millis(0), SlotId(1), &placement);
+        if has_reported {
+            let load = Load {
+                taken_ms: Millis(3),
+                used_tokens: 0,
+                running: 0,
+                waiting: 0,
+                preemptions: 0,
+            };
+            scheduler.record_load(Millis(3), &placement.target, &load);
+        }
+        scheduler.record_end(Millis(5), SlotId(1), 0, Ending::Unreached);
+        scheduler.push(Millis(10), request(2, Millis(10))).unwrap();
+        let placement = scheduler.next_placement(Millis(10), &views).unwrap();
+        assert_eq!(placement.target == "a", has_reported);
+    }
+}
+
 fn config() -> ProptestConfig {
     ProptestConfig {
         rng_seed: RngSeed::Fixed(7),
--- a/filbertpaddle-wire/src/greeting.rs
+++ b/filbertpaddle-wire/src/greeting.rs
@@ -9,7 +9,7 @@
 use sha2::Sha256;
 
 /// Version of the protocol between nodes.
-pub const PROTOCOL_VERSION: u32 = 2;
+pub const PROTOCOL_VERSION: u32 = 3;
 
 /// Identity of a node, authenticated with the shared peer secret.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/filbertpaddle/src/generation.rs
+++ b/filbertpaddle/src/generation.rs
@@ -193,7 +193,11 @@
 
     fn not_started(&self, error: &Error) -> SlotUse {
         self.log_failure(error);
-        slot_use(AttemptResult::Unsent, Ending::Refused)
+        let ending = match error {
+            Error::NotStarted(NotStarted::Unreachable(_)) => Ending::Unreached,
+            _ => Ending::Refused,
+        };
+        slot_use(AttemptResult::Unsent, ending)
     }
 
     fn count_dropped(&self) {
