Let a stopping node wait for the connections that it relays

Test a_relay_that_stops_lets_what_it_relays_end: cut before, whole after. Also, a node that does not answer is given 0.3 s instead of 0.4 to open a connection, and all that are asked 0.7 s: orders have 0.6 s.

--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -183,7 +183,7 @@
     }
 }
 
-/// Finishes running requests and closes callers' connections.
+/// Finishes running requests and those that it relays, and closes callers' connections.
 async fn drain(state: &State, phase: &watch::Sender<Phase>) {
     let began_ms = state.clock.now();
     let grace_ms = state.reloadable.borrow().grace_ms;
@@ -196,7 +196,8 @@
     }
     phase.send_replace(Phase::Draining);
     let end_ms = Millis(grace_ms.0.saturating_sub(EXIT_MARGIN_MS.0));
-    while state.in_flight.get() > 0 && elapsed_ms() < end_ms {
+    let is_busy = || state.in_flight.get() > 0 || state.tunnels.get() > 0;
+    while is_busy() && elapsed_ms() < end_ms {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     // A request admitted now would be cut off, so further ones are refused unsent.
@@ -209,7 +210,7 @@
     }
     info!(state.log, "node stopped";
         "in_flight" => state.in_flight.get(), "connected" => state.connected.get(),
-        "elapsed_ms" => elapsed_ms().0);
+        "tunnels" => state.tunnels.get(), "elapsed_ms" => elapsed_ms().0);
 }
 
 /// Binds an address and updates it with the port if the system chose one.
--- a/filbertpaddle-gateway/src/relay.rs
+++ b/filbertpaddle-gateway/src/relay.rs
@@ -22,9 +22,9 @@
 use crate::tunnel::RelayedStream;
 
 /// Time for one node to open the connection. It may have to find out that it is cut off itself.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for all nodes that are asked for one connection.
-const TOTAL_TIMEOUT: Duration = Duration::from_millis(800);
+const TOTAL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Opens a connection to a target through another node.
 ///
--- a/filbertpaddle/tests/gateway/cut_from_targets.rs
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -341,6 +341,27 @@
     gated.close();
 }
 
+#[tokio::test]
+async fn a_relay_that_stops_lets_what_it_relays_end() {
+    let mut gated = GatedCluster::start("relay-stops").await;
+    for node in [0, 2] {
+        gated.set(node, Passage::Reset).await;
+        let prefix = format!("early-{node}");
+        gated.send_until_noticed(node, &prefix).await;
+    }
+    let address = gated.cluster.nodes[0].addresses.callers;
+    let long = request("long", Method::POST, STREAM_PATH, Some(1_000));
+    let caller = tokio::spawn(async move { caller::send(address, &long).await });
+    wait_until("the stream runs", async || {
+        !gated.cluster.run_log.runs_of("long").is_empty()
+    })
+    .await;
+    gated.cluster.nodes[1].process.terminate().unwrap();
+    let answer = caller.await.unwrap();
+    assert!(answer.is_complete && answer.body == complete_stream("long", 250));
+    gated.close();
+}
+
 #[tokio::test]
 async fn a_relayed_stream_ends_at_its_target_when_the_caller_leaves() {
     let mut gated = GatedCluster::start("relayed-caller-gone").await;
