--- a/filbertpaddle-core/tests/quarantine.rs
+++ b/filbertpaddle-core/tests/quarantine.rs
@@ -400,6 +400,15 @@
     assert_eq!(answers, 10);
 }
 
+fn fresh_target(number: u64) -> TargetView {
+    TargetView {
+        name: Name::new(format!("t-{number}")),
+        free_slots: SLOTS,
+        capacity_tokens: 0,
+        warm: true,
+    }
+}
+
 /// Targets go on with a crashing prompt for some tokens.
 #[test]
 fn a_template_that_crashes_targets_after_some_tokens_is_refused() {
@@ -415,12 +424,7 @@
             if scheduler.push(now, request).is_err() {
                 continue;
             }
-            let views = [TargetView {
-                name: Name::new(format!("t-{number}")),
-                free_slots: SLOTS,
-                capacity_tokens: 0,
-                warm: true,
-            }];
+            let views = [fresh_target(number)];
             let placement = scheduler.next_placement(now, &views).unwrap();
             scheduler.record_start(now, SlotId(number), &placement);
             scheduler.record_end(now, SlotId(number), tokens, Ending::Failed);
@@ -441,12 +445,7 @@
             ..slot_request(now, number)
         };
         scheduler.push(now, request).unwrap();
-        let views = [TargetView {
-            name: Name::new(format!("t-{number}")),
-            free_slots: SLOTS,
-            capacity_tokens: 0,
-            warm: true,
-        }];
+        let views = [fresh_target(number)];
         let placement = scheduler.next_placement(now, &views).unwrap();
         scheduler.record_start(now, SlotId(number), &placement);
         scheduler.record_end(now, SlotId(number), 30, Ending::Failed);
--- a/filbertpaddle/tests/gateway/cut_from_targets.rs
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt;
 use http::Method;
 use serde::Serialize;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio_tungstenite::tungstenite::Message as Frame;
 
@@ -102,6 +103,19 @@
         caller::send(self.cluster.nodes[node].addresses.callers, request).await
     }
 
+    /// Sends a request in a task of its own.
+    fn spawn(&self, node: usize, request: SentRequest) -> JoinHandle<ReceivedAnswer> {
+        let address = self.cluster.nodes[node].addresses.callers;
+        tokio::spawn(async move { caller::send(address, &request).await })
+    }
+
+    async fn wait_until_running(&self, attempt: &str) {
+        wait_until("the request runs", async || {
+            !self.cluster.run_log.runs_of(attempt).is_empty()
+        })
+        .await;
+    }
+
     /// Sends one request of each kind, and returns those that were not served whole at the first
     /// attempt.
     async fn unserved(&self, node: usize, prefix: &str) -> Vec<String> {
@@ -242,15 +256,10 @@
                 async move { caller::send(address, &sent).await },
             ));
         }
-        wait_until("the requests run", async || {
-            let run_log = &gated.cluster.run_log;
-            (0..4).all(|number| {
-                !run_log
-                    .runs_of(&format!("waiting-{round}-{number}"))
-                    .is_empty()
-            })
-        })
-        .await;
+        for number in 0..4 {
+            let attempt = format!("waiting-{round}-{number}");
+            gated.wait_until_running(&attempt).await;
+        }
         // A cut is there at all targets before the first connection is reset.
         gated.set(0, Passage::RefuseNew).await;
         gated.set(0, Passage::Reset).await;
@@ -272,13 +281,8 @@
 #[tokio::test]
 async fn streams_on_connections_that_live_on_are_not_moved() {
     let mut gated = GatedCluster::start("cut-live-on").await;
-    let address = gated.cluster.nodes[0].addresses.callers;
-    let long = request("long", Method::POST, STREAM_PATH, Some(400));
-    let caller = tokio::spawn(async move { caller::send(address, &long).await });
-    wait_until("the stream runs", async || {
-        !gated.cluster.run_log.runs_of("long").is_empty()
-    })
-    .await;
+    let caller = gated.spawn(0, request("long", Method::POST, STREAM_PATH, Some(400)));
+    gated.wait_until_running("long").await;
     gated.set(0, Passage::RefuseNew).await;
     gated.send_until_noticed(0, "early").await;
     let answer = caller.await.unwrap();
@@ -292,9 +296,7 @@
 #[tokio::test]
 async fn streams_on_connections_that_fall_silent_go_on_from_a_copy() {
     let mut gated = GatedCluster::start("cut-in-stream").await;
-    let address = gated.cluster.nodes[0].addresses.callers;
-    let long = request("long", Method::POST, STREAM_PATH, Some(1_000));
-    let caller = tokio::spawn(async move { caller::send(address, &long).await });
+    let caller = gated.spawn(0, request("long", Method::POST, STREAM_PATH, Some(1_000)));
     wait_until("the stream has begun", async || {
         let runs = gated.cluster.run_log.runs_of("long");
         runs.first().is_some_and(|run| {
@@ -326,18 +328,12 @@
         let target = gated.cluster.target(id);
         target.set_behaviour(Behaviour::Unresponsive);
     }
-    let address = gated.cluster.nodes[0].addresses.callers;
-    let write = request("lost", Method::POST, WRITE_PATH, None);
-    let caller = tokio::spawn(async move { caller::send(address, &write).await });
-    let run_log = gated.cluster.run_log.clone();
-    wait_until("the request runs", async || {
-        !run_log.runs_of("lost").is_empty()
-    })
-    .await;
+    let caller = gated.spawn(0, request("lost", Method::POST, WRITE_PATH, None));
+    gated.wait_until_running("lost").await;
     gated.cluster.nodes.remove(1).close().unwrap();
     let answer = caller.await.unwrap();
     assert_eq!(answer.code(), 502);
-    assert_eq!(run_log.runs_of("lost").len(), 1);
+    assert_eq!(gated.cluster.run_log.runs_of("lost").len(), 1);
     gated.close();
 }
 
@@ -349,13 +345,8 @@
         let prefix = format!("early-{node}");
         gated.send_until_noticed(node, &prefix).await;
     }
-    let address = gated.cluster.nodes[0].addresses.callers;
-    let long = request("long", Method::POST, STREAM_PATH, Some(1_000));
-    let caller = tokio::spawn(async move { caller::send(address, &long).await });
-    wait_until("the stream runs", async || {
-        !gated.cluster.run_log.runs_of("long").is_empty()
-    })
-    .await;
+    let caller = gated.spawn(0, request("long", Method::POST, STREAM_PATH, Some(1_000)));
+    gated.wait_until_running("long").await;
     gated.cluster.nodes[1].process.terminate().unwrap();
     let answer = caller.await.unwrap();
     assert!(answer.is_complete && answer.body == complete_stream("long", 250));
@@ -367,13 +358,8 @@
     let mut gated = GatedCluster::start("relayed-caller-gone").await;
     gated.set(0, Passage::Silent).await;
     gated.send_until_noticed(0, "early").await;
-    let address = gated.cluster.nodes[0].addresses.callers;
-    let long = request("long", Method::POST, STREAM_PATH, Some(4_000));
-    let caller = tokio::spawn(async move { caller::send(address, &long).await });
-    wait_until("the stream runs", async || {
-        !gated.cluster.run_log.runs_of("long").is_empty()
-    })
-    .await;
+    let caller = gated.spawn(0, request("long", Method::POST, STREAM_PATH, Some(4_000)));
+    gated.wait_until_running("long").await;
     caller.abort();
     let target = gated.cluster.first_target_of("long");
     wait_until("the stream ends", async || target.running().is_empty()).await;
