Put no target into back-off for a connection whose relay is lost

All targets were in back-off, and streams that may run again could not go on at any.

Such a break is now told apart, and puts nothing into back-off; the request is as truthfully 'may have run' as before, and whether the target is down is still looked for. Test a_relay_that_is_cut_off_itself_accuses_no_target: streams cut before, all whole after.

--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -78,11 +78,7 @@
     let response = async {
         let (response, _) = job.send(target, ResumePoint::default()).await?;
         let mut body = response.body;
-        let unknown = |error: crate::connection_pool::Error| Failure::Unknown(error.to_string());
-        let bytes = body
-            .read_to_end(&job.state.target_buffers)
-            .await
-            .map_err(unknown)?;
+        let bytes = body.read_to_end(&job.state.target_buffers).await?;
         body.recycle(&response.head.headers);
         Ok((response.head, bytes))
     };
--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -72,6 +72,9 @@
     /// The request may have reached the target.
     #[error("no response, request may have arrived: {0}")]
     Unknown(String),
+    /// The same, on a connection of another node, whose end says nothing of the target.
+    #[error("relayed connection lost, request may have arrived: {0}")]
+    RelayLost(String),
 }
 
 /// A pool of idle connections by address.
@@ -277,7 +280,7 @@
             }
             Err(mut failed) => match failed.take_message() {
                 Some(request) => Err((Error::NotSent(describe(failed.error())), Some(request))),
-                None => Err((Error::Unknown(describe(failed.error())), None)),
+                None => Err((connection.lost(failed.error()), None)),
             },
         }
     }
@@ -324,10 +327,10 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Unknown`] if the response breaks off.
+    /// Returns [`Error::Unknown`] or [`Error::RelayLost`] if the response breaks off.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
         while let Some(frame) = self.incoming.frame().await {
-            let frame = frame.map_err(|error| Error::Unknown(describe(&error)))?;
+            let frame = frame.map_err(|error| self.connection.lost(&error))?;
             if let Ok(bytes) = frame.into_data() {
                 return Ok(Some(bytes));
             }
@@ -351,6 +354,11 @@
         Ok(all.freeze())
     }
 
+    /// Returns whether another node relays the connection.
+    pub fn is_relayed(&self) -> bool {
+        self.connection.is_relayed
+    }
+
     /// Returns the connection of a fully read body to the pool, unless the response's
     /// headers announce that it closes.
     pub fn recycle(self, headers: &HeaderMap) {
@@ -371,6 +379,18 @@
     }
 }
 
+impl Connection {
+    /// Returns the error of a connection that broke after a request was sent.
+    fn lost(&self, error: &hyper::Error) -> Error {
+        let reason = describe(error);
+        if self.is_relayed {
+            Error::RelayLost(reason)
+        } else {
+            Error::Unknown(reason)
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -112,7 +112,7 @@
 
     /// Accuses the request if its target has crashed without an answer to it.
     pub async fn check_crash(&self, target: &Target, failure: &Failure) {
-        if let Failure::Unknown(_) = failure {
+        if let Failure::Unknown(_) | Failure::RelayLost(_) = failure {
             check(self, target).await;
         }
     }
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -298,12 +298,10 @@
         let (response, _) = self.job.send(target, resume).await?;
         let mut body = response.body;
         if !response.head.status.is_success() {
-            let unknown =
-                |error: crate::connection_pool::Error| Failure::Unknown(error.to_string());
             let bytes = body
                 .read_to_end(&self.job.state.target_buffers)
                 .await
-                .map_err(unknown)?;
+                .map_err(Failure::from)?;
             let reply = reply::forward(response.head, bytes);
             return Err(OpenError::Stopped(StopReason::Failed(Box::new(reply))));
         }
@@ -315,6 +313,9 @@
                 return Err(Failure::Unknown(reason).into());
             }
             StreamItem::End => {}
+            StreamItem::Broken(reason) if source.is_relayed() => {
+                return Err(Failure::RelayLost(reason).into());
+            }
             StreamItem::Broken(reason) => return Err(Failure::Unknown(reason).into()),
         }
         self.job.record_first_event(self.progress, target);
@@ -410,7 +411,9 @@
             "target" => source.target.id.as_str(), "reason" => reason,
             "last_event" => self.last_event, "has_copy" => self.migrator.has_copy());
         state.metrics.count("stream.broken");
-        state.record_target_failure(&source.target);
+        if !source.is_relayed() {
+            state.record_target_failure(&source.target);
+        }
         if !self.is_sound {
             crash::check(self.job, &source.target).await;
         }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -133,6 +133,21 @@
     OtherTarget,
     /// The request may have run.
     Unknown(String),
+    /// The same, and the cause is likely to be the node that relayed the connection.
+    RelayLost(String),
+}
+
+impl From<ConnectionError> for Failure {
+    fn from(error: ConnectionError) -> Self {
+        match error {
+            ConnectionError::Refused => Self::Refused,
+            ConnectionError::Unreachable => Self::Unreachable,
+            ConnectionError::NoPath => Self::NoPath,
+            ConnectionError::NotSent(reason) => Self::NotSent(reason),
+            ConnectionError::Unknown(reason) => Self::Unknown(reason),
+            ConnectionError::RelayLost(reason) => Self::RelayLost(reason),
+        }
+    }
 }
 
 /// Point from which a target continues a generation.
@@ -250,13 +265,7 @@
                 target_connection::open(&self.state, target, Purpose::Request).await
             })
             .await;
-        let response = answered.map_err(|error| match error {
-            ConnectionError::Refused => Failure::Refused,
-            ConnectionError::Unreachable => Failure::Unreachable,
-            ConnectionError::NoPath => Failure::NoPath,
-            ConnectionError::NotSent(reason) => Failure::NotSent(reason),
-            ConnectionError::Unknown(reason) => Failure::Unknown(reason),
-        })?;
+        let response = answered?;
         let metadata = target_call::record_response(&self.state, target, sent, &response.head);
         self.verify_response(&metadata)?;
         Ok((response, metadata))
@@ -292,7 +301,7 @@
             | Failure::NotSent(_)
             | Failure::OtherTarget => true,
             Failure::NotRun => progress.sends < self.route.max_attempts,
-            Failure::Unknown(_) => {
+            Failure::Unknown(_) | Failure::RelayLost(_) => {
                 self.route.kind.is_idempotent() && progress.sends < self.route.max_attempts
             }
         };
@@ -396,6 +405,10 @@
                 progress.was_misdirected = true;
                 backoff_until_ms = state.record_target_failure(target);
             }
+            Failure::RelayLost(_) => {
+                progress.sends += 1;
+                progress.may_have_run = true;
+            }
             Failure::Unknown(_) => {
                 progress.sends += 1;
                 progress.may_have_run = true;
@@ -435,7 +448,7 @@
 /// Returns the cause of a failed send, or an empty string.
 fn failure_reason(failure: &Failure) -> &str {
     match failure {
-        Failure::NotSent(reason) | Failure::Unknown(reason) => reason,
+        Failure::NotSent(reason) | Failure::Unknown(reason) | Failure::RelayLost(reason) => reason,
         Failure::Refused
         | Failure::Unreachable
         | Failure::NoPath
--- a/filbertpaddle-gateway/src/target_stream.rs
+++ b/filbertpaddle-gateway/src/target_stream.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns whether another node relays its connection.
+    pub fn is_relayed(&self) -> bool {
+        self.body.is_relayed()
+    }
+
     /// Puts back the last event, which the next call returns again.
     pub fn put_back(&mut self, event: Event) {
         self.ready.push_front(event);
--- a/filbertpaddle/tests/gateway/cut_from_targets.rs
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -337,6 +337,34 @@
     gated.close();
 }
 
+/// Streams through a node that loses its own links put their targets into back-off, and could not
+/// go on at any.
+#[tokio::test]
+async fn a_relay_that_is_cut_off_itself_accuses_no_target() {
+    let mut gated = GatedCluster::start("relay-cut").await;
+    for node in [0, 2] {
+        gated.set(node, Passage::Reset).await;
+        let prefix = format!("early-{node}");
+        gated.send_until_noticed(node, &prefix).await;
+    }
+    let mut callers = Vec::new();
+    for number in 0..6 {
+        let attempt = format!("s-{number}");
+        let sent = request(&attempt, Method::POST, RESUMABLE_PATH, Some(600));
+        callers.push((attempt.clone(), gated.spawn(0, sent)));
+        gated.wait_until_running(&attempt).await;
+    }
+    gated.set(0, Passage::Open).await;
+    gated.send_until_noticed(0, "healed").await;
+    gated.set(1, Passage::RefuseNew).await;
+    gated.set(1, Passage::Reset).await;
+    for (attempt, caller) in callers {
+        let answer = caller.await.unwrap();
+        assert!(answer.is_complete && answer.body == complete_stream(&attempt, 150));
+    }
+    gated.close();
+}
+
 #[tokio::test]
 async fn a_relay_that_stops_lets_what_it_relays_end() {
     let mut gated = GatedCluster::start("relay-stops").await;
--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -91,9 +91,9 @@
         Fault::KeyRotation => cluster.rotate_key(),
         Fault::TargetRate(target, tenths) => active.change = state_rate(cluster, target, tenths),
         Fault::TargetsCut(number, cut) => {
-            cluster.set_passage(number, cut).await;
             let kind = ChangeKind::TargetsCut(number);
             active.change = Some(cluster.history.record_change(kind));
+            cluster.set_passage(number, cut).await;
         }
         Fault::DataCentreOut(number) => {
             cluster.begin_outage(number);
--- a/filbertpaddle/tests/soak/target_cuts.rs
+++ b/filbertpaddle/tests/soak/target_cuts.rs
@@ -14,6 +14,8 @@
 /// Time from the start of a cut to that from which callers must be served. The users allow longer,
 /// but cuts of the schedule end by then.
 const NOTICE_TIME: Duration = Duration::from_millis(1_500);
+/// Time after the end of a cut in which nodes notice it.
+const RETURN_TIME: Duration = Duration::from_millis(500);
 /// Least share of first attempts that are served, of the share at other nodes.
 const SERVED_RATIO: f64 = 2.0 / 3.0;
 /// Share of all first attempts that may fail at the nodes that are cut off.
