--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -72,7 +72,7 @@
     /// The request may have reached the target.
     #[error("no response, request may have arrived: {0}")]
     Unknown(String),
-    /// The same, on a connection of another node, whose end says nothing of the target.
+    /// The same, on a connection of another node, whose end is no sign of the state of the target.
     #[error("relayed connection lost, request may have arrived: {0}")]
     RelayLost(String),
 }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -391,7 +391,7 @@
             Failure::Unreachable => {
                 backoff_until_ms = state.selector.borrow_mut().record_unreachable(now, target);
             }
-            // It says nothing of the target.
+            // No sign of the state of the target.
             Failure::NoPath => {}
             Failure::NotSent(_) => {
                 backoff_until_ms = state.record_target_failure(target);
--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -181,7 +181,7 @@
     }
 
     /// Records that a connection to a target broke or a request failed there, and returns the end
-    /// of the target's back-off. It says nothing of the target while this node is cut off.
+    /// of the target's back-off. While this node is cut off, there is none: its links are at fault.
     pub fn record_target_failure(&self, target: &Target) -> Millis {
         if self.direct_path.borrow().is_cut_off() {
             return Millis::ZERO;
--- a/filbertpaddle/tests/gateway/brittle.rs
+++ b/filbertpaddle/tests/gateway/brittle.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filbertpaddle_adapter_standins::caller;
-use filbertpaddle_adapter_standins::target::Brittle;
+use filbertpaddle_adapter_standins::place::Brittle;
 use http::Method;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
