Bound the pause after a brittle target's refusal to ten seconds

Found while reading the change. With 295 nodes and five refusals a second the pause was 118 s, with 740 nodes 296 s, at one target after the other; a node that pauses at all targets of a service does not learn that they are sound again, and would refuse its callers for minutes.

--- a/filbertpaddle-forward/src/refusal_limit.rs
+++ b/filbertpaddle-forward/src/refusal_limit.rs
@@ -25,7 +25,10 @@
 /// different nodes overlap.
 const DRAWN_SHARE: f64 = 0.6;
 /// Shortest pause after a refusal.
-const MIN_PAUSE_MS: u64 = 500;
+const MIN_PAUSE_MS: f64 = 500.0;
+/// Longest pause. A node that pauses at all targets of a service does not learn from them that
+/// they are sound again.
+const MAX_PAUSE_MS: f64 = 10_000.0;
 /// Part of the stated refusals that nodes use up.
 const USED_SHARE: f64 = 0.5;
 
@@ -87,7 +90,7 @@
         };
         let per_sec = (statement.per_sec * USED_SHARE).max(f64::MIN_POSITIVE);
         let pause_ms = nodes.max(1) as f64 * 1_000.0 / per_sec;
-        let until_ms = now + Millis((pause_ms as u64).max(MIN_PAUSE_MS));
+        let until_ms = now + Millis(pause_ms.clamp(MIN_PAUSE_MS, MAX_PAUSE_MS) as u64);
         self.paused_until_ms.insert(target.id.clone(), until_ms);
         until_ms
     }
