Let the check of a crashed target prove a cut as requests do

Trace: the cut was over after a quarter of a second, no request needed a relay in it, so nothing proved it, and what four streams had recorded at each target in two rounds kept both targets in back-off 1.5 s after the third round began: requests were refused though all was well. The check of crashed targets had reached both through another node, and dropped that.

Now each relayed connection counts as the proof.

--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -22,6 +22,7 @@
 use crate::relay;
 use crate::state::State;
 use crate::tunnel::Purpose;
+use crate::tunnel::RelayedStream;
 
 /// Interval at which a node that is cut off tries to reach a target.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -42,6 +43,16 @@
             Err(_) => {}
         }
     }
+    let relayed = open_relayed(state, target, purpose).await;
+    relayed.map(|stream| Transport::Relayed(Box::new(stream)))
+}
+
+/// Opens a connection to a target through another node, and records what that shows.
+async fn open_relayed(
+    state: &State,
+    target: &Target,
+    purpose: Purpose,
+) -> Result<RelayedStream, Error> {
     let relayed = relay::open(state, target, purpose).await;
     match &relayed {
         Ok(_) if state.direct_path.borrow_mut().record_relayed() => {
@@ -55,7 +66,7 @@
         }
         _ => {}
     }
-    relayed.map(|stream| Transport::Relayed(Box::new(stream)))
+    relayed
 }
 
 /// Opens a connection from this node to a target.
@@ -100,7 +111,7 @@
             Ok(_) | Err(_) => return false,
         }
     }
-    let relayed = relay::open(state, target, Purpose::Call).await;
+    let relayed = open_relayed(state, target, Purpose::Call).await;
     matches!(relayed, Err(Error::Refused))
 }
 
