Ask for a relayed connection from the address that the node registered

Callers of a node that reaches no target: if its VM has several addresses, all other nodes refused to relay for it ("the node that asks is not known"), since they compare the address that it asks from with the one in the store, and the system chose the former.

Change: such a link is opened from the registered address. Links for tables and load are opened as before: nobody compares their address. Ruled out: not to compare addresses, which would open targets to anyone who reaches the peers' port.

--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -1,6 +1,8 @@
 //! A WebSocket link between two nodes and the messages exchanged on it.
 
 use std::fmt;
+use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,6 +22,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use slog::info;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
@@ -171,16 +174,37 @@
     /// Returns an error if the link cannot be opened in time.
     pub async fn dial(state: &State, address: SocketAddr, is_reader: bool) -> Result<Self, Error> {
         let node = state.settings.node.clone();
-        Self::dial_with(address, &Message::Hello { node, is_reader }).await
+        let connecting = TcpStream::connect(address);
+        Self::open(connecting, address, &Message::Hello { node, is_reader }).await
     }
 
-    /// Opens a link to a node and sends its first message.
+    /// Opens a link from this node's address `own`, by which the other node knows it, and sends
+    /// its first message.
     ///
     /// # Errors
     ///
     /// Returns an error if the link cannot be opened in time.
-    pub async fn dial_with(address: SocketAddr, first: &Message) -> Result<Self, Error> {
-        let connected = timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await;
+    pub async fn dial_from(
+        own: IpAddr,
+        address: SocketAddr,
+        first: &Message,
+    ) -> Result<Self, Error> {
+        let connecting = async {
+            let socket = match own {
+                IpAddr::V4(_) => TcpSocket::new_v4()?,
+                IpAddr::V6(_) => TcpSocket::new_v6()?,
+            };
+            socket.bind(SocketAddr::new(own, 0))?;
+            socket.connect(address).await
+        };
+        Self::open(connecting, address, first).await
+    }
+
+    async fn open<C>(connecting: C, address: SocketAddr, first: &Message) -> Result<Self, Error>
+    where
+        C: Future<Output = io::Result<TcpStream>>,
+    {
+        let connected = timeout(OPEN_TIMEOUT, connecting).await;
         let stream = connected
             .map_err(|_| Error::Timeout)?
             .map_err(Error::Connect)?;
--- a/filbertpaddle-gateway/src/relay.rs
+++ b/filbertpaddle-gateway/src/relay.rs
@@ -1,5 +1,6 @@
 //! Connections to targets through other nodes.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -38,6 +39,7 @@
     purpose: Purpose,
 ) -> Result<RelayedStream, Error> {
     let deadline = Instant::now() + TOTAL_TIMEOUT;
+    let own = state.settings.peers.ip();
     for (node, address) in candidates(state) {
         let request = OpenRequest {
             node: state.settings.node.clone(),
@@ -45,7 +47,7 @@
             started_ms: target.started_ms,
             purpose,
         };
-        let refusal = match timeout_at(deadline, ask(address, request)).await {
+        let refusal = match timeout_at(deadline, ask(own, address, request)).await {
             Ok(Ok(Ok(stream))) => {
                 info!(state.log, "connected to target through another node";
                     "target" => target.id.as_str(), "node" => node.as_str(), "purpose" => %purpose);
@@ -72,11 +74,12 @@
 }
 
 async fn ask(
+    own: IpAddr,
     address: SocketAddr,
     request: OpenRequest,
 ) -> Result<Result<RelayedStream, RelayRefusal>, peer_link::Error> {
     let asked = async {
-        let mut link = PeerLink::dial_with(address, &Message::Open(request)).await?;
+        let mut link = PeerLink::dial_from(own, address, &Message::Open(request)).await?;
         match link.receive().await? {
             Message::Opened(Ok(())) => Ok(Ok(RelayedStream::new(link.into_socket()))),
             Message::Opened(Err(refusal)) => Ok(Err(refusal)),
