Give each host of a test a loopback address of its own

Cause: all clusters of the soak's tests shared 127.0.0.1. A node or target that ends frees its ports, and the system gives them to another cluster: callers that still hold a former address then send to a target of another seed, past all nodes, and the target counts them.

Ruled out: a fault of the nodes' limit for cold targets. Each of four nodes sends at most one request a second there, 16 cannot come from them; and all 16 consecutive requests of one caller ran, of all kinds, which no node would send to this target.

Change: each VM, each target's host and the store have an address of their own for as long as they live; proxies and gates listen on the host that they stand before and connect from that of their client. Also in the tests of the gateway and of the nodes of the own interface. No check is changed; the test of who may ask for a connection asks from a foreign address besides.

--- a/filbertpaddle-standins/src/gate.rs
+++ b/filbertpaddle-standins/src/gate.rs
@@ -2,7 +2,6 @@
 //! sees of targets that it is cut off from.
 
 use std::io;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -86,13 +85,13 @@
 }
 
 impl Gate {
-    /// Starts an open gate on a free local port that forwards to `upstream`.
+    /// Starts an open gate that forwards to `upstream`, on a free port of the same host.
     ///
     /// # Errors
     ///
     /// Returns an error if no port can be bound.
     pub async fn start(upstream: SocketAddr) -> io::Result<Self> {
-        let holder = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let holder = bind(SocketAddr::new(upstream.ip(), 0))?;
         let local = holder.local_addr()?;
         let address = local.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
         let state = ProxyState {
--- a/filbertpaddle-standins/src/lib.rs
+++ b/filbertpaddle-standins/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fleet;
 pub mod gate;
 pub mod lengths;
+pub mod loopback;
 pub mod marker;
 pub mod node_settings;
 pub mod observation;
--- a/filbertpaddle-standins/src/proxy.rs
+++ b/filbertpaddle-standins/src/proxy.rs
@@ -2,7 +2,6 @@
 //! to its address pass while the link is open.
 
 use std::io;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -101,14 +100,14 @@
 }
 
 impl Proxy {
-    /// Starts a proxy on a free local port that forwards to `upstream`.
+    /// Starts a proxy that forwards to `upstream`, on a free port of the same host.
     ///
     /// # Errors
     ///
     /// Returns an error if no address can be bound.
     pub async fn start(upstream: SocketAddr) -> io::Result<Self> {
-        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        Self::start_at(any, upstream, any).await
+        let any_port = SocketAddr::new(upstream.ip(), 0);
+        Self::start_at(any_port, upstream, any_port).await
     }
 
     /// Starts a proxy at `address` that forwards to `upstream` and serves control
--- a/filbertpaddle-standins/src/proxy_connection.rs
+++ b/filbertpaddle-standins/src/proxy_connection.rs
@@ -1,6 +1,8 @@
 //! Relays one TCP connection through the proxy and applies the faults of the link to it.
 
 use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -9,6 +11,7 @@
 use bytes::Bytes;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
@@ -48,6 +51,16 @@
     HalfOpen,
 }
 
+/// Connects to `upstream` from the host of the client, so that the proxy is not seen there.
+async fn connect(from: IpAddr, upstream: SocketAddr) -> io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    // The system chooses the usual address by itself.
+    if from != Ipv4Addr::LOCALHOST {
+        socket.bind(SocketAddr::new(from, 0))?;
+    }
+    socket.connect(upstream).await
+}
+
 /// Relays bytes between `client` and `upstream` until both have closed or a fault
 /// ends the connection.
 pub(crate) async fn relay_connection(
@@ -63,7 +76,7 @@
     if link == Link::HalfOpen {
         return discard_until_healed(&mut client, faults).await;
     }
-    let mut server = match TcpStream::connect(upstream).await {
+    let mut server = match connect(client.peer_addr()?.ip(), upstream).await {
         Ok(server) => server,
         Err(_) => return client.set_zero_linger(),
     };
--- a/filbertpaddle/tests/common/fleet.rs
+++ b/filbertpaddle/tests/common/fleet.rs
@@ -23,6 +23,7 @@
 use filbertpaddle_platform::protocol::Vm;
 use filbertpaddle_platform::protocol::VmList;
 use filbertpaddle_platform::protocol::VmRole;
+use filbertpaddle_standins::loopback::next_host;
 use filbertpaddle_standins::process::Process;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -250,9 +251,10 @@
 fn write_settings(settings: &NodeSettings) -> PathBuf {
     let peers: Vec<String> = settings.peers.iter().map(ToString::to_string).collect();
     let token = HEXLOWER.encode(&Sha256::digest(OPERATOR_TOKEN.as_bytes()));
+    let ip = next_host();
     let text = format!(
         "node: {{name: {}, data_centre: {}}}
-listen: {{callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}}
+listen: {{callers: '{ip}:0', operators: '{ip}:0', peers: '{ip}:0'}}
 peers: [{}]
 platform: {{address: '{}', timeout_ms: 1000}}
 secrets: {{peer: {PEER_SECRET}, ticket: {TICKET_SECRET}}}
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -20,6 +20,7 @@
 use filbertpaddle_adapter_standins::target::Copies;
 use filbertpaddle_adapter_standins::target::Target;
 use filbertpaddle_adapter_standins::target::event;
+use filbertpaddle_standins::loopback::next_host;
 use http::Method;
 use serde_json::Value;
 use tokio::time::sleep;
@@ -122,6 +123,7 @@
     pub(crate) fn node_options(&self, name: &str, data_centre: &str) -> node::Options {
         node::Options {
             name: name.to_owned(),
+            ip: next_host(),
             data_centre: data_centre.to_owned(),
             store: self.store.address,
             seeds: Vec::new(),
@@ -199,6 +201,7 @@
 fn target_options(id: &str, service: &str, data_centre: &str) -> target::Options {
     target::Options {
         id: id.to_owned(),
+        ip: next_host(),
         service: service.to_owned(),
         data_centre: data_centre.to_owned(),
         event_ms: 20,
--- a/filbertpaddle/tests/gateway/cut_from_targets.rs
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -1,5 +1,6 @@
 //! Nodes that reach no target, while callers, the store and the other nodes reach them.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -9,10 +10,12 @@
 use filbertpaddle_adapter_standins::target::Behaviour;
 use filbertpaddle_standins::gate::Gate;
 use filbertpaddle_standins::gate::Passage;
+use filbertpaddle_standins::loopback::next_host;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use http::Method;
 use serde::Serialize;
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio_tungstenite::tungstenite::Message as Frame;
@@ -406,12 +409,21 @@
 }
 
 #[tokio::test]
-async fn only_nodes_in_the_store_get_connections_to_targets() {
+async fn only_nodes_in_the_store_get_connections_to_targets_and_only_from_their_addresses() {
     let gated = GatedCluster::start("relay-strangers").await;
+    let own = gated.cluster.nodes[1].addresses.peers.ip();
     let mut answers = Vec::new();
-    for node in ["node-1", "nobody"] {
-        let url = format!("ws://{}/", gated.cluster.nodes[0].addresses.peers);
-        let (mut socket, _) = tokio_tungstenite::connect_async(url).await.unwrap();
+    for (node, from) in [
+        ("node-1", own),
+        ("nobody", own),
+        ("node-1", next_host().into()),
+    ] {
+        let address = gated.cluster.nodes[0].addresses.peers;
+        let connection = TcpSocket::new_v4().unwrap();
+        connection.bind(SocketAddr::new(from, 0)).unwrap();
+        let stream = connection.connect(address).await.unwrap();
+        let opening = tokio_tungstenite::client_async(format!("ws://{address}/"), stream);
+        let (mut socket, _) = opening.await.unwrap();
         let first = FirstMessage::Open {
             node,
             target: "p1",
@@ -426,5 +438,6 @@
     }
     assert!(answers[0].contains("Ok"), "{answers:?}");
     assert!(answers[1].contains("unknown_node"), "{answers:?}");
+    assert!(answers[2].contains("unknown_node"), "{answers:?}");
     gated.close();
 }
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -1,6 +1,7 @@
 //! The cluster under test: node processes, a proxy on each link, and stand-ins for
 //! the store and the targets.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -24,6 +25,7 @@
 use filbertpaddle_adapter_standins::target::Target;
 use filbertpaddle_standins::gate::Gate;
 use filbertpaddle_standins::gate::Passage;
+use filbertpaddle_standins::loopback::next_host;
 use filbertpaddle_standins::proxy::Proxy;
 use tokio::task::JoinHandle;
 use tokio::task::block_in_place;
@@ -83,6 +85,7 @@
 /// A VM, on which successive node processes run.
 #[derive(Debug)]
 pub(crate) struct Vm {
+    ip: Ipv4Addr,
     pub(crate) to_store: Proxy,
     pub(crate) running: Option<RunningNode>,
     incarnations: usize,
@@ -176,6 +179,7 @@
             let view = cluster.views[number % DATA_CENTRES.len()];
             let to_store = Proxy::start(view.address).await.unwrap();
             cluster.vms.push(Vm {
+                ip: next_host(),
                 to_store,
                 running: None,
                 incarnations: 0,
@@ -222,6 +226,7 @@
         };
         let options = target::Options {
             id: format!("target-{number}"),
+            ip: next_host(),
             service: service.to_owned(),
             data_centre: DATA_CENTRES[number / 2 % DATA_CENTRES.len()].to_owned(),
             event_ms: EVENT_INTERVAL_MS,
@@ -372,6 +377,7 @@
         let running = self.vms.iter().filter_map(|vm| vm.running.as_ref());
         node::Options {
             name: format!("node-{number}-{}", vm.incarnations),
+            ip: vm.ip,
             data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
             store: vm.to_store.address,
             seeds: running.map(|running| running.peers.address).collect(),
