Let a starting node wait for no node that is down or starts as well

Cause: a node that is no reader waited 0.5 s for one to follow, and looked again only at changes or each 0.6 s, though the node to follow had refused it at once, or had just started too: a node without data said to be up to date, since the age of its data counted from its start.

Ruled out: the store (4 to 10 ms a call) and the first read of the list (15 ms).

Change: when to read is a decision without I/O with named inputs (store_reading): a node without data that was refused, or whose neighbour has none, reads after a delay drawn from the time that the store's rate needs for all nodes; readers at once, and their followers get the tables from them meanwhile. Nodes without data state so. A node looks for one to follow as soon as it knows the list, no longer 0.1 s after its start, and passes on to the next at once. A follower whose first read fails retries within 0.6 s (was 1.5 to 3.5 s); a node without data as a reader.

Left: the first start of a whole system (0.5 s), stopping nodes and the own interface.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod revision;
 pub mod software_version;
 pub mod stated_rate;
+pub mod store_reading;
 pub mod stream_pace;
 pub mod stream_versions;
 pub mod target;
--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -14,6 +14,7 @@
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
+use filbertpaddle_forward::store_reading::FollowedPeer;
 use rand::seq::IndexedRandom;
 use slog::debug;
 use slog::info;
@@ -29,15 +30,18 @@
 use crate::peer_link::PeerLink;
 use crate::peer_link::SILENCE_TIMEOUT;
 use crate::peer_link::merge_findings;
-use crate::state::FollowedPeer;
 use crate::state::State;
+use crate::store_sync::REGISTRATION_CHECK_INTERVAL;
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Follows another node whenever this one needs to, for as long as it runs.
 pub async fn run(state: Rc<State>) {
+    wait_for_node_list(&state).await;
+    let mut pause = Duration::ZERO;
     loop {
-        sleep(CHECK_INTERVAL).await;
+        sleep(pause).await;
+        pause = CHECK_INTERVAL;
         let is_reader = state.is_reader();
         if is_reader && !state.directory.borrow().is_store_lost() {
             continue;
@@ -49,14 +53,37 @@
         state.set_followed_peer(FollowedPeer::default());
         info!(state.log, "stopped following a node";
             "peer" => %address, "reason" => result.as_ref().err().map(ToString::to_string));
-        if let (Err(error), Some(name)) = (result, name) {
-            let now = state.clock.now();
-            let mut nodes = state.nodes.borrow_mut();
-            match error {
-                Error::TooOld => nodes.mark_outdated(now, &name),
-                _ => nodes.mark_unresponsive(now, &name),
+        let Err(error) = result else {
+            continue;
+        };
+        if let Some(name) = name {
+            exclude(&state, &name, &error);
+            if !state.has_data() {
+                // The node that reads instead is known already.
+                pause = Duration::ZERO;
             }
         }
+        state.record_turned_away();
+        // This node may have to read the store now.
+        state.notify();
+    }
+}
+
+/// Waits until this node has read the list of nodes, or long enough to follow a seed instead.
+async fn wait_for_node_list(state: &State) {
+    let deadline = Instant::now() + CHECK_INTERVAL;
+    while !state.is_registered.get() && Instant::now() < deadline {
+        sleep(REGISTRATION_CHECK_INTERVAL).await;
+    }
+}
+
+/// Excludes a node that could not be followed for a while.
+fn exclude(state: &State, name: &Name, error: &Error) {
+    let now = state.clock.now();
+    let mut nodes = state.nodes.borrow_mut();
+    match error {
+        Error::TooOld => nodes.mark_outdated(now, name),
+        _ => nodes.mark_unresponsive(now, name),
     }
 }
 
@@ -133,6 +160,9 @@
                     "is_store_lost" => status.is_store_lost,
                     "operator_age_ms" => ages.operator_ms.0, "targets_age_ms" => ages.targets_ms.0);
             }
+            if status.is_store_lost {
+                state.record_turned_away();
+            }
             state.set_followed_peer(status);
         }
         Message::Nodes(list) => {
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -116,7 +116,7 @@
     loop {
         send_tables(state, link, &mut published).await?;
         send_nodes(state, link, &mut published).await?;
-        if published.is_store_lost != state.is_store_lost() {
+        if published.is_store_lost != state.lacks_data() {
             // Followers read the store themselves from now on, or no longer.
             send_ages(state, link, &mut published).await?;
         }
@@ -187,7 +187,7 @@
     link: &mut PeerLink,
     published: &mut Published,
 ) -> Result<(), Error> {
-    published.is_store_lost = state.is_store_lost();
+    published.is_store_lost = state.lacks_data();
     link.send(&ages_message(state)).await
 }
 
@@ -198,7 +198,7 @@
     Message::Ages(Ages {
         operator_ms: state.data_age_ms(Table::Operator),
         targets_ms: state.data_age_ms(Table::Targets),
-        is_store_lost: state.is_store_lost(),
+        is_store_lost: state.lacks_data(),
         era: state.directory.borrow().era(),
         nodes_fingerprint,
         listed_ms,
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -21,6 +21,8 @@
 use filbertpaddle_forward::retry_budget::RetryBudget;
 use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::stated_rate::StatedRates;
+use filbertpaddle_forward::store_reading::FollowedPeer;
+use filbertpaddle_forward::store_reading::Situation;
 use filbertpaddle_forward::stream_versions::StreamVersions;
 use filbertpaddle_forward::stream_versions::VersionHistory;
 use filbertpaddle_forward::target::Incarnation;
@@ -47,17 +49,6 @@
 
 /// Age of the data above which the store counts as lost while calls to it fail.
 const STORE_LOST_AGE_MS: Millis = Millis(400);
-/// How long a node without a followed node waits for one before it reads the store.
-const RELINK_WAIT_MS: Millis = Millis(500);
-
-/// Status of the followed node.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct FollowedPeer {
-    /// Whether this node follows another that responds.
-    pub is_up: bool,
-    /// Whether that node has lost the store or its data is old.
-    pub is_store_lost: bool,
-}
 
 /// State shared by all tasks of a node, which run on one thread.
 #[derive(Debug)]
@@ -102,6 +93,10 @@
     pub load_table: RefCell<LoadTable>,
     /// Time when the followed node was lost, or when this node could first follow one.
     pub peer_lost_ms: Cell<Millis>,
+    /// Time when a node first refused this one, or had no data, while this one had none.
+    turned_away_ms: Cell<Option<Millis>>,
+    /// Random number from 0 to 1 that spreads the first reads of nodes that start together.
+    first_read_draw: f64,
     budgets: RefCell<IndexMap<Name, RetryBudget>>,
     contention: RefCell<IndexMap<Name, Contention>>,
     /// What requests have in common that were waiting when their target crashed.
@@ -153,6 +148,8 @@
             nodes: RefCell::new(Nodes::new()),
             followed_peer: Cell::default(),
             peer_lost_ms: Cell::default(),
+            turned_away_ms: Cell::default(),
+            first_read_draw: rand::random(),
             other_load_ms: Cell::default(),
             load_table: RefCell::new(LoadTable::new()),
             budgets: RefCell::default(),
@@ -343,18 +340,42 @@
         self.metrics.time("age.targets", targets_ms);
     }
 
-    /// Returns whether this node reads the store: as a reader for others, because the node
-    /// that it follows has lost the store, or because it has found no node to follow in time.
-    pub fn must_read(&self) -> bool {
-        if self.is_reader() {
-            return true;
+    /// Returns what the decision to read the store depends on.
+    pub fn reading_situation(&self) -> Situation {
+        Situation {
+            is_reader: self.is_reader(),
+            has_data: self.has_data(),
+            followed: self.followed_peer.get(),
+            peer_lost_ms: self.peer_lost_ms.get(),
+            turned_away_ms: self.turned_away_ms.get(),
+            nodes: self.nodes.borrow().live().len(),
+            draw: self.first_read_draw,
         }
-        let status = self.followed_peer.get();
-        if status.is_up {
-            return status.is_store_lost;
+    }
+
+    /// Returns whether this node reads the store now.
+    pub fn must_read(&self) -> bool {
+        let from_ms = self.reading_situation().read_from_ms();
+        from_ms.is_some_and(|from_ms| self.clock.now() >= from_ms)
+    }
+
+    /// Returns whether this node has read or received all tables.
+    pub fn has_data(&self) -> bool {
+        self.directory.borrow().is_complete()
+    }
+
+    /// Records that a node refused this one or has no data. If this one has none either, it does
+    /// not wait for others for long.
+    pub fn record_turned_away(&self) {
+        if self.has_data() || self.turned_away_ms.get().is_some() {
+            return;
         }
-        // A node to follow is likely to be found within this time.
-        self.clock.now() >= self.peer_lost_ms.get() + RELINK_WAIT_MS
+        self.turned_away_ms.set(Some(self.clock.now()));
+        let situation = self.reading_situation();
+        info!(self.log, "no node has data for this one, reading the store";
+            "is_reader" => situation.is_reader, "nodes" => situation.nodes,
+            "from_ms" => situation.read_from_ms().map(|from_ms| from_ms.0),
+            "now_ms" => self.clock.now().0);
     }
 
     /// Returns whether this node reads the store for its data centre.
@@ -382,6 +403,11 @@
         }
     }
 
+    /// Returns whether nodes that follow this one must read the store themselves.
+    pub fn lacks_data(&self) -> bool {
+        self.is_store_lost() || !self.has_data()
+    }
+
     /// Sets the status of the followed node.
     pub fn set_followed_peer(&self, status: FollowedPeer) {
         let previous = self.followed_peer.replace(status);
@@ -395,7 +421,7 @@
 
     /// Returns whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.drain.get().is_none() && self.directory.borrow().is_complete()
+        self.drain.get().is_none() && self.has_data()
     }
 
     fn record_applied(&self, source: &str, as_of_ms: Millis, applied: &AppliedChanges) {
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -36,13 +36,12 @@
 const LONG_POLL_AFTER_FAILURE_MS: Millis = Millis(300);
 /// Pause between calls of a node that reads for itself only.
 const SOLO_PAUSE_MS: Millis = Millis(600);
-/// Retry delay of a node whose reader cannot read either; random, so that not all
-/// nodes retry at once.
-const PROBE_INTERVAL_MS: std::ops::Range<u64> = 1_500..3_500;
-const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// Delay after the first failed call; grows with each further failure.
-const RETRY_DELAY_MS: Millis = Millis(150);
-const MAX_RETRY_DELAY_MS: Millis = Millis(600);
+/// Interval at which tasks check whether the node has read the list of nodes.
+pub(crate) const REGISTRATION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time after which a node that relies on another checks again whether it must read.
+const READING_CHECK_MS: Millis = Millis(600);
+/// Delay after a failed refresh of the registration; random, so that not all nodes retry at once.
+const REFRESH_RETRY_DELAY_MS: std::ops::Range<u64> = 1_500..3_500;
 
 /// Delay before a node of a first start reads the list of nodes. All nodes start
 /// within 0.3 s of each other and write their entries in this time.
@@ -92,7 +91,7 @@
                 .record_store_regained(state.clock.now(), table);
             tokio::select! {
                 _ = changes.changed() => {}
-                () = sleep(duration(MAX_RETRY_DELAY_MS)) => {}
+                () = sleep(duration(time_until_read_ms(&state))) => {}
             }
             continue;
         }
@@ -129,19 +128,19 @@
                     state.metrics.count("store.lost");
                     state.notify();
                 }
-                sleep(duration(retry_delay_ms(&state, failures))).await;
+                let situation = state.reading_situation();
+                let delay_ms = situation.retry_delay_ms(failures, rand::random());
+                sleep(duration(delay_ms)).await;
             }
         }
     }
 }
 
-/// Returns the delay after failed calls. Readers retry often, for all nodes. The others
-/// retry rarely, in case only their readers cannot reach the store.
-fn retry_delay_ms(state: &State, failures: u64) -> Millis {
-    if !state.is_reader() && state.followed_peer.get().is_up {
-        return Millis(rand::random_range(PROBE_INTERVAL_MS));
-    }
-    Millis(RETRY_DELAY_MS.0 * failures.min(4)).min(MAX_RETRY_DELAY_MS)
+/// Returns the time until this node reads the store, or checks again whether it must.
+fn time_until_read_ms(state: &State) -> Millis {
+    let from_ms = state.reading_situation().read_from_ms();
+    let until_ms = from_ms.map(|from_ms| from_ms.since(state.clock.now()));
+    until_ms.map_or(READING_CHECK_MS, |until_ms| until_ms.min(READING_CHECK_MS))
 }
 
 /// Renews this node's entry for as long as the node runs, and reads the list of nodes
@@ -164,7 +163,7 @@
             Err(error) => {
                 warn!(state.log, "node list or own entry not refreshed, retrying";
                     "error" => %error);
-                duration(Millis(rand::random_range(PROBE_INTERVAL_MS)))
+                duration(Millis(rand::random_range(REFRESH_RETRY_DELAY_MS)))
             }
         };
         tokio::select! {
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod rate_limits;
 mod rollback;
 mod slow_caller;
+mod starting;
 mod stopping;
 mod streams;
 mod unframed;
