--- a/filbertpaddle-forward/src/store_reading.rs
+++ b/filbertpaddle-forward/src/store_reading.rs
@@ -9,6 +9,9 @@
 
 /// How long a node that follows nobody, but has data, waits for a node to follow.
 const RELINK_WAIT_MS: Millis = Millis(500);
+/// How long a node without data waits for one that responds, but has none either, if no caller
+/// needs it yet: all nodes of a system that starts for the first time call the store anyway.
+const FIRST_START_WAIT_MS: Millis = Millis::from_secs(2);
 /// Rate at which nodes that start together read the store. Each needs about four calls, and a
 /// store of the usual size accepts 2,000 reads per second.
 const FIRST_READS_PER_SEC: u64 = 400;
@@ -40,9 +43,9 @@
     /// Time when the followed node was lost, or when this node could first follow one.
     pub peer_lost_ms: Millis,
     /// Time when a node first refused this one, or turned out to have no data, while this one had
-    /// none.
+    /// none; `None` on the first start of the whole system.
     pub turned_away_ms: Option<Millis>,
-    /// Number of live nodes.
+    /// Number of live nodes; 0 while the list of nodes is not known.
     pub nodes: usize,
     /// Random number from 0 to 1, drawn when the node started.
     pub draw: f64,
@@ -57,11 +60,11 @@
         if self.followed.is_up && !self.followed.is_store_lost {
             return None;
         }
-        let relinked_ms = self.peer_lost_ms + RELINK_WAIT_MS;
         match (self.has_data, self.turned_away_ms) {
             (true, _) if self.followed.is_up => Some(Millis::ZERO),
             (false, Some(at_ms)) => Some(at_ms + self.first_read_delay_ms()),
-            _ => Some(relinked_ms),
+            (false, None) if self.followed.is_up => Some(self.peer_lost_ms + FIRST_START_WAIT_MS),
+            _ => Some(self.peer_lost_ms + RELINK_WAIT_MS),
         }
     }
 
@@ -83,6 +86,10 @@
 
     /// Returns this node's delay before its first read among all nodes that may start with it.
     fn first_read_delay_ms(&self) -> Millis {
+        if self.nodes == 0 {
+            // Any number of nodes may start, and the store did not give the list to this one.
+            return RELINK_WAIT_MS;
+        }
         let span_ms = Millis(self.nodes as u64 * 1_000 / FIRST_READS_PER_SEC);
         scaled(span_ms, self.draw)
     }
--- a/filbertpaddle-forward/tests/store_reading.rs
+++ b/filbertpaddle-forward/tests/store_reading.rs
@@ -71,6 +71,32 @@
     assert_eq!(silent.read_from_ms(), lost.read_from_ms());
 }
 
+// At the first start of 295 nodes, those that had no list read the store all at once.
+#[test]
+fn a_node_that_does_not_know_how_many_start_waits_as_for_a_lost_one() {
+    let unknown = Situation {
+        turned_away_ms: Some(Millis(20)),
+        peer_lost_ms: Millis(20),
+        ..starting(0)
+    };
+    let lost = Situation {
+        turned_away_ms: None,
+        ..unknown
+    };
+    assert_eq!(unknown.read_from_ms(), lost.read_from_ms());
+}
+
+#[test]
+fn nodes_of_a_system_that_starts_for_the_first_time_wait_for_the_readers() {
+    let first = Situation {
+        followed: following(true),
+        ..starting(295)
+    };
+    let first_ms = first.read_from_ms().unwrap();
+    assert!(first_ms > starting(295).read_from_ms().unwrap());
+    assert!(first_ms <= Millis::from_secs(3));
+}
+
 #[test]
 fn a_reader_reads_at_once() {
     let reader = Situation {
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -364,10 +364,23 @@
         self.directory.borrow().is_complete()
     }
 
+    /// Records that the node has tried to read the list of nodes.
+    pub fn record_registered(&self) {
+        if self.is_registered.replace(true) {
+            return;
+        }
+        let now = self.clock.now();
+        self.peer_lost_ms.set(now);
+        // The delay depends on the number of nodes, which is known only now.
+        let turned_away_ms = self.turned_away_ms.get();
+        self.turned_away_ms.set(turned_away_ms.map(|_| now));
+    }
+
     /// Records that a node refused this one or has no data. If this one has none either, it does
-    /// not wait for others for long.
+    /// not wait for others for long, but on the first start of the whole system.
     pub fn record_turned_away(&self) {
-        if self.has_data() || self.turned_away_ms.get().is_some() {
+        let is_known = self.turned_away_ms.get().is_some();
+        if self.has_data() || self.settings.is_first_start || is_known {
             return;
         }
         self.turned_away_ms.set(Some(self.clock.now()));
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -155,9 +155,7 @@
     let mut delay = duration(SECOND_READ_DELAY_MS);
     loop {
         let result = refresh_registration(&state).await;
-        if !state.is_registered.replace(true) {
-            state.peer_lost_ms.set(state.clock.now());
-        }
+        state.record_registered();
         let pause = match result {
             Ok(()) => std::mem::replace(&mut delay, duration(RENEW_INTERVAL_MS)),
             Err(error) => {
