--- a/review/standins/stop_cuts_stream.rs
+++ b/review/standins/stop_cuts_stream.rs
@@ -13,7 +13,10 @@
 use crate::deployment::Verdict;
 use crate::deployment::has_trouble;
 use crate::http::End;
+use crate::node::Node;
+use crate::node::Place;
 use crate::node::SIGTERM;
+use crate::record::Record;
 use crate::requester;
 use crate::requester::Answer;
 use crate::requester::Request;
@@ -90,6 +93,7 @@
             }
             stopped.push((node.place.name.clone(), record.now_ms()));
         }
+        start_again(&mut deployment, &record);
         number += 1;
         let (node, front) = ingress.pick(number);
         let (record, sent) = (record.clone(), Arc::clone(&sent));
@@ -160,3 +164,21 @@
     };
     deployment.finish(verdict)
 }
+
+/// Starts the nodes again that have stopped.
+fn start_again(deployment: &mut Deployment, record: &Record) {
+    for node in &mut deployment.nodes {
+        if node.ended().is_none() {
+            continue;
+        }
+        record.add(&format!(
+            "{} has stopped and is started again",
+            node.place.name
+        ));
+        let place = Place {
+            is_first_start: false,
+            ..node.place.clone()
+        };
+        *node = Node::start(&deployment.folder, &place, node.ports);
+    }
+}
