--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -69,7 +69,7 @@
         let record = Record::create(&case.join("record.txt"));
         let folder = env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("no temporary folder");
-        let mut deployment = Self {
+        let deployment = Self {
             store: Store::start(&host(0)),
             record,
             runs: Runs::default(),
@@ -78,7 +78,6 @@
             folder,
             hosts: 1,
         };
-        deployment.hosts = 1;
         deployment.configure(1, 15_000);
         deployment
     }
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -37,13 +37,6 @@
         }
     }
 
-    pub fn number(&self) -> Option<f64> {
-        match self {
-            Json::Number(number) => Some(*number),
-            _ => None,
-        }
-    }
-
     pub fn list(&self) -> &[Json] {
         match self {
             Json::List(list) => list,
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,8 +2,6 @@
 //! record into the folder. The exit status is 1 if the rule was broken, 0 if it held and 2 if
 //! the case could not run.
 
-#![allow(dead_code)]
-
 mod deployment;
 mod http;
 mod json;
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -20,8 +20,6 @@
 
 pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
-pub const SIGSTOP: i32 = 19;
-pub const SIGCONT: i32 = 18;
 
 const SIGKILL: i32 = 9;
 
@@ -66,12 +64,6 @@
     child: Child,
 }
 
-/// Returns an address with a port that is free now.
-pub fn free_address(ip: &str) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("no free port");
-    listener.local_addr().expect("no address")
-}
-
 impl Ports {
     pub fn free(ip: &str) -> Self {
         let held: Vec<_> = (0..3)
@@ -137,15 +129,6 @@
         started.retain(|pid| *pid != self.child.id());
     }
 
-    /// Returns the peak of its resident memory in kilobytes.
-    pub fn peak_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
-        let number = line.and_then(|line| line.split_whitespace().nth(1));
-        number.and_then(|number| number.parse().ok()).unwrap_or(0)
-    }
-
     pub fn is_ready(&self) -> bool {
         requester::status_of(self.ports.ready, "/ready") == Some(200)
     }
--- a/review/standins/runner.rs
+++ b/review/standins/runner.rs
@@ -28,10 +28,6 @@
     Serve,
     /// Answers with this status line after it has worked on it, with its proof.
     FailAfterRun(&'static str),
-    /// Does nothing more on the connection.
-    Mute,
-    /// Closes the connection.
-    Close,
 }
 
 /// One run of a request.
@@ -317,11 +313,6 @@
         );
         let made = |event| self.runs.update(index, self.record.now_ms(), event);
         match action {
-            Action::Mute => {
-                thread::sleep(Duration::from_secs(100));
-                return Ok(false);
-            }
-            Action::Close => return Ok(false),
             Action::FailAfterRun(status) => {
                 thread::sleep(Duration::from_millis(self.options.work_ms));
                 made(None);
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -102,11 +102,6 @@
         self.set(table, key, Some(value.as_bytes().to_vec()));
     }
 
-    /// Drops a row.
-    pub fn drop_row(&self, table: &str, key: &str) {
-        self.set(table, key, None);
-    }
-
     fn set(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.shared.state.lock().expect("store");
         state.ver += 1;
