Log the uptime of a node that decides whether a stream may be resumed

A line of a resumption did not show for how long the node has known the versions that it decides by, so that a young node's decision looked like any other. Log fields only; no logic changed.

--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -98,7 +98,8 @@
     info!(state.log, "node started";
         "data_centre" => settings.data_centre.as_str(), "callers" => %settings.callers,
         "ready" => %settings.ready, "peers" => %settings.peers,
-        "store" => %settings.store, "version" => env!("CARGO_PKG_VERSION"));
+        "store" => %settings.store, "is_first_start" => settings.is_first_start,
+        "version" => env!("CARGO_PKG_VERSION"));
     let (phase, phases) = watch::channel(Phase::Running);
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
     spawn(Box::pin(listener::serve(
--- a/filbertpaddle-gateway/src/resumption.rs
+++ b/filbertpaddle-gateway/src/resumption.rs
@@ -53,7 +53,7 @@
         "id" => metadata.attempt.as_str(), "resumes" => metadata.resumed_attempt.as_deref(),
         "last_event" => metadata.last_event, "began" => ?began, "versions" => known.len(),
         "is_possible" => continuation.is_some(),
-        "age_ms" => state.data_age_ms(Table::Targets).0);
+        "age_ms" => state.data_age_ms(Table::Targets).0, "uptime_ms" => state.clock.now().0);
     match continuation {
         Some(continuation) => Ok(Some(continuation.clone())),
         None if known.is_empty() => Err(Refusal::NoTarget),
