--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -1,5 +1,6 @@
 //! A stand-in store, targets and node processes for one test.
 
+use std::cell::Cell;
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -37,6 +38,8 @@
     pub(crate) targets: Vec<Target>,
     pub(crate) nodes: Vec<Node>,
     copies: Copies,
+    /// Whether no node has been ready yet.
+    is_first_start: Cell<bool>,
     folder: PathBuf,
 }
 
@@ -57,6 +60,7 @@
             targets: Vec::new(),
             nodes: Vec::new(),
             copies: Copies::default(),
+            is_first_start: Cell::new(true),
             folder,
         }
     }
@@ -128,6 +132,7 @@
             store: self.store.address,
             seeds: Vec::new(),
             grace_s: 8,
+            is_first_start: self.is_first_start.get(),
         }
     }
 
@@ -144,6 +149,7 @@
         for node in &self.nodes {
             wait_until("a node is ready", async || readiness(node).await == 200).await;
         }
+        self.is_first_start.set(false);
     }
 
     /// Waits until the store lists all nodes.
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -382,6 +382,7 @@
             store: vm.to_store.address,
             seeds: running.map(|running| running.peers.address).collect(),
             grace_s: GRACE_SEC,
+            is_first_start: vm.incarnations == 1,
         }
     }
 
