--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -17,6 +17,8 @@
 mod stopping;
 mod streams;
 mod unframed;
+mod unknown_origin;
+mod version_streams;
 mod versions;
 
 use std::net::SocketAddr;
