Let a node that does not know what began a stream ask the store, and refuse without its answer

Callers' streams were joined from two software versions, with nothing in the answer to show it, after all nodes were killed during a release, and at a node that was frozen or cut off while targets of another version joined.

Cause: a node that found nobody who knew what began a stream took the only version in its own list. A node that has just started, or was out of touch, has not heard of others. Class: the absence of a report is taken for knowledge. Ruled out: a wrong version kept for a stream (no joined stream was found at a keeper), and lost or repeated events.

Change: versions that may have begun streams stand in a row of the store, before the first event of a stream from them is delivered. A node that finds nobody reads that row after the attempt has arrived; one version alone goes on, else the attempt is refused at once, not run. Versions are passed on to one other node also while they do not differ. New line: live nodes changed.

Remains: a store that cannot be reached while no node knows the version ends in a refusal; targets that start again under their ID with another version.

--- a/filbertpaddle-forward/src/stream_versions.rs
+++ b/filbertpaddle-forward/src/stream_versions.rs
@@ -12,8 +12,11 @@
 
 use crate::software_version::SoftwareVersion;
 
-/// Number of nodes, besides the one that delivered the first event, that keep its version.
+/// Number of nodes, besides the one that delivered the first event, that keep its version while
+/// targets of the service have different ones.
 pub const KEEPERS: usize = 2;
+/// The same while they all have one version, which the store's record shows as well.
+pub const KEEPERS_OF_ONE_VERSION: usize = 1;
 /// Number of nodes that are asked: the keepers, and those that may have taken their places in
 /// the list of nodes since.
 pub const ASKED_NODES: usize = 4;
@@ -81,7 +84,7 @@
 }
 
 /// Time for which a stream that a target of a version began may still be resumed.
-const STREAM_LIFE_MS: Millis = Millis::from_secs(120);
+pub const STREAM_LIFE_MS: Millis = Millis::from_secs(120);
 
 impl VersionHistory {
     /// Creates an empty history.
@@ -89,21 +92,30 @@
         Self::default()
     }
 
-    /// Records the versions that are listed from `now` on.
-    pub fn update<L>(&mut self, now: Millis, listed: L)
+    /// Records the versions that are listed from `now` on; returns whether they have changed.
+    pub fn update<L>(&mut self, now: Millis, listed: L) -> bool
     where
         L: Iterator<Item = (Name, SoftwareVersion)>,
     {
-        for former in self.listed.drain(..) {
-            self.listed_ms.insert(former, now);
-        }
+        let former = std::mem::take(&mut self.listed);
         for entry in listed {
             if !self.listed.contains(&entry) {
                 self.listed.push(entry);
             }
         }
+        let is_listed = |entry: &(Name, SoftwareVersion)| self.listed.contains(entry);
+        let is_changed = former.len() != self.listed.len() || !former.iter().all(is_listed);
+        for entry in former {
+            self.listed_ms.insert(entry, now);
+        }
         self.listed_ms
             .retain(|_, listed_ms| now.since(*listed_ms) < STREAM_LIFE_MS);
+        is_changed
+    }
+
+    /// Returns the services and versions that are listed now.
+    pub fn listed(&self) -> &[(Name, SoftwareVersion)] {
+        &self.listed
     }
 
     /// Returns the versions that targets of a service have or had recently.
--- a/filbertpaddle-forward/src/target.rs
+++ b/filbertpaddle-forward/src/target.rs
@@ -62,7 +62,13 @@
     /// Returns the version of its software among the versions of all services, if it is known.
     pub fn software(&self) -> Option<SoftwareVersion> {
         let is_known = !self.version.is_empty();
-        is_known.then(|| SoftwareVersion::new(&self.service, &self.version))
+        is_known.then(|| self.listed_version())
+    }
+
+    /// Returns the version that the target counts as among those listed. Targets of unknown
+    /// version count as one more version, at which no stream can be resumed.
+    pub fn listed_version(&self) -> SoftwareVersion {
+        SoftwareVersion::new(&self.service, &self.version)
     }
 
     /// Returns whether `other` is the same incarnation of the same target, not a restarted one.
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -318,8 +318,8 @@
             }
             StreamItem::Broken(reason) => return Err(Failure::Unknown(reason).into()),
         }
-        self.job.record_first_event(self.progress, target);
         self.record_started(target);
+        self.job.record_first_event(self.progress, target).await;
         if !self.writer.is_started() {
             let started = self.writer.start_stream(response.head);
             started.map_err(|gone| OpenError::Stopped(gone.into()))?;
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -108,8 +108,8 @@
     pub placement_error: Option<PlacementError>,
     /// Software version that wrote the first event of the stream, if this attempt received it.
     pub version: VersionBinding,
-    /// Whether other nodes have been sent that version.
-    pub is_version_passed_on: bool,
+    /// Number of other nodes that have been sent that version.
+    pub version_keepers: usize,
     /// Pace of the events that were delivered.
     pub pace: StreamPace,
 }
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -42,3 +42,4 @@
 pub mod tunnel;
 pub mod tunnel_server;
 pub mod version_exchange;
+pub mod version_record;
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -33,6 +33,7 @@
 use crate::target_connection;
 use crate::version_exchange;
 use crate::version_exchange::VersionExchange;
+use crate::version_record;
 
 /// Interval at which due changes are applied and stale connections closed.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -120,6 +121,7 @@
     )));
     spawn(Box::pin(load_exchange::run(Rc::clone(&state))));
     spawn(Box::pin(version_exchange::serve(Rc::clone(&state))));
+    spawn(Box::pin(version_record::run(Rc::clone(&state))));
     spawn(Box::pin(reader_probe::run(Rc::clone(&state))));
     spawn(Box::pin(drain_detection::run(Rc::clone(&state))));
     let probing = Rc::clone(&state);
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -13,6 +13,7 @@
 use filbertpaddle_forward::revision::Revision;
 use filbertpaddle_forward::target::Report;
 use filbertpaddle_forward::target::Target;
+use filbertpaddle_forward::version_record::VersionRecord;
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
@@ -187,6 +188,24 @@
     pub decode_nodes: fn(&[u8]) -> Result<NodeList, DecodeError>,
     /// Writes a node's own entry and removes the named ones.
     pub write_node: fn(&Node, &[Name]) -> Call,
+    /// Reads the record of software versions.
+    pub read_versions: fn() -> Call,
+    /// Decodes the record of software versions.
+    pub decode_versions: fn(&[u8]) -> Result<StoredVersions, DecodeError>,
+    /// Writes the record of software versions if it still has a revision, or does not exist if
+    /// that is 0; refused with status 412 otherwise.
+    pub write_versions: fn(&VersionRecord, u64) -> Call,
+}
+
+/// The record of software versions as read from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredVersions {
+    /// The record; `None` if there is none that can be decoded.
+    pub record: Option<VersionRecord>,
+    /// Revision of its row; 0 if it does not exist.
+    pub revision: u64,
+    /// Time by the store's clock when it was read.
+    pub store_ms: Millis,
 }
 
 /// One page of a table, or a set of its changes.
--- a/filbertpaddle-gateway/src/resumption.rs
+++ b/filbertpaddle-gateway/src/resumption.rs
@@ -1,14 +1,20 @@
 //! Which targets may continue a stream, within its answer and in its caller's next attempt.
 
-use filbertpaddle_core::clock::Millis;
-use filbertpaddle_core::name::Name;
+use std::rc::Rc;
+
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::software_version::SoftwareVersion;
 use filbertpaddle_forward::software_version::VersionBinding;
+use filbertpaddle_forward::stream_origin;
+use filbertpaddle_forward::stream_origin::Evidence;
+use filbertpaddle_forward::stream_origin::Unresumable;
+use filbertpaddle_forward::stream_versions::KEEPERS;
+use filbertpaddle_forward::stream_versions::KEEPERS_OF_ONE_VERSION;
 use filbertpaddle_forward::stream_versions::attempt_key;
 use filbertpaddle_forward::target::Target;
+use filbertpaddle_forward::version_record::ServiceVersion;
 use slog::info;
 
 use crate::job::Job;
@@ -16,14 +22,11 @@
 use crate::reply::Refusal;
 use crate::state::State;
 use crate::version_exchange;
-use crate::version_exchange::Lookup;
-
-/// Age of the list of targets up to which the only version in it is taken for the one that began
-/// a stream, though no other node could be asked.
-const MAX_LIST_AGE_MS: Millis = Millis::from_secs(10);
+use crate::version_record;
+use crate::version_record::KnownRecord;
 
 /// Service and software version that continue a stream.
-pub type Continuation = (Name, SoftwareVersion);
+pub type Continuation = ServiceVersion;
 
 /// Returns the service and version that may continue the stream that a request resumes; `None`
 /// if it resumes none.
@@ -32,37 +35,47 @@
 ///
 /// Returns the refusal if the version is not known, or has no place on the route any more.
 pub async fn resolve(
-    state: &State,
+    state: &Rc<State>,
     route: &Route,
     metadata: &RequestMetadata,
 ) -> Result<Option<Continuation>, Refusal> {
     if !route.kind.is_stream() || metadata.last_event.is_none() {
         return Ok(None);
     }
+    let arrived_ms = state.clock.now();
     let began = match &metadata.resumed_attempt {
         Some(attempt) => version_exchange::look_up(state, attempt).await,
-        None => Lookup::NotFound,
+        None => None,
     };
-    let known = known_versions(state, route);
-    let continuation = match began {
-        Lookup::Found(version) => known.iter().find(|(_, known)| *known == version),
-        Lookup::NoAnswer if state.data_age_ms(Table::Targets) > MAX_LIST_AGE_MS => None,
-        Lookup::NotFound | Lookup::NoAnswer => known.first().filter(|_| known.len() == 1),
+    let recorded = match began {
+        Some(_) => None,
+        // What began the stream was recorded before the caller had any event of it.
+        None => version_record::read_after(state, arrived_ms).await,
     };
+    let listed = listed_versions(state, route);
+    let services: Vec<_> = route.services.iter().map(|(name, _)| name).collect();
+    let continuation = stream_origin::continuation(&Evidence {
+        began,
+        listed: &listed,
+        services: &services,
+        recorded: recorded.as_ref().map(KnownRecord::as_of),
+    });
     info!(state.log, "caller resumes a stream";
         "id" => metadata.attempt.as_str(), "resumes" => metadata.resumed_attempt.as_deref(),
-        "last_event" => metadata.last_event, "began" => ?began, "versions" => known.len(),
-        "is_possible" => continuation.is_some(),
+        "last_event" => metadata.last_event, "is_known" => began.is_some(),
+        "is_record_read" => recorded.is_some(), "versions" => listed.len(),
+        "refusal" => continuation.as_ref().err().map(Unresumable::to_string),
+        "waited_ms" => state.clock.now().since(arrived_ms).0,
         "age_ms" => state.data_age_ms(Table::Targets).0, "uptime_ms" => state.clock.now().0);
     match continuation {
-        Some(continuation) => Ok(Some(continuation.clone())),
-        None if known.is_empty() => Err(Refusal::NoTarget),
-        None => Err(Refusal::NotResumable),
+        Ok(continuation) => Ok(Some(continuation)),
+        Err(Unresumable::NoVersion) => Err(Refusal::NoTarget),
+        Err(_) => Err(Refusal::NotResumable),
     }
 }
 
 /// Returns the versions that targets of the route's services have or had recently.
-fn known_versions(state: &State, route: &Route) -> Vec<Continuation> {
+fn listed_versions(state: &State, route: &Route) -> Vec<ServiceVersion> {
     let now = state.clock.now();
     let history = state.version_history.borrow();
     let services = route.services.iter().map(|(service, _)| service);
@@ -84,37 +97,50 @@
     }
 
     /// Records that a target is about to deliver the first event of the stream to the caller.
-    pub fn record_first_event(&self, progress: &mut Progress, target: &Target) {
+    pub async fn record_first_event(&self, progress: &mut Progress, target: &Target) {
         if self.version(progress) != VersionBinding::Free {
             return;
         }
         progress.version = VersionBinding::to_target(target);
-        if let VersionBinding::Bound(version) = progress.version
-            && self.route.kind.is_idempotent()
-        {
-            let key = attempt_key(&self.metadata.attempt);
-            let mut versions = self.state.stream_versions.borrow_mut();
-            versions.record(key, version);
-            drop(versions);
-            self.pass_version_on(progress);
+        let VersionBinding::Bound(version) = progress.version else {
+            return;
+        };
+        if !self.route.kind.is_idempotent() {
+            return;
+        }
+        let key = attempt_key(&self.metadata.attempt);
+        self.state.stream_versions.borrow_mut().record(key, version);
+        self.pass_version_on(progress);
+        let recorded = (target.service.clone(), version);
+        if !version_record::ensure_recorded(&self.state, &recorded).await {
+            self.pass_version_to(progress, version, KEEPERS);
         }
     }
 
-    /// Passes the version that began a resumable stream on to other nodes, once targets of the
-    /// service have different ones.
+    /// Passes the version that began a resumable stream on to another node, or to more of them
+    /// once targets of the service have different ones.
     pub fn pass_version_on(&self, progress: &mut Progress) {
         let VersionBinding::Bound(version) = progress.version else {
             return;
         };
+        if !self.route.kind.is_idempotent() || progress.version_keepers == KEEPERS {
+            return;
+        }
         let state = &self.state;
-        let now = state.clock.now();
-        let is_mixed = || {
-            let history = state.version_history.borrow();
-            history.is_mixed(now, &self.demand.service)
+        let history = state.version_history.borrow();
+        let keepers = match history.is_mixed(state.clock.now(), &self.demand.service) {
+            true => KEEPERS,
+            false => KEEPERS_OF_ONE_VERSION,
         };
-        if self.route.kind.is_idempotent() && !progress.is_version_passed_on && is_mixed() {
-            version_exchange::pass_on(state, &self.metadata.attempt, version);
-            progress.is_version_passed_on = true;
+        drop(history);
+        self.pass_version_to(progress, version, keepers);
+    }
+
+    /// Passes the version on to `keepers` other nodes, unless as many have been sent it before.
+    fn pass_version_to(&self, progress: &mut Progress, version: SoftwareVersion, keepers: usize) {
+        if progress.version_keepers < keepers {
+            version_exchange::pass_on(&self.state, &self.metadata.attempt, version, keepers);
+            progress.version_keepers = keepers;
         }
     }
 }
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -46,6 +46,7 @@
 use crate::settings::Reloadable;
 use crate::settings::Settings;
 use crate::version_exchange::VersionExchange;
+use crate::version_record::RecordCache;
 
 /// Age of the data above which the store counts as lost while calls to it fail.
 const STORE_LOST_AGE_MS: Millis = Millis(400);
@@ -105,6 +106,8 @@
     pub stream_versions: RefCell<StreamVersions>,
     /// Software versions that targets have had recently.
     pub version_history: RefCell<VersionHistory>,
+    /// The store's record of versions that may have begun streams.
+    pub version_record: RecordCache,
     /// Exchange of the versions that began streams, once its address is bound.
     pub version_exchange: OnceCell<VersionExchange>,
     /// Whether the node has tried to read the list of nodes.
@@ -157,6 +160,7 @@
             suspects: RefCell::new(CrashAttribution::new()),
             stream_versions: RefCell::new(StreamVersions::new()),
             version_history: RefCell::new(VersionHistory::new()),
+            version_record: RecordCache::new(),
             version_exchange: OnceCell::new(),
             is_registered: Cell::new(false),
             is_closing: Cell::new(false),
@@ -223,8 +227,13 @@
     /// Replaces the list of nodes; returns the entries to remove.
     pub fn update_nodes(&self, list: NodeList) -> Vec<Name> {
         let mut nodes = self.nodes.borrow_mut();
+        let former = nodes.fingerprint();
         let dropped = nodes.update(self.clock.now(), list);
-        let names = nodes.live().iter().map(|node| node.name.clone()).collect();
+        let names: Vec<_> = nodes.live().iter().map(|node| node.name.clone()).collect();
+        if nodes.fingerprint() != former {
+            info!(self.log, "live nodes changed"; "nodes" => names.len(),
+                "listed_ms" => nodes.listed_ms().0);
+        }
         self.selector.borrow_mut().set_nodes(names);
         dropped
     }
@@ -456,12 +465,13 @@
         }
         let directory = self.directory.borrow();
         self.selector.borrow_mut().update_targets(&directory);
-        let software = |target: &Target| Some((target.service.clone(), target.software()?));
         let listed = directory
             .targets()
-            .filter_map(|(target, _)| software(target));
+            .map(|(target, _)| (target.service.clone(), target.listed_version()));
         let now = self.clock.now();
-        self.version_history.borrow_mut().update(now, listed);
+        if self.version_history.borrow_mut().update(now, listed) {
+            self.version_record.clear();
+        }
         drop(directory);
         self.notify();
     }
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -304,7 +304,7 @@
 }
 
 /// Makes a call to the store; returns its era and the response.
-async fn call_store(
+pub(crate) async fn call_store(
     state: &Rc<State>,
     call: &Call,
     timeout: Millis,
--- a/filbertpaddle-gateway/src/version_exchange.rs
+++ b/filbertpaddle-gateway/src/version_exchange.rs
@@ -52,17 +52,6 @@
     Answer(u64, Option<SoftwareVersion>),
 }
 
-/// What is known about the version that began a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lookup {
-    /// The version is known.
-    Found(SoftwareVersion),
-    /// No node that was reached knows it.
-    NotFound,
-    /// No other node could be asked.
-    NoAnswer,
-}
-
 /// This node's end of the exchange.
 #[derive(Debug)]
 pub struct VersionExchange {
@@ -136,76 +125,71 @@
     }
 }
 
-/// Sends the version that began an attempt's stream to the nodes that keep it.
-pub fn pass_on(state: &State, attempt: &str, version: SoftwareVersion) {
+/// Sends the version that began an attempt's stream to the first `count` nodes that keep it.
+pub fn pass_on(state: &State, attempt: &str, version: SoftwareVersion, count: usize) {
     let Some(exchange) = state.version_exchange.get() else {
         return;
     };
     let keep = Datagram::Keep(attempt_key(attempt), version);
-    for to in addresses(state, attempt, KEEPERS) {
+    for to in addresses(state, attempt, count) {
         exchange.send(state, to, &keep);
     }
 }
 
-/// Returns the version that began an attempt's stream, as known to this node or to those that
-/// may keep it.
-pub async fn look_up(state: &State, attempt: &str) -> Lookup {
+/// Returns the version that began an attempt's stream, if this node or one of those that may keep
+/// it knows it.
+pub async fn look_up(state: &State, attempt: &str) -> Option<SoftwareVersion> {
     let key = attempt_key(attempt);
     if let Some(version) = state.stream_versions.borrow().get(key) {
-        return Lookup::Found(version);
+        return Some(version);
     }
+    let exchange = state.version_exchange.get()?;
     let asked = addresses(state, attempt, ASKED_NODES);
-    let is_alone = asked.is_empty() && state.is_registered.get();
-    let Some(exchange) = state.version_exchange.get().filter(|_| !is_alone) else {
-        return Lookup::NotFound;
-    };
-    let found = ask(state, exchange, key, &asked).await;
-    if let Lookup::Found(version) = found {
+    let (found, answers) = ask(state, exchange, key, &asked).await;
+    if let Some(version) = found {
         state.stream_versions.borrow_mut().record(key, version);
         // Some of the nodes that kept it may be gone.
-        pass_on(state, attempt, version);
+        pass_on(state, attempt, version, KEEPERS);
     }
     info!(state.log, "asked other nodes for the version that began a stream";
-        "attempt" => attempt, "asked" => asked.len(), "found" => ?found);
+        "attempt" => attempt, "asked" => asked.len(), "answers" => answers,
+        "is_found" => found.is_some());
     found
 }
 
+/// Asks nodes for a version; returns it if one knows it, and the number of their answers.
 async fn ask(
     state: &State,
     exchange: &VersionExchange,
     attempt_key: u64,
     asked: &[SocketAddr],
-) -> Lookup {
+) -> (Option<SoftwareVersion>, usize) {
     let query = exchange.last_query.get() + 1;
     exchange.last_query.set(query);
     let (sender, mut answers) = mpsc::unbounded_channel();
     exchange.waiting.borrow_mut().insert(query, sender);
     let datagram = Datagram::Query(query, attempt_key, state.settings.node.clone());
-    let mut result = Lookup::NoAnswer;
+    let mut found = None;
+    let mut received = 0;
     for _ in 0..QUERY_ATTEMPTS {
         for to in asked {
             exchange.send(state, *to, &datagram);
         }
         let until = Instant::now() + QUERY_INTERVAL;
-        let mut unknown = 0;
-        while unknown < asked.len()
+        received = 0;
+        while found.is_none()
+            && received < asked.len()
             && let Ok(Some(answer)) = timeout_at(until, answers.recv()).await
         {
-            result = match answer {
-                Some(version) => Lookup::Found(version),
-                None => Lookup::NotFound,
-            };
-            unknown += 1;
-            if answer.is_some() {
-                break;
-            }
+            found = answer;
+            received += 1;
         }
-        if matches!(result, Lookup::Found(_)) || unknown == asked.len() {
+        if found.is_some() || received == asked.len() {
             break;
         }
     }
     exchange.waiting.borrow_mut().swap_remove(&query);
-    result
+    (found, received)
 }
 
 /// Returns the addresses of the first `count` nodes that keep or may keep an attempt's version.
--- a/filbertpaddle/tests/gateway/version_streams.rs
+++ b/filbertpaddle/tests/gateway/version_streams.rs
@@ -50,6 +50,19 @@
         }
         cluster.wait_until_ready().await;
         cluster.wait_until_registered().await;
+        // A node that does not know how many others there are resends nothing.
+        let counted = format!("\"nodes\":{nodes}");
+        let is_counted =
+            |line: &str| line.contains("live nodes changed") && line.contains(&counted);
+        for number in 0..nodes {
+            wait_until("the node knows all nodes", async || {
+                cluster
+                    .log(&format!("node-{number}"))
+                    .lines()
+                    .any(is_counted)
+            })
+            .await;
+        }
         cluster
     }
 
