Let no target of an unnamed service take another's address

What callers see: requests to a sound target are refused or late for up to the interval of its entries, as it is not listed, and again after each such entry. Cause: the newer entry at an address removes the older one, since a target may have crashed and another started there. An entry of a service that no configuration names may come from any writer; it removed the sound target, or kept it from the list if it was the newer one. Change: of two targets at an address one removes the other only if both services are named, or are the same. Before a node knows the configuration, only the same service counts; targets write their entries again within the interval. Ruled out: an entry that is invalid removes nothing but its own key. Remains: an entry of a named service at a sound target's address cannot be told from a new target; the target refuses requests that are meant for another.

--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -280,6 +280,8 @@
                 if configuration.version > known {
                     applied.configuration = Some(configuration.version);
                     self.configuration = Some(Arc::clone(configuration));
+                    let services = configuration.services.keys().cloned().collect();
+                    self.targets.set_services(services);
                     self.configuration_stamp = self.next_stamp(revision);
                 }
             }
--- a/filbertpaddle-forward/src/target_list.rs
+++ b/filbertpaddle-forward/src/target_list.rs
@@ -89,6 +89,8 @@
     /// Removed targets that an older copy of the store lists again.
     relisted: IndexMap<Name, DeferredListing>,
     leaving: LeavingTargets,
+    /// Services that the configuration in force names.
+    services: IndexSet<Name>,
     deferral: RemovalDeferral,
     /// End of the time in which targets write their entries again after a rollback.
     rewrite_until_ms: Millis,
@@ -119,6 +121,11 @@
         &self.leaving
     }
 
+    /// Sets the services that the configuration in force names.
+    pub fn set_services(&mut self, services: IndexSet<Name>) {
+        self.services = services;
+    }
+
     /// Defers removals until `until_ms`: those up to the revision of the next batch.
     pub fn defer_removals(&mut self, until_ms: Millis) {
         self.deferral = RemovalDeferral {
@@ -343,6 +350,7 @@
             .values()
             .filter(|listed| listed.target.address == target.address)
             .filter(|listed| listed.target.id != target.id)
+            .filter(|listed| self.may_replace(&listed.target, target))
             .map(|listed| {
                 (
                     listed.target.id.clone(),
@@ -367,6 +375,14 @@
         true
     }
 
+    /// Returns whether one of two targets at an address takes it from the other. An entry of a
+    /// service that the configuration does not name may come from any writer and shows nothing
+    /// about the targets of others.
+    fn may_replace(&self, one: &Target, other: &Target) -> bool {
+        let is_named = |target: &Target| self.services.contains(&target.service);
+        one.service == other.service || is_named(one) && is_named(other)
+    }
+
     /// Keeps a target cold for as long as its previous entry stated. After a rollback, the
     /// entry may be from before the target became cold.
     fn keep_cold(&self, now: Millis, target: &mut Target) {
