Report each invalid entry of the store once

What operators see: the same warning at each read of a table for an entry that another writer left, with a text about targets also for operators' entries. Cause: all keys that cannot be decoded were logged for each response. The text states what stays in force. Remains: invalid entries of nodes are left out without a report.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event_stream;
 pub mod fingerprint;
 pub mod freshness;
+pub mod invalid_entries;
 pub mod leaving_targets;
 pub mod load_table;
 pub mod migration;
--- a/filbertpaddle-forward/tests/odd_entries.rs
+++ b/filbertpaddle-forward/tests/odd_entries.rs
@@ -1,4 +1,4 @@
-//! Targets of services that no configuration names, as another writer may list them.
+//! Entries of another writer: invalid ones, and those of services that are not named.
 
 use std::sync::Arc;
 
@@ -11,6 +11,7 @@
 use filbertpaddle_forward::configuration::Configuration;
 use filbertpaddle_forward::configuration::Service;
 use filbertpaddle_forward::directory::Directory;
+use filbertpaddle_forward::invalid_entries::InvalidEntries;
 use filbertpaddle_forward::revision::Revision;
 use filbertpaddle_forward::target::Target;
 
@@ -100,3 +101,17 @@
     ]);
     assert_eq!(ids, ["sound"]);
 }
+
+#[test]
+fn an_invalid_entry_is_reported_once_until_it_is_valid_again() {
+    let mut entries = InvalidEntries::new();
+    let key = Name::from("odd");
+    assert!(entries.record(Table::Targets, &key));
+    assert!(!entries.record(Table::Targets, &key));
+    assert!(entries.record(Table::Operator, &key));
+    entries.record_valid(Table::Targets, &key);
+    assert!(entries.record(Table::Targets, &key));
+    let others = (0..10_000).map(|number| Name::from(format!("odd-{number}")));
+    let reported = others.filter(|key| entries.record(Table::Targets, key));
+    assert!(reported.count() < 1_000);
+}
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -16,6 +16,7 @@
 use filbertpaddle_forward::directory::Directory;
 use filbertpaddle_forward::drain::Drain;
 use filbertpaddle_forward::freshness::AgeLimits;
+use filbertpaddle_forward::invalid_entries::InvalidEntries;
 use filbertpaddle_forward::load_table::LoadTable;
 use filbertpaddle_forward::relay_choice::RelayChoice;
 use filbertpaddle_forward::retry_budget::RetryBudget;
@@ -74,6 +75,8 @@
     pub store_buffers: BufferLimit,
     /// Configuration, targets and data centres as read from the store.
     pub directory: RefCell<Directory>,
+    /// Entries of the store that cannot be decoded.
+    pub invalid_entries: RefCell<InvalidEntries>,
     /// Whether this node reaches targets itself.
     pub direct_path: RefCell<DirectPath>,
     /// Notified when a connection to a target failed.
@@ -143,6 +146,7 @@
             target_buffers: BufferLimit::new(),
             store_buffers: BufferLimit::new(),
             directory: RefCell::new(Directory::new()),
+            invalid_entries: RefCell::default(),
             direct_path: RefCell::new(DirectPath::new()),
             probe_due: Notify::new(),
             relay_choice: RefCell::new(RelayChoice::new()),
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_forward::change::Entry;
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::freshness::READER_PAUSE_MS;
 use filbertpaddle_forward::freshness::RESPONSE_TIMEOUT_MS;
@@ -285,10 +286,7 @@
 }
 
 fn apply_page(state: &Rc<State>, table: Table, requested_ms: Millis, page: &Page) {
-    for key in &page.unreadable {
-        warn!(state.log, "entry cannot be decoded, its target counts as removed";
-            "table" => %table, "key" => key.as_str());
-    }
+    report_invalid_entries(state, page);
     let now = state.clock.now();
     state
         .directory
@@ -303,6 +301,29 @@
     state.apply("store", as_of_ms, &page.batch);
 }
 
+/// Logs the entries that cannot be decoded, each once for as long as it stays invalid.
+fn report_invalid_entries(state: &State, page: &Page) {
+    let table = page.batch.table;
+    let mut known = state.invalid_entries.borrow_mut();
+    for key in &page.unreadable {
+        if !known.record(table, key) {
+            continue;
+        }
+        let effect = match table {
+            Table::Operator => "what is in force stays so",
+            Table::Targets => "it names no target",
+        };
+        warn!(state.log, "entry cannot be decoded";
+            "table" => %table, "key" => key.as_str(), "effect" => effect);
+        state.metrics.count("store.invalid_entries");
+    }
+    for change in &page.batch.changes {
+        if let Entry::Target(target) = &change.entry {
+            known.record_valid(table, &target.id);
+        }
+    }
+}
+
 /// Makes a call to the store; returns its era and the response.
 pub(crate) async fn call_store(
     state: &Rc<State>,
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod cut_reader;
 mod endless;
 mod limits;
+mod odd_entries;
 mod rate_limits;
 mod rollback;
 mod slow_caller;
--- /dev/null
+++ b/filbertpaddle/tests/gateway/odd_entries.rs
@@ -0,0 +1,97 @@
+//! Entries of another writer among those of the targets.
+
+use filbertpaddle_adapter_standins::caller;
+use filbertpaddle_adapter_standins::node::Node;
+use filbertpaddle_adapter_standins::odd_entries;
+use http::Method;
+
+use crate::cluster::Cluster;
+use crate::cluster::READ_PATH;
+use crate::cluster::request;
+use crate::cluster::wait_until;
+
+/// Requests that must pass over a target that is no longer listed.
+const CHECKED_REQUESTS: usize = 4;
+/// IDs that no header can carry, with entries that are sound otherwise.
+const ODD_IDS: [&str; 3] = ["odd\nid", "odd \u{1f600}", ""];
+
+impl Cluster {
+    /// Sends a request to a node, which must be served; returns the target that ran it.
+    async fn served_by(&self, node: &Node) -> String {
+        let attempt = format!("a{}", self.run_log.runs().len());
+        let sent = request(&attempt, Method::GET, READ_PATH, None);
+        let code = caller::send(node.addresses.callers, &sent).await.code();
+        assert_eq!(code, 200, "{attempt}");
+        self.run_log.runs_of(&attempt)[0].target.clone()
+    }
+
+    /// Returns how often a node has logged a message about a key.
+    fn count_logged(&self, node: usize, message: &str, key: &str) -> usize {
+        let log = self.log(&format!("node-{node}"));
+        let lines = log.lines();
+        lines
+            .filter(|line| line.contains(message) && line.contains(key))
+            .count()
+    }
+
+    /// Checks that all nodes follow the list: a target that is listed now gets their requests,
+    /// and once it is removed for the `round`th time, none of them.
+    async fn check_following(&self, what: &str, round: usize) {
+        self.announce("p3");
+        for node in &self.nodes {
+            wait_until(&format!("p3 is used, {what}"), async || {
+                self.served_by(node).await == "p3"
+            })
+            .await;
+        }
+        self.store.remove_target("p3");
+        for (index, node) in self.nodes.iter().enumerate() {
+            wait_until(&format!("p3 is removed, {what}"), async || {
+                self.count_logged(index, "target removed", r#""target":"p3""#) >= round
+            })
+            .await;
+            for _ in 0..CHECKED_REQUESTS {
+                assert_ne!(self.served_by(node).await, "p3", "{what}");
+            }
+        }
+    }
+}
+
+/// Nodes ended, or no longer followed the list, once a single entry of it could not be decoded.
+#[tokio::test]
+async fn nodes_follow_the_list_whatever_entries_others_leave_in_it() {
+    let mut cluster = Cluster::with_nodes("odd_entries", 3).await;
+    cluster.add_target("p3", "app", "dc-a").await;
+    let sound = cluster.target("p1");
+    let sound = sound.announce(sound.address);
+    let mut rounds = 1..;
+    let values = odd_entries::target_values(&sound);
+    for (number, (what, value)) in values.into_iter().enumerate() {
+        // Half of them at one key, which is before the keys of the sound targets.
+        let key = if number % 2 == 0 { "a-odd" } else { what };
+        cluster.store.put_raw_target(key, value);
+        cluster.check_following(what, rounds.next().unwrap()).await;
+    }
+    for id in ODD_IDS {
+        cluster.store.put_target(id, &sound);
+        cluster.check_following(id, rounds.next().unwrap()).await;
+    }
+    // The whole table is read again, with all entries that are there.
+    cluster.store.drop_history();
+    cluster
+        .check_following("read again", rounds.next().unwrap())
+        .await;
+    for node in 0..cluster.nodes.len() {
+        assert!(cluster.count_logged(node, "cannot be decoded", "port 0") <= 1);
+    }
+    let started = cluster.nodes.len();
+    cluster.add_node("late", "dc-a");
+    cluster.wait_until_ready().await;
+    let late = &cluster.nodes[started];
+    cluster.announce("p3");
+    wait_until("p3 is used by the late node", async || {
+        cluster.served_by(late).await == "p3"
+    })
+    .await;
+    cluster.close();
+}
