Drop nodes' entries that are far ahead of the store's clock

What callers see: fewer requests at cold targets and fewer retries than allowed, for ever: a node that does not exist takes a share of all limits. Cause: the age of an entry from the future counted as 0, so that one of another writer with the largest number counted as live and was never removed. Ruled out: such an entry makes no other count as stale; ages are counted by the store's clock, not by entries. Less is allowed, since the clock goes back with a rollback. Evidence: an_entry_far_ahead_of_the_stores_clock_names_no_node_and_is_removed listed ["a", "b", "odd"] before; it passes now.

--- a/filbertpaddle-gateway/src/nodes.rs
+++ b/filbertpaddle-gateway/src/nodes.rs
@@ -20,6 +20,9 @@
 pub const STALE_AGE_MS: Millis = Millis::from_secs(75);
 /// Age at which any node that reads the entry removes it.
 pub const REMOVAL_AGE_MS: Millis = Millis::from_secs(180);
+/// Time from which an entry that is ahead of the store's clock is invalid: a day. The clock goes
+/// back with a rollback, so that entries are ahead for a while.
+const MAX_AHEAD_MS: Millis = Millis::from_secs(86_400);
 /// Number of nodes of a data centre per reader.
 const NODES_PER_READER: usize = 32;
 /// Minimum CPU cores of a reader, relative to the largest node of its data centre.
@@ -226,12 +229,14 @@
         self.reads += 1;
         self.list = list.clone();
         let age = |node: &Node| list.store_ms.since(node.written_ms);
-        let expired = list.nodes.iter().filter(|node| age(node) >= REMOVAL_AGE_MS);
+        let is_valid = |node: &Node| node.written_ms <= list.store_ms + MAX_AHEAD_MS;
+        let is_expired = |node: &&Node| age(node) >= REMOVAL_AGE_MS || !is_valid(node);
+        let expired = list.nodes.iter().filter(is_expired);
         let dropped = expired.map(|node| node.name.clone()).collect();
         self.live = list
             .nodes
             .iter()
-            .filter(|node| age(node) < STALE_AGE_MS)
+            .filter(|node| age(node) < STALE_AGE_MS && is_valid(node))
             .cloned()
             .collect();
         self.add_carried(now);
--- a/filbertpaddle-gateway/tests/nodes.rs
+++ b/filbertpaddle-gateway/tests/nodes.rs
@@ -117,3 +117,16 @@
     assert!(nodes.is_unresponsive(Millis(500), &"a".into()));
     assert!(!nodes.is_unresponsive(Millis(1_100), &"a".into()));
 }
+
+/// A node that counts as live for ever would take a share of every limit.
+#[test]
+fn an_entry_far_ahead_of_the_stores_clock_names_no_node_and_is_removed() {
+    let mut odd = list(&["a", "b", "odd"], 0, 5_000);
+    odd.nodes[2].written_ms = Millis(u64::MAX);
+    // A rollback has set the store's clock back by an hour.
+    odd.nodes[1].written_ms = Millis(3_600_000);
+    let mut nodes = Nodes::new();
+    let dropped = nodes.update(Millis(10), odd);
+    assert_eq!(names(&nodes), ["a", "b"]);
+    assert_eq!(dropped, ["odd"]);
+}
