Let a stream that has begun wait for room at another target

Cause: a stream that has delivered events waited for room as a new request does, an eighth of the latency goal. The target that takes over processes one prompt after another, so the last of several streams has to wait longer.

Change: one second for a stream with events, within the two seconds after which callers abandon it. What was refused for want of room without events is refused as before.

--- a/filbertpaddle-forward/src/admission.rs
+++ b/filbertpaddle-forward/src/admission.rs
@@ -17,6 +17,12 @@
 
 /// Output tokens up to which a generation is brief: it returns its memory in about a second.
 const BRIEF_OUTPUT_TOKENS: u32 = 64;
+/// Longest time that a generation that has delivered events waits for room at another target.
+///
+/// Load pattern: a target ends, and all its streams go to the few targets that may continue them,
+/// which process one prompt after another. A refusal would lose what the caller has received;
+/// callers abandon a stream after a pause of two seconds.
+pub const MAX_RESUME_WAIT_MS: Millis = Millis::from_secs(1);
 /// Fraction of the latency goal for which a generation may wait at its node for room.
 /// Running generations end all the time, so a short wait often suffices.
 const WAIT_GOAL_DIVISOR: u64 = 8;
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -7,6 +7,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::admission::Claim;
+use filbertpaddle_forward::admission::MAX_RESUME_WAIT_MS;
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::load_table::TargetLoad;
@@ -217,7 +218,11 @@
     /// Chooses a target, and waits a moment for room if all are full.
     pub async fn place(&self, progress: &mut Progress) -> Option<Target> {
         let clock = self.state.clock;
-        let give_up_at_ms = clock.now() + self.max_room_wait_ms();
+        let max_wait_ms = match progress.pace.events() {
+            0 => self.max_room_wait_ms(),
+            _ => MAX_RESUME_WAIT_MS,
+        };
+        let give_up_at_ms = clock.now() + max_wait_ms;
         loop {
             match self.choose_target(progress) {
                 Ok(target) => return Some(target),
