Let no status of a target promise on streams that a request has not run

Callers of streams that may run once: a target that had worked on a request and then failed it with its own 503, 429 or 408 was passed on as it came.

Cause: the guard against this stood in `buffered` and covered whole responses only; `generation` forwarded each status that is not a success.

Change: one guard, `Job::target_reply`, makes the reply from every whole response of a target; nothing else calls `reply::forward`. A replaced status is 502 and carries no seal. Requests that may run again keep the target's status with its seal, as before.

Left: a target that fails streams with its own statuses is not passed over for a while, as before.

--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::target::Target;
-use http::StatusCode;
 use http::response::Parts;
 use tokio::time::timeout;
 
@@ -14,7 +13,6 @@
 use crate::job::Job;
 use crate::job::Progress;
 use crate::job::ResumePoint;
-use crate::reply;
 use crate::reply::Refusal;
 use crate::reply::Reply;
 
@@ -53,7 +51,7 @@
                     && progress.sends < job.route.max_attempts
                     && head.status.is_server_error();
                 if !may_resend {
-                    return checked_reply(job, head, bytes);
+                    return job.target_reply(head, bytes);
                 }
                 progress.excluded_targets.push(target.id.clone());
                 progress.may_have_run = true;
@@ -100,26 +98,11 @@
     duration(goal_ms.min(Millis(remaining_ms.0 / 2)))
 }
 
-/// Forwards a response, unless its status would wrongly promise that a request which is
-/// not idempotent has not run.
-fn checked_reply(job: &Job, head: Parts, bytes: Bytes) -> Result<Reply, Refusal> {
-    let promises_not_run = matches!(
-        head.status,
-        StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT
-    );
-    if promises_not_run && !job.route.kind.is_idempotent() {
-        return Err(Refusal::TargetFailed);
-    }
-    Ok(reply::forward(head, bytes))
-}
-
 /// Ends a request that no target served successfully: with the last error response of a
 /// target if there is one, else with a refusal that states whether it may have run.
 fn finish(job: &Job, progress: &Progress, last: Option<(Parts, Bytes)>) -> Result<Reply, Refusal> {
     match last {
-        Some((head, bytes)) => checked_reply(job, head, bytes),
+        Some((head, bytes)) => job.target_reply(head, bytes),
         None => Err(job.refusal(progress)),
     }
 }
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -27,7 +27,6 @@
 use crate::migrator::CopyResult;
 use crate::migrator::Migrator;
 use crate::platform_api::CopySource;
-use crate::reply;
 use crate::response_writer::ResponseWriter;
 use crate::stop_reason::OpenError;
 use crate::stop_reason::StopReason;
@@ -302,8 +301,11 @@
                 .read_to_end(&self.job.state.target_buffers)
                 .await
                 .map_err(Failure::from)?;
-            let reply = reply::forward(response.head, bytes);
-            return Err(OpenError::Stopped(StopReason::Failed(Box::new(reply))));
+            let stop = match self.job.target_reply(response.head, bytes) {
+                Ok(reply) => StopReason::Failed(Box::new(reply)),
+                Err(refusal) => StopReason::Refused(refusal),
+            };
+            return Err(OpenError::Stopped(stop));
         }
         let mut source = TargetStream::new(target.clone(), body);
         match source.next().await {
--- a/filbertpaddle-gateway/src/job_refusal.rs
+++ b/filbertpaddle-gateway/src/job_refusal.rs
@@ -1,14 +1,18 @@
 //! Refusals of admitted requests: what they state, and when the caller may return.
 
+use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::admission::Contention;
 use filbertpaddle_forward::admission::Room;
 use filbertpaddle_forward::target_selector::PlacementError;
+use http::StatusCode;
+use http::response::Parts;
 
 use crate::job::Job;
 use crate::job::Progress;
 use crate::reply;
 use crate::reply::Refusal;
+use crate::reply::Reply;
 
 /// Time after which a caller may retry if targets were full or failing.
 pub const RETRY_AFTER_MS: Millis = Millis(250);
@@ -36,8 +40,22 @@
         }
     }
 
+    /// Builds the reply from the whole response of a target, for every route.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal to send instead if the response has a status that promises the caller
+    /// that its request has not run, and the request must not run again. A target that has not
+    /// run it states so otherwise, and its response does not get here.
+    pub fn target_reply(&self, head: Parts, bytes: Bytes) -> Result<Reply, Refusal> {
+        if promises_not_run(head.status) && !self.route.kind.is_idempotent() {
+            return Err(Refusal::TargetFailed);
+        }
+        Ok(reply::forward(head, bytes))
+    }
+
     /// Builds the reply for a refusal.
-    pub fn refusal_reply(&self, refusal: Refusal) -> reply::Reply {
+    pub fn refusal_reply(&self, refusal: Refusal) -> Reply {
         let retry_after_ms = match refusal {
             Refusal::NoTarget | Refusal::TargetsFull => Some(self.until_available_ms()),
             Refusal::Overloaded => Some(self.until_room_ms()),
@@ -83,3 +101,14 @@
         })
     }
 }
+
+/// Returns whether a status promises a caller that its request has not run and will not.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod odd_entries;
 mod rate_limits;
+mod refusals;
 mod rollback;
 mod slow_caller;
 mod starting;
