Plan a stopping node's streams by the pace of their targets

Cause: admission while stopping planned 1 s to the first token and 12 ms for each one, whatever the targets took; the pauses that the route allows come to 45 ms. On slow targets it took what could not end, and on quick ones it refused what could.

Ruled out: the end of the grace period and its reserve (as meant), the callers' estimates (none were sent), moves between targets (none), the balancer (it may send to stopping nodes).

Change: `service_pace` keeps, for each service, up to 256 samples of the last minute: time from admission to the first event, and time for each token over stretches of 2 s of a stream (a shorter rest from four gaps on; none once the caller holds the stream up for over 50 ms). Admission plans with the value that 95 in 100 do not exceed. With fewer than eight samples it takes the route's latency goal and its longest pause for each event; a route without one, its timeout. Of several services the slowest counts. The refusal is the former: 503, unrun, return after 50 ms, to another node.

Evidence: `stopping_streams`, with the former constants in `pace.rs`: the tests with slow targets seen before and with a young node failed ("late-31 was cut", sent 3.1 s after the signal); they hold. The third, quick targets, held before and after and guards against refusing more than needed.

Change to a test: `draining_node_admits_requests_that_end_within_the_grace_period` names the pace (1 s, 12 ms), which is a parameter now; its assertions are the same.

Left: the fixed pace in `migration` and in the time of return after a refusal for want of room. One stream in twenty may be slower than planned, for which the reserve of a tenth of the grace period stands; a node that has seen fewer than eight streams, of targets slower than the route allows, may still cut. Whole responses are refused by their route's timeout, as before.

--- a/filbertpaddle-forward/src/configuration.rs
+++ b/filbertpaddle-forward/src/configuration.rs
@@ -145,6 +145,13 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns the maximum number of output tokens in one event of a service's streams.
+    pub fn event_tokens(&self, service: &str) -> u32 {
+        let service = self.services.get(service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(1, |engine| engine.event_tokens)
+    }
+
     /// Returns the customer of a request to `route` with the API key `key`, or `None` if
     /// no key is needed.
     ///
--- a/filbertpaddle-forward/src/drain.rs
+++ b/filbertpaddle-forward/src/drain.rs
@@ -7,11 +7,9 @@
 
 use filbertpaddle_core::clock::Millis;
 
-use crate::migration::TOKEN_MS;
 use crate::request_metadata::GenerationSize;
+use crate::service_pace::Pace;
 
-/// Time allowed until the first token of a generation.
-const FIRST_TOKEN_MS: Millis = Millis(1_000);
 /// Output length to plan for, as a percentage of the caller's estimate: an output may be
 /// longer than estimated.
 const PLANNED_OUTPUT_PERCENT: u64 = 150;
@@ -55,14 +53,13 @@
     }
 }
 
-/// Returns the estimated and the maximum duration of a generation.
-pub fn estimate_duration(generation: &GenerationSize) -> DurationEstimate {
+/// Returns the estimated and the maximum duration of a generation at a pace.
+pub fn estimate_duration(generation: &GenerationSize, pace: &Pace) -> DurationEstimate {
     let expected = u64::from(generation.expected_output_tokens());
-    let max = u64::from(generation.max_output_tokens);
-    let max_ms = FIRST_TOKEN_MS + Millis(max * TOKEN_MS);
-    let estimate_ms = FIRST_TOKEN_MS + Millis(expected * TOKEN_MS * PLANNED_OUTPUT_PERCENT / 100);
+    let max_ms = pace.total_ms(u64::from(generation.max_output_tokens));
+    let expected_ms = pace.total_ms(expected * PLANNED_OUTPUT_PERCENT / 100);
     DurationEstimate {
-        expected_ms: estimate_ms.min(max_ms),
+        expected_ms: expected_ms.min(max_ms),
         max_ms,
     }
 }
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod request_metadata;
 pub mod retry_budget;
 pub mod revision;
+pub mod service_pace;
 pub mod software_version;
 pub mod stated_rate;
 pub mod store_reading;
--- a/filbertpaddle-forward/tests/retry_budget_and_drain.rs
+++ b/filbertpaddle-forward/tests/retry_budget_and_drain.rs
@@ -6,6 +6,7 @@
 use filbertpaddle_forward::request_metadata::GenerationSize;
 use filbertpaddle_forward::retry_budget::RetryBudget;
 use filbertpaddle_forward::retry_budget::RetryLimits;
+use filbertpaddle_forward::service_pace::Pace;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -16,6 +17,11 @@
     window_ms: Millis::from_secs(10),
 };
 
+const PACE: Pace = Pace {
+    first_event_ms: Millis(1_000),
+    token_us: 12_000,
+};
+
 /// However requests are distributed over the nodes, the retries of all nodes in any window
 /// must stay within the limit that the window's requests and the slack give.
 #[test]
@@ -79,12 +85,13 @@
         grace_ms: Millis(8_000),
     };
     let generation = |estimate, max| {
-        drain::estimate_duration(&GenerationSize {
+        let size = GenerationSize {
             prompt_tokens: 1_000,
             max_output_tokens: max,
             output_estimate_tokens: Some(estimate),
             prompt_parts: Vec::new(),
-        })
+        };
+        drain::estimate_duration(&size, &PACE)
     };
     assert!(drain.admits(Millis(1_010), generation(100, 2_000)));
     assert!(!drain.admits(Millis(1_010), generation(1_000, 2_000)));
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -9,6 +9,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::event_stream::Event;
 use filbertpaddle_forward::migration::Step;
+use filbertpaddle_forward::service_pace::StreamMeter;
 use filbertpaddle_forward::target::Target;
 use slog::info;
 use tokio::select;
@@ -71,6 +72,7 @@
     /// Whether the current target has shown that the request does not crash it.
     pub(crate) is_sound: bool,
     pub(crate) placement: Option<Placement>,
+    pub(crate) meter: StreamMeter,
     migrator: Migrator<'a>,
     changes: watch::Receiver<u64>,
 }
@@ -114,6 +116,7 @@
             first_event_ms: Millis::ZERO,
             is_sound: false,
             placement: None,
+            meter: StreamMeter::new(job.state.clock.now()),
             migrator: Migrator::new(job),
             changes: job.state.subscribe(),
             job,
@@ -124,6 +127,7 @@
 
     /// Releases the generation's load at its target and its copy.
     fn close(mut self) {
+        self.record_last_pace();
         self.release_placement();
         self.migrator.close();
     }
@@ -216,11 +220,13 @@
         let is_progress = event.id.is_some();
         if is_progress {
             self.record_progress(now);
+            self.record_event_pace(now);
         }
         self.writer.send_part(Ok(event.bytes)).await?;
         if is_progress {
             // Later than `now` by the time in which the caller did not read.
             self.last_activity_ms = self.job.state.clock.now();
+            self.meter.record_delivered(now, self.last_activity_ms);
         }
         Ok(())
     }
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod migrator;
 pub mod node;
 pub mod nodes;
+pub mod pace;
 pub mod peer_follower;
 pub mod peer_link;
 pub mod peer_publisher;
--- /dev/null
+++ b/filbertpaddle-gateway/src/pace.rs
@@ -0,0 +1,69 @@
+//! Measures how long generations take at their targets, and how long a request may take.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::configuration::Configuration;
+use filbertpaddle_forward::configuration::Route;
+use filbertpaddle_forward::drain;
+use filbertpaddle_forward::drain::DurationEstimate;
+use filbertpaddle_forward::request_metadata::RequestMetadata;
+use filbertpaddle_forward::service_pace::Pace;
+use filbertpaddle_forward::service_pace::PaceSample;
+
+use crate::generation::Generation;
+use crate::state::State;
+
+/// Returns how long a request on a route may take.
+pub fn estimate_duration(
+    state: &State,
+    configuration: &Configuration,
+    route: &Route,
+    metadata: &RequestMetadata,
+) -> DurationEstimate {
+    match &metadata.generation {
+        Some(generation) => {
+            let pace = planned_pace(state, configuration, route);
+            drain::estimate_duration(generation, &pace)
+        }
+        None => DurationEstimate {
+            expected_ms: route.timeout_ms,
+            max_ms: route.timeout_ms,
+        },
+    }
+}
+
+/// Returns the pace to plan with on a route, which is that of its slowest service.
+fn planned_pace(state: &State, configuration: &Configuration, route: &Route) -> Pace {
+    let now = state.clock.now();
+    let paces = state.paces.borrow();
+    let services = route.services.iter().filter(|(_, weight)| *weight > 0);
+    let planned = services.map(|(name, _)| {
+        let stated = Pace::of_route(route, configuration.event_tokens(name));
+        paces
+            .get(name)
+            .map_or(stated, |pace| pace.planned(now, stated))
+    });
+    planned
+        .reduce(Pace::slower)
+        .unwrap_or_else(|| Pace::of_route(route, 1))
+}
+
+impl Generation<'_> {
+    /// Records that a new event has arrived.
+    pub(crate) fn record_event_pace(&mut self, now: Millis) {
+        let sample = self.meter.record_event(now, self.job.event_tokens);
+        self.record_pace(sample);
+    }
+
+    /// Records the end of the generation.
+    pub(crate) fn record_last_pace(&self) {
+        self.record_pace(self.meter.last_sample(self.job.event_tokens));
+    }
+
+    fn record_pace(&self, sample: Option<PaceSample>) {
+        let Some(sample) = sample else { return };
+        let state = &self.job.state;
+        let mut paces = state.paces.borrow_mut();
+        let pace = paces.entry(self.job.demand.service.clone()).or_default();
+        pace.record(state.clock.now(), sample);
+    }
+}
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -12,7 +12,6 @@
 use filbertpaddle_forward::configuration::Configuration;
 use filbertpaddle_forward::configuration::Customer;
 use filbertpaddle_forward::configuration::Route;
-use filbertpaddle_forward::drain;
 use filbertpaddle_forward::fingerprint::fingerprints;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
@@ -36,6 +35,7 @@
 use crate::job::Progress;
 use crate::job_refusal::RESUME_RETRY_MS;
 use crate::job_refusal::RETRY_AFTER_MS;
+use crate::pace;
 use crate::reply;
 use crate::reply::Refusal;
 use crate::reply::Reply;
@@ -116,7 +116,7 @@
     let customer = configuration
         .customer(route, metadata.key.as_deref())
         .map_err(|_| deny(state, &id, Refusal::UnknownKey, &route.name))?;
-    if !can_finish(state, route, &metadata) {
+    if !can_finish(state, &configuration, route, &metadata) {
         return Err(deny(state, &id, Refusal::Stopping, &route.name));
     }
     let continuation = resumption::resolve(state, route, &metadata)
@@ -161,6 +161,7 @@
         let demand = demand(route, &self.metadata, continuation);
         let service = configuration.services.get(&demand.service);
         let engine = service.and_then(|service| service.engine.as_ref());
+        let event_tokens = configuration.event_tokens(&demand.service);
         let own_priority = customer.and_then(|customer| customer.priority);
         let customer = customer.map(|customer| customer.name.clone());
         let deadline_ms = self.metadata.deadline_ms.unwrap_or(route.timeout_ms);
@@ -183,7 +184,7 @@
             received_ms: self.at_ms,
             deadline_at_ms: self.at_ms + deadline_ms.min(route.timeout_ms),
             demand,
-            event_tokens: engine.map_or(1, |engine| engine.event_tokens),
+            event_tokens,
             can_migrate: engine.is_some_and(|engine| engine.can_migrate),
         }
     }
@@ -214,20 +215,19 @@
 }
 
 /// Returns whether the request can finish before this node stops, if it is stopping.
-fn can_finish(state: &State, route: &Route, metadata: &RequestMetadata) -> bool {
+fn can_finish(
+    state: &State,
+    configuration: &Configuration,
+    route: &Route,
+    metadata: &RequestMetadata,
+) -> bool {
     if state.is_closing.get() {
         return false;
     }
     let Some(drain) = state.drain.get() else {
         return true;
     };
-    let estimate = metadata.generation.as_ref().map_or(
-        drain::DurationEstimate {
-            expected_ms: route.timeout_ms,
-            max_ms: route.timeout_ms,
-        },
-        drain::estimate_duration,
-    );
+    let estimate = pace::estimate_duration(state, configuration, route, metadata);
     drain.admits(state.clock.now(), estimate)
 }
 
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -20,6 +20,7 @@
 use filbertpaddle_forward::load_table::LoadTable;
 use filbertpaddle_forward::relay_choice::RelayChoice;
 use filbertpaddle_forward::retry_budget::RetryBudget;
+use filbertpaddle_forward::service_pace::ServicePace;
 use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::stated_rate::StatedRates;
 use filbertpaddle_forward::store_reading::FollowedPeer;
@@ -103,6 +104,8 @@
     first_read_draw: f64,
     budgets: RefCell<IndexMap<Name, RetryBudget>>,
     contention: RefCell<IndexMap<Name, Contention>>,
+    /// Pace of the targets of each service.
+    pub paces: RefCell<IndexMap<Name, ServicePace>>,
     /// What requests have in common that were waiting when their target crashed.
     pub suspects: RefCell<CrashAttribution>,
     /// Software versions that began streams.
@@ -161,6 +164,7 @@
             load_table: RefCell::new(LoadTable::new()),
             budgets: RefCell::default(),
             contention: RefCell::default(),
+            paces: RefCell::default(),
             suspects: RefCell::new(CrashAttribution::new()),
             stream_versions: RefCell::new(StreamVersions::new()),
             version_history: RefCell::new(VersionHistory::new()),
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -116,6 +116,15 @@
         self.start_target(options).await;
     }
 
+    /// Starts an engine in the first data centre that sends an event each `event_ms`.
+    pub(crate) async fn add_paced_engine(&mut self, id: &str, event_ms: u64) {
+        let options = target::Options {
+            event_ms,
+            ..target_options(id, "engine", "dc-a")
+        };
+        self.start_target(options).await;
+    }
+
     async fn start_target(&mut self, options: target::Options) {
         let id = options.id.clone();
         let started = Target::start(options, self.run_log.clone(), self.copies.clone());
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod slow_caller;
 mod starting;
 mod stopping;
+mod stopping_streams;
 mod streams;
 mod unframed;
 mod unknown_origin;
