Go on at a new address of the store, and name changed settings that need a restart

What callers see: after the store's address has changed in the settings, keys that the operator has dropped go on to work at every node, for ever; drains and new targets are missed alike, without a line in the log.

Cause: a reread took over the reloadable fields alone and passed over all others in silence; calls to the store used the address of the start.

Ruled out: a node that never sees the change (the file was reread every 5 s), and a store that does not answer at its new address.

Change: the address and whether the whole system starts for the first time are reloadable. A new address ends the calls that wait at the former one, is logged, and has the node write its entry and read both tables as a whole there. If the store there is at a revision before the latest that is known, in the same era, nothing of it is taken over and the call counts as failed: what is in force stays until the store has caught up or states a rollback, which is handled as before. A lower era was refused already. For 12 s after the change, the last list of nodes that was read counts whatever its clock, the live nodes stay live and no entry is removed, since the clock may differ there. Each reread names the other fields that differ from those of the start.

Evidence: three new process tests failed before: the key of the configuration at the new address was not in force after 20 s, no node noticed a store that is behind, and no changed field was named.

Why it works: each call takes the address in force and is dropped when that changes, so nothing from the former address is applied later; reading the whole table once per address needs no history there.

Remains: a node takes up to 5 s to reread its settings without a signal.

--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Returns the latest known revision of any table.
+    pub fn latest_revision(&self) -> Revision {
+        self.operator_revision.max(self.targets_revision)
+    }
+
     /// Returns the latest known era of the store.
     pub fn era(&self) -> u64 {
         self.era
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -83,6 +83,8 @@
 }
 
 async fn serve(mut settings: Settings, platform: PlatformApi, reload: Reload) -> Result<(), Error> {
+    // As in the file: listening may replace ports.
+    let initial = settings.clone();
     let callers = listen(&mut settings.callers).await?;
     let ready = listen(&mut settings.ready).await?;
     let peers = listen(&mut settings.peers).await?;
@@ -99,7 +101,8 @@
     info!(state.log, "node started";
         "data_centre" => settings.data_centre.as_str(), "callers" => %settings.callers,
         "ready" => %settings.ready, "peers" => %settings.peers,
-        "store" => %settings.store, "is_first_start" => settings.is_first_start,
+        "store" => %settings.reloadable.store,
+        "is_first_start" => settings.reloadable.is_first_start,
         "version" => env!("CARGO_PKG_VERSION"));
     let (phase, phases) = watch::channel(Phase::Running);
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
@@ -149,10 +152,10 @@
             _ = terminate.recv() => break,
             _ = hang_up.recv() => {
                 info!(state.log, "received SIGHUP, rereading the settings");
-                reload_settings(&state, reload);
+                reload_settings(&state, &initial, reload);
             }
             // The settings may also change without a signal.
-            _ = reloads.tick() => reload_settings(&state, reload),
+            _ = reloads.tick() => reload_settings(&state, &initial, reload),
             _ = ticks.tick() => {
                 state.record_data_ages();
                 state.apply_due_changes();
@@ -164,9 +167,9 @@
     Ok(())
 }
 
-/// Rereads the settings and applies the reloadable ones. Name, data centre and addresses
-/// stay as they were at the node's start.
-fn reload_settings(state: &State, reload: Reload) {
+/// Rereads the settings and applies the reloadable ones. The others stay as they were at the
+/// node's start; changed ones are logged each time.
+fn reload_settings(state: &State, initial: &Settings, reload: Reload) {
     let settings = match reload() {
         Ok(settings) => settings,
         Err(error) => {
@@ -175,9 +178,19 @@
             return;
         }
     };
-    let previous = state.reloadable.replace(settings.reloadable.clone());
+    let changed = initial.changed_until_restart(&settings);
+    if !changed.is_empty() {
+        warn!(state.log, "changed settings need a restart, the previous ones stay in force";
+            "fields" => changed.join(", "));
+    }
+    let previous = state.reloadable.send_replace(settings.reloadable.clone());
+    if previous.store != settings.reloadable.store {
+        state.record_store_moved(previous.store, settings.reloadable.store);
+    }
     if previous != settings.reloadable {
         info!(state.log, "settings reloaded";
+            "store" => %settings.reloadable.store,
+            "is_first_start" => settings.reloadable.is_first_start,
             "grace_ms" => settings.reloadable.grace_ms.0,
             "apply_ms" => settings.reloadable.apply_ms.0,
             "retry_ratio" => settings.reloadable.retries.ratio,
--- a/filbertpaddle-gateway/src/nodes.rs
+++ b/filbertpaddle-gateway/src/nodes.rs
@@ -30,6 +30,9 @@
 /// Time in which live nodes write their entries again after the store was rolled back.
 /// Fewer known nodes would each take larger shares of limits.
 const REWRITE_MS: Millis = Millis::from_secs(5);
+/// Time in which all nodes reread their settings and write their entries to the store at its new
+/// address.
+const MOVE_MS: Millis = Millis::from_secs(12);
 /// How long a node whose data is old is not followed.
 const OUTDATED_MS: Millis = Millis::from_secs(1);
 /// How long a node that did not respond is not chosen as a reader.
@@ -50,8 +53,8 @@
     pub written_ms: Millis,
 }
 
-/// Nodes that were live when the store was rolled back. They count as live for a while though
-/// they have not written their entries again.
+/// Nodes that were live when the store was rolled back, or got another address. They count as
+/// live for a while though they have not written their entries again.
 #[derive(Clone, Debug, Default)]
 struct CarriedNodes {
     nodes: Vec<Node>,
@@ -68,6 +71,9 @@
     store_ms: Millis,
     read_ms: Millis,
     carried: CarriedNodes,
+    /// End of the time in which some nodes still read the store at its former address, where it
+    /// may have another clock.
+    moving_until_ms: Millis,
     /// Computed with each new list, since it is sent on all links several times a second.
     fingerprint: u64,
     unresponsive_until: IndexMap<Name, Millis>,
@@ -171,6 +177,18 @@
             .collect()
     }
 
+    /// Records that the store has another address, where its list and clock may differ: for a
+    /// while the last list counts that was read, the live nodes stay live, and no entry is removed.
+    pub fn record_store_moved(&mut self, now: Millis) {
+        self.moving_until_ms = now + MOVE_MS;
+        self.carry(self.moving_until_ms);
+    }
+
+    fn carry(&mut self, until_ms: Millis) {
+        let nodes = self.live.clone();
+        self.carried = CarriedNodes { nodes, until_ms };
+    }
+
     fn add_carried(&mut self, now: Millis) {
         if now >= self.carried.until_ms {
             return;
@@ -215,14 +233,13 @@
     /// A list that was read before the known one is ignored: a peer's list may lack nodes
     /// that have started since.
     pub fn update(&mut self, now: Millis, list: NodeList) -> Vec<Name> {
-        if (list.era, list.store_ms) < (self.list.era, self.list.store_ms) {
+        let is_moving = now < self.moving_until_ms;
+        let is_older = (list.era, list.store_ms) < (self.list.era, self.list.store_ms);
+        if is_older && !is_moving {
             return Vec::new();
         }
         if list.era > self.list.era && !self.live.is_empty() {
-            self.carried = CarriedNodes {
-                nodes: self.live.clone(),
-                until_ms: now + REWRITE_MS,
-            };
+            self.carry(now + REWRITE_MS);
         }
         self.store_ms = list.store_ms;
         self.read_ms = now;
@@ -230,7 +247,8 @@
         self.list = list.clone();
         let age = |node: &Node| list.store_ms.since(node.written_ms);
         let is_valid = |node: &Node| node.written_ms <= list.store_ms + MAX_AHEAD_MS;
-        let is_expired = |node: &&Node| age(node) >= REMOVAL_AGE_MS || !is_valid(node);
+        let is_expired =
+            |node: &&Node| !is_moving && (age(node) >= REMOVAL_AGE_MS || !is_valid(node));
         let expired = list.nodes.iter().filter(is_expired);
         let dropped = expired.map(|node| node.name.clone()).collect();
         self.live = list
--- a/filbertpaddle-gateway/src/settings.rs
+++ b/filbertpaddle-gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::retry_budget;
+use indexmap::IndexSet;
 
 /// Settings of a gateway node.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,10 +25,6 @@
     pub peers: SocketAddr,
     /// Listening address for metrics.
     pub metrics: Option<SocketAddr>,
-    /// Address of the platform's store.
-    pub store: SocketAddr,
-    /// Whether all nodes of the system start together for the first time.
-    pub is_first_start: bool,
     /// CPU cores that the node may use.
     pub cores: f64,
     /// Settings that are reread while the node runs.
@@ -39,11 +36,32 @@
     pub fn is_in_region(&self, data_centre: &Name) -> bool {
         self.region.is_empty() || self.region.contains(data_centre)
     }
+
+    /// Returns the names of the fields that are not reloadable and that differ in `reread`.
+    pub fn changed_until_restart(&self, reread: &Self) -> Vec<&'static str> {
+        let region = |settings: &Self| settings.region.iter().cloned().collect::<IndexSet<_>>();
+        let fields = [
+            ("node", self.node != reread.node),
+            ("data_centre", self.data_centre != reread.data_centre),
+            ("region", region(self) != region(reread)),
+            ("callers", self.callers != reread.callers),
+            ("ready", self.ready != reread.ready),
+            ("peers", self.peers != reread.peers),
+            ("metrics", self.metrics != reread.metrics),
+            ("cores", self.cores != reread.cores),
+        ];
+        let changed = fields.into_iter().filter(|(_, is_changed)| *is_changed);
+        changed.map(|(name, _)| name).collect()
+    }
 }
 
 /// Settings that take effect as soon as they are reread.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Reloadable {
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Whether all nodes of the system start together for the first time.
+    pub is_first_start: bool,
     /// Peer addresses of some nodes, used before any node is known from the store.
     pub seeds: Vec<SocketAddr>,
     /// Limits on the retries of all nodes together.
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use filbertpaddle_core::clock::Millis;
@@ -59,7 +60,7 @@
     /// Settings as of the node's start.
     pub settings: Settings,
     /// Settings that are reread while the node runs.
-    pub reloadable: RefCell<Reloadable>,
+    pub reloadable: watch::Sender<Reloadable>,
     /// Interface to the platform.
     pub platform: PlatformApi,
     /// Monotonic clock.
@@ -120,6 +121,8 @@
     pub is_registered: Cell<bool>,
     /// Whether the node is about to exit and refuses all requests.
     pub is_closing: Cell<bool>,
+    /// Whether the store has another address since the list of nodes was last read from it.
+    pub is_store_moved: Cell<bool>,
     /// Time when the node last wrote its entry to the store.
     pub written_ms: Cell<Option<Millis>>,
     /// Notified when the node's entry is to be written again, or the list of nodes read again.
@@ -139,7 +142,7 @@
         let clock = Clock::new();
         let selector = TargetSelector::new(settings.node.clone(), settings.data_centre.clone());
         Rc::new(Self {
-            reloadable: RefCell::new(settings.reloadable.clone()),
+            reloadable: watch::Sender::new(settings.reloadable.clone()),
             settings,
             platform,
             clock,
@@ -172,6 +175,7 @@
             version_exchange: OnceCell::new(),
             is_registered: Cell::new(false),
             is_closing: Cell::new(false),
+            is_store_moved: Cell::new(false),
             written_ms: Cell::default(),
             registration_due: Notify::new(),
             drain: Cell::default(),
@@ -214,6 +218,18 @@
         self.registration_due.notify_one();
     }
 
+    /// Records that the store has another address: this node's own entry is written there.
+    pub fn record_store_moved(&self, previous: SocketAddr, address: SocketAddr) {
+        warn!(self.log, "address of the store changed, reading the store there";
+            "previous" => %previous, "address" => %address);
+        let now = self.clock.now();
+        self.nodes.borrow_mut().record_store_moved(now);
+        self.is_store_moved.set(true);
+        self.written_ms.set(None);
+        self.registration_due.notify_one();
+        self.notify();
+    }
+
     /// Calls `action` with the retry budget of a service.
     pub fn with_budget<T, F>(&self, service: &Name, action: F) -> T
     where
@@ -397,7 +413,7 @@
     /// not wait for others for long, but on the first start of the whole system.
     pub fn record_turned_away(&self) {
         let is_known = self.turned_away_ms.get().is_some();
-        if self.has_data() || self.settings.is_first_start || is_known {
+        if self.has_data() || self.reloadable.borrow().is_first_start || is_known {
             return;
         }
         self.turned_away_ms.set(Some(self.clock.now()));
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -13,6 +13,7 @@
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::freshness::READER_PAUSE_MS;
 use filbertpaddle_forward::freshness::RESPONSE_TIMEOUT_MS;
+use filbertpaddle_forward::revision::Revision;
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
@@ -74,12 +75,27 @@
     /// The response is from before the store was rolled back.
     #[error("response of the store from before it was rolled back")]
     EarlierEra,
+    /// The store at its new address does not have all that this node knows.
+    #[error(
+        "the store at its new address is behind: revision {}, known {}",
+        .stated.number, .known.number
+    )]
+    Behind {
+        /// Revision that it states.
+        stated: Revision,
+        /// Latest revision that was known before.
+        known: Revision,
+    },
+    /// The address of the store has changed during the call.
+    #[error("the address of the store has changed")]
+    Moved,
 }
 
 /// Watches one table for as long as the node runs.
 pub async fn watch_table(state: Rc<State>, table: Table) {
     let mut failures = 0;
     let mut changes = state.subscribe();
+    let mut address = state.reloadable.borrow().store;
     while !state.is_registered.get() {
         sleep(REGISTRATION_CHECK_INTERVAL).await;
     }
@@ -97,13 +113,20 @@
             continue;
         }
         let called_ms = state.clock.now();
-        let mut result = read_or_watch(&state, table, failures > 0).await;
+        let current = state.reloadable.borrow().store;
+        let mut result = if address == current {
+            read_or_watch(&state, table, failures > 0).await
+        } else {
+            read_moved(&state, table).await
+        };
         if let Err(error @ (Error::HistoryGone | Error::RolledBack)) = &result {
             info!(state.log, "reading the whole table"; "table" => %table, "reason" => %error);
             result = read_table(&state, table).await;
         }
         match result {
+            Err(Error::Moved) => {}
             Ok(()) => {
+                address = current;
                 if failures > 0 {
                     info!(state.log, "store answers again";
                         "table" => %table, "failures" => failures);
@@ -150,7 +173,7 @@
     if let Err(error) = write_node(&state, &[]).await {
         warn!(state.log, "node's entry in the store not written, retrying"; "error" => %error);
     }
-    if state.settings.is_first_start {
+    if state.reloadable.borrow().is_first_start {
         sleep(FIRST_READ_DELAY).await;
     }
     let mut delay = duration(SECOND_READ_DELAY_MS);
@@ -198,7 +221,7 @@
 async fn write_node(state: &Rc<State>, dropped: &[Name]) -> Result<(), Error> {
     let settings = &state.settings;
     let now = state.clock.now();
-    if state.nodes.borrow().reads() == 0 {
+    if state.nodes.borrow().reads() == 0 || state.is_store_moved.get() {
         // The entry is stamped with the store's clock, which is not known yet.
         read_nodes(state).await?;
     }
@@ -217,7 +240,11 @@
 
 async fn read_nodes(state: &Rc<State>) -> Result<Vec<Name>, Error> {
     let calls = state.platform.store;
+    let address = state.reloadable.borrow().store;
     let (era, bytes) = call_store(state, &(calls.read_nodes)(), RESPONSE_TIMEOUT_MS).await?;
+    if address == state.reloadable.borrow().store {
+        state.is_store_moved.set(false);
+    }
     let list = NodeList {
         era,
         ..(calls.decode_nodes)(&bytes)?
@@ -250,39 +277,48 @@
     Ok(())
 }
 
-/// Reads a whole table page by page and applies it as one batch.
+/// Reads a whole table and applies it as one batch.
 async fn read_table(state: &Rc<State>, table: Table) -> Result<(), Error> {
-    let calls = state.platform.store;
     let requested_ms = state.clock.now();
-    let mut all: Option<Page> = None;
-    let mut from: Option<String> = None;
-    loop {
-        let call = (calls.read)(table, from.as_deref());
-        let (era, bytes) = call_store(state, &call, RESPONSE_TIMEOUT_MS).await?;
-        let page = (calls.decode)(table, true, era, &bytes)?;
-        if all
-            .as_ref()
-            .is_some_and(|all| all.batch.revision.era != era)
-        {
+    let page = read_pages(state, table).await?;
+    apply_page(state, table, requested_ms, &page);
+    Ok(())
+}
+
+/// Does the same at a new address of the store, unless the store there lacks what this node knows.
+async fn read_moved(state: &Rc<State>, table: Table) -> Result<(), Error> {
+    let requested_ms = state.clock.now();
+    let known = state.directory.borrow().latest_revision();
+    let page = read_pages(state, table).await?;
+    let stated = page.batch.revision;
+    if stated < known {
+        return Err(Error::Behind { stated, known });
+    }
+    apply_page(state, table, requested_ms, &page);
+    Ok(())
+}
+
+/// Reads a whole table page by page.
+async fn read_pages(state: &Rc<State>, table: Table) -> Result<Page, Error> {
+    let mut all = read_page(state, table, None).await?;
+    while let Some(from) = all.next.take() {
+        let page = read_page(state, table, Some(&from)).await?;
+        if page.batch.revision.era != all.batch.revision.era {
             return Err(Error::RolledBack);
         }
-        from = page.next.clone();
-        match &mut all {
-            None => all = Some(page),
-            Some(all) => {
-                // Keep the first page's revision, so that changes made since are read again.
-                all.batch.changes.extend(page.batch.changes);
-                all.unreadable.extend(page.unreadable);
-            }
-        }
-        if from.is_none() {
-            break;
-        }
-    }
-    if let Some(page) = all {
-        apply_page(state, table, requested_ms, &page);
+        // Keep the first page's revision, so that changes made since are read again.
+        all.batch.changes.extend(page.batch.changes);
+        all.unreadable.extend(page.unreadable);
+        all.next = page.next;
     }
-    Ok(())
+    Ok(all)
+}
+
+async fn read_page(state: &Rc<State>, table: Table, from: Option<&str>) -> Result<Page, Error> {
+    let calls = state.platform.store;
+    let call = (calls.read)(table, from);
+    let (era, bytes) = call_store(state, &call, RESPONSE_TIMEOUT_MS).await?;
+    Ok((calls.decode)(table, true, era, &bytes)?)
 }
 
 fn apply_page(state: &Rc<State>, table: Table, requested_ms: Millis, page: &Page) {
@@ -330,7 +366,9 @@
     call: &Call,
     timeout: Millis,
 ) -> Result<(u64, Bytes), Error> {
-    let address: Name = state.settings.store.to_string().into();
+    let mut reloads = state.reloadable.subscribe();
+    let store = reloads.borrow_and_update().store;
+    let address: Name = store.to_string().into();
     let request = http_request(&address, call);
     state.metrics.count("store.calls");
     let options = CallOptions {
@@ -338,8 +376,12 @@
         reuse: Reuse::Idle,
         buffers: &state.store_buffers,
     };
-    let called = state.connections.call(&address, request, options);
-    let (head, bytes) = called.await?;
+    let (head, bytes) = tokio::select! {
+        // A response that came from the former address at the same time must not count.
+        biased;
+        _ = reloads.wait_for(|reloadable| reloadable.store != store) => return Err(Error::Moved),
+        called = state.connections.call(&address, request, options) => called?,
+    };
     let known_era = state.directory.borrow().era();
     let era = (state.platform.store.decode_era)(&head.headers).unwrap_or(known_era);
     if era < known_era {
--- a/filbertpaddle-gateway/src/version_record.rs
+++ b/filbertpaddle-gateway/src/version_record.rs
@@ -214,7 +214,7 @@
         era,
         now_ms: store_ms,
     };
-    let is_first_start = revision == 0 && state.settings.is_first_start;
+    let is_first_start = revision == 0 && state.reloadable.borrow().is_first_start;
     let known = KnownRecord {
         record: record.unwrap_or_else(|| VersionRecord::new(time, is_first_start)),
         revision: Some(revision),
--- a/filbertpaddle-gateway/tests/nodes.rs
+++ b/filbertpaddle-gateway/tests/nodes.rs
@@ -130,3 +130,37 @@
     assert_eq!(names(&nodes), ["a", "b"]);
     assert_eq!(dropped, ["odd"]);
 }
+
+/// At its new address, the store may have another clock and another list of nodes.
+#[test]
+fn a_list_from_a_new_address_of_the_store_counts_though_its_clock_is_behind() {
+    let mut nodes = Nodes::new();
+    nodes.update(Millis(10), list(&["a", "b"], 0, 50_000));
+    nodes.record_store_moved(Millis(20));
+    nodes.update(Millis(600), list(&["a"], 0, 1_000));
+    // The others write their entries as they reread their settings.
+    assert_eq!(names(&nodes), ["a", "b"]);
+    assert_eq!(nodes.store_ms(Millis(700)), Millis(1_100));
+    nodes.update(Millis(30_000), list(&["a", "c"], 0, 30_400));
+    assert_eq!(names(&nodes), ["a", "c"]);
+    nodes.update(Millis(30_100), list(&["b"], 0, 1_500));
+    assert_eq!(names(&nodes), ["a", "c"]);
+}
+
+/// Entries that came along look old by a clock that is ahead.
+#[test]
+fn no_entries_are_removed_while_nodes_go_to_a_new_address_of_the_store() {
+    let mut nodes = Nodes::new();
+    nodes.update(Millis(10), list(&["a", "b"], 0, 5_000));
+    nodes.record_store_moved(Millis(20));
+    assert!(
+        nodes
+            .update(Millis(600), list(&["a", "b"], 0, 900_000))
+            .is_empty()
+    );
+    assert_eq!(names(&nodes), ["a", "b"]);
+    assert_eq!(
+        nodes.update(Millis(30_000), list(&["b"], 0, 930_000)),
+        ["b"]
+    );
+}
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod rate_limits;
 mod refusals;
 mod rollback;
+mod settings;
 mod slow_caller;
 mod starting;
 mod stopping;
