Complete streams whose event IDs increase by more than one

Cause: `deliver` took every ID above the last one plus one for a missing event.

Change: `event_order`, a decision without I/O. Within the run of one target any higher ID is the next event: its connection loses none. From one run to the next an event may be missing, so the first new ID there must go on with the step that the runs before had. If that step is not known (one event, or a stream that the caller resumes), it is one, as before; if it was uneven, the stream is cut, as before.

Ruled out: to accept any increase (a run that resumes too late would hide events); to learn the step from the run that resumes (its first event would have to be held back until the second).

Evidence: with the former rule `event_ids` failed in its three tests (streams with steps of 10 and 2, and the same resumed, were cut after one event), and holds; a resumed stream that leaves its step is still cut.

Left: if an uneven stream has only two events before it resumes, the next may be taken for missing, or a missing one go unnoticed. A stream with a step above one that the caller resumes is cut before its first event, as before.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -7,6 +7,8 @@
 use std::future::pending;
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::event_order::EventOrder;
+use filbertpaddle_forward::event_order::Place;
 use filbertpaddle_forward::event_stream::Event;
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::service_pace::StreamMeter;
@@ -73,6 +75,7 @@
     pub(crate) is_sound: bool,
     pub(crate) placement: Option<Placement>,
     pub(crate) meter: StreamMeter,
+    order: EventOrder,
     migrator: Migrator<'a>,
     changes: watch::Receiver<u64>,
 }
@@ -117,6 +120,7 @@
             is_sound: false,
             placement: None,
             meter: StreamMeter::new(job.state.clock.now()),
+            order: EventOrder::new(),
             migrator: Migrator::new(job),
             changes: job.state.subscribe(),
             job,
@@ -208,11 +212,12 @@
         let now = self.job.state.clock.now();
         // Comments and repeated events do not show that the target goes on.
         if let Some(id) = event.id {
-            match self.last_event {
-                // Repeated by a target that resumed from a copy.
-                Some(last) if id <= last => return Ok(()),
-                Some(last) if id > last + 1 => return Err(StopReason::Broken),
-                _ => self.last_event = Some(id),
+            let is_same_run = self.events_here > 0;
+            match self.order.place(self.last_event, id, is_same_run) {
+                Place::Next => self.last_event = Some(id),
+                // By a target that resumed from a copy.
+                Place::Repeated => return Ok(()),
+                Place::AfterGap => return Err(StopReason::Broken),
             }
         }
         let goal_ms = self.job.route.gap_goal_ms;
--- /dev/null
+++ b/filbertpaddle/tests/gateway/event_ids.rs
@@ -0,0 +1,83 @@
+//! Streams whose event IDs do not increase by one.
+
+use std::slice;
+
+use bytes::Bytes;
+use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
+use filbertpaddle_adapter_standins::raw_target::RawTarget;
+use filbertpaddle_adapter_standins::raw_target::start_of_head;
+use filbertpaddle_adapter_standins::target::event;
+use http::Method;
+
+use crate::cluster::Cluster;
+use crate::cluster::RESUMABLE_PATH;
+use crate::cluster::STREAM_PATH;
+use crate::cluster::request;
+
+const ATTEMPT: &str = "event-ids";
+
+fn stream(ids: &[u64]) -> Vec<u8> {
+    let events = ids.iter().map(|id| event(ATTEMPT, *id));
+    events.collect::<Vec<_>>().concat()
+}
+
+/// Returns the answer to a stream whose targets each send a body; all but the last are tried
+/// before it, since it is in another data centre.
+async fn answer_to(name: &str, path: &str, bodies: &[Vec<u8>]) -> ReceivedAnswer {
+    let mut cluster = Cluster::new(name).await;
+    let head = format!("{}Connection: close\r\n\r\n", start_of_head(ATTEMPT));
+    let mut targets = Vec::new();
+    for (body, data_centre) in bodies.iter().zip(["dc-a", "dc-b"]) {
+        let body = Bytes::from(body.clone());
+        let next_part = move |number| (number == 1).then(|| body.clone());
+        let target = RawTarget::start(head.clone(), next_part).await.unwrap();
+        let entry = target.entry("engine", data_centre);
+        cluster.store.put_target(data_centre, &entry);
+        targets.push(target);
+    }
+    cluster.add_node("node-0", "dc-a");
+    cluster.wait_until_ready().await;
+    let sent = request(ATTEMPT, Method::POST, path, Some(40));
+    let answer = cluster.send(&sent).await;
+    cluster.close();
+    drop(targets);
+    answer
+}
+
+/// Only increasing IDs are promised. Such streams were cut after their first event.
+#[tokio::test]
+async fn a_stream_whose_ids_increase_by_more_than_one_is_complete() {
+    for (name, ids) in [("ids-even", [10, 20, 30, 40]), ("ids-uneven", [1, 2, 7, 9])] {
+        let body = stream(&ids);
+        let answer = answer_to(name, STREAM_PATH, slice::from_ref(&body)).await;
+        assert!(answer.is_complete, "{name}");
+        assert_eq!((answer.code(), answer.body), (200, body), "{name}");
+    }
+}
+
+/// Returns what the caller gets if the first run breaks off within an event and another follows.
+async fn resumed(name: &str, first: &[u64], second: &[u64]) -> ReceivedAnswer {
+    let mut broken_off = stream(first);
+    broken_off.extend_from_slice(b"id: ");
+    answer_to(name, RESUMABLE_PATH, &[broken_off, stream(second)]).await
+}
+
+#[tokio::test]
+async fn a_resumed_stream_goes_on_with_its_step() {
+    let answer = resumed("ids-resumed", &[2, 4, 6], &[8, 10]).await;
+    assert!(answer.is_complete);
+    assert_eq!(answer.body, stream(&[2, 4, 6, 8, 10]));
+}
+
+/// An event may be missing between the runs.
+#[tokio::test]
+async fn a_resumed_stream_that_leaves_its_step_is_cut() {
+    for (name, first, second) in [
+        ("ids-missing", [2, 4, 6], [10, 12]),
+        ("ids-unknown", [2, 4, 7], [8, 9]),
+    ] {
+        let answer = resumed(name, &first, &second).await;
+        assert!(!answer.is_complete, "{name}");
+        assert_eq!(answer.body, stream(&first), "{name}");
+    }
+}
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod cut_from_targets;
 mod cut_reader;
 mod endless;
+mod event_ids;
 mod limits;
 mod odd_entries;
 mod rate_limits;
