Plan copies and times of return by the pace that was seen

On slow targets one that went on for 2.4 s waited too, of about two seconds' notice. - A caller that is refused for want of room returns when room is expected. Where generations hold their memory for longer, it came back too early and was refused again; where they are quicker, too late.

Change: the first plans with the upper quantile of `service_pace`, as does admission while stopping, since a copy that was not needed costs less than one that comes too late; the second with the median, since it concerns all generations together. A node that has seen too little takes the pauses that the route allows.

Evidence: with the former constant, `a_generation_that_its_slow_target_does_not_end_soon_is_copied_at_once` failed (wait until 0.9 s later instead of a copy) and `callers_return_later_where_generations_hold_their_memory_for_longer` failed (12.8 s at 3 ms a token instead of 3.2 s); both hold.

Changes to tests: `schedule` takes a time instead of tokens (6 s and 240 ms, which 500 and 20 tokens were), and `Room` names its pace (12 ms); their assertions are the same.

Left, since they are other questions: the size up to which an output counts as brief (64 tokens), the times after which a stream counts as stalled (1.4 s) and after which a first event is not waited for (twice the goal), the time for prompts (learned before).

--- a/filbertpaddle-forward/src/admission.rs
+++ b/filbertpaddle-forward/src/admission.rs
@@ -12,8 +12,8 @@
 
 use crate::configuration::Engine;
 use crate::load_table::TargetLoad;
-use crate::migration::TOKEN_MS;
 use crate::request_demand::RequestDemand;
+use crate::service_pace::Pace;
 
 /// Output tokens up to which a generation is brief: it returns its memory in about a second.
 const BRIEF_OUTPUT_TOKENS: u32 = 64;
@@ -163,6 +163,8 @@
     pub running_tokens: u64,
     /// Number of nodes whose callers share it.
     pub nodes: usize,
+    /// Pace of these generations.
+    pub pace: Pace,
 }
 
 /// The generations of one service that this node has refused for want of room.
@@ -211,6 +213,7 @@
         Room {
             running_tokens,
             nodes,
+            pace,
         }: Room,
         remaining_ms: Millis,
         draw: f64,
@@ -223,7 +226,7 @@
         let tokens = self.refused.iter().map(|refused| u64::from(refused.tokens));
         let own: u64 = tokens.sum();
         let wanted = own as f64 * nodes.max(1) as f64;
-        let lifetime_ms = (u64::from(output_tokens(demand)) * TOKEN_MS) as f64;
+        let lifetime_ms = pace.output_ms(u64::from(output_tokens(demand))).0 as f64;
         let wait_ms = lifetime_ms * wanted / running_tokens.max(1) as f64;
         let max_ms = (remaining_ms.0 / MAX_RETURN_DIVISOR) as f64;
         // Callers return from half to one and a half of the expected wait.
--- a/filbertpaddle-forward/src/migration.rs
+++ b/filbertpaddle-forward/src/migration.rs
@@ -9,8 +9,6 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 
-/// Time per output token at a busy target, in milliseconds.
-pub(crate) const TOKEN_MS: u64 = 12;
 /// Time after the notice within which a generation is not copied if it is expected to end.
 /// Its copy would delay those of longer generations.
 const SHORT_GENERATION_MS: Millis = Millis(900);
@@ -55,13 +53,13 @@
     }
 
     /// Schedules the migration, because the target is about to stop. The generation is
-    /// expected to produce `remaining_tokens` more. Later calls have no effect.
-    pub fn schedule(&mut self, now: Millis, remaining_tokens: u32) {
+    /// expected to run for another `remaining_ms`. Later calls have no effect.
+    pub fn schedule(&mut self, now: Millis, remaining_ms: Millis) {
         if self.is_scheduled {
             return;
         }
         self.is_scheduled = true;
-        if u64::from(remaining_tokens) * TOKEN_MS < SHORT_GENERATION_MS.0 {
+        if remaining_ms < SHORT_GENERATION_MS {
             self.not_before_ms = now + SHORT_GENERATION_MS;
         }
     }
--- a/filbertpaddle-forward/src/service_pace.rs
+++ b/filbertpaddle-forward/src/service_pace.rs
@@ -20,6 +20,7 @@
 const MAX_AGE_MS: Millis = Millis::from_secs(60);
 /// Part of the samples, in percent, that are not above the planned pace.
 const UPPER_PERCENT: usize = 95;
+const MEDIAN_PERCENT: usize = 50;
 /// Time of a stream that gives one sample. Single gaps vary too much, and sound targets are silent
 /// for a second at times.
 const STRETCH_MS: Millis = Millis::from_secs(2);
@@ -104,10 +105,20 @@
     /// Returns the pace to plan with: the upper quantile of what was seen lately, or `stated`
     /// where too little was.
     pub fn planned(&self, now: Millis, stated: Pace) -> Pace {
-        let first_event_ms = self.first_event_ms.upper(now).map(Millis);
+        self.quantile(now, UPPER_PERCENT, stated)
+    }
+
+    /// Returns the median of what was seen lately, or `stated` where too little was.
+    pub fn typical(&self, now: Millis, stated: Pace) -> Pace {
+        self.quantile(now, MEDIAN_PERCENT, stated)
+    }
+
+    fn quantile(&self, now: Millis, percent: usize, stated: Pace) -> Pace {
+        let first_event_ms = self.first_event_ms.quantile(now, percent).map(Millis);
+        let token_us = self.token_us.quantile(now, percent);
         Pace {
             first_event_ms: first_event_ms.unwrap_or(stated.first_event_ms),
-            token_us: self.token_us.upper(now).unwrap_or(stated.token_us),
+            token_us: token_us.unwrap_or(stated.token_us),
         }
     }
 }
@@ -130,8 +141,8 @@
         self.0.push_back(Sample { at_ms: now, value });
     }
 
-    /// Returns the upper quantile; `None` if there are too few samples.
-    fn upper(&self, now: Millis) -> Option<u64> {
+    /// Returns the value that `percent` of the samples do not exceed; `None` if there are too few.
+    fn quantile(&self, now: Millis, percent: usize) -> Option<u64> {
         let is_recent = |sample: &&Sample| now.since(sample.at_ms) < MAX_AGE_MS;
         let recent = self.0.iter().filter(is_recent);
         let mut values: Vec<u64> = recent.map(|sample| sample.value).collect();
@@ -139,7 +150,7 @@
             return None;
         }
         values.sort_unstable();
-        let count = (values.len() * UPPER_PERCENT).div_ceil(100);
+        let count = (values.len() * percent).div_ceil(100);
         values.get(count - 1).copied()
     }
 }
--- a/filbertpaddle-forward/tests/admission.rs
+++ b/filbertpaddle-forward/tests/admission.rs
@@ -23,6 +23,7 @@
 use filbertpaddle_forward::load_table::TargetLoad;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::revision::Revision;
+use filbertpaddle_forward::service_pace::Pace;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
 use filbertpaddle_forward::target_selector::TargetSelector;
@@ -312,14 +313,41 @@
     assert!(rate.expected_ms(1_000) < Millis(450));
 }
 
+/// Room for the callers of eight nodes, of generations that take a time for each token.
+fn room_at(token_ms: u64) -> Room {
+    Room {
+        running_tokens: 300_000,
+        nodes: 8,
+        pace: Pace {
+            first_event_ms: Millis(400),
+            token_us: token_ms * 1_000,
+        },
+    }
+}
+
+/// By a fixed pace, callers came back in a third of the time and were refused again.
+#[test]
+fn callers_return_later_where_generations_hold_their_memory_for_longer() {
+    let wait_ms = |token_ms| {
+        let mut contention = Contention::new();
+        let demand = demand(3_000, 1_000);
+        let refused = (0..10).map(|_| {
+            let room = room_at(token_ms);
+            contention.retry_after(Millis(10_000), &demand, room, Millis(60_000), 0.5)
+        });
+        refused.last().unwrap()
+    };
+    // Room for all that wait, 320,000 tokens, is expected after the lifetime of a generation.
+    assert_eq!((wait_ms(3), wait_ms(12)), (Millis(3_200), Millis(12_800)));
+    // At most a third of the remaining time, with those who return later than others.
+    assert_eq!(wait_ms(40), Millis(13_333));
+}
+
 /// Callers who were refused in one moment must not all return in another one, and return
 /// while there is time left for their generations.
 #[test]
 fn returns_are_spread_over_the_time_in_which_room_is_expected() {
-    let room = Room {
-        running_tokens: 300_000,
-        nodes: 8,
-    };
+    let room = room_at(TOKEN_MS);
     let remaining_ms = Millis(39_000);
     let demand = demand(3_000, 1_000);
     let mut rng = StdRng::seed_from_u64(7);
@@ -345,10 +373,7 @@
 /// New room is taken by all nodes at once if generations wait for it everywhere.
 #[test]
 fn generations_wait_for_room_only_where_none_was_refused_lately() {
-    let room = Room {
-        running_tokens: 300_000,
-        nodes: 8,
-    };
+    let room = room_at(TOKEN_MS);
     let mut contention = Contention::new();
     let now = Millis(10_000);
     assert_eq!(contention.max_wait_ms(now, GOAL_MS), Millis(225));
--- a/filbertpaddle-forward/tests/event_stream_and_migration.rs
+++ b/filbertpaddle-forward/tests/event_stream_and_migration.rs
@@ -54,7 +54,7 @@
 fn long_generation_is_copied_at_once_and_switches_to_the_copy() {
     let mut migration = Migration::new();
     assert_eq!(migration.next_step(Millis(0)), Step::Wait(None));
-    migration.schedule(Millis(10), 500);
+    migration.schedule(Millis(10), Millis(6_000));
     assert_eq!(migration.next_step(Millis(10)), Step::Copy);
     migration.record_copy_started();
     assert_eq!(migration.next_step(Millis(11)), Step::Wait(None));
@@ -66,21 +66,21 @@
 #[test]
 fn generation_that_ends_soon_is_copied_later() {
     let mut migration = Migration::new();
-    migration.schedule(Millis(10), 20);
+    migration.schedule(Millis(10), Millis(240));
     let Step::Wait(Some(at)) = migration.next_step(Millis(10)) else {
         panic!("a generation that ends soon is copied without a wait");
     };
     assert!(at > Millis(500));
     assert_eq!(migration.next_step(at), Step::Copy);
     // A second notice does not postpone the copy again.
-    migration.schedule(at, 20);
+    migration.schedule(at, Millis(240));
     assert_eq!(migration.next_step(at), Step::Copy);
 }
 
 #[test]
 fn failed_copy_is_retried_after_a_delay() {
     let mut migration = Migration::new();
-    migration.schedule(Millis(10), 500);
+    migration.schedule(Millis(10), Millis(6_000));
     migration.record_copy_started();
     migration.record_copy_failed(Millis(20));
     let Step::Wait(Some(at)) = migration.next_step(Millis(20)) else {
--- a/filbertpaddle-forward/tests/service_pace.rs
+++ b/filbertpaddle-forward/tests/service_pace.rs
@@ -7,6 +7,8 @@
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::drain;
 use filbertpaddle_forward::drain::Drain;
+use filbertpaddle_forward::migration::Migration;
+use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::request_metadata::GenerationSize;
 use filbertpaddle_forward::service_pace::Pace;
 use filbertpaddle_forward::service_pace::PaceSample;
@@ -176,6 +178,27 @@
     assert_eq!(planned.first_event_ms, Millis(2_000));
     assert_eq!(planned.token_us, 40_000);
     assert_eq!(planned.total_ms(100), Millis(6_000));
+    let typical = pace.typical(now, stated());
+    assert_eq!(
+        (typical.first_event_ms, typical.token_us),
+        (Millis(100), 5_000)
+    );
+}
+
+/// By a fixed pace, the copy of a generation that goes on for 2.4 s waited for its end for 0.9 s.
+#[test]
+fn a_generation_that_its_slow_target_does_not_end_soon_is_copied_at_once() {
+    let mut pace = ServicePace::new();
+    let now = Millis(5_000);
+    (0..20).for_each(|_| pace.record(now, PaceSample::Token(40_000)));
+    let planned = pace.planned(now, stated());
+    let step_at = |tokens| {
+        let mut migration = Migration::new();
+        migration.schedule(now, planned.output_ms(tokens));
+        migration.next_step(now)
+    };
+    assert_eq!(step_at(60), Step::Copy);
+    assert!(matches!(step_at(20), Step::Wait(Some(_))));
 }
 
 #[test]
--- a/filbertpaddle-gateway/src/job_refusal.rs
+++ b/filbertpaddle-gateway/src/job_refusal.rs
@@ -94,6 +94,7 @@
         let room = Room {
             running_tokens: state.selector.borrow().running_tokens(&directory, service),
             nodes: state.nodes.borrow().count().unwrap_or(1),
+            pace: self.typical_pace(),
         };
         let remaining_ms = self.remaining_ms();
         state.with_contention(service, |contention| {
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -69,8 +69,8 @@
     /// so far.
     pub fn schedule_migration(&mut self, events: u64) {
         let now = self.job.state.clock.now();
-        let remaining_tokens = self.job.remaining_tokens(events);
-        self.migration.schedule(now, remaining_tokens);
+        let remaining_ms = self.job.remaining_output_ms(events);
+        self.migration.schedule(now, remaining_ms);
     }
 
     /// Returns whether a complete copy exists.
--- a/filbertpaddle-gateway/src/pace.rs
+++ b/filbertpaddle-gateway/src/pace.rs
@@ -8,8 +8,10 @@
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::service_pace::Pace;
 use filbertpaddle_forward::service_pace::PaceSample;
+use filbertpaddle_forward::service_pace::ServicePace;
 
 use crate::generation::Generation;
+use crate::job::Job;
 use crate::state::State;
 
 /// Returns how long a request on a route may take.
@@ -47,6 +49,31 @@
         .unwrap_or_else(|| Pace::of_route(route, 1))
 }
 
+impl Job {
+    /// Returns the time in which its output is complete after `events` have been delivered.
+    pub(crate) fn remaining_output_ms(&self, events: u64) -> Millis {
+        let pace = self.pace_by(ServicePace::planned);
+        pace.output_ms(u64::from(self.remaining_tokens(events)))
+    }
+
+    /// Returns the pace that most generations of its service have.
+    pub(crate) fn typical_pace(&self) -> Pace {
+        self.pace_by(ServicePace::typical)
+    }
+
+    fn pace_by<F>(&self, estimate: F) -> Pace
+    where
+        F: FnOnce(&ServicePace, Millis, Pace) -> Pace,
+    {
+        let stated = Pace::of_route(&self.route, self.event_tokens);
+        let paces = self.state.paces.borrow();
+        let pace = paces.get(&self.demand.service);
+        pace.map_or(stated, |pace| {
+            estimate(pace, self.state.clock.now(), stated)
+        })
+    }
+}
+
 impl Generation<'_> {
     /// Records that a new event has arrived.
     pub(crate) fn record_event_pace(&mut self, now: Millis) {
