Cut a stream whose target sends an event again or out of order within one run

Repeated events of a target that goes on from a copy are dropped as before. forward event_order: the expectation for 20, 20, 19 after 20 is stricter now. Found by reading, not seen in a run.

--- a/filbertpaddle-forward/src/event_order.rs
+++ b/filbertpaddle-forward/src/event_order.rs
@@ -26,8 +26,10 @@
 pub enum Place {
     /// It follows the last event.
     Next,
-    /// It was received before.
+    /// It was received before, from the stream's former run.
     Repeated,
+    /// Its run has sent it or a later one before, which no sound target does.
+    OutOfOrder,
     /// Events before it may be missing.
     AfterGap,
 }
@@ -46,7 +48,10 @@
             return Place::Next;
         };
         let Some(difference) = id.checked_sub(last).and_then(NonZeroU64::new) else {
-            return Place::Repeated;
+            return match is_same_run {
+                true => Place::OutOfOrder,
+                false => Place::Repeated,
+            };
         };
         if is_same_run {
             self.learn(difference);
--- a/filbertpaddle-forward/tests/event_order.rs
+++ b/filbertpaddle-forward/tests/event_order.rs
@@ -25,8 +25,8 @@
             Place::Next,
             Place::Next,
             Place::Next,
-            Place::Repeated,
-            Place::Repeated,
+            Place::OutOfOrder,
+            Place::OutOfOrder,
             Place::Next
         ]
     );
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -217,7 +217,7 @@
                 Place::Next => self.last_event = Some(id),
                 // By a target that resumed from a copy.
                 Place::Repeated => return Ok(()),
-                Place::AfterGap => return Err(StopReason::Broken),
+                Place::AfterGap | Place::OutOfOrder => return Err(StopReason::Broken),
             }
         }
         let goal_ms = self.job.route.gap_goal_ms;
