Write the record of software versions anew after the store was rolled back

After a rollback of the store in which the listed versions stay the same, every stream that no node knows was refused for as long as the release lasted, where 120 s are enough.

Cause: a reader keeps the record that it read last, with the era in which it was read, and writes only what differs from it. Nothing but a change of the listed versions made it read the record again, so that the row kept its former era and showed nothing.

Ruled out: a joined stream; a record of another era refuses all.

Change: a node that notices a rollback drops what it knows of the record.

Evidence: gateway version_record the_record_is_written_anew_after_a_rollback_that_changes_no_target failed before (era 0 after 20 s), passes now.

--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -216,6 +216,7 @@
         self.metrics.count("store.rolled_back");
         self.written_ms.set(None);
         self.registration_due.notify_one();
+        self.version_record.clear();
     }
 
     /// Records that the store has another address: this node's own entry is written there.
--- a/filbertpaddle-gateway/src/version_record.rs
+++ b/filbertpaddle-gateway/src/version_record.rs
@@ -75,7 +75,7 @@
         Self::default()
     }
 
-    /// Drops what is known after the listed versions have changed.
+    /// Drops what is known after the listed versions have changed, or the store was rolled back.
     pub fn clear(&self) {
         self.known.replace(None);
     }
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod streams;
 mod unframed;
 mod unknown_origin;
+mod version_record;
 mod version_streams;
 mod versions;
 
--- /dev/null
+++ b/filbertpaddle/tests/gateway/version_record.rs
@@ -0,0 +1,47 @@
+//! The store's record of software versions while its row changes without the nodes' doing.
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::cluster::Cluster;
+use crate::cluster::wait_until;
+use crate::version_streams::OLD;
+
+impl Cluster {
+    /// Starts a node and the target `first`, and waits until its version is recorded.
+    async fn with_recorded_version(name: &str) -> Self {
+        let mut cluster = Self::new(name).await;
+        cluster.add_engine("first", OLD).await;
+        cluster.add_node("node-0", "dc-a");
+        cluster.wait_until_ready().await;
+        cluster.wait_until_registered().await;
+        wait_until("the version is recorded", async || cluster.is_listed()).await;
+        cluster
+    }
+
+    fn recorded(&self) -> Value {
+        self.store.version_record().unwrap_or_default()
+    }
+
+    /// Returns whether the only version is recorded as one that may begin streams.
+    fn is_listed(&self) -> bool {
+        let recorded = self.recorded();
+        let versions = recorded["versions"].as_array();
+        versions.is_some_and(|versions| versions.len() == 1 && versions[0]["gone_ms"].is_null())
+    }
+}
+
+/// No stream can be resumed by a record of an earlier era.
+#[tokio::test]
+async fn the_record_is_written_anew_after_a_rollback_that_changes_no_target() {
+    let cluster = Cluster::with_recorded_version("record-era").await;
+    cluster.store.copy_rows();
+    cluster.store.roll_back();
+    wait_until("the record is of the new era", async || {
+        cluster.recorded()["era"] == json!(1)
+    })
+    .await;
+    assert!(cluster.recorded()["complete_from_ms"].is_u64());
+    assert!(cluster.is_listed());
+    cluster.close();
+}
