Do not take a record of versions that a rollback lost for the first one

A stream could go on at another software version after the store came back from a copy without the record, at nodes that run since the first start of the system.

Cause: a node that found no record and was started at the system's first start began one that has all versions from the start on. The record may have existed and been lost with the rollback, and with it versions that came and went.

Ruled out: a record that the copy has in an older form; its era differs.

Change: a node that has noticed a rollback begins a record that is complete from then on.

Evidence: gateway version_record a_record_that_a_rollback_lost_is_not_taken_for_the_first failed before (complete_from_ms null, only the version listed since), passes now.

Remains: a node of the first start that first reached the store after the rollback.

--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -113,6 +113,8 @@
     pub stream_versions: RefCell<StreamVersions>,
     /// Software versions that targets have had recently.
     pub version_history: RefCell<VersionHistory>,
+    /// Whether the store was rolled back while this node ran.
+    pub has_rolled_back: Cell<bool>,
     /// The store's record of versions that may have begun streams.
     pub version_record: RecordCache,
     /// Exchange of the versions that began streams, once its address is bound.
@@ -171,6 +173,7 @@
             suspects: RefCell::new(CrashAttribution::new()),
             stream_versions: RefCell::new(StreamVersions::new()),
             version_history: RefCell::new(VersionHistory::new()),
+            has_rolled_back: Cell::new(false),
             version_record: RecordCache::new(),
             version_exchange: OnceCell::new(),
             is_registered: Cell::new(false),
@@ -216,6 +219,7 @@
         self.metrics.count("store.rolled_back");
         self.written_ms.set(None);
         self.registration_due.notify_one();
+        self.has_rolled_back.set(true);
         self.version_record.clear();
     }
 
--- a/filbertpaddle-gateway/src/version_record.rs
+++ b/filbertpaddle-gateway/src/version_record.rs
@@ -214,7 +214,9 @@
         era,
         now_ms: store_ms,
     };
-    let is_first_start = revision == 0 && state.reloadable.borrow().is_first_start;
+    // A missing row may have been lost.
+    let is_lost = revision != 0 || state.has_rolled_back.get();
+    let is_first_start = state.reloadable.borrow().is_first_start && !is_lost;
     let known = KnownRecord {
         record: record.unwrap_or_else(|| VersionRecord::new(time, is_first_start)),
         revision: Some(revision),
--- a/filbertpaddle/tests/gateway/version_record.rs
+++ b/filbertpaddle/tests/gateway/version_record.rs
@@ -45,3 +45,28 @@
     assert!(cluster.is_listed());
     cluster.close();
 }
+
+/// What the lost record had is not known, whichever node writes it again.
+#[tokio::test]
+async fn a_record_that_a_rollback_lost_is_not_taken_for_the_first() {
+    let cluster = Cluster::with_recorded_version("record-lost").await;
+    assert!(cluster.recorded()["complete_from_ms"].is_null());
+    cluster.store.roll_back();
+    // The targets of the copy have another version.
+    cluster.store.put_target("first", &{
+        let first = cluster.target("first");
+        let mut entry = first.announce(first.address);
+        entry["version"] = json!("v2");
+        entry
+    });
+    wait_until("the version is recorded again", async || {
+        cluster.recorded()["versions"] != json!(null)
+    })
+    .await;
+    assert!(
+        cluster.recorded()["complete_from_ms"].is_u64(),
+        "{}",
+        cluster.recorded()
+    );
+    cluster.close();
+}
