Let readers read the record of software versions again from time to time

A stream could go on at another software version after all nodes were killed, though the version that began it had been listed by all of them: the record had it as gone.

Cause: a reader read the record again only when its list of versions changed or after its own write. A write that says that a version is gone may be performed seconds after its reader gave it up, or its reader may have ended before its list was up to date again. The others, whose lists had not changed, never noticed; after 120 s the version counted as one that had begun nothing. In the other direction, a version written as listed by a node with an older list stayed so, and all streams that no node knows were refused until the next release.

Ruled out: conditions on the row's revision; both writes hold theirs.

Change: a reader reads a record that is 30 s old again, and corrects it by its list.

Remains: each reader makes two more calls to the store a minute. A node cut off from the store and the others for longer than 120 s may begin streams at a version that is gone for all others.

--- a/filbertpaddle-gateway/src/version_record.rs
+++ b/filbertpaddle-gateway/src/version_record.rs
@@ -30,6 +30,9 @@
 
 /// Interval at which a reader checks whether the record has to be changed.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Age at which a reader reads the record again: another node may have written it as of an older
+/// list. Shorter than the time after which a version counts as gone.
+const MAX_AGE_MS: Millis = Millis::from_secs(30);
 /// Longest time that the first event of a stream waits until its version is recorded.
 const RECORD_TIMEOUT_MS: Millis = RESPONSE_TIMEOUT_MS;
 /// Longest time that a caller who resumes a stream waits for the record, after other nodes have
@@ -117,7 +120,8 @@
     let cache = &state.version_record;
     let _turn = cache.turn.lock().await;
     let known = cache.known.borrow().clone();
-    let known = match known {
+    let now = state.clock.now();
+    let known = match known.filter(|known| now.since(known.requested_ms) < MAX_AGE_MS) {
         Some(known) => known,
         None => read(state).await?,
     };
--- a/filbertpaddle/tests/gateway/version_record.rs
+++ b/filbertpaddle/tests/gateway/version_record.rs
@@ -1,12 +1,19 @@
 //! The store's record of software versions while its row changes without the nodes' doing.
 
+use std::time::Duration;
+
 use serde_json::Value;
 use serde_json::json;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::cluster::Cluster;
 use crate::cluster::wait_until;
 use crate::version_streams::OLD;
 
+/// Time within which a reader has read the record again; less than streams last.
+const REREAD_TIMEOUT: Duration = Duration::from_secs(80);
+
 impl Cluster {
     /// Starts a node and the target `first`, and waits until its version is recorded.
     async fn with_recorded_version(name: &str) -> Self {
@@ -70,3 +77,21 @@
     );
     cluster.close();
 }
+
+/// A reader's write, or one of a reader that ends before its list is up to date, is performed
+/// after the others have read the record.
+#[tokio::test]
+async fn a_listed_version_does_not_stay_recorded_as_gone() {
+    let cluster = Cluster::with_recorded_version("record-late-write").await;
+    let mut record = cluster.recorded();
+    record["versions"][0]["gone_ms"] = json!(1);
+    cluster.store.put_version_record(&record);
+    assert!(!cluster.is_listed());
+    let listed_again = timeout(REREAD_TIMEOUT, async {
+        while !cluster.is_listed() {
+            sleep(Duration::from_millis(100)).await;
+        }
+    });
+    assert!(listed_again.await.is_ok(), "{}", cluster.recorded());
+    cluster.close();
+}
