Keep nodes as live that could not renew their entries while the store was unavailable

After the store was unavailable for some 45 s or more, nodes could for half a minute send cold targets and targets that state a rate more than their share, and take more of the retry budget's slack than theirs.

Cause: the first reader that reads the list of nodes again finds the others' entries stale, since nobody could renew them, and takes these nodes for gone: the absence of a report is taken for knowledge. It passes that list on and reads the next one 30 s later.

Ruled out: a rollback, after which former nodes were kept already.

Change: they are kept the same way if two lists are so far apart that entries of live nodes may be stale.

Evidence: gateway nodes nodes_count_as_live_until_they_have_written_their_entries_after_an_outage failed before (one node live of three), passes now.

Remains: nodes that ended during the outage count as live until the list is read again. Found by reading; no process test shows the shares.

--- a/filbertpaddle-gateway/src/nodes.rs
+++ b/filbertpaddle-gateway/src/nodes.rs
@@ -23,12 +23,14 @@
 /// Time from which an entry that is ahead of the store's clock is invalid: a day. The clock goes
 /// back with a rollback, so that entries are ahead for a while.
 const MAX_AHEAD_MS: Millis = Millis::from_secs(86_400);
+/// Time between two lists from which the entries of live nodes may be stale.
+const MAX_LIST_GAP_MS: Millis = Millis(STALE_AGE_MS.0 - RENEW_INTERVAL_MS.0);
 /// Number of nodes of a data centre per reader.
 const NODES_PER_READER: usize = 32;
 /// Minimum CPU cores of a reader, relative to the largest node of its data centre.
 const MIN_READER_CORES_RATIO: f64 = 0.6;
-/// Time in which live nodes write their entries again after the store was rolled back.
-/// Fewer known nodes would each take larger shares of limits.
+/// Time in which live nodes write their entries again after the store was rolled back or
+/// unavailable. Fewer known nodes would each take larger shares of limits.
 const REWRITE_MS: Millis = Millis::from_secs(5);
 /// Time in which all nodes reread their settings and write their entries to the store at its new
 /// address.
@@ -53,8 +55,8 @@
     pub written_ms: Millis,
 }
 
-/// Nodes that were live when the store was rolled back, or got another address. They count as
-/// live for a while though they have not written their entries again.
+/// Nodes that were live when the store was rolled back, became unavailable or got another address.
+/// They count as live for a while though they have not written their entries again.
 #[derive(Clone, Debug, Default)]
 struct CarriedNodes {
     nodes: Vec<Node>,
@@ -238,7 +240,9 @@
         if is_older && !is_moving {
             return Vec::new();
         }
-        if list.era > self.list.era && !self.live.is_empty() {
+        // Without the store for so long, nodes could not renew their entries.
+        let is_gap = list.store_ms.since(self.list.store_ms) >= MAX_LIST_GAP_MS;
+        if (list.era > self.list.era || is_gap && !is_moving) && !self.live.is_empty() {
             self.carry(now + REWRITE_MS);
         }
         self.store_ms = list.store_ms;
--- a/filbertpaddle-gateway/tests/nodes.rs
+++ b/filbertpaddle-gateway/tests/nodes.rs
@@ -164,3 +164,21 @@
         ["b"]
     );
 }
+
+/// Guards against shares of limits that are too large: while the store is unavailable no node can
+/// renew its entry, and the first that reads the list again finds few that are not stale.
+#[test]
+fn nodes_count_as_live_until_they_have_written_their_entries_after_an_outage() {
+    let mut nodes = Nodes::new();
+    nodes.update(Millis(10), list(&["a", "b", "c"], 0, 20_000));
+    let back_ms = 20_000 + 70_000;
+    let mut first = list(&["a", "b", "c"], 0, back_ms);
+    first.nodes[0].written_ms = Millis(back_ms);
+    nodes.update(Millis(70_010), first.clone());
+    assert_eq!(names(&nodes), ["a", "b", "c"]);
+    // One of them has ended meanwhile.
+    first.store_ms = Millis(back_ms + 6_000);
+    first.nodes[1].written_ms = Millis(back_ms + 2_000);
+    nodes.update(Millis(76_010), first);
+    assert_eq!(names(&nodes), ["a", "b"]);
+}
