Do not resume an unknown stream at the service that its route was moved to

After a configuration moved a resumable route to another service and all nodes were killed, callers' streams went on at the other service's targets, joined with what the first had written.

Cause: a node that finds nobody who knows what began a stream looks at the versions of the services that its route has now. A young node does not know that the route had others: the absence of a report is taken for knowledge, here of the configuration's past.

Ruled out: streams whose version a node knows; they were refused.

Change: readers also record a hash of the resumable routes and their services, and when it changed. The record does not apply to a node whose configuration differs, nor for 120 s after a change.

Remains: within 120 s after any change of the resumable routes' services, streams that no node knows are refused, also those of routes that stayed. A node that is cut off and keeps an older configuration may begin streams at the former service later than that.

--- a/filbertpaddle-forward/src/configuration.rs
+++ b/filbertpaddle-forward/src/configuration.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// One accepted configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -137,6 +138,20 @@
 }
 
 impl Configuration {
+    /// Returns a hash of the routes whose streams can be resumed, and of their services.
+    pub fn resumable_routes(&self) -> u64 {
+        let is_resumable = |route: &&Route| route.kind == RequestKind::ResumableStream;
+        let resumable = self.routes.iter().filter(is_resumable);
+        resumable.fold(0, |seed, route| {
+            let seed = xxh3_64_with_seed(route.host.as_bytes(), seed);
+            let seed = xxh3_64_with_seed(route.prefix.as_bytes(), seed);
+            let services = route.services.iter();
+            services.fold(seed, |seed, (service, _)| {
+                xxh3_64_with_seed(service.as_bytes(), seed)
+            })
+        })
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.routes
--- a/filbertpaddle-forward/src/stream_origin.rs
+++ b/filbertpaddle-forward/src/stream_origin.rs
@@ -21,8 +21,8 @@
     pub listed: &'a [ServiceVersion],
     /// Services of the route.
     pub services: &'a [&'a Name],
-    /// The store's record, read after the request arrived; `None` if it could not be read or
-    /// there is none.
+    /// The store's record, read after the request arrived; `None` if it could not be read, or the
+    /// routes have changed so recently that it does not apply.
     pub recorded: Option<(&'a VersionRecord, StoreTime)>,
 }
 
@@ -36,7 +36,7 @@
     SeveralVersions,
     /// No target of the route's services has been listed.
     NoVersion,
-    /// The store's record could not be read.
+    /// The store's record could not be read or does not apply.
     NoRecord,
     /// The store's record may lack versions.
     RecordIncomplete,
--- a/filbertpaddle-forward/src/version_record.rs
+++ b/filbertpaddle-forward/src/version_record.rs
@@ -29,6 +29,12 @@
     /// the system.
     complete_from_ms: Option<Millis>,
     versions: Vec<RecordedVersion>,
+    /// Hash of the resumable routes and their services; `None` until a reader records it.
+    #[serde(default)]
+    routes: Option<u64>,
+    /// Time when it last changed.
+    #[serde(default)]
+    routes_changed_ms: Option<Millis>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,6 +62,8 @@
             era: time.era,
             complete_from_ms: Some(time.now_ms).filter(|_| !is_first_start),
             versions: Vec::new(),
+            routes: None,
+            routes_changed_ms: None,
         }
     }
 
@@ -89,6 +97,27 @@
         Some(of_service.map(|recorded| recorded.version).collect())
     }
 
+    /// Returns whether the streams that can still be resumed began on these routes. While a
+    /// configuration moves routes to other services, the versions of their services do not show
+    /// what began a stream.
+    pub fn has_had_routes(&self, time: StoreTime, routes: u64) -> bool {
+        let changed_ms = self.routes_changed_ms;
+        let is_recent = changed_ms.is_some_and(|at_ms| time.now_ms.since(at_ms) < STREAM_LIFE_MS);
+        self.routes == Some(routes) && !is_recent
+    }
+
+    /// Returns the record with the resumable routes, as hashed, that are in force from now on.
+    #[must_use]
+    pub fn with_routes(&self, time: StoreTime, routes: u64) -> Self {
+        let mut updated = self.clone();
+        if let Some(former) = updated.routes.replace(routes)
+            && former != routes
+        {
+            updated.routes_changed_ms = Some(time.now_ms);
+        }
+        updated
+    }
+
     /// Returns the record with more versions that may begin streams from now on.
     ///
     /// A store that was rolled back may have lost versions that came and went.
--- a/filbertpaddle-forward/tests/stream_origin.rs
+++ b/filbertpaddle-forward/tests/stream_origin.rs
@@ -175,3 +175,18 @@
         }
     }
 }
+
+/// Load pattern: a configuration moves a route to another service while all nodes restart.
+#[test]
+fn a_record_does_not_apply_while_routes_that_began_streams_have_moved() {
+    let record = VersionRecord::new(at(0), true);
+    assert!(!record.has_had_routes(at(1), 7));
+    let record = record.with_routes(at(1), 7);
+    assert!(record.has_had_routes(at(2), 7));
+    // This node has another configuration than the readers.
+    assert!(!record.has_had_routes(at(2), 8));
+    let moved = record.with_routes(at(1_000), 8);
+    assert_eq!(moved.with_routes(at(2_000), 8), moved);
+    assert!(!moved.has_had_routes(at(2_000), 8));
+    assert!(moved.has_had_routes(at(1_000 + STREAM_LIFE_MS.0), 8));
+}
--- a/filbertpaddle-gateway/src/resumption.rs
+++ b/filbertpaddle-gateway/src/resumption.rs
@@ -52,18 +52,21 @@
         // What began the stream was recorded before the caller had any event of it.
         None => version_record::read_after(state, arrived_ms).await,
     };
+    let usable = recorded.as_ref();
+    let usable = usable.filter(|known| known.has_had_routes(state));
     let listed = listed_versions(state, route);
     let services: Vec<_> = route.services.iter().map(|(name, _)| name).collect();
     let continuation = stream_origin::continuation(&Evidence {
         began,
         listed: &listed,
         services: &services,
-        recorded: recorded.as_ref().map(KnownRecord::as_of),
+        recorded: usable.map(KnownRecord::as_of),
     });
     info!(state.log, "caller resumes a stream";
         "id" => metadata.attempt.as_str(), "resumes" => metadata.resumed_attempt.as_deref(),
         "last_event" => metadata.last_event, "is_known" => began.is_some(),
-        "is_record_read" => recorded.is_some(), "versions" => listed.len(),
+        "is_record_read" => recorded.is_some(), "is_record_usable" => usable.is_some(),
+        "versions" => listed.len(),
         "refusal" => continuation.as_ref().err().map(Unresumable::to_string),
         "waited_ms" => state.clock.now().since(arrived_ms).0,
         "age_ms" => state.data_age_ms(Table::Targets).0, "uptime_ms" => state.clock.now().0);
--- a/filbertpaddle-gateway/src/version_record.rs
+++ b/filbertpaddle-gateway/src/version_record.rs
@@ -60,6 +60,12 @@
     pub fn as_of(&self) -> (&VersionRecord, StoreTime) {
         (&self.record, self.time)
     }
+
+    /// Returns whether the streams that can still be resumed began on the routes in force.
+    pub fn has_had_routes(&self, state: &State) -> bool {
+        let routes = resumable_routes(state);
+        routes.is_some_and(|routes| self.record.has_had_routes(self.time, routes))
+    }
 }
 
 /// What a node knows of the record.
@@ -137,6 +143,10 @@
     if listed_at_ms > known.requested_ms {
         updated = updated.with_others_gone(time, &listed);
     }
+    let routes = resumable_routes(state);
+    if let Some(routes) = routes {
+        updated = updated.with_routes(time, routes);
+    }
     if known.revision.is_none() && updated != known.record {
         cache.clear();
         return Ok(());
@@ -144,6 +154,12 @@
     write(state, known, updated).await
 }
 
+fn resumable_routes(state: &State) -> Option<u64> {
+    let directory = state.directory.borrow();
+    let configuration = directory.configuration();
+    configuration.map(|configuration| configuration.resumable_routes())
+}
+
 /// Waits until a version is recorded, so that any node that a caller comes to later knows that it
 /// may have begun streams. Returns whether it is.
 pub async fn ensure_recorded(state: &Rc<State>, version: &ServiceVersion) -> bool {
--- a/filbertpaddle/tests/gateway/unknown_origin.rs
+++ b/filbertpaddle/tests/gateway/unknown_origin.rs
@@ -10,7 +10,9 @@
 use tokio::time::Instant;
 
 use crate::cluster::Cluster;
+use crate::cluster::KEY;
 use crate::cluster::RESUMABLE_PATH;
+use crate::cluster::configuration;
 use crate::version_streams::AT_ONCE;
 use crate::version_streams::EVENTS;
 use crate::version_streams::NEW;
@@ -208,6 +210,26 @@
     cluster.close();
 }
 
+/// The targets of the other service have one version alone, and so had those of the former.
+#[tokio::test]
+async fn streams_do_not_go_on_at_the_service_that_their_route_was_moved_to() {
+    let mut cluster = Cluster::with_one_engine("origin-moved", 3).await;
+    cluster.add_target("app", "app", "dc-a").await;
+    let callers = cluster.start_streams(0, RESUMABLE_PATH).await;
+    cluster.wait_until_listed("app", "", &NODES).await;
+    let mut moved = configuration(2, KEY);
+    let mut routes = moved["routes"].as_array_mut().unwrap().iter_mut();
+    let route = routes.find(|route| route["prefix"] == RESUMABLE_PATH);
+    route.unwrap()["service"] = json!("app");
+    cluster.store.put_configuration(&moved);
+    cluster.kill_all_nodes();
+    callers.join_all().await;
+    cluster.start_new_nodes("app").await;
+    // No target of this route may continue them.
+    cluster.resume_streams("none").await;
+    cluster.close();
+}
+
 /// Only one version has ever served: nothing else can have begun the streams.
 #[tokio::test]
 async fn streams_of_the_only_version_go_on_after_all_nodes_were_killed() {
