Hash the resumable routes without regard to their order

A configuration that lists the same routes in another order changed the hash, and streams that no node knows would be refused for 120 s. Found by reading; no run shows it.

--- a/filbertpaddle-forward/src/configuration.rs
+++ b/filbertpaddle-forward/src/configuration.rs
@@ -138,18 +138,12 @@
 }
 
 impl Configuration {
-    /// Returns a hash of the routes whose streams can be resumed, and of their services.
+    /// Returns a hash of the routes whose streams can be resumed, and of their services, that does
+    /// not depend on their order.
     pub fn resumable_routes(&self) -> u64 {
         let is_resumable = |route: &&Route| route.kind == RequestKind::ResumableStream;
         let resumable = self.routes.iter().filter(is_resumable);
-        resumable.fold(0, |seed, route| {
-            let seed = xxh3_64_with_seed(route.host.as_bytes(), seed);
-            let seed = xxh3_64_with_seed(route.prefix.as_bytes(), seed);
-            let services = route.services.iter();
-            services.fold(seed, |seed, (service, _)| {
-                xxh3_64_with_seed(service.as_bytes(), seed)
-            })
-        })
+        resumable.map(services_hash).fold(0, u64::wrapping_add)
     }
 
     /// Returns the route of `host` with the longest prefix of `path`.
@@ -203,3 +197,12 @@
         self.services.last().map(|(name, _)| name)
     }
 }
+
+/// Returns a hash of a route and its services, without their weights.
+fn services_hash(route: &Route) -> u64 {
+    let host = xxh3_64_with_seed(route.host.as_bytes(), 0);
+    let seed = xxh3_64_with_seed(route.prefix.as_bytes(), host);
+    let services = route.services.iter();
+    let hash = |(service, _): &(Name, u32)| xxh3_64_with_seed(service.as_bytes(), seed);
+    services.map(hash).fold(seed, u64::wrapping_add)
+}
