Tell peers that read slowly from dead ones

What callers see: one that reads nothing for some seconds loses its stream: the node resets the connection 3 to 4 s after the last read. A target that reads the body of a request as slowly is reset too, and its caller gets 502.

Cause: every connection has TCP_USER_TIMEOUT of 2.5 s. Linux ends a connection by it also when the peer acknowledges all probes but its window stays closed.

Ruled out: keep-alive probes, which are not sent while bytes are queued; leaving the option away, since the kernel then takes minutes to find a dead peer; a long value, for the same reason; TCP_INFO, which no crate in use reads and which needs unsafe code, forbidden here.

Change: on connections of callers and direct ones to targets the option is cleared. While sent bytes are unacknowledged, the node asks the kernel's socket diagnostics (netlink, in safe code) four times a second for the queued bytes, the retransmissions or probes in a row without an answer, and the time since the last acknowledgement. A peer is dead once it has answered nothing for 2.25 s after the first unanswered probe. The decision stands in filbertpaddle-forward. A caller that answers but reads nothing is given up after the longest timeout of any route, or after 2.5 s while the node holds more than 16 MB of unread bytes; a request to a target ends at its deadline as before. Where the diagnostics fail, the option stays, with one line in the log. Links between nodes and connections to the store keep the option.

Evidence: both new process tests failed before: the stream was reset, and the slow target's caller got 502.

Why it works: the kernel of a live peer answers probes of its closed window, so the count of unanswered ones returns to zero; that of a dead one does not.

Remains: a peer that dies after its window was closed for a while is found later than before, as the time between probes doubles: 4.8 s after a cut 4 s into the pause. A target that reads slowly behind another node's relay is still cut. Bytes that the kernel has taken are not counted towards the 16 MB.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod load_table;
 pub mod migration;
 pub mod node_rank;
+pub mod peer_silence;
 pub mod placement_cost;
 pub mod reachability;
 pub mod refusal_limit;
--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -35,6 +35,7 @@
 use crate::buffer_limit::BufferLimit;
 use crate::clock::Clock;
 use crate::tunnel::RelayedStream;
+use crate::watched_stream::WatchedStream;
 
 /// Far above a round trip between data centres, and short enough to try another target
 /// in time.
@@ -99,7 +100,7 @@
 #[derive(Debug)]
 pub enum Transport {
     /// A connection of this node.
-    Direct(TcpStream),
+    Direct(WatchedStream),
     /// A connection of another node.
     Relayed(Box<RelayedStream>),
 }
@@ -163,7 +164,7 @@
         request: Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<PendingResponse, Error> {
-        let connect = async || connect_tcp(address).await.map(Transport::Direct);
+        let connect = async || connect_unwatched(address).await;
         self.send_with(address, request, reuse, connect).await
     }
 
@@ -207,7 +208,7 @@
         request: Request<Full<Bytes>>,
         options: CallOptions<'_>,
     ) -> Result<(http::response::Parts, Bytes), Error> {
-        let connect = async || connect_tcp(address).await.map(Transport::Direct);
+        let connect = async || connect_unwatched(address).await;
         self.call_with(address, request, options, connect).await
     }
 
@@ -415,6 +416,11 @@
     Ok(stream)
 }
 
+async fn connect_unwatched(address: &str) -> Result<Transport, Error> {
+    let stream = connect_tcp(address).await?;
+    Ok(Transport::Direct(WatchedStream::unwatched(stream)))
+}
+
 async fn open(transport: Transport) -> Result<Connection, Error> {
     match transport {
         Transport::Direct(stream) => handshake(stream, false).await,
@@ -442,7 +448,7 @@
     })
 }
 
-/// Sets the options by which a connection fails when its other end goes silent.
+/// Sets the options by which a connection fails when its other end goes silent, or reads nothing.
 pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
--- a/filbertpaddle-gateway/src/listener.rs
+++ b/filbertpaddle-gateway/src/listener.rs
@@ -18,13 +18,14 @@
 use tokio::time::sleep;
 
 use crate::clock::duration;
-use crate::connection_pool::set_socket_options;
 use crate::reply;
 use crate::request;
 use crate::state::State;
 
 /// Idle timeout of callers' connections while no configuration is known.
 const DEFAULT_IDLE_MS: Millis = Millis::from_secs(15);
+/// How long a caller may read nothing while no configuration is known.
+const DEFAULT_UNREAD_MS: Millis = Millis::from_secs(15);
 /// How much longer than configured an idle connection is kept, so that a request sent
 /// at the last moment does not cross the close.
 const IDLE_SLACK_MS: Millis = Millis::from_secs(1);
@@ -71,10 +72,14 @@
     stream: TcpStream,
     mut phase: watch::Receiver<Phase>,
 ) {
-    if let Err(error) = set_socket_options(&stream) {
-        debug!(state.log, "socket options not set, closing caller's connection"; "error" => %error);
-        return;
-    }
+    let stream = match state.peer_watch.watch(stream, Some(unread_limit_ms(state))) {
+        Ok(stream) => stream,
+        Err(error) => {
+            debug!(state.log, "socket options not set, closing caller's connection";
+                "error" => %error);
+            return;
+        }
+    };
     let is_running = *phase.borrow() == Phase::Running;
     let end = if is_running {
         Phase::Draining
@@ -117,6 +122,17 @@
     configured_ms + IDLE_SLACK_MS
 }
 
+/// Returns how long a caller may read nothing: no response has longer on any route.
+fn unread_limit_ms(state: &State) -> Millis {
+    let directory = state.directory.borrow();
+    let routes = directory
+        .configuration()
+        .map(|configuration| configuration.routes.as_slice());
+    let timeouts = routes.unwrap_or_default().iter();
+    let longest = timeouts.map(|route| route.timeout_ms).max();
+    longest.unwrap_or(DEFAULT_UNREAD_MS)
+}
+
 /// Serves the balancer's readiness checks.
 pub async fn serve_ready(state: Rc<State>, listener: TcpListener) {
     serve_text(listener, move |_| {
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -50,6 +50,7 @@
 use crate::settings::Settings;
 use crate::version_exchange::VersionExchange;
 use crate::version_record::RecordCache;
+use crate::watched_stream::PeerWatch;
 
 /// Age of the data above which the store counts as lost while calls to it fail.
 const STORE_LOST_AGE_MS: Millis = Millis(400);
@@ -71,6 +72,8 @@
     pub metrics: Metrics,
     /// Connections to targets and the store.
     pub connections: Rc<ConnectionPool>,
+    /// Tells dead peers from those that read slowly.
+    pub peer_watch: PeerWatch,
     /// Limit on the buffered responses of targets.
     pub target_buffers: BufferLimit,
     /// Limit on the buffered responses of the store.
@@ -142,6 +145,7 @@
     /// Creates the state of a node that has read nothing yet.
     pub fn new(settings: Settings, platform: PlatformApi, log: Logger) -> Rc<Self> {
         let clock = Clock::new();
+        let peer_watch = PeerWatch::new(clock, log.clone());
         let selector = TargetSelector::new(settings.node.clone(), settings.data_centre.clone());
         Rc::new(Self {
             reloadable: watch::Sender::new(settings.reloadable.clone()),
@@ -151,6 +155,7 @@
             log,
             metrics: Metrics::new(),
             connections: ConnectionPool::new(clock),
+            peer_watch,
             target_buffers: BufferLimit::new(),
             store_buffers: BufferLimit::new(),
             directory: RefCell::new(Directory::new()),
--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -38,7 +38,12 @@
 pub async fn open(state: &State, target: &Target, purpose: Purpose) -> Result<Transport, Error> {
     if !state.must_relay(target) {
         match open_directly(state, target).await {
-            Ok(stream) => return Ok(Transport::Direct(stream)),
+            Ok(stream) => {
+                // Requests end at their deadlines, so that no other limit is needed.
+                let watched = state.peer_watch.watch(stream, None);
+                let watched = watched.map_err(|error| Error::NotSent(error.to_string()))?;
+                return Ok(Transport::Direct(watched));
+            }
             Err(error) if !state.direct_path.borrow().is_cut_off() => return Err(error),
             Err(_) => {}
         }
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod rollback;
 mod settings;
 mod slow_caller;
+mod slow_reader;
 mod starting;
 mod stopping;
 mod stopping_streams;
