Go on accepting connections after a lack of descriptors

What callers see: with all descriptors in use, the node's readiness check ends at the first connection that cannot be accepted and is gone for good, so that the balancer sends no callers though the node serves again. Meanwhile the listener for callers tries again without a pause and fills the log.

Cause: the readiness and metrics listeners ended at any failed accept; those for callers and nodes repeated it at once and logged each failure.

Change: one type accepts connections for all four. After a failure it waits 100 ms, unless the failure concerns one connection, and goes on; it logs at most one line in 10 s, with the number of failures since the last.

Evidence: a new process test failed before: with a limit of 80 descriptors and 160 connections the check was not answered again in 20 s, and the log had 16,528 lines of failures. It passes now, with one line for each listener.

Why it works: connections that wait stay in the kernel's queue until descriptors are free.

Remains: failures after the last logged line are counted only at the next one.

--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! supplies the platform's headers, calls and row formats as a
 //! [`platform_api::PlatformApi`].
 
+pub mod acceptor;
 pub mod buffer_limit;
 pub mod buffered;
 pub mod clock;
--- a/filbertpaddle-gateway/src/listener.rs
+++ b/filbertpaddle-gateway/src/listener.rs
@@ -11,12 +11,12 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use slog::debug;
-use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::acceptor::Acceptor;
 use crate::clock::duration;
 use crate::reply;
 use crate::request;
@@ -46,24 +46,18 @@
 
 /// Accepts callers' connections until the node closes.
 pub async fn serve(state: Rc<State>, listener: TcpListener, mut phase: watch::Receiver<Phase>) {
+    let mut acceptor = Acceptor::new(listener, state.log.clone(), "callers");
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, _) = tokio::select! {
+            accepted = acceptor.accept() => accepted,
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let (state, phase) = (Rc::clone(&state), phase.clone());
-                tokio::task::spawn_local(async move {
-                    state.connected.set(state.connected.get() + 1);
-                    handle_connection(&state, stream, phase).await;
-                    state.connected.set(state.connected.get() - 1);
-                });
-            }
-            Err(error) => {
-                warn!(state.log, "connection from a caller not accepted"; "error" => %error)
-            }
-        }
+        let (state, phase) = (Rc::clone(&state), phase.clone());
+        tokio::task::spawn_local(async move {
+            state.connected.set(state.connected.get() + 1);
+            handle_connection(&state, stream, phase).await;
+            state.connected.set(state.connected.get() - 1);
+        });
     }
 }
 
@@ -135,7 +129,8 @@
 
 /// Serves the balancer's readiness checks.
 pub async fn serve_ready(state: Rc<State>, listener: TcpListener) {
-    serve_text(listener, move |_| {
+    let acceptor = Acceptor::new(listener, state.log.clone(), "balancer");
+    serve_text(acceptor, move |_| {
         if state.is_ready() {
             (StatusCode::OK, String::new())
         } else {
@@ -147,15 +142,17 @@
 
 /// Serves the node's metrics as text.
 pub async fn serve_metrics(state: Rc<State>, listener: TcpListener) {
-    serve_text(listener, move |_| (StatusCode::OK, state.metrics.text())).await;
+    let acceptor = Acceptor::new(listener, state.log.clone(), "metrics");
+    serve_text(acceptor, move |_| (StatusCode::OK, state.metrics.text())).await;
 }
 
 /// Serves plain-text responses made by `reply` from a request's path.
-async fn serve_text<F>(listener: TcpListener, reply: F)
+async fn serve_text<F>(mut acceptor: Acceptor, reply: F)
 where
     F: Fn(&str) -> (StatusCode, String) + Clone + 'static,
 {
-    while let Ok((stream, _)) = listener.accept().await {
+    loop {
+        let (stream, _) = acceptor.accept().await;
         let reply = reply.clone();
         let service = service_fn(move |request: http::Request<hyper::body::Incoming>| {
             let (status, text) = reply(request.uri().path());
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -12,11 +12,11 @@
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use slog::debug;
-use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::interval;
 
+use crate::acceptor::Acceptor;
 use crate::peer_link::Ages;
 use crate::peer_link::Error;
 use crate::peer_link::Message;
@@ -42,21 +42,16 @@
 
 /// Accepts links from other nodes for as long as this one runs.
 pub async fn serve(state: Rc<State>, listener: TcpListener) {
+    let mut acceptor = Acceptor::new(listener, state.log.clone(), "nodes");
     loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let state = Rc::clone(&state);
-                tokio::task::spawn_local(async move {
-                    if let Err(error) = serve_peer(&state, stream, from.ip()).await {
-                        debug!(state.log, "link from a node ended";
-                            "from" => %from, "error" => %error);
-                    }
-                });
+        let (stream, from) = acceptor.accept().await;
+        let state = Rc::clone(&state);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = serve_peer(&state, stream, from.ip()).await {
+                debug!(state.log, "link from a node ended";
+                    "from" => %from, "error" => %error);
             }
-            Err(error) => {
-                warn!(state.log, "connection from a node not accepted"; "error" => %error)
-            }
-        }
+        });
     }
 }
 
--- a/filbertpaddle-standins/src/process.rs
+++ b/filbertpaddle-standins/src/process.rs
@@ -12,9 +12,12 @@
 use std::process::Stdio;
 
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use rustix::process::WaitOptions;
 use rustix::process::kill_process;
+use rustix::process::prlimit;
 use rustix::process::waitpid;
 use serde::de::DeserializeOwned;
 
@@ -156,6 +159,20 @@
         self.signal(Signal::HUP)
     }
 
+    /// Limits how many descriptors the process may have open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has exited.
+    pub fn limit_descriptors(&self, count: u64) -> io::Result<()> {
+        let limit = Rlimit {
+            current: Some(count),
+            maximum: Some(count),
+        };
+        prlimit(Some(Pid::from_child(&self.child)), Resource::Nofile, limit)?;
+        Ok(())
+    }
+
     /// Waits until the process exits by itself, and returns its exit status.
     ///
     /// # Errors
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod crashing_parts;
 mod cut_from_targets;
 mod cut_reader;
+mod descriptors;
 mod endless;
 mod event_ids;
 mod limits;
