Let a node stop though nobody reads its log

What operators see: a node that is told to stop does not exit while the pipe of its log is full and nobody reads it, until it is killed.

Cause: the logger's queue was dropped at the end, which waits until its last line is written.

Change: the node waits for the queued lines for at most 1 s after it has stopped, and then exits; what is not written by then is lost.

Why it works: the lines are written on a thread of their own, which ends with the process.

Processes of tests without a log file keep their output unread, where the pipe was closed before.

--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -8,6 +8,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::drain::Drain;
+use slog::Logger;
 use slog::info;
 use slog::warn;
 use tokio::net::TcpListener;
@@ -78,11 +79,19 @@
         .enable_all()
         .build()
         .map_err(Error::Runtime)?;
-    let serving = serve(settings, platform, reload);
-    LocalSet::new().block_on(&runtime, serving)
+    let (log, writer) = log::open(&settings.node);
+    let serving = serve(settings, platform, reload, log);
+    let result = LocalSet::new().block_on(&runtime, serving);
+    writer.close();
+    result
 }
 
-async fn serve(mut settings: Settings, platform: PlatformApi, reload: Reload) -> Result<(), Error> {
+async fn serve(
+    mut settings: Settings,
+    platform: PlatformApi,
+    reload: Reload,
+    log: Logger,
+) -> Result<(), Error> {
     // As in the file: listening may replace ports.
     let initial = settings.clone();
     let callers = listen(&mut settings.callers).await?;
@@ -90,7 +99,6 @@
     let peers = listen(&mut settings.peers).await?;
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(Error::Signal)?;
-    let log = log::open(&settings.node);
     let state = State::new(settings, platform, log);
     let settings = &state.settings;
     match VersionExchange::bind(settings.peers).await {
--- a/filbertpaddle-standins/src/process.rs
+++ b/filbertpaddle-standins/src/process.rs
@@ -7,6 +7,7 @@
 use std::io::BufReader;
 use std::path::Path;
 use std::process::Child;
+use std::process::ChildStdout;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
@@ -31,6 +32,8 @@
 pub struct Process {
     child: Child,
     ready: String,
+    /// Standard output that nobody reads after the first line.
+    _unread: Option<BufReader<ChildStdout>>,
 }
 
 impl Process {
@@ -48,7 +51,7 @@
     }
 
     /// Starts a program as [`Process::start`] does, with additional environment
-    /// variables. Its later standard output is appended to the `output` file.
+    /// variables. Its later standard output is appended to the `output` file, or stays unread.
     ///
     /// # Errors
     ///
@@ -80,14 +83,20 @@
                 io::Error::other(format!("cannot start {}: {error}", program.display()))
             })?;
         let mut ready = String::new();
+        let mut unread = None;
         if let Some(stdout) = child.stdout.take() {
             let mut reader = BufReader::new(stdout);
             reader.read_line(&mut ready)?;
-            if let Some(path) = output {
-                append(reader, path)?;
+            match output {
+                Some(path) => append(reader, path)?,
+                None => unread = Some(reader),
             }
         }
-        let process = Self { child, ready };
+        let process = Self {
+            child,
+            ready,
+            _unread: unread,
+        };
         if process.ready.is_empty() {
             let path = program.display();
             return Err(io::Error::other(format!(
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -28,7 +28,7 @@
 
 /// Time limit for any expected condition, generous for a busy machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
-const PROGRAM: &str = env!("CARGO_BIN_EXE_filbertpaddle");
+pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_filbertpaddle");
 
 pub(crate) const KEY: &str = "key-of-huka";
 
@@ -169,6 +169,10 @@
         .await;
     }
 
+    pub(crate) fn settings_path(&self, node: &str) -> PathBuf {
+        self.folder.join(format!("{node}.yaml"))
+    }
+
     /// Returns what a node has logged so far.
     pub(crate) fn log(&self, node: &str) -> String {
         std::fs::read_to_string(self.folder.join(format!("{node}.log"))).unwrap()
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod unknown_origin;
 mod version_record;
 mod version_streams;
+mod unread_log;
 mod versions;
 
 use std::net::SocketAddr;
