Read all pages of the list of nodes

What callers see: with more than 500 nodes, each node knows those of the first page only. Limits that are divided among all nodes, such as the rate that a target states, are exceeded, and readers may be chosen differently.

Cause: the list of nodes was read with one call; `more_pages` was not looked at.

Change: the list is read page by page, as tables are, and starts again if the store was rolled back in between. The time of the first page counts.

Evidence: a new process test with pages of two rows failed before: a node divided a target's rate by 2 nodes instead of 5 for 20 s.

Why it works: a page that states that more follow is continued after its last key until one does not.

--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -193,7 +193,7 @@
     }
     let previous = state.reloadable.send_replace(settings.reloadable.clone());
     if previous.store != settings.reloadable.store {
-        state.record_store_moved(previous.store, settings.reloadable.store);
+        store_sync::record_moved(state, previous.store, settings.reloadable.store);
     }
     if previous != settings.reloadable {
         info!(state.log, "settings reloaded";
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -182,10 +182,10 @@
     pub decode: fn(Table, bool, u64, &[u8]) -> Result<Page, DecodeError>,
     /// Decodes the era of the store from the headers of any of its responses.
     pub decode_era: fn(&HeaderMap) -> Option<u64>,
-    /// Reads the list of nodes.
-    pub read_nodes: fn() -> Call,
-    /// Decodes the list of nodes.
-    pub decode_nodes: fn(&[u8]) -> Result<NodeList, DecodeError>,
+    /// Reads the list of nodes, starting with a key.
+    pub read_nodes: fn(Option<&str>) -> Call,
+    /// Decodes a page of the list of nodes.
+    pub decode_nodes: fn(&[u8]) -> Result<NodePage, DecodeError>,
     /// Writes a node's own entry and removes the named ones.
     pub write_node: fn(&Node, &[Name]) -> Call,
     /// Reads the record of software versions.
@@ -230,6 +230,15 @@
     pub era: u64,
 }
 
+/// One page of the list of nodes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodePage {
+    /// The nodes on this page.
+    pub list: NodeList,
+    /// Key at which the next page starts, if there is one.
+    pub next: Option<String>,
+}
+
 /// A response body that does not follow the platform's protocol.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("cannot decode {what}: {reason}")]
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use filbertpaddle_core::clock::Millis;
@@ -228,18 +227,6 @@
         self.version_record.clear();
     }
 
-    /// Records that the store has another address: this node's own entry is written there.
-    pub fn record_store_moved(&self, previous: SocketAddr, address: SocketAddr) {
-        warn!(self.log, "address of the store changed, reading the store there";
-            "previous" => %previous, "address" => %address);
-        let now = self.clock.now();
-        self.nodes.borrow_mut().record_store_moved(now);
-        self.is_store_moved.set(true);
-        self.written_ms.set(None);
-        self.registration_due.notify_one();
-        self.notify();
-    }
-
     /// Calls `action` with the retry budget of a service.
     pub fn with_budget<T, F>(&self, service: &Name, action: F) -> T
     where
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -3,6 +3,7 @@
 //! Only the readers of a data centre watch the tables all the time. The other nodes
 //! receive them from a reader, and read the store themselves while no reader responds.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,7 +30,7 @@
 use crate::nodes::RENEW_INTERVAL_MS;
 use crate::platform_api::Call;
 use crate::platform_api::DecodeError;
-use crate::platform_api::NodeList;
+use crate::platform_api::NodePage;
 use crate::platform_api::Page;
 use crate::state::State;
 
@@ -91,6 +92,18 @@
     Moved,
 }
 
+/// Records that the store has another address: this node writes its own entry there.
+pub fn record_moved(state: &State, previous: SocketAddr, address: SocketAddr) {
+    warn!(state.log, "address of the store changed, reading the store there";
+        "previous" => %previous, "address" => %address);
+    let now = state.clock.now();
+    state.nodes.borrow_mut().record_store_moved(now);
+    state.is_store_moved.set(true);
+    state.written_ms.set(None);
+    state.registration_due.notify_one();
+    state.notify();
+}
+
 /// Watches one table for as long as the node runs.
 pub async fn watch_table(state: Rc<State>, table: Table) {
     let mut failures = 0;
@@ -238,20 +251,34 @@
     Ok(())
 }
 
+/// Reads the whole list of nodes; returns the entries to remove.
 async fn read_nodes(state: &Rc<State>) -> Result<Vec<Name>, Error> {
-    let calls = state.platform.store;
     let address = state.reloadable.borrow().store;
-    let (era, bytes) = call_store(state, &(calls.read_nodes)(), RESPONSE_TIMEOUT_MS).await?;
+    let NodePage { mut list, mut next } = read_nodes_page(state, None).await?;
+    while let Some(from) = next {
+        let page = read_nodes_page(state, Some(&from)).await?;
+        if page.list.era != list.era {
+            return Err(Error::RolledBack);
+        }
+        // The time of the first page stays: entries that have been written since are not old.
+        list.nodes.extend(page.list.nodes);
+        next = page.next;
+    }
     if address == state.reloadable.borrow().store {
         state.is_store_moved.set(false);
     }
-    let list = NodeList {
-        era,
-        ..(calls.decode_nodes)(&bytes)?
-    };
     Ok(state.update_nodes(list))
 }
 
+async fn read_nodes_page(state: &Rc<State>, from: Option<&str>) -> Result<NodePage, Error> {
+    let calls = state.platform.store;
+    let call = (calls.read_nodes)(from);
+    let (era, bytes) = call_store(state, &call, RESPONSE_TIMEOUT_MS).await?;
+    let mut page = (calls.decode_nodes)(&bytes)?;
+    page.list.era = era;
+    Ok(page)
+}
+
 async fn read_or_watch(state: &Rc<State>, table: Table, has_failed: bool) -> Result<(), Error> {
     let (revision, era) = {
         let directory = state.directory.borrow();
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod event_ids;
 mod limits;
 mod odd_entries;
+mod paged_nodes;
 mod rate_limits;
 mod refusals;
 mod rollback;
@@ -25,9 +26,9 @@
 mod streams;
 mod unframed;
 mod unknown_origin;
+mod unread_log;
 mod version_record;
 mod version_streams;
-mod unread_log;
 mod versions;
 
 use std::net::SocketAddr;
