Keep a restarted target's entry when one of its former incarnation is written late

What callers see: a target that has just started again under its ID is taken for its former incarnation until it writes its entry again: it gets no requests if that one was leaving, or more than a cold target may get.

Cause: the start times of incarnations were compared only after a rollback of the store. A write that got no response may be performed seconds later, and then has the later revision.

Ruled out: ignoring an earlier start for ever, since a host's clock may go back.

Change: such an entry is ignored while the known incarnation has written its own in the last 3.6 s, three of its intervals.

Evidence: a new test in simulated time failed before: the late entry replaced the restarted target's. It passes now.

Why it works: a running target writes its entry again within that time.

Remains: a late entry of a target that has been removed still lists it; a node that reads the table first while the late entry stands in it has no other.

--- a/filbertpaddle-forward/src/target_list.rs
+++ b/filbertpaddle-forward/src/target_list.rs
@@ -21,6 +21,10 @@
 /// entry does not list a target again.
 const MAX_TOMBSTONES: usize = 1_024;
 
+/// Time in which a running target writes its entry again: three of its intervals. A write of its
+/// former incarnation may be performed later than its first one.
+const MAX_SILENCE_MS: Millis = Millis(3_600);
+
 /// Source of the sequence numbers that a node assigns to the changes that it applies.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sequence(u64);
@@ -301,7 +305,9 @@
         let known = self.listed.get(&target.id);
         let is_later_known = known.is_some_and(|known| {
             let is_restarted = incarnation.is_before(&known.target.incarnation());
-            revision <= known.latest_revision() || self.is_rewriting(now) && is_restarted
+            let may_be_late = now < known.read_ms + MAX_SILENCE_MS && target.started_ms.is_some();
+            revision <= known.latest_revision()
+                || is_restarted && (may_be_late || self.is_rewriting(now))
         });
         let is_later_removed = tombstone.is_some_and(|tombstone| {
             let is_restarted = incarnation.is_before(&tombstone.incarnation);
--- a/filbertpaddle-forward/tests/directory.rs
+++ b/filbertpaddle-forward/tests/directory.rs
@@ -312,6 +312,33 @@
     assert!(!directory.mark_draining(&target("a", false).incarnation()));
 }
 
+/// A write that got no response may be performed seconds later.
+#[test]
+fn late_entry_of_an_older_incarnation_does_not_replace_the_newer_one() {
+    let mut directory = directory_with_two_targets();
+    let restarted = Target {
+        cold_ms: Millis(9_000),
+        started_ms: Some(Millis(2)),
+        ..target("a", false)
+    };
+    let mut write = |at, revision, entry: &Target| {
+        let changes = vec![(revision, Entry::Target(entry.clone()))];
+        let written = batch(Table::Targets, false, revision, changes);
+        directory.apply(Millis(at), Millis(at), &written);
+        directory.target("a").cloned()
+    };
+    write(1_000, 3, &restarted);
+    assert_eq!(write(4_000, 4, &target("a", true)), Some(restarted.clone()));
+    let again = Target {
+        cold_ms: Millis(5_000),
+        ..restarted
+    };
+    assert_eq!(write(5_000, 5, &again), Some(again));
+    // An incarnation that writes no more has ended, whatever the clocks of the hosts.
+    let earlier = target("a", false);
+    assert_eq!(write(8_700, 6, &earlier), Some(earlier));
+}
+
 #[test]
 fn data_centre_missing_from_a_whole_table_is_in_service() {
     let mut directory = Directory::new();
