Decode each VM of the platform's list by itself

What callers see (project's own interface): new targets get no requests and gone ones keep getting them, while the list has one VM that cannot be decoded, such as one of a role that is not known here. Cause: the VMs were decoded together; a list that cannot be decoded counts as one that was not read, and the last one stays. Change: each VM is decoded from its own text; odd ones are left out. Evidence: an_odd_entry_of_the_list_of_vms_leaves_the_others got 0 of 2 VMs before in its first of 8 cases; 2 in each now. Remains: odd VMs are not reported. Rows of the project's own table (roster, configuration, audit) are written by its nodes alone; one that another writer spoils is still an error of the read that needs it.

--- a/filbertpaddle-platform/src/protocol.rs
+++ b/filbertpaddle-platform/src/protocol.rs
@@ -15,7 +15,9 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde_json::value::RawValue;
 
 /// Atomic transaction: all writes take effect if all conditions hold, otherwise none does.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -122,7 +124,8 @@
 /// List of VMs, as known to the platform.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmList {
-    /// VMs, each identified by its name.
+    /// VMs, each identified by its name. Those that cannot be decoded are left out.
+    #[serde(deserialize_with = "decodable_vms")]
     pub vms: Vec<Vm>,
 }
 
@@ -152,3 +155,14 @@
     /// Runs a model engine or a plain service.
     Target,
 }
+
+/// Decodes each VM from its own text, so that an odd one leaves the others.
+fn decodable_vms<'de, D>(deserializer: D) -> Result<Vec<Vm>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let texts = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+    let decoded = texts.iter();
+    let decoded = decoded.filter_map(|text| serde_json::from_str(text.get()).ok());
+    Ok(decoded.collect())
+}
