Show nodes that follow the list past odd rows, addresses and nodes

Change: it also writes a row that has a number for its value, entries of nodes of six odd kinds, and checks that a sound target at whose address an odd entry is stays in use.

--- a/filbertpaddle/tests/gateway/odd_entries.rs
+++ b/filbertpaddle/tests/gateway/odd_entries.rs
@@ -34,15 +34,18 @@
             .count()
     }
 
+    async fn wait_until_used(&self, node: &Node, id: &str, what: &str) {
+        let what = format!("{id} is used, {what}");
+        wait_until(&what, async || self.served_by(node).await == id).await;
+    }
+
     /// Checks that all nodes follow the list: a target that is listed now gets their requests,
-    /// and once it is removed for the `round`th time, none of them.
+    /// and once it is removed for the `round`th time, none of them. Another one stays in use.
     async fn check_following(&self, what: &str, round: usize) {
         self.announce("p3");
         for node in &self.nodes {
-            wait_until(&format!("p3 is used, {what}"), async || {
-                self.served_by(node).await == "p3"
-            })
-            .await;
+            self.wait_until_used(node, "p3", what).await;
+            self.wait_until_used(node, "p1", what).await;
         }
         self.store.remove_target("p3");
         for (index, node) in self.nodes.iter().enumerate() {
@@ -76,6 +79,15 @@
         cluster.store.put_target(id, &sound);
         cluster.check_following(id, rounds.next().unwrap()).await;
     }
+    let row = serde_json::Value::from(7);
+    cluster.store.put_odd_row("a-row", row);
+    cluster
+        .check_following("odd row", rounds.next().unwrap())
+        .await;
+    for (number, value) in odd_entries::node_values().into_iter().enumerate() {
+        let name = format!("odd-node-{number}");
+        cluster.store.put_raw_node(&name, value);
+    }
     // The whole table is read again, with all entries that are there.
     cluster.store.drop_history();
     cluster
@@ -89,9 +101,6 @@
     cluster.wait_until_ready().await;
     let late = &cluster.nodes[started];
     cluster.announce("p3");
-    wait_until("p3 is used by the late node", async || {
-        cluster.served_by(late).await == "p3"
-    })
-    .await;
+    cluster.wait_until_used(late, "p3", "late node").await;
     cluster.close();
 }
