Probe no address of a service that is not named

What callers see: requests at a node that is cut off from all targets fail or wait, since it takes itself for connected. Cause: a node in doubt tries listed targets. An entry of another writer, of a service that no configuration names, can have any address; what listens there proved the node's path to targets, and what does not counted as a target that it does not reach. Change: only targets of named services are tried. Evidence: with 8 such entries at an address where another process listens, that process got a connection before (nodes_do_not_connect_to_targets_of_services_that_are_not_named failed, 1 of 1 run); it gets none now. The tests of nodes that are cut off from targets pass (cut_from_targets, with this one 13 of 13).

--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -143,13 +143,17 @@
 }
 
 /// Returns some of the targets that are not leaving, in random order, those that have not failed
-/// yet before the others.
+/// yet before the others. What listens at the address of an entry whose service the configuration
+/// does not name shows nothing about targets.
 fn probed_targets(state: &State, except: Option<&Name>) -> Vec<Target> {
     let directory = state.directory.borrow();
     let direct_path = state.direct_path.borrow();
+    let services = directory.configuration().map(|known| &known.services);
+    let is_named =
+        |target: &Target| services.is_some_and(|services| services.contains_key(&target.service));
     let listed = directory.targets().map(|(target, _)| target);
     let mut targets: Vec<_> = listed
-        .filter(|target| !target.is_draining && Some(&target.id) != except)
+        .filter(|target| !target.is_draining && Some(&target.id) != except && is_named(target))
         .cloned()
         .collect();
     targets.shuffle(&mut rand::rng());
--- a/filbertpaddle/tests/gateway/odd_entries.rs
+++ b/filbertpaddle/tests/gateway/odd_entries.rs
@@ -1,9 +1,12 @@
 //! Entries of another writer among those of the targets.
 
+use std::time::Duration;
+
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::node::Node;
 use filbertpaddle_adapter_standins::odd_entries;
 use http::Method;
+use tokio::net::TcpListener;
 
 use crate::cluster::Cluster;
 use crate::cluster::READ_PATH;
@@ -104,3 +107,35 @@
     cluster.wait_until_used(late, "p3", "late node").await;
     cluster.close();
 }
+
+/// A node took itself for connected to targets, as the address of an entry that names none
+/// accepted its connections.
+#[tokio::test]
+async fn nodes_do_not_connect_to_targets_of_services_that_are_not_named() {
+    let mut cluster = Cluster::with_nodes("unnamed", 1).await;
+    let other = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let sound = cluster.target("p1").announce(other.local_addr().unwrap());
+    let values = odd_entries::target_values(&sound);
+    let (_, unnamed) = values.into_iter().last().unwrap();
+    for number in 0..8 {
+        let id = format!("odd-{number}");
+        cluster.store.put_raw_target(&id, unnamed.clone());
+    }
+    cluster.store.remove_target("p2");
+    wait_until("the last change is known", async || {
+        cluster.count_logged(0, "target removed", r#""target":"p2""#) == 1
+    })
+    .await;
+    for id in ["p1", "e1", "e2"] {
+        cluster.take_target(id).close();
+    }
+    wait_until("the node finds that it is cut off", async || {
+        let sent = request("a", Method::GET, READ_PATH, None);
+        cluster.send(&sent).await;
+        cluster.count_logged(0, "node reaches no target itself", "") > 0
+    })
+    .await;
+    let accepted = tokio::time::timeout(Duration::ZERO, other.accept());
+    assert!(accepted.await.is_err());
+    cluster.close();
+}
