Decode texts of any length in messages between nodes

What callers see: nodes stop following the list, again and again, once one entry has a text of more than 4 KiB: each node that follows a reader loses its link to it, connects again and fails again. By the code, it then takes the reader for unresponsive and reads the store itself (not measured at a larger number of nodes). Cause: the decoder of messages refuses a text that does not fit into its buffer of 4,096 bytes. The reader of the store has no such limit, so it lists the target and passes it on in the table, to each new follower too. Ruled out: nested values, huge lengths and numbers in messages are refused without a crash (odd_bytes_are_refused_as_messages, 108 kinds of bytes, a guard); frames of the project's own interface (filbertpaddle-wire odd_frames) decode any length. Change: the buffer is as large as the message. Evidence: any_target_that_a_reader_lists_arrives_at_its_followers failed before ("invalid type: string, expected str").

--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -262,10 +262,7 @@
     pub async fn receive(&mut self) -> Result<Message, Error> {
         loop {
             match self.socket.next().await.ok_or(Error::Closed)?? {
-                Frame::Binary(bytes) => {
-                    return ciborium::from_reader(bytes.as_ref())
-                        .map_err(|error| Error::Unreadable(error.to_string()));
-                }
+                Frame::Binary(bytes) => return decode(&bytes),
                 Frame::Close(_) => return Err(Error::Closed),
                 _ => {}
             }
@@ -370,6 +367,18 @@
     }
 }
 
+/// Decodes a message.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are no message.
+pub fn decode(bytes: &[u8]) -> Result<Message, Error> {
+    // The decoder refuses texts that do not fit into its buffer, which none of a message exceeds.
+    let mut buffer = vec![0; bytes.len()];
+    ciborium::de::from_reader_with_buffer(bytes, &mut buffer)
+        .map_err(|error| Error::Unreadable(error.to_string()))
+}
+
 /// Returns the options of links. There may be hundreds, each with buffers of this size.
 fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
--- a/filbertpaddle/tests/gateway/odd_entries.rs
+++ b/filbertpaddle/tests/gateway/odd_entries.rs
@@ -98,6 +98,8 @@
         .await;
     for node in 0..cluster.nodes.len() {
         assert!(cluster.count_logged(node, "cannot be decoded", "port 0") <= 1);
+        let links = cluster.count_logged(node, "stopped following", "invalid message");
+        assert_eq!(links, 0);
     }
     let started = cluster.nodes.len();
     cluster.add_node("late", "dc-a");
