--- a/filbertpaddle/tests/gateway/paged_nodes.rs
+++ b/filbertpaddle/tests/gateway/paged_nodes.rs
@@ -41,8 +41,8 @@
     head: &Parts,
     body: Vec<u8>,
 ) -> reqwest::Result<Response<Body>> {
-    let is_nodes =
-        head.uri.path() == "/rows-get" && query_value(&head.uri, "table") == Some("nodes");
+    let is_nodes = head.uri.path() == "/rows-get"
+        && query_value(&head.uri, "table").as_deref() == Some("nodes");
     let path = if is_nodes {
         "/rows-get?table=nodes&part="
     } else {
