Do not number the queries of a restarted node as those of its former incarnation

A node that was killed and came back at its address could take a late answer to its former incarnation for that to its own query, about another stream, and let that go on at another version.

Cause: queries for the version that began a stream are numbered from 1 at each start, and an answer names only the number.

Ruled out: answers within one incarnation; a query that has ended has no receiver.

Change: the numbers start at random.

Evidence: gateway unknown_origin a_node_that_starts_again_does_not_number_its_queries_as_before failed before (the same datagram from both incarnations), passes now; unknown_origin passes (9 tests, one run).

Remains: datagrams of others than nodes are not refused.

--- a/filbertpaddle-gateway/src/version_exchange.rs
+++ b/filbertpaddle-gateway/src/version_exchange.rs
@@ -70,7 +70,8 @@
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
         Ok(Self {
             socket: UdpSocket::bind(address).await?,
-            last_query: Cell::new(0),
+            // Answers to the queries of an earlier incarnation may arrive late.
+            last_query: Cell::new(rand::random()),
             waiting: RefCell::default(),
         })
     }
@@ -164,7 +165,7 @@
     attempt_key: u64,
     asked: &[SocketAddr],
 ) -> (Option<SoftwareVersion>, usize) {
-    let query = exchange.last_query.get() + 1;
+    let query = exchange.last_query.get().wrapping_add(1);
     exchange.last_query.set(query);
     let (sender, mut answers) = mpsc::unbounded_channel();
     exchange.waiting.borrow_mut().insert(query, sender);
--- a/filbertpaddle/tests/gateway/unknown_origin.rs
+++ b/filbertpaddle/tests/gateway/unknown_origin.rs
@@ -3,9 +3,11 @@
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
 use filbertpaddle_adapter_standins::store::Fault;
+use filbertpaddle_standins::loopback::next_host;
 use filbertpaddle_standins::proxy::Link;
 use filbertpaddle_standins::proxy::Proxy;
 use serde_json::json;
+use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -13,6 +15,7 @@
 use crate::cluster::KEY;
 use crate::cluster::RESUMABLE_PATH;
 use crate::cluster::configuration;
+use crate::cluster::wait_until;
 use crate::version_streams::AT_ONCE;
 use crate::version_streams::EVENTS;
 use crate::version_streams::NEW;
@@ -252,3 +255,30 @@
     assert_eq!(cluster.resume_streams(OLD).await, STREAMS);
     cluster.close();
 }
+
+/// A late answer to a node's former incarnation must not count as that to another query.
+#[tokio::test]
+async fn a_node_that_starts_again_does_not_number_its_queries_as_before() {
+    let mut cluster = Cluster::new("origin-queries").await;
+    cluster.add_engine("first", OLD).await;
+    let other = UdpSocket::bind((next_host(), 0)).await.unwrap();
+    cluster.store.put_node("other", other.local_addr().unwrap());
+    let mut queries = Vec::new();
+    for attempt in ["again-0", "again-1"] {
+        cluster.add_node("node-0", "dc-a");
+        cluster.wait_until_ready().await;
+        wait_until("the node knows the other", async || {
+            cluster.log("node-0").contains("\"nodes\":2")
+        })
+        .await;
+        cluster.send(&next_attempt(attempt, Some("s0"), 1)).await;
+        let mut query = [0; 512];
+        let length = other.recv(&mut query).await.unwrap();
+        queries.push(query[..length].to_vec());
+        // What is repeated is not needed.
+        while other.try_recv(&mut query).is_ok() {}
+        cluster.kill_all_nodes();
+    }
+    assert_ne!(queries[0], queries[1]);
+    cluster.close();
+}
