Record a version again whose recording was cut short

A resumable stream is opened within twice the latency goal, and the wait for the version record is part of that. If it ran out while a slow store was asked, the stream was bound already, and its first event at the next target was delivered with the version neither recorded nor passed to a second node.

--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -109,6 +109,8 @@
     pub placement_error: Option<PlacementError>,
     /// Software version that wrote the first event of the stream, if this attempt received it.
     pub version: VersionBinding,
+    /// Whether the store's record has that version, or could not be written in time.
+    pub is_version_recorded: bool,
     /// Number of other nodes that have been sent that version.
     pub version_keepers: usize,
     /// Pace of the events that were delivered.
--- a/filbertpaddle-gateway/src/resumption.rs
+++ b/filbertpaddle-gateway/src/resumption.rs
@@ -101,14 +101,13 @@
 
     /// Records that a target is about to deliver the first event of the stream to the caller.
     pub async fn record_first_event(&self, progress: &mut Progress, target: &Target) {
-        if self.version(progress) != VersionBinding::Free {
-            return;
+        if self.version(progress) == VersionBinding::Free {
+            progress.version = VersionBinding::to_target(target);
         }
-        progress.version = VersionBinding::to_target(target);
         let VersionBinding::Bound(version) = progress.version else {
             return;
         };
-        if !self.route.kind.is_idempotent() {
+        if !self.route.kind.is_idempotent() || progress.is_version_recorded {
             return;
         }
         let key = attempt_key(&self.metadata.attempt);
@@ -118,6 +117,8 @@
         if !version_record::ensure_recorded(&self.state, &recorded).await {
             self.pass_version_to(progress, version, KEEPERS);
         }
+        // Not set if the wait is cut short, so that the next target's first event waits again.
+        progress.is_version_recorded = true;
     }
 
     /// Passes the version that began a resumable stream on to another node, or to more of them
