Stop a generation at its target before it goes on at another

Callers see nothing: every stream arrives whole.

Cause: the memory is copied while the generation runs on, and then the connection was only closed. Most targets drop a request upon that, not all. The call that stops one (a copy with `last`) was not built.

Ruled out: a lost close, since targets that drop closed requests do stop (`a_generation_is_stopped_at_its_target_after_its_deadline`).

Weighed: waiting for the answer to the order alone. It brings the copy with the last events, but waits for the links behind other copies, which callers see as a pause. Waiting for a time without an order: nothing bounds how long a target works on. Stopping with the first copy: its whole transfer would be a pause. So: copy while it runs, order the stop, read the stream on, and go on after whichever comes first, the answer (its last events have 40 ms to arrive) or the end of the stream (the answer has 40 ms more, then the first copy is used). Lost orders and 409 are repeated after 100 ms while the stream is read; 404 leaves the stream to its end; after 503 the first copy is tried and then the memory at the source, within 1 s of its notice. A stream that breaks off without an order has its target ordered to stop before the copy goes on, for 200 ms at most. A target that sends neither events nor an answer counts as not reached after 1.4 s, as a stalled one did before. A stream that ends with its connection is not complete once its target was ordered to stop. A running call is dropped, and its copy freed, when the stream goes on without it; before, its late answer could move a reopened stream to a copy of its former target (read, without a test).

Why it works: the copy goes on only after the target has answered that it stopped or does not run the generation, or its stream has ended after the order was sent, or it answers nothing at all.

Evidence: 8 process tests (`gateway` `moves`), targets that keep closed requests. On the former code all 8 fail: the former target worked on for 3.98 to 4.02 s in the six that measure it, moved instead of staying (404), or the stream was cut (no other target goes on). They pass now, as do the other 69 of `gateway`.

Whether targets take the first copy while the second is under way is not stated; if they refuse it, the late answer is awaited.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event_stream;
 pub mod fingerprint;
 pub mod freshness;
+pub mod handover;
 pub mod invalid_entries;
 pub mod leaving_targets;
 pub mod load_table;
--- a/filbertpaddle-forward/src/migration.rs
+++ b/filbertpaddle-forward/src/migration.rs
@@ -3,8 +3,9 @@
 //! A target that is about to stop gives about two seconds' notice. The KV cache of the
 //! generation is copied while the generation keeps running. The copy takes most of the
 //! time and shares one link with all other generations of that target. The stream switches
-//! to the copy as soon as it is complete. Only a few tokens were generated during the copy,
-//! and recomputing them takes less time than a second copy would wait for the link.
+//! to the copy as soon as it is complete and the target has stopped the generation
+//! ([`crate::handover`]). Only a few tokens were generated during the copy, and recomputing
+//! them takes less time than a second copy may wait for the link.
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
@@ -33,7 +34,7 @@
     Wait(Option<Millis>),
     /// Copy the KV cache, or what was added to it since the last copy.
     Copy,
-    /// Continue the stream from the copy.
+    /// Stop the generation at its target, and continue the stream from the copy.
     Switch,
 }
 
@@ -64,6 +65,11 @@
         }
     }
 
+    /// Returns whether it is scheduled.
+    pub fn is_scheduled(&self) -> bool {
+        self.is_scheduled
+    }
+
     /// Returns the copy, if one is complete.
     pub fn copy(&self) -> Option<&Copy> {
         self.copy.as_ref()
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
+use crate::clock::Clock;
 use crate::clock::duration;
 use crate::crash;
 use crate::generation_load::Placement;
@@ -27,13 +28,11 @@
 use crate::job::Job;
 use crate::job::Progress;
 use crate::job::ResumePoint;
-use crate::migrator::CopyResult;
+use crate::migrator::CallResult;
 use crate::migrator::Migrator;
-use crate::platform_api::CopySource;
 use crate::response_writer::ResponseWriter;
 use crate::stop_reason::OpenError;
 use crate::stop_reason::StopReason;
-use crate::target_connection;
 use crate::target_stream::StreamItem;
 use crate::target_stream::TargetStream;
 use crate::target_stream::is_unframed;
@@ -54,7 +53,7 @@
 /// Outcome of waiting in the main loop.
 enum WaitOutcome {
     Item(StreamItem),
-    Copied(CopyResult),
+    Called(CallResult),
     Switch,
     Stalled,
     Changed,
@@ -76,7 +75,7 @@
     pub(crate) placement: Option<Placement>,
     pub(crate) meter: StreamMeter,
     order: EventOrder,
-    migrator: Migrator<'a>,
+    pub(crate) migrator: Migrator<'a>,
     changes: watch::Receiver<u64>,
 }
 
@@ -141,6 +140,9 @@
         loop {
             match self.next(&mut source).await {
                 WaitOutcome::Item(StreamItem::Event(event)) => self.deliver(event).await?,
+                WaitOutcome::Item(StreamItem::End) if self.is_stopped(&source) => {
+                    source = self.recover(source, "stopped").await?;
+                }
                 WaitOutcome::Item(StreamItem::End) => {
                     let mut selector = self.job.state.selector.borrow_mut();
                     selector.record_success(&source.target.id);
@@ -153,7 +155,7 @@
                     source = self.recover(source, &reason).await?;
                 }
                 WaitOutcome::Stalled => source = self.leave_stalled(source).await?,
-                WaitOutcome::Copied(copied) => self.migrator.record_copy_result(&source, copied),
+                WaitOutcome::Called(result) => self.migrator.record_result(&source.target, result),
                 WaitOutcome::Switch => source = self.switch_to_copy(source).await?,
                 WaitOutcome::Changed => self.job.pass_version_on(self.progress),
             }
@@ -164,7 +166,7 @@
     async fn next(&mut self, source: &mut TargetStream) -> WaitOutcome {
         self.check_draining(source);
         let clock = self.job.state.clock;
-        let due_ms = match self.migrator.advance(source) {
+        let due_ms = match self.migrator.advance(source, self.last_event) {
             Step::Switch => return WaitOutcome::Switch,
             Step::Wait(at) => at,
             Step::Copy => None,
@@ -172,39 +174,14 @@
         let stall_ms = (self.can_resume() || self.job.can_migrate)
             .then(|| self.last_activity_ms + STALL_TIMEOUT_MS)
             .filter(|_| self.last_event.is_some());
-        let at = |at: Option<Millis>| async move {
-            match at {
-                Some(at) => sleep_until(clock.instant(at)).await,
-                None => pending().await,
-            }
-        };
         select! {
             // What has arrived goes before the timers: this task may have waited for the caller.
             biased;
-            copied = self.migrator.wait_for_copy() => WaitOutcome::Copied(copied),
+            result = self.migrator.wait_for_call() => WaitOutcome::Called(result),
             item = source.next() => WaitOutcome::Item(item),
             _ = self.changes.changed() => WaitOutcome::Changed,
-            () = at(due_ms) => WaitOutcome::Changed,
-            () = at(stall_ms) => WaitOutcome::Stalled,
-        }
-    }
-
-    /// Schedules a migration if the target is draining or gone and the generation has
-    /// delivered an event.
-    fn check_draining(&mut self, source: &TargetStream) {
-        let state = &self.job.state;
-        let is_leaving = {
-            let directory = state.directory.borrow();
-            let listed = directory.target(&source.target.id);
-            !listed.is_some_and(|listed| {
-                listed.is_same_incarnation(&source.target) && !listed.is_draining
-            })
-        };
-        if is_leaving
-            && self.job.can_migrate
-            && let Some(events) = self.last_event
-        {
-            self.migrator.schedule_migration(events);
+            () = at(clock, due_ms) => WaitOutcome::Changed,
+            () = at(clock, stall_ms) => WaitOutcome::Stalled,
         }
     }
 
@@ -300,7 +277,7 @@
     }
 
     /// Sends the request to a target and waits for the first event of its response.
-    async fn start_at(
+    pub(crate) async fn start_at(
         &mut self,
         target: &Target,
         resume: ResumePoint<'_>,
@@ -318,10 +295,11 @@
             };
             return Err(OpenError::Stopped(stop));
         }
-        let mut source = TargetStream::new(target.clone(), body);
+        let is_unframed = is_unframed(&response.head.headers);
+        let mut source = TargetStream::new(target.clone(), body, is_unframed);
         match source.next().await {
             StreamItem::Event(event) => source.put_back(event),
-            StreamItem::End if self.last_event.is_none() && is_unframed(&response.head.headers) => {
+            StreamItem::End if self.last_event.is_none() && is_unframed => {
                 let reason = "connection closed before the first event".to_owned();
                 return Err(Failure::Unknown(reason).into());
             }
@@ -344,7 +322,9 @@
     /// can take it now, the stream stays: it may be slow but sound.
     async fn leave_stalled(&mut self, source: TargetStream) -> Result<TargetStream, StopReason> {
         if self.migrator.has_usable_copy() {
-            return self.recover(source, "stalled").await;
+            self.record_broken(&source, "stalled").await;
+            self.migrator.record_silent();
+            return self.switch_to_copy(source).await;
         }
         if !self.may_resend() {
             self.copy_if_cut_off(&source).await;
@@ -360,35 +340,10 @@
         self.record_broken(&source, "stalled").await;
         source.close();
         self.release_placement();
+        self.migrator.restart(None);
         self.open_at(target).await
     }
 
-    /// Schedules a copy of a stalled stream that may not run twice, if it is this node that does
-    /// not reach the targets: the copy is requested through another node.
-    async fn copy_if_cut_off(&mut self, source: &TargetStream) {
-        let state = &self.job.state;
-        let is_cut_off = || state.direct_path.borrow().is_cut_off();
-        if !is_cut_off() {
-            let since = state.clock.now();
-            let target = &source.target;
-            if target_connection::open_directly(state, target)
-                .await
-                .is_err()
-            {
-                target_connection::has_path(state, target, since).await;
-            }
-        }
-        self.last_activity_ms = state.clock.now();
-        if is_cut_off()
-            && let Some(events) = self.last_event
-        {
-            info!(state.log, "stream stalled while this node reaches no target, copying it";
-                "id" => self.job.metadata.attempt.as_str(),
-                "target" => source.target.id.as_str(), "last_event" => events);
-            self.migrator.schedule_migration(events);
-        }
-    }
-
     /// Chooses a target other than `source` that may be sent the request now, and excludes
     /// `source` if there is one.
     fn choose_replacement(&mut self, source: &Target) -> Option<Target> {
@@ -404,17 +359,29 @@
         sendable
     }
 
-    /// Resumes after the stream of `source` has broken off, or has stalled with a copy made.
+    /// Returns whether a stream has ended because its target was ordered to stop. One that has
+    /// neither a length nor chunks ends in the same way when it is complete.
+    fn is_stopped(&self, source: &TargetStream) -> bool {
+        source.is_unframed() && self.migrator.has_ordered_stop()
+    }
+
+    /// Resumes after the stream of `source` has broken off.
     async fn recover(
         &mut self,
         source: TargetStream,
         reason: &str,
     ) -> Result<TargetStream, StopReason> {
-        self.record_broken(&source, reason).await;
+        if !self.migrator.is_stopping() {
+            self.record_broken(&source, reason).await;
+        }
         if self.migrator.has_usable_copy() {
+            self.wait_for_stop(&source).await;
             return self.switch_to_copy(source).await;
         }
-        self.reopen(source).await
+        let target = source.target.clone();
+        source.close();
+        self.release_placement();
+        self.reopen(&target).await
     }
 
     async fn record_broken(&mut self, source: &TargetStream, reason: &str) {
@@ -432,59 +399,18 @@
         }
     }
 
-    /// Sends the request to another target, to resume after the last event, if the route
-    /// allows it.
-    async fn reopen(&mut self, source: TargetStream) -> Result<TargetStream, StopReason> {
-        self.progress
-            .excluded_targets
-            .push(source.target.id.clone());
-        source.close();
-        self.release_placement();
+    /// Sends the request to a target other than `source`, to resume after the last event, if the
+    /// route allows it.
+    pub(crate) async fn reopen(&mut self, source: &Target) -> Result<TargetStream, StopReason> {
+        self.progress.excluded_targets.push(source.id.clone());
+        // A call to the former target may still be running.
+        self.migrator.restart(None);
         if !self.may_resend() {
             return Err(StopReason::Broken);
         }
         self.open().await
     }
 
-    /// Resumes from the copy at another target.
-    async fn switch_to_copy(&mut self, source: TargetStream) -> Result<TargetStream, StopReason> {
-        let Some((copy, target)) = self.migrator.take_copy() else {
-            return self.reopen(source).await;
-        };
-        let state = &self.job.state;
-        info!(state.log, "generation moving to the target of its copy";
-            "id" => self.job.metadata.attempt.as_str(),
-            "from" => source.target.id.as_str(), "from_version" => source.target.version.as_str(),
-            "to" => target.id.as_str(), "version" => target.version.as_str(),
-            "last_event" => self.last_event, "copied_events" => copy.events);
-        state.metrics.count("generation.moved");
-        let address = source.target.address.clone();
-        source.close();
-        self.release_placement();
-        self.job.charge_migration();
-        self.place_on(&target);
-        let resume = ResumePoint {
-            last_event: self.last_event,
-            copy: Some(CopySource {
-                address: &address,
-                handle: &copy.handle,
-            }),
-        };
-        match self.start_at(&target, resume).await {
-            Ok(source) => Ok(source),
-            Err(OpenError::Stopped(stop)) => Err(stop),
-            Err(OpenError::Failed(failure)) => {
-                self.release_placement();
-                self.job.mark_failed(self.progress, &target, &failure);
-                self.job.check_crash(&target, &failure).await;
-                if !self.may_resend() {
-                    return Err(StopReason::Broken);
-                }
-                self.open().await
-            }
-        }
-    }
-
     /// Returns whether the stream could resume at another target.
     fn can_resume(&self) -> bool {
         self.migrator.has_copy() || self.may_resend()
@@ -495,3 +421,11 @@
         self.job.route.kind.is_idempotent() && self.progress.sends < self.job.route.max_attempts
     }
 }
+
+/// Waits until a time, or for ever.
+pub(crate) async fn at(clock: Clock, at: Option<Millis>) {
+    match at {
+        Some(at) => sleep_until(clock.instant(at)).await,
+        None => pending().await,
+    }
+}
--- /dev/null
+++ b/filbertpaddle-gateway/src/generation_move.rs
@@ -0,0 +1,134 @@
+//! Moves of a generation from its target to another one, from a copy of its KV cache.
+
+use filbertpaddle_forward::migration::Step;
+use filbertpaddle_forward::target::Target;
+use slog::info;
+use tokio::select;
+
+use crate::generation::Generation;
+use crate::generation::at;
+use crate::job::Failure;
+use crate::job::ResumePoint;
+use crate::migrator::CopyPoint;
+use crate::platform_api::CopySource;
+use crate::stop_reason::OpenError;
+use crate::stop_reason::StopReason;
+use crate::target_connection;
+use crate::target_stream::TargetStream;
+
+impl Generation<'_> {
+    /// Schedules a migration if the target is draining or gone and the generation has
+    /// delivered an event.
+    pub(crate) fn check_draining(&mut self, source: &TargetStream) {
+        let state = &self.job.state;
+        let is_leaving = {
+            let directory = state.directory.borrow();
+            let listed = directory.target(&source.target.id);
+            !listed.is_some_and(|listed| {
+                listed.is_same_incarnation(&source.target) && !listed.is_draining
+            })
+        };
+        if is_leaving
+            && self.job.can_migrate
+            && let Some(events) = self.last_event
+        {
+            self.migrator.schedule_migration(events);
+        }
+    }
+
+    /// Schedules a copy of a stalled stream that may not run twice, if it is this node that does
+    /// not reach the targets: the copy is requested through another node.
+    pub(crate) async fn copy_if_cut_off(&mut self, source: &TargetStream) {
+        let state = &self.job.state;
+        let is_cut_off = || state.direct_path.borrow().is_cut_off();
+        if !is_cut_off() {
+            let since = state.clock.now();
+            let target = &source.target;
+            if target_connection::open_directly(state, target)
+                .await
+                .is_err()
+            {
+                target_connection::has_path(state, target, since).await;
+            }
+        }
+        self.last_activity_ms = state.clock.now();
+        if is_cut_off()
+            && let Some(events) = self.last_event
+        {
+            info!(state.log, "stream stalled while this node reaches no target, copying it";
+                "id" => self.job.metadata.attempt.as_str(),
+                "target" => source.target.id.as_str(), "last_event" => events);
+            self.migrator.schedule_migration(events);
+        }
+    }
+
+    /// Waits until the target of a stream that has broken off is known not to run it, or gives
+    /// no answer.
+    pub(crate) async fn wait_for_stop(&mut self, source: &TargetStream) {
+        self.migrator.record_closed(source);
+        let clock = self.job.state.clock;
+        while let Step::Wait(until) = self.migrator.advance(source, self.last_event) {
+            select! {
+                biased;
+                result = self.migrator.wait_for_call() => {
+                    self.migrator.record_result(&source.target, result);
+                }
+                () = at(clock, until) => {}
+            }
+        }
+    }
+
+    /// Resumes from the copy at another target, or at the target itself if no other goes on.
+    pub(crate) async fn switch_to_copy(
+        &mut self,
+        source: TargetStream,
+    ) -> Result<TargetStream, StopReason> {
+        let from = source.target.clone();
+        source.close();
+        self.release_placement();
+        while let Some(point) = self.migrator.next_point(&from).await {
+            match self.start_from(&from, &point).await {
+                Ok(stream) => {
+                    self.migrator.restart(Some(&point));
+                    return Ok(stream);
+                }
+                Err(OpenError::Stopped(stop)) => return Err(stop),
+                Err(OpenError::Failed(failure)) => {
+                    self.release_placement();
+                    self.job.mark_failed(self.progress, &point.target, &failure);
+                    self.job.check_crash(&point.target, &failure).await;
+                    self.migrator.record_unusable(&point.target);
+                    if matches!(failure, Failure::Unknown(_) | Failure::RelayLost(_)) {
+                        break;
+                    }
+                }
+            }
+        }
+        self.reopen(&from).await
+    }
+
+    async fn start_from(
+        &mut self,
+        from: &Target,
+        point: &CopyPoint,
+    ) -> Result<TargetStream, OpenError> {
+        let CopyPoint { target, handle } = point;
+        let state = &self.job.state;
+        info!(state.log, "generation moving to the target of its copy";
+            "id" => self.job.metadata.attempt.as_str(),
+            "from" => from.id.as_str(), "from_version" => from.version.as_str(),
+            "to" => target.id.as_str(), "version" => target.version.as_str(),
+            "last_event" => self.last_event, "handle" => handle.as_str());
+        state.metrics.count("generation.moved");
+        self.job.charge_migration();
+        self.place_on(target);
+        let resume = ResumePoint {
+            last_event: self.last_event,
+            copy: Some(CopySource {
+                address: &from.address,
+                handle,
+            }),
+        };
+        self.start_at(target, resume).await
+    }
+}
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -2,13 +2,14 @@
 
 use std::fmt;
 use std::future::pending;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_forward::migration::Copy;
+use filbertpaddle_forward::handover;
+use filbertpaddle_forward::handover::Handover;
+use filbertpaddle_forward::handover::OrderResult;
+use filbertpaddle_forward::handover::may_return;
 use filbertpaddle_forward::migration::Migration;
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::request_demand::RequestDemand;
@@ -16,34 +17,47 @@
 use filbertpaddle_forward::target::Target;
 use slog::info;
 
+use crate::copy_call;
+use crate::copy_call::CopyCall;
+use crate::copy_call::Outcome;
 use crate::job::Job;
 use crate::platform_api::CopyOutcome;
-use crate::platform_api::CopyRequest;
-use crate::state::State;
-use crate::target_call;
+use crate::platform_api::StopOutcome;
 use crate::target_stream::TargetStream;
 
-/// Enough to copy the KV caches of several large generations over one link.
-const COPY_TIMEOUT: Duration = Duration::from_secs(4);
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
-
-type CopyCall = Pin<Box<dyn Future<Output = CopyOutcome>>>;
-
-/// Result of a copy request.
+/// Result of a call.
 #[derive(Debug)]
-pub struct CopyResult {
+pub struct CallResult {
     to: Target,
-    outcome: CopyOutcome,
+    outcome: Outcome,
+}
+
+/// Target and handle of the memory from which a generation goes on there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CopyPoint {
+    /// The target.
+    pub target: Target,
+    /// The handle, as the target gave it that ran the generation before.
+    pub handle: Name,
 }
 
 /// Makes and holds the copy of one generation.
 pub struct Migrator<'a> {
     job: &'a Job,
     migration: Migration,
-    copying: Option<(Target, CopyCall)>,
+    handover: Handover,
+    call: Option<CopyCall>,
+    /// Destination of the copy.
     reserved: Option<Target>,
-    source_address: Name,
+    /// Whether the destination's load includes the generation.
+    has_load: bool,
+    /// Handle of the memory that the source keeps after it has stopped.
+    kept: Option<Name>,
+    /// Time when the migration was scheduled.
+    noticed_ms: Millis,
     refused_by: Vec<Name>,
+    /// Targets that did not go on from their copy.
+    unusable: Vec<Name>,
 }
 
 impl fmt::Debug for Migrator<'_> {
@@ -58,10 +72,14 @@
         Self {
             job,
             migration: Migration::new(),
-            copying: None,
+            handover: Handover::new(),
+            call: None,
             reserved: None,
-            source_address: Name::default(),
+            has_load: false,
+            kept: None,
+            noticed_ms: Millis::ZERO,
             refused_by: Vec::new(),
+            unusable: Vec::new(),
         }
     }
 
@@ -70,6 +88,9 @@
     pub fn schedule_migration(&mut self, events: u64) {
         let now = self.job.state.clock.now();
         let remaining_ms = self.job.remaining_output_ms(events);
+        if !self.migration.is_scheduled() {
+            self.noticed_ms = now;
+        }
         self.migration.schedule(now, remaining_ms);
     }
 
@@ -84,42 +105,83 @@
         self.has_copy()
     }
 
-    /// Starts a copy if one is due; returns the next step.
-    pub fn advance(&mut self, source: &TargetStream) -> Step {
+    /// Returns whether the target has been ordered to stop the generation.
+    pub fn has_ordered_stop(&self) -> bool {
+        self.handover.has_ordered()
+    }
+
+    /// Returns whether the target has stopped the generation, or is being ordered to.
+    pub fn is_stopping(&self) -> bool {
+        self.handover.is_final()
+    }
+
+    /// Starts a copy, or orders the target to stop, if that is due; returns the next step.
+    /// `delivered` is the last event that has arrived.
+    pub fn advance(&mut self, source: &TargetStream, delivered: Option<u64>) -> Step {
         let now = self.job.state.clock.now();
         self.drop_lost_copy();
-        let step = self.migration.next_step(now);
-        if step != Step::Copy {
-            return step;
+        match self.migration.next_step(now) {
+            Step::Wait(at) => Step::Wait(at),
+            Step::Copy => {
+                self.start_copy(now, source);
+                self.migration.next_step(now)
+            }
+            Step::Switch => self.advance_handover(now, source, delivered),
         }
-        self.start_copy(now, source);
-        self.migration.next_step(now)
     }
 
-    /// Waits for the result of the running copy request, if there is one. Cancel-safe.
-    pub async fn wait_for_copy(&mut self) -> CopyResult {
-        let Some((to, call)) = &mut self.copying else {
+    fn advance_handover(
+        &mut self,
+        now: Millis,
+        source: &TargetStream,
+        delivered: Option<u64>,
+    ) -> Step {
+        match (self.handover.next_step(now, delivered), &self.reserved) {
+            (handover::Step::Wait(at), _) => Step::Wait(at),
+            (handover::Step::Continue, _) | (handover::Step::Order, None) => Step::Switch,
+            (handover::Step::Order, Some(to)) => {
+                let Job {
+                    state, metadata, ..
+                } = self.job;
+                let call = CopyCall::stop(state, &metadata.attempt, &source.target, to);
+                self.call = Some(call);
+                self.handover.record_order_sent();
+                match self.handover.next_step(now, delivered) {
+                    handover::Step::Wait(at) => Step::Wait(at),
+                    handover::Step::Order | handover::Step::Continue => Step::Switch,
+                }
+            }
+        }
+    }
+
+    /// Waits for the result of the running call, if there is one. Cancel-safe.
+    pub async fn wait_for_call(&mut self) -> CallResult {
+        let Some(call) = &mut self.call else {
             return pending().await;
         };
-        let outcome = call.await;
-        let to = to.clone();
-        self.copying = None;
-        CopyResult { to, outcome }
+        let outcome = call.outcome().await;
+        let to = call.to().clone();
+        self.call = None;
+        CallResult { to, outcome }
     }
 
-    /// Records the result of a copy request.
-    pub fn record_copy_result(&mut self, source: &TargetStream, result: CopyResult) {
+    /// Records the result of a call.
+    pub fn record_result(&mut self, source: &Target, result: CallResult) {
+        let CallResult { to, outcome } = result;
+        match outcome {
+            Outcome::Copy(outcome) => self.record_copy(source, to, outcome),
+            Outcome::Stop(outcome) => self.record_stop(source, &to, outcome),
+        }
+    }
+
+    fn record_copy(&mut self, source: &Target, to: Target, outcome: CopyOutcome) {
         let now = self.job.state.clock.now();
-        let CopyResult { to, outcome } = result;
         info!(self.job.state.log, "copy request finished";
             "id" => self.job.metadata.attempt.as_str(),
-            "from" => source.target.id.as_str(), "to" => to.id.as_str(),
+            "from" => source.id.as_str(), "to" => to.id.as_str(),
             "answer" => ?outcome);
         match outcome {
-            CopyOutcome::Copied(copy) => {
-                self.source_address = source.target.address.clone();
-                self.migration.record_copied(copy);
-            }
+            CopyOutcome::Copied(copy) => self.migration.record_copied(copy),
             CopyOutcome::Refused => {
                 self.refused_by.push(to.id);
                 self.release_reservation();
@@ -129,29 +191,108 @@
         }
     }
 
-    /// Takes the copy to resume from and resets the migrator for the new target.
-    pub fn take_copy(&mut self) -> Option<(Copy, Target)> {
-        let copy = self.migration.take_copy();
-        let to = self.reserved.clone();
+    fn record_stop(&mut self, source: &Target, to: &Target, outcome: StopOutcome) {
+        let now = self.job.state.clock.now();
+        info!(self.job.state.log, "order to stop finished";
+            "id" => self.job.metadata.attempt.as_str(),
+            "from" => source.id.as_str(), "to" => to.id.as_str(),
+            "answer" => ?outcome);
+        let result = match outcome {
+            StopOutcome::Copied(copy) => {
+                let events = Some(copy.events);
+                self.kept = Some(copy.handle.clone());
+                self.migration.record_copied(copy);
+                OrderResult::Stopped { events }
+            }
+            StopOutcome::Stopped(handle) => {
+                self.kept = handle;
+                OrderResult::Stopped { events: None }
+            }
+            StopOutcome::NotRunning => OrderResult::NotRunning,
+            StopOutcome::Busy => OrderResult::Busy,
+            StopOutcome::Unknown => OrderResult::Failed,
+        };
+        self.handover.record_order_result(now, result);
+    }
+
+    /// Records that the stream of the source has broken off.
+    pub fn record_closed(&mut self, source: &TargetStream) {
+        let now = self.job.state.clock.now();
+        self.handover.record_closed(now, source.is_relayed());
+    }
+
+    /// Records that the source has sent no event for longer than sound targets are silent.
+    pub fn record_silent(&mut self) {
+        self.handover.record_silent();
+    }
+
+    /// Takes the next point from which the generation may go on: the copy; one that is complete
+    /// later; the memory that the source keeps, while the source may still be sent requests.
+    pub async fn next_point(&mut self, source: &Target) -> Option<CopyPoint> {
+        if self.migration.copy().is_none() && self.call.is_some() {
+            let result = self.wait_for_call().await;
+            self.record_result(source, result);
+        }
+        // The generation counts there by itself from now on.
+        self.release_load();
+        if let Some(copy) = self.migration.take_copy()
+            && let Some(target) = self.reserved.clone()
+        {
+            return Some(CopyPoint {
+                target,
+                handle: copy.handle,
+            });
+        }
+        let handle = self.kept.take()?;
+        self.may_return_to(source).then(|| CopyPoint {
+            target: source.clone(),
+            handle,
+        })
+    }
+
+    fn may_return_to(&self, source: &Target) -> bool {
+        let state = &self.job.state;
+        let directory = state.directory.borrow();
+        let listed = directory.target(&source.id);
+        let is_listed = listed.is_some_and(|listed| listed.is_same_incarnation(source));
+        is_listed
+            && !directory.is_out(&source.data_centre)
+            && may_return(state.clock.now(), self.noticed_ms)
+    }
+
+    /// Records that a target did not go on from its copy.
+    pub fn record_unusable(&mut self, target: &Target) {
+        self.unusable.push(target.id.clone());
+    }
+
+    /// Resets the migrator for a new target, after the generation has gone on from `used`, if it
+    /// has.
+    pub fn restart(&mut self, used: Option<&CopyPoint>) {
         self.release_reservation();
-        self.copying = None;
+        if let Some(call) = self.call.take() {
+            call.abandon(&self.job.state, used.map(|point| point.handle.clone()));
+        }
+        self.kept = None;
         self.refused_by.clear();
         self.migration = Migration::new();
-        Some((copy?, to?))
+        self.handover = Handover::new();
     }
 
     /// Releases the reservation and the copy at the destination.
     pub fn close(mut self) {
         let copy = self.migration.take_copy();
         let to = self.reserved.clone();
-        self.release_reservation();
+        self.restart(None);
         if let (Some(copy), Some(to)) = (copy, to) {
             let state = Rc::clone(&self.job.state);
-            tokio::task::spawn_local(async move { release_copy(&state, &copy, &to).await });
+            tokio::task::spawn_local(async move {
+                copy_call::release(&state, &copy.handle, &to).await;
+            });
         }
     }
 
-    /// Drops the copy if its target is draining or gone.
+    /// Drops the copy if its target is draining or gone, unless the generation has to leave its
+    /// own target now.
     fn drop_lost_copy(&mut self) {
         let Some(reserved) = &self.reserved else {
             return;
@@ -161,7 +302,7 @@
         let is_available = listed
             .is_some_and(|listed| listed.is_same_incarnation(reserved) && !listed.is_draining);
         drop(directory);
-        if !is_available && self.copying.is_none() {
+        if !is_available && self.call.is_none() && !self.handover.is_final() {
             self.migration.take_copy();
             self.release_reservation();
         }
@@ -173,20 +314,19 @@
             self.migration.record_copy_failed(now);
             return;
         };
-        let call = request_copy(
-            Rc::clone(&self.job.state),
-            self.job.metadata.attempt.clone(),
-            source.target.clone(),
-            to.clone(),
-        );
         self.migration.record_copy_started();
         if self.reserved.is_none() {
             let mut selector = self.job.state.selector.borrow_mut();
             selector.record_sent(now, &to, &self.resume_demand());
             drop(selector);
+            self.has_load = true;
             self.reserved = Some(to.clone());
         }
-        self.copying = Some((to, Box::pin(call)));
+        let Job {
+            state, metadata, ..
+        } = self.job;
+        let call = CopyCall::copy(state, &metadata.attempt, &source.target, &to);
+        self.call = Some(call);
     }
 
     fn destination(&self, now: Millis, source: &TargetStream) -> Option<Target> {
@@ -200,15 +340,15 @@
             version: VersionBinding::to_target(&source.target),
             ..self.resume_demand()
         };
+        let excluded: Vec<_> = self
+            .refused_by
+            .iter()
+            .chain(&self.unusable)
+            .cloned()
+            .collect();
         let draw = rand::random::<f64>;
-        let chosen = selector.choose_copy_target(
-            now,
-            &directory,
-            &source.target,
-            &demand,
-            &self.refused_by,
-            draw,
-        );
+        let chosen =
+            selector.choose_copy_target(now, &directory, &source.target, &demand, &excluded, draw);
         chosen.cloned()
     }
 
@@ -221,35 +361,15 @@
     }
 
     fn release_reservation(&mut self) {
-        if let Some(reserved) = self.reserved.take() {
-            let mut selector = self.job.state.selector.borrow_mut();
-            selector.record_ended(&reserved.id, &self.resume_demand(), true);
-        }
+        self.release_load();
+        self.reserved = None;
     }
-}
 
-async fn request_copy(state: Rc<State>, attempt: Name, source: Target, to: Target) -> CopyOutcome {
-    let calls = state.platform.engine;
-    let copy_request = CopyRequest {
-        attempt: &attempt,
-        to: &to,
-    };
-    let call = (calls.copy)(&copy_request);
-    state.metrics.count("target.copies");
-    match target_call::call(&state, &source, &call, COPY_TIMEOUT).await {
-        Ok((head, bytes)) => (calls.decode_copy)(&copy_request, head.status, &bytes),
-        Err(error) => {
-            info!(state.log, "copy request failed, treated as refused";
-                "id" => attempt.as_str(), "to" => to.id.as_str(), "error" => %error);
-            CopyOutcome::Refused
+    fn release_load(&mut self) {
+        if let Some(reserved) = self.reserved.as_ref().filter(|_| self.has_load) {
+            let mut selector = self.job.state.selector.borrow_mut();
+            selector.record_ended(&reserved.id, &self.resume_demand(), true);
         }
-    }
-}
-
-async fn release_copy(state: &State, copy: &Copy, to: &Target) {
-    let call = (state.platform.engine.release)(&copy.handle);
-    if let Err(error) = target_call::call(state, to, &call, RELEASE_TIMEOUT).await {
-        info!(state.log, "copy not released at target";
-            "target" => to.id.as_str(), "error" => %error);
+        self.has_load = false;
     }
 }
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -144,6 +144,10 @@
     pub copy: fn(&CopyRequest<'_>) -> Call,
     /// Decodes the response to a copy request.
     pub decode_copy: fn(&CopyRequest<'_>, StatusCode, &[u8]) -> CopyOutcome,
+    /// Stops a running generation and copies what was added to its KV cache since the last copy.
+    pub stop: fn(&CopyRequest<'_>) -> Call,
+    /// Decodes the response to such a call.
+    pub decode_stop: fn(&CopyRequest<'_>, StatusCode, &[u8]) -> StopOutcome,
     /// Frees a copy.
     pub release: fn(&str) -> Call,
 }
@@ -170,6 +174,22 @@
     Refused,
 }
 
+/// Result of a call that stops a generation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StopOutcome {
+    /// It has stopped, and the copy is complete.
+    Copied(Copy),
+    /// It has stopped, and the copy is not complete. The source keeps its KV cache, under this
+    /// handle if it gave one.
+    Stopped(Option<Name>),
+    /// It does not run at the source.
+    NotRunning,
+    /// Another copy of it is being made.
+    Busy,
+    /// It may have stopped.
+    Unknown,
+}
+
 /// Calls to the store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreCalls {
--- a/filbertpaddle-gateway/src/target_stream.rs
+++ b/filbertpaddle-gateway/src/target_stream.rs
@@ -16,6 +16,7 @@
     /// Target that sends the stream.
     pub target: Target,
     body: Body,
+    is_unframed: bool,
     splitter: EventSplitter,
     ready: VecDeque<Event>,
 }
@@ -32,11 +33,13 @@
 }
 
 impl TargetStream {
-    /// Creates a stream that reads the events of `body`.
-    pub fn new(target: Target, body: Body) -> Self {
+    /// Creates a stream that reads the events of `body`, which may be one that ends with its
+    /// connection.
+    pub fn new(target: Target, body: Body, is_unframed: bool) -> Self {
         Self {
             target,
             body,
+            is_unframed,
             splitter: EventSplitter::new(),
             ready: VecDeque::new(),
         }
@@ -71,12 +74,17 @@
         self.body.is_relayed()
     }
 
+    /// Returns whether it has neither a length nor chunks, so that it ends with its connection.
+    pub fn is_unframed(&self) -> bool {
+        self.is_unframed
+    }
+
     /// Puts back the last event, which the next call returns again.
     pub fn put_back(&mut self, event: Event) {
         self.ready.push_front(event);
     }
 
-    /// Closes the connection, upon which the target stops the generation.
+    /// Closes the connection. Most targets, but not all, stop the generation upon that.
     pub fn close(self) {
         drop(self.body);
     }
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod endless;
 mod event_ids;
 mod limits;
+mod moves;
 mod odd_entries;
 mod paged_nodes;
 mod rate_limits;
