Stop a stalled generation before it is resumed at another target

Callers see nothing. A resumable stream that gives no event for 1.4 s is resumed at another target, and the connection to its own is closed. Found by looking for the cause of the change before elsewhere.

Fix: where engines can move generations, the stalled target is ordered to stop and to copy to the target that was chosen next. The answer is awaited for 200 ms. With it the stream goes on from the copy, else it is resumed as before; an order that was sent is carried out by a target that is reached, and a copy that is complete later is freed.

Weighed: ordering the stop without a wait. The copy would then always be made for nothing, at the target that reads the prompt again. Waiting until the copy is complete: most stalled targets answer nothing.

Remains: engines without moves can't be stopped; neither can runs without events, nor requests without a generation, after a time limit. A target that does not answer costs 200 ms more until the stream goes on. A late copy is priced though it is not used.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -338,6 +338,9 @@
             return Ok(source);
         };
         self.record_broken(&source, "stalled").await;
+        if self.stop_stalled(&source, &target).await {
+            return self.switch_to_copy(source).await;
+        }
         source.close();
         self.release_placement();
         self.migrator.restart(None);
--- a/filbertpaddle-gateway/src/generation_move.rs
+++ b/filbertpaddle-gateway/src/generation_move.rs
@@ -1,9 +1,12 @@
 //! Moves of a generation from its target to another one, from a copy of its KV cache.
 
+use std::time::Duration;
+
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::target::Target;
 use slog::info;
 use tokio::select;
+use tokio::time::timeout;
 
 use crate::generation::Generation;
 use crate::generation::at;
@@ -16,6 +19,10 @@
 use crate::target_connection;
 use crate::target_stream::TargetStream;
 
+/// Time for which a stalled target's answer to the order to stop is awaited. Callers have waited
+/// for a stall before, and abandon a stream after two seconds.
+const STALLED_STOP_WAIT: Duration = Duration::from_millis(200);
+
 impl Generation<'_> {
     /// Schedules a migration if the target is draining or gone and the generation has
     /// delivered an event.
@@ -62,6 +69,19 @@
         }
     }
 
+    /// Orders the target of a stalled stream to stop, and waits a moment for the answer; returns
+    /// whether `to` has a copy then. A target that is reached stops even if its answer is late.
+    pub(crate) async fn stop_stalled(&mut self, source: &TargetStream, to: &Target) -> bool {
+        if !self.job.can_migrate {
+            return false;
+        }
+        self.migrator.order_stop(source, to);
+        if let Ok(result) = timeout(STALLED_STOP_WAIT, self.migrator.wait_for_call()).await {
+            self.migrator.record_result(&source.target, result);
+        }
+        self.migrator.has_copy()
+    }
+
     /// Waits until the target of a stream that has broken off is known not to run it, or gives
     /// no answer.
     pub(crate) async fn wait_for_stop(&mut self, source: &TargetStream) {
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -154,6 +154,18 @@
         }
     }
 
+    /// Orders the source to stop at once, and to copy the generation to `to`.
+    pub fn order_stop(&mut self, source: &TargetStream, to: &Target) {
+        self.restart(None);
+        self.reserve(self.job.state.clock.now(), to);
+        let Job {
+            state, metadata, ..
+        } = self.job;
+        let call = CopyCall::stop(state, &metadata.attempt, &source.target, to);
+        self.call = Some(call);
+        self.handover.record_order_sent();
+    }
+
     /// Waits for the result of the running call, if there is one. Cancel-safe.
     pub async fn wait_for_call(&mut self) -> CallResult {
         let Some(call) = &mut self.call else {
@@ -316,11 +328,7 @@
         };
         self.migration.record_copy_started();
         if self.reserved.is_none() {
-            let mut selector = self.job.state.selector.borrow_mut();
-            selector.record_sent(now, &to, &self.resume_demand());
-            drop(selector);
-            self.has_load = true;
-            self.reserved = Some(to.clone());
+            self.reserve(now, &to);
         }
         let Job {
             state, metadata, ..
@@ -329,6 +337,14 @@
         self.call = Some(call);
     }
 
+    fn reserve(&mut self, now: Millis, to: &Target) {
+        let mut selector = self.job.state.selector.borrow_mut();
+        selector.record_sent(now, to, &self.resume_demand());
+        drop(selector);
+        self.has_load = true;
+        self.reserved = Some(to.clone());
+    }
+
     fn destination(&self, now: Millis, source: &TargetStream) -> Option<Target> {
         if let Some(reserved) = &self.reserved {
             return Some(reserved.clone());
--- a/filbertpaddle/tests/gateway/moves.rs
+++ b/filbertpaddle/tests/gateway/moves.rs
@@ -5,10 +5,12 @@
 
 use filbertpaddle_adapter_standins::run_log::Run;
 use filbertpaddle_adapter_standins::target::Behaviour;
+use filbertpaddle_adapter_standins::target::Stall;
 use filbertpaddle_adapter_standins::target::StopFault;
 use http::Method;
 
 use crate::cluster::Cluster;
+use crate::cluster::RESUMABLE_PATH;
 use crate::cluster::STREAM_PATH;
 use crate::cluster::complete_stream;
 use crate::cluster::request;
@@ -160,3 +162,34 @@
     assert_eq!(source.stops_answered_at().len(), 3);
     moved.close();
 }
+
+/// The connection to a stalled target was closed, and it worked on once it could.
+#[tokio::test]
+async fn a_stalled_target_stops_before_its_stream_goes_on_elsewhere() {
+    let cluster = Cluster::with_nodes("moves-stalled", 1).await;
+    for target in &cluster.targets {
+        target.keep_closed();
+    }
+    let stream = request("s", Method::POST, RESUMABLE_PATH, Some(OUTPUT_TOKENS));
+    let stall = async {
+        wait_until("the stream runs", async || {
+            !cluster.run_log.runs_of("s").is_empty()
+                && cluster.first_target_of("s").running().get("s") > Some(&10)
+        })
+        .await;
+        let source = cluster.first_target_of("s");
+        source.set_stall(Stall::Silent);
+        wait_until(
+            "it goes on at another target, and no more here",
+            async || cluster.run_log.runs_of("s").len() == 2 && source.ended_at("s").is_some(),
+        )
+        .await;
+        source.set_stall(Stall::None);
+    };
+    let (response, ()) = tokio::join!(cluster.send(&stream), stall);
+    assert!(response.is_complete, "{} bytes", response.body.len());
+    assert_eq!(response.body, complete_stream("s", EVENTS));
+    let runs = cluster.run_log.runs_of("s");
+    assert_ne!(runs[0].target, runs[1].target);
+    cluster.close();
+}
