Keep the platform's header names in its stand-ins, and say plainly what some comments mean

Read-through of the change. A test of refusals wrote headers of the platform itself; the raw target's stand-in does now. Comments that read oddly are reworded.

--- a/filbertpaddle-forward/src/stream_origin.rs
+++ b/filbertpaddle-forward/src/stream_origin.rs
@@ -1,9 +1,9 @@
 //! Which service and software version may continue a stream that a caller resumes.
 //!
 //! Load pattern: nodes that have just started, or that were cut off or paused during a release,
-//! receive the callers of streams that began through other nodes. What such a node has not been
-//! told does not count as knowledge: it continues a stream only if a node knows what began it, or
-//! if the store's record shows that one version alone may have.
+//! receive the callers of streams that began through other nodes. To such a node, the absence of a
+//! report shows nothing: it continues a stream only if a node knows what began it, or if the
+//! store's record shows that one version alone may have.
 
 use filbertpaddle_core::name::Name;
 
--- a/filbertpaddle-forward/tests/peer_silence.rs
+++ b/filbertpaddle-forward/tests/peer_silence.rs
@@ -1,4 +1,4 @@
-//! Peers that are dead are told from peers that read slowly.
+//! Dead peers are distinguished from peers that read slowly.
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::peer_silence::Finding;
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod store_sync;
 pub mod target_call;
 pub mod target_connection;
+pub mod target_rates;
 pub mod target_stream;
 pub mod tunnel;
 pub mod tunnel_server;
--- a/filbertpaddle-gateway/src/watched_stream.rs
+++ b/filbertpaddle-gateway/src/watched_stream.rs
@@ -2,7 +2,7 @@
 //! because its window stays closed.
 //!
 //! Linux ends a connection by `TCP_USER_TIMEOUT` in both cases, so it is not set where the kernel's
-//! socket diagnostics tell them apart. They are asked only while sent bytes are unacknowledged.
+//! socket diagnostics distinguish them. These are read only while sent bytes are unacknowledged.
 
 use std::cell::Cell;
 use std::io;
--- a/filbertpaddle/tests/gateway/moves.rs
+++ b/filbertpaddle/tests/gateway/moves.rs
@@ -21,7 +21,7 @@
 /// Longer than a stream of these tests takes.
 const LATE: Duration = Duration::from_secs(12);
 
-/// Outcome of a stream whose target was told to leave.
+/// Outcome of a stream whose target leaves.
 struct Moved {
     cluster: Cluster,
     runs: Vec<Run>,
@@ -82,7 +82,7 @@
     }
 }
 
-/// The target was not told to stop: the connection was closed, and it worked on to the end.
+/// The target was not ordered to stop: the connection was closed, and it worked on to the end.
 #[tokio::test]
 async fn a_target_stops_before_its_stream_goes_on_elsewhere() {
     let moved = Moved::start("moves", &[], Behaviour::Normal).await;
--- a/filbertpaddle/tests/gateway/refusals.rs
+++ b/filbertpaddle/tests/gateway/refusals.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
+use filbertpaddle_adapter_standins::raw_target::NOT_RUN;
 use filbertpaddle_adapter_standins::raw_target::RawTarget;
+use filbertpaddle_adapter_standins::raw_target::start_of_head_with;
 use http::Method;
 
 use crate::cluster::Cluster;
@@ -13,16 +15,12 @@
 use crate::cluster::request;
 
 const ATTEMPT: &str = "refused";
-/// Header with which a target states that it has not run the request.
-const NOT_RUN: &str = "Filbertpaddle-Not-Executed: 1\r\n";
 
 /// Starts a node before an engine and a plain target that answer with `status`.
 async fn cluster_of(name: &str, status: &str, header: &str) -> (Cluster, [RawTarget; 2]) {
     let mut cluster = Cluster::new(name).await;
-    let head = format!(
-        "HTTP/1.1 {status}\r\nFilbertpaddle-Attempt-Id: {ATTEMPT}\r\n\
-         Filbertpaddle-Response-Seal: s\r\n{header}Content-Length: 7\r\n\r\n"
-    );
+    let start = start_of_head_with(status, ATTEMPT);
+    let head = format!("{start}{header}Content-Length: 7\r\n\r\n");
     let next_part = |number| (number == 1).then(|| Bytes::from_static(b"failed\n"));
     let engine = RawTarget::start(head.clone(), next_part).await.unwrap();
     let plain = RawTarget::start(head, next_part).await.unwrap();
@@ -70,7 +68,7 @@
     }
 }
 
-/// Requests that may run again are told what the target said, with its seal.
+/// Callers of requests that may run again get the target's status and seal.
 #[tokio::test]
 async fn other_failures_keep_the_status_and_the_seal_of_the_target() {
     let (cluster, targets) = cluster_of("kept-503", "503 Service Unavailable", "").await;
