--- a/filbertpaddle/tests/gateway/unknown_origin.rs
+++ b/filbertpaddle/tests/gateway/unknown_origin.rs
@@ -61,7 +61,7 @@
         (to_store, peers)
     }
 
-    /// Lists the old target as draining, which it does not say itself yet, and starts streams at
+    /// Lists the old target as draining, though its own answers do not yet, and starts streams at
     /// targets of the new version.
     async fn start_streams_at_new_version(
         &mut self,
--- a/filbertpaddle/tests/gateway/version_streams.rs
+++ b/filbertpaddle/tests/gateway/version_streams.rs
@@ -79,7 +79,7 @@
         self.wait_until_listed(last, "", nodes).await;
     }
 
-    /// Waits until nodes list a target, with this text in the line that says so.
+    /// Waits until nodes log that they list a target, in a line with this text.
     pub(crate) async fn wait_until_listed(&self, id: &str, text: &str, nodes: &[&str]) {
         let listed = format!("\"target\":\"{id}\"");
         let is_listed = |line: &str| {
