Take no refusal of another attempt for a proof that a request has not run

Cause: Job::verify_response believed 421 and "not run" before it compared the attempt. Ruled out: reuse of connections, as requests that must not run again have one each (the tests show the fault on new connections).

Change: what names another attempt, an ID that is no text, or two different ones proves nothing. Its time to retry after is ignored too. Refusals without an ID count as before: sound targets send such ones.

Evidence: three process tests, which fail before (503 and two runs where 502 and one run are due; 503 for reads; 503 for unclear IDs) and pass after.

--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -279,22 +279,28 @@
     }
 
     /// Checks that a response belongs to this attempt and was made by the target itself.
-    fn verify_response(&self, response_metadata: &ResponseMetadata) -> Result<(), Failure> {
-        if response_metadata.is_other_target {
+    ///
+    /// A refusal without an attempt counts as this one's: requests that must not run again are
+    /// sent on new connections, which carry no response to another.
+    fn verify_response(&self, response: &ResponseMetadata) -> Result<(), Failure> {
+        let attempt = &self.metadata.attempt;
+        if response.names_another(attempt) {
+            let reason = "response belongs to another attempt".to_owned();
+            return Err(Failure::Unknown(reason));
+        }
+        if response.is_other_target {
             return Err(Failure::OtherTarget);
         }
-        if response_metadata.is_not_run {
+        if response.is_not_run {
             return Err(Failure::NotRun);
         }
-        if response_metadata.attempt.as_ref() != Some(&self.metadata.attempt) {
-            return Err(Failure::Unknown(
-                "response belongs to another attempt".to_owned(),
-            ));
+        if !response.names_only(attempt) {
+            let reason = "response names no attempt".to_owned();
+            return Err(Failure::Unknown(reason));
         }
-        if !response_metadata.is_sealed {
-            return Err(Failure::Unknown(
-                "response has no seal of the target".to_owned(),
-            ));
+        if !response.is_sealed {
+            let reason = "response has no seal of the target".to_owned();
+            return Err(Failure::Unknown(reason));
         }
         Ok(())
     }
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -80,8 +80,9 @@
 /// What a target states about its response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
-    /// Attempt that the response belongs to.
-    pub attempt: Option<Name>,
+    /// Attempts that the response names: of a sound target the one that it belongs to, or none
+    /// in a refusal.
+    pub attempts: Vec<Name>,
     /// Whether it carries the target's seal, which proves that the target made it.
     pub is_sealed: bool,
     /// Whether it proves that the request was not run.
@@ -98,6 +99,19 @@
     pub refusal_limit: RateLimit,
 }
 
+impl ResponseMetadata {
+    /// Returns whether the response names `attempt` and no other.
+    pub fn names_only(&self, attempt: &str) -> bool {
+        !self.attempts.is_empty() && !self.names_another(attempt)
+    }
+
+    /// Returns whether the response names another attempt than `attempt`. It may be an earlier
+    /// one, sent once more, and states nothing about this attempt.
+    pub fn names_another(&self, attempt: &str) -> bool {
+        self.attempts.iter().any(|named| &**named != attempt)
+    }
+}
+
 /// Limit that a target states on the requests of all nodes together, or on its refusals.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum RateLimit {
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -32,6 +32,22 @@
     pub at_ms: Millis,
 }
 
+impl Sent<'_> {
+    /// Returns whether a response belongs to the attempt that was sent.
+    fn is_answered_by(self, response: &ResponseMetadata) -> bool {
+        self.attempt
+            .is_some_and(|attempt| response.names_only(attempt))
+    }
+
+    /// Returns whether a response belongs to something else that was sent: it may be an old one.
+    fn is_unrelated_to(self, response: &ResponseMetadata) -> bool {
+        match self.attempt {
+            Some(attempt) => response.names_another(attempt),
+            None => !response.attempts.is_empty(),
+        }
+    }
+}
+
 /// Makes a call to a target other than a request and reads the whole response.
 ///
 /// # Errors
@@ -81,7 +97,7 @@
     if metadata.is_leaving {
         state.mark_target_draining(&target.incarnation(), "response");
     }
-    if head.status == StatusCode::SERVICE_UNAVAILABLE {
+    if head.status == StatusCode::SERVICE_UNAVAILABLE && !sent.is_unrelated_to(&metadata) {
         record_retry_after(state, target, metadata.retry_after);
     }
     record_rate_limit(state, target, sent, &metadata);
@@ -96,8 +112,6 @@
     sent: Sent<'_>,
     metadata: &ResponseMetadata,
 ) {
-    let attempt = metadata.attempt.as_deref();
-    let is_own = attempt.is_some() && attempt == sent.attempt;
     let service = &target.service;
     let mut selector = state.selector.borrow_mut();
     let is_changed = match metadata.refusal_limit {
@@ -110,7 +124,9 @@
                 "target" => target.id.as_str());
             false
         }
-        RateLimit::Absent if is_own => selector.brittle_mut().record_none(service, sent.at_ms),
+        RateLimit::Absent if sent.is_answered_by(metadata) => {
+            selector.brittle_mut().record_none(service, sent.at_ms)
+        }
         RateLimit::Absent => false,
     };
     if is_changed {
@@ -124,9 +140,7 @@
 /// Records the rate that a response states, or that it states none. A response to another
 /// attempt may be an old one, and only one to this attempt can end a rate.
 fn record_rate_limit(state: &State, target: &Target, sent: Sent<'_>, metadata: &ResponseMetadata) {
-    let attempt = metadata.attempt.as_deref();
-    let is_own = attempt.is_some() && attempt == sent.attempt;
-    if attempt.is_some() && !is_own {
+    if sent.is_unrelated_to(metadata) {
         return;
     }
     match metadata.rate_limit {
@@ -142,7 +156,9 @@
             warn!(state.log, "target states an invalid rate limit, ignored";
                 "target" => target.id.as_str());
         }
-        RateLimit::Absent if is_own => state.record_no_stated_rate(target, sent.at_ms),
+        RateLimit::Absent if sent.is_answered_by(metadata) => {
+            state.record_no_stated_rate(target, sent.at_ms);
+        }
         RateLimit::Absent => {}
     }
 }
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod paged_nodes;
 mod rate_limits;
 mod refusals;
+mod repeated_refusals;
 mod rollback;
 mod settings;
 mod slow_caller;
