Do not end a resumed stream as complete that closes before any event

Callers saw (report of another operator, tried here on real processes): a stream broke off, its next target answered 200 without a length and closed, and the stream ended as complete after the first target's events.

Cause: the end of a connection before any event counted as a failure only while the stream had no event yet. Ruled out: heads that are cut short, and the text of errors, which tests that hold before and after show.

Change: a response without a length is complete only after its target has sent something but comments and repeated events; the same for streams that callers resume, and for first runs of a comment alone. A length of 0 or a last chunk stays a statement that nothing follows.

--- a/filbertpaddle-forward/src/event_stream.rs
+++ b/filbertpaddle-forward/src/event_stream.rs
@@ -15,6 +15,14 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Returns whether it consists of comments alone, which receivers ignore.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line.first(), None | Some(b':' | b'\r')))
+    }
+}
+
 /// Buffer that splits received bytes into events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
--- a/filbertpaddle-forward/tests/event_stream_and_migration.rs
+++ b/filbertpaddle-forward/tests/event_stream_and_migration.rs
@@ -35,6 +35,21 @@
     }
 }
 
+#[test]
+fn only_blocks_without_fields_are_comments() {
+    let is_comment = |bytes: &[u8]| {
+        let mut splitter = EventSplitter::new();
+        splitter.push(bytes).unwrap();
+        splitter.next_event().unwrap().is_comment()
+    };
+    for comment in [&b":\n\n"[..], b": still here\r\n:\r\n\r\n"] {
+        assert!(is_comment(comment), "{comment:?}");
+    }
+    for other in [&b"id: 1\n\n"[..], b":\ndata: a\n\n", b"failed\n\n"] {
+        assert!(!is_comment(other), "{other:?}");
+    }
+}
+
 #[test]
 fn event_above_the_size_limit_is_rejected() {
     let mut splitter = EventSplitter::new();
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -50,6 +50,9 @@
 /// crash it. Until then, the target may have failed already when its last events arrive.
 const SOUND_TIME_MS: Millis = Millis::from_secs(1);
 
+/// Reason why a stream counts as broken off.
+const CLOSED_EARLY: &str = "connection closed before the first event";
+
 /// Outcome of waiting in the main loop.
 enum WaitOutcome {
     Item(StreamItem),
@@ -68,7 +71,9 @@
     pub(crate) last_activity_ms: Millis,
     /// Number of new events that the current target has sent.
     pub(crate) events_here: u64,
-    /// Time of the first of them.
+    /// Whether the current target has sent anything but comments and repeated events.
+    pub(crate) has_begun: bool,
+    /// Time of the first of the new events.
     first_event_ms: Millis,
     /// Whether the current target has shown that the request does not crash it.
     pub(crate) is_sound: bool,
@@ -115,6 +120,7 @@
             last_event: job.metadata.last_event,
             last_activity_ms: job.received_ms,
             events_here: 0,
+            has_begun: false,
             first_event_ms: Millis::ZERO,
             is_sound: false,
             placement: None,
@@ -143,6 +149,9 @@
                 WaitOutcome::Item(StreamItem::End) if self.is_stopped(&source) => {
                     source = self.recover(source, "stopped").await?;
                 }
+                WaitOutcome::Item(StreamItem::End) if self.is_closed_early(&source) => {
+                    source = self.recover(source, CLOSED_EARLY).await?;
+                }
                 WaitOutcome::Item(StreamItem::End) => {
                     let mut selector = self.job.state.selector.borrow_mut();
                     selector.record_success(&source.target.id);
@@ -197,6 +206,7 @@
                 Place::AfterGap | Place::OutOfOrder => return Err(StopReason::Broken),
             }
         }
+        self.has_begun |= !event.is_comment();
         let goal_ms = self.job.route.gap_goal_ms;
         self.progress.pace.record_event(now, goal_ms);
         let is_progress = event.id.is_some();
@@ -299,9 +309,8 @@
         let mut source = TargetStream::new(target.clone(), body, is_unframed);
         match source.next().await {
             StreamItem::Event(event) => source.put_back(event),
-            StreamItem::End if self.last_event.is_none() && is_unframed => {
-                let reason = "connection closed before the first event".to_owned();
-                return Err(Failure::Unknown(reason).into());
+            StreamItem::End if self.is_closed_early(&source) => {
+                return Err(Failure::Unknown(CLOSED_EARLY.to_owned()).into());
             }
             StreamItem::End => {}
             StreamItem::Broken(reason) if source.is_relayed() => {
@@ -368,6 +377,12 @@
         source.is_unframed() && self.migrator.has_ordered_stop()
     }
 
+    /// Returns whether a stream has ended with its connection before any new event. A target that
+    /// crashes after the head of its response ends it in the same way.
+    fn is_closed_early(&self, source: &TargetStream) -> bool {
+        source.is_unframed() && !self.has_begun
+    }
+
     /// Resumes after the stream of `source` has broken off.
     async fn recover(
         &mut self,
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -55,6 +55,7 @@
     /// Adds the generation to the load of a target that it is sent to.
     pub(crate) fn place_on(&mut self, target: &Target) {
         self.events_here = 0;
+        self.has_begun = false;
         self.is_sound = false;
         let load = self.job.mark_sent(self.progress, target);
         self.placement = Some(Placement {
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod rate_limits;
 mod refusals;
 mod repeated_refusals;
+mod resumed_ends;
 mod rollback;
 mod settings;
 mod slow_caller;
--- a/filbertpaddle/tests/gateway/unframed.rs
+++ b/filbertpaddle/tests/gateway/unframed.rs
@@ -48,6 +48,14 @@
     assert_eq!((answer.code(), answer.body), (200, events));
 }
 
+#[tokio::test]
+async fn a_stream_of_events_without_ids_that_ends_with_its_connection_is_complete() {
+    let events = b"data: a\n\ndata: b\n\n";
+    let answer = answer_to("unframed-no-ids", STREAM_PATH, events).await;
+    assert!(answer.is_complete);
+    assert_eq!((answer.code(), answer.body), (200, events.to_vec()));
+}
+
 #[tokio::test]
 async fn a_stream_that_ends_within_an_event_is_broken_off() {
     let events = complete_stream(ATTEMPT, 3);
