Let no block without an ID into a stream where it is resumed

Callers would see the text of an error in the middle of their stream: the next target of a stream that broke off answered 200, and its body began with a block that has no ID.

Cause: deliver compares IDs, and passed on what has none wherever it came. Ruled out: responses with an error's status, which break the stream off.

Change: from a run that goes on with a stream, a block without an ID before its first new event ends the run. Within a run it stays a part of the target's response. Comments pass.

Evidence: gateway resumed_ends, one test that fails before and passes after, and one that holds on both.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -53,6 +53,9 @@
 /// Reason why a stream counts as broken off.
 const CLOSED_EARLY: &str = "connection closed before the first event";
 
+/// The same where the target goes on with a stream and its first block has no ID.
+const UNPLACED: &str = "block without an ID before the first event of a resumed stream";
+
 /// Outcome of waiting in the main loop.
 enum WaitOutcome {
     Item(StreamItem),
@@ -145,6 +148,9 @@
         let mut source = self.open().await?;
         loop {
             match self.next(&mut source).await {
+                WaitOutcome::Item(StreamItem::Event(event)) if self.is_unplaced(&event) => {
+                    source = self.recover(source, UNPLACED).await?;
+                }
                 WaitOutcome::Item(StreamItem::Event(event)) => self.deliver(event).await?,
                 WaitOutcome::Item(StreamItem::End) if self.is_stopped(&source) => {
                     source = self.recover(source, "stopped").await?;
@@ -377,6 +383,13 @@
         source.is_unframed() && self.migrator.has_ordered_stop()
     }
 
+    /// Returns whether an event has no known place: it has no ID, and the target has sent none
+    /// with an ID that it could follow. The caller may have it already, or it may be no event.
+    fn is_unplaced(&self, event: &Event) -> bool {
+        let is_resumed = self.last_event.is_some() && self.events_here == 0;
+        is_resumed && event.id.is_none() && !event.is_comment()
+    }
+
     /// Returns whether a stream has ended with its connection before any new event. A target that
     /// crashes after the head of its response ends it in the same way.
     fn is_closed_early(&self, source: &TargetStream) -> bool {
--- a/filbertpaddle/tests/gateway/resumed_ends.rs
+++ b/filbertpaddle/tests/gateway/resumed_ends.rs
@@ -134,3 +134,30 @@
     let cut = start_of_head(ATTEMPT) + "Transfer-Encoding: chunked\r\n\r\n";
     check_broken_off("ends-chunks-cut", cut).await;
 }
+
+/// Such a block reached the caller in the middle of its stream.
+#[tokio::test]
+async fn a_block_without_an_id_does_not_enter_a_stream_where_it_is_resumed() {
+    let head = start_of_head(ATTEMPT) + UNFRAMED;
+    for (name, block) in [
+        ("ends-text", "data: failed\n\n"),
+        (
+            "ends-inner-head",
+            "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed",
+        ),
+    ] {
+        check_broken_off(name, format!("{head}{block}")).await;
+    }
+}
+
+/// It is a part of the target's response there.
+#[tokio::test]
+async fn a_block_without_an_id_that_follows_an_event_of_its_run_reaches_the_caller() {
+    let head = start_of_head(ATTEMPT) + UNFRAMED;
+    let rest = format!("id: 4\ndata: {ATTEMPT} 4\n\ndata: no id\n\n");
+    let answer = answer_after("ends-block", head + &rest).await;
+    assert!(answer.is_complete);
+    let mut whole = complete_stream(ATTEMPT, EVENTS);
+    whole.extend_from_slice(rest.as_bytes());
+    assert_eq!(answer.body, whole);
+}
