Take no response without a length for whole that ends before its body

Cause: the end of a connection counted as the end of an empty body. Ruled out: bodies that are cut within a length or a chunk, which fail, and a reset, which fails.

Change: a success without a length and without a byte counts as lost. A length of 0, status 204 or 205, and HEAD state that there is no body.

Evidence: gateway unframed, one test that fails before (200, sealed) and passes after; one guard that holds on both.

--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::target::Target;
+use http::Method;
+use http::StatusCode;
 use http::response::Parts;
 use tokio::time::timeout;
 
@@ -15,11 +17,15 @@
 use crate::job::ResumePoint;
 use crate::reply::Refusal;
 use crate::reply::Reply;
+use crate::target_stream::is_unframed;
 
 /// Multiple of the latency goal that an idempotent request waits at one target while it
 /// may still be sent to another.
 const ATTEMPT_GOAL_FACTOR: u64 = 3;
 
+/// Reason why a response counts as lost.
+const CLOSED_EARLY: &str = "connection closed before the body of a response without a length";
+
 /// Serves one request, with retries at other targets where the route allows them.
 ///
 /// If this is cancelled, [`Job::release`] removes the request from its target's load.
@@ -77,6 +83,9 @@
         let (response, _) = job.send(target, ResumePoint::default()).await?;
         let mut body = response.body;
         let bytes = body.read_to_end(&job.state.target_buffers).await?;
+        if bytes.is_empty() && must_have_body(job, &response.head) {
+            return Err(Failure::Unknown(CLOSED_EARLY.to_owned()));
+        }
         body.recycle(&response.head.headers);
         Ok((response.head, bytes))
     };
@@ -88,6 +97,17 @@
     }
 }
 
+/// Returns whether a response that has no body has been cut off after its head: a success whose
+/// body ends with its connection. A target that crashes there closes it in the same way.
+fn must_have_body(job: &Job, head: &Parts) -> bool {
+    let has_none = job.method == Method::HEAD
+        || matches!(
+            head.status,
+            StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT
+        );
+    head.status.is_success() && !has_none && is_unframed(&head.headers)
+}
+
 fn attempt_timeout(job: &Job, progress: &Progress) -> Duration {
     let may_resend = job.route.kind.is_idempotent() && progress.sends + 1 < job.route.max_attempts;
     let remaining_ms = job.remaining_ms();
--- a/filbertpaddle/tests/gateway/unframed.rs
+++ b/filbertpaddle/tests/gateway/unframed.rs
@@ -4,6 +4,7 @@
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
 use filbertpaddle_adapter_standins::raw_target::RawTarget;
 use filbertpaddle_adapter_standins::raw_target::start_of_head;
+use filbertpaddle_adapter_standins::raw_target::start_of_head_with;
 use http::Method;
 
 use crate::cluster::Cluster;
@@ -16,8 +17,13 @@
 
 /// Returns the answer to a request whose target sends `body` without a length.
 async fn answer_to(name: &str, path: &str, body: &[u8]) -> ReceivedAnswer {
-    let mut cluster = Cluster::new(name).await;
     let head = format!("{}Connection: close\r\n\r\n", start_of_head(ATTEMPT));
+    answer_with(name, path, head, body).await
+}
+
+/// Returns the answer to a request whose target sends `head` and `body`.
+async fn answer_with(name: &str, path: &str, head: String, body: &[u8]) -> ReceivedAnswer {
+    let mut cluster = Cluster::new(name).await;
     let body = Bytes::copy_from_slice(body);
     let next_part = move |number| (number == 1 && !body.is_empty()).then(|| body.clone());
     let target = RawTarget::start(head, next_part).await.unwrap();
@@ -40,6 +46,26 @@
     assert_eq!((answer.code(), answer.body), (200, b"answer".to_vec()));
 }
 
+/// A target that crashes after the head of its response was taken for one with an empty body.
+#[tokio::test]
+async fn a_response_that_ends_with_its_connection_before_its_body_has_failed() {
+    let answer = answer_to("unframed-no-body", WRITE_PATH, b"").await;
+    assert_eq!((answer.code(), answer.is_sealed()), (502, false));
+}
+
+#[tokio::test]
+async fn a_response_that_states_that_it_has_no_body_is_whole() {
+    for (name, status, framing) in [
+        ("no-body-length", "200 OK", "Content-Length: 0\r\n"),
+        ("no-body-status", "204 No Content", ""),
+    ] {
+        let head = start_of_head_with(status, ATTEMPT) + framing;
+        let answer = answer_with(name, WRITE_PATH, head + "\r\n", b"").await;
+        assert!(answer.is_complete && answer.is_sealed(), "{name}");
+        assert!(answer.body.is_empty(), "{name}");
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_ends_with_its_connection_after_an_event_is_complete() {
     let events = complete_stream(ATTEMPT, 3);
