Do not take a response without a length for whole when its target has ended

Ruled out: resets that count as an end (18 requests, none complete).

Change: after such an end the node connects to the target; if that is refused or not accepted, the stream resumes elsewhere or breaks off, and a plain request may have run. Also moves a question that stood twice, whether a target leaves, into State::is_leaving.

Evidence: gateway unframed, a target that exits with its connection fails before (complete after three events) and passes after; a guard for resets holds on both. All other tests of streams, moves and ends hold.

--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -17,6 +17,7 @@
 use crate::job::ResumePoint;
 use crate::reply::Refusal;
 use crate::reply::Reply;
+use crate::target_connection;
 use crate::target_stream::is_unframed;
 
 /// Multiple of the latency goal that an idempotent request waits at one target while it
@@ -26,6 +27,9 @@
 /// Reason why a response counts as lost.
 const CLOSED_EARLY: &str = "connection closed before the body of a response without a length";
 
+/// The same where the target has ended too.
+const TARGET_ENDED: &str = "response without a length closed by a target that accepts no others";
+
 /// Serves one request, with retries at other targets where the route allows them.
 ///
 /// If this is cancelled, [`Job::release`] removes the request from its target's load.
@@ -83,8 +87,8 @@
         let (response, _) = job.send(target, ResumePoint::default()).await?;
         let mut body = response.body;
         let bytes = body.read_to_end(&job.state.target_buffers).await?;
-        if bytes.is_empty() && must_have_body(job, &response.head) {
-            return Err(Failure::Unknown(CLOSED_EARLY.to_owned()));
+        if is_ended_by_close(job, &response.head) {
+            check_end(job, target, &bytes).await?;
         }
         body.recycle(&response.head.headers);
         Ok((response.head, bytes))
@@ -97,9 +101,9 @@
     }
 }
 
-/// Returns whether a response that has no body has been cut off after its head: a success whose
-/// body ends with its connection. A target that crashes there closes it in the same way.
-fn must_have_body(job: &Job, head: &Parts) -> bool {
+/// Returns whether the body of a successful response has neither a length nor chunks, so that it
+/// ends with its connection.
+fn is_ended_by_close(job: &Job, head: &Parts) -> bool {
     let has_none = job.method == Method::HEAD
         || matches!(
             head.status,
@@ -108,6 +112,18 @@
     head.status.is_success() && !has_none && is_unframed(&head.headers)
 }
 
+/// Checks that a body that ended with its connection is whole: a target that crashes or exits
+/// closes it in the same way.
+async fn check_end(job: &Job, target: &Target, bytes: &Bytes) -> Result<(), Failure> {
+    if bytes.is_empty() {
+        return Err(Failure::Unknown(CLOSED_EARLY.to_owned()));
+    }
+    match target_connection::goes_on(&job.state, target).await {
+        true => Ok(()),
+        false => Err(Failure::Unknown(TARGET_ENDED.to_owned())),
+    }
+}
+
 fn attempt_timeout(job: &Job, progress: &Progress) -> Duration {
     let may_resend = job.route.kind.is_idempotent() && progress.sends + 1 < job.route.max_attempts;
     let remaining_ms = job.remaining_ms();
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -33,6 +33,7 @@
 use crate::response_writer::ResponseWriter;
 use crate::stop_reason::OpenError;
 use crate::stop_reason::StopReason;
+use crate::target_connection;
 use crate::target_stream::StreamItem;
 use crate::target_stream::TargetStream;
 use crate::target_stream::is_unframed;
@@ -56,6 +57,9 @@
 /// The same where the target goes on with a stream and its first block has no ID.
 const UNPLACED: &str = "block without an ID before the first event of a resumed stream";
 
+/// The same where a stream without a length has ended with its target.
+const TARGET_ENDED: &str = "connection closed by a target that accepts no others";
+
 /// Outcome of waiting in the main loop.
 enum WaitOutcome {
     Item(StreamItem),
@@ -152,20 +156,13 @@
                     source = self.recover(source, UNPLACED).await?;
                 }
                 WaitOutcome::Item(StreamItem::Event(event)) => self.deliver(event).await?,
-                WaitOutcome::Item(StreamItem::End) if self.is_stopped(&source) => {
-                    source = self.recover(source, "stopped").await?;
-                }
-                WaitOutcome::Item(StreamItem::End) if self.is_closed_early(&source) => {
-                    source = self.recover(source, CLOSED_EARLY).await?;
-                }
-                WaitOutcome::Item(StreamItem::End) => {
-                    let mut selector = self.job.state.selector.borrow_mut();
-                    selector.record_success(&source.target.id);
-                    if self.events_here > 0 {
-                        self.job.record_sound();
+                WaitOutcome::Item(StreamItem::End) => match self.cut_off_reason(&source).await {
+                    Some(reason) => source = self.recover(source, reason).await?,
+                    None => {
+                        self.record_complete(&source.target);
+                        return Ok(());
                     }
-                    return Ok(());
-                }
+                },
                 WaitOutcome::Item(StreamItem::Broken(reason)) => {
                     source = self.recover(source, &reason).await?;
                 }
@@ -377,10 +374,29 @@
         sendable
     }
 
-    /// Returns whether a stream has ended because its target was ordered to stop. One that has
-    /// neither a length nor chunks ends in the same way when it is complete.
-    fn is_stopped(&self, source: &TargetStream) -> bool {
-        source.is_unframed() && self.migrator.has_ordered_stop()
+    /// Records that the stream has ended as complete at a target.
+    fn record_complete(&self, target: &Target) {
+        let mut selector = self.job.state.selector.borrow_mut();
+        selector.record_success(&target.id);
+        if self.events_here > 0 {
+            self.job.record_sound();
+        }
+    }
+
+    /// Returns why a stream that has ended is not complete, if it is not. One that has neither
+    /// a length nor chunks also ends so when its target stops it, crashes or exits.
+    async fn cut_off_reason(&self, source: &TargetStream) -> Option<&'static str> {
+        if !source.is_unframed() {
+            return None;
+        }
+        if self.migrator.has_ordered_stop() {
+            return Some("stopped");
+        }
+        if self.is_closed_early(source) {
+            return Some(CLOSED_EARLY);
+        }
+        let goes_on = target_connection::goes_on(&self.job.state, &source.target).await;
+        (!goes_on).then_some(TARGET_ENDED)
     }
 
     /// Returns whether an event has no known place: it has no ID, and the target has sent none
--- a/filbertpaddle-gateway/src/generation_move.rs
+++ b/filbertpaddle-gateway/src/generation_move.rs
@@ -27,15 +27,7 @@
     /// Schedules a migration if the target is draining or gone and the generation has
     /// delivered an event.
     pub(crate) fn check_draining(&mut self, source: &TargetStream) {
-        let state = &self.job.state;
-        let is_leaving = {
-            let directory = state.directory.borrow();
-            let listed = directory.target(&source.target.id);
-            !listed.is_some_and(|listed| {
-                listed.is_same_incarnation(&source.target) && !listed.is_draining
-            })
-        };
-        if is_leaving
+        if self.job.state.is_leaving(&source.target)
             && self.job.can_migrate
             && let Some(events) = self.last_event
         {
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -309,12 +309,8 @@
         let Some(reserved) = &self.reserved else {
             return;
         };
-        let directory = self.job.state.directory.borrow();
-        let listed = directory.target(&reserved.id);
-        let is_available = listed
-            .is_some_and(|listed| listed.is_same_incarnation(reserved) && !listed.is_draining);
-        drop(directory);
-        if !is_available && self.call.is_none() && !self.handover.is_final() {
+        let is_leaving = self.job.state.is_leaving(reserved);
+        if is_leaving && self.call.is_none() && !self.handover.is_final() {
             self.migration.take_copy();
             self.release_reservation();
         }
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -26,6 +26,7 @@
 use filbertpaddle_forward::stream_versions::StreamVersions;
 use filbertpaddle_forward::stream_versions::VersionHistory;
 use filbertpaddle_forward::target::Incarnation;
+use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::TargetSelector;
 use indexmap::IndexMap;
 use slog::Logger;
@@ -300,6 +301,13 @@
         }
     }
 
+    /// Returns whether a target is draining or no longer listed.
+    pub fn is_leaving(&self, target: &Target) -> bool {
+        let directory = self.directory.borrow();
+        let listed = directory.target(&target.id);
+        !listed.is_some_and(|listed| listed.is_same_incarnation(target) && !listed.is_draining)
+    }
+
     /// Returns the age of this node's data of a table.
     pub fn data_age_ms(&self, table: Table) -> Millis {
         let as_of_ms = self.directory.borrow().current_at_ms(table);
--- a/filbertpaddle/tests/gateway/unframed.rs
+++ b/filbertpaddle/tests/gateway/unframed.rs
@@ -1,7 +1,10 @@
 //! Responses with neither a length nor chunks, which end with their connection.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
+use filbertpaddle_adapter_standins::raw_target::End;
 use filbertpaddle_adapter_standins::raw_target::RawTarget;
 use filbertpaddle_adapter_standins::raw_target::start_of_head;
 use filbertpaddle_adapter_standins::raw_target::start_of_head_with;
@@ -23,10 +26,15 @@
 
 /// Returns the answer to a request whose target sends `head` and `body`.
 async fn answer_with(name: &str, path: &str, head: String, body: &[u8]) -> ReceivedAnswer {
-    let mut cluster = Cluster::new(name).await;
     let body = Bytes::copy_from_slice(body);
     let next_part = move |number| (number == 1 && !body.is_empty()).then(|| body.clone());
     let target = RawTarget::start(head, next_part).await.unwrap();
+    answer_of(name, path, &target).await
+}
+
+/// Returns the answer to a request whose only target is `target`.
+async fn answer_of(name: &str, path: &str, target: &RawTarget) -> ReceivedAnswer {
+    let mut cluster = Cluster::new(name).await;
     let is_stream = path == STREAM_PATH;
     let service = if is_stream { "engine" } else { "app" };
     let entry = target.entry(service, "dc-a");
@@ -97,3 +105,40 @@
     let answer = answer_to("unframed-empty", STREAM_PATH, b"").await;
     assert_eq!(answer.code(), 502);
 }
+
+/// Returns the answer to a request whose target sends `body` without a length, and then ends the
+/// connection in the given way.
+async fn answer_before(name: &str, path: &str, body: &[u8], end: End) -> ReceivedAnswer {
+    let head = format!("{}Connection: close\r\n\r\n", start_of_head(ATTEMPT));
+    let body = Bytes::copy_from_slice(body);
+    let next_part = move |number| (number == 1).then(|| body.clone());
+    let target = RawTarget::start_with_end(head, next_part, end);
+    answer_of(name, path, &target.await.unwrap()).await
+}
+
+/// Such a target broke off, which only the reset shows.
+#[tokio::test]
+async fn a_response_whose_connection_is_reset_is_never_whole() {
+    for delay_ms in [0, 1, 30] {
+        let end = End::Reset(Duration::from_millis(delay_ms));
+        let events = complete_stream(ATTEMPT, 3);
+        let name = format!("unframed-reset-stream-{delay_ms}");
+        let answer = answer_before(&name, STREAM_PATH, &events, end).await;
+        assert!(!answer.is_complete, "after {delay_ms} ms");
+        let name = format!("unframed-reset-body-{delay_ms}");
+        let answer = answer_before(&name, WRITE_PATH, b"answer", end).await;
+        assert_eq!(answer.code(), 502, "after {delay_ms} ms");
+    }
+}
+
+/// The kernel closes the connections of a process that ends in order. Streams that were cut so
+/// between two events ended as complete, and parts of bodies were whole.
+#[tokio::test]
+async fn a_response_whose_target_ends_with_its_connection_is_not_whole() {
+    let events = complete_stream(ATTEMPT, 3);
+    let answer = answer_before("unframed-exit", STREAM_PATH, &events, End::Exit).await;
+    assert!(!answer.is_complete);
+    assert_eq!(answer.body, events);
+    let answer = answer_before("unframed-exit-body", WRITE_PATH, b"ans", End::Exit).await;
+    assert_eq!((answer.code(), answer.is_sealed()), (502, false));
+}
