Order a target that sends no events to stop before its stream goes on elsewhere

Cause: such a stream counted as broken off, though it is the node that leaves. Ruled out: streams that break off themselves, whose targets have ended.

Change: what is no event, or has no known place, is told from the end of a stream; the target is ordered to stop like a stalled one, by the same code.

Evidence: a process test that fails before (the run never ends) and passes after.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -153,7 +153,7 @@
         loop {
             match self.next(&mut source).await {
                 WaitOutcome::Item(StreamItem::Event(event)) if self.is_unplaced(&event) => {
-                    source = self.recover(source, UNPLACED).await?;
+                    source = self.leave_faulty(source, UNPLACED).await?;
                 }
                 WaitOutcome::Item(StreamItem::Event(event)) => self.deliver(event).await?,
                 WaitOutcome::Item(StreamItem::End) => match self.cut_off_reason(&source).await {
@@ -166,6 +166,9 @@
                 WaitOutcome::Item(StreamItem::Broken(reason)) => {
                     source = self.recover(source, &reason).await?;
                 }
+                WaitOutcome::Item(StreamItem::Faulty(reason)) => {
+                    source = self.leave_faulty(source, &reason).await?;
+                }
                 WaitOutcome::Stalled => source = self.leave_stalled(source).await?,
                 WaitOutcome::Called(result) => self.migrator.record_result(&source.target, result),
                 WaitOutcome::Switch => source = self.switch_to_copy(source).await?,
@@ -319,7 +322,9 @@
             StreamItem::Broken(reason) if source.is_relayed() => {
                 return Err(Failure::RelayLost(reason).into());
             }
-            StreamItem::Broken(reason) => return Err(Failure::Unknown(reason).into()),
+            StreamItem::Broken(reason) | StreamItem::Faulty(reason) => {
+                return Err(Failure::Unknown(reason).into());
+            }
         }
         self.record_started(target);
         self.job.record_first_event(self.progress, target).await;
@@ -350,7 +355,32 @@
             return Ok(source);
         };
         self.record_broken(&source, "stalled").await;
-        if self.stop_stalled(&source, &target).await {
+        self.resume_at(target, source).await
+    }
+
+    /// Resumes at another target after `source` has sent what is no event. It may work on.
+    async fn leave_faulty(
+        &mut self,
+        source: TargetStream,
+        reason: &str,
+    ) -> Result<TargetStream, StopReason> {
+        if self.migrator.has_usable_copy() {
+            return self.recover(source, reason).await;
+        }
+        self.record_broken(&source, reason).await;
+        match self.choose_replacement(&source.target) {
+            Some(target) => self.resume_at(target, source).await,
+            None => Err(StopReason::Broken),
+        }
+    }
+
+    /// Resumes at `target` after the one of `source` has been ordered to stop.
+    async fn resume_at(
+        &mut self,
+        target: Target,
+        source: TargetStream,
+    ) -> Result<TargetStream, StopReason> {
+        if self.stop_source(&source, &target).await {
             return self.switch_to_copy(source).await;
         }
         source.close();
--- a/filbertpaddle-gateway/src/generation_move.rs
+++ b/filbertpaddle-gateway/src/generation_move.rs
@@ -19,9 +19,9 @@
 use crate::target_connection;
 use crate::target_stream::TargetStream;
 
-/// Time for which a stalled target's answer to the order to stop is awaited. Callers have waited
+/// Time for which the answer of a stalled or faulty target to the order to stop is awaited. Callers have waited
 /// for a stall before, and abandon a stream after two seconds.
-const STALLED_STOP_WAIT: Duration = Duration::from_millis(200);
+const SOURCE_STOP_WAIT: Duration = Duration::from_millis(200);
 
 impl Generation<'_> {
     /// Schedules a migration if the target is draining or gone and the generation has
@@ -61,14 +61,15 @@
         }
     }
 
-    /// Orders the target of a stalled stream to stop, and waits a moment for the answer; returns
-    /// whether `to` has a copy then. A target that is reached stops even if its answer is late.
-    pub(crate) async fn stop_stalled(&mut self, source: &TargetStream, to: &Target) -> bool {
+    /// Orders the target of a stream that leaves it to stop, and waits a moment for the answer;
+    /// returns whether `to` has a copy then. A target that is reached stops even if its answer is
+    /// late.
+    pub(crate) async fn stop_source(&mut self, source: &TargetStream, to: &Target) -> bool {
         if !self.job.can_migrate {
             return false;
         }
         self.migrator.order_stop(source, to);
-        if let Ok(result) = timeout(STALLED_STOP_WAIT, self.migrator.wait_for_call()).await {
+        if let Ok(result) = timeout(SOURCE_STOP_WAIT, self.migrator.wait_for_call()).await {
             self.migrator.record_result(&source.target, result);
         }
         self.migrator.has_copy()
--- a/filbertpaddle-gateway/src/target_stream.rs
+++ b/filbertpaddle-gateway/src/target_stream.rs
@@ -30,6 +30,8 @@
     End,
     /// The stream broke off.
     Broken(String),
+    /// The target sends what is no event, and may go on.
+    Faulty(String),
 }
 
 impl TargetStream {
@@ -54,7 +56,7 @@
             match self.body.next().await {
                 Ok(Some(bytes)) => {
                     if let Err(error) = self.splitter.push(&bytes) {
-                        return StreamItem::Broken(error.to_string());
+                        return StreamItem::Faulty(error.to_string());
                     }
                     while let Some(event) = self.splitter.next_event() {
                         self.ready.push_back(event);
--- a/filbertpaddle/tests/gateway/moves.rs
+++ b/filbertpaddle/tests/gateway/moves.rs
@@ -166,19 +166,30 @@
 /// The connection to a stalled target was closed, and it worked on once it could.
 #[tokio::test]
 async fn a_stalled_target_stops_before_its_stream_goes_on_elsewhere() {
-    let cluster = Cluster::with_nodes("moves-stalled", 1).await;
+    check_left_target_stops("moves-stalled", Stall::Silent).await;
+}
+
+/// So did a target whose event was too large.
+#[tokio::test]
+async fn a_target_that_sends_no_event_stops_before_its_stream_goes_on_elsewhere() {
+    check_left_target_stops("moves-oversized", Stall::Oversized).await;
+}
+
+/// Serves a stream whose target stalls, and checks that the target ends it once it has moved.
+async fn check_left_target_stops(name: &str, stall: Stall) {
+    let cluster = Cluster::with_nodes(name, 1).await;
     for target in &cluster.targets {
         target.keep_closed();
     }
     let stream = request("s", Method::POST, RESUMABLE_PATH, Some(OUTPUT_TOKENS));
-    let stall = async {
+    let leave = async {
         wait_until("the stream runs", async || {
             !cluster.run_log.runs_of("s").is_empty()
                 && cluster.first_target_of("s").running().get("s") > Some(&10)
         })
         .await;
         let source = cluster.first_target_of("s");
-        source.set_stall(Stall::Silent);
+        source.set_stall(stall);
         wait_until(
             "it goes on at another target, and no more here",
             async || cluster.run_log.runs_of("s").len() == 2 && source.ended_at("s").is_some(),
@@ -186,7 +197,7 @@
         .await;
         source.set_stall(Stall::None);
     };
-    let (response, ()) = tokio::join!(cluster.send(&stream), stall);
+    let (response, ()) = tokio::join!(cluster.send(&stream), leave);
     assert!(response.is_complete, "{} bytes", response.body.len());
     assert_eq!(response.body, complete_stream("s", EVENTS));
     let runs = cluster.run_log.runs_of("s");
