Split how a generation leaves its target from the generation itself

What decides that a stream has broken off, and how it goes on elsewhere, stands in generation_recovery now; nothing else changes.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -13,7 +13,6 @@
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::service_pace::StreamMeter;
 use filbertpaddle_forward::target::Target;
-use slog::info;
 use tokio::select;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -22,8 +21,9 @@
 
 use crate::clock::Clock;
 use crate::clock::duration;
-use crate::crash;
 use crate::generation_load::Placement;
+use crate::generation_recovery::CLOSED_EARLY;
+use crate::generation_recovery::UNPLACED;
 use crate::job::Failure;
 use crate::job::Job;
 use crate::job::Progress;
@@ -33,7 +33,6 @@
 use crate::response_writer::ResponseWriter;
 use crate::stop_reason::OpenError;
 use crate::stop_reason::StopReason;
-use crate::target_connection;
 use crate::target_stream::StreamItem;
 use crate::target_stream::TargetStream;
 use crate::target_stream::is_unframed;
@@ -51,15 +50,6 @@
 /// crash it. Until then, the target may have failed already when its last events arrive.
 const SOUND_TIME_MS: Millis = Millis::from_secs(1);
 
-/// Reason why a stream counts as broken off.
-const CLOSED_EARLY: &str = "connection closed before the first event";
-
-/// The same where the target goes on with a stream and its first block has no ID.
-const UNPLACED: &str = "block without an ID before the first event of a resumed stream";
-
-/// The same where a stream without a length has ended with its target.
-const TARGET_ENDED: &str = "connection closed by a target that accepts no others";
-
 /// Outcome of waiting in the main loop.
 enum WaitOutcome {
     Item(StreamItem),
@@ -229,6 +219,15 @@
         Ok(())
     }
 
+    /// Records that the stream has ended as complete at a target.
+    fn record_complete(&self, target: &Target) {
+        let mut selector = self.job.state.selector.borrow_mut();
+        selector.record_success(&target.id);
+        if self.events_here > 0 {
+            self.job.record_sound();
+        }
+    }
+
     /// Records that the target has sent a new event.
     fn record_progress(&mut self, now: Millis) {
         if self.events_here == 0 {
@@ -242,7 +241,7 @@
     }
 
     /// Places the generation on a target and waits for the first event there.
-    async fn open(&mut self) -> Result<TargetStream, StopReason> {
+    pub(crate) async fn open(&mut self) -> Result<TargetStream, StopReason> {
         let target = self.next_target().await?;
         self.open_at(target).await
     }
@@ -255,7 +254,7 @@
     }
 
     /// Waits for the first event at a target, or at others after that one has failed.
-    async fn open_at(&mut self, mut target: Target) -> Result<TargetStream, StopReason> {
+    pub(crate) async fn open_at(&mut self, mut target: Target) -> Result<TargetStream, StopReason> {
         loop {
             self.place_on(&target);
             let failure = match self.wait_first_event(&target).await {
@@ -334,169 +333,6 @@
         }
         Ok(source)
     }
-
-    /// Resumes at another target after the stream of `source` has stalled. If no other target
-    /// can take it now, the stream stays: it may be slow but sound.
-    async fn leave_stalled(&mut self, source: TargetStream) -> Result<TargetStream, StopReason> {
-        if self.migrator.has_usable_copy() {
-            self.record_broken(&source, "stalled").await;
-            self.migrator.record_silent();
-            return self.switch_to_copy(source).await;
-        }
-        if !self.may_resend() {
-            self.copy_if_cut_off(&source).await;
-            return Ok(source);
-        }
-        let Some(target) = self.choose_replacement(&source.target) else {
-            self.last_activity_ms = self.job.state.clock.now();
-            info!(self.job.state.log, "stream of target stalled, no other can take it now";
-                "id" => self.job.metadata.attempt.as_str(),
-                "target" => source.target.id.as_str(), "last_event" => self.last_event);
-            return Ok(source);
-        };
-        self.record_broken(&source, "stalled").await;
-        self.resume_at(target, source).await
-    }
-
-    /// Resumes at another target after `source` has sent what is no event. It may work on.
-    async fn leave_faulty(
-        &mut self,
-        source: TargetStream,
-        reason: &str,
-    ) -> Result<TargetStream, StopReason> {
-        if self.migrator.has_usable_copy() {
-            return self.recover(source, reason).await;
-        }
-        self.record_broken(&source, reason).await;
-        match self.choose_replacement(&source.target) {
-            Some(target) => self.resume_at(target, source).await,
-            None => Err(StopReason::Broken),
-        }
-    }
-
-    /// Resumes at `target` after the one of `source` has been ordered to stop.
-    async fn resume_at(
-        &mut self,
-        target: Target,
-        source: TargetStream,
-    ) -> Result<TargetStream, StopReason> {
-        if self.stop_source(&source, &target).await {
-            return self.switch_to_copy(source).await;
-        }
-        source.close();
-        self.release_placement();
-        self.migrator.restart(None);
-        self.open_at(target).await
-    }
-
-    /// Chooses a target other than `source` that may be sent the request now, and excludes
-    /// `source` if there is one.
-    fn choose_replacement(&mut self, source: &Target) -> Option<Target> {
-        if !self.may_resend() {
-            return None;
-        }
-        self.progress.excluded_targets.push(source.id.clone());
-        let chosen = self.job.choose_target(self.progress).ok();
-        let sendable = chosen.filter(|_| self.job.may_send(self.progress));
-        if sendable.is_none() {
-            self.progress.excluded_targets.pop();
-        }
-        sendable
-    }
-
-    /// Records that the stream has ended as complete at a target.
-    fn record_complete(&self, target: &Target) {
-        let mut selector = self.job.state.selector.borrow_mut();
-        selector.record_success(&target.id);
-        if self.events_here > 0 {
-            self.job.record_sound();
-        }
-    }
-
-    /// Returns why a stream that has ended is not complete, if it is not. One that has neither
-    /// a length nor chunks also ends so when its target stops it, crashes or exits.
-    async fn cut_off_reason(&self, source: &TargetStream) -> Option<&'static str> {
-        if !source.is_unframed() {
-            return None;
-        }
-        if self.migrator.has_ordered_stop() {
-            return Some("stopped");
-        }
-        if self.is_closed_early(source) {
-            return Some(CLOSED_EARLY);
-        }
-        let goes_on = target_connection::goes_on(&self.job.state, &source.target).await;
-        (!goes_on).then_some(TARGET_ENDED)
-    }
-
-    /// Returns whether an event has no known place: it has no ID, and the target has sent none
-    /// with an ID that it could follow. The caller may have it already, or it may be no event.
-    fn is_unplaced(&self, event: &Event) -> bool {
-        let is_resumed = self.last_event.is_some() && self.events_here == 0;
-        is_resumed && event.id.is_none() && !event.is_comment()
-    }
-
-    /// Returns whether a stream has ended with its connection before any new event. A target that
-    /// crashes after the head of its response ends it in the same way.
-    fn is_closed_early(&self, source: &TargetStream) -> bool {
-        source.is_unframed() && !self.has_begun
-    }
-
-    /// Resumes after the stream of `source` has broken off.
-    async fn recover(
-        &mut self,
-        source: TargetStream,
-        reason: &str,
-    ) -> Result<TargetStream, StopReason> {
-        if !self.migrator.is_stopping() {
-            self.record_broken(&source, reason).await;
-        }
-        if self.migrator.has_usable_copy() {
-            self.wait_for_stop(&source).await;
-            return self.switch_to_copy(source).await;
-        }
-        let target = source.target.clone();
-        source.close();
-        self.release_placement();
-        self.reopen(&target).await
-    }
-
-    async fn record_broken(&mut self, source: &TargetStream, reason: &str) {
-        let state = &self.job.state;
-        info!(state.log, "stream of target broke off or stalled";
-            "id" => self.job.metadata.attempt.as_str(),
-            "target" => source.target.id.as_str(), "reason" => reason,
-            "last_event" => self.last_event, "has_copy" => self.migrator.has_copy());
-        state.metrics.count("stream.broken");
-        if !source.is_relayed() {
-            state.record_target_failure(&source.target);
-        }
-        if !self.is_sound {
-            crash::check(self.job, &source.target).await;
-        }
-    }
-
-    /// Sends the request to a target other than `source`, to resume after the last event, if the
-    /// route allows it.
-    pub(crate) async fn reopen(&mut self, source: &Target) -> Result<TargetStream, StopReason> {
-        self.progress.excluded_targets.push(source.id.clone());
-        // A call to the former target may still be running.
-        self.migrator.restart(None);
-        if !self.may_resend() {
-            return Err(StopReason::Broken);
-        }
-        self.open().await
-    }
-
-    /// Returns whether the stream could resume at another target.
-    fn can_resume(&self) -> bool {
-        self.migrator.has_copy() || self.may_resend()
-    }
-
-    /// Returns whether the request may be sent to one more target.
-    fn may_resend(&self) -> bool {
-        self.job.route.kind.is_idempotent() && self.progress.sends < self.job.route.max_attempts
-    }
 }
 
 /// Waits until a time, or for ever.
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod generation;
 pub mod generation_load;
 mod generation_move;
+mod generation_recovery;
 pub mod job;
 pub mod job_refusal;
 pub mod listener;
