--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -93,6 +93,11 @@
     check_seeds(&CUT_SEEDS, &DEFAULT_SIZE, ScheduleKind::TargetCuts).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn invariants_hold_while_targets_repeat_refusals() {
+    check_seeds(&[0, 1], &DEFAULT_SIZE, ScheduleKind::RepeatedRefusals).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_for_previously_failed_seeds() {
     for seeds in FAILED.chunks(PARALLEL_RUNS) {
@@ -122,6 +127,7 @@
         check_seeds(chunk, &size, ScheduleKind::StoreCuts).await;
         check_seeds(chunk, &size, ScheduleKind::StatedRates).await;
         check_seeds(chunk, &size, ScheduleKind::TargetCuts).await;
+        check_seeds(chunk, &size, ScheduleKind::RepeatedRefusals).await;
     }
 }
 
--- a/filbertpaddle/tests/soak/schedule.rs
+++ b/filbertpaddle/tests/soak/schedule.rs
@@ -5,6 +5,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_standins::gate::Passage;
 use filbertpaddle_standins::proxy::Link;
+use http::StatusCode;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -29,6 +30,12 @@
 const TARGETS_CUT_INTERVAL_MS: usize = 5_500;
 /// Time between the starts of two statements of rates.
 const RATE_INTERVAL_MS: usize = 3_000;
+const REPEATED_STATUSES: [StatusCode; 2] = [
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::MISDIRECTED_REQUEST,
+];
+/// Time between the starts of two times in which a target repeats refusals.
+const REFUSALS_INTERVAL_MS: usize = 1_000;
 /// Time for which a target states a rate: two windows of its bound and the time before it.
 const RATE_TIME_MS: Millis = Millis::from_secs(11);
 /// Time from the start of a node's cut from the store to the key rotation in it.
@@ -124,6 +131,8 @@
     /// The nodes of one data centre after another lose their links to all targets, and a few other
     /// faults overlap.
     TargetCuts,
+    /// Targets repeat refusals of other attempts to requests that they run, among other faults.
+    RepeatedRefusals,
 }
 
 impl ScheduleKind {
@@ -135,6 +144,7 @@
             Self::StoreCuts => store_cuts(seed, size),
             Self::StatedRates => stated_rates(seed, size),
             Self::TargetCuts => target_cuts(seed, size),
+            Self::RepeatedRefusals => repeated_refusals(seed, size),
         };
         let rotations = rotations_during_cuts(&faults);
         faults.extend(rotations);
@@ -179,6 +189,27 @@
         .collect()
 }
 
+/// Returns times in which targets repeat refusals, which overlap, and a quarter of the faults of a
+/// mixed schedule.
+fn repeated_refusals(seed: u64, size: &Size) -> Vec<ScheduledFault> {
+    let others = Size {
+        faults: size.faults / 4,
+        ..*size
+    };
+    let mut faults = mixed(seed, &others);
+    let mut rng = StdRng::seed_from_u64(seed);
+    for start_ms in (1_000..1_000 + size.span_ms.0).step_by(REFUSALS_INTERVAL_MS) {
+        let target = rng.random_range(0..2 * size.targets);
+        let status = choose_one(&mut rng, &REPEATED_STATUSES);
+        faults.push(ScheduledFault {
+            start_ms: Millis(start_ms),
+            end_ms: Millis(start_ms + rng.random_range(500..2_500)),
+            fault: Fault::TargetBehaviour(target, Behaviour::RepeatsRefusal(status)),
+        });
+    }
+    faults
+}
+
 /// Returns statements of rates, up to four of which overlap at different targets, and a
 /// quarter of the faults of a mixed schedule.
 fn stated_rates(seed: u64, size: &Size) -> Vec<ScheduledFault> {
