Build the calls that copy and stop a generation in one place each

The order to stop was built in two places of the migrator, and the two calls shared their shape in copy_call. Nothing else changes; the tests of moves, streams and cuts hold.

--- a/filbertpaddle-gateway/src/copy_call.rs
+++ b/filbertpaddle-gateway/src/copy_call.rs
@@ -5,10 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::target::Target;
+use http::StatusCode;
 use slog::info;
 
+use crate::connection_pool::Error;
+use crate::platform_api::Call;
 use crate::platform_api::CopyOutcome;
 use crate::platform_api::CopyRequest;
 use crate::platform_api::StopOutcome;
@@ -41,28 +45,27 @@
     }
 }
 
+/// A generation that is to be copied.
+#[derive(Clone, Debug)]
+struct CopyOrder {
+    state: Rc<State>,
+    attempt: Name,
+    source: Target,
+    to: Target,
+}
+
 impl CopyCall {
     /// Starts a call that copies a generation from `source` to `to` while it runs on.
     pub(crate) fn copy(state: &Rc<State>, attempt: &Name, source: &Target, to: &Target) -> Self {
-        let call = copy(
-            Rc::clone(state),
-            attempt.clone(),
-            source.clone(),
-            to.clone(),
-        );
-        Self::new(source, to, async { Outcome::Copy(call.await) })
+        let order = CopyOrder::new(state, attempt, source, to);
+        Self::new(source, to, async move { Outcome::Copy(order.copy().await) })
     }
 
     /// Starts a call that stops a generation at `source` and copies to `to` what was added since
     /// the last copy.
     pub(crate) fn stop(state: &Rc<State>, attempt: &Name, source: &Target, to: &Target) -> Self {
-        let call = stop(
-            Rc::clone(state),
-            attempt.clone(),
-            source.clone(),
-            to.clone(),
-        );
-        Self::new(source, to, async { Outcome::Stop(call.await) })
+        let order = CopyOrder::new(state, attempt, source, to);
+        Self::new(source, to, async move { Outcome::Stop(order.stop().await) })
     }
 
     fn new<F>(source: &Target, to: &Target, outcome: F) -> Self
@@ -104,38 +107,59 @@
     }
 }
 
-async fn copy(state: Rc<State>, attempt: Name, source: Target, to: Target) -> CopyOutcome {
-    let calls = state.platform.engine;
-    let request = CopyRequest {
-        attempt: &attempt,
-        to: &to,
-    };
-    state.metrics.count("target.copies");
-    match target_call::call(&state, &source, &(calls.copy)(&request), COPY_TIMEOUT).await {
-        Ok((head, bytes)) => (calls.decode_copy)(&request, head.status, &bytes),
-        Err(error) => {
-            info!(state.log, "copy request failed, treated as refused";
-                "id" => attempt.as_str(), "to" => to.id.as_str(), "error" => %error);
-            CopyOutcome::Refused
+impl CopyOrder {
+    fn new(state: &Rc<State>, attempt: &Name, source: &Target, to: &Target) -> Self {
+        Self {
+            state: Rc::clone(state),
+            attempt: attempt.clone(),
+            source: source.clone(),
+            to: to.clone(),
+        }
+    }
+
+    fn request(&self) -> CopyRequest<'_> {
+        CopyRequest {
+            attempt: &self.attempt,
+            to: &self.to,
         }
     }
-}
 
-async fn stop(state: Rc<State>, attempt: Name, source: Target, to: Target) -> StopOutcome {
-    let calls = state.platform.engine;
-    let request = CopyRequest {
-        attempt: &attempt,
-        to: &to,
-    };
-    state.metrics.count("target.stops");
-    match target_call::call(&state, &source, &(calls.stop)(&request), COPY_TIMEOUT).await {
-        Ok((head, bytes)) => (calls.decode_stop)(&request, head.status, &bytes),
-        Err(error) => {
-            info!(state.log, "order to stop failed, generation may run on";
-                "id" => attempt.as_str(), "from" => source.id.as_str(), "error" => %error);
-            StopOutcome::Unknown
+    async fn copy(&self) -> CopyOutcome {
+        let state = &self.state;
+        let calls = state.platform.engine;
+        let request = self.request();
+        state.metrics.count("target.copies");
+        match self.send((calls.copy)(&request)).await {
+            Ok((status, bytes)) => (calls.decode_copy)(&request, status, &bytes),
+            Err(error) => {
+                info!(state.log, "copy request failed, treated as refused";
+                    "id" => self.attempt.as_str(), "to" => self.to.id.as_str(),
+                    "error" => %error);
+                CopyOutcome::Refused
+            }
         }
     }
+
+    async fn stop(&self) -> StopOutcome {
+        let state = &self.state;
+        let calls = state.platform.engine;
+        let request = self.request();
+        state.metrics.count("target.stops");
+        match self.send((calls.stop)(&request)).await {
+            Ok((status, bytes)) => (calls.decode_stop)(&request, status, &bytes),
+            Err(error) => {
+                info!(state.log, "order to stop failed, generation may run on";
+                    "id" => self.attempt.as_str(), "from" => self.source.id.as_str(),
+                    "error" => %error);
+                StopOutcome::Unknown
+            }
+        }
+    }
+
+    async fn send(&self, call: Call) -> Result<(StatusCode, Bytes), Error> {
+        let answered = target_call::call(&self.state, &self.source, &call, COPY_TIMEOUT).await;
+        answered.map(|(head, bytes)| (head.status, bytes))
+    }
 }
 
 /// Frees a copy at the target `at`.
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -136,16 +136,14 @@
         source: &TargetStream,
         delivered: Option<u64>,
     ) -> Step {
-        match (self.handover.next_step(now, delivered), &self.reserved) {
+        match (
+            self.handover.next_step(now, delivered),
+            self.reserved.clone(),
+        ) {
             (handover::Step::Wait(at), _) => Step::Wait(at),
             (handover::Step::Continue, _) | (handover::Step::Order, None) => Step::Switch,
             (handover::Step::Order, Some(to)) => {
-                let Job {
-                    state, metadata, ..
-                } = self.job;
-                let call = CopyCall::stop(state, &metadata.attempt, &source.target, to);
-                self.call = Some(call);
-                self.handover.record_order_sent();
+                self.send_order(source, &to);
                 match self.handover.next_step(now, delivered) {
                     handover::Step::Wait(at) => Step::Wait(at),
                     handover::Step::Order | handover::Step::Continue => Step::Switch,
@@ -158,6 +156,10 @@
     pub fn order_stop(&mut self, source: &TargetStream, to: &Target) {
         self.restart(None);
         self.reserve(self.job.state.clock.now(), to);
+        self.send_order(source, to);
+    }
+
+    fn send_order(&mut self, source: &TargetStream, to: &Target) {
         let Job {
             state, metadata, ..
         } = self.job;
