--- a/filbertpaddle-forward/src/event_stream.rs
+++ b/filbertpaddle-forward/src/event_stream.rs
@@ -19,7 +19,7 @@
     /// Returns whether it consists of comments alone, which receivers ignore.
     pub fn is_comment(&self) -> bool {
         let mut lines = self.bytes.split(|byte| *byte == b'\n');
-        lines.all(|line| matches!(line.first(), None | Some(b':' | b'\r')))
+        lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
     }
 }
 
--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -18,18 +18,14 @@
 use crate::reply::Refusal;
 use crate::reply::Reply;
 use crate::target_connection;
+use crate::target_stream::CLOSED_EARLY;
+use crate::target_stream::TARGET_ENDED;
 use crate::target_stream::is_unframed;
 
 /// Multiple of the latency goal that an idempotent request waits at one target while it
 /// may still be sent to another.
 const ATTEMPT_GOAL_FACTOR: u64 = 3;
 
-/// Reason why a response counts as lost.
-const CLOSED_EARLY: &str = "connection closed before the body of a response without a length";
-
-/// The same where the target has ended too.
-const TARGET_ENDED: &str = "response without a length closed by a target that accepts no others";
-
 /// Serves one request, with retries at other targets where the route allows them.
 ///
 /// If this is cancelled, [`Job::release`] removes the request from its target's load.
--- a/filbertpaddle-gateway/src/generation_move.rs
+++ b/filbertpaddle-gateway/src/generation_move.rs
@@ -19,8 +19,8 @@
 use crate::target_connection;
 use crate::target_stream::TargetStream;
 
-/// Time for which the answer of a stalled or faulty target to the order to stop is awaited. Callers have waited
-/// for a stall before, and abandon a stream after two seconds.
+/// Time for which the answer of a stalled or faulty target to the order to stop is awaited.
+/// Callers have waited for a stall before, and abandon a stream after two seconds.
 const SOURCE_STOP_WAIT: Duration = Duration::from_millis(200);
 
 impl Generation<'_> {
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -8,17 +8,13 @@
 use crate::generation::Generation;
 use crate::stop_reason::StopReason;
 use crate::target_connection;
+use crate::target_stream::CLOSED_EARLY;
+use crate::target_stream::TARGET_ENDED;
 use crate::target_stream::TargetStream;
 
-/// Reason why a stream counts as broken off.
-pub(crate) const CLOSED_EARLY: &str = "connection closed before the first event";
-
-/// The same where the target goes on with a stream and its first block has no ID.
+/// Reason why a target is left that goes on with a stream.
 pub(crate) const UNPLACED: &str = "block without an ID before the first event of a resumed stream";
 
-/// The same where a stream without a length has ended with its target.
-const TARGET_ENDED: &str = "connection closed by a target that accepts no others";
-
 impl Generation<'_> {
     /// Resumes at another target after the stream of `source` has stalled. If no other target
     /// can take it now, the stream stays: it may be slow but sound.
