--- a/filbertpaddle/tests/gateway/repeated_refusals.rs
+++ b/filbertpaddle/tests/gateway/repeated_refusals.rs
@@ -2,6 +2,7 @@
 
 use filbertpaddle_adapter_standins::raw_target::NOT_RUN;
 use filbertpaddle_adapter_standins::raw_target::RawTarget;
+use filbertpaddle_adapter_standins::raw_target::attempt_line;
 use filbertpaddle_adapter_standins::target::Behaviour;
 use http::Method;
 use http::StatusCode;
@@ -36,7 +37,7 @@
     cluster
 }
 
-/// Such requests ran at a second target, and their callers were told that they had not run.
+/// Such requests ran at a second target, and their callers got 503, which promises that they have not run.
 #[tokio::test]
 async fn a_refusal_of_another_attempt_does_not_let_a_request_run_twice() {
     for refusal in REFUSALS {
@@ -72,10 +73,10 @@
 #[tokio::test]
 async fn a_refusal_with_an_unclear_id_is_no_promise_to_the_caller() {
     for (name, ids) in [
-        ("unclear-bytes", "Filbertpaddle-Attempt-Id: \u{e9}\r\n"),
+        ("unclear-bytes", attempt_line("\u{e9}")),
         (
             "unclear-two",
-            "Filbertpaddle-Attempt-Id: write\r\nFilbertpaddle-Attempt-Id: other\r\n",
+            attempt_line("write") + &attempt_line("other"),
         ),
     ] {
         let mut cluster = Cluster::new(name).await;
--- a/filbertpaddle/tests/gateway/slow_reader.rs
+++ b/filbertpaddle/tests/gateway/slow_reader.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::raw_target::RawTarget;
+use filbertpaddle_adapter_standins::raw_target::entry_at;
 use filbertpaddle_adapter_standins::raw_target::start_of_head;
 use filbertpaddle_standins::loopback::next_host;
 use http::Method;
@@ -66,11 +67,7 @@
     socket.set_recv_buffer_size(WINDOW_BYTES)?;
     socket.bind((next_host(), 0).into())?;
     let listener = socket.listen(16)?;
-    let entry = json!({
-        "service": "app", "address": listener.local_addr()?.to_string(), "zone": "dc-a",
-        "version": "v1", "slots": 24, "state": "ready", "cold_remaining_ms": 0,
-        "sequence": 1, "born": 1,
-    });
+    let entry = entry_at(listener.local_addr()?, "app", "dc-a");
     Ok((listener, entry))
 }
 
