Block a request with which VM after VM goes silent

Cause: only a target that refuses connections accused a request, and only after a broken connection; a silent one may be cut off, and a request that ended by its deadline or its caller was not looked at. Ruled out: accusing at once, since a cut looks the same.

Change: a decision without I/O (silent_target) on what the list shows afterwards; a target whose entry is removed unannounced, and that accepts no connection while another in its data centre does, has gone down. Only the request's own fingerprint is accused. The log line names no prompt parts any more.

Evidence: gateway silent_targets fails before (8 of 8 sends ran) and passes after (at most three more, then 503); a guard for targets that are cut off.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod retry_budget;
 pub mod revision;
 pub mod service_pace;
+pub mod silent_target;
 pub mod software_version;
 pub mod stated_rate;
 pub mod store_reading;
--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -43,7 +43,7 @@
             return finish(job, progress, last);
         }
         job.mark_sent(progress, &target);
-        progress.placed_on = Some(target.id.clone());
+        progress.placed_on = Some(target.clone());
         let result = attempt(job, progress, &target).await;
         job.release(progress);
         match result {
--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -13,6 +13,7 @@
 
 use crate::job::Failure;
 use crate::job::Job;
+use crate::silence;
 use crate::state::State;
 use crate::target_connection;
 
@@ -40,8 +41,8 @@
         is_checked.send(()).ok();
         if !is_down {
             sleep(RECHECK_DELAY).await;
-            if is_listed(&job.state, &target) {
-                record_if_down(&job, &target).await;
+            if is_listed(&job.state, &target) && !record_if_down(&job, &target).await {
+                silence::watch(&job, &target);
             }
         }
     });
@@ -52,22 +53,21 @@
 async fn record_if_down(job: &Job, target: &Target) -> bool {
     let is_down = target_connection::is_down(&job.state, target).await;
     if is_down {
-        record(job, target);
+        record(&job.state, &job.metadata.attempt, &job.fingerprints, target);
     }
     is_down
 }
 
-fn record(job: &Job, target: &Target) {
-    let state = &job.state;
+/// Accuses fingerprints of an attempt of the crash of its target.
+pub(crate) fn record(state: &State, attempt: &str, fingerprints: &[u64], target: &Target) {
     let now = state.clock.now();
     let crash = crash_id(&target.id, target.started_ms.unwrap_or_default());
     let mut suspects = state.suspects.borrow_mut();
-    suspects.record_crash(now, &job.fingerprints, crash);
-    let counts = job.fingerprints.iter().map(|one| suspects.crashes(*one));
+    suspects.record_crash(now, fingerprints, crash);
+    let counts = fingerprints.iter().map(|one| suspects.crashes(*one));
     info!(state.log, "request recorded as crash suspect: its target went down";
-        "id" => job.metadata.attempt.as_str(), "target" => target.id.as_str(),
-        "fingerprints" => ?job.fingerprints, "crashes" => ?counts.collect::<Vec<_>>(),
-        "prompt_parts" => job.metadata.part_ids());
+        "id" => attempt, "target" => target.id.as_str(),
+        "fingerprints" => ?fingerprints, "crashes" => ?counts.collect::<Vec<_>>());
 }
 
 fn is_listed(state: &Rc<State>, target: &Target) -> bool {
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -107,6 +107,9 @@
         () = sleep_until(deadline) => Err(StopReason::TimedOut),
         result = generation.run() => result,
     };
+    if let Err(StopReason::TimedOut | StopReason::CallerGone) = result {
+        generation.watch_silent();
+    }
     generation.close();
     result
 }
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -1,17 +1,22 @@
 //! How a generation leaves a target whose stream has broken off, stalled or is faulty.
 
+use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::event_stream::Event;
 use filbertpaddle_forward::target::Target;
 use slog::info;
 
 use crate::crash;
 use crate::generation::Generation;
+use crate::silence;
 use crate::stop_reason::StopReason;
 use crate::target_connection;
 use crate::target_stream::CLOSED_EARLY;
 use crate::target_stream::TARGET_ENDED;
 use crate::target_stream::TargetStream;
 
+/// Longest time for which sound targets send no event.
+const SILENT_TIME_MS: Millis = Millis::from_secs(1);
+
 /// Reason why a target is left that goes on with a stream.
 pub(crate) const UNPLACED: &str = "block without an ID before the first event of a resumed stream";
 
@@ -172,4 +177,14 @@
     pub(crate) fn may_resend(&self) -> bool {
         self.job.route.kind.is_idempotent() && self.progress.sends < self.job.route.max_attempts
     }
+
+    /// Watches the target if it has been silent for longer than sound ones are.
+    pub(crate) fn watch_silent(&self) {
+        let silent_ms = self.job.state.clock.now().since(self.last_activity_ms);
+        if let Some(placement) = &self.placement
+            && silent_ms >= SILENT_TIME_MS
+        {
+            silence::watch(self.job, &placement.target);
+        }
+    }
 }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -98,7 +98,7 @@
     /// Whether it is being sent or run at a target now.
     pub is_in_flight: bool,
     /// Target whose load includes it, as a whole response.
-    pub placed_on: Option<Name>,
+    pub placed_on: Option<Target>,
     /// Targets that it must not be sent to again.
     pub excluded_targets: Vec<Name>,
     /// Targets that did not accept a connection of this node for it.
@@ -377,9 +377,9 @@
     /// Removes a request with a whole response from the load of the target that it was placed
     /// on, if it was. It may have been given up there by its caller or at its deadline.
     pub fn release(&self, progress: &mut Progress) {
-        if let Some(id) = progress.placed_on.take() {
+        if let Some(target) = progress.placed_on.take() {
             let mut selector = self.state.selector.borrow_mut();
-            selector.record_ended(&id, &self.demand, false);
+            selector.record_ended(&target.id, &self.demand, false);
         }
     }
 
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod response_writer;
 pub mod resumption;
 pub mod settings;
+mod silence;
 pub mod socket_diagnostics;
 pub mod state;
 pub mod stop_reason;
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -307,6 +307,9 @@
         () = tokio::time::sleep_until(deadline) => Some(Err(Refusal::TimedOut)),
         result = buffered::serve(job, &mut progress) => Some(result),
     };
+    if let None | Some(Err(Refusal::TimedOut)) = result {
+        job.watch_unanswered(&progress);
+    }
     job.release(&mut progress);
     let Some(result) = result else {
         log_end(job, &progress, "caller_gone", 0);
--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -145,9 +145,24 @@
     probe(state, Some(&failed.id)).await
 }
 
+/// Returns whether this node reaches a target in the same data centre as `target`, other than it.
+pub async fn reaches_near(state: &State, target: &Target) -> bool {
+    let is_near = |other: &Target| other.data_centre == target.data_centre && other.id != target.id;
+    probe_some(state, is_near).await
+}
+
 /// Tries to reach targets other than `except`; returns whether one accepted a connection.
 async fn probe(state: &State, except: Option<&Name>) -> bool {
-    let targets = probed_targets(state, except);
+    probe_some(state, |target| Some(&target.id) != except).await
+}
+
+/// Tries to reach some of the targets for which `is_wanted` holds; returns whether one accepted a
+/// connection.
+async fn probe_some<W>(state: &State, is_wanted: W) -> bool
+where
+    W: Fn(&Target) -> bool,
+{
+    let targets = probed_targets(state, is_wanted);
     let attempts = targets.iter().map(|target| open_directly(state, target));
     let mut attempts: FuturesUnordered<_> = attempts.collect();
     while let Some(connected) = attempts.next().await {
@@ -161,7 +176,10 @@
 /// Returns some of the targets that are not leaving, in random order, those that have not failed
 /// yet before the others. What listens at the address of an entry whose service the configuration
 /// does not name shows nothing about targets.
-fn probed_targets(state: &State, except: Option<&Name>) -> Vec<Target> {
+fn probed_targets<W>(state: &State, is_wanted: W) -> Vec<Target>
+where
+    W: Fn(&Target) -> bool,
+{
     let directory = state.directory.borrow();
     let direct_path = state.direct_path.borrow();
     let services = directory.configuration().map(|known| &known.services);
@@ -169,7 +187,7 @@
         |target: &Target| services.is_some_and(|services| services.contains_key(&target.service));
     let listed = directory.targets().map(|(target, _)| target);
     let mut targets: Vec<_> = listed
-        .filter(|target| !target.is_draining && Some(&target.id) != except && is_named(target))
+        .filter(|target| !target.is_draining && is_wanted(target) && is_named(target))
         .cloned()
         .collect();
     targets.shuffle(&mut rand::rng());
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod resumed_ends;
 mod rollback;
 mod settings;
+mod silent_targets;
 mod slow_caller;
 mod slow_reader;
 mod starting;
