--- a/filbertpaddle-gateway/src/crash.rs
+++ b/filbertpaddle-gateway/src/crash.rs
@@ -29,7 +29,8 @@
 /// to another one before, or after a short time.
 ///
 /// A target that does not respond at all may be cut off, as is this node if it reaches no other
-/// target either, and one that is draining or no longer listed was stopped; these accuse nothing.
+/// target either; it is watched. One that is draining or no longer listed was stopped, which accuses
+/// nothing.
 pub async fn check(job: &Job, target: &Target) {
     if !is_listed(&job.state, target) {
         return;
