Keep a stalled stream at its target while no node reaches another

Cause: the replacement was chosen by the list, and its source closed before anything had connected. Ruled out: the order to stop, which failed alike.

Change: the node connects to the replacement first; without a path to any target the stream stays, and is looked at again later.

--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -36,7 +36,7 @@
             self.copy_if_cut_off(&source).await;
             return Ok(source);
         }
-        let Some(target) = self.choose_replacement(&source.target) else {
+        let Some(target) = self.choose_replacement(&source.target).await else {
             self.last_activity_ms = self.job.state.clock.now();
             info!(self.job.state.log, "stream of target stalled, no other can take it now";
                 "id" => self.job.metadata.attempt.as_str(),
@@ -57,7 +57,7 @@
             return self.recover(source, reason).await;
         }
         self.record_broken(&source, reason).await;
-        match self.choose_replacement(&source.target) {
+        match self.choose_replacement(&source.target).await {
             Some(target) => self.resume_at(target, source).await,
             None => Err(StopReason::Broken),
         }
@@ -79,13 +79,19 @@
     }
 
     /// Chooses a target other than `source` that may be sent the request now, and excludes
-    /// `source` if there is one.
-    fn choose_replacement(&mut self, source: &Target) -> Option<Target> {
+    /// `source` if there is one. There is none while this node reaches no target at all: `source`
+    /// may go on once the cut has ended.
+    async fn choose_replacement(&mut self, source: &Target) -> Option<Target> {
         if !self.may_resend() {
             return None;
         }
         self.progress.excluded_targets.push(source.id.clone());
-        let chosen = self.job.choose_target(self.progress).ok();
+        let mut chosen = self.job.choose_target(self.progress).ok();
+        if let Some(target) = &chosen
+            && !target_connection::has_any_path(&self.job.state, target).await
+        {
+            chosen = None;
+        }
         let sendable = chosen.filter(|_| self.job.may_send(self.progress));
         if sendable.is_none() {
             self.progress.excluded_targets.pop();
--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -151,6 +151,21 @@
     probe_some(state, is_near).await
 }
 
+/// Returns whether requests of this node reach targets, `target` or others, by its own links or
+/// through another node.
+pub async fn has_any_path(state: &State, target: &Target) -> bool {
+    let since = state.clock.now();
+    match open(state, target, Purpose::Request).await {
+        Ok(_) => true,
+        Err(Error::NoPath) => false,
+        Err(_) if has_path(state, target, since).await => true,
+        Err(_) => {
+            let relayed = open_relayed(state, target, Purpose::Request).await;
+            !matches!(relayed, Err(Error::NoPath))
+        }
+    }
+}
+
 /// Tries to reach targets other than `except`; returns whether one accepted a connection.
 async fn probe(state: &State, except: Option<&Name>) -> bool {
     probe_some(state, |target| Some(&target.id) != except).await
--- a/filbertpaddle/tests/gateway/cut_from_targets.rs
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -36,6 +36,8 @@
 const NOTICE_TIME: Duration = Duration::from_millis(1_500);
 /// Time within which a request that no node can serve is refused.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// Longer than a stream may stall before it resumes elsewhere.
+const CUT_TIME: Duration = Duration::from_secs(3);
 /// Output tokens of ten events.
 const TOKENS: u32 = 40;
 
@@ -190,6 +192,31 @@
     }
 }
 
+/// It was closed to go on at a target that no node reached, and broke off.
+#[tokio::test]
+async fn a_resumable_stream_waits_for_the_end_of_a_cut_of_all_nodes() {
+    let mut gated = GatedCluster::start("all-cut-stream").await;
+    let stream = request("s", Method::POST, RESUMABLE_PATH, Some(400));
+    let running = gated.spawn(0, stream);
+    gated.wait_until_running("s").await;
+    let target = gated.cluster.first_target_of("s");
+    wait_until("it has delivered events", async || {
+        target.running().get("s") > Some(&10)
+    })
+    .await;
+    for node in 0..DATA_CENTRES.len() {
+        gated.set(node, Passage::Silent).await;
+    }
+    sleep(CUT_TIME).await;
+    for node in 0..DATA_CENTRES.len() {
+        gated.set(node, Passage::Open).await;
+    }
+    let answer = running.await.unwrap();
+    assert!(answer.is_complete, "{} bytes", answer.body.len());
+    assert!(answer.body == complete_stream("s", 100));
+    gated.close();
+}
+
 #[tokio::test]
 async fn one_node_that_reaches_targets_is_enough() {
     for cut in CUTS {
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -67,10 +67,12 @@
 ];
 
 /// Seeds of cuts from all targets.
-const CUT_SEEDS: [u64; 4] = [
+const CUT_SEEDS: [u64; 5] = [
     0, 1, 2, //
     // A relay that was cut off itself put all targets of its streams into back-off.
-    1_400_011,
+    1_400_011, //
+    // A stalled stream left its target while no node reached another.
+    1_600_014,
 ];
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
