Record no failed connection to a target that is watched

Two of them in a row would have made the node believe that it is cut off from all targets for a moment. By reading; the tests of silent targets hold.

--- a/filbertpaddle-gateway/src/silence.rs
+++ b/filbertpaddle-gateway/src/silence.rs
@@ -14,6 +14,7 @@
 use filbertpaddle_forward::target::Target;
 use tokio::time::sleep;
 
+use crate::connection_pool;
 use crate::crash;
 use crate::job::Job;
 use crate::job::Progress;
@@ -60,7 +61,8 @@
                 Finding::MayBeDown => break,
             }
         }
-        let accepts = target_connection::open_directly(&self.state, &self.target).await;
+        // One silent target shows nothing about this node's own links, so it is not recorded.
+        let accepts = connection_pool::connect_tcp(&self.target.address).await;
         let is_other_reached = target_connection::reaches_near(&self.state, &self.target).await;
         if silent_target::is_down(accepts.is_ok(), is_other_reached) {
             let fingerprints = [self.fingerprint];
