Log the end of a stream that has no length, and the caller's version of HTTP

The node's log could not distinguish them: nothing stated that a stream ended only with its connection, how the node judged that end, or whether its caller speaks HTTP/1.0 and so gets no last chunk. Both are logged now, and the two judgements are counted. No decision changes.

--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -105,6 +105,19 @@
         if !source.is_unframed() {
             return None;
         }
+        let reason = self.unframed_cut_off_reason(source).await;
+        info!(self.job.state.log, "stream without a length ended with its connection";
+            "id" => self.job.metadata.attempt.as_str(), "target" => source.target.id.as_str(),
+            "last_event" => self.last_event, "events_here" => self.events_here,
+            "is_relayed" => source.is_relayed(), "cut_off" => reason);
+        self.job.state.metrics.count(match reason {
+            Some(_) => "stream.unframed_cut_off",
+            None => "stream.unframed_complete",
+        });
+        reason
+    }
+
+    async fn unframed_cut_off_reason(&self, source: &TargetStream) -> Option<&'static str> {
         if self.migrator.has_ordered_stop() {
             return Some("stopped");
         }
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -19,6 +19,7 @@
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
+use http::Version;
 use http::header;
 use http::request::Parts;
 use http_body_util::BodyExt;
@@ -122,6 +123,7 @@
     let continuation = resumption::resolve(state, route, &metadata)
         .await
         .map_err(|refusal| deny(state, &id, refusal, &route.name))?;
+    let http_version = head.version;
     let received = Received {
         at_ms: received_ms,
         metadata,
@@ -136,7 +138,7 @@
     state.with_budget(&job.demand.service, |budget| {
         budget.record_request(received_ms)
     });
-    log_admitted(&job, configuration.version);
+    log_admitted(&job, http_version, configuration.version);
     Ok(job)
 }
 
@@ -199,9 +201,9 @@
     headers
 }
 
-fn log_admitted(job: &Job, version: u64) {
+fn log_admitted(job: &Job, http_version: Version, version: u64) {
     info!(job.state.log, "request admitted";
-        "id" => job.metadata.attempt.as_str(), "route" => job.route.name.as_str(),
+        "id" => job.metadata.attempt.as_str(), "http" => ?http_version, "route" => job.route.name.as_str(),
         "kind" => %job.route.kind, "customer" => job.customer.as_deref(),
         "service" => job.demand.service.as_str(), "priority" => job.priority,
         "tokens" => job.demand.total_tokens,
