Test responses whose last transfer coding is not chunked

A target that exits in the middle of a response with `Transfer-Encoding: identity` leaves its caller with a complete stream or a whole body:

a_response_whose_last_coding_is_not_chunked_is_not_whole_if_its_target_exits ... FAILED panicked at filbertpaddle/tests/gateway/unframed.rs: identity

The guard beside it, on several lengths, lengths beside codings and codings in odd case, passes.

--- a/filbertpaddle/tests/gateway/unframed.rs
+++ b/filbertpaddle/tests/gateway/unframed.rs
@@ -110,6 +110,18 @@
 /// connection in the given way.
 async fn answer_before(name: &str, path: &str, body: &[u8], end: End) -> ReceivedAnswer {
     let head = format!("{}Connection: close\r\n\r\n", start_of_head(ATTEMPT));
+    answer_with_end(name, path, head, body, end).await
+}
+
+/// Returns the answer to a request whose target sends `head` and `body`, and then ends the
+/// connection in the given way.
+async fn answer_with_end(
+    name: &str,
+    path: &str,
+    head: String,
+    body: &[u8],
+    end: End,
+) -> ReceivedAnswer {
     let body = Bytes::copy_from_slice(body);
     let next_part = move |number| (number == 1).then(|| body.clone());
     let target = RawTarget::start_with_end(head, next_part, end);
@@ -142,3 +154,75 @@
     let answer = answer_before("unframed-exit-body", WRITE_PATH, b"ans", End::Exit).await;
     assert_eq!((answer.code(), answer.is_sealed()), (502, false));
 }
+
+/// Heads of responses that end with their connection although they state some coding or version.
+const UNFRAMED_HEADS: [(&str, &str); 6] = [
+    ("identity", "Transfer-Encoding: identity\r\n"),
+    ("odd-case", "TRANSFER-encoding: IDENTITY\r\n"),
+    ("chunked-first", "Transfer-Encoding: chunked, gzip\r\n"),
+    (
+        "two-codings",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+    ),
+    (
+        "length-and-coding",
+        "Content-Length: 3\r\nTransfer-Encoding: identity\r\n",
+    ),
+    ("close-alone", "Connection: close\r\n"),
+];
+
+/// Any Transfer-Encoding counted as chunks, so that what the exit of its target cut was complete.
+#[tokio::test]
+async fn a_response_whose_last_coding_is_not_chunked_is_not_whole_if_its_target_exits() {
+    let events = complete_stream(ATTEMPT, 3);
+    for (name, lines) in UNFRAMED_HEADS {
+        let head = format!("{}{lines}\r\n", start_of_head(ATTEMPT));
+        let stream = format!("coding-stream-{name}");
+        let answer = answer_with_end(&stream, STREAM_PATH, head.clone(), &events, End::Exit).await;
+        assert!(!answer.is_complete, "{name}");
+        assert_eq!(answer.body, events, "{name}");
+        let body = format!("coding-body-{name}");
+        let answer = answer_with_end(&body, WRITE_PATH, head, b"ans", End::Exit).await;
+        assert_eq!((answer.code(), answer.is_sealed()), (502, false), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn a_response_with_several_lengths_or_odd_chunks_is_whole_if_they_agree() {
+    let chunk = b"3\r\nans\r\n0\r\n\r\n";
+    for (name, framing, body, code) in [
+        (
+            "equal",
+            "Content-Length: 3\r\ncontent-LENGTH: 3\r\n",
+            &b"ans"[..],
+            200,
+        ),
+        ("list", "Content-Length: 3, 3\r\n", b"ans", 200),
+        (
+            "unequal",
+            "Content-Length: 3\r\nContent-Length: 2\r\n",
+            b"ans",
+            502,
+        ),
+        ("cut", "Content-Length: 4\r\n", b"ans", 502),
+        ("odd-chunked", "Transfer-Encoding: Chunked \r\n", chunk, 200),
+        (
+            "chunked",
+            "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+            chunk,
+            200,
+        ),
+        (
+            "cut-chunk",
+            "Transfer-Encoding: chunked\r\n",
+            &chunk[..8],
+            502,
+        ),
+    ] {
+        let head = format!("{}{framing}\r\n", start_of_head(ATTEMPT));
+        let name = format!("lengths-{name}");
+        let answer = answer_with_end(&name, WRITE_PATH, head, body, End::Exit).await;
+        assert_eq!(answer.code(), code, "{name}");
+        assert!(code != 200 || answer.body == b"ans", "{name}");
+    }
+}
