Take a response whose last coding is not chunked for one without a length

Callers saw a stream as complete, or a part of a body as whole, that the exit of its target had cut, where the response had a `Transfer-Encoding` other than `chunked`, beside a length or without one.

Cause: any such header counted as framing, but hyper reads a response whose last coding is not `chunked` up to the end of its connection. The end of the connection was then taken for the end of the response, without a look at the target.

Ruled out, by the guard beside it: several lengths, lengths beside chunks, codings in odd case; unequal lengths and cut chunks get 502.

The body is asked for its length now, as hyper has decided on it, and the last coding is read by the same rule as hyper's. Statuses and methods without a body have a length of 0 there.

--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::target::Target;
-use http::Method;
 use http::StatusCode;
 use http::response::Parts;
 use tokio::time::timeout;
@@ -20,7 +19,6 @@
 use crate::target_connection;
 use crate::target_stream::CLOSED_EARLY;
 use crate::target_stream::TARGET_ENDED;
-use crate::target_stream::is_unframed;
 
 /// Multiple of the latency goal that an idempotent request waits at one target while it
 /// may still be sent to another.
@@ -83,7 +81,7 @@
         let (response, _) = job.send(target, ResumePoint::default()).await?;
         let mut body = response.body;
         let bytes = body.read_to_end(&job.state.target_buffers).await?;
-        if is_ended_by_close(job, &response.head) {
+        if may_be_cut(&response.head) && body.is_unframed(&response.head.headers) {
             check_end(job, target, &bytes).await?;
         }
         body.recycle(&response.head.headers);
@@ -97,15 +95,10 @@
     }
 }
 
-/// Returns whether the body of a successful response has neither a length nor chunks, so that it
-/// ends with its connection.
-fn is_ended_by_close(job: &Job, head: &Parts) -> bool {
-    let has_none = job.method == Method::HEAD
-        || matches!(
-            head.status,
-            StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT
-        );
-    head.status.is_success() && !has_none && is_unframed(&head.headers)
+/// Returns whether a part of a response would be taken for all of it: it is a success, and its
+/// status does not state that it has no body.
+fn may_be_cut(head: &Parts) -> bool {
+    head.status.is_success() && head.status != StatusCode::RESET_CONTENT
 }
 
 /// Checks that a body that ended with its connection is whole: a target that crashes or exits
--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -16,9 +16,9 @@
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -34,6 +34,9 @@
 
 use crate::buffer_limit::BufferLimit;
 use crate::clock::Clock;
+use crate::connection_headers::is_chunked;
+use crate::connection_headers::keep_alive_ms;
+use crate::connection_headers::requests_close;
 use crate::tunnel::RelayedStream;
 use crate::watched_stream::WatchedStream;
 
@@ -355,6 +358,12 @@
         Ok(all.freeze())
     }
 
+    /// Returns whether the body ends with its connection, as it has neither a length nor chunks.
+    /// `headers` are those of its response.
+    pub fn is_unframed(&self, headers: &HeaderMap) -> bool {
+        self.incoming.size_hint().exact().is_none() && !is_chunked(headers)
+    }
+
     /// Returns whether another node relays the connection.
     pub fn is_relayed(&self) -> bool {
         self.connection.is_relayed
@@ -460,22 +469,6 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
 
-fn requests_close(headers: &HeaderMap) -> bool {
-    let values = headers.get_all(header::CONNECTION).iter();
-    values
-        .filter_map(|value| value.to_str().ok())
-        .any(|value| value.to_ascii_lowercase().contains("close"))
-}
-
-/// Returns the other end's idle timeout from its `Keep-Alive` header.
-fn keep_alive_ms(headers: &HeaderMap) -> Option<Millis> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let timeout = value
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    Some(Millis::from_secs(timeout.trim().parse().ok()?))
-}
-
 fn describe(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
         Some(source) => format!("{error}: {source}"),
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -35,7 +35,6 @@
 use crate::target_stream::CLOSED_EARLY;
 use crate::target_stream::StreamItem;
 use crate::target_stream::TargetStream;
-use crate::target_stream::is_unframed;
 
 /// Time without an event after which a generation resumes at another target if it can. Sound
 /// targets are silent for a second at times, and callers abandon a stream after two.
@@ -313,8 +312,7 @@
             };
             return Err(OpenError::Stopped(stop));
         }
-        let is_unframed = is_unframed(&response.head.headers);
-        let mut source = TargetStream::new(target.clone(), body, is_unframed);
+        let mut source = TargetStream::new(target.clone(), body, &response.head.headers);
         match source.next().await {
             StreamItem::Event(event) => source.put_back(event),
             StreamItem::End if self.is_closed_early(&source) => {
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod buffer_limit;
 pub mod buffered;
 pub mod clock;
+mod connection_headers;
 pub mod connection_pool;
 mod copy_call;
 pub mod crash;
--- a/filbertpaddle-gateway/src/target_stream.rs
+++ b/filbertpaddle-gateway/src/target_stream.rs
@@ -6,7 +6,6 @@
 use filbertpaddle_forward::event_stream::EventSplitter;
 use filbertpaddle_forward::target::Target;
 use http::HeaderMap;
-use http::header;
 
 use crate::connection_pool::Body;
 
@@ -40,13 +39,12 @@
 }
 
 impl TargetStream {
-    /// Creates a stream that reads the events of `body`, which may be one that ends with its
-    /// connection.
-    pub fn new(target: Target, body: Body, is_unframed: bool) -> Self {
+    /// Creates a stream that reads the events of `body`, the body of a response with `headers`.
+    pub fn new(target: Target, body: Body, headers: &HeaderMap) -> Self {
         Self {
             target,
+            is_unframed: body.is_unframed(headers),
             body,
-            is_unframed,
             splitter: EventSplitter::new(),
             ready: VecDeque::new(),
         }
@@ -96,9 +94,3 @@
         drop(self.body);
     }
 }
-
-/// Returns whether a body has neither a length nor chunks, so that it ends with its connection.
-pub fn is_unframed(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
-}
