Test streams of targets that speak HTTP/1.0

Seen: the node finds that the stream is cut off, but its caller's connection ends in order, without chunks, so that the stream is complete:

a_response_of_http_1_0_is_whole_only_if_its_target_goes_on_or_it_has_a_length ... FAILED assertion left == right failed: http-1-0-exit, left: (true, ..), right: (false, ..)

--- a/filbertpaddle/tests/gateway/unframed.rs
+++ b/filbertpaddle/tests/gateway/unframed.rs
@@ -187,6 +187,33 @@
     }
 }
 
+#[tokio::test]
+async fn a_response_of_http_1_0_is_whole_only_if_its_target_goes_on_or_it_has_a_length() {
+    let events = complete_stream(ATTEMPT, 3);
+    let length = format!("Content-Length: {}\r\n", events.len());
+    for (name, framing, end, is_whole) in [
+        ("exit", "", End::Exit, false),
+        (
+            "keep-alive-exit",
+            "Connection: keep-alive\r\n",
+            End::Exit,
+            false,
+        ),
+        ("keep-alive", "Connection: keep-alive\r\n", End::Close, true),
+        ("length-exit", &*length, End::Exit, true),
+    ] {
+        let head = start_of_head(ATTEMPT).replace("HTTP/1.1", "HTTP/1.0");
+        let head = format!("{head}{framing}\r\n");
+        let name = format!("http-1-0-{name}");
+        let answer = answer_with_end(&name, STREAM_PATH, head, &events, end).await;
+        assert_eq!(
+            (answer.is_complete, answer.body),
+            (is_whole, events.clone()),
+            "{name}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn a_response_with_several_lengths_or_odd_chunks_is_whole_if_they_agree() {
     let chunk = b"3\r\nans\r\n0\r\n\r\n";
