Answer callers in their own version of HTTP, not in that of the target

Callers that speak HTTP/1.1 saw a stream as complete that was cut, where its target speaks HTTP/1.0: the node found the stream broken off, but the caller's connection ended in order, without chunks.

Cause: the head of the target's response became that of the reply, with its version, and the server sends a reply of HTTP/1.0 without chunks, so that its end is that of the connection.

Ruled out: the finding at the node itself; a stream of HTTP/1.0 with a length is whole, and one whose target goes on is complete, before and after.

The reply has the version of this node now; the server lowers it for callers that speak an older one. That is another hop's matter, and not mended here.

--- a/filbertpaddle-gateway/src/reply.rs
+++ b/filbertpaddle-gateway/src/reply.rs
@@ -5,6 +5,7 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -103,16 +104,20 @@
 
 /// Builds a reply from a target's status, headers and whole body.
 pub fn forward(head: http::response::Parts, bytes: Bytes) -> Reply {
-    let mut reply = Response::from_parts(head, full_body(bytes));
-    strip_connection(reply.headers_mut());
-    reply.headers_mut().remove(header::CONTENT_LENGTH);
-    reply
+    with_body(head, full_body(bytes))
 }
 
 /// Builds a streamed reply from a target's status and headers.
 pub fn forward_stream(head: http::response::Parts, parts: mpsc::Receiver<Part>) -> Reply {
     let frames = ReceiverStream::new(parts).map(|part| part.map(Frame::data));
-    let mut reply = Response::from_parts(head, StreamBody::new(frames).boxed_unsync());
+    with_body(head, StreamBody::new(frames).boxed_unsync())
+}
+
+/// Builds a reply from a target's status and headers, without what concerns the target's own
+/// connection: its version of HTTP, framing and connection headers.
+fn with_body(head: http::response::Parts, body: Body) -> Reply {
+    let mut reply = Response::from_parts(head, body);
+    *reply.version_mut() = Version::HTTP_11;
     strip_connection(reply.headers_mut());
     reply.headers_mut().remove(header::CONTENT_LENGTH);
     reply
