Test streams whose target is replaced at its address

A listener that another process holds open outlives the target; a target may start again within milliseconds. Both accept connections, and the stream that the end of the target cut is complete:

a_stream_whose_target_is_replaced_at_its_address_is_not_complete ... FAILED panicked at filbertpaddle/tests/gateway/unframed.rs: closed

The guard beside it passes: a target that reports the same start, none, no report at all, or nothing in time, has ended its stream as complete.

--- a/filbertpaddle/tests/gateway/unframed.rs
+++ b/filbertpaddle/tests/gateway/unframed.rs
@@ -253,3 +253,39 @@
         assert!(code != 200 || answer.body == b"ans", "{name}");
     }
 }
+
+/// Returns whether a stream without a length is complete after whose end something else listens
+/// at the address of its target, which started at 1, and does what [`End::Replaced`] says.
+async fn is_complete_before(name: &str, answer: Option<&'static str>) -> bool {
+    let events = complete_stream(ATTEMPT, 3);
+    let name = format!("replaced-{name}");
+    let answer = answer_before(&name, STREAM_PATH, &events, End::Replaced(answer)).await;
+    assert_eq!(answer.body, events, "{name}");
+    answer.is_complete
+}
+
+/// A listener outlives its target where another process holds it, and a target may start again
+/// within milliseconds. What they cut was complete.
+#[tokio::test]
+async fn a_stream_whose_target_is_replaced_at_its_address_is_not_complete() {
+    for (name, answer) in [
+        ("closed", ""),
+        ("restarted", "HTTP/1.1 200 OK\r\n\r\n{\"born\":2}"),
+        ("proxy", "HTTP/1.1 502 Bad Gateway\r\n\r\n"),
+        ("other", "HTTP/1.1 421 Misdirected Request\r\n\r\n"),
+    ] {
+        assert!(!is_complete_before(name, Some(answer)).await, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn a_stream_is_complete_whose_target_reports_the_same_start_or_is_slow_to_report() {
+    for (name, answer) in [
+        ("same", Some("HTTP/1.1 200 OK\r\n\r\n{\"born\":1}")),
+        ("unknown", Some("HTTP/1.1 200 OK\r\n\r\n{}")),
+        ("no-report", Some("HTTP/1.1 404 Not Found\r\n\r\n")),
+        ("silent", None),
+    ] {
+        assert!(is_complete_before(name, answer).await, "{name}");
+    }
+}
