Ask an engine for a report before its response without a length is whole

Callers saw streams as complete that the end of a target had cut, where something else accepted connections at its address: a process that holds the listener, a proxy, another target, or the same target that had started again within milliseconds.

Cause: after the end of a response without a length, a node only opened a connection.

Now it asks an engine for its report on that connection, within 300 ms. One that closes it, answers with a server's error as proxies do, or with 421, has not ended the response as whole; nor has one that reports a later start (`born`) than the entry by which the request was sent.

Weighed: - No answer in time counts as sound. A busy target must not lose whole answers, and the connection was accepted. So a target whose listener is held by a process that answers nothing, or that stands still, is not told from it; that is as before. - A report takes no slot, and sound targets answer it. So an error there is worth doubting. - A restarted target whose later entry has not arrived yet loses a whole answer: its report names a later start than the entry. Only a fraction of a second after a restart, and cut, not joined. - Services without an engine keep the bare connection. Their health check takes a slot or is refused like a request, counts at cold and brittle targets, and states no start: it would show neither a restart nor, at a busy target, anything at all.

It costs one report, priced as a probe, for each response without a length of an engine, in place of one connection.

--- a/filbertpaddle-forward/src/configuration.rs
+++ b/filbertpaddle-forward/src/configuration.rs
@@ -154,6 +154,12 @@
             .max_by_key(|route| route.prefix.len())
     }
 
+    /// Returns whether a service is served by engines.
+    pub fn is_engine(&self, service: &str) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Returns the maximum number of output tokens in one event of a service's streams.
     pub fn event_tokens(&self, service: &str) -> u32 {
         let service = self.services.get(service);
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod direct_path;
 pub mod directory;
 pub mod drain;
+pub mod ended_response;
 pub mod event_order;
 pub mod event_stream;
 pub mod fingerprint;
--- a/filbertpaddle-forward/src/target.rs
+++ b/filbertpaddle-forward/src/target.rs
@@ -82,4 +82,6 @@
 pub struct Report {
     /// Whether the target is about to stop.
     pub is_draining: bool,
+    /// Start time in Unix time, if it states one.
+    pub started_ms: Option<Millis>,
 }
--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -10,13 +10,13 @@
 use tokio::time::timeout;
 
 use crate::clock::duration;
+use crate::ended_response;
 use crate::job::Failure;
 use crate::job::Job;
 use crate::job::Progress;
 use crate::job::ResumePoint;
 use crate::reply::Refusal;
 use crate::reply::Reply;
-use crate::target_connection;
 use crate::target_stream::CLOSED_EARLY;
 use crate::target_stream::TARGET_ENDED;
 
@@ -107,7 +107,7 @@
     if bytes.is_empty() {
         return Err(Failure::Unknown(CLOSED_EARLY.to_owned()));
     }
-    match target_connection::goes_on(&job.state, target).await {
+    match ended_response::goes_on(&job.state, target).await {
         true => Ok(()),
         false => Err(Failure::Unknown(TARGET_ENDED.to_owned())),
     }
--- a/filbertpaddle-gateway/src/drain_detection.rs
+++ b/filbertpaddle-gateway/src/drain_detection.rs
@@ -39,14 +39,10 @@
     let Some(configuration) = directory.configuration() else {
         return Vec::new();
     };
-    let is_engine = |target: &Target| {
-        let service = configuration.services.get(&target.service);
-        service.is_some_and(|service| service.engine.is_some())
-    };
     let targets = directory.targets().map(|(target, _)| target);
     targets
         .filter(|target| !target.is_draining && selector.running(&target.id) > 0)
-        .filter(|target| is_engine(target))
+        .filter(|target| configuration.is_engine(&target.service))
         .cloned()
         .collect()
 }
--- /dev/null
+++ b/filbertpaddle-gateway/src/ended_response.rs
@@ -0,0 +1,70 @@
+//! Asks targets that have ended a response together with its connection whether they go on.
+
+use std::time::Duration;
+
+use filbertpaddle_forward::ended_response::Finding;
+use filbertpaddle_forward::target::Target;
+use http::StatusCode;
+use slog::info;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::connection_pool::Transport;
+use crate::state::State;
+use crate::target_call;
+use crate::target_connection;
+use crate::tunnel::Purpose;
+
+/// Time in which a process that exits stops listening after it has closed its connections.
+const EXIT_TIME: Duration = Duration::from_millis(30);
+/// Time for a target to report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Returns whether a target goes on after it has ended a response together with its connection.
+pub(crate) async fn goes_on(state: &State, target: &Target) -> bool {
+    if state.is_leaving(target) {
+        sleep(EXIT_TIME).await;
+    }
+    let finding = find(state, target).await;
+    let goes_on = finding.shows_sound(target);
+    info!(state.log, "looked for a target that ended a response with its connection";
+        "target" => target.id.as_str(), "finding" => ?finding, "goes_on" => goes_on);
+    goes_on
+}
+
+/// Asks engines for a report. Services without an engine offer only a health check, which takes
+/// a slot and states no start time, so that a connection has to do.
+async fn find(state: &State, target: &Target) -> Finding {
+    match target_connection::open(state, target, Purpose::Call).await {
+        Ok(transport) if is_engine(state, target) => ask(state, target, transport).await,
+        Ok(_) => Finding::Accepted,
+        Err(_) => Finding::Unreached,
+    }
+}
+
+fn is_engine(state: &State, target: &Target) -> bool {
+    let directory = state.directory.borrow();
+    let configuration = directory.configuration();
+    configuration.is_some_and(|configuration| configuration.is_engine(&target.service))
+}
+
+/// Asks a target for its report.
+async fn ask(state: &State, target: &Target, transport: Transport) -> Finding {
+    let calls = state.platform.engine;
+    state.metrics.count("target.reports");
+    let call = (calls.report)();
+    let answer = target_call::call_on(state, target, &call, REPORT_TIMEOUT * 2, transport);
+    let Ok(answer) = timeout(REPORT_TIMEOUT, answer).await else {
+        return Finding::Silent;
+    };
+    let Ok((head, bytes)) = answer else {
+        return Finding::Closed;
+    };
+    if head.status.is_server_error() || head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Finding::Failed;
+    }
+    match (calls.decode_report)(&bytes) {
+        Ok(report) => Finding::Report(report),
+        Err(_) => Finding::Unknown,
+    }
+}
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -6,6 +6,7 @@
 use slog::info;
 
 use crate::crash;
+use crate::ended_response;
 use crate::generation::Generation;
 use crate::silence;
 use crate::stop_reason::StopReason;
@@ -124,7 +125,7 @@
         if self.is_closed_early(source) {
             return Some(CLOSED_EARLY);
         }
-        let goes_on = target_connection::goes_on(&self.job.state, &source.target).await;
+        let goes_on = ended_response::goes_on(&self.job.state, &source.target).await;
         (!goes_on).then_some(TARGET_ENDED)
     }
 
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod copy_call;
 pub mod crash;
 pub mod drain_detection;
+mod ended_response;
 pub mod generation;
 pub mod generation_load;
 mod generation_move;
--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -28,8 +28,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of targets that are tried at a time.
 const PROBED_TARGETS: usize = 3;
-/// Time in which a process that exits stops listening after it has closed its connections.
-const EXIT_TIME: Duration = Duration::from_millis(30);
 
 /// Opens a connection to a target: from this node, or through another if this one does not reach
 /// the target.
@@ -122,20 +120,6 @@
     matches!(relayed, Err(Error::Refused))
 }
 
-/// Returns whether a target goes on after it has closed a connection in order: whether it still
-/// accepts others. The kernel closes the connections of a process that ends in order too.
-pub async fn goes_on(state: &State, target: &Target) -> bool {
-    if state.is_leaving(target) {
-        sleep(EXIT_TIME).await;
-    }
-    let opened = open(state, target, Purpose::Call).await;
-    if let Err(error) = &opened {
-        info!(state.log, "target ended a response and accepts no connection";
-            "target" => target.id.as_str(), "error" => %error);
-    }
-    opened.is_ok()
-}
-
 /// Returns whether this node has reached some target since `since`, after one failed to accept
 /// its connection; tries others if it has not.
 pub async fn has_path(state: &State, failed: &Target, since: Millis) -> bool {
--- a/filbertpaddle-gateway/src/target_stream.rs
+++ b/filbertpaddle-gateway/src/target_stream.rs
@@ -12,7 +12,7 @@
 /// Reason why a response without a length is not whole.
 pub const CLOSED_EARLY: &str = "connection closed before any content of the response";
 /// The same where its target has ended too, or cannot be reached any more.
-pub const TARGET_ENDED: &str = "connection closed by a target that accepts no others";
+pub const TARGET_ENDED: &str = "connection closed by a target that does not go on";
 
 /// An event stream from one target.
 #[derive(Debug)]
