--- a/filbertpaddle/tests/gateway/event_ids.rs
+++ b/filbertpaddle/tests/gateway/event_ids.rs
@@ -1,4 +1,4 @@
-//! Streams whose event IDs do not increase by one.
+//! Streams whose event IDs do not increase by one, or whose lines end in an unusual way.
 
 use std::slice;
 
@@ -81,3 +81,32 @@
         assert_eq!(answer.body, stream(&first), "{name}");
     }
 }
+
+/// Such streams ended in 502, or as broken.
+#[tokio::test]
+async fn a_stream_is_complete_whichever_way_its_lines_end() {
+    let events = String::from_utf8(stream(&[1, 2, 3])).unwrap();
+    for (name, body) in [
+        ("lines-cr", events.replace('\n', "\r")),
+        ("lines-cr-lf", events.replace('\n', "\r\n")),
+        ("lines-mixed", events.replacen('\n', "\r", 3)),
+        ("lines-blank", format!("{events}\n")),
+        ("lines-mark", format!("\u{feff}{events}")),
+    ] {
+        let body = body.into_bytes();
+        let answer = answer_to(name, STREAM_PATH, slice::from_ref(&body)).await;
+        assert!(answer.is_complete, "{name}");
+        assert_eq!((answer.code(), answer.body), (200, body), "{name}");
+    }
+}
+
+/// The first event of a run with a mark had no ID, so that it came twice after the next run.
+#[tokio::test]
+async fn a_stream_with_a_byte_order_mark_resumes_after_its_last_event() {
+    let mark = "\u{feff}".as_bytes();
+    let first = [mark, &stream(&[1]), b"id: "].concat();
+    let second = [mark, &stream(&[1, 2])].concat();
+    let answer = answer_to("mark-resumed", RESUMABLE_PATH, &[first, second]).await;
+    assert!(answer.is_complete);
+    assert_eq!(answer.body, [mark, &stream(&[1, 2])].concat());
+}
