Split events whose lines end in CR, and know IDs behind a byte order mark

Callers got 502, or a stream that broke off, where the lines of a target's events end in CR alone, as event streams may have it; the same where a blank line follows the last event. Where a stream begins with a byte order mark and broke off after its first event, that event came twice.

Cause: only LF ended a line, and the first line of a stream began with the mark, so that its event had no ID and the next run began anew. Further by the standard: the last ID of an event counts, not the first; one that contains NUL does not count.

Ruled out: lines ended by LF, CR LF and both, in pieces of any size, were split before as they are now.

An event that ends in CR is complete at once, as the next one may come much later; an LF that follows it later goes with the next event, where it ends no line, so that all bytes are passed on in order. Blank lines after the last event are passed on at the end of the stream. The mark is passed on at the start of a response and left out where a further run goes on with it: there receivers take it for a part of a line.

--- a/filbertpaddle-forward/tests/event_stream_and_migration.rs
+++ b/filbertpaddle-forward/tests/event_stream_and_migration.rs
@@ -1,6 +1,7 @@
 //! Splitting of event streams, and the steps of a migration.
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::event_stream::Event;
 use filbertpaddle_forward::event_stream::EventSplitter;
 use filbertpaddle_forward::event_stream::EventTooLarge;
 use filbertpaddle_forward::event_stream::MAX_EVENT_BYTES;
@@ -57,6 +58,126 @@
     assert_eq!(splitter.push(b"x"), Err(EventTooLarge));
 }
 
+/// Returns the splitter's events for a stream that arrives in the given pieces.
+fn events_of(pieces: &[&[u8]]) -> Vec<Event> {
+    let mut splitter = EventSplitter::new();
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece).unwrap();
+        events.extend(std::iter::from_fn(|| splitter.next_event()));
+    }
+    events.extend(splitter.take_blank_lines());
+    assert!(!splitter.has_partial_event());
+    events
+}
+
+/// Streams whose lines end in CR alone, as they may, ended as broken.
+#[test]
+fn lines_end_in_lf_cr_lf_or_cr() {
+    for end in ["\n", "\r\n", "\r"] {
+        let stream = "id: 1|data: a||:|id: 2|data: b||data: c||".replace('|', end);
+        let bytes = stream.as_bytes();
+        let whole = events_of(&[bytes]);
+        let ids: Vec<_> = whole.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(1), Some(2), None], "{end:?}");
+        let pieces: Vec<_> = bytes.chunks(1).collect();
+        for events in [whole, events_of(&pieces)] {
+            let passed: Vec<_> = events
+                .iter()
+                .flat_map(|event| event.bytes.to_vec())
+                .collect();
+            assert_eq!(passed, bytes, "{end:?}");
+        }
+    }
+}
+
+#[test]
+fn ends_of_lines_may_be_mixed_and_split_anywhere() {
+    let stream = b"id: 1\rdata: a\n\r\nid: 2\r\ndata: b\r\rid: 3\ndata: c\r\n\rid: 4\r\n\r\n";
+    for seed in 0..500 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut rest = &stream[..];
+        let mut pieces = Vec::new();
+        while !rest.is_empty() {
+            let (piece, remaining) = rest.split_at(rng.random_range(1..=rest.len().min(9)));
+            pieces.push(piece);
+            rest = remaining;
+        }
+        let events = events_of(&pieces);
+        let ids: Vec<_> = events.iter().filter_map(|event| event.id).collect();
+        assert_eq!(ids, [1, 2, 3, 4], "seed {seed}");
+        let passed: Vec<_> = events
+            .iter()
+            .flat_map(|event| event.bytes.to_vec())
+            .collect();
+        assert_eq!(passed, stream, "seed {seed}");
+    }
+}
+
+/// It must not wait for the LF that may or may not follow.
+#[test]
+fn an_event_that_ends_in_cr_is_complete_at_once() {
+    let mut splitter = EventSplitter::new();
+    splitter.push(b"id: 1\r\n\r").unwrap();
+    assert_eq!(splitter.next_event().unwrap().id, Some(1));
+    splitter.push(b"\n").unwrap();
+    assert_eq!(splitter.next_event(), None);
+    assert!(!splitter.has_partial_event());
+    splitter.push(b"id: 2\r\n\r\n").unwrap();
+    let event = splitter.next_event().unwrap();
+    assert_eq!(
+        (event.id, &event.bytes[..]),
+        (Some(2), &b"\nid: 2\r\n\r\n"[..])
+    );
+}
+
+/// Such a stream ended within an event.
+#[test]
+fn blank_lines_at_the_end_are_no_part_of_an_event() {
+    let events = events_of(&[b"id: 1\n\n", b"\n"]);
+    assert_eq!(events.len(), 2);
+    assert!(events[1].is_comment() && events[1].bytes == "\n");
+}
+
+#[test]
+fn a_byte_order_mark_is_no_part_of_the_first_line() {
+    let stream = "\u{feff}id: 1\n\n".as_bytes();
+    let pieces: Vec<_> = stream.chunks(1).collect();
+    let events = events_of(&pieces);
+    assert_eq!((events[0].id, &events[0].bytes[..]), (Some(1), stream));
+    assert!(events_of(&["\u{feff}: comment\n\n".as_bytes()])[0].is_comment());
+    // Receivers take one at the start of the whole stream alone for a mark.
+    let later = events_of(&["id: 1\n\n\u{feff}id: 2\n\n".as_bytes()]);
+    assert_eq!(later[1].id, None);
+}
+
+/// Within the stream of a caller it would be a part of the first line.
+#[test]
+fn a_byte_order_mark_of_a_further_run_is_left_out() {
+    let mut splitter = EventSplitter::for_further_run();
+    splitter
+        .push("\u{feff}id: 4\n\n\u{feff}id: 5\n\n".as_bytes())
+        .unwrap();
+    let first = splitter.next_event().unwrap();
+    assert_eq!((first.id, &first.bytes[..]), (Some(4), &b"id: 4\n\n"[..]));
+    assert_eq!(splitter.next_event().unwrap().id, None);
+}
+
+#[test]
+fn the_last_valid_id_of_an_event_counts() {
+    for (event, id) in [
+        ("id: 1\nid: 2\n\n", Some(2)),
+        ("id:3\ndata: a\n\n", Some(3)),
+        ("id: 4\nid: 5\0\n\n", Some(4)),
+        ("id: 6\nid: x\n\n", None),
+        ("id: 7\nid\n\n", None),
+        (" id: 8\n\n", None),
+        ("identity: 9\n\n", None),
+    ] {
+        assert_eq!(events_of(&[event.as_bytes()])[0].id, id, "{event:?}");
+    }
+}
+
 fn copy(to: &str) -> Copy {
     Copy {
         to: to.into(),
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -313,6 +313,9 @@
             return Err(OpenError::Stopped(stop));
         }
         let mut source = TargetStream::new(target.clone(), body, &response.head.headers);
+        if self.writer.is_started() {
+            source = source.for_further_run();
+        }
         match source.next().await {
             StreamItem::Event(event) => source.put_back(event),
             StreamItem::End if self.is_closed_early(&source) => {
--- a/filbertpaddle-gateway/src/target_stream.rs
+++ b/filbertpaddle-gateway/src/target_stream.rs
@@ -50,6 +50,14 @@
         }
     }
 
+    /// Lets the stream go on with that of another run, as events of one stream.
+    pub fn for_further_run(self) -> Self {
+        Self {
+            splitter: EventSplitter::for_further_run(),
+            ..self
+        }
+    }
+
     /// Waits for the next event or the end. Cancel-safe.
     pub async fn next(&mut self) -> StreamItem {
         loop {
@@ -68,7 +76,10 @@
                 Ok(None) if self.splitter.has_partial_event() => {
                     return StreamItem::Broken("stream ended within an event".to_owned());
                 }
-                Ok(None) => return StreamItem::End,
+                Ok(None) => {
+                    let rest = self.splitter.take_blank_lines();
+                    return rest.map_or(StreamItem::End, StreamItem::Event);
+                }
                 Err(error) => return StreamItem::Broken(error.to_string()),
             }
         }
