Show resumable streams that are complete after 3 of 10 events

Callers see a stream that may be resumed end as complete although its target has sent 3 of 10 events, without a length, has closed the connection in order and goes on listening.

--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod cut_reader;
 mod descriptors;
 mod endless;
+mod ends_in_doubt;
 mod event_ids;
 mod limits;
 mod moves;
