Ask what follows when a target ends a resumable stream without a length

Callers saw a stream that may be resumed end as complete although its target had sent 3 of 10 events, without a length, had closed the connection in order and went on listening.

Cause: after such an end a node only checks that the target still accepts connections. One that breaks off a response by closing its socket does.

Now the stream, if its last event has an ID, is asked for: the same request is sent once more with `Last-Event-Id`, within the answer, to the same target if it may be sent requests (not leaving, failing, full or of another version; it is neither excluded nor put into back-off), else to another one of that version. It is a send like each resumption: max_attempts, quarantine, the retry budget, the limits on cold targets and the load count it. Further events are delivered, and the rule applies to their end too. A length, a last chunk, or an end in order without a new event at a target that goes on confirms the end: two runs agree. Comments and repeated events before that are dropped. Events are delivered at once as before; only the end waits.

Weighed, where an ask shows neither: - Not sent (no sends or budget left, no room, too late), not run, declined with a 4xx, no answer in time, or lost by a relaying node before its head: complete. By the protocol an answer may end with its connection. Nothing contradicts that, a busy target looks the same, and breaking off whole streams under load makes their callers come back. It can cut a stream whose target closed early just then. - May have run and failed (5xx, connection lost, cut, no event), or the target that closed the stream refuses connections or was replaced: broken off, so that it resumes elsewhere while sends are left. A run that has nothing to send ends at once and seldom fails before; a failure of the asked target is a sign that the end before was one too; and the caller can resume such a stream itself. - Asking a copy of a leaving target: left out, the copy is released and the stream asked for in the usual way. - Time: twice the latency goal, as for first events, at most 1.4 s, as callers abandon a stream after two seconds; ends 0.3 s before the deadline and the end of the grace of a stopping node.

An ask without new events adds no pace sample; one that fails records neither success nor soundness, and is checked for a crash like any other run. After an ask the migrator starts anew.

Unchanged: a stream that may not be resumed, or whose last event has no ID, is complete at an orderly end of a target that goes on, by the protocol. It is cut if such a target closes early: it cannot be run again, and nothing else tells the two ends apart. The rule for runs after a known break stands: an empty response without a length proves nothing there.

Left: a target that closes early in both runs, the second before any event, is taken for done, as is one whose sends were used up by earlier breaks.

--- a/filbertpaddle-forward/src/drain.rs
+++ b/filbertpaddle-forward/src/drain.rs
@@ -39,6 +39,11 @@
 }
 
 impl Drain {
+    /// Returns the time left of the grace period.
+    pub fn remaining_ms(&self, now: Millis) -> Millis {
+        (self.began_ms + self.grace_ms).since(now)
+    }
+
     /// Returns whether a request that arrives at `now` is expected to end within the grace
     /// period.
     pub fn admits(&self, now: Millis, estimate: DurationEstimate) -> bool {
--- /dev/null
+++ b/filbertpaddle-forward/src/stream_end.rs
@@ -0,0 +1,90 @@
+//! Whether a stream is complete whose connection ended in order, without a length or a last chunk.
+//!
+//! Such an end is one by the protocol, but a target that breaks off may end its connection in the
+//! same way. Where the stream may be resumed, a target is asked for the events that follow.
+
+use filbertpaddle_core::clock::Millis;
+
+/// Multiple of the latency goal that the answer to an ask is awaited, as a first event is.
+const ASK_GOAL_FACTOR: u64 = 2;
+/// Longest time that it is awaited. Callers abandon a stream after two seconds without events.
+const MAX_ASK_MS: Millis = Millis(1_400);
+/// Shortest time for which an ask is sent.
+const MIN_ASK_MS: Millis = Millis(50);
+/// Time left after an ask without an answer to end the stream before its deadline passes or the
+/// node, which takes the last 150 ms of its grace period to exit.
+const RESERVE_MS: Millis = Millis(300);
+
+/// End in order of a stream without a length, at a target that goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnstatedEnd {
+    /// Whether the stream may be sent once more, from its last event on.
+    pub may_resume: bool,
+    /// Whether the last event has an ID, so that a target can be asked for those that follow it.
+    pub is_placed: bool,
+    /// Whether the run was an ask after another such end, and has sent no further event.
+    pub is_confirmation: bool,
+}
+
+/// What to do at such an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndStep {
+    /// The stream is complete.
+    Complete,
+    /// A target is to be asked for the events that follow.
+    Ask,
+    /// The stream has broken off.
+    CutOff,
+}
+
+/// Why an ask has brought neither an event nor an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum AskFailure {
+    /// No target has run it.
+    NotRun,
+    /// No answer came in time, or the node that relayed the connection lost it.
+    NoAnswer,
+    /// The target answered that it does not serve such a request.
+    Declined,
+    /// A target may have run it, and answered with a failure or broke off.
+    Failed,
+    /// The target that had closed the stream has ended.
+    TargetEnded,
+}
+
+impl UnstatedEnd {
+    /// Returns what to do. Two runs that end after the same event agree that it is the last.
+    pub fn step(&self) -> EndStep {
+        match self.is_placed && self.may_resume && !self.is_confirmation {
+            true => EndStep::Ask,
+            false => EndStep::Complete,
+        }
+    }
+}
+
+impl AskFailure {
+    /// Returns what to do after it. The end counts unless there is a sign against it: a run that
+    /// has nothing to send ends at once, and seldom fails before.
+    pub fn step(self) -> EndStep {
+        match self {
+            Self::NotRun | Self::NoAnswer | Self::Declined => EndStep::Complete,
+            Self::Failed | Self::TargetEnded => EndStep::CutOff,
+        }
+    }
+}
+
+/// Returns how long the answer to an ask is awaited on a route with a latency goal, with this
+/// time left until the deadline and until the node exits, if it is stopping; `None` if an ask would
+/// be too late.
+pub fn ask_timeout_ms(
+    goal_ms: Millis,
+    remaining_ms: Millis,
+    until_exit_ms: Option<Millis>,
+) -> Option<Millis> {
+    let left_ms = until_exit_ms.map_or(remaining_ms, |exit_ms| exit_ms.min(remaining_ms));
+    let usable_ms = Millis(left_ms.0.saturating_sub(RESERVE_MS.0));
+    let wanted_ms = Millis(goal_ms.0.saturating_mul(ASK_GOAL_FACTOR)).min(MAX_ASK_MS);
+    let timeout_ms = wanted_ms.max(MIN_ASK_MS).min(usable_ms);
+    (timeout_ms >= MIN_ASK_MS).then_some(timeout_ms)
+}
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -376,7 +376,7 @@
     }
 
     /// Checks that a target in service may be sent a request now.
-    fn check_available(
+    pub(crate) fn check_available(
         &self,
         now: Millis,
         configuration: &Configuration,
@@ -406,7 +406,7 @@
         cost_if(is_avoided, UNREACHABLE_COST)
     }
 
-    fn has_room(
+    pub(crate) fn has_room(
         &self,
         configuration: &Configuration,
         target: &Target,
@@ -421,7 +421,7 @@
         admission::has_room(&load, engine, demand, &prefill.unwrap_or_default())
     }
 
-    fn has_place(&self, now: Millis, target: &Target) -> bool {
+    pub(crate) fn has_place(&self, now: Millis, target: &Target) -> bool {
         let own = self.running(&target.id);
         self.brittle
             .has_place(now, target, own, &self.node, &self.nodes)
--- /dev/null
+++ b/filbertpaddle-forward/tests/stream_end.rs
@@ -0,0 +1,64 @@
+//! Whether streams are complete that end in order without a length.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::stream_end::AskFailure;
+use filbertpaddle_forward::stream_end::EndStep;
+use filbertpaddle_forward::stream_end::UnstatedEnd;
+use filbertpaddle_forward::stream_end::ask_timeout_ms;
+
+const RESUMABLE: UnstatedEnd = UnstatedEnd {
+    may_resume: true,
+    is_placed: true,
+    is_confirmation: false,
+};
+
+#[test]
+fn a_stream_is_asked_for_unless_it_cannot_be_or_two_runs_agree() {
+    assert_eq!(RESUMABLE.step(), EndStep::Ask);
+    for end in [
+        UnstatedEnd {
+            may_resume: false,
+            ..RESUMABLE
+        },
+        UnstatedEnd {
+            is_placed: false,
+            ..RESUMABLE
+        },
+        UnstatedEnd {
+            is_confirmation: true,
+            ..RESUMABLE
+        },
+    ] {
+        assert_eq!(end.step(), EndStep::Complete, "{end:?}");
+    }
+}
+
+#[test]
+fn only_a_sign_of_a_failure_counts_against_an_end() {
+    for failure in [
+        AskFailure::NotRun,
+        AskFailure::NoAnswer,
+        AskFailure::Declined,
+    ] {
+        assert_eq!(failure.step(), EndStep::Complete, "{failure}");
+    }
+    for failure in [AskFailure::Failed, AskFailure::TargetEnded] {
+        assert_eq!(failure.step(), EndStep::CutOff, "{failure}");
+    }
+}
+
+#[test]
+fn an_ask_ends_before_its_caller_leaves_its_deadline_passes_or_its_node_exits() {
+    let goal_ms = Millis(400);
+    let long_ms = Millis::from_secs(10);
+    let timeout = |remaining_ms, exit_ms| ask_timeout_ms(goal_ms, remaining_ms, exit_ms);
+    assert_eq!(timeout(long_ms, None), Some(Millis(800)));
+    assert_eq!(
+        ask_timeout_ms(Millis(5_000), long_ms, None),
+        Some(Millis(1_400))
+    );
+    assert_eq!(timeout(Millis(500), None), Some(Millis(200)));
+    assert_eq!(timeout(long_ms, Some(Millis(600))), Some(Millis(300)));
+    assert_eq!(timeout(long_ms, Some(Millis(349))), None);
+    assert_eq!(timeout(Millis::ZERO, None), None);
+}
--- a/filbertpaddle-forward/tests/target_selector/main.rs
+++ b/filbertpaddle-forward/tests/target_selector/main.rs
@@ -1,5 +1,6 @@
 //! Target selection under the load patterns that its costs and limits are made for.
 
+mod same_target;
 mod versions;
 
 use std::sync::Arc;
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -69,6 +69,10 @@
     pub(crate) events_here: u64,
     /// Whether the current target has sent anything but comments and repeated events.
     pub(crate) has_begun: bool,
+    /// Whether the last event that the current target has sent has an ID.
+    pub(crate) is_placed: bool,
+    /// Whether the current target was asked for what follows an end that was not stated.
+    pub(crate) is_ask: bool,
     /// Time of the first of the new events.
     first_event_ms: Millis,
     /// Whether the current target has shown that the request does not crash it.
@@ -120,6 +124,8 @@
             last_activity_ms: job.received_ms,
             events_here: 0,
             has_begun: false,
+            is_placed: false,
+            is_ask: false,
             first_event_ms: Millis::ZERO,
             is_sound: false,
             placement: None,
@@ -148,12 +154,9 @@
                     source = self.leave_faulty(source, UNPLACED).await?;
                 }
                 WaitOutcome::Item(StreamItem::Event(event)) => self.deliver(event).await?,
-                WaitOutcome::Item(StreamItem::End) => match self.cut_off_reason(&source).await {
-                    Some(reason) => source = self.recover(source, reason).await?,
-                    None => {
-                        self.record_complete(&source.target);
-                        return Ok(());
-                    }
+                WaitOutcome::Item(StreamItem::End) => match self.follow_end(source).await? {
+                    Some(next) => source = next,
+                    None => return Ok(()),
                 },
                 WaitOutcome::Item(StreamItem::Broken(reason)) => {
                     source = self.recover(source, &reason).await?;
@@ -204,7 +207,10 @@
                 Place::AfterGap | Place::OutOfOrder => return Err(StopReason::Broken),
             }
         }
-        self.has_begun |= !event.is_comment();
+        if !event.is_comment() {
+            self.has_begun = true;
+            self.is_placed = event.id.is_some();
+        }
         let goal_ms = self.job.route.gap_goal_ms;
         self.progress.pace.record_event(now, goal_ms);
         let is_progress = event.id.is_some();
@@ -222,10 +228,11 @@
     }
 
     /// Records that the stream has ended as complete at a target.
-    fn record_complete(&self, target: &Target) {
+    pub(crate) fn record_complete(&self, target: &Target) {
         let mut selector = self.job.state.selector.borrow_mut();
         selector.record_success(&target.id);
-        if self.events_here > 0 {
+        // An ask follows a run that has sent events.
+        if self.events_here > 0 || self.is_ask {
             self.job.record_sound();
         }
     }
@@ -318,7 +325,7 @@
         }
         match source.next().await {
             StreamItem::Event(event) => source.put_back(event),
-            StreamItem::End if self.is_closed_early(&source) => {
+            StreamItem::End if self.is_closed_early(&source) && !self.is_ask => {
                 return Err(Failure::Unknown(CLOSED_EARLY.to_owned()).into());
             }
             StreamItem::End => {}
--- /dev/null
+++ b/filbertpaddle-gateway/src/generation_end.rs
@@ -0,0 +1,207 @@
+//! Asks a target what follows an end of a stream that was not stated.
+
+use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::stream_end;
+use filbertpaddle_forward::stream_end::AskFailure;
+use filbertpaddle_forward::stream_end::EndStep;
+use filbertpaddle_forward::stream_end::UnstatedEnd;
+use filbertpaddle_forward::target::Target;
+use slog::info;
+use tokio::time::timeout;
+
+use crate::clock::duration;
+use crate::crash;
+use crate::generation::Generation;
+use crate::job::Failure;
+use crate::job::ResumePoint;
+use crate::stop_reason::OpenError;
+use crate::stop_reason::StopReason;
+use crate::target_stream::StreamItem;
+use crate::target_stream::TargetStream;
+
+/// Response to an ask.
+enum Answer {
+    /// A new event or the end is next.
+    Stream(TargetStream),
+    /// It broke off before either.
+    Broken(TargetStream, String),
+    /// It holds what is no event, and may go on.
+    Faulty(TargetStream, String),
+}
+
+impl Generation<'_> {
+    /// Returns the stream that goes on after the one of `source` has ended; `None` if it is
+    /// complete.
+    pub(crate) async fn follow_end(
+        &mut self,
+        source: TargetStream,
+    ) -> Result<Option<TargetStream>, StopReason> {
+        if let Some(reason) = self.cut_off_reason(&source).await {
+            return self.recover(source, reason).await.map(Some);
+        }
+        if source.is_unframed() && self.end_step() == EndStep::Ask {
+            let ended = source.target.clone();
+            source.close();
+            self.release_placement();
+            if let Some((target, timeout_ms)) = self.choose_asked(&ended) {
+                return self.ask(&ended, &target, timeout_ms).await;
+            }
+            self.log_ask_outcome(&ended, "not_sent");
+            self.record_complete(&ended);
+            return Ok(None);
+        }
+        self.record_complete(&source.target);
+        Ok(None)
+    }
+
+    fn end_step(&self) -> EndStep {
+        let end = UnstatedEnd {
+            may_resume: self.may_resend(),
+            is_placed: self.is_placed && self.last_event.is_some(),
+            is_confirmation: self.is_ask && !self.has_begun,
+        };
+        end.step()
+    }
+
+    /// Chooses the target that is asked, and how long its answer is awaited: the one of the
+    /// stream, which holds what it has read, or else another. `None` if none may be sent it now.
+    fn choose_asked(&mut self, ended: &Target) -> Option<(Target, Millis)> {
+        let job = self.job;
+        let now = job.state.clock.now();
+        let drain = job.state.drain.get();
+        let timeout_ms = stream_end::ask_timeout_ms(
+            job.route.latency_goal_ms,
+            job.remaining_ms(),
+            drain.map(|drain| drain.remaining_ms(now)),
+        )?;
+        let target = match job.may_return_to(self.progress, ended) {
+            true => ended.clone(),
+            false => job.choose_target(self.progress).ok()?,
+        };
+        job.may_send(self.progress).then_some((target, timeout_ms))
+    }
+
+    /// Sends the request to `target` to resume after the last event of the stream that `ended` has
+    /// closed. Returns the stream that goes on; `None` if the end counts.
+    async fn ask(
+        &mut self,
+        ended: &Target,
+        target: &Target,
+        timeout_ms: Millis,
+    ) -> Result<Option<TargetStream>, StopReason> {
+        info!(self.job.state.log, "asking what follows the end of a stream without a length";
+            "id" => self.job.metadata.attempt.as_str(), "ended" => ended.id.as_str(),
+            "target" => target.id.as_str(), "last_event" => self.last_event,
+            "timeout_ms" => timeout_ms.0);
+        self.job.state.metrics.count("stream.end_asked");
+        let was_sound = self.is_sound;
+        self.migrator.abandon();
+        self.place_on(target);
+        self.is_ask = true;
+        let answer = timeout(duration(timeout_ms), self.wait_for_answer(target)).await;
+        let failure = match answer {
+            Ok(Ok(Answer::Stream(source))) => {
+                self.log_ask_outcome(target, "answered");
+                return Ok(Some(source));
+            }
+            Ok(Ok(Answer::Broken(source, reason))) => {
+                self.log_ask_outcome(target, "broken");
+                return self.recover(source, &reason).await.map(Some);
+            }
+            Ok(Ok(Answer::Faulty(source, reason))) => {
+                self.log_ask_outcome(target, "broken");
+                return self.leave_faulty(source, &reason).await.map(Some);
+            }
+            Ok(Err(error)) => self.ask_failure(ended, target, error).await?,
+            Err(_) => AskFailure::NoAnswer,
+        };
+        self.end_ask();
+        if failure == AskFailure::TargetEnded && !was_sound {
+            crash::check(self.job, ended).await;
+        }
+        self.log_ask_outcome(target, &failure.to_string());
+        match failure.step() {
+            EndStep::Complete | EndStep::Ask => Ok(None),
+            EndStep::CutOff => self.reopen(target).await.map(Some),
+        }
+    }
+
+    /// Waits for the next new event, or the end of the response. The comments and repeated events
+    /// before it are no part of the stream.
+    async fn wait_for_answer(&mut self, target: &Target) -> Result<Answer, OpenError> {
+        let resume = ResumePoint {
+            last_event: self.last_event,
+            copy: None,
+        };
+        let mut source = self.start_at(target, resume).await?;
+        loop {
+            match source.next().await {
+                StreamItem::Event(event) if event.is_comment() => {}
+                StreamItem::Event(event) if event.id.is_some() && event.id <= self.last_event => {}
+                StreamItem::Event(event) => {
+                    source.put_back(event);
+                    return Ok(Answer::Stream(source));
+                }
+                StreamItem::End => return Ok(Answer::Stream(source)),
+                StreamItem::Broken(reason) => return Ok(Answer::Broken(source, reason)),
+                StreamItem::Faulty(reason) => return Ok(Answer::Faulty(source, reason)),
+            }
+        }
+    }
+
+    /// Records why an ask has failed, and returns what that shows.
+    async fn ask_failure(
+        &mut self,
+        ended: &Target,
+        target: &Target,
+        error: OpenError,
+    ) -> Result<AskFailure, StopReason> {
+        let failure = match error {
+            OpenError::Stopped(StopReason::Failed(reply)) if reply.status().is_client_error() => {
+                return Ok(AskFailure::Declined);
+            }
+            OpenError::Stopped(StopReason::Failed(_)) => {
+                return Ok(AskFailure::Failed);
+            }
+            OpenError::Stopped(stop) => return Err(stop),
+            OpenError::Failed(failure) => failure,
+        };
+        self.release_placement();
+        self.job.mark_failed(self.progress, target, &failure);
+        self.job.check_crash(target, &failure).await;
+        Ok(shown_by(&failure, ended.id == target.id))
+    }
+
+    /// Counts an ask that is still in flight, and removes it from the load of its target.
+    fn end_ask(&mut self) {
+        if self.progress.is_in_flight {
+            self.watch_silent();
+            self.progress.sends += 1;
+            self.progress.is_in_flight = false;
+        }
+        self.release_placement();
+    }
+
+    fn log_ask_outcome(&self, target: &Target, outcome: &str) {
+        info!(self.job.state.log, "asked what follows the end of a stream without a length";
+            "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
+            "last_event" => self.last_event, "outcome" => outcome);
+    }
+}
+
+/// Returns what the failure of an ask shows about the stream's end.
+fn shown_by(failure: &Failure, is_same_target: bool) -> AskFailure {
+    match failure {
+        Failure::Refused | Failure::Unreachable | Failure::OtherTarget if is_same_target => {
+            AskFailure::TargetEnded
+        }
+        Failure::Refused
+        | Failure::Unreachable
+        | Failure::OtherTarget
+        | Failure::NoPath
+        | Failure::NotSent(_)
+        | Failure::NotRun => AskFailure::NotRun,
+        Failure::RelayLost(_) => AskFailure::NoAnswer,
+        Failure::Unknown(_) => AskFailure::Failed,
+    }
+}
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -27,7 +27,7 @@
         let silent_ms = now.since(self.last_activity_ms);
         self.last_activity_ms = now;
         let is_resumed = self.writer.is_started();
-        if is_resumed {
+        if is_resumed && !self.is_ask {
             info!(state.log, "generation resumed at another target";
                 "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
                 "version" => target.version.as_str(),
@@ -57,6 +57,8 @@
         self.events_here = 0;
         self.has_begun = false;
         self.is_sound = false;
+        self.is_placed = false;
+        self.is_ask = false;
         let load = self.job.mark_sent(self.progress, target);
         self.placement = Some(Placement {
             target: target.clone(),
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -192,11 +192,7 @@
         let unreached = progress.unreached_targets.iter();
         let failed: Vec<_> = excluded.iter().chain(unreached).cloned().collect();
         let draw = rand::random::<f64>;
-        let demand = RequestDemand {
-            claim: self.claim(progress),
-            version: self.version(progress),
-            ..self.demand.clone()
-        };
+        let demand = self.current_demand(progress);
         let mut chosen = selector.choose(now, &directory, &demand, &failed, draw);
         // Targets that are down look the same, and must not hold the request up one by one.
         let may_relay = progress.relay_failures < MAX_RELAY_FAILURES;
@@ -217,6 +213,24 @@
         chosen
     }
 
+    /// Returns whether a target that has run the request may be sent it once more now.
+    pub fn may_return_to(&self, progress: &Progress, target: &Target) -> bool {
+        let state = &self.state;
+        let now = state.clock.now();
+        let directory = state.directory.borrow();
+        let selector = state.selector.borrow();
+        selector.may_return(now, &directory, &self.current_demand(progress), target)
+    }
+
+    /// Returns the demand on a target, by what has happened so far.
+    fn current_demand(&self, progress: &Progress) -> RequestDemand {
+        RequestDemand {
+            claim: self.claim(progress),
+            version: self.version(progress),
+            ..self.demand.clone()
+        }
+    }
+
     /// Chooses a target, and waits a moment for room if all are full.
     pub async fn place(&self, progress: &mut Progress) -> Option<Target> {
         let clock = self.state.clock;
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod drain_detection;
 mod ended_response;
 pub mod generation;
+mod generation_end;
 pub mod generation_load;
 mod generation_move;
 mod generation_recovery;
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -294,6 +294,11 @@
 
     /// Releases the reservation and the copy at the destination.
     pub fn close(mut self) {
+        self.abandon();
+    }
+
+    /// Resets the migrator for a new target and releases the copy, which the new run does not use.
+    pub fn abandon(&mut self) {
         let copy = self.migration.take_copy();
         let to = self.reserved.clone();
         self.restart(None);
--- a/filbertpaddle/tests/gateway/ends_in_doubt.rs
+++ b/filbertpaddle/tests/gateway/ends_in_doubt.rs
@@ -17,6 +17,7 @@
 use crate::cluster::STREAM_PATH;
 use crate::cluster::complete_stream;
 use crate::cluster::request;
+use crate::cluster::wait_until;
 
 const ATTEMPT: &str = "doubt";
 /// Events of the first run.
@@ -28,6 +29,7 @@
 const MAX_RETRIES: usize = REQUESTS / 5 + 58;
 const UNFRAMED: &str = "Connection: close\r\n\r\n";
 const CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n";
+const EMPTY: &str = "Content-Length: 0\r\n\r\n";
 
 /// Returns a response without a length that has the events up to `last` after `first`.
 fn unframed(first: u64, last: u64) -> String {
@@ -38,63 +40,74 @@
 }
 
 /// Starts a target that answers its first request with `first` and further ones with the parts of
-/// `next`. Returns the number of its requests too.
-async fn start_target(first: String, next: &[&str]) -> (RawTarget, Arc<AtomicUsize>) {
+/// `next`.
+async fn start_target(first: String, next: &[&str]) -> RawTarget {
     let runs = Arc::new(AtomicUsize::new(0));
-    let counted = Arc::clone(&runs);
     let parts: Vec<_> = next
         .iter()
         .map(|part| Bytes::from((*part).to_owned()))
         .collect();
     let next_part = move |number: u64| {
-        let run = counted.fetch_add(usize::from(number == 1), Ordering::SeqCst);
+        let run = runs.fetch_add(usize::from(number == 1), Ordering::SeqCst);
         match (run, number) {
             (0, 1) => Some(Bytes::from(first.clone())),
             // The first run has ended before another begins.
-            (1, 2) if counted.load(Ordering::SeqCst) == 1 => None,
+            (1, 2) if runs.load(Ordering::SeqCst) == 1 => None,
             _ => parts.get(usize::try_from(number).unwrap() - 1).cloned(),
         }
     };
-    let target = RawTarget::start(String::new(), next_part).await.unwrap();
-    (target, runs)
+    RawTarget::start(String::new(), next_part).await.unwrap()
 }
 
-/// Returns the answer to a stream whose target answers with `first` and then with `next`, and the
-/// number of requests there. Another target, which the stream did not run at, gets none.
-async fn answer_of(
-    name: &str,
-    path: &str,
-    first: String,
-    next: &[&str],
-) -> (ReceivedAnswer, usize) {
+/// Starts a node that prefers `target` to `other`, which is in another data centre.
+async fn start_cluster(name: &str, target: &RawTarget, other: &RawTarget) -> Cluster {
     let mut cluster = Cluster::new(name).await;
-    let (target, runs) = start_target(first, next).await;
-    let (other, other_runs) = start_target(String::new(), &[]).await;
-    for (target, data_centre) in [(&target, "dc-a"), (&other, "dc-b")] {
+    for (target, data_centre) in [(target, "dc-a"), (other, "dc-b")] {
         let entry = target.entry("engine", data_centre);
         cluster.store.put_target(data_centre, &entry);
     }
     cluster.add_node("node-0", "dc-a");
     cluster.wait_until_ready().await;
+    cluster
+}
+
+/// Returns the answer to a stream whose target answers with `first` and then with `next`. Checks
+/// that it gets a second request that states the last event if an outcome of that is expected, and
+/// that another target, at which the stream has not run, gets none.
+async fn answer_of(
+    name: &str,
+    path: &str,
+    first: String,
+    next: &[&str],
+    outcome: Option<&str>,
+) -> ReceivedAnswer {
+    let target = start_target(first, next).await;
+    let other = start_target(String::new(), &[]).await;
+    let cluster = start_cluster(name, &target, &other).await;
     let sent = request(ATTEMPT, Method::POST, path, Some(40));
     let answer = cluster.send(&sent).await;
+    let requests = target.requests();
+    if let Some(outcome) = outcome {
+        let outcome = format!("\"outcome\":\"{outcome}\"");
+        let is_logged = async || cluster.log("node-0").contains(&outcome);
+        wait_until(&format!("{name}: {outcome}"), is_logged).await;
+        let resumed = format!("last-event-id: {EVENTS}\r\n");
+        assert!(requests[1].to_lowercase().contains(&resumed), "{name}");
+    }
     cluster.close();
-    assert_eq!(other_runs.load(Ordering::SeqCst), 0, "{name}");
-    (answer, runs.load(Ordering::SeqCst))
+    assert_eq!(requests.len(), 1 + usize::from(outcome.is_some()), "{name}");
+    assert!(other.requests().is_empty(), "{name}");
+    answer
 }
 
 /// Checks that a resumable stream of [`EVENTS`] is complete after its target was asked once for
 /// what follows, and answered with `next`.
-async fn check_complete(name: &str, next: &[&str]) {
+async fn check_complete(name: &str, next: &[&str], outcome: &str) {
     let first = unframed(0, EVENTS);
-    let (answer, runs) = answer_of(name, RESUMABLE_PATH, first, next).await;
+    let answer = answer_of(name, RESUMABLE_PATH, first, next, Some(outcome)).await;
     assert!(answer.is_complete, "{name}");
     let events = complete_stream(ATTEMPT, EVENTS);
-    assert_eq!(
-        (answer.code(), answer.body, runs),
-        (200, events, 2),
-        "{name}"
-    );
+    assert_eq!((answer.code(), answer.body), (200, events), "{name}");
 }
 
 /// Such a stream was complete at its caller after three events.
@@ -105,14 +118,11 @@
         ("doubt-repeated-rest", unframed(0, ALL_EVENTS)),
     ] {
         let first = unframed(0, EVENTS);
-        let (answer, runs) = answer_of(name, RESUMABLE_PATH, first, &[&next]).await;
+        let outcome = Some("answered");
+        let answer = answer_of(name, RESUMABLE_PATH, first, &[&next], outcome).await;
         assert!(answer.is_complete, "{name}");
         let events = complete_stream(ATTEMPT, ALL_EVENTS);
-        assert_eq!(
-            (answer.code(), answer.body, runs),
-            (200, events, 2),
-            "{name}"
-        );
+        assert_eq!((answer.code(), answer.body), (200, events), "{name}");
     }
 }
 
@@ -121,57 +131,69 @@
 async fn a_stream_is_broken_off_if_the_target_that_is_asked_fails() {
     let head = start_of_head(ATTEMPT);
     let error = start_of_head_with("500 Internal Server Error", ATTEMPT);
-    for (name, next) in [
-        ("doubt-cut", format!("{head}{CHUNKED}9\r\nid: ")),
-        ("doubt-head-cut", head.clone()),
-        ("doubt-block", format!("{head}{UNFRAMED}data: failed\n\n")),
-        ("doubt-error", format!("{error}Content-Length: 0\r\n\r\n")),
+    let comment = format!("{CHUNKED}3\r\n:\n\n\r\n9\r\nid: ");
+    for (name, next, outcome) in [
+        ("doubt-cut", format!("{head}{comment}"), "broken"),
+        ("doubt-head-cut", head.clone(), "failed"),
+        (
+            "doubt-block",
+            format!("{head}{UNFRAMED}data: failed\n\n"),
+            "answered",
+        ),
+        ("doubt-error", format!("{error}{EMPTY}"), "failed"),
     ] {
         let first = unframed(0, EVENTS);
-        let (answer, runs) = answer_of(name, RESUMABLE_PATH, first, &[&next]).await;
+        let outcome = Some(outcome);
+        let answer = answer_of(name, RESUMABLE_PATH, first, &[&next], outcome).await;
         assert!(!answer.is_complete, "{name}");
         let events = complete_stream(ATTEMPT, EVENTS);
-        assert_eq!(
-            (answer.code(), answer.body, runs),
-            (200, events, 2),
-            "{name}"
-        );
+        assert_eq!((answer.code(), answer.body), (200, events), "{name}");
     }
 }
 
+/// A target that takes over the address goes on listening there.
+#[tokio::test]
+async fn a_stream_whose_target_was_replaced_goes_on_at_another() {
+    let replaced = start_of_head_with("421 Misdirected Request", ATTEMPT) + NOT_RUN + EMPTY;
+    let target = start_target(unframed(0, EVENTS), &[&replaced]).await;
+    let other = start_target(unframed(EVENTS, ALL_EVENTS), &[]).await;
+    let cluster = start_cluster("doubt-replaced", &target, &other).await;
+    let sent = request(ATTEMPT, Method::POST, RESUMABLE_PATH, Some(40));
+    let answer = cluster.send(&sent).await;
+    cluster.close();
+    assert!(answer.is_complete);
+    assert_eq!(answer.body, complete_stream(ATTEMPT, ALL_EVENTS));
+    assert_eq!((target.requests().len(), other.requests().len()), (2, 1));
+}
+
 /// Guards whole streams: each of these confirms that nothing follows.
 #[tokio::test]
 async fn a_whole_stream_is_complete_once_its_target_confirms_its_end() {
     let head = start_of_head(ATTEMPT);
     let nothing = start_of_head_with("204 No Content", ATTEMPT);
-    check_complete("doubt-closed", &[&unframed(EVENTS, EVENTS)]).await;
-    check_complete("doubt-repeated", &[&unframed(0, EVENTS)]).await;
-    check_complete("doubt-comment", &[&format!("{head}{UNFRAMED}:\n\n")]).await;
-    check_complete(
-        "doubt-length",
-        &[&format!("{head}Content-Length: 0\r\n\r\n")],
-    )
-    .await;
-    check_complete("doubt-chunk", &[&format!("{head}{CHUNKED}0\r\n\r\n")]).await;
-    check_complete("doubt-nothing", &[&format!("{nothing}\r\n")]).await;
+    for (name, next) in [
+        ("doubt-closed", unframed(EVENTS, EVENTS)),
+        ("doubt-repeated", unframed(0, EVENTS)),
+        ("doubt-comment", format!("{head}{UNFRAMED}:\n\n")),
+        ("doubt-length", format!("{head}{EMPTY}")),
+        ("doubt-chunk", format!("{head}{CHUNKED}0\r\n\r\n")),
+        ("doubt-nothing", format!("{nothing}\r\n")),
+    ] {
+        check_complete(name, &[&next], "answered").await;
+    }
 }
 
 /// Guards whole streams whose target does not run the request once more, or takes too long: the
 /// protocol lets their first end count.
 #[tokio::test]
 async fn a_whole_stream_is_complete_if_its_target_does_not_say_what_follows() {
-    let full = start_of_head_with("503 Service Unavailable", ATTEMPT) + NOT_RUN;
-    let unknown = start_of_head_with("404 Not Found", ATTEMPT);
-    let held = format!("{}{CHUNKED}3\r\n:\n\n\r\n", start_of_head(ATTEMPT));
-    check_complete("doubt-full", &[&format!("{full}Content-Length: 0\r\n\r\n")]).await;
-    check_complete(
-        "doubt-unknown",
-        &[&format!("{unknown}Content-Length: 0\r\n\r\n")],
-    )
-    .await;
-    check_complete("doubt-silent", &[""]).await;
+    let full = start_of_head_with("503 Service Unavailable", ATTEMPT) + NOT_RUN + EMPTY;
+    check_complete("doubt-full", &[&full], "not_run").await;
+    let unknown = start_of_head_with("404 Not Found", ATTEMPT) + EMPTY;
+    check_complete("doubt-unknown", &[&unknown], "declined").await;
+    check_complete("doubt-silent", &[""], "no_answer").await;
     let comment = format!("{}{CHUNKED}3\r\n:\n\n\r\n", start_of_head(ATTEMPT));
-    check_complete("doubt-comments", &[&comment, ""]).await;
+    check_complete("doubt-comments", &[&comment, ""], "no_answer").await;
 }
 
 /// Guards streams that must not run again, or whose last event has no ID: the protocol lets their
@@ -184,10 +206,10 @@
         ("doubt-no-id", RESUMABLE_PATH, unplaced),
     ] {
         let body = first.split_once("\r\n\r\n").unwrap().1.to_owned();
-        let (answer, runs) = answer_of(name, path, first, &[]).await;
+        let answer = answer_of(name, path, first, &[], None).await;
         assert!(answer.is_complete, "{name}");
         let body = body.into_bytes();
-        assert_eq!((answer.code(), answer.body, runs), (200, body, 1), "{name}");
+        assert_eq!((answer.code(), answer.body), (200, body), "{name}");
     }
 }
 
@@ -195,10 +217,9 @@
 #[tokio::test]
 async fn asks_for_what_follows_stay_within_the_retry_budget() {
     let mut cluster = Cluster::new("doubt-budget").await;
-    let (target, runs) = start_target(unframed(0, EVENTS), &[&unframed(0, EVENTS)]).await;
-    cluster
-        .store
-        .put_target("e", &target.entry("engine", "dc-a"));
+    let target = start_target(unframed(0, EVENTS), &[&unframed(0, EVENTS)]).await;
+    let entry = target.entry("engine", "dc-a");
+    cluster.store.put_target("e", &entry);
     cluster.add_node("node-0", "dc-a");
     cluster.wait_until_ready().await;
     for number in 0..REQUESTS {
@@ -208,6 +229,6 @@
         assert_eq!(answer.body, complete_stream(ATTEMPT, EVENTS), "{number}");
     }
     cluster.close();
-    let asks = runs.load(Ordering::SeqCst) - REQUESTS;
+    let asks = target.requests().len() - REQUESTS;
     assert!((1..=MAX_RETRIES).contains(&asks), "{asks}");
 }
