Test the ends of streams at callers that speak HTTP/1.0

Such a caller gets a stream without chunks, so only the end of its connection states that the stream is complete.

--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod endless;
 mod ends_in_doubt;
 mod event_ids;
+mod http10_callers;
 mod limits;
 mod moves;
 mod odd_entries;
