Test that whole responses to callers state their length

A response that a node has read whole goes out without a Content-Length: chunked in HTTP/1.1, ended by its connection in HTTP/1.0. A part of such a body, as a killed node leaves it, then reads as the whole one in HTTP/1.0.

--- a/filbertpaddle/tests/gateway/http10_callers.rs
+++ b/filbertpaddle/tests/gateway/http10_callers.rs
@@ -13,6 +13,7 @@
 use http::Version;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use crate::cluster::Cluster;
@@ -27,6 +28,9 @@
 const FEW_EVENTS: u64 = 20_000;
 /// Number of events of a stream that they do not hold.
 const MANY_EVENTS: u64 = 400_000;
+/// Size of a body that they do not hold if the caller's buffer is small.
+const MANY_BYTES: usize = 7 << 20;
+const SMALL_BUFFER_BYTES: u32 = 64 << 10;
 
 /// What a caller has read when its connection ends.
 struct Received {
@@ -255,6 +259,51 @@
     }
 }
 
+/// Whole responses were sent without a length, so that a cut one was like a complete one.
+#[tokio::test]
+async fn whole_responses_to_callers_of_http_1_0_have_a_length() {
+    let cluster = Cluster::with_nodes("old-length", 1).await;
+    for path in [WRITE_PATH, "/no-such-route/"] {
+        let sent = request(ATTEMPT, Method::POST, path, None);
+        let received = read_all(send(&cluster, &sent).await).await;
+        assert!(!received.body.is_empty(), "{path}");
+        assert_eq!(received.length(), Some(received.body.len()), "{path}");
+        assert!(received.is_in_order(), "{path}: {:?}", received.end);
+    }
+    cluster.close();
+}
+
+/// Returns the response of several MB to a request whose node is killed before it is read.
+async fn cut_whole_response(name: &str, version: Version) -> Received {
+    let body = vec![b'b'; MANY_BYTES];
+    let (mut cluster, _target) = start_before(name, "app", body, End::Close).await;
+    let sent = request(ATTEMPT, Method::POST, WRITE_PATH, None);
+    let text = caller::request_text(version, &sent, "close");
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).unwrap();
+    let node = cluster.nodes[0].addresses.callers;
+    let mut stream = socket.connect(node).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    wait_until("the response is on its way", async || {
+        cluster.log("node-0").contains("\"outcome\":\"answered\"")
+    })
+    .await;
+    stream.readable().await.unwrap();
+    cluster.nodes.remove(0).close().unwrap();
+    let received = read_all(stream).await;
+    cluster.close();
+    received
+}
+
+#[tokio::test]
+async fn a_whole_response_whose_node_is_killed_is_shorter_than_its_length() {
+    for (name, version) in [("cut-1-0", Version::HTTP_10), ("cut-1-1", Version::HTTP_11)] {
+        let received = cut_whole_response(name, version).await;
+        assert!(received.body.len() < MANY_BYTES, "{name}");
+        assert_eq!(received.length(), Some(MANY_BYTES), "{name}");
+    }
+}
+
 /// Such a response has no body, so nothing of it can be missing.
 #[tokio::test]
 async fn a_response_to_head_ends_in_order_at_a_caller_of_http_1_0() {
