State the length of whole responses to callers

Callers of HTTP/1.0 see a part of a whole response as complete (ORDER) if its node is killed while it is sent: the response has no length, and the kernel closes the connection in order. In HTTP/1.1 the response was chunked, where a cut one lacks the last chunk.

Cause: the body of each reply is wrapped so that its request's end is not missed, by a mapping of its frames. Such a mapping has no size hint, so the HTTP library knew no length of any body but empty ones.

Ruled out: the target's own length is taken out on purpose and does not come back, since the library states that of the bytes which it has.

Fix: the value is held by a mapping of the errors, which keeps the size hint. It is dropped with the body as before. Streams have no size hint in either case and stay chunked in HTTP/1.1.

Evidence: `http10_callers::whole_responses_to_callers_of_http_1_0_have_a_length` and `a_whole_response_whose_node_is_killed_is_shorter_than_its_length` (HTTP/1.0 and 1.1) fail before, `left: None`, and pass after.

--- a/filbertpaddle-gateway/src/reply.rs
+++ b/filbertpaddle-gateway/src/reply.rs
@@ -129,9 +129,10 @@
     T: Send + 'static,
 {
     reply.map(move |body| {
-        body.map_frame(move |frame| {
+        // Unlike a body whose frames are mapped, one whose errors are mapped keeps its length.
+        body.map_err(move |error| {
             let _held = &held;
-            frame
+            error
         })
         .boxed_unsync()
     })
