Reset the connection of a cut stream that has no chunks

Cause: such a stream has neither a length nor chunks, so the end of its connection in order states that it is complete. A node that gives a stream up drops the connection, which closes it in order, and the kernel closes it so for a process that dies.

Ruled out: HTTP/1.1, also with `Connection: close`. Its streams are chunked whatever the target states, since the headers of the target's framing are removed, and a cut one has no last chunk. Responses to HEAD, 204 and 304 have no body. By reading, the HTTP library writes out all bytes before it shuts a connection down, and shuts none down after an error of the body or a caller that half-closes; the connection is then dropped, which the kernel does in order.

Fix: while a response that only its connection's end ends is on its way, the caller's socket is set to reset when it is closed (SO_LINGER with 0). It is set before the first byte of the head, and the stream is not sent if it can't be set. It is cleared only when the body has ended and all bytes are written, just before the shutdown in order; a shutdown before the end is refused. So each other way out resets: an error, a panic, the end of the runtime, the kernel's close of a dead process. Bytes in flight after the shutdown in order are sent by the kernel as before, since the option is cleared by then.

Weighed: - To refuse such streams takes a service from callers that work today, and no status tells them why. - To buffer them whole, with a length, delays the first event to the end, breaks the bounds on pauses between events, and holds up to a whole stream for each caller. - To reset all cut responses, chunked ones too, drops events that the kernel has not sent yet, where the missing last chunk shows the cut already. - An explicit last event would change the target's bytes, which are returned unchanged. A reset too may drop the last events before the cut. The stream is cut in any case, and a caller that resumes does so behind the last event that it has.

--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod acceptor;
 pub mod buffer_limit;
 pub mod buffered;
+pub mod caller_stream;
 pub mod clock;
 mod connection_headers;
 pub mod connection_pool;
--- a/filbertpaddle-gateway/src/listener.rs
+++ b/filbertpaddle-gateway/src/listener.rs
@@ -1,11 +1,14 @@
 //! Listeners for callers, readiness checks and metrics.
 
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use filbertpaddle_core::clock::Millis;
+use http::Request;
 use http::Response;
 use http::StatusCode;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -17,6 +20,8 @@
 use tokio::time::sleep;
 
 use crate::acceptor::Acceptor;
+use crate::caller_stream::CallerStream;
+use crate::caller_stream::OpenResponse;
 use crate::clock::duration;
 use crate::reply;
 use crate::request;
@@ -80,8 +85,15 @@
     } else {
         Phase::Closing
     };
+    let response = OpenResponse::default();
+    let stream = CallerStream::new(stream, response.clone());
     let served = Rc::clone(state);
-    let service = service_fn(move |request| request::serve(Rc::clone(&served), request));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (method, version) = (request.method().clone(), request.version());
+        let response = response.clone();
+        let reply = request::serve(Rc::clone(&served), request);
+        async move { Ok::<_, Infallible>(response.begin(&method, version, reply.await?)) }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(duration(idle_timeout_ms(state)))
@@ -154,11 +166,11 @@
     loop {
         let (stream, _) = acceptor.accept().await;
         let reply = reply.clone();
-        let service = service_fn(move |request: http::Request<hyper::body::Incoming>| {
+        let service = service_fn(move |request: Request<Incoming>| {
             let (status, text) = reply(request.uri().path());
             let mut response = Response::new(reply::full_body(text.into()));
             *response.status_mut() = status;
-            async move { Ok::<_, std::convert::Infallible>(response) }
+            async move { Ok::<_, Infallible>(response) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/filbertpaddle-gateway/src/reply.rs
+++ b/filbertpaddle-gateway/src/reply.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use http::HeaderValue;
+use http::Method;
 use http::Response;
 use http::StatusCode;
 use http::Version;
@@ -11,6 +12,7 @@
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body as _;
 use hyper::body::Frame;
 use tokio::sync::mpsc;
 use tokio_stream::StreamExt;
@@ -123,6 +125,17 @@
     reply
 }
 
+/// Returns whether only the end of its connection ends a response: it has a body without a length,
+/// and the version of its request has no chunks.
+pub fn ends_with_connection(method: &Method, version: Version, reply: &Reply) -> bool {
+    let has_body = method != Method::HEAD
+        && !matches!(
+            reply.status(),
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+    version < Version::HTTP_11 && has_body && reply.body().size_hint().exact().is_none()
+}
+
 /// Drops `held` only when the reply has been read or its caller is gone.
 pub fn hold_until_read<T>(reply: Reply, held: T) -> Reply
 where
--- a/filbertpaddle-gateway/src/watched_stream.rs
+++ b/filbertpaddle-gateway/src/watched_stream.rs
@@ -148,6 +148,16 @@
         }
     }
 
+    /// Sets whether the kernel resets the connection when the socket is closed, also by the end of
+    /// the process, and does not send what is queued.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the option cannot be set.
+    pub fn set_reset_on_close(&self, resets: bool) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO))
+    }
+
     /// Ends with an error if the peer is dead or given up; wakes the task for further checks.
     fn poll_checks(&mut self, context: &mut Context<'_>) -> io::Result<()> {
         let Some(checks) = &mut self.checks else {
@@ -156,7 +166,7 @@
         let result = checks.poll(context);
         if result.is_err() {
             // The kernel must not go on to send what is queued.
-            SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))?;
+            self.set_reset_on_close(true)?;
         }
         result
     }
--- a/filbertpaddle/tests/gateway/http10_callers.rs
+++ b/filbertpaddle/tests/gateway/http10_callers.rs
@@ -171,6 +171,17 @@
     cluster.close();
 }
 
+/// A caller that ends its own direction counts as gone, though it may go on to read.
+#[tokio::test]
+async fn a_stream_whose_caller_half_closes_is_reset_at_a_caller_of_http_1_0() {
+    let cluster = Cluster::with_nodes("old-half", 1).await;
+    let mut stream = send(&cluster, &stream_request(40_000)).await;
+    wait_until_running(&cluster).await;
+    stream.shutdown().await.unwrap();
+    assert_cut(&read_all(stream).await, &complete_stream(ATTEMPT, 10_000));
+    cluster.close();
+}
+
 /// What follows the request on its connection is not read.
 #[tokio::test]
 async fn a_complete_stream_ends_in_order_at_a_caller_of_http_1_0() {
