Test streams of events without IDs that break off

Seen, on a route whose streams may be resumed: the caller has two events without an ID, the stream breaks off, the next target sends both again, and the stream ends as complete with four:

a_stream_of_events_without_a_numeric_id_is_not_begun_again ... FAILED no-ids, left: (true, a, b, a, b), right: (false, a, b)

The guard beside it passes: after comments alone a stream begins anew.

--- a/filbertpaddle/tests/gateway/event_ids.rs
+++ b/filbertpaddle/tests/gateway/event_ids.rs
@@ -110,3 +110,22 @@
     assert!(answer.is_complete);
     assert_eq!(answer.body, [mark, &stream(&[1, 2])].concat());
 }
+
+/// A further run began at the start of the stream, after the events that the caller had.
+#[tokio::test]
+async fn a_stream_of_events_without_a_numeric_id_is_not_begun_again() {
+    for (name, line) in [("no-ids", ""), ("text-ids", "id: x\n")] {
+        let events = format!("{line}data: a\n\n{line}data: b\n\n").into_bytes();
+        let first = [&events[..], b"da"].concat();
+        let answer = answer_to(name, RESUMABLE_PATH, &[first, events.clone()]).await;
+        assert_eq!((answer.is_complete, answer.body), (false, events), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_after_comments_alone_is_begun_again() {
+    let first = b": here\n\nda".to_vec();
+    let answer = answer_to("only-comments", RESUMABLE_PATH, &[first, stream(&[1, 2])]).await;
+    assert!(answer.is_complete);
+    assert_eq!(answer.body, [b": here\n\n", &stream(&[1, 2])[..]].concat());
+}
