Do not begin a stream again whose caller has events without an ID

Callers of a stream that may be resumed got its events twice, joined from two runs and ended as complete, where the events had no numeric ID and the first run broke off after some of them (ORDER).

Cause: a resumed run goes on after the last event with an ID. Without one the request was sent as at the start, although the caller had events, and blocks without an ID are only refused in a run that goes on after an ID.

Ruled out: after a last event with an ID, blocks without one end the further run (resumed_ends); copies are only made after an event with an ID.

Such a stream breaks off now, as one that cannot be resumed. One of which the caller has comments alone begins anew as before (guard).

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -73,6 +73,8 @@
     pub(crate) is_placed: bool,
     /// Whether the current target was asked for what follows an end that was not stated.
     pub(crate) is_ask: bool,
+    /// Whether the caller has been sent anything but comments, by any target.
+    pub(crate) has_content: bool,
     /// Time of the first of the new events.
     first_event_ms: Millis,
     /// Whether the current target has shown that the request does not crash it.
@@ -126,6 +128,7 @@
             has_begun: false,
             is_placed: false,
             is_ask: false,
+            has_content: false,
             first_event_ms: Millis::ZERO,
             is_sound: false,
             placement: None,
@@ -209,6 +212,7 @@
         }
         if !event.is_comment() {
             self.has_begun = true;
+            self.has_content = true;
             self.is_placed = event.id.is_some();
         }
         let goal_ms = self.job.route.gap_goal_ms;
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -194,9 +194,13 @@
         self.migrator.has_copy() || self.may_resend()
     }
 
-    /// Returns whether the request may be sent to one more target.
+    /// Returns whether the request may be sent to one more target. Without the ID of an event to
+    /// go on from, that one would send again what the caller has.
     pub(crate) fn may_resend(&self) -> bool {
-        self.job.route.kind.is_idempotent() && self.progress.sends < self.job.route.max_attempts
+        let has_place = self.last_event.is_some() || !self.has_content;
+        has_place
+            && self.job.route.kind.is_idempotent()
+            && self.progress.sends < self.job.route.max_attempts
     }
 
     /// Watches the target if it has been silent for longer than sound ones are.
