Split the hosts of targets from the soak's cluster

Moved as they are: the hosts, their start, crash and restart, and what passes to them. Nothing else changed but the visibility of what both files use.

--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -9,11 +9,11 @@
 
 use crate::cluster::Cluster;
 use crate::cluster::RunningNode;
-use crate::cluster::RunningTarget;
 use crate::history::ChangeKind;
 use crate::history::Component;
 use crate::schedule::DATA_CENTRES;
 use crate::schedule::Fault;
+use crate::target_hosts::RunningTarget;
 use crate::traffic;
 
 /// Distance by which the store's clock jumps forward.
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod rate_limits;
 mod schedule;
 mod target_cuts;
+mod target_hosts;
 mod traffic;
 mod versions;
 
