Let a gate refuse connections at once when what is behind it ends

A node finds out whether a target goes on by connecting to it. Before the targets of the soak stands a gate, which accepted such a connection although the target behind it had crashed, until the soak's next look, 100 ms later: no test of streams that end with their connection would have been true. A gate's shutter stops it from listening before the target closes its connections, as the kernel does for a process. Open connections live on: a reset passes as a reset, an orderly end as an orderly end.

--- a/filbertpaddle-standins/src/gate.rs
+++ b/filbertpaddle-standins/src/gate.rs
@@ -2,8 +2,12 @@
 //! sees of targets that it is cut off from.
 
 use std::io;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use socket2::Domain;
@@ -60,6 +64,35 @@
     /// Keeps the port while nothing listens there, so that connections are refused.
     _holder: Socket,
     entrance: Entrance,
+    shutter: Shutter,
+}
+
+/// Lets a gate refuse new connections at once, as the port of a process does that ends; open
+/// connections live on.
+#[derive(Clone, Debug, Default)]
+pub struct Shutter(Arc<Mutex<ShutterState>>);
+
+#[derive(Debug, Default)]
+struct ShutterState {
+    /// Second handle of the listener, while there is one.
+    listener: Option<Socket>,
+    is_shut: bool,
+}
+
+impl Shutter {
+    /// Refuses new connections until the gate is reopened, whatever is set to pass.
+    pub fn shut(&self) {
+        let mut state = self.state();
+        state.is_shut = true;
+        if let Some(listener) = state.listener.take() {
+            // One that does not listen refuses connections already.
+            listener.shutdown(Shutdown::Both).ok();
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, ShutterState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// What happens to new connections.
@@ -98,16 +131,33 @@
             faults: Arc::new(watch::Sender::new(Faults::default())),
             counters: Arc::default(),
         };
-        let entrance = accept(address, upstream, &state)?;
+        let shutter = Shutter::default();
+        let entrance = accept(address, upstream, &state, &shutter)?;
         Ok(Self {
             address,
             upstream,
             state,
             _holder: holder,
             entrance,
+            shutter,
         })
     }
 
+    /// Returns what lets it refuse new connections at once.
+    pub fn shutter(&self) -> Shutter {
+        self.shutter.clone()
+    }
+
+    /// Ends what its shutter did, and sets what passes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the port cannot be bound again.
+    pub async fn reopen(&mut self, passage: Passage) -> io::Result<()> {
+        self.shutter.state().is_shut = false;
+        self.set(passage).await
+    }
+
     /// Sets what passes.
     ///
     /// # Errors
@@ -115,13 +165,14 @@
     /// Returns an error if the port cannot be bound again.
     pub async fn set(&mut self, passage: Passage) -> io::Result<()> {
         let former = std::mem::replace(&mut self.entrance, Entrance::Refusing);
+        self.shutter.state().listener = None;
         former.close().await;
         self.state.faults.send_replace(Faults {
             link: passage.link(),
             ..Faults::default()
         });
         self.entrance = match passage {
-            Passage::Open => accept(self.address, self.upstream, &self.state)?,
+            Passage::Open => accept(self.address, self.upstream, &self.state, &self.shutter)?,
             Passage::Silent => ignore(self.address).await?,
             Passage::Reset | Passage::RefuseNew => Entrance::Refusing,
         };
@@ -130,6 +181,7 @@
 
     /// Resets all connections and refuses new ones.
     pub async fn close(self) {
+        self.shutter.state().listener = None;
         self.entrance.close().await;
         self.state.faults.send_replace(Faults {
             link: Link::Cut,
@@ -147,9 +199,19 @@
     Ok(socket)
 }
 
-fn accept(address: SocketAddr, upstream: SocketAddr, state: &ProxyState) -> io::Result<Entrance> {
+fn accept(
+    address: SocketAddr,
+    upstream: SocketAddr,
+    state: &ProxyState,
+    shutter: &Shutter,
+) -> io::Result<Entrance> {
+    let mut shutter = shutter.state();
+    if shutter.is_shut {
+        return Ok(Entrance::Refusing);
+    }
     let socket = bind(address)?;
     socket.listen(BACKLOG)?;
+    shutter.listener = Some(socket.try_clone()?);
     let listener = TcpListener::from_std(socket.into())?;
     let state = state.clone();
     let task = tokio::spawn(async move {
--- a/filbertpaddle-standins/tests/gate.rs
+++ b/filbertpaddle-standins/tests/gate.rs
@@ -53,3 +53,27 @@
     let ended = timeout(HOLD_TIME, second.read(&mut buffer)).await.unwrap();
     assert!(ended.is_err() || ended.unwrap() == 0);
 }
+
+#[tokio::test]
+async fn a_shut_gate_refuses_new_connections_and_passes_the_ends_of_open_ones() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let mut gate = Gate::start(listener.local_addr().unwrap()).await.unwrap();
+    let (mut closed, closed_server) = open_connection(&listener, &gate).await;
+    let (mut reset, reset_server) = open_connection(&listener, &gate).await;
+    gate.shutter().shut();
+    let refused = TcpStream::connect(gate.address).await;
+    assert_eq!(refused.unwrap_err().kind(), ErrorKind::ConnectionRefused);
+    // What passes may change while it is shut.
+    gate.set(Passage::Open).await.unwrap();
+    let refused = TcpStream::connect(gate.address).await;
+    assert_eq!(refused.unwrap_err().kind(), ErrorKind::ConnectionRefused);
+    drop(closed_server);
+    assert_eq!(closed.read(&mut [0; 8]).await.unwrap(), 0);
+    reset_server.set_zero_linger().unwrap();
+    drop(reset_server);
+    let ended = reset.read(&mut [0; 8]).await;
+    assert_eq!(ended.unwrap_err().kind(), ErrorKind::ConnectionReset);
+    gate.reopen(Passage::Open).await.unwrap();
+    let (mut second, mut second_server) = open_connection(&listener, &gate).await;
+    assert!(passes(&mut second, &mut second_server).await);
+}
