Let targets of the soak send responses without a length and break some off

A sixth kind of schedule, unframed: targets send responses with neither a length nor chunks for some seconds at a time, three in four times in HTTP/1.1 and else in HTTP/1.0. Three in ten break off, between two events or within one, by a reset or by an orderly end of the connection; the seed chooses. Targets also end as a process ends, their gates shut, and come back elsewhere after a while or at once at their address. One caller in four speaks HTTP/1.0. A quarter of the faults of a mixed schedule is there besides.

No check is narrowed: a cut answer that ends like a complete one is a violation, whatever excuses its loss. What cannot be told from a whole answer is not played: an orderly end with a target that goes on listening, or is back at once, meets resumable streams only; others are reset. The record of a run lists all responses without a length with their break points, and the soak prints those of attempts that violations name, which now state kind, version of HTTP, node and events.

The targets' server writes no chunks in HTTP/1.0 only, so that the version is replaced on its way out. Crashes of all kinds of schedule shut the gates first.

--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -23,6 +23,7 @@
 use filbertpaddle_adapter_standins::target::event;
 use filbertpaddle_standins::loopback::next_host;
 use http::Method;
+use http::Version;
 use serde_json::Value;
 use tokio::time::sleep;
 
@@ -255,6 +256,7 @@
         tokens: output_tokens.map(|output| (1_000, output)),
         shared_parts: Vec::new(),
         resume: None,
+        version: Version::HTTP_11,
     }
 }
 
--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -13,6 +13,7 @@
 use crate::history::Component;
 use crate::schedule::DATA_CENTRES;
 use crate::schedule::Fault;
+use crate::schedule::Restart;
 use crate::target_hosts::RunningTarget;
 use crate::traffic;
 
@@ -64,10 +65,10 @@
             running.callers.set_link(link);
         }),
         Fault::TargetLink(target, link) => {
-            with_running_target(cluster, target, |running| running.link.set_link(link));
+            with_running_target(cluster, target, |running| running.way.link.set_link(link));
         }
         Fault::TargetDelay(target, delay_ms) => with_running_target(cluster, target, |running| {
-            running.link.set_faults(Faults {
+            running.way.link.set_faults(Faults {
                 link: Link::Open,
                 delay_ms,
             });
@@ -82,7 +83,13 @@
             let sender = tokio::spawn(traffic::send_poison(addresses, history));
             cluster.poison_senders.push(sender);
         }
+        Fault::UnframedResponses(target, seed) => {
+            with_running_target(cluster, target, |running| {
+                running.target.set_unframed(Some(seed))
+            });
+        }
         Fault::TargetCrash(target) => cluster.crash_target(target).await,
+        Fault::TargetExit(target, restart) => cluster.exit_target(target, restart).await,
         Fault::TargetDrain(target) => active.change = start_drain(cluster, target),
         Fault::NodePause(node) => active.paused_incarnation = cluster.pause_node(node),
         Fault::NodeKill(node) => cluster.kill_node(node).await,
@@ -123,7 +130,7 @@
             with_running_node(cluster, node, |running| running.callers.heal())
         }
         Fault::TargetLink(target, _) | Fault::TargetDelay(target, _) => {
-            with_running_target(cluster, target, |running| running.link.heal());
+            with_running_target(cluster, target, |running| running.way.link.heal());
         }
         Fault::TargetBehaviour(target, _) => with_running_target(cluster, target, |running| {
             running.target.set_behaviour(Behaviour::Normal);
@@ -131,7 +138,15 @@
         Fault::TargetRate(target, _) => with_running_target(cluster, target, |running| {
             running.target.set_rate_limit(None);
         }),
-        Fault::TargetCrash(target) => cluster.restart_target(target).await,
+        Fault::UnframedResponses(target, _) => with_running_target(cluster, target, |running| {
+            running.target.set_unframed(None);
+        }),
+        Fault::TargetCrash(target) | Fault::TargetExit(target, Restart::OtherAddress) => {
+            cluster.restart_target(target).await;
+        }
+        Fault::TargetExit(target, Restart::SameAddress) => {
+            cluster.restart_exited_target(target).await;
+        }
         Fault::TargetDrain(target) => {
             cluster
                 .store
@@ -176,6 +191,8 @@
         | Fault::TargetDelay(target, _)
         | Fault::TargetBehaviour(target, _)
         | Fault::TargetCrash(target)
+        | Fault::TargetExit(target, _)
+        | Fault::UnframedResponses(target, _)
         | Fault::TargetDrain(target) => Some(Component::Target(
             cluster.target_hosts[target].options.id.clone(),
         )),
@@ -211,7 +228,7 @@
     let host = &cluster.target_hosts[number];
     let running = host.running.as_ref()?;
     running.target.drain();
-    let entry = running.target.announce(running.link.address);
+    let entry = running.target.announce(running.way.link.address);
     cluster.store.put_target(&host.options.id, &entry);
     let kind = ChangeKind::TargetDraining(host.options.id.clone(), host.options.incarnation);
     Some(cluster.history.record_change(kind))
@@ -249,8 +266,9 @@
     }
     for number in 0..cluster.target_hosts.len() {
         with_running_target(cluster, number, |running| {
-            running.link.heal();
+            running.way.link.heal();
             running.target.set_behaviour(Behaviour::Normal);
+            running.target.set_unframed(None);
         });
         cluster.restart_target(number).await;
     }
--- a/filbertpaddle/tests/soak/history.rs
+++ b/filbertpaddle/tests/soak/history.rs
@@ -9,6 +9,7 @@
 
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
 use filbertpaddle_adapter_standins::caller::Resume;
+use http::Version;
 
 /// Interval of the check whether this process gets processor time.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -57,6 +58,8 @@
     pub(crate) is_connection_reused: bool,
     /// Time after which the caller aborts the request.
     pub(crate) caller_timeout_ms: u64,
+    /// Version of HTTP that the caller speaks.
+    pub(crate) version: Version,
     /// Stream that it resumes.
     pub(crate) resume: Option<Resume>,
     pub(crate) answer: ReceivedAnswer,
--- a/filbertpaddle/tests/soak/invariants.rs
+++ b/filbertpaddle/tests/soak/invariants.rs
@@ -7,7 +7,9 @@
 use filbertpaddle_adapter_standins::configuration::CUSTOMER;
 use filbertpaddle_adapter_standins::poison::POISON;
 use filbertpaddle_adapter_standins::run_log::Run;
+use filbertpaddle_adapter_standins::run_log::UnframedResponse;
 use filbertpaddle_adapter_standins::target::event;
+use filbertpaddle_adapter_standins::unframed::BreakOff;
 
 use crate::history::Change;
 use crate::history::ChangeKind;
@@ -91,8 +93,13 @@
     }
     if is_success && answer.is_complete && answer.body != expected {
         history.record_violation(format!(
-            "truncated answer to {} ended like a complete one",
-            exchange.attempt
+            "truncated answer to {} ended like a complete one ({}, {:?}, node {}, {} events of {})",
+            exchange.attempt,
+            exchange.kind,
+            exchange.version,
+            exchange.node,
+            exchange.former_events() + complete_events(exchange),
+            exchange.events
         ));
     }
     if matches!(answer.code(), 429 | 503) && answer.retry_after_sec().is_none() {
@@ -439,3 +446,17 @@
     .map(|kind| format!("{kind} {}+{}", count(kind, true), count(kind, false)))
     .join(", ")
 }
+
+/// Returns the number of responses without a length, and of those that targets broke off.
+pub(crate) fn unframed_summary(responses: &[UnframedResponse]) -> String {
+    let count = |by: BreakOff| {
+        let points = responses.iter().filter_map(|response| response.break_point);
+        points.filter(|point| point.by == by).count()
+    };
+    format!(
+        "{} responses without a length, {} broken off by a reset, {} in order",
+        responses.len(),
+        count(BreakOff::Reset),
+        count(BreakOff::OrderlyEnd)
+    )
+}
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -2,7 +2,8 @@
 //! and checks the invariants of [`invariants`].
 //!
 //! `SOAK_SEEDS=0..50 cargo test --release -p filbertpaddle --test soak -- --ignored`
-//! runs more seeds; `SOAK_NODES` sets the number of nodes of each run. The nodes
+//! runs more seeds; `SOAK_NODES` sets the number of nodes of each run,
+//! `SOAK_KIND` the only kind of schedule. The nodes
 //! write their logs to `tmp/soak-KIND-SEED` in the target folder.
 
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
@@ -30,6 +31,7 @@
 use schedule::ScheduleKind;
 use schedule::ScheduledFault;
 use schedule::Size;
+use strum::IntoEnumIterator;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use traffic::CallerContext;
@@ -101,6 +103,11 @@
     check_seeds(&[0, 1], &DEFAULT_SIZE, ScheduleKind::RepeatedRefusals).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn invariants_hold_while_responses_have_no_length() {
+    check_seeds(&[0, 1], &DEFAULT_SIZE, ScheduleKind::Unframed).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_for_previously_failed_seeds() {
     for seeds in FAILED.chunks(PARALLEL_RUNS) {
@@ -125,12 +132,13 @@
     };
     let jobs = if factor > 1 { 1 } else { PARALLEL_RUNS };
     let seeds: Vec<u64> = (from.parse().unwrap()..to.parse().unwrap()).collect();
+    let only = std::env::var("SOAK_KIND").ok();
     for chunk in seeds.chunks(jobs) {
-        check_seeds(chunk, &size, ScheduleKind::Mixed).await;
-        check_seeds(chunk, &size, ScheduleKind::StoreCuts).await;
-        check_seeds(chunk, &size, ScheduleKind::StatedRates).await;
-        check_seeds(chunk, &size, ScheduleKind::TargetCuts).await;
-        check_seeds(chunk, &size, ScheduleKind::RepeatedRefusals).await;
+        for kind in ScheduleKind::iter() {
+            if only.as_ref().is_none_or(|only| *only == kind.to_string()) {
+                check_seeds(chunk, &size, kind).await;
+            }
+        }
     }
 }
 
@@ -161,6 +169,7 @@
         addresses: cluster.addresses.clone(),
         history: cluster.history.clone(),
         stop: Arc::new(AtomicBool::new(false)),
+        has_old_callers: kind == ScheduleKind::Unframed,
     };
     let callers: Vec<_> = (0..size.callers)
         .map(|number| tokio::spawn(traffic::run_caller(context.clone(), seed, number)))
@@ -180,10 +189,26 @@
         println!("{kind} seed {seed}: {}", invariants::summary(&events));
         events.violations.clone()
     };
+    print_unframed(&format!("{kind} seed {seed}"), &cluster, &violations);
     cluster.close().await;
     violations
 }
 
+/// Prints how many responses had no length, and those of attempts that violations name.
+fn print_unframed(run: &str, cluster: &Cluster, violations: &[String]) {
+    let responses = cluster.run_log.unframed();
+    if responses.is_empty() {
+        return;
+    }
+    println!("{run}: {}", invariants::unframed_summary(&responses));
+    for response in responses {
+        let name = format!(" {} ", response.attempt);
+        if violations.iter().any(|text| text.contains(&name)) {
+            println!("{run}: {response:?}");
+        }
+    }
+}
+
 /// Begins and ends each fault of a schedule at its time.
 async fn apply_schedule(cluster: &mut Cluster, faults: &[ScheduledFault]) {
     let start = Instant::now();
--- a/filbertpaddle/tests/soak/schedule.rs
+++ b/filbertpaddle/tests/soak/schedule.rs
@@ -36,6 +36,10 @@
 ];
 /// Time between the starts of two times in which a target repeats refusals.
 const REFUSALS_INTERVAL_MS: usize = 1_000;
+/// Time between the starts of two times in which a target sends responses without a length.
+const UNFRAMED_INTERVAL_MS: usize = 700;
+/// Time between two ends of targets.
+const EXIT_INTERVAL_MS: usize = 1_300;
 /// Time for which a target states a rate: two windows of its bound and the time before it.
 const RATE_TIME_MS: Millis = Millis::from_secs(11);
 /// Time from the start of a node's cut from the store to the key rotation in it.
@@ -88,6 +92,11 @@
     TargetCrash(usize),
     /// A target drains and stops; its next incarnation replaces it.
     TargetDrain(usize),
+    /// A target ends as a process ends, with its connections closed in order, and restarts.
+    TargetExit(usize, Restart),
+    /// A target sends responses with neither a length nor chunks; the seed chooses which of them
+    /// break off.
+    UnframedResponses(usize, u64),
     /// A node's process is paused.
     NodePause(usize),
     /// A node is killed and restarted.
@@ -107,6 +116,15 @@
     TargetRate(usize, u32),
 }
 
+/// Where a target restarts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Restart {
+    /// At its address.
+    SameAddress,
+    /// At another address.
+    OtherAddress,
+}
+
 /// A fault with its start and end.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ScheduledFault {
@@ -118,7 +136,7 @@
 }
 
 /// Kind of a schedule.
-#[derive(Clone, Copy, Debug, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum ScheduleKind {
     /// All faults, in series and overlapping.
@@ -133,6 +151,9 @@
     TargetCuts,
     /// Targets repeat refusals of other attempts to requests that they run, among other faults.
     RepeatedRefusals,
+    /// Targets send responses without a length and break some off, and targets end, among other
+    /// faults; some callers speak HTTP/1.0.
+    Unframed,
 }
 
 impl ScheduleKind {
@@ -145,6 +166,7 @@
             Self::StatedRates => stated_rates(seed, size),
             Self::TargetCuts => target_cuts(seed, size),
             Self::RepeatedRefusals => repeated_refusals(seed, size),
+            Self::Unframed => unframed(seed, size),
         };
         let rotations = rotations_during_cuts(&faults);
         faults.extend(rotations);
@@ -262,6 +284,39 @@
     faults
 }
 
+/// Returns times in which targets send responses without a length, which overlap, ends of targets,
+/// and a quarter of the faults of a mixed schedule.
+fn unframed(seed: u64, size: &Size) -> Vec<ScheduledFault> {
+    let others = Size {
+        faults: size.faults / 4,
+        ..*size
+    };
+    let mut faults = mixed(seed, &others);
+    let mut rng = StdRng::seed_from_u64(seed);
+    for start_ms in (500..1_000 + size.span_ms.0).step_by(UNFRAMED_INTERVAL_MS) {
+        let target = rng.random_range(0..2 * size.targets);
+        faults.push(ScheduledFault {
+            start_ms: Millis(start_ms),
+            end_ms: Millis(start_ms + rng.random_range(2_500..6_000)),
+            fault: Fault::UnframedResponses(target, rng.random()),
+        });
+    }
+    for start_ms in (2_000..2_000 + size.span_ms.0).step_by(EXIT_INTERVAL_MS) {
+        let target = rng.random_range(0..2 * size.targets);
+        let restart = choose_one(&mut rng, &[Restart::SameAddress, Restart::OtherAddress]);
+        let down_ms = match restart {
+            Restart::SameAddress => 0,
+            Restart::OtherAddress => rng.random_range(300..1_500),
+        };
+        faults.push(ScheduledFault {
+            start_ms: Millis(start_ms),
+            end_ms: Millis(start_ms + down_ms),
+            fault: Fault::TargetExit(target, restart),
+        });
+    }
+    faults
+}
+
 /// Returns two key rotations for each node that loses the store. After the one before the
 /// cut, it waits for the next change; the others must apply the one in the cut in time.
 fn rotations_during_cuts(faults: &[ScheduledFault]) -> Vec<ScheduledFault> {
--- a/filbertpaddle/tests/soak/target_hosts.rs
+++ b/filbertpaddle/tests/soak/target_hosts.rs
@@ -1,6 +1,7 @@
-//! The hosts of the cluster's targets: successive incarnations, and the gates and the link before
-//! each.
+//! The hosts of the cluster's targets: successive incarnations, and the way to each, which is a gate
+//! for each data centre and a link.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,6 +18,7 @@
 use crate::history::Component;
 use crate::history::TargetIncarnation;
 use crate::schedule::DATA_CENTRES;
+use crate::schedule::Restart;
 
 /// Time between two events of a stream.
 const EVENT_INTERVAL_MS: u64 = 20;
@@ -35,17 +37,32 @@
     /// When a target that a request has crashed restarts, and the number of the
     /// recorded disruption.
     restart: Option<(Instant, usize)>,
+    /// What is left of a target that has ended in order.
+    exited: Option<ExitedTarget>,
 }
 
-/// A running target and the link to it.
+/// The address of a target that has ended in order, and the way to it.
 #[derive(Debug)]
-pub(crate) struct RunningTarget {
-    pub(crate) target: Target,
+struct ExitedTarget {
+    address: SocketAddr,
+    way: Way,
+}
+
+/// The way to a target.
+#[derive(Debug)]
+pub(crate) struct Way {
     pub(crate) link: Proxy,
     /// Gates before the link, one for the nodes of each data centre.
     gates: Vec<Gate>,
 }
 
+/// A running target and the link to it.
+#[derive(Debug)]
+pub(crate) struct RunningTarget {
+    pub(crate) target: Target,
+    pub(crate) way: Way,
+}
+
 impl Cluster {
     pub(crate) async fn add_target_host(&mut self, number: usize) {
         let service = if number.is_multiple_of(2) {
@@ -79,11 +96,19 @@
         for (view, passage) in self.views.iter().zip(self.passages) {
             let mut gate = Gate::start(link.address).await.unwrap();
             gate.set(passage).await.unwrap();
-            let (from, to) = (link.address, gate.address);
-            self.store.replace_in_view(*view, from, to);
-            target.add_address(to);
+            self.store
+                .replace_in_view(*view, link.address, gate.address);
             gates.push(gate);
         }
+        self.host_of(options, target, Way { link, gates })
+    }
+
+    /// Records a target that has started, and writes its entry to the store.
+    fn host_of(&self, options: target::Options, target: Target, way: Way) -> TargetHost {
+        for gate in &way.gates {
+            target.add_address(gate.address);
+            target.add_shutter(gate.shutter());
+        }
         self.history
             .events()
             .target_incarnations
@@ -94,16 +119,13 @@
                 from: Instant::now(),
                 cold: Duration::from_millis(options.cold_ms),
             });
-        let entry = target.announce(link.address);
+        let entry = target.announce(way.link.address);
         self.store.put_target(&options.id, &entry);
         TargetHost {
             options,
-            running: Some(RunningTarget {
-                target,
-                link,
-                gates,
-            }),
+            running: Some(RunningTarget { target, way }),
             restart: None,
+            exited: None,
         }
     }
 
@@ -118,7 +140,7 @@
         for step in steps {
             let hosts = self.target_hosts.iter_mut();
             for running in hosts.filter_map(|host| host.running.as_mut()) {
-                running.gates[data_centre].set(*step).await.unwrap();
+                running.way.gates[data_centre].set(*step).await.unwrap();
             }
         }
     }
@@ -127,7 +149,7 @@
     pub(crate) fn announce_all_targets(&self) {
         for host in &self.target_hosts {
             if let Some(running) = &host.running {
-                let entry = running.target.announce(running.link.address);
+                let entry = running.target.announce(running.way.link.address);
                 self.store.put_target(&host.options.id, &entry);
             }
         }
@@ -140,12 +162,51 @@
         }
     }
 
+    /// Ends a target as a process ends, if it runs: it listens no more, and its connections close
+    /// in order.
+    pub(crate) async fn exit_target(&mut self, number: usize, restart: Restart) {
+        let host = &mut self.target_hosts[number];
+        let Some(running) = host.running.take() else {
+            return;
+        };
+        if restart == Restart::SameAddress {
+            running.target.reset_unresumable();
+        }
+        let address = running.target.address;
+        running.target.end().await;
+        let way = running.way;
+        host.exited = Some(ExitedTarget { address, way });
+    }
+
+    /// Starts the next incarnation of a target that has ended in order at its address, as warm as
+    /// before and with the same version. Nodes may not know yet that it is another one.
+    pub(crate) async fn restart_exited_target(&mut self, number: usize) {
+        let host = &mut self.target_hosts[number];
+        let Some(ExitedTarget { address, mut way }) = host.exited.take() else {
+            return;
+        };
+        let mut options = host.options.clone();
+        options.incarnation += 1;
+        options.cold_ms = 0;
+        let (run_log, copies) = (self.run_log.clone(), self.copies.clone());
+        let target = Target::start_at(address, options.clone(), run_log, copies)
+            .await
+            .unwrap();
+        for (gate, passage) in way.gates.iter_mut().zip(self.passages) {
+            gate.reopen(passage).await.unwrap();
+        }
+        self.target_hosts[number] = self.host_of(options, target, way);
+    }
+
     /// Starts the next incarnation of a target that does not run, cold and at another
     /// address.
     pub(crate) async fn restart_target(&mut self, number: usize) {
         if self.target_hosts[number].running.is_some() {
             return;
         }
+        if let Some(exited) = self.target_hosts[number].exited.take() {
+            exited.way.close().await;
+        }
         let mut options = self.target_hosts[number].options.clone();
         options.incarnation += 1;
         options.version = software_version(number, options.incarnation);
@@ -180,6 +241,12 @@
 impl RunningTarget {
     pub(crate) async fn close(self) {
         self.target.close();
+        self.way.close().await;
+    }
+}
+
+impl Way {
+    async fn close(self) {
         self.link.close().await;
         for gate in self.gates {
             gate.close().await;
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -21,6 +21,7 @@
 use filbertpaddle_adapter_standins::poison::crash_after;
 use filbertpaddle_adapter_standins::target::EVENT_TOKENS;
 use http::Method;
+use http::Version;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -38,6 +39,8 @@
 const ABORT_SHARE: f64 = 0.03;
 /// Share of requests sent on a new connection.
 const NEW_CONNECTION_SHARE: f64 = 0.1;
+/// Of this many callers, one speaks HTTP/1.0, where any does.
+const OLD_CALLER_INTERVAL: usize = 4;
 /// Number of requests that crash targets.
 const POISON_REQUESTS: usize = 60;
 /// Pause between two such requests.
@@ -62,6 +65,18 @@
     pub(crate) addresses: Addresses,
     pub(crate) history: History,
     pub(crate) stop: Arc<AtomicBool>,
+    /// Whether some callers speak HTTP/1.0.
+    pub(crate) has_old_callers: bool,
+}
+
+impl CallerContext {
+    /// Returns the version of HTTP that a caller speaks.
+    fn version(&self, number: usize) -> Version {
+        match self.has_old_callers && number.is_multiple_of(OLD_CALLER_INTERVAL) {
+            true => Version::HTTP_10,
+            false => Version::HTTP_11,
+        }
+    }
 }
 
 /// Sends requests one after another until the stop flag is set.
@@ -73,8 +88,9 @@
         sleep(Duration::from_millis(rng.random_range(REQUEST_PAUSE_MS))).await;
         count += 1;
         let key_version = context.addresses.key_version();
-        let (kind, events, request) =
+        let (kind, events, mut request) =
             random_request(&mut rng, format!("{seed}-{number}-{count}"), key_version);
+        request.version = context.version(number);
         if rng.random_bool(NEW_CONNECTION_SHARE) {
             open = None;
         }
@@ -101,6 +117,7 @@
             ended: Instant::now(),
             is_connection_reused,
             caller_timeout_ms: request.deadline_ms,
+            version: request.version,
             resume: None,
             answer,
         };
@@ -133,6 +150,7 @@
         };
         let request = SentRequest {
             resume: Some(resume),
+            version: exchange.version,
             ..build_request(exchange.kind, attempt, exchange.events, key_version)
         };
         let node = rng.random_range(0..context.addresses.count());
@@ -170,6 +188,7 @@
         ended: Instant::now(),
         is_connection_reused: false,
         caller_timeout_ms: request.deadline_ms,
+        version: request.version,
         resume: request.resume,
         answer,
     }
@@ -274,5 +293,6 @@
         tokens: kind.is_stream().then_some((PROMPT_TOKENS, output)),
         shared_parts: Vec::new(),
         resume: None,
+        version: Version::HTTP_11,
     }
 }
