--- a/filbertpaddle/tests/soak/target_hosts.rs
+++ b/filbertpaddle/tests/soak/target_hosts.rs
@@ -45,6 +45,8 @@
 #[derive(Debug)]
 struct ExitedTarget {
     address: SocketAddr,
+    /// Time for which it was still cold.
+    cold_ms: u64,
     way: Way,
 }
 
@@ -172,24 +174,28 @@
         if restart == Restart::SameAddress {
             running.target.reset_unresumable();
         }
-        let address = running.target.address;
+        let (address, cold_ms) = (running.target.address, running.target.cold_ms());
         running.target.end().await;
-        let way = running.way;
-        host.exited = Some(ExitedTarget { address, way });
+        host.exited = Some(ExitedTarget {
+            address,
+            cold_ms,
+            way: running.way,
+        });
     }
 
     /// Starts the next incarnation of a target that has ended in order at its address, as warm as
     /// before and with the same version. Nodes may not know yet that it is another one.
     pub(crate) async fn restart_exited_target(&mut self, number: usize) {
         let host = &mut self.target_hosts[number];
-        let Some(ExitedTarget { address, mut way }) = host.exited.take() else {
+        let Some(exited) = host.exited.take() else {
             return;
         };
+        let mut way = exited.way;
         let mut options = host.options.clone();
         options.incarnation += 1;
-        options.cold_ms = 0;
+        options.cold_ms = exited.cold_ms;
         let (run_log, copies) = (self.run_log.clone(), self.copies.clone());
-        let target = Target::start_at(address, options.clone(), run_log, copies)
+        let target = Target::start_at(exited.address, options.clone(), run_log, copies)
             .await
             .unwrap();
         for (gate, passage) in way.gates.iter_mut().zip(self.passages) {
