Let a proxy of the tests reset its connections when it is closed

The soak closes the callers' proxy right after the kill; `Proxy::close` set the link to cut, but ended the tasks of its connections in the same moment, so that their sockets were closed in order.

A proxy that is closed now waits, for a second at most, until its connections have been reset, as its documentation states. Nothing in the product changes, and no check.

--- a/filbertpaddle-standins/src/proxy.rs
+++ b/filbertpaddle-standins/src/proxy.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use filbertpaddle_core::clock::Millis;
 use serde::Deserialize;
@@ -13,8 +14,10 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 use warp::Filter;
 use warp::Rejection;
 use warp::Reply;
@@ -26,6 +29,8 @@
 
 /// Size of the largest datagram that is forwarded.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
+/// Time in which a proxy that closes resets its connections.
+const RESET_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Faults of the link in effect; the default is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +84,8 @@
     /// Address that serves control requests.
     pub control: SocketAddr,
     state: ProxyState,
+    /// Notified when it is to stop accepting.
+    stop: Arc<Notify>,
     accept_task: tokio::task::JoinHandle<()>,
     datagram_task: tokio::task::JoinHandle<()>,
     control_server: Server,
@@ -128,13 +135,16 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let control_server = Server::start(control, routes(&state)).await?;
-        let accept_task = tokio::spawn(accept(listener, upstream, state.clone()));
+        let stop = Arc::new(Notify::new());
+        let accepting = accept(listener, upstream, state.clone(), Arc::clone(&stop));
+        let accept_task = tokio::spawn(accepting);
         let datagrams = UdpSocket::bind(address).await?;
         let datagram_task = tokio::spawn(relay_datagrams(datagrams, upstream, state.clone()));
         Ok(Self {
             address,
             control: control_server.address,
             state,
+            stop,
             accept_task,
             datagram_task,
             control_server,
@@ -167,7 +177,12 @@
     /// Resets all connections and stops accepting.
     pub async fn close(self) {
         self.set_link(Link::Cut);
-        self.accept_task.abort();
+        self.stop.notify_one();
+        // A connection that is dropped with its task would end in order.
+        let mut accept_task = self.accept_task;
+        if timeout(RESET_TIMEOUT, &mut accept_task).await.is_err() {
+            accept_task.abort();
+        }
         self.datagram_task.abort();
         self.control_server.close().await;
     }
@@ -183,11 +198,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, upstream: SocketAddr, state: ProxyState) {
+async fn accept(listener: TcpListener, upstream: SocketAddr, state: ProxyState, stop: Arc<Notify>) {
     // When this task is aborted, the set is dropped, which ends all connections.
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
+            () = stop.notified() => break,
             accepted = listener.accept() => {
                 let Ok((client, _)) = accepted else { continue };
                 state.counters.connections.fetch_add(1, Ordering::Relaxed);
@@ -196,6 +212,8 @@
             Some(_) = connections.join_next() => {}
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 /// Forwards datagrams to `upstream` while the link is open; others are lost. Replies do not come
--- a/filbertpaddle-standins/tests/proxy.rs
+++ b/filbertpaddle-standins/tests/proxy.rs
@@ -143,3 +143,13 @@
     send_and_receive(&mut connection.client, &mut connection.server).await;
     assert!(start.elapsed() >= delay);
 }
+
+/// An end in order states that a response without a length is complete.
+#[tokio::test]
+async fn a_proxy_that_is_closed_resets_its_connections() {
+    let mut connection = connect().await;
+    send_and_receive(&mut connection.client, &mut connection.server).await;
+    connection.proxy.close().await;
+    assert!(is_reset(&mut connection.client).await);
+    assert!(is_reset(&mut connection.server).await);
+}
