Cut off a resumable stream in doubt whose attempts breaks have used up

Callers saw a resumable stream as complete that its second target had closed in order between two events, without a length.

Such a stream is broken off: its caller can resume it, and a stream that has met a break has met targets that end early. One whose first run ends so on a route with a single attempt stays complete, as one that can't be asked for because of the retry budget or for lack of room.

Tried and taken back: one more send to the target that ran it, as the limit is on targets.

Tests: in `ends_in_doubt` the rest of an asked stream was sent without a length and taken for complete; that case is now expected to be cut, and those that are to be complete have chunks. `stream_end` has the decision.

--- a/filbertpaddle-forward/src/stream_end.rs
+++ b/filbertpaddle-forward/src/stream_end.rs
@@ -18,8 +18,12 @@
 /// End in order of a stream without a length, at a target that goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnstatedEnd {
-    /// Whether the stream may be sent once more, from its last event on.
+    /// Whether the stream may be resumed: by its caller, or within the answer.
     pub may_resume: bool,
+    /// Whether the route allows one more attempt within the answer.
+    pub has_sends_left: bool,
+    /// Whether a run of the stream has broken off before, within the answer.
+    pub has_broken: bool,
     /// Whether the last event has an ID, so that a target can be asked for those that follow it.
     pub is_placed: bool,
     /// Whether the run was an ask after another such end, and has sent no further event.
@@ -54,11 +58,14 @@
 }
 
 impl UnstatedEnd {
-    /// Returns what to do. Two runs that end after the same event agree that it is the last.
+    /// Returns what to do. Two runs that end after the same event agree that it is the last. A
+    /// stream that has used up its attempts by breaks is left to its caller to resume.
     pub fn step(&self) -> EndStep {
-        match self.is_placed && self.may_resume && !self.is_confirmation {
-            true => EndStep::Ask,
-            false => EndStep::Complete,
+        let is_in_doubt = self.is_placed && self.may_resume && !self.is_confirmation;
+        match is_in_doubt {
+            true if self.has_sends_left => EndStep::Ask,
+            true if self.has_broken => EndStep::CutOff,
+            _ => EndStep::Complete,
         }
     }
 }
--- a/filbertpaddle-gateway/src/generation_end.rs
+++ b/filbertpaddle-gateway/src/generation_end.rs
@@ -39,7 +39,15 @@
         if let Some(reason) = self.cut_off_reason(&source).await {
             return self.recover(source, reason).await.map(Some);
         }
-        if source.is_unframed() && self.end_step() == EndStep::Ask {
+        let step = match source.is_unframed() {
+            true => self.end_step(),
+            false => EndStep::Complete,
+        };
+        if step == EndStep::CutOff {
+            self.log_ask_outcome(&source.target, "no_attempt_left");
+            return Err(StopReason::Broken);
+        }
+        if step == EndStep::Ask {
             let ended = source.target.clone();
             source.close();
             self.release_placement();
@@ -54,9 +62,13 @@
         Ok(None)
     }
 
-    fn end_step(&self) -> EndStep {
+    fn end_step(&mut self) -> EndStep {
+        // An ask that brings events shows that the run before had broken off.
+        self.has_broken |= self.is_ask && self.has_begun;
         let end = UnstatedEnd {
-            may_resume: self.may_resend(),
+            may_resume: self.may_resume(),
+            has_sends_left: self.may_resend(),
+            has_broken: self.has_broken,
             is_placed: self.is_placed && self.last_event.is_some(),
             is_confirmation: self.is_ask && !self.has_begun,
         };
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -163,6 +163,7 @@
     }
 
     async fn record_broken(&mut self, source: &TargetStream, reason: &str) {
+        self.has_broken = true;
         let state = &self.job.state;
         info!(state.log, "stream of target broke off or stalled";
             "id" => self.job.metadata.attempt.as_str(),
@@ -194,13 +195,16 @@
         self.migrator.has_copy() || self.may_resend()
     }
 
-    /// Returns whether the request may be sent to one more target. Without the ID of an event to
-    /// go on from, that one would send again what the caller has.
+    /// Returns whether the request may be sent to one more target.
     pub(crate) fn may_resend(&self) -> bool {
+        self.may_resume() && self.progress.sends < self.job.route.max_attempts
+    }
+
+    /// Returns whether the request may run again to go on with the stream. Without the ID of an
+    /// event to go on from, a target would send again what the caller has.
+    pub(crate) fn may_resume(&self) -> bool {
         let has_place = self.last_event.is_some() || !self.has_content;
-        has_place
-            && self.job.route.kind.is_idempotent()
-            && self.progress.sends < self.job.route.max_attempts
+        has_place && self.job.route.kind.is_idempotent()
     }
 
     /// Watches the target if it has been silent for longer than sound ones are.
--- a/filbertpaddle/tests/gateway/ends_in_doubt.rs
+++ b/filbertpaddle/tests/gateway/ends_in_doubt.rs
@@ -39,6 +39,14 @@
     start_of_head(ATTEMPT) + UNFRAMED + &events
 }
 
+/// Returns a whole response in chunks that has the events up to `last` after `first`.
+fn chunked(first: u64, last: u64) -> String {
+    let body = unframed(first, last);
+    let (_, events) = body.split_once("\r\n\r\n").unwrap();
+    let head = start_of_head(ATTEMPT) + CHUNKED;
+    format!("{head}{:x}\r\n{events}\r\n0\r\n\r\n", events.len())
+}
+
 /// Starts a target that answers its first request with `first` and further ones with the parts of
 /// `next`.
 async fn start_target(first: String, next: &[&str]) -> RawTarget {
@@ -113,14 +121,16 @@
 /// Such a stream was complete at its caller after three events.
 #[tokio::test]
 async fn a_resumable_stream_that_its_target_closes_early_is_not_complete_there() {
-    for (name, next) in [
-        ("doubt-rest", unframed(EVENTS, ALL_EVENTS)),
-        ("doubt-repeated-rest", unframed(0, ALL_EVENTS)),
+    for (name, next, is_complete) in [
+        ("doubt-rest", chunked(EVENTS, ALL_EVENTS), true),
+        ("doubt-repeated-rest", chunked(0, ALL_EVENTS), true),
+        // No attempt is left to ask for the end of the second run.
+        ("doubt-unframed-rest", unframed(EVENTS, ALL_EVENTS), false),
     ] {
         let first = unframed(0, EVENTS);
         let outcome = Some("answered");
         let answer = answer_of(name, RESUMABLE_PATH, first, &[&next], outcome).await;
-        assert!(answer.is_complete, "{name}");
+        assert_eq!(answer.is_complete, is_complete, "{name}");
         let events = complete_stream(ATTEMPT, ALL_EVENTS);
         assert_eq!((answer.code(), answer.body), (200, events), "{name}");
     }
@@ -156,7 +166,7 @@
 async fn a_stream_whose_target_was_replaced_goes_on_at_another() {
     let replaced = start_of_head_with("421 Misdirected Request", ATTEMPT) + NOT_RUN + EMPTY;
     let target = start_target(unframed(0, EVENTS), &[&replaced]).await;
-    let other = start_target(unframed(EVENTS, ALL_EVENTS), &[]).await;
+    let other = start_target(chunked(EVENTS, ALL_EVENTS), &[]).await;
     let cluster = start_cluster("doubt-replaced", &target, &other).await;
     let sent = request(ATTEMPT, Method::POST, RESUMABLE_PATH, Some(40));
     let answer = cluster.send(&sent).await;
@@ -166,6 +176,20 @@
     assert_eq!((target.requests().len(), other.requests().len()), (2, 1));
 }
 
+/// Such a stream was complete, since no attempt was left to ask for its end.
+#[tokio::test]
+async fn a_stream_that_has_resumed_and_is_closed_early_is_not_complete_there() {
+    let target = start_target(unframed(0, 1) + "id: ", &[]).await;
+    let other = start_target(unframed(1, EVENTS), &[]).await;
+    let cluster = start_cluster("doubt-resumed", &target, &other).await;
+    let sent = request(ATTEMPT, Method::POST, RESUMABLE_PATH, Some(40));
+    let answer = cluster.send(&sent).await;
+    cluster.close();
+    assert!(!answer.is_complete);
+    assert_eq!(answer.body, complete_stream(ATTEMPT, EVENTS));
+    assert_eq!((target.requests().len(), other.requests().len()), (1, 1));
+}
+
 /// Guards whole streams: each of these confirms that nothing follows.
 #[tokio::test]
 async fn a_whole_stream_is_complete_once_its_target_confirms_its_end() {
