Test what a stopping node answers at the end of its grace period

Requests that still wait for their first byte when the grace period ends get no answer: their connections close with the process. The test sends a write and a stream that may not run twice to targets that run them and stay silent, stops the node, and expects status 502 for both. Streams that have begun must still be seen as cut.

--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod slow_reader;
 mod starting;
 mod stopping;
+mod stopping_ends;
 mod stopping_streams;
 mod streams;
 mod unframed;
