Answer what still waits when a stopping node's grace period ends

Callers see: a request that its target has not answered by the end of the grace period of a stopping node gets status 502 if it may have run, and 503 with a short Retry-After if it has not; before, its connection closed without an answer. Streams that have begun are cut at the exit as before, without their end.

Cause: the node exited 150 ms before the end of the grace period whatever was in flight, and nothing told the tasks of these requests.

Fix: the times of the last answers and of the exit are decided in drain.rs. From the first of these on, 150 ms before the exit, requests without an answer stop waiting for their targets and answer what they know, as they do at their deadlines. Requests that are still being admitted are refused with 503: nothing of them was sent.

Ruled out: telling begun streams earlier; they can only be cut, and their targets may still complete them. Waiting up to the exit; an answer needs time to be written.

--- a/filbertpaddle-forward/src/drain.rs
+++ b/filbertpaddle-forward/src/drain.rs
@@ -20,6 +20,11 @@
 /// caller's estimate. The load balancer no longer sends callers to the node by then.
 const STRICT_AFTER_MS: Millis = Millis(2_500);
 
+/// Time before the end of the grace period at which the node exits by itself.
+const EXIT_MARGIN_MS: Millis = Millis(150);
+/// Time before the exit in which the answers to requests that still wait are written.
+const ANSWER_TIME_MS: Millis = Millis(150);
+
 /// Estimated and maximum duration of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DurationEstimate {
@@ -44,6 +49,21 @@
         (self.began_ms + self.grace_ms).since(now)
     }
 
+    /// Returns the time at which requests without an answer are answered by the node itself,
+    /// since no target's answer could still be passed on.
+    pub fn answer_at_ms(&self) -> Millis {
+        self.before_end_ms(EXIT_MARGIN_MS + ANSWER_TIME_MS)
+    }
+
+    /// Returns the time at which the node exits, whatever is still running.
+    pub fn exit_at_ms(&self) -> Millis {
+        self.before_end_ms(EXIT_MARGIN_MS)
+    }
+
+    fn before_end_ms(&self, margin_ms: Millis) -> Millis {
+        self.began_ms + self.grace_ms.since(margin_ms)
+    }
+
     /// Returns whether a request that arrives at `now` is expected to end within the grace
     /// period.
     pub fn admits(&self, now: Millis, estimate: DurationEstimate) -> bool {
--- a/filbertpaddle-forward/tests/retry_budget_and_drain.rs
+++ b/filbertpaddle-forward/tests/retry_budget_and_drain.rs
@@ -100,3 +100,18 @@
     assert!(drain.admits(Millis(4_000), generation(100, 150)));
     assert!(!drain.admits(Millis(8_500), generation(1, 1)));
 }
+
+#[test]
+fn draining_node_answers_what_still_waits_before_it_exits() {
+    let drain = Drain {
+        began_ms: Millis(1_000),
+        grace_ms: Millis(8_000),
+    };
+    assert!(drain.answer_at_ms() < drain.exit_at_ms());
+    assert!(drain.exit_at_ms() < Millis(9_000));
+    let short = Drain {
+        grace_ms: Millis::ZERO,
+        ..drain
+    };
+    assert_eq!(short.exit_at_ms(), short.began_ms);
+}
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -153,7 +153,7 @@
     }
 
     async fn run(&mut self) -> Result<(), StopReason> {
-        let mut source = self.open().await?;
+        let mut source = self.begin().await?;
         loop {
             match self.next(&mut source).await {
                 WaitOutcome::Item(StreamItem::Event(event)) if self.is_unplaced(&event) => {
@@ -178,6 +178,16 @@
         }
     }
 
+    /// Begins the stream, unless the node stops before: the caller then gets an answer.
+    async fn begin(&mut self) -> Result<TargetStream, StopReason> {
+        let state = &self.job.state;
+        select! {
+            biased;
+            opened = self.open() => opened,
+            () = state.ending() => Err(StopReason::Stopping),
+        }
+    }
+
     /// Waits for the next event, the result of a copy, a change of targets or a timer.
     async fn next(&mut self, source: &mut TargetStream) -> WaitOutcome {
         self.check_draining(source);
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -105,6 +105,8 @@
     pub unreached_targets: Vec<Name>,
     /// Number of these that other nodes did not reach for it either.
     pub relay_failures: u32,
+    /// Whether it cannot end before this node stops.
+    pub is_stopped: bool,
     /// Why no target could be chosen last.
     pub placement_error: Option<PlacementError>,
     /// Software version that wrote the first event of the stream, if this attempt received it.
--- a/filbertpaddle-gateway/src/job_refusal.rs
+++ b/filbertpaddle-gateway/src/job_refusal.rs
@@ -19,6 +19,8 @@
 /// Time after which a caller may try again to resume a stream. Crashed targets of its version may
 /// be back by then.
 pub const RESUME_RETRY_MS: Millis = Millis::from_secs(1);
+/// Time after which a caller may retry, at another node, while this one stops.
+pub const STOPPING_RETRY_MS: Millis = Millis(50);
 /// Time after which a caller may retry a request that crashes targets.
 const QUARANTINE_RETRY_MS: Millis = Millis::from_secs(60);
 
@@ -30,8 +32,10 @@
         let is_versionless = progress.placement_error == Some(PlacementError::NoneOfVersion);
         match (progress.may_have_run || progress.is_in_flight, is_late) {
             (true, true) => Refusal::TimedOut,
+            (true, false) if progress.is_stopped => Refusal::StoppedUnanswered,
             (true, false) => Refusal::TargetFailed,
             (false, true) => Refusal::TimedOutUnsent,
+            (false, false) if progress.is_stopped => Refusal::Stopping,
             (false, false) if self.blocked_by().is_some() => Refusal::Quarantined,
             (false, false) if is_versionless => Refusal::NotResumable,
             (false, false) if is_full => Refusal::Overloaded,
@@ -61,6 +65,7 @@
             Refusal::Overloaded => Some(self.until_room_ms()),
             Refusal::Quarantined => Some(QUARANTINE_RETRY_MS),
             Refusal::NotResumable => Some(RESUME_RETRY_MS),
+            Refusal::Stopping => Some(STOPPING_RETRY_MS),
             _ => None,
         };
         reply::refuse(refusal, retry_after_ms)
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -43,8 +43,6 @@
 /// checks once a second and needs two failed checks.
 const BALANCER_GRACE_MS: Millis = Millis(2_500);
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time before the end of the grace period at which a stopping node exits by itself.
-const EXIT_MARGIN_MS: Millis = Millis(150);
 
 /// Reason why a node cannot run.
 #[derive(Debug, thiserror::Error)]
@@ -209,19 +207,24 @@
 
 /// Finishes running requests and those that it relays, and closes callers' connections.
 async fn drain(state: &State, phase: &watch::Sender<Phase>) {
-    let began_ms = state.clock.now();
-    let grace_ms = state.reloadable.borrow().grace_ms;
-    state.drain.set(Some(Drain { began_ms, grace_ms }));
+    let drain = Drain {
+        began_ms: state.clock.now(),
+        grace_ms: state.reloadable.borrow().grace_ms,
+    };
+    state.drain.set(Some(drain));
     info!(state.log, "node is stopping";
-        "in_flight" => state.in_flight.get(), "grace_ms" => grace_ms.0);
-    let elapsed_ms = || state.clock.now().since(began_ms);
-    while elapsed_ms() < BALANCER_GRACE_MS.min(grace_ms) {
+        "in_flight" => state.in_flight.get(), "grace_ms" => drain.grace_ms.0);
+    let now = || state.clock.now();
+    let listening_ms = BALANCER_GRACE_MS.min(drain.grace_ms);
+    while now() < drain.began_ms + listening_ms {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     phase.send_replace(Phase::Draining);
-    let end_ms = Millis(grace_ms.0.saturating_sub(EXIT_MARGIN_MS.0));
     let is_busy = || state.in_flight.get() > 0 || state.tunnels.get() > 0;
-    while is_busy() && elapsed_ms() < end_ms {
+    while is_busy() && now() < drain.exit_at_ms() {
+        if now() >= drain.answer_at_ms() {
+            state.is_ending.send_replace(true);
+        }
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     // A request admitted now would be cut off, so further ones are refused unsent.
@@ -229,12 +232,12 @@
     phase.send_replace(Phase::Closing);
     // Lets the last response bytes and log lines out.
     sleep(DRAIN_POLL_INTERVAL).await;
-    while state.connected.get() > 0 && elapsed_ms() < end_ms {
+    while state.connected.get() > 0 && now() < drain.exit_at_ms() {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     info!(state.log, "node stopped";
         "in_flight" => state.in_flight.get(), "connected" => state.connected.get(),
-        "tunnels" => state.tunnels.get(), "elapsed_ms" => elapsed_ms().0);
+        "tunnels" => state.tunnels.get(), "elapsed_ms" => now().since(drain.began_ms).0);
 }
 
 /// Binds an address and updates it with the port if the system chose one.
--- a/filbertpaddle-gateway/src/reply.rs
+++ b/filbertpaddle-gateway/src/reply.rs
@@ -62,6 +62,8 @@
     NotResumable,
     /// A target failed; the request may have run.
     TargetFailed,
+    /// The node stops before a target has answered; the request may have run.
+    StoppedUnanswered,
     /// The deadline has passed; the request may have run.
     TimedOut,
     /// The deadline has passed; the request has not run.
@@ -85,7 +87,7 @@
             | Self::Quarantined
             | Self::NotResumable
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
-            Self::TargetFailed => StatusCode::BAD_GATEWAY,
+            Self::TargetFailed | Self::StoppedUnanswered => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -36,6 +36,7 @@
 use crate::job::Progress;
 use crate::job_refusal::RESUME_RETRY_MS;
 use crate::job_refusal::RETRY_AFTER_MS;
+use crate::job_refusal::STOPPING_RETRY_MS;
 use crate::pace;
 use crate::reply;
 use crate::reply::Refusal;
@@ -50,8 +51,6 @@
 const BODY_TIMEOUT_MS: Millis = Millis::from_secs(10);
 /// Time after which a caller may retry if no configuration is known yet.
 const NOT_READY_RETRY_MS: Millis = Millis(500);
-/// Time after which a caller may retry, at another node, while this one stops.
-const STOPPING_RETRY_MS: Millis = Millis(50);
 /// Shortest time that a caller has spent when it returns after a refusal.
 const RETURN_MIN_MS: Millis = Millis(150);
 
@@ -63,7 +62,11 @@
 pub async fn serve(state: Rc<State>, request: Request<Incoming>) -> Result<Reply, Infallible> {
     let received_ms = state.clock.now();
     let guard = InFlightGuard::new(Rc::clone(&state));
-    let admitted = admit(&state, received_ms, request).await;
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit(&state, received_ms, request) => admitted,
+        () = state.ending() => Err(deny(&state, "", Refusal::Stopping, "not admitted yet")),
+    };
     let mut reply = match admitted {
         Ok(job) => run(job, guard).await,
         Err(denied) => denied,
@@ -308,6 +311,7 @@
         _ = gone => None,
         () = tokio::time::sleep_until(deadline) => Some(Err(Refusal::TimedOut)),
         result = buffered::serve(job, &mut progress) => Some(result),
+        () = job.state.ending() => Some(Err(Refusal::StoppedUnanswered)),
     };
     if let None | Some(Err(Refusal::TimedOut)) = result {
         job.watch_unanswered(&progress);
@@ -322,7 +326,8 @@
             job.record_sound();
             ("answered".to_owned(), reply)
         }
-        Err(Refusal::TimedOut) => {
+        Err(interrupted @ (Refusal::TimedOut | Refusal::StoppedUnanswered)) => {
+            progress.is_stopped |= interrupted == Refusal::StoppedUnanswered;
             let refusal = job.refusal(&progress);
             (refusal.to_string(), job.refusal_reply(refusal))
         }
@@ -351,6 +356,7 @@
             writer.send_reply(*reply).ok();
         }
         Err(stop) => {
+            progress.is_stopped |= matches!(stop, StopReason::Stopping);
             let refusal = match stop {
                 StopReason::Refused(refusal) => refusal,
                 _ => job.refusal(&progress),
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -129,6 +129,8 @@
     pub written_ms: Cell<Option<Millis>>,
     /// Notified when the node's entry is to be written again, or the list of nodes read again.
     pub registration_due: Notify,
+    /// Whether the node answers by itself all requests that still wait for an answer.
+    pub is_ending: watch::Sender<bool>,
     /// Drain of this node, once it has been signalled to stop.
     pub drain: Cell<Option<Drain>>,
     /// Number of callers' connections.
@@ -180,6 +182,7 @@
             version_exchange: OnceCell::new(),
             is_registered: Cell::new(false),
             is_closing: Cell::new(false),
+            is_ending: watch::Sender::new(false),
             is_store_moved: Cell::new(false),
             written_ms: Cell::default(),
             registration_due: Notify::new(),
@@ -190,6 +193,13 @@
         })
     }
 
+    /// Waits until the node answers by itself all requests that still wait for an answer.
+    pub async fn ending(&self) {
+        let mut is_ending = self.is_ending.subscribe();
+        // The sender lives as long as `self`.
+        is_ending.wait_for(|is_ending| *is_ending).await.ok();
+    }
+
     /// Applies a batch from `source` that was up to date at `as_of_ms`.
     pub fn apply(&self, source: &str, as_of_ms: Millis, batch: &Batch) {
         self.record_era(batch.revision.era);
--- a/filbertpaddle-gateway/src/stop_reason.rs
+++ b/filbertpaddle-gateway/src/stop_reason.rs
@@ -14,6 +14,8 @@
     Refused(Refusal),
     /// The stream broke off and could not be resumed.
     Broken,
+    /// The node stops before the stream has begun.
+    Stopping,
     /// The deadline has passed.
     TimedOut,
     /// The caller closed its connection.
@@ -32,6 +34,7 @@
         match self {
             Self::Failed(_) => "failed",
             Self::Refused(_) | Self::Broken => "broken",
+            Self::Stopping => "stopping",
             Self::TimedOut => "timed_out",
             Self::CallerGone => "caller_gone",
         }
