Test that a stopping node sends on only what can still end

Whether a request ends within the grace period is decided at its admission only. The test sends a long stream, a short one and a write, which its targets hold without running them, stops the node and lets the targets refuse them 5 s later, when others are there. The long stream and the write would be cut at the others, so they are to be refused unrun with 503; the short stream can still end and is to be complete.

--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod starting;
 mod stopping;
 mod stopping_ends;
+mod stopping_sends;
 mod stopping_streams;
 mod streams;
 mod unframed;
