Decide at each send whether a stopping node still sends a request

Callers see: a request that waits at a stopping node until it cannot end within the grace period is refused with 503 and a short Retry-After, unrun, instead of being sent to one more target and cut. A resumable stream that may have run and of which nothing was passed on gets 502 then.

Cause: whether a request can end was decided at its admission only. Requests taken before the stop were not looked at, and a request may wait after its admission: for the versions that began a stream, for room, and for a target that refuses it late.

Fix: each send goes through the decision in drain.rs, with the time of then. What has not run, and streams of which nothing was passed on, must end in time, by the same estimate as at admission; a whole response takes at most what is left until its deadline. The rest of an answer that has begun is still resumed, since it would be broken off otherwise. A repeatable request with a whole response that may have run is still repeated: at the end it gets the answer that it would get now.

Ruled out: a fixed reserve for the waits; a target may hold a request for as long as its deadline. Counting a generation that resumes by its remaining output only; the estimate at admission does not either. A check between the connection and the first byte: connections take 0.12 s, relayed ones 0.7 s more at most, and the reserve of a tenth of the grace period covers that.

--- a/filbertpaddle-forward/src/drain.rs
+++ b/filbertpaddle-forward/src/drain.rs
@@ -1,9 +1,10 @@
-//! Admission of requests at a node that is draining.
+//! Admission of requests at a node that is draining, and their sends to targets.
 //!
 //! After a stop begins, the load balancer still sends callers for some seconds, and
 //! requests arrive on kept-alive connections. A request that is unlikely to end within the
 //! grace period is refused before it runs rather than cut off, and its caller retries it
-//! at another node.
+//! at another node. A request may wait for long after its admission, for room or for a target
+//! that then refuses it, so the same is decided again at each send.
 
 use filbertpaddle_core::clock::Millis;
 
@@ -34,6 +35,30 @@
     pub max_ms: Millis,
 }
 
+impl DurationEstimate {
+    /// Returns the estimate for a request whose deadline is at the end of `remaining_ms`.
+    #[must_use]
+    pub fn within(self, remaining_ms: Millis) -> Self {
+        Self {
+            expected_ms: self.expected_ms.min(remaining_ms),
+            max_ms: self.max_ms.min(remaining_ms),
+        }
+    }
+}
+
+/// How far a request is that is to be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendStage {
+    /// It has not run.
+    Unrun,
+    /// It may have run, and its answer is sent as a whole.
+    RepeatedWhole,
+    /// It may have run, and its answer is a stream that has not begun.
+    RepeatedStream,
+    /// Its caller has received a part of its answer.
+    Begun,
+}
+
 /// Graceful stop in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Drain {
@@ -76,6 +101,18 @@
         let reserve_ms = Millis(self.grace_ms.0 * GRACE_RESERVE_PERCENT / 100);
         now + expected_ms + reserve_ms < self.began_ms + self.grace_ms
     }
+
+    /// Returns whether a request may be sent to a target at `now`, as far as the stop goes.
+    pub fn allows_send(&self, now: Millis, stage: SendStage, estimate: DurationEstimate) -> bool {
+        match stage {
+            // Once it runs, it can only be cut or fail; unrun, it is safe at another node.
+            SendStage::Unrun | SendStage::RepeatedStream => self.admits(now, estimate),
+            // If it does not end, its caller still gets the answer that it would get now.
+            SendStage::RepeatedWhole => true,
+            // It would be broken off otherwise.
+            SendStage::Begun => true,
+        }
+    }
 }
 
 /// Returns the estimated and the maximum duration of a generation at a pace.
--- a/filbertpaddle-forward/tests/retry_budget_and_drain.rs
+++ b/filbertpaddle-forward/tests/retry_budget_and_drain.rs
@@ -3,6 +3,8 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::drain;
 use filbertpaddle_forward::drain::Drain;
+use filbertpaddle_forward::drain::DurationEstimate;
+use filbertpaddle_forward::drain::SendStage;
 use filbertpaddle_forward::request_metadata::GenerationSize;
 use filbertpaddle_forward::retry_budget::RetryBudget;
 use filbertpaddle_forward::retry_budget::RetryLimits;
@@ -115,3 +117,24 @@
     };
     assert_eq!(short.exit_at_ms(), short.began_ms);
 }
+
+#[test]
+fn draining_node_sends_what_can_end_or_would_be_broken_off() {
+    let drain = Drain {
+        began_ms: Millis(1_000),
+        grace_ms: Millis(8_000),
+    };
+    let long = DurationEstimate {
+        expected_ms: Millis(3_000),
+        max_ms: Millis(3_000),
+    };
+    let allows = |stage, estimate| drain.allows_send(Millis(6_000), stage, estimate);
+    for stage in [SendStage::Unrun, SendStage::RepeatedStream] {
+        assert!(!allows(stage, long), "{stage:?}");
+        // Its deadline ends it before.
+        assert!(allows(stage, long.within(Millis(2_000))), "{stage:?}");
+    }
+    for stage in [SendStage::RepeatedWhole, SendStage::Begun] {
+        assert!(allows(stage, long), "{stage:?}");
+    }
+}
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -356,6 +356,7 @@
         self.record_started(target);
         self.job.record_first_event(self.progress, target).await;
         if !self.writer.is_started() {
+            self.progress.has_begun = true;
             let started = self.writer.start_stream(response.head);
             started.map_err(|gone| OpenError::Stopped(gone.into()))?;
         }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -105,6 +105,8 @@
     pub unreached_targets: Vec<Name>,
     /// Number of these that other nodes did not reach for it either.
     pub relay_failures: u32,
+    /// Whether its caller has been sent the head of a stream.
+    pub has_begun: bool,
     /// Whether it cannot end before this node stops.
     pub is_stopped: bool,
     /// Why no target could be chosen last.
@@ -337,13 +339,17 @@
         is_allowed && progress.connects < MAX_CONNECT_ATTEMPTS && self.remaining_ms() > Millis::ZERO
     }
 
-    /// Returns whether the request may be sent now: it must not crash targets, and once it has
-    /// reached any, each further send takes a retry from this node's share of the service's
-    /// budget.
-    pub fn may_send(&self, progress: &Progress) -> bool {
+    /// Returns whether the request may be sent now: it must not crash targets, nor be cut by the
+    /// stop of this node, and once it has reached any, each further send takes a retry from this
+    /// node's share of the service's budget.
+    pub fn may_send(&self, progress: &mut Progress) -> bool {
         if self.is_quarantined() {
             return false;
         }
+        if !self.allows_send(progress) {
+            progress.is_stopped = true;
+            return false;
+        }
         (progress.sends == 0 && !progress.was_misdirected) || self.take_retry()
     }
 
--- a/filbertpaddle-gateway/src/pace.rs
+++ b/filbertpaddle-gateway/src/pace.rs
@@ -5,6 +5,7 @@
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::drain;
 use filbertpaddle_forward::drain::DurationEstimate;
+use filbertpaddle_forward::drain::SendStage;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::service_pace::Pace;
 use filbertpaddle_forward::service_pace::PaceSample;
@@ -12,6 +13,7 @@
 
 use crate::generation::Generation;
 use crate::job::Job;
+use crate::job::Progress;
 use crate::state::State;
 
 /// Returns how long a request on a route may take.
@@ -50,6 +52,43 @@
 }
 
 impl Job {
+    /// Returns whether it may be sent to a target now, as far as a stop of this node goes.
+    pub(crate) fn allows_send(&self, progress: &Progress) -> bool {
+        let Some(drain) = self.state.drain.get() else {
+            return true;
+        };
+        let now = self.state.clock.now();
+        drain.allows_send(now, self.send_stage(progress), self.estimate_duration())
+    }
+
+    fn send_stage(&self, progress: &Progress) -> SendStage {
+        match progress {
+            Progress {
+                has_begun: true, ..
+            } => SendStage::Begun,
+            Progress {
+                may_have_run: false,
+                ..
+            } => SendStage::Unrun,
+            _ if self.route.kind.is_stream() => SendStage::RepeatedStream,
+            _ => SendStage::RepeatedWhole,
+        }
+    }
+
+    /// Returns how long it may take if it is sent to a target now.
+    fn estimate_duration(&self) -> DurationEstimate {
+        let remaining_ms = self.remaining_ms();
+        let whole = DurationEstimate {
+            expected_ms: remaining_ms,
+            max_ms: remaining_ms,
+        };
+        let pace = self.pace_by(ServicePace::planned);
+        let generation = self.metadata.generation.as_ref();
+        generation.map_or(whole, |generation| {
+            drain::estimate_duration(generation, &pace).within(remaining_ms)
+        })
+    }
+
     /// Returns the time in which its output is complete after `events` have been delivered.
     pub(crate) fn remaining_output_ms(&self, events: u64) -> Millis {
         let pace = self.pace_by(ServicePace::planned);
