Test the end of a grace period that is shorter than the balancer needs

A node with a grace period of 2 s waits 2.5 s for the balancer at most, but no shorter than the whole grace period, and then exits without an answer to a write that waits. On this code the test fails: no status instead of 502.

--- a/filbertpaddle/tests/gateway/stopping_ends.rs
+++ b/filbertpaddle/tests/gateway/stopping_ends.rs
@@ -70,3 +70,22 @@
     assert!(process.wait().unwrap().success());
     cluster.close();
 }
+
+/// A node whose grace period is shorter than the balancer needs waited past its end.
+#[tokio::test]
+async fn a_short_grace_period_ends_with_an_answer_too() {
+    let mut cluster = Cluster::new("stopping-short").await;
+    cluster.add_target("p1", "app", "dc-a").await;
+    let mut options = cluster.node_options("node-0", "dc-a");
+    options.grace_s = 2;
+    cluster.start_node(&options);
+    cluster.wait_until_ready().await;
+    cluster.targets[0].set_behaviour(Behaviour::Unresponsive);
+    let write = send(&cluster, "write", WRITE_PATH, None);
+    wait_until_run(&cluster, &["write"]).await;
+    cluster.nodes[0].process.terminate().unwrap();
+    let answer = write.await.unwrap();
+    assert_eq!((answer.code(), answer.is_complete), (502, true));
+    assert!(cluster.nodes[0].process.wait().unwrap().success());
+    cluster.close();
+}
