Answer what waits at the end of a short grace period too

Callers see: a node whose grace period is shorter than 2.65 s answers the requests that still wait at its end, as others do; before, their connections closed without an answer.

Cause: the node first waited for the balancer, for the whole of a short grace period, and looked at what was in flight only then, past the time of its exit. The reserve of a tenth of a short period is also less than the time for the last answers, so requests that came within that time were still admitted.

Fix: the wait for the balancer ends with the time of the last answers, and nothing is admitted that would end after it. Nothing changes from a grace period of 3 s on.

--- a/filbertpaddle-forward/src/drain.rs
+++ b/filbertpaddle-forward/src/drain.rs
@@ -99,7 +99,8 @@
             estimate.expected_ms
         };
         let reserve_ms = Millis(self.grace_ms.0 * GRACE_RESERVE_PERCENT / 100);
-        now + expected_ms + reserve_ms < self.began_ms + self.grace_ms
+        let end_ms = self.before_end_ms(reserve_ms).min(self.answer_at_ms());
+        now + expected_ms < end_ms
     }
 
     /// Returns whether a request may be sent to a target at `now`, as far as the stop goes.
--- a/filbertpaddle-forward/tests/retry_budget_and_drain.rs
+++ b/filbertpaddle-forward/tests/retry_budget_and_drain.rs
@@ -116,6 +116,16 @@
         ..drain
     };
     assert_eq!(short.exit_at_ms(), short.began_ms);
+    // A tenth of this period is less than the time for the last answers.
+    let brief = Drain {
+        grace_ms: Millis(1_000),
+        ..drain
+    };
+    let estimate = DurationEstimate {
+        expected_ms: Millis::ZERO,
+        max_ms: Millis::ZERO,
+    };
+    assert!(!brief.admits(brief.answer_at_ms(), estimate));
 }
 
 #[test]
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -215,8 +215,8 @@
     info!(state.log, "node is stopping";
         "in_flight" => state.in_flight.get(), "grace_ms" => drain.grace_ms.0);
     let now = || state.clock.now();
-    let listening_ms = BALANCER_GRACE_MS.min(drain.grace_ms);
-    while now() < drain.began_ms + listening_ms {
+    let idle_close_ms = drain.answer_at_ms().min(drain.began_ms + BALANCER_GRACE_MS);
+    while now() < idle_close_ms {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     phase.send_replace(Phase::Draining);
