--- a/filbertpaddle-forward/tests/event_stream_and_migration.rs
+++ b/filbertpaddle-forward/tests/event_stream_and_migration.rs
@@ -1,5 +1,7 @@
 //! Splitting of event streams, and the steps of a migration.
 
+#![expect(clippy::unwrap_used, reason = "a panic fails the test")]
+
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::event_stream::Event;
 use filbertpaddle_forward::event_stream::EventSplitter;
