Guard the ends of relayed connections by tests

At a node that is cut off, a stream without a length through another node is complete only if its target ends it in order and goes on; not if it resets it at once or 30 ms later, exits, or leaves its listener to a process that closes connections, nor if the relaying node is killed. Of the frames that end a tunnel, only that of an orderly end does so in order: not one without a code or with another, nor a frame that is cut short, with or without a reset.

By reading: a relaying node that ends its process sends no such frame; an error of a write to the target ends the tunnel before its connection is read again, so that it cannot be read as an orderly end.

--- a/filbertpaddle-gateway/tests/tunnel.rs
+++ b/filbertpaddle-gateway/tests/tunnel.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message as Frame;
+use tokio_tungstenite::tungstenite::protocol::CloseFrame;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
 
 async fn open() -> (RelayedStream, WebSocketStream<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -68,3 +70,35 @@
     let error = stream.read_to_end(&mut received).await.unwrap_err();
     assert_eq!(error.kind(), ErrorKind::ConnectionReset);
 }
+
+#[tokio::test]
+async fn only_the_close_frame_of_an_orderly_end_ends_a_tunnel_in_order() {
+    let going_away = CloseFrame {
+        code: CloseCode::Away,
+        reason: "".into(),
+    };
+    for close in [None, Some(going_away)] {
+        let (mut stream, mut relaying) = open().await;
+        relaying.send(Frame::Close(close.clone())).await.unwrap();
+        let error = stream.read_to_end(&mut Vec::new()).await.unwrap_err();
+        assert_eq!(error.kind(), ErrorKind::ConnectionReset, "{close:?}");
+    }
+}
+
+/// What a frame that is cut short has begun with must not pass for the end.
+#[tokio::test]
+async fn a_tunnel_that_is_cut_or_reset_within_a_frame_does_not_end_in_order() {
+    /// Head of a frame of 100 bytes, and the close frame of an orderly end without its code's end.
+    const CUT_FRAMES: [&[u8]; 2] = [&[0x82, 100, b'a'], &[0x88, 2, 3]];
+    for cut in CUT_FRAMES {
+        for is_reset in [false, true] {
+            let (mut stream, mut relaying) = open().await;
+            relaying.get_mut().write_all(cut).await.unwrap();
+            if is_reset {
+                relaying.get_mut().set_zero_linger().unwrap();
+            }
+            drop(relaying);
+            stream.read_to_end(&mut Vec::new()).await.unwrap_err();
+        }
+    }
+}
--- a/filbertpaddle/tests/gateway/cut_from_targets.rs
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -7,6 +7,7 @@
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::caller::ReceivedAnswer;
 use filbertpaddle_adapter_standins::caller::SentRequest;
+use filbertpaddle_adapter_standins::store::View;
 use filbertpaddle_adapter_standins::target::Behaviour;
 use filbertpaddle_standins::gate::Gate;
 use filbertpaddle_standins::gate::Passage;
@@ -15,6 +16,7 @@
 use futures_util::StreamExt;
 use http::Method;
 use serde::Serialize;
+use serde_json::Value;
 use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -43,14 +45,16 @@
 
 /// One node in each of three data centres, each of which reaches the targets through gates of its
 /// own.
-struct GatedCluster {
-    cluster: Cluster,
+pub(crate) struct GatedCluster {
+    pub(crate) cluster: Cluster,
     /// Gates by node.
     gates: Vec<Vec<Gate>>,
+    /// Views of the store by node.
+    views: Vec<View>,
 }
 
 impl GatedCluster {
-    async fn start(name: &str) -> Self {
+    pub(crate) async fn start(name: &str) -> Self {
         let mut cluster = Cluster::new(name).await;
         let mut views = Vec::new();
         for _ in DATA_CENTRES {
@@ -79,11 +83,28 @@
         }
         cluster.wait_until_ready().await;
         cluster.wait_until_registered().await;
-        let started = Self { cluster, gates };
+        let started = Self {
+            cluster,
+            gates,
+            views,
+        };
         started.wait_until_linked().await;
         started
     }
 
+    /// Adds a target that this process runs itself, behind gates that are open.
+    pub(crate) async fn add_raw_target(&mut self, id: &str, entry: &Value) {
+        let address = entry["address"].as_str().unwrap().parse().unwrap();
+        for (view, gates) in self.views.iter().zip(&mut self.gates) {
+            let gate = Gate::start(address).await.unwrap();
+            self.cluster
+                .store
+                .replace_in_view(*view, address, gate.address);
+            gates.push(gate);
+        }
+        self.cluster.store.put_target(id, entry);
+    }
+
     /// Waits until each node knows all others.
     async fn wait_until_linked(&self) {
         for number in 0..DATA_CENTRES.len() {
@@ -98,18 +119,18 @@
         sleep(Duration::from_secs(1)).await;
     }
 
-    async fn set(&mut self, node: usize, passage: Passage) {
+    pub(crate) async fn set(&mut self, node: usize, passage: Passage) {
         for gate in &mut self.gates[node] {
             gate.set(passage).await.unwrap();
         }
     }
 
-    async fn send(&self, node: usize, request: &SentRequest) -> ReceivedAnswer {
+    pub(crate) async fn send(&self, node: usize, request: &SentRequest) -> ReceivedAnswer {
         caller::send(self.cluster.nodes[node].addresses.callers, request).await
     }
 
     /// Sends a request in a task of its own.
-    fn spawn(&self, node: usize, request: SentRequest) -> JoinHandle<ReceivedAnswer> {
+    pub(crate) fn spawn(&self, node: usize, request: SentRequest) -> JoinHandle<ReceivedAnswer> {
         let address = self.cluster.nodes[node].addresses.callers;
         tokio::spawn(async move { caller::send(address, &request).await })
     }
@@ -141,7 +162,7 @@
     }
 
     /// Sends requests for the time that nodes may take to notice a cut.
-    async fn send_until_noticed(&self, node: usize, prefix: &str) {
+    pub(crate) async fn send_until_noticed(&self, node: usize, prefix: &str) {
         let start = Instant::now();
         let mut round = 0;
         while start.elapsed() < NOTICE_TIME {
@@ -153,7 +174,7 @@
         }
     }
 
-    fn close(self) {
+    pub(crate) fn close(self) {
         self.cluster.close();
     }
 }
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod paged_nodes;
 mod rate_limits;
 mod refusals;
+mod relayed_ends;
 mod repeated_refusals;
 mod resumed_ends;
 mod rollback;
