Cut off a resumable stream in doubt while all targets are failing

A target with recent failures is the likely cause of the end, so that the stream is broken off and its caller can resume it. Where it was too late to ask, or the budget or the room did not allow it, the stream stays complete: that shows nothing against it. The outcome is logged as `targets_failing`.

--- a/filbertpaddle-forward/src/stream_end.rs
+++ b/filbertpaddle-forward/src/stream_end.rs
@@ -45,6 +45,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum AskFailure {
+    /// It was too late for it, there was no room, or the budget for retries was used up.
+    NotSent,
+    /// The target that had closed the stream has failed recently, and so have all others.
+    TargetsFailing,
     /// No target has run it.
     NotRun,
     /// No answer came in time, or the node that relayed the connection lost it.
@@ -75,8 +79,8 @@
     /// has nothing to send ends at once, and seldom fails before.
     pub fn step(self) -> EndStep {
         match self {
-            Self::NotRun | Self::NoAnswer | Self::Declined => EndStep::Complete,
-            Self::Failed | Self::TargetEnded => EndStep::CutOff,
+            Self::NotSent | Self::NotRun | Self::NoAnswer | Self::Declined => EndStep::Complete,
+            Self::TargetsFailing | Self::Failed | Self::TargetEnded => EndStep::CutOff,
         }
     }
 }
--- a/filbertpaddle-forward/tests/stream_end.rs
+++ b/filbertpaddle-forward/tests/stream_end.rs
@@ -57,13 +57,18 @@
 #[test]
 fn only_a_sign_of_a_failure_counts_against_an_end() {
     for failure in [
+        AskFailure::NotSent,
         AskFailure::NotRun,
         AskFailure::NoAnswer,
         AskFailure::Declined,
     ] {
         assert_eq!(failure.step(), EndStep::Complete, "{failure}");
     }
-    for failure in [AskFailure::Failed, AskFailure::TargetEnded] {
+    for failure in [
+        AskFailure::TargetsFailing,
+        AskFailure::Failed,
+        AskFailure::TargetEnded,
+    ] {
         assert_eq!(failure.step(), EndStep::CutOff, "{failure}");
     }
 }
--- a/filbertpaddle-gateway/src/generation_end.rs
+++ b/filbertpaddle-gateway/src/generation_end.rs
@@ -6,6 +6,7 @@
 use filbertpaddle_forward::stream_end::EndStep;
 use filbertpaddle_forward::stream_end::UnstatedEnd;
 use filbertpaddle_forward::target::Target;
+use filbertpaddle_forward::target_selector::PlacementError;
 use slog::info;
 use tokio::time::timeout;
 
@@ -51,17 +52,28 @@
             let ended = source.target.clone();
             source.close();
             self.release_placement();
-            if let Some((target, timeout_ms)) = self.choose_asked(&ended) {
-                return self.ask(&ended, &target, timeout_ms).await;
-            }
-            self.log_ask_outcome(&ended, "not_sent");
-            self.record_complete(&ended);
-            return Ok(None);
+            return self.ask_after(&ended).await;
         }
         self.record_complete(&source.target);
         Ok(None)
     }
 
+    /// Asks what follows the stream that `ended` has closed, if a target may be sent that now.
+    async fn ask_after(&mut self, ended: &Target) -> Result<Option<TargetStream>, StopReason> {
+        let unsent = match self.choose_asked(ended) {
+            Ok((target, timeout_ms)) => return self.ask(ended, &target, timeout_ms).await,
+            Err(unsent) => unsent,
+        };
+        self.log_ask_outcome(ended, &unsent.to_string());
+        match unsent.step() {
+            EndStep::Complete | EndStep::Ask => {
+                self.record_complete(ended);
+                Ok(None)
+            }
+            EndStep::CutOff => Err(StopReason::Broken),
+        }
+    }
+
     fn end_step(&mut self) -> EndStep {
         // An ask that brings events shows that the run before had broken off.
         self.has_broken |= self.is_ask && self.has_begun;
@@ -76,8 +88,8 @@
     }
 
     /// Chooses the target that is asked, and how long its answer is awaited: the one of the
-    /// stream, which holds what it has read, or else another. `None` if none may be sent it now.
-    fn choose_asked(&mut self, ended: &Target) -> Option<(Target, Millis)> {
+    /// stream, which holds what it has read, or else another.
+    fn choose_asked(&mut self, ended: &Target) -> Result<(Target, Millis), AskFailure> {
         let job = self.job;
         let now = job.state.clock.now();
         let drain = job.state.drain.get();
@@ -85,12 +97,16 @@
             job.route.latency_goal_ms,
             job.remaining_ms(),
             drain.map(|drain| drain.remaining_ms(now)),
-        )?;
+        );
+        let timeout_ms = timeout_ms.ok_or(AskFailure::NotSent)?;
         let target = match job.may_return_to(self.progress, ended) {
             true => ended.clone(),
-            false => job.choose_target(self.progress).ok()?,
+            false => job.choose_target(self.progress).map_err(unsent_reason)?,
         };
-        job.may_send(self.progress).then_some((target, timeout_ms))
+        let asked = (target, timeout_ms);
+        job.may_send(self.progress)
+            .then_some(asked)
+            .ok_or(AskFailure::NotSent)
     }
 
     /// Sends the request to `target` to resume after the last event of the stream that `ended` has
@@ -201,6 +217,14 @@
     }
 }
 
+/// Returns why an ask is not sent, if no target could be chosen for it.
+fn unsent_reason(error: PlacementError) -> AskFailure {
+    match error {
+        PlacementError::AllFailing => AskFailure::TargetsFailing,
+        _ => AskFailure::NotSent,
+    }
+}
+
 /// Returns what the failure of an ask shows about the stream's end.
 fn shown_by(failure: &Failure, is_same_target: bool) -> AskFailure {
     match failure {
