--- a/filbertpaddle-gateway/src/ended_response.rs
+++ b/filbertpaddle-gateway/src/ended_response.rs
@@ -9,7 +9,6 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::connection_pool::Error;
 use crate::connection_pool::Transport;
 use crate::state::State;
 use crate::target_call;
@@ -58,11 +57,8 @@
     let Ok(answer) = timeout(REPORT_TIMEOUT, answer).await else {
         return Finding::Silent;
     };
-    let (head, bytes) = match answer {
-        Ok(answer) => answer,
-        // No sign of the state of the target.
-        Err(Error::RelayLost(_)) => return Finding::Silent,
-        Err(_) => return Finding::Closed,
+    let Ok((head, bytes)) = answer else {
+        return Finding::Closed;
     };
     if head.status.is_server_error() || head.status == StatusCode::MISDIRECTED_REQUEST {
         return Finding::Failed;
