Guard the ends of responses of the own interface in HTTP/1.0

The hop from node to caller has the same cause here, and is sound: a stream without chunks always ends with an explicit event, which a stream whose node is killed lacks, and whole answers and refusals have a length. A second template is seeded for them.

By reading, also sound: readiness checks, metrics, health checks, operators' routes and pages of tables are whole bodies whose length is known; nothing wraps them.

--- a/filbertpaddle/tests/common/caller.rs
+++ b/filbertpaddle/tests/common/caller.rs
@@ -32,17 +32,27 @@
     text: &str,
     key: Option<&str>,
 ) -> reqwest::Response {
-    let body = serde_json::json!({"template": template, "parameters": {"text": text}});
-    let mut request = reqwest::Client::new()
-        .post(format!("http://{node}/v1/requests"))
-        .bearer_auth(CUSTOMER_KEY)
-        .json(&body);
+    let mut request = request(node, template, text);
     if let Some(key) = key {
         request = request.header("idempotency-key", key);
     }
     request.send().await.unwrap()
 }
 
+/// Sends a request as [`send`] does, in HTTP/1.0.
+pub async fn send_http10(node: SocketAddr, template: &str, text: &str) -> reqwest::Response {
+    let request = request(node, template, text).version(reqwest::Version::HTTP_10);
+    request.send().await.unwrap()
+}
+
+fn request(node: SocketAddr, template: &str, text: &str) -> reqwest::RequestBuilder {
+    let body = serde_json::json!({"template": template, "parameters": {"text": text}});
+    reqwest::Client::new()
+        .post(format!("http://{node}/v1/requests"))
+        .bearer_auth(CUSTOMER_KEY)
+        .json(&body)
+}
+
 /// Resumes a stream at token `from`.
 pub async fn resume(node: SocketAddr, ticket: &str, from: u32) -> reqwest::Response {
     let body = serde_json::json!({"ticket": ticket, "from": from});
--- a/filbertpaddle/tests/streaming.rs
+++ b/filbertpaddle/tests/streaming.rs
@@ -13,6 +13,8 @@
 use common::fleet::StandIn;
 use filbertpaddle_core::outcome::Outcome;
 use filbertpaddle_core::outcome::Reason;
+use filbertpaddle_core::template::DeliveryMode;
+use filbertpaddle_core::template::Template;
 
 async fn start() -> (Platform, StandIn, Vec<Node>) {
     start_at_speed("20").await
@@ -22,7 +24,10 @@
     let mut platform = Platform::start();
     let engine = StandIn::start(&["engine", "--seed", "7", "--speed", speed]);
     platform
-        .seed(&[("summary", fleet::template("teacher"))])
+        .seed(&[
+            ("summary", fleet::template("teacher")),
+            ("whole", whole_template()),
+        ])
         .await;
     platform
         .list_target("engine-1", "north", "teacher", engine.address)
@@ -44,6 +49,12 @@
     (platform, engine, nodes)
 }
 
+fn whole_template() -> Template {
+    let mut template = fleet::template("teacher");
+    template.delivery = DeliveryMode::Whole;
+    template
+}
+
 async fn stream(node: &Node, text: &str) -> Stream {
     let response = common::wait::until("a stream is open", async || {
         let response = caller::send(node.addresses.callers, "summary", text, None).await;
@@ -105,3 +116,29 @@
     assert_eq!(whole.len(), rest.len() + 1);
     assert!(!text.is_empty());
 }
+
+/// Streams to such callers have no chunks, and those of dead processes are closed in order.
+#[tokio::test]
+async fn a_stream_that_is_cut_has_no_outcome_at_a_caller_of_http_1_0() {
+    let (_platform, _engine, mut nodes) = start_at_speed("1").await;
+    drop(stream(&nodes[0], "the first").await);
+    let response = caller::send_http10(nodes[0].addresses.callers, "summary", "a summary").await;
+    assert_eq!(response.version(), reqwest::Version::HTTP_10);
+    let mut stream = Stream::open(response);
+    assert!(matches!(stream.next().await, Some(Event::Start { .. })));
+    nodes.remove(0).process.close();
+    let (_, outcome) = stream.rest().await;
+    assert_eq!(outcome, None);
+}
+
+#[tokio::test]
+async fn whole_answers_have_a_length_at_a_caller_of_http_1_0() {
+    let (_platform, _engine, nodes) = start().await;
+    drop(stream(&nodes[0], "the first").await);
+    for (template, status) in [("whole", 200), ("unknown", 400)] {
+        let node = nodes[0].addresses.callers;
+        let response = caller::send_http10(node, template, "a summary").await;
+        assert_eq!(response.status(), status);
+        assert!(response.content_length() > Some(0), "{response:?}");
+    }
+}
