Doubt a target only if its answer to the report lacks a head

A fault of "Ask an engine for a report before its response without a length is whole", found by an existing test: a whole stream was cut where what answers the report has a body that this node has no room for.

Cause: any error of the call counted as a connection that was closed without an answer, also one of this node's own limit on what it buffers.

The head of a response shows that something answers. An error in its body, whichever end is at fault, does not say that the target has gone; it counts as an answer without a report.

--- a/filbertpaddle-gateway/src/ended_response.rs
+++ b/filbertpaddle-gateway/src/ended_response.rs
@@ -9,9 +9,10 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::connection_pool::Reuse;
 use crate::connection_pool::Transport;
 use crate::state::State;
-use crate::target_call;
+use crate::store_sync::http_request;
 use crate::target_connection;
 use crate::tunnel::Purpose;
 
@@ -50,19 +51,30 @@
 
 /// Asks a target for its report.
 async fn ask(state: &State, target: &Target, transport: Transport) -> Finding {
-    let calls = state.platform.engine;
     state.metrics.count("target.reports");
-    let call = (calls.report)();
-    let answer = target_call::call_on(state, target, &call, REPORT_TIMEOUT * 2, transport);
-    let Ok(answer) = timeout(REPORT_TIMEOUT, answer).await else {
-        return Finding::Silent;
-    };
-    let Ok((head, bytes)) = answer else {
+    let report = read_report(state, target, transport);
+    timeout(REPORT_TIMEOUT, report)
+        .await
+        .unwrap_or(Finding::Silent)
+}
+
+async fn read_report(state: &State, target: &Target, transport: Transport) -> Finding {
+    let calls = state.platform.engine;
+    let request = http_request(&target.address, &(calls.report)());
+    let connect = async || Ok(transport);
+    let connections = &state.connections;
+    let sent = connections.send_with(&target.address, request, Reuse::New, connect);
+    let Ok(mut response) = sent.await else {
         return Finding::Closed;
     };
-    if head.status.is_server_error() || head.status == StatusCode::MISDIRECTED_REQUEST {
+    let status = response.head.status;
+    if status.is_server_error() || status == StatusCode::MISDIRECTED_REQUEST {
         return Finding::Failed;
     }
+    // It may also be this node that has no room for the body.
+    let Ok(bytes) = response.body.read_to_end(&state.target_buffers).await else {
+        return Finding::Unknown;
+    };
     match (calls.decode_report)(&bytes) {
         Ok(report) => Finding::Report(report),
         Err(_) => Finding::Unknown,
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -14,7 +14,6 @@
 use crate::connection_pool::CallOptions;
 use crate::connection_pool::Error;
 use crate::connection_pool::Reuse;
-use crate::connection_pool::Transport;
 use crate::platform_api::Call;
 use crate::platform_api::RateLimit;
 use crate::platform_api::ResponseMetadata;
@@ -60,35 +59,6 @@
     call: &Call,
     time_limit: Duration,
 ) -> Result<(Parts, Bytes), Error> {
-    let connect = async || target_connection::open(state, target, Purpose::Call).await;
-    call_with(state, target, call, time_limit, connect).await
-}
-
-/// Does what [`call`] does, on a connection that is open already.
-///
-/// # Errors
-///
-/// Returns [`Error`] if there is no complete response within the time limit.
-pub async fn call_on(
-    state: &State,
-    target: &Target,
-    call: &Call,
-    time_limit: Duration,
-    transport: Transport,
-) -> Result<(Parts, Bytes), Error> {
-    call_with(state, target, call, time_limit, async || Ok(transport)).await
-}
-
-async fn call_with<C>(
-    state: &State,
-    target: &Target,
-    call: &Call,
-    time_limit: Duration,
-    connect: C,
-) -> Result<(Parts, Bytes), Error>
-where
-    C: AsyncFnOnce() -> Result<Transport, Error>,
-{
     let address = &target.address;
     let request = http_request(address, call);
     let sent = Sent {
@@ -102,6 +72,7 @@
         reuse: Reuse::New,
         buffers: &state.target_buffers,
     };
+    let connect = async || target_connection::open(state, target, Purpose::Call).await;
     let called = state
         .connections
         .call_with(address, request, options, connect);
