Guard bodies that are reset while their request is written

The error of a reset is reported once: if a write of the request gets it, a read sees an end in order.

--- a/filbertpaddle/tests/gateway/slow_reader.rs
+++ b/filbertpaddle/tests/gateway/slow_reader.rs
@@ -33,6 +33,10 @@
 /// Receive buffer of a target; its requests are larger.
 const WINDOW_BYTES: u32 = 4_096;
 const BODY_BYTES: usize = 60_000;
+/// More than the buffers between node and target hold.
+const UNREAD_BYTES: usize = 1 << 20;
+/// Time in which the node reads the part of an answer that comes before a reset.
+const RESET_DELAY: Duration = Duration::from_millis(20);
 
 fn next_event(id: u64) -> Option<Bytes> {
     let event = format!("id: {id}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
@@ -71,6 +75,17 @@
     Ok((listener, entry))
 }
 
+/// Answers before the request has been read, and resets the connection.
+async fn answer_early(mut stream: TcpStream) -> io::Result<()> {
+    let mut part = [0; 1_024];
+    stream.read_exact(&mut part).await?;
+    let head = start_of_head("early");
+    let answer = format!("{head}connection: close\r\n\r\npart");
+    stream.write_all(answer.as_bytes()).await?;
+    sleep(RESET_DELAY).await;
+    stream.set_zero_linger()
+}
+
 async fn answer_late(mut stream: TcpStream) -> io::Result<()> {
     sleep(PAUSE).await;
     let mut request = Vec::new();
@@ -111,3 +126,26 @@
     );
     cluster.close();
 }
+
+/// A write of the node may get the error of the reset, after which reads see an end in order.
+#[tokio::test]
+async fn a_body_that_is_reset_while_its_request_is_written_is_not_whole() {
+    let mut cluster = Cluster::new("reset-while-written").await;
+    let mut known = configuration(2, KEY);
+    known["limits"]["max_body_bytes"] = json!(UNREAD_BYTES);
+    cluster.store.put_configuration(&known);
+    let (listener, entry) = start_slow_target().await.unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_early(stream));
+        }
+    });
+    cluster.store.put_target("p1", &entry);
+    cluster.add_node("node-0", "dc-a");
+    cluster.wait_until_ready().await;
+    let mut sent = request("early", Method::POST, WRITE_PATH, None);
+    sent.content = Some("x".repeat(UNREAD_BYTES));
+    let answer = cluster.send(&sent).await;
+    assert_eq!((answer.code(), answer.is_sealed()), (502, false));
+    cluster.close();
+}
