Guard the resumption of begun streams at a stopping node

A resumable stream whose target breaks off 3 s after the signal to stop goes on at another target and is complete, at a moment at which a new stream like it is refused unrun. Holds on this code; a guard against a decision at each send that would break off what has begun.

--- a/filbertpaddle/tests/gateway/stopping_sends.rs
+++ b/filbertpaddle/tests/gateway/stopping_sends.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::cluster::Cluster;
+use crate::cluster::RESUMABLE_PATH;
 use crate::cluster::STREAM_PATH;
 use crate::cluster::WRITE_PATH;
 use crate::cluster::complete_stream;
@@ -27,6 +28,8 @@
 /// Time after the signal to stop at which the first target refuses what it has held. A long
 /// stream does not end in the rest of the grace period, and a short one does.
 const HOLD_TIME: Duration = Duration::from_secs(5);
+/// Time after the signal to stop at which a target breaks off its stream, whose rest still ends.
+const BREAK_TIME: Duration = Duration::from_secs(3);
 
 fn send(
     cluster: &Cluster,
@@ -82,3 +85,32 @@
     assert!(cluster.nodes[0].process.wait().unwrap().success());
     cluster.close();
 }
+
+/// Guard: the rest of a stream that has begun is resumed, though a new one like it is refused.
+#[tokio::test]
+async fn a_stopping_node_resumes_a_stream_that_its_target_breaks_off() {
+    let mut cluster = Cluster::new("stopping-resumed").await;
+    cluster.add_paced_engine("e1", EVENT_MS).await;
+    cluster.add_node("node-0", "dc-a");
+    cluster.wait_until_ready().await;
+    let begun = send(&cluster, "begun", RESUMABLE_PATH, Some(LONG_OUTPUT_TOKENS));
+    wait_until("the stream has begun", async || {
+        cluster.targets[0].running().get("begun") > Some(&1)
+    })
+    .await;
+    cluster.nodes[0].process.terminate().unwrap();
+    cluster.add_paced_engine("e2", EVENT_MS).await;
+    sleep(BREAK_TIME).await;
+    let late = send(&cluster, "late", RESUMABLE_PATH, Some(LONG_OUTPUT_TOKENS));
+    assert_refused_unrun(&cluster, "late", late).await;
+    cluster.take_target("e1").close();
+    let answer = begun.await.unwrap();
+    assert_eq!((answer.code(), answer.is_complete), (200, true));
+    assert_eq!(
+        answer.body,
+        complete_stream("begun", u64::from(LONG_OUTPUT_TOKENS) / 4)
+    );
+    assert_eq!(cluster.run_log.runs_of("begun").len(), 2);
+    assert!(cluster.nodes[0].process.wait().unwrap().success());
+    cluster.close();
+}
