Cut off a stream in doubt also where a move has used up its attempts

By the node's log it had moved to the target of its copy, which took its second and last attempt, and that target closed it in order without a length. Only breaks counted before, so that the end was taken for complete.

What counts now is whether the stream has gone on from one run to another.

--- a/filbertpaddle-forward/src/stream_end.rs
+++ b/filbertpaddle-forward/src/stream_end.rs
@@ -22,8 +22,8 @@
     pub may_resume: bool,
     /// Whether the route allows one more attempt within the answer.
     pub has_sends_left: bool,
-    /// Whether a run of the stream has broken off before, within the answer.
-    pub has_broken: bool,
+    /// Whether it has gone on from one run to another within the answer.
+    pub has_resumed: bool,
     /// Whether the last event has an ID, so that a target can be asked for those that follow it.
     pub is_placed: bool,
     /// Whether the run was an ask after another such end, and has sent no further event.
@@ -63,12 +63,12 @@
 
 impl UnstatedEnd {
     /// Returns what to do. Two runs that end after the same event agree that it is the last. A
-    /// stream that has used up its attempts by breaks is left to its caller to resume.
+    /// stream that has used up its attempts by going on elsewhere is left to its caller to resume.
     pub fn step(&self) -> EndStep {
         let is_in_doubt = self.is_placed && self.may_resume && !self.is_confirmation;
         match is_in_doubt {
             true if self.has_sends_left => EndStep::Ask,
-            true if self.has_broken => EndStep::CutOff,
+            true if self.has_resumed => EndStep::CutOff,
             _ => EndStep::Complete,
         }
     }
--- a/filbertpaddle-forward/tests/stream_end.rs
+++ b/filbertpaddle-forward/tests/stream_end.rs
@@ -9,7 +9,7 @@
 const RESUMABLE: UnstatedEnd = UnstatedEnd {
     may_resume: true,
     has_sends_left: true,
-    has_broken: false,
+    has_resumed: false,
     is_placed: true,
     is_confirmation: false,
 };
@@ -36,20 +36,20 @@
 }
 
 #[test]
-fn a_stream_that_breaks_have_left_no_attempt_is_cut_off() {
+fn a_resumed_stream_that_has_no_attempt_left_is_cut_off() {
     let used_up = UnstatedEnd {
         has_sends_left: false,
         ..RESUMABLE
     };
     assert_eq!(used_up.step(), EndStep::Complete);
-    let broken = UnstatedEnd {
-        has_broken: true,
+    let resumed = UnstatedEnd {
+        has_resumed: true,
         ..used_up
     };
-    assert_eq!(broken.step(), EndStep::CutOff);
+    assert_eq!(resumed.step(), EndStep::CutOff);
     let confirmed = UnstatedEnd {
         is_confirmation: true,
-        ..broken
+        ..resumed
     };
     assert_eq!(confirmed.step(), EndStep::Complete);
 }
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -75,8 +75,8 @@
     pub(crate) is_ask: bool,
     /// Whether the caller has been sent anything but comments, by any target.
     pub(crate) has_content: bool,
-    /// Whether a run has broken off, stalled or been faulty after its first event.
-    pub(crate) has_broken: bool,
+    /// Whether the stream has gone on from one run to another.
+    pub(crate) has_resumed: bool,
     /// Time of the first of the new events.
     first_event_ms: Millis,
     /// Whether the current target has shown that the request does not crash it.
@@ -131,7 +131,7 @@
             is_placed: false,
             is_ask: false,
             has_content: false,
-            has_broken: false,
+            has_resumed: false,
             first_event_ms: Millis::ZERO,
             is_sound: false,
             placement: None,
--- a/filbertpaddle-gateway/src/generation_end.rs
+++ b/filbertpaddle-gateway/src/generation_end.rs
@@ -74,13 +74,11 @@
         }
     }
 
-    fn end_step(&mut self) -> EndStep {
-        // An ask that brings events shows that the run before had broken off.
-        self.has_broken |= self.is_ask && self.has_begun;
+    fn end_step(&self) -> EndStep {
         let end = UnstatedEnd {
             may_resume: self.may_resume(),
             has_sends_left: self.may_resend(),
-            has_broken: self.has_broken,
+            has_resumed: self.has_resumed,
             is_placed: self.is_placed && self.last_event.is_some(),
             is_confirmation: self.is_ask && !self.has_begun,
         };
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -163,7 +163,6 @@
     }
 
     async fn record_broken(&mut self, source: &TargetStream, reason: &str) {
-        self.has_broken = true;
         let state = &self.job.state;
         info!(state.log, "stream of target broke off or stalled";
             "id" => self.job.metadata.attempt.as_str(),
