Test streams that close early once the retry budget is used up

A target ends each resumable stream after 3 of 10 events in order, without a length, and sends the rest when asked. Once asks have used up the retry budget, the streams are complete at their callers after three events.

--- a/filbertpaddle/tests/gateway/ends_in_doubt.rs
+++ b/filbertpaddle/tests/gateway/ends_in_doubt.rs
@@ -256,3 +256,34 @@
     let asks = target.requests().len() - REQUESTS;
     assert!((1..=MAX_RETRIES).contains(&asks), "{asks}");
 }
+
+/// Such streams were complete after three events once asks had used up the retry budget.
+#[tokio::test]
+async fn streams_closed_early_are_not_complete_once_the_retry_budget_is_used_up() {
+    let mut cluster = Cluster::new("doubt-no-budget").await;
+    let runs = Arc::new(AtomicUsize::new(0));
+    let next_part = move |number: u64| {
+        let is_ask = (number == 1) && runs.fetch_add(1, Ordering::SeqCst) % 2 == 1;
+        match (number, is_ask) {
+            (1, true) => Some(Bytes::from(chunked(EVENTS, ALL_EVENTS))),
+            (1, false) => Some(Bytes::from(unframed(0, EVENTS))),
+            _ => None,
+        }
+    };
+    let target = RawTarget::start(String::new(), next_part).await.unwrap();
+    cluster
+        .store
+        .put_target("e", &target.entry("engine", "dc-a"));
+    cluster.add_node("node-0", "dc-a");
+    cluster.wait_until_ready().await;
+    for number in 0..REQUESTS {
+        let sent = request(ATTEMPT, Method::POST, RESUMABLE_PATH, Some(40));
+        let answer = cluster.send(&sent).await;
+        if !answer.is_complete {
+            break;
+        }
+        let events = complete_stream(ATTEMPT, ALL_EVENTS);
+        assert_eq!(answer.body, events, "{number}");
+    }
+    cluster.close();
+}
