Cut off streams that cannot be asked about while others were early

Callers saw a resumable stream as complete that its target had closed in order after 3 of 10 events, once asks had used up the retry budget.

Cause: each end without a length of a resumable stream takes a retry, and an end that is not asked about for want of budget, time or room counts. The budget is used up soonest where such ends are many.

Once an ask has brought events, ends at that service that cannot be asked about count as early for 10 s: the stream is broken off and its caller can resume it. Without such a sign they count as before (the existing test on the budget holds unchanged).

Ruled out: to cut off all that cannot be asked about; whole streams of services that never state a length would be cut as soon as the budget is used up.

--- a/filbertpaddle-forward/src/stream_end.rs
+++ b/filbertpaddle-forward/src/stream_end.rs
@@ -4,6 +4,8 @@
 //! same way. Where the stream may be resumed, a target is asked for the events that follow.
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
+use indexmap::IndexMap;
 
 /// Multiple of the latency goal that the answer to an ask is awaited, as a first event is.
 const ASK_GOAL_FACTOR: u64 = 2;
@@ -14,6 +16,8 @@
 /// Time left after an ask without an answer to end the stream before its deadline passes or the
 /// node, which takes the last 150 ms of its grace period to exit.
 const RESERVE_MS: Millis = Millis(300);
+/// Time for which an end that was early counts against others at the same service.
+const EARLY_ENDS_MS: Millis = Millis::from_secs(10);
 
 /// End in order of a stream without a length, at a target that goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,6 +87,34 @@
             Self::TargetsFailing | Self::Failed | Self::TargetEnded => EndStep::CutOff,
         }
     }
+
+    /// Returns what to do if no ask was sent. Where others were early, the end does not count: the
+    /// caller can resume the stream.
+    pub fn unsent_step(self, has_early_ends: bool) -> EndStep {
+        match self {
+            Self::NotSent if has_early_ends => EndStep::CutOff,
+            unsent => unsent.step(),
+        }
+    }
+}
+
+/// Services whose targets have closed streams early, as asks have shown.
+#[derive(Debug, Default)]
+pub struct EarlyEnds {
+    seen_ms: IndexMap<Name, Millis>,
+}
+
+impl EarlyEnds {
+    /// Records that an ask has brought events at `now`.
+    pub fn record(&mut self, now: Millis, service: &Name) {
+        self.seen_ms.insert(service.clone(), now);
+    }
+
+    /// Returns whether an ask at the service has brought events recently.
+    pub fn is_recent(&self, now: Millis, service: &Name) -> bool {
+        let seen_ms = self.seen_ms.get(service);
+        seen_ms.is_some_and(|seen_ms| now.since(*seen_ms) < EARLY_ENDS_MS)
+    }
 }
 
 /// Returns how long the answer to an ask is awaited on a route with a latency goal, with this
--- a/filbertpaddle-forward/tests/stream_end.rs
+++ b/filbertpaddle-forward/tests/stream_end.rs
@@ -1,7 +1,9 @@
 //! Whether streams are complete that end in order without a length.
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::stream_end::AskFailure;
+use filbertpaddle_forward::stream_end::EarlyEnds;
 use filbertpaddle_forward::stream_end::EndStep;
 use filbertpaddle_forward::stream_end::UnstatedEnd;
 use filbertpaddle_forward::stream_end::ask_timeout_ms;
@@ -88,3 +90,18 @@
     assert_eq!(timeout(long_ms, Some(Millis(349))), None);
     assert_eq!(timeout(Millis::ZERO, None), None);
 }
+
+#[test]
+fn an_end_that_cannot_be_asked_about_counts_unless_others_were_early() {
+    let (service, other) = (Name::from("engine"), Name::from("other"));
+    let mut early_ends = EarlyEnds::default();
+    let step = |early_ends: &EarlyEnds, now_ms, service| {
+        let has_early_ends = early_ends.is_recent(Millis(now_ms), service);
+        AskFailure::NotSent.unsent_step(has_early_ends)
+    };
+    assert_eq!(step(&early_ends, 0, &service), EndStep::Complete);
+    early_ends.record(Millis::ZERO, &service);
+    assert_eq!(step(&early_ends, 9_999, &service), EndStep::CutOff);
+    assert_eq!(step(&early_ends, 10_000, &service), EndStep::Complete);
+    assert_eq!(step(&early_ends, 0, &other), EndStep::Complete);
+}
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -224,6 +224,7 @@
             }
         }
         if !event.is_comment() {
+            self.record_early_end(now);
             self.has_begun = true;
             self.has_content = true;
             self.is_placed = event.id.is_some();
--- a/filbertpaddle-gateway/src/generation_end.rs
+++ b/filbertpaddle-gateway/src/generation_end.rs
@@ -65,7 +65,7 @@
             Err(unsent) => unsent,
         };
         self.log_ask_outcome(ended, &unsent.to_string());
-        match unsent.step() {
+        match unsent.unsent_step(self.has_early_ends()) {
             EndStep::Complete | EndStep::Ask => {
                 self.record_complete(ended);
                 Ok(None)
@@ -74,6 +74,20 @@
         }
     }
 
+    /// Records that the run before has closed the stream early, if this is the first event of an ask.
+    pub(crate) fn record_early_end(&self, now: Millis) {
+        if self.is_ask && !self.has_begun {
+            let mut early_ends = self.job.state.early_ends.borrow_mut();
+            early_ends.record(now, &self.job.demand.service);
+        }
+    }
+
+    fn has_early_ends(&self) -> bool {
+        let state = &self.job.state;
+        let early_ends = state.early_ends.borrow();
+        early_ends.is_recent(state.clock.now(), &self.job.demand.service)
+    }
+
     fn end_step(&self) -> EndStep {
         let end = UnstatedEnd {
             may_resume: self.may_resume(),
