Test streams that close early where an ask is not run

One stream of a target was asked about and went on; the next is closed as early, and its ask gets 503 unrun, or no answer. It is complete at its caller after three of ten events.

--- a/filbertpaddle/tests/gateway/ends_in_doubt.rs
+++ b/filbertpaddle/tests/gateway/ends_in_doubt.rs
@@ -287,3 +287,39 @@
     }
     cluster.close();
 }
+
+/// Such streams were complete too, though another at the same service had shown early ends.
+#[tokio::test]
+async fn an_ask_that_is_not_run_confirms_no_end_where_others_were_early() {
+    let full = start_of_head_with("503 Service Unavailable", ATTEMPT) + NOT_RUN + EMPTY;
+    for (name, last) in [
+        ("doubt-early-full", full.as_str()),
+        ("doubt-early-silent", ""),
+    ] {
+        let rest = chunked(EVENTS, ALL_EVENTS);
+        let runs = Arc::new(AtomicUsize::new(0));
+        let answers = [
+            unframed(0, EVENTS),
+            rest,
+            unframed(0, EVENTS),
+            last.to_owned(),
+        ];
+        let next_part = move |number: u64| {
+            let run = (number == 1).then(|| runs.fetch_add(1, Ordering::SeqCst));
+            run.map(|run| Bytes::from(answers.get(run).cloned().unwrap_or_default()))
+        };
+        let target = RawTarget::start(String::new(), next_part).await.unwrap();
+        let mut cluster = Cluster::new(name).await;
+        cluster
+            .store
+            .put_target("e", &target.entry("engine", "dc-a"));
+        cluster.add_node("node-0", "dc-a");
+        cluster.wait_until_ready().await;
+        let sent = request(ATTEMPT, Method::POST, RESUMABLE_PATH, Some(40));
+        assert!(cluster.send(&sent).await.is_complete, "{name}");
+        let second = cluster.send(&sent).await;
+        cluster.close();
+        assert!(!second.is_complete, "{name}");
+        assert_eq!(second.body, complete_stream(ATTEMPT, EVENTS), "{name}");
+    }
+}
