Let no ask without a result confirm an end where others were early

Callers saw a resumable stream as complete after 3 of 10 events if the target that was asked refused the request unrun or gave no answer in time, though an ask at the same service had brought events a moment before.

Cause: only the lack of an ask was weighed against early ends seen at the service.

Now a refusal and silence count in the same way within 10 s of such a sign: the stream goes on at another target or is broken off. A target that declines with a 4xx still lets the end count.

--- a/filbertpaddle-forward/src/stream_end.rs
+++ b/filbertpaddle-forward/src/stream_end.rs
@@ -80,22 +80,15 @@
 
 impl AskFailure {
     /// Returns what to do after it. The end counts unless there is a sign against it: a run that
-    /// has nothing to send ends at once, and seldom fails before.
-    pub fn step(self) -> EndStep {
+    /// has nothing to send ends at once, and seldom fails before. Early ends at the service are a
+    /// sign too, unless a target has declined: the caller can resume the stream.
+    pub fn step(self, has_early_ends: bool) -> EndStep {
         match self {
+            Self::NotSent | Self::NotRun | Self::NoAnswer if has_early_ends => EndStep::CutOff,
             Self::NotSent | Self::NotRun | Self::NoAnswer | Self::Declined => EndStep::Complete,
             Self::TargetsFailing | Self::Failed | Self::TargetEnded => EndStep::CutOff,
         }
     }
-
-    /// Returns what to do if no ask was sent. Where others were early, the end does not count: the
-    /// caller can resume the stream.
-    pub fn unsent_step(self, has_early_ends: bool) -> EndStep {
-        match self {
-            Self::NotSent if has_early_ends => EndStep::CutOff,
-            unsent => unsent.step(),
-        }
-    }
 }
 
 /// Services whose targets have closed streams early, as asks have shown.
--- a/filbertpaddle-forward/tests/stream_end.rs
+++ b/filbertpaddle-forward/tests/stream_end.rs
@@ -64,14 +64,14 @@
         AskFailure::NoAnswer,
         AskFailure::Declined,
     ] {
-        assert_eq!(failure.step(), EndStep::Complete, "{failure}");
+        assert_eq!(failure.step(false), EndStep::Complete, "{failure}");
     }
     for failure in [
         AskFailure::TargetsFailing,
         AskFailure::Failed,
         AskFailure::TargetEnded,
     ] {
-        assert_eq!(failure.step(), EndStep::CutOff, "{failure}");
+        assert_eq!(failure.step(false), EndStep::CutOff, "{failure}");
     }
 }
 
@@ -97,11 +97,15 @@
     let mut early_ends = EarlyEnds::default();
     let step = |early_ends: &EarlyEnds, now_ms, service| {
         let has_early_ends = early_ends.is_recent(Millis(now_ms), service);
-        AskFailure::NotSent.unsent_step(has_early_ends)
+        AskFailure::NotSent.step(has_early_ends)
     };
     assert_eq!(step(&early_ends, 0, &service), EndStep::Complete);
     early_ends.record(Millis::ZERO, &service);
     assert_eq!(step(&early_ends, 9_999, &service), EndStep::CutOff);
     assert_eq!(step(&early_ends, 10_000, &service), EndStep::Complete);
     assert_eq!(step(&early_ends, 0, &other), EndStep::Complete);
+    for failure in [AskFailure::NotRun, AskFailure::NoAnswer] {
+        assert_eq!(failure.step(true), EndStep::CutOff, "{failure}");
+    }
+    assert_eq!(AskFailure::Declined.step(true), EndStep::Complete);
 }
--- a/filbertpaddle-gateway/src/generation_end.rs
+++ b/filbertpaddle-gateway/src/generation_end.rs
@@ -65,7 +65,7 @@
             Err(unsent) => unsent,
         };
         self.log_ask_outcome(ended, &unsent.to_string());
-        match unsent.unsent_step(self.has_early_ends()) {
+        match unsent.step(self.has_early_ends()) {
             EndStep::Complete | EndStep::Ask => {
                 self.record_complete(ended);
                 Ok(None)
@@ -160,7 +160,7 @@
             crash::check(self.job, ended).await;
         }
         self.log_ask_outcome(target, &failure.to_string());
-        match failure.step() {
+        match failure.step(self.has_early_ends()) {
             EndStep::Complete | EndStep::Ask => Ok(None),
             EndStep::CutOff => self.reopen(target).await.map(Some),
         }
