--- a/filbertpaddle-gateway/src/ended_response.rs
+++ b/filbertpaddle-gateway/src/ended_response.rs
@@ -37,7 +37,7 @@
 /// a slot and states no start time, so that a connection has to do.
 async fn find(state: &State, target: &Target) -> Finding {
     match target_connection::open(state, target, Purpose::Call).await {
-        Ok(transport) if is_engine(state, target) => ask(state, target, transport).await,
+        Ok(transport) if is_engine(state, target) => query_report(state, target, transport).await,
         Ok(_) => Finding::Accepted,
         Err(_) => Finding::Unreached,
     }
@@ -50,7 +50,7 @@
 }
 
 /// Asks a target for its report.
-async fn ask(state: &State, target: &Target, transport: Transport) -> Finding {
+async fn query_report(state: &State, target: &Target, transport: Transport) -> Finding {
     state.metrics.count("target.reports");
     let report = read_report(state, target, transport);
     timeout(REPORT_TIMEOUT, report)
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -71,8 +71,8 @@
     pub(crate) has_begun: bool,
     /// Whether the last event that the current target has sent has an ID.
     pub(crate) is_placed: bool,
-    /// Whether the current target was asked for what follows an end that was not stated.
-    pub(crate) is_ask: bool,
+    /// Whether the current run queries what follows an end that was not stated.
+    pub(crate) is_end_query: bool,
     /// Whether the caller has been sent anything but comments, by any target.
     pub(crate) has_content: bool,
     /// Whether the stream has gone on from one run to another.
@@ -129,7 +129,7 @@
             events_here: 0,
             has_begun: false,
             is_placed: false,
-            is_ask: false,
+            is_end_query: false,
             has_content: false,
             has_resumed: false,
             first_event_ms: Millis::ZERO,
@@ -249,8 +249,8 @@
     pub(crate) fn record_complete(&self, target: &Target) {
         let mut selector = self.job.state.selector.borrow_mut();
         selector.record_success(&target.id);
-        // An ask follows a run that has sent events.
-        if self.events_here > 0 || self.is_ask {
+        // A query follows a run that has sent events.
+        if self.events_here > 0 || self.is_end_query {
             self.job.record_sound();
         }
     }
@@ -343,7 +343,7 @@
         }
         match source.next().await {
             StreamItem::Event(event) => source.put_back(event),
-            StreamItem::End if self.is_closed_early(&source) && !self.is_ask => {
+            StreamItem::End if self.is_closed_early(&source) && !self.is_end_query => {
                 return Err(Failure::Unknown(CLOSED_EARLY.to_owned()).into());
             }
             StreamItem::End => {}
--- a/filbertpaddle-gateway/src/generation_end.rs
+++ b/filbertpaddle-gateway/src/generation_end.rs
@@ -2,8 +2,8 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::stream_end;
-use filbertpaddle_forward::stream_end::AskFailure;
 use filbertpaddle_forward::stream_end::EndStep;
+use filbertpaddle_forward::stream_end::QueryFailure;
 use filbertpaddle_forward::stream_end::UnstatedEnd;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
@@ -20,7 +20,7 @@
 use crate::target_stream::StreamItem;
 use crate::target_stream::TargetStream;
 
-/// Response to an ask.
+/// Response to a query.
 enum Answer {
     /// A new event or the end is next.
     Stream(TargetStream),
@@ -45,28 +45,28 @@
             false => EndStep::Complete,
         };
         if step == EndStep::CutOff {
-            self.log_ask_outcome(&source.target, "no_attempt_left");
+            self.log_query_outcome(&source.target, "no_attempt_left");
             return Err(StopReason::Broken);
         }
-        if step == EndStep::Ask {
+        if step == EndStep::Query {
             let ended = source.target.clone();
             source.close();
             self.release_placement();
-            return self.ask_after(&ended).await;
+            return self.query_after(&ended).await;
         }
         self.record_complete(&source.target);
         Ok(None)
     }
 
     /// Asks what follows the stream that `ended` has closed, if a target may be sent that now.
-    async fn ask_after(&mut self, ended: &Target) -> Result<Option<TargetStream>, StopReason> {
-        let unsent = match self.choose_asked(ended) {
-            Ok((target, timeout_ms)) => return self.ask(ended, &target, timeout_ms).await,
+    async fn query_after(&mut self, ended: &Target) -> Result<Option<TargetStream>, StopReason> {
+        let unsent = match self.choose_queried(ended) {
+            Ok((target, timeout_ms)) => return self.query(ended, &target, timeout_ms).await,
             Err(unsent) => unsent,
         };
-        self.log_ask_outcome(ended, &unsent.to_string());
+        self.log_query_outcome(ended, &unsent.to_string());
         match unsent.step(self.has_early_ends()) {
-            EndStep::Complete | EndStep::Ask => {
+            EndStep::Complete | EndStep::Query => {
                 self.record_complete(ended);
                 Ok(None)
             }
@@ -74,9 +74,9 @@
         }
     }
 
-    /// Records that the run before has closed the stream early, if this is the first event of an ask.
+    /// Records that the run before has closed the stream early, if this is the first event of a query.
     pub(crate) fn record_early_end(&self, now: Millis) {
-        if self.is_ask && !self.has_begun {
+        if self.is_end_query && !self.has_begun {
             let mut early_ends = self.job.state.early_ends.borrow_mut();
             early_ends.record(now, &self.job.demand.service);
         }
@@ -94,36 +94,36 @@
             has_sends_left: self.may_resend(),
             has_resumed: self.has_resumed,
             is_placed: self.is_placed && self.last_event.is_some(),
-            is_confirmation: self.is_ask && !self.has_begun,
+            is_confirmation: self.is_end_query && !self.has_begun,
         };
         end.step()
     }
 
     /// Chooses the target that is asked, and how long its answer is awaited: the one of the
     /// stream, which holds what it has read, or else another.
-    fn choose_asked(&mut self, ended: &Target) -> Result<(Target, Millis), AskFailure> {
+    fn choose_queried(&mut self, ended: &Target) -> Result<(Target, Millis), QueryFailure> {
         let job = self.job;
         let now = job.state.clock.now();
         let drain = job.state.drain.get();
-        let timeout_ms = stream_end::ask_timeout_ms(
+        let timeout_ms = stream_end::query_timeout_ms(
             job.route.latency_goal_ms,
             job.remaining_ms(),
             drain.map(|drain| drain.remaining_ms(now)),
         );
-        let timeout_ms = timeout_ms.ok_or(AskFailure::NotSent)?;
+        let timeout_ms = timeout_ms.ok_or(QueryFailure::NotSent)?;
         let target = match job.may_return_to(self.progress, ended) {
             true => ended.clone(),
             false => job.choose_target(self.progress).map_err(unsent_reason)?,
         };
-        let asked = (target, timeout_ms);
+        let queried = (target, timeout_ms);
         job.may_send(self.progress)
-            .then_some(asked)
-            .ok_or(AskFailure::NotSent)
+            .then_some(queried)
+            .ok_or(QueryFailure::NotSent)
     }
 
     /// Sends the request to `target` to resume after the last event of the stream that `ended` has
     /// closed. Returns the stream that goes on; `None` if the end counts.
-    async fn ask(
+    async fn query(
         &mut self,
         ended: &Target,
         target: &Target,
@@ -137,31 +137,31 @@
         let was_sound = self.is_sound;
         self.migrator.abandon();
         self.place_on(target);
-        self.is_ask = true;
+        self.is_end_query = true;
         let answer = timeout(duration(timeout_ms), self.wait_for_answer(target)).await;
         let failure = match answer {
             Ok(Ok(Answer::Stream(source))) => {
-                self.log_ask_outcome(target, "answered");
+                self.log_query_outcome(target, "answered");
                 return Ok(Some(source));
             }
             Ok(Ok(Answer::Broken(source, reason))) => {
-                self.log_ask_outcome(target, "broken");
+                self.log_query_outcome(target, "broken");
                 return self.recover(source, &reason).await.map(Some);
             }
             Ok(Ok(Answer::Faulty(source, reason))) => {
-                self.log_ask_outcome(target, "broken");
+                self.log_query_outcome(target, "broken");
                 return self.leave_faulty(source, &reason).await.map(Some);
             }
-            Ok(Err(error)) => self.ask_failure(ended, target, error).await?,
-            Err(_) => AskFailure::NoAnswer,
+            Ok(Err(error)) => self.query_failure(ended, target, error).await?,
+            Err(_) => QueryFailure::NoAnswer,
         };
-        self.end_ask();
-        if failure == AskFailure::TargetEnded && !was_sound {
+        self.end_query();
+        if failure == QueryFailure::TargetEnded && !was_sound {
             crash::check(self.job, ended).await;
         }
-        self.log_ask_outcome(target, &failure.to_string());
+        self.log_query_outcome(target, &failure.to_string());
         match failure.step(self.has_early_ends()) {
-            EndStep::Complete | EndStep::Ask => Ok(None),
+            EndStep::Complete | EndStep::Query => Ok(None),
             EndStep::CutOff => self.reopen(target).await.map(Some),
         }
     }
@@ -189,19 +189,19 @@
         }
     }
 
-    /// Records why an ask has failed, and returns what that shows.
-    async fn ask_failure(
+    /// Records why a query has failed, and returns what that shows.
+    async fn query_failure(
         &mut self,
         ended: &Target,
         target: &Target,
         error: OpenError,
-    ) -> Result<AskFailure, StopReason> {
+    ) -> Result<QueryFailure, StopReason> {
         let failure = match error {
             OpenError::Stopped(StopReason::Failed(reply)) if reply.status().is_client_error() => {
-                return Ok(AskFailure::Declined);
+                return Ok(QueryFailure::Declined);
             }
             OpenError::Stopped(StopReason::Failed(_)) => {
-                return Ok(AskFailure::Failed);
+                return Ok(QueryFailure::Failed);
             }
             OpenError::Stopped(stop) => return Err(stop),
             OpenError::Failed(failure) => failure,
@@ -212,8 +212,8 @@
         Ok(shown_by(&failure, ended.id == target.id))
     }
 
-    /// Counts an ask that is still in flight, and removes it from the load of its target.
-    fn end_ask(&mut self) {
+    /// Counts a query that is still in flight, and removes it from the load of its target.
+    fn end_query(&mut self) {
         if self.progress.is_in_flight {
             self.watch_silent();
             self.progress.sends += 1;
@@ -222,34 +222,34 @@
         self.release_placement();
     }
 
-    fn log_ask_outcome(&self, target: &Target, outcome: &str) {
+    fn log_query_outcome(&self, target: &Target, outcome: &str) {
         info!(self.job.state.log, "asked what follows the end of a stream without a length";
             "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
             "last_event" => self.last_event, "outcome" => outcome);
     }
 }
 
-/// Returns why an ask is not sent, if no target could be chosen for it.
-fn unsent_reason(error: PlacementError) -> AskFailure {
+/// Returns why a query is not sent, if no target could be chosen for it.
+fn unsent_reason(error: PlacementError) -> QueryFailure {
     match error {
-        PlacementError::AllFailing => AskFailure::TargetsFailing,
-        _ => AskFailure::NotSent,
+        PlacementError::AllFailing => QueryFailure::TargetsFailing,
+        _ => QueryFailure::NotSent,
     }
 }
 
-/// Returns what the failure of an ask shows about the stream's end.
-fn shown_by(failure: &Failure, is_same_target: bool) -> AskFailure {
+/// Returns what the failure of a query shows about the stream's end.
+fn shown_by(failure: &Failure, is_same_target: bool) -> QueryFailure {
     match failure {
         Failure::Refused | Failure::Unreachable | Failure::OtherTarget if is_same_target => {
-            AskFailure::TargetEnded
+            QueryFailure::TargetEnded
         }
         Failure::Refused
         | Failure::Unreachable
         | Failure::OtherTarget
         | Failure::NoPath
         | Failure::NotSent(_)
-        | Failure::NotRun => AskFailure::NotRun,
-        Failure::RelayLost(_) => AskFailure::NoAnswer,
-        Failure::Unknown(_) => AskFailure::Failed,
+        | Failure::NotRun => QueryFailure::NotRun,
+        Failure::RelayLost(_) => QueryFailure::NoAnswer,
+        Failure::Unknown(_) => QueryFailure::Failed,
     }
 }
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -28,7 +28,7 @@
         self.last_activity_ms = now;
         let is_resumed = self.writer.is_started();
         self.has_resumed |= is_resumed;
-        if is_resumed && !self.is_ask {
+        if is_resumed && !self.is_end_query {
             info!(state.log, "generation resumed at another target";
                 "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
                 "version" => target.version.as_str(),
@@ -59,7 +59,7 @@
         self.has_begun = false;
         self.is_sound = false;
         self.is_placed = false;
-        self.is_ask = false;
+        self.is_end_query = false;
         let load = self.job.mark_sent(self.progress, target);
         self.placement = Some(Placement {
             target: target.clone(),
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -122,8 +122,8 @@
         if self.migrator.has_ordered_stop() {
             return Some("stopped");
         }
-        // An ask has found the same end as the run before, whose target went on.
-        if self.is_closed_early(source) && !self.is_ask {
+        // A query has found the same end as the run before, whose target went on.
+        if self.is_closed_early(source) && !self.is_end_query {
             return Some(CLOSED_EARLY);
         }
         let goes_on = ended_response::goes_on(&self.job.state, &source.target).await;
--- a/filbertpaddle/tests/gateway/ends_in_doubt.rs
+++ b/filbertpaddle/tests/gateway/ends_in_doubt.rs
@@ -237,9 +237,9 @@
     }
 }
 
-/// Guards the retry budget, which an ask takes from, and the streams that it is too small for.
+/// Guards the retry budget, which a query takes from, and the streams that it is too small for.
 #[tokio::test]
-async fn asks_for_what_follows_stay_within_the_retry_budget() {
+async fn queries_for_what_follows_stay_within_the_retry_budget() {
     let mut cluster = Cluster::new("doubt-budget").await;
     let target = start_target(unframed(0, EVENTS), &[&unframed(0, EVENTS)]).await;
     let entry = target.entry("engine", "dc-a");
@@ -253,18 +253,18 @@
         assert_eq!(answer.body, complete_stream(ATTEMPT, EVENTS), "{number}");
     }
     cluster.close();
-    let asks = target.requests().len() - REQUESTS;
-    assert!((1..=MAX_RETRIES).contains(&asks), "{asks}");
+    let queries = target.requests().len() - REQUESTS;
+    assert!((1..=MAX_RETRIES).contains(&queries), "{queries}");
 }
 
-/// Such streams were complete after three events once asks had used up the retry budget.
+/// Such streams were complete after three events once queries had used up the retry budget.
 #[tokio::test]
 async fn streams_closed_early_are_not_complete_once_the_retry_budget_is_used_up() {
     let mut cluster = Cluster::new("doubt-no-budget").await;
     let runs = Arc::new(AtomicUsize::new(0));
     let next_part = move |number: u64| {
-        let is_ask = (number == 1) && runs.fetch_add(1, Ordering::SeqCst) % 2 == 1;
-        match (number, is_ask) {
+        let is_end_query = (number == 1) && runs.fetch_add(1, Ordering::SeqCst) % 2 == 1;
+        match (number, is_end_query) {
             (1, true) => Some(Bytes::from(chunked(EVENTS, ALL_EVENTS))),
             (1, false) => Some(Bytes::from(unframed(0, EVENTS))),
             _ => None,
@@ -290,7 +290,7 @@
 
 /// Such streams were complete too, though another at the same service had shown early ends.
 #[tokio::test]
-async fn an_ask_that_is_not_run_confirms_no_end_where_others_were_early() {
+async fn a_query_that_is_not_run_confirms_no_end_where_others_were_early() {
     let full = start_of_head_with("503 Service Unavailable", ATTEMPT) + NOT_RUN + EMPTY;
     for (name, last) in [
         ("doubt-early-full", full.as_str()),
