--- a/filbertpaddle/tests/gateway/http10_callers.rs
+++ b/filbertpaddle/tests/gateway/http10_callers.rs
@@ -1,4 +1,4 @@
-//! Callers that speak HTTP/1.0: the end of a stream is the end of its connection.
+//! Callers that use HTTP/1.0: the end of a stream is the end of its connection.
 
 use std::io;
 use std::time::Duration;
--- a/filbertpaddle/tests/gateway/unframed.rs
+++ b/filbertpaddle/tests/gateway/unframed.rs
@@ -255,7 +255,7 @@
 }
 
 /// Returns whether a stream without a length is complete after whose end something else listens
-/// at the address of its target, which started at 1, and does what [`End::Replaced`] says.
+/// at the address of its target, which started at 1, and does what [`End::Replaced`] states.
 async fn is_complete_before(name: &str, answer: Option<&'static str>) -> bool {
     let events = complete_stream(ATTEMPT, 3);
     let name = format!("replaced-{name}");
--- a/filbertpaddle/tests/soak/history.rs
+++ b/filbertpaddle/tests/soak/history.rs
@@ -58,7 +58,7 @@
     pub(crate) is_connection_reused: bool,
     /// Time after which the caller aborts the request.
     pub(crate) caller_timeout_ms: u64,
-    /// Version of HTTP that the caller speaks.
+    /// Version of HTTP that the caller uses.
     pub(crate) version: Version,
     /// Stream that it resumes.
     pub(crate) resume: Option<Resume>,
--- a/filbertpaddle/tests/soak/schedule.rs
+++ b/filbertpaddle/tests/soak/schedule.rs
@@ -152,7 +152,7 @@
     /// Targets repeat refusals of other attempts to requests that they run, among other faults.
     RepeatedRefusals,
     /// Targets send responses without a length and break some off, and targets end, among other
-    /// faults; some callers speak HTTP/1.0.
+    /// faults; some callers use HTTP/1.0.
     Unframed,
 }
 
--- a/filbertpaddle/tests/soak/traffic.rs
+++ b/filbertpaddle/tests/soak/traffic.rs
@@ -39,7 +39,7 @@
 const ABORT_SHARE: f64 = 0.03;
 /// Share of requests sent on a new connection.
 const NEW_CONNECTION_SHARE: f64 = 0.1;
-/// Of this many callers, one speaks HTTP/1.0, where any does.
+/// Of this many callers, one uses HTTP/1.0, where any does.
 const OLD_CALLER_INTERVAL: usize = 4;
 /// Number of requests that crash targets.
 const POISON_REQUESTS: usize = 60;
@@ -65,12 +65,12 @@
     pub(crate) addresses: Addresses,
     pub(crate) history: History,
     pub(crate) stop: Arc<AtomicBool>,
-    /// Whether some callers speak HTTP/1.0.
+    /// Whether some callers use HTTP/1.0.
     pub(crate) has_old_callers: bool,
 }
 
 impl CallerContext {
-    /// Returns the version of HTTP that a caller speaks.
+    /// Returns the version of HTTP that a caller uses.
     fn version(&self, number: usize) -> Version {
         match self.has_old_callers && number.is_multiple_of(OLD_CALLER_INTERVAL) {
             true => Version::HTTP_10,
