Run at most six clusters of the soak at a time

The nodes' logs show gaps of up to 0.4 s between events sent each 20 ms.

Cause: the tests of the soak run beside each other, 20 clusters since the sixth kind, 18 before. One takes 0.64 of a core here (5 clusters of target_cuts: 68 s of processor time in 21.3 s), so that eight cores were asked for 12.8 before any other load. The run's verdict hung on what else ran.

Ruled out: a costlier product.

Now a semaphore lets six clusters run at a time.

--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -32,6 +32,7 @@
 use schedule::ScheduledFault;
 use schedule::Size;
 use strum::IntoEnumIterator;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use traffic::CallerContext;
@@ -51,9 +52,14 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// Number of concurrent runs when many seeds are run by hand.
 const PARALLEL_RUNS: usize = 4;
+/// Largest number of clusters that run at a time, over all tests: each takes most of a core.
+const MAX_CLUSTERS: usize = 6;
 /// Number of requests to each node after the recovery time.
 const PROBES_PER_NODE: usize = 5;
 
+/// Permits to run a cluster.
+static CLUSTERS: Semaphore = Semaphore::const_new(MAX_CLUSTERS);
+
 /// Seeds that failed in the past.
 const FAILED: [u64; 6] = [
     // The soak paused a process twice and waited for a second stop that never came.
@@ -162,6 +168,7 @@
 
 /// Runs the schedule of one seed; returns the violations.
 async fn run_schedule(seed: u64, size: Size, kind: ScheduleKind) -> Vec<String> {
+    let _permit = CLUSTERS.acquire().await.unwrap();
     let mut cluster = Cluster::start(&format!("soak-{kind}-{seed}"), &size).await;
     wait_until_served(&cluster).await;
     cluster.history.watch_for_stalls();
