Bound all that a node holds of targets, and what they send without progress

Reported by other operators: a faulty target sent bytes without end, and the node that had called it ran out of memory. Here, (1) 240 streams that each stopped within an event took 106 MB at a node, as the limit on an event held for each stream and nothing for all; bodies below 64 KiB and heads were not counted either (500 small bodies: 123 MB). (2) The digits of a chunk size without end kept the node's thread busy: of 24 such requests 16 got no answer in 6 s. Interim responses likewise. Nothing is held of these, so that only the deadline ended them.

Cause: each limit held for one response, and none counted bytes that belong to no body.

Ruled out: one read at a time from each connection in turn (the thread is as busy, only fairer); a limit on time alone (a target's silence is no reason to end a response); smaller events.

Change: one quota for all that is held of targets, whole bodies, parts of events and heads. Beyond it, of those that hold more than half an equal share the one that has grown for no time longest is given up: it waits for a target that sends nothing. A connection ends once it has received 256 KiB, and two bytes for each one of a body, that belong to no body. It is read 8 KiB at a time, so that the library's buffers stay small; an event is copied out of its stream's buffer, which is released if it has become large.

The test of heads held before (a guard). Core `byte_quota`, `read_progress`. Streams that are given up go on elsewhere if they may be resumed.

--- a/filbertpaddle-core/src/lib.rs
+++ b/filbertpaddle-core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod availability;
+pub mod byte_quota;
 pub mod claim;
 pub mod claims;
 pub mod clock;
@@ -34,6 +35,7 @@
 pub mod policy;
 pub mod prefix_cache;
 pub mod queue;
+pub mod read_progress;
 pub mod reconciler;
 pub mod relay;
 pub mod replica;
--- a/filbertpaddle-forward/src/event_stream.rs
+++ b/filbertpaddle-forward/src/event_stream.rs
@@ -7,6 +7,9 @@
 /// Maximum size of an event. A larger one counts as a failure of the target.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Size of the buffer that a stream keeps between events.
+const KEPT_BUFFER_BYTES: usize = 16 << 10;
+
 /// Byte order mark, which receivers ignore at the start of a stream.
 const MARK: &[u8] = "\u{feff}".as_bytes();
 
@@ -82,7 +85,7 @@
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<Event> {
         let end = self.find_event_end()?;
-        let mut bytes = self.pending.split_to(end).freeze();
+        let mut bytes = self.take_pending(end);
         self.searched = 0;
         self.line_start = 0;
         let is_first = !std::mem::replace(&mut self.has_begun, true);
@@ -100,6 +103,22 @@
         })
     }
 
+    /// Removes and returns the first pending bytes. They are copied, so that a small event that waits
+    /// for its receiver does not keep the whole buffer.
+    fn take_pending(&mut self, length: usize) -> Bytes {
+        let bytes = Bytes::copy_from_slice(&self.pending[..length]);
+        self.pending.advance(length);
+        if self.pending.is_empty() && self.pending.capacity() > KEPT_BUFFER_BYTES {
+            self.pending = BytesMut::new();
+        }
+        bytes
+    }
+
+    /// Returns the number of bytes that are buffered.
+    pub fn buffered_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether an incomplete event is buffered.
     pub fn has_partial_event(&self) -> bool {
         self.pending.iter().any(|byte| !is_line_end(*byte))
--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -80,7 +80,7 @@
     let response = async {
         let (response, _) = job.send(target, ResumePoint::default()).await?;
         let mut body = response.body;
-        let bytes = body.read_to_end(&job.state.target_buffers).await?;
+        let bytes = body.read_to_end().await?;
         if may_be_cut(&response.head) && body.is_unframed(&response.head.headers) {
             check_end(job, target, &bytes).await?;
         }
--- a/filbertpaddle-gateway/src/connection_headers.rs
+++ b/filbertpaddle-gateway/src/connection_headers.rs
@@ -16,6 +16,14 @@
     last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
+/// Returns the number of bytes of all names and values.
+pub(crate) fn header_bytes(headers: &HeaderMap) -> usize {
+    let fields = headers.iter();
+    fields
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum()
+}
+
 /// Returns whether the other end closes the connection after the response.
 pub(crate) fn requests_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -7,19 +7,20 @@
 use std::fmt;
 use std::io::ErrorKind;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_http::buffer_limit::BufferLimit;
+use filbertpaddle_http::buffer_limit::ExceededLimit;
+use filbertpaddle_http::metered_stream::MeteredStream;
+use filbertpaddle_http::metered_stream::ReadMeter;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Body as _;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -32,11 +33,11 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::buffer_limit::BufferLimit;
 use crate::clock::Clock;
-use crate::connection_headers::is_chunked;
+use crate::connection_headers::header_bytes;
 use crate::connection_headers::keep_alive_ms;
 use crate::connection_headers::requests_close;
+use crate::response_body::Body;
 use crate::tunnel::RelayedStream;
 use crate::watched_stream::WatchedStream;
 
@@ -54,8 +55,8 @@
 /// Maximum idle time of a reused connection.
 const MAX_IDLE_MS: Millis = Millis::from_secs(4);
 const MAX_IDLE_PER_ADDRESS: usize = 8;
-/// Maximum size of the head of a response, and of what is read of a body at once.
-const MAX_READ_BYTES: usize = 64 << 10;
+/// Maximum size of the head of a response.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Reason why a request got no response.
 #[derive(Debug, thiserror::Error)]
@@ -81,6 +82,12 @@
     RelayLost(String),
 }
 
+impl From<ExceededLimit> for Error {
+    fn from(limit: ExceededLimit) -> Self {
+        Self::Unknown(limit.to_string())
+    }
+}
+
 /// A pool of idle connections by address.
 pub struct ConnectionPool {
     clock: Clock,
@@ -93,10 +100,11 @@
 }
 
 /// An open connection. Dropping it closes it.
-struct Connection {
+pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    is_relayed: bool,
+    pub(crate) meter: Arc<ReadMeter>,
+    pub(crate) is_relayed: bool,
 }
 
 /// A new connection that carries no request yet.
@@ -116,15 +124,6 @@
     pub body: Body,
 }
 
-/// The body of a response. Dropping it closes the connection;
-/// [`Body::recycle`] returns the connection to the pool.
-pub struct Body {
-    incoming: Incoming,
-    connection: Connection,
-    address: Name,
-    pool: Rc<ConnectionPool>,
-}
-
 /// Which connections a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -136,6 +135,15 @@
     New,
 }
 
+/// How a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct SendOptions<'a> {
+    /// Connections that it may use.
+    pub reuse: Reuse,
+    /// Limit on what is buffered of the response.
+    pub buffers: &'a BufferLimit,
+}
+
 /// How a call is made whose response is read as a whole.
 #[derive(Clone, Copy, Debug)]
 pub struct CallOptions<'a> {
@@ -156,21 +164,6 @@
         })
     }
 
-    /// Sends a request and waits for the head of its response.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::NotSent`] proves that no byte of the request has left.
-    pub async fn send(
-        self: &Rc<Self>,
-        address: &Name,
-        request: Request<Full<Bytes>>,
-        reuse: Reuse,
-    ) -> Result<PendingResponse, Error> {
-        let connect = async || connect_unwatched(address).await;
-        self.send_with(address, request, reuse, connect).await
-    }
-
     /// Sends a request, on a connection that `connect` opens unless an idle one may be used, and
     /// waits for the head of its response.
     ///
@@ -181,22 +174,23 @@
         self: &Rc<Self>,
         address: &Name,
         request: Request<Full<Bytes>>,
-        reuse: Reuse,
+        options: SendOptions<'_>,
         connect: C,
     ) -> Result<PendingResponse, Error>
     where
         C: AsyncFnOnce() -> Result<Transport, Error>,
     {
         let mut request = request;
+        let SendOptions { reuse, buffers } = options;
         while let Some(connection) = self.take_idle(address, reuse) {
-            match self.send_on(address, connection, request).await {
+            match self.send_on(address, connection, request, buffers).await {
                 Ok(response) => return Ok(response),
                 Err((error, None)) => return Err(error),
                 Err((_, Some(unsent))) => request = unsent,
             }
         }
         let connection = open(connect().await?).await?;
-        let sent = self.send_on(address, connection, request).await;
+        let sent = self.send_on(address, connection, request, buffers).await;
         sent.map_err(|(error, _)| error)
     }
 
@@ -237,9 +231,10 @@
             buffers,
         } = options;
         let response = async {
-            let response = self.send_with(address, request, reuse, connect).await?;
-            let PendingResponse { head, mut body } = response;
-            let bytes = body.read_to_end(buffers).await?;
+            let send_options = SendOptions { reuse, buffers };
+            let sent = self.send_with(address, request, send_options, connect);
+            let PendingResponse { head, mut body } = sent.await?;
+            let bytes = body.read_to_end().await?;
             if reuse == Reuse::Idle {
                 body.recycle(&head.headers);
             }
@@ -267,19 +262,26 @@
         address: &Name,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
+        buffers: &BufferLimit,
     ) -> Result<PendingResponse, (Error, Option<Request<Full<Bytes>>>)> {
         if let Err(error) = connection.sender.ready().await {
             return Err((Error::NotSent(describe(&error)), Some(request)));
         }
-        match connection.sender.try_send_request(request).await {
+        let buffered = Arc::new(buffers.start());
+        connection.meter.begin(&buffered);
+        let sent = tokio::select! {
+            biased;
+            sent = connection.sender.try_send_request(request) => sent,
+            limit = buffered.evicted() => return Err((limit.into(), None)),
+        };
+        match sent {
             Ok(response) => {
+                connection.meter.begin_body();
                 let (head, incoming) = Response::into_parts(response);
-                let body = Body {
-                    incoming,
-                    connection,
-                    address: address.clone(),
-                    pool: Rc::clone(self),
-                };
+                let counted = buffered.set(header_bytes(&head.headers));
+                counted.map_err(|limit| (limit.into(), None))?;
+                let pool = Rc::clone(self);
+                let body = Body::new(incoming, connection, buffered, address.clone(), pool);
                 Ok(PendingResponse { head, body })
             }
             Err(mut failed) => match failed.take_message() {
@@ -302,7 +304,9 @@
         Some(connections.remove(position).connection)
     }
 
-    fn return_idle(&self, address: Name, connection: Connection, headers: &HeaderMap) {
+    /// Keeps a connection for a further request, unless the headers of the last response announce
+    /// that it closes.
+    pub(crate) fn return_idle(&self, address: Name, connection: Connection, headers: &HeaderMap) {
         if connection.sender.is_closed() || requests_close(headers) {
             return;
         }
@@ -326,72 +330,9 @@
     }
 }
 
-impl Body {
-    /// Waits for the next bytes; returns `None` at the end.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::Unknown`] or [`Error::RelayLost`] if the response breaks off.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
-        while let Some(frame) = self.incoming.frame().await {
-            let frame = frame.map_err(|error| self.connection.lost(&error))?;
-            if let Ok(bytes) = frame.into_data() {
-                return Ok(Some(bytes));
-            }
-        }
-        Ok(None)
-    }
-
-    /// Reads the rest of the body, within the limit on what is buffered.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::Unknown`] if the response breaks off or exceeds the limit.
-    pub async fn read_to_end(&mut self, buffers: &BufferLimit) -> Result<Bytes, Error> {
-        let mut buffered = buffers.start_body();
-        let mut all = BytesMut::new();
-        while let Some(more) = self.next().await? {
-            let added = buffered.add(more.len());
-            added.map_err(|error| Error::Unknown(error.to_string()))?;
-            all.extend_from_slice(&more);
-        }
-        Ok(all.freeze())
-    }
-
-    /// Returns whether the body ends with its connection, as it has neither a length nor chunks.
-    /// `headers` are those of its response.
-    pub fn is_unframed(&self, headers: &HeaderMap) -> bool {
-        self.incoming.size_hint().exact().is_none() && !is_chunked(headers)
-    }
-
-    /// Returns whether another node relays the connection.
-    pub fn is_relayed(&self) -> bool {
-        self.connection.is_relayed
-    }
-
-    /// Returns the connection of a fully read body to the pool, unless the response's
-    /// headers announce that it closes.
-    pub fn recycle(self, headers: &HeaderMap) {
-        let Self {
-            connection,
-            address,
-            pool,
-            ..
-        } = self;
-        pool.return_idle(address, connection, headers);
-    }
-}
-
-impl fmt::Debug for Body {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let address = &self.address;
-        f.debug_struct("Body").field("address", address).finish()
-    }
-}
-
 impl Connection {
     /// Returns the error of a connection that broke after a request was sent.
-    fn lost(&self, error: &hyper::Error) -> Error {
+    pub(crate) fn lost(&self, error: &hyper::Error) -> Error {
         let reason = describe(error);
         if self.is_relayed {
             Error::RelayLost(reason)
@@ -441,8 +382,10 @@
 where
     S: AsyncRead + AsyncWrite + Unpin + 'static,
 {
+    let meter = ReadMeter::new();
+    let stream = MeteredStream::new(stream, Arc::clone(&meter));
     let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_READ_BYTES)
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| Error::NotSent(describe(&error)))?;
@@ -453,6 +396,7 @@
     Ok(Connection {
         sender,
         driver,
+        meter,
         is_relayed,
     })
 }
--- a/filbertpaddle-gateway/src/ended_response.rs
+++ b/filbertpaddle-gateway/src/ended_response.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use crate::connection_pool::Reuse;
+use crate::connection_pool::SendOptions;
 use crate::connection_pool::Transport;
 use crate::state::State;
 use crate::store_sync::http_request;
@@ -63,7 +64,11 @@
     let request = http_request(&target.address, &(calls.report)());
     let connect = async || Ok(transport);
     let connections = &state.connections;
-    let sent = connections.send_with(&target.address, request, Reuse::New, connect);
+    let options = SendOptions {
+        reuse: Reuse::New,
+        buffers: &state.target_buffers,
+    };
+    let sent = connections.send_with(&target.address, request, options, connect);
     let Ok(mut response) = sent.await else {
         return Finding::Closed;
     };
@@ -72,7 +77,7 @@
         return Finding::Failed;
     }
     // It may also be this node that has no room for the body.
-    let Ok(bytes) = response.body.read_to_end(&state.target_buffers).await else {
+    let Ok(bytes) = response.body.read_to_end().await else {
         return Finding::Unknown;
     };
     match (calls.decode_report)(&bytes) {
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -159,7 +159,9 @@
                 WaitOutcome::Item(StreamItem::Event(event)) if self.is_unplaced(&event) => {
                     source = self.leave_faulty(source, UNPLACED).await?;
                 }
-                WaitOutcome::Item(StreamItem::Event(event)) => self.deliver(event).await?,
+                WaitOutcome::Item(StreamItem::Event(event)) => {
+                    self.deliver_from(&source, event).await?;
+                }
                 WaitOutcome::Item(StreamItem::End) => match self.follow_end(source).await? {
                     Some(next) => source = next,
                     None => return Ok(()),
@@ -211,6 +213,19 @@
         }
     }
 
+    /// Delivers an event, unless the stream has to be given up for others while the caller reads.
+    async fn deliver_from(
+        &mut self,
+        source: &TargetStream,
+        event: Event,
+    ) -> Result<(), StopReason> {
+        select! {
+            biased;
+            delivered = self.deliver(event) => delivered,
+            () = source.evicted() => Err(StopReason::Broken),
+        }
+    }
+
     async fn deliver(&mut self, event: Event) -> Result<(), StopReason> {
         let now = self.job.state.clock.now();
         // Comments and repeated events do not show that the target goes on.
@@ -327,10 +342,7 @@
         let (response, _) = self.job.send(target, resume).await?;
         let mut body = response.body;
         if !response.head.status.is_success() {
-            let bytes = body
-                .read_to_end(&self.job.state.target_buffers)
-                .await
-                .map_err(Failure::from)?;
+            let bytes = body.read_to_end().await.map_err(Failure::from)?;
             let stop = match self.job.target_reply(response.head, bytes) {
                 Ok(reply) => StopReason::Failed(Box::new(reply)),
                 Err(refusal) => StopReason::Refused(refusal),
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -29,6 +29,7 @@
 use crate::connection_pool::Error as ConnectionError;
 use crate::connection_pool::PendingResponse;
 use crate::connection_pool::Reuse;
+use crate::connection_pool::SendOptions;
 use crate::platform_api::CopySource;
 use crate::platform_api::ResponseMetadata;
 use crate::platform_api::TargetHeaders;
@@ -279,6 +280,10 @@
             true => Reuse::Idle,
             false => Reuse::New,
         };
+        let options = SendOptions {
+            reuse,
+            buffers: &self.state.target_buffers,
+        };
         let sent = Sent {
             attempt: Some(&self.metadata.attempt),
             at_ms: self.state.clock.now(),
@@ -286,7 +291,7 @@
         let answered = self
             .state
             .connections
-            .send_with(&target.address, request, reuse, async || {
+            .send_with(&target.address, request, options, async || {
                 target_connection::open(&self.state, target, Purpose::Request).await
             })
             .await;
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -6,7 +6,6 @@
 //! [`platform_api::PlatformApi`].
 
 pub mod acceptor;
-pub mod buffer_limit;
 pub mod buffered;
 pub mod caller_stream;
 pub mod clock;
@@ -39,6 +38,7 @@
 pub mod relay;
 pub mod reply;
 pub mod request;
+pub mod response_body;
 pub mod response_writer;
 pub mod resumption;
 pub mod settings;
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -29,6 +29,7 @@
 use filbertpaddle_forward::target::Incarnation;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::TargetSelector;
+use filbertpaddle_http::buffer_limit::BufferLimit;
 use indexmap::IndexMap;
 use slog::Logger;
 use slog::info;
@@ -36,7 +37,6 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
-use crate::buffer_limit::BufferLimit;
 use crate::clock::Clock;
 use crate::connection_pool::ConnectionPool;
 use crate::metrics::Metrics;
--- a/filbertpaddle-gateway/src/target_stream.rs
+++ b/filbertpaddle-gateway/src/target_stream.rs
@@ -1,13 +1,11 @@
 //! The stream of events that one target sends for a generation.
 
-use std::collections::VecDeque;
-
 use filbertpaddle_forward::event_stream::Event;
 use filbertpaddle_forward::event_stream::EventSplitter;
 use filbertpaddle_forward::target::Target;
 use http::HeaderMap;
 
-use crate::connection_pool::Body;
+use crate::response_body::Body;
 
 /// Reason why a response without a length is not whole.
 pub const CLOSED_EARLY: &str = "connection closed before any content of the response";
@@ -22,7 +20,8 @@
     body: Body,
     is_unframed: bool,
     splitter: EventSplitter,
-    ready: VecDeque<Event>,
+    /// The last event, if it was put back.
+    put_back: Option<Event>,
 }
 
 /// Next item of a stream.
@@ -46,7 +45,7 @@
             is_unframed: body.is_unframed(headers),
             body,
             splitter: EventSplitter::new(),
-            ready: VecDeque::new(),
+            put_back: None,
         }
     }
 
@@ -60,18 +59,23 @@
 
     /// Waits for the next event or the end. Cancel-safe.
     pub async fn next(&mut self) -> StreamItem {
+        if let Some(event) = self.put_back.take() {
+            return StreamItem::Event(event);
+        }
         loop {
-            if let Some(event) = self.ready.pop_front() {
+            let event = self.splitter.next_event();
+            let buffered = self.body.record_buffered(self.splitter.buffered_bytes());
+            if let Some(event) = event {
                 return StreamItem::Event(event);
             }
+            if let Err(error) = buffered {
+                return StreamItem::Faulty(error.to_string());
+            }
             match self.body.next().await {
                 Ok(Some(bytes)) => {
                     if let Err(error) = self.splitter.push(&bytes) {
                         return StreamItem::Faulty(error.to_string());
                     }
-                    while let Some(event) = self.splitter.next_event() {
-                        self.ready.push_back(event);
-                    }
                 }
                 Ok(None) if self.splitter.has_partial_event() => {
                     return StreamItem::Broken("stream ended within an event".to_owned());
@@ -85,6 +89,11 @@
         }
     }
 
+    /// Waits until the stream has to be given up for others. Cancel-safe.
+    pub async fn evicted(&self) {
+        self.body.evicted().await;
+    }
+
     /// Returns whether another node relays its connection.
     pub fn is_relayed(&self) -> bool {
         self.body.is_relayed()
@@ -97,7 +106,7 @@
 
     /// Puts back the last event, which the next call returns again.
     pub fn put_back(&mut self, event: Event) {
-        self.ready.push_front(event);
+        self.put_back = Some(event);
     }
 
     /// Closes the connection. Most targets, but not all, stop the generation upon that.
--- a/filbertpaddle-gateway/tests/connection_pool.rs
+++ b/filbertpaddle-gateway/tests/connection_pool.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use filbertpaddle_gateway::buffer_limit::BufferLimit;
 use filbertpaddle_gateway::clock::Clock;
 use filbertpaddle_gateway::connection_pool::CallOptions;
 use filbertpaddle_gateway::connection_pool::ConnectionPool;
 use filbertpaddle_gateway::connection_pool::Reuse;
+use filbertpaddle_http::buffer_limit::BufferLimit;
 use http::Request;
 use http_body_util::Full;
 use tokio::io::AsyncReadExt;
--- a/filbertpaddle/tests/gateway/endless.rs
+++ b/filbertpaddle/tests/gateway/endless.rs
@@ -16,14 +16,14 @@
 use crate::cluster::request;
 
 /// Memory of the smallest VM of the users' deployments.
-const MAX_MEMORY_KIB: u64 = 88 << 10;
+pub(crate) const MAX_MEMORY_KIB: u64 = 88 << 10;
 /// Time in which a response that cannot be one is given up; the request has 14 s.
-const MAX_WAIT: Duration = Duration::from_secs(6);
+pub(crate) const MAX_WAIT: Duration = Duration::from_secs(6);
 const REQUESTS: usize = 16;
 const ATTEMPT: &str = "a";
 
 /// Returns the largest amount of memory that a process has used.
-fn peak_memory_kib(process: u32) -> u64 {
+pub(crate) fn peak_memory_kib(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
     let line = status.lines().find(|line| line.starts_with("VmHWM:"));
     let value = line.unwrap().split_whitespace().nth(1);
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod brittle;
 mod cluster;
 mod crashing_parts;
+mod crowded;
 mod cut_from_targets;
 mod cut_reader;
 mod descriptors;
