Leave a target that sends too much of a stream without a new event

Cause: only silence ended a stream early, and such blocks are not silent.

Ruled out: a limit on time, which slow but sound targets that send keep-alive comments would meet.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fingerprint;
 pub mod freshness;
 pub mod handover;
+pub mod idle_output;
 pub mod invalid_entries;
 pub mod leaving_targets;
 pub mod load_table;
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -10,6 +10,7 @@
 use filbertpaddle_forward::event_order::EventOrder;
 use filbertpaddle_forward::event_order::Place;
 use filbertpaddle_forward::event_stream::Event;
+use filbertpaddle_forward::idle_output::IdleOutput;
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::service_pace::StreamMeter;
 use filbertpaddle_forward::target::Target;
@@ -22,6 +23,7 @@
 use crate::clock::Clock;
 use crate::clock::duration;
 use crate::generation_load::Placement;
+use crate::generation_recovery::IDLE;
 use crate::generation_recovery::UNPLACED;
 use crate::job::Failure;
 use crate::job::Job;
@@ -84,6 +86,7 @@
     pub(crate) placement: Option<Placement>,
     pub(crate) meter: StreamMeter,
     order: EventOrder,
+    idle_output: IdleOutput,
     pub(crate) migrator: Migrator<'a>,
     changes: watch::Receiver<u64>,
 }
@@ -137,6 +140,7 @@
             placement: None,
             meter: StreamMeter::new(job.state.clock.now()),
             order: EventOrder::new(),
+            idle_output: IdleOutput::new(),
             migrator: Migrator::new(job),
             changes: job.state.subscribe(),
             job,
@@ -156,12 +160,10 @@
         let mut source = self.begin().await?;
         loop {
             match self.next(&mut source).await {
-                WaitOutcome::Item(StreamItem::Event(event)) if self.is_unplaced(&event) => {
-                    source = self.leave_faulty(source, UNPLACED).await?;
-                }
-                WaitOutcome::Item(StreamItem::Event(event)) => {
-                    self.deliver_from(&source, event).await?;
-                }
+                WaitOutcome::Item(StreamItem::Event(event)) => match self.fault(&event) {
+                    Some(reason) => source = self.leave_faulty(source, reason).await?,
+                    None => self.deliver_from(&source, event).await?,
+                },
                 WaitOutcome::Item(StreamItem::End) => match self.follow_end(source).await? {
                     Some(next) => source = next,
                     None => return Ok(()),
@@ -213,6 +215,15 @@
         }
     }
 
+    /// Returns why the target is left instead of passing an event on, if it is.
+    fn fault(&mut self, event: &Event) -> Option<&'static str> {
+        if self.is_unplaced(event) {
+            return Some(UNPLACED);
+        }
+        let is_idle = self.idle_output.record(event, self.last_event);
+        is_idle.then_some(IDLE)
+    }
+
     /// Delivers an event, unless the stream has to be given up for others while the caller reads.
     async fn deliver_from(
         &mut self,
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -20,6 +20,8 @@
 
 /// Reason why a target is left that goes on with a stream.
 pub(crate) const UNPLACED: &str = "block without an ID before the first event of a resumed stream";
+/// The same, of a target that sends comments or repeated events alone.
+pub(crate) const IDLE: &str = "too much without a new event";
 
 impl Generation<'_> {
     /// Resumes at another target after the stream of `source` has stalled. If no other target
--- a/filbertpaddle/tests/gateway/crowded.rs
+++ b/filbertpaddle/tests/gateway/crowded.rs
@@ -212,3 +212,23 @@
     );
     assert!(codes.contains(&502), "{codes:?}");
 }
+
+/// A stream went on until its deadline, whatever its target sent in place of events.
+#[tokio::test]
+async fn streams_without_a_new_event_are_cut_off() {
+    let head = start_of_head(ATTEMPT);
+    let start = format!("{head}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n");
+    for (name, idle) in [
+        ("crowd-comments", ":\n\n"),
+        ("crowd-blank", "\n\n"),
+        ("crowd-repeated", "id: 1\ndata: a\n\n"),
+    ] {
+        let answers = answers_beside_sound_ones(name, &start, idle).await;
+        let is_ended = |answer: &ReceivedAnswer| match answer.code() {
+            200 => !answer.is_complete && answer.body.starts_with(b"id: 1\ndata: a\n\n"),
+            code => matches!(code, 502 | 503),
+        };
+        assert!(answers.iter().all(is_ended), "{name}: {answers:?}");
+        assert!(answers.iter().any(|answer| answer.code() == 200), "{name}");
+    }
+}
