Bound what a node holds of the requests of callers

Cause: the limits on heads (400 KiB by the HTTP library) and bodies held for each connection, and nothing counted what belongs to no body.

Change: the quota and the count of bytes without progress that hold for targets hold for callers, with a quota of their own. Heads have 64 KiB. A request that is given up within its body is refused with 503, not run, and a time to come back; within its head nothing can answer it, and its connection is closed.

--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod acceptor;
 pub mod buffered;
+pub mod caller_input;
 pub mod caller_stream;
 pub mod clock;
 mod connection_headers;
--- a/filbertpaddle-gateway/src/listener.rs
+++ b/filbertpaddle-gateway/src/listener.rs
@@ -14,12 +14,14 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use slog::debug;
+use slog::info;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::acceptor::Acceptor;
+use crate::caller_input::CallerInput;
 use crate::caller_stream::CallerStream;
 use crate::caller_stream::OpenResponse;
 use crate::clock::duration;
@@ -34,6 +36,8 @@
 /// How much longer than configured an idle connection is kept, so that a request sent
 /// at the last moment does not cross the close.
 const IDLE_SLACK_MS: Millis = Millis::from_secs(1);
+/// Maximum size of the head of a request, and of what is buffered of a response.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Time for which a connection is read before it is closed as idle. A node that is late may
 /// not have seen yet what has arrived on it.
 const LAST_READ_TIME: Duration = Duration::from_millis(20);
@@ -86,17 +90,19 @@
         Phase::Closing
     };
     let response = OpenResponse::default();
-    let stream = CallerStream::new(stream, response.clone());
-    let served = Rc::clone(state);
+    let input = Rc::new(CallerInput::new(&state.caller_buffers));
+    let stream = input.meter(CallerStream::new(stream, response.clone()));
+    let (served, received) = (Rc::clone(state), Rc::clone(&input));
     let service = service_fn(move |request: Request<Incoming>| {
         let (method, version) = (request.method().clone(), request.version());
         let response = response.clone();
-        let reply = request::serve(Rc::clone(&served), request);
+        let reply = request::serve(Rc::clone(&served), request, Rc::clone(&received));
         async move { Ok::<_, Infallible>(response.begin(&method, version, reply.await?)) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(duration(idle_timeout_ms(state)))
+        .max_buf_size(MAX_HEAD_BYTES)
         .keep_alive(is_running)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -112,6 +118,16 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        is_first_head = input.evicted() => {
+            state.metrics.count("caller.evicted");
+            info!(state.log, "node buffers too much of requests, closing a caller's connection";
+                "is_first_head" => is_first_head);
+            if is_first_head {
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
     };
     if let Err(error) = result {
         debug!(state.log, "caller's connection ended with an error"; "error" => %error);
--- a/filbertpaddle-gateway/src/reply.rs
+++ b/filbertpaddle-gateway/src/reply.rs
@@ -44,6 +44,8 @@
     TooLarge,
     /// The body did not arrive in time.
     TooSlow,
+    /// The node has no memory left for the body.
+    NoMemory,
     /// No configuration is known yet.
     NoConfiguration,
     /// The node will stop before the request could end; it has not run.
@@ -79,7 +81,8 @@
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::NoConfiguration
+            Self::NoMemory
+            | Self::NoConfiguration
             | Self::Stopping
             | Self::NoTarget
             | Self::TargetsFull
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -22,14 +22,14 @@
 use http::Version;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::buffered;
+use crate::caller_input::BodyError;
+use crate::caller_input::CallerInput;
 use crate::clock::duration;
 use crate::generation;
 use crate::job::Job;
@@ -59,12 +59,17 @@
 /// # Errors
 ///
 /// Never fails: every failure becomes a reply.
-pub async fn serve(state: Rc<State>, request: Request<Incoming>) -> Result<Reply, Infallible> {
+pub async fn serve(
+    state: Rc<State>,
+    request: Request<Incoming>,
+    input: Rc<CallerInput>,
+) -> Result<Reply, Infallible> {
     let received_ms = state.clock.now();
+    input.begin_body();
     let guard = InFlightGuard::new(Rc::clone(&state));
     let admitted = tokio::select! {
         biased;
-        admitted = admit(&state, received_ms, request) => admitted,
+        admitted = admit(&state, received_ms, request, &input) => admitted,
         () = state.ending() => Err(deny(&state, "", Refusal::Stopping, "not admitted yet")),
     };
     let mut reply = match admitted {
@@ -103,12 +108,13 @@
     state: &Rc<State>,
     received_ms: Millis,
     request: Request<Incoming>,
+    input: &CallerInput,
 ) -> Result<Job, Reply> {
     let (head, body) = request.into_parts();
     let metadata = (state.platform.headers.decode_request)(&head.headers)
         .map_err(|error| deny(state, "", Refusal::BadRequest, &error.to_string()))?;
     let id = metadata.attempt.clone();
-    let body = read_body(state, &metadata, body)
+    let body = read_body(state, &metadata, body, input)
         .await
         .map_err(|refusal| deny(state, &id, refusal, ""))?;
     let configuration = state.directory.borrow().configuration().cloned();
@@ -240,6 +246,7 @@
     state: &State,
     metadata: &RequestMetadata,
     body: Incoming,
+    input: &CallerInput,
 ) -> Result<Bytes, Refusal> {
     let limits = state.directory.borrow().configuration().cloned();
     let max_bytes = limits
@@ -249,15 +256,12 @@
         })
         .max_body_bytes;
     let timeout_ms = metadata.deadline_ms.unwrap_or(BODY_TIMEOUT_MS);
-    let collected = timeout(
-        duration(timeout_ms),
-        Limited::new(body, max_bytes).collect(),
-    )
-    .await;
-    match collected {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::BadRequest),
+    let read = timeout(duration(timeout_ms), input.read_body(body, max_bytes));
+    match read.await {
+        Ok(Ok(whole)) => Ok(whole),
+        Ok(Err(BodyError::TooLarge)) => Err(Refusal::TooLarge),
+        Ok(Err(BodyError::Broken(_))) => Err(Refusal::BadRequest),
+        Ok(Err(BodyError::Evicted)) => Err(Refusal::NoMemory),
         Err(_) => Err(Refusal::TooSlow),
     }
 }
@@ -267,7 +271,7 @@
     let retry_ms = match refusal {
         Refusal::NoConfiguration => Some(NOT_READY_RETRY_MS),
         Refusal::Stopping => Some(STOPPING_RETRY_MS),
-        Refusal::NoTarget => Some(RETRY_AFTER_MS),
+        Refusal::NoTarget | Refusal::NoMemory => Some(RETRY_AFTER_MS),
         Refusal::NotResumable => Some(RESUME_RETRY_MS),
         _ => None,
     };
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -74,6 +74,8 @@
     pub peer_watch: PeerWatch,
     /// Limit on the buffered responses of targets.
     pub target_buffers: BufferLimit,
+    /// Limit on the buffered requests of callers.
+    pub caller_buffers: BufferLimit,
     /// Limit on the buffered responses of the store.
     pub store_buffers: BufferLimit,
     /// Configuration, targets and data centres as read from the store.
@@ -159,6 +161,7 @@
             connections: ConnectionPool::new(clock),
             peer_watch,
             target_buffers: BufferLimit::new(),
+            caller_buffers: BufferLimit::new(),
             store_buffers: BufferLimit::new(),
             directory: RefCell::new(Directory::new()),
             invalid_entries: RefCell::default(),
--- a/filbertpaddle/tests/gateway/crowded.rs
+++ b/filbertpaddle/tests/gateway/crowded.rs
@@ -232,3 +232,96 @@
         assert!(answers.iter().any(|answer| answer.code() == 200), "{name}");
     }
 }
+
+/// Sends `start` on connections to a node, and then nothing; the connections stay open.
+async fn open_all(node: SocketAddr, count: usize, start: &str) -> Vec<TcpStream> {
+    let mut opened = JoinSet::new();
+    for _ in 0..count {
+        let start = start.to_owned();
+        opened.spawn(async move {
+            let mut stream = TcpStream::connect(node).await.unwrap();
+            // The node may close it before all has been sent.
+            stream.write_all(start.as_bytes()).await.ok();
+            stream
+        });
+    }
+    opened.join_all().await
+}
+
+/// Each connection held a head of up to 400 KiB, and nothing bounded all of them.
+#[tokio::test]
+async fn callers_that_stop_within_a_head_stay_within_the_memory_of_a_small_vm() {
+    let cluster = cluster_of("crowd-requests", "app", &[]).await;
+    let node = cluster.nodes[0].addresses.callers;
+    for filler_bytes in [400 << 10, 60 << 10] {
+        let filler = "x".repeat(filler_bytes);
+        let start = format!("POST {WRITE_PATH} HTTP/1.1\r\nX-Filler: {filler}");
+        let open = open_all(node, 400, &start).await;
+        check_sound_requests(&cluster).await;
+        drop(open);
+    }
+    check_memory(&cluster);
+    cluster.close();
+}
+
+/// Returns the start of a request on the write path, up to the headers of its body.
+fn start_of_request() -> String {
+    let sent = request(ATTEMPT, Method::POST, WRITE_PATH, None);
+    let text = caller::request_text(http::Version::HTTP_11, &sent, "close");
+    text.replace("content-length: 0\r\n", "")
+        .trim_end()
+        .to_owned()
+        + "\r\n"
+}
+
+/// The bodies of requests were bounded one by one only.
+#[tokio::test]
+async fn callers_that_stop_within_a_body_stay_within_the_memory_of_a_small_vm() {
+    let cluster = cluster_of("crowd-uploads", "app", &[]).await;
+    let mut larger = configuration(2, KEY);
+    larger["limits"]["max_body_bytes"] = (4 << 20).into();
+    cluster.store.put_configuration(&larger);
+    let node = cluster.nodes[0].addresses.callers;
+    // The configuration is in force within the time that the test waits.
+    sleep(HOLD_TIME).await;
+    let body = "x".repeat(1 << 20);
+    let start = format!(
+        "{}Content-Length: 2000000\r\n\r\n{body}",
+        start_of_request()
+    );
+    let mut open = open_all(node, 120, &start).await;
+    check_sound_requests(&cluster).await;
+    check_memory(&cluster);
+    // One that was given up knows that it has not run.
+    let mut answer = [0; 12];
+    let read = timeout(MAX_WAIT, open[0].read_exact(&mut answer)).await;
+    assert!(read.is_ok());
+    assert_eq!(&answer, b"HTTP/1.1 503");
+    drop(open);
+    cluster.close();
+}
+
+#[tokio::test]
+async fn a_chunk_size_without_end_of_callers_leaves_time_for_other_requests() {
+    let cluster = cluster_of("crowd-uploaded-digits", "app", &[]).await;
+    let node = cluster.nodes[0].addresses.callers;
+    let start = format!("{}Transfer-Encoding: chunked\r\n\r\n", start_of_request());
+    let mut senders = JoinSet::new();
+    for _ in 0..24 {
+        let start = start.clone();
+        senders.spawn(async move {
+            let mut stream = TcpStream::connect(node).await.unwrap();
+            stream.write_all(start.as_bytes()).await.unwrap();
+            let digits = "0".repeat(WRITE_BYTES);
+            while stream.write_all(digits.as_bytes()).await.is_ok() {}
+        });
+    }
+    check_sound_requests(&cluster).await;
+    let ended = timeout(MAX_WAIT, senders.join_all()).await;
+    assert!(
+        ended.is_ok(),
+        "connections of callers that send no body go on"
+    );
+    check_memory(&cluster);
+    cluster.close();
+}
