Bound the pages that are read of a table of the store

A store that states a further page after each would have been read, and kept, without end.

Not shown by a test: the store's stand-in has no such fault.

--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod node;
 pub mod nodes;
 pub mod pace;
+pub mod page_limit;
 pub mod peer_follower;
 pub mod peer_link;
 pub mod peer_publisher;
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -28,6 +28,8 @@
 use crate::connection_pool::Reuse;
 use crate::nodes::Node;
 use crate::nodes::RENEW_INTERVAL_MS;
+use crate::page_limit::PageLimit;
+use crate::page_limit::TooManyPages;
 use crate::platform_api::Call;
 use crate::platform_api::DecodeError;
 use crate::platform_api::NodePage;
@@ -64,6 +66,9 @@
     /// The store refused the call.
     #[error("store answered with status {0}")]
     Status(StatusCode),
+    /// The store states further pages without end.
+    #[error(transparent)]
+    Pages(#[from] TooManyPages),
     /// The response cannot be decoded.
     #[error(transparent)]
     Decode(#[from] DecodeError),
@@ -254,9 +259,10 @@
 /// Reads the whole list of nodes; returns the entries to remove.
 async fn read_nodes(state: &Rc<State>) -> Result<Vec<Name>, Error> {
     let address = state.reloadable.borrow().store;
-    let NodePage { mut list, mut next } = read_nodes_page(state, None).await?;
+    let mut limit = PageLimit::new();
+    let NodePage { mut list, mut next } = read_nodes_page(state, None, &mut limit).await?;
     while let Some(from) = next {
-        let page = read_nodes_page(state, Some(&from)).await?;
+        let page = read_nodes_page(state, Some(&from), &mut limit).await?;
         if page.list.era != list.era {
             return Err(Error::RolledBack);
         }
@@ -270,10 +276,15 @@
     Ok(state.update_nodes(list))
 }
 
-async fn read_nodes_page(state: &Rc<State>, from: Option<&str>) -> Result<NodePage, Error> {
+async fn read_nodes_page(
+    state: &Rc<State>,
+    from: Option<&str>,
+    limit: &mut PageLimit,
+) -> Result<NodePage, Error> {
     let calls = state.platform.store;
     let call = (calls.read_nodes)(from);
     let (era, bytes) = call_store(state, &call, RESPONSE_TIMEOUT_MS).await?;
+    limit.add(bytes.len())?;
     let mut page = (calls.decode_nodes)(&bytes)?;
     page.list.era = era;
     Ok(page)
@@ -327,9 +338,10 @@
 
 /// Reads a whole table page by page.
 async fn read_pages(state: &Rc<State>, table: Table) -> Result<Page, Error> {
-    let mut all = read_page(state, table, None).await?;
+    let mut limit = PageLimit::new();
+    let mut all = read_page(state, table, None, &mut limit).await?;
     while let Some(from) = all.next.take() {
-        let page = read_page(state, table, Some(&from)).await?;
+        let page = read_page(state, table, Some(&from), &mut limit).await?;
         if page.batch.revision.era != all.batch.revision.era {
             return Err(Error::RolledBack);
         }
@@ -341,10 +353,16 @@
     Ok(all)
 }
 
-async fn read_page(state: &Rc<State>, table: Table, from: Option<&str>) -> Result<Page, Error> {
+async fn read_page(
+    state: &Rc<State>,
+    table: Table,
+    from: Option<&str>,
+    limit: &mut PageLimit,
+) -> Result<Page, Error> {
     let calls = state.platform.store;
     let call = (calls.read)(table, from);
     let (era, bytes) = call_store(state, &call, RESPONSE_TIMEOUT_MS).await?;
+    limit.add(bytes.len())?;
     Ok((calls.decode)(table, true, era, &bytes)?)
 }
 
