Bound messages between nodes, and end tunnels that carry frames without bytes

Change: 16 MiB for messages of a followed node, which sends whole tables, 4 MiB for others; frames in a tunnel carry bytes or end it, as nodes send no others. The time without a message was bounded before. `tunnel`, `odd_messages` hold; no test shows the former behaviour.

--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -45,6 +45,11 @@
 /// Interval at which changed load and suspects are published.
 pub const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Maximum size of a message from a followed node: the list of nodes or a whole table.
+const MAX_TABLE_BYTES: usize = 16 << 20;
+/// Maximum size of any other message: the load of all targets.
+const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
 /// Maximum number of stated rates published at a time: 100 a second on a link, about 10 KB,
 /// however many targets state one. Further ones follow.
 const MAX_PUBLISHED_RATES: usize = 5;
@@ -175,11 +180,12 @@
     pub async fn dial(state: &State, address: SocketAddr, is_reader: bool) -> Result<Self, Error> {
         let node = state.settings.node.clone();
         let connecting = TcpStream::connect(address);
-        Self::open(connecting, address, &Message::Hello { node, is_reader }).await
+        let first = Message::Hello { node, is_reader };
+        Self::open(connecting, address, &first, MAX_TABLE_BYTES).await
     }
 
-    /// Opens a link from this node's address `own`, by which the other node knows it, and sends
-    /// its first message.
+    /// Opens a link that becomes a tunnel, from this node's address `own`, by which the other node
+    /// knows it, and sends its first message.
     ///
     /// # Errors
     ///
@@ -197,10 +203,15 @@
             socket.bind(SocketAddr::new(own, 0))?;
             socket.connect(address).await
         };
-        Self::open(connecting, address, first).await
+        Self::open(connecting, address, first, MAX_MESSAGE_BYTES).await
     }
 
-    async fn open<C>(connecting: C, address: SocketAddr, first: &Message) -> Result<Self, Error>
+    async fn open<C>(
+        connecting: C,
+        address: SocketAddr,
+        first: &Message,
+        max_bytes: usize,
+    ) -> Result<Self, Error>
     where
         C: Future<Output = io::Result<TcpStream>>,
     {
@@ -210,7 +221,7 @@
             .map_err(Error::Connect)?;
         set_socket_options(&stream).map_err(Error::Connect)?;
         let url = format!("ws://{address}/");
-        let opening = client_async_with_config(url, stream, Some(socket_config()));
+        let opening = client_async_with_config(url, stream, Some(socket_config(max_bytes)));
         let opened = timeout(OPEN_TIMEOUT, opening).await;
         let (socket, _) = opened.map_err(|_| Error::Timeout)??;
         let mut link = Self::new(socket);
@@ -225,7 +236,8 @@
     /// Returns an error if there is none in time.
     pub async fn accept(stream: TcpStream) -> Result<(Self, Message), Error> {
         set_socket_options(&stream).map_err(Error::Connect)?;
-        let accepting = accept_async_with_config(stream, Some(socket_config()));
+        let config = socket_config(MAX_MESSAGE_BYTES);
+        let accepting = accept_async_with_config(stream, Some(config));
         let accepted = timeout(OPEN_TIMEOUT, accepting).await;
         let mut link = Self::new(accepted.map_err(|_| Error::Timeout)??);
         let first = timeout(OPEN_TIMEOUT, link.receive()).await;
@@ -379,9 +391,12 @@
         .map_err(|error| Error::Unreadable(error.to_string()))
 }
 
-/// Returns the options of links. There may be hundreds, each with buffers of this size.
-fn socket_config() -> WebSocketConfig {
+/// Returns the options of links on which messages have at most `max_bytes`. There may be hundreds of
+/// links, each with buffers of the size of a frame.
+fn socket_config(max_bytes: usize) -> WebSocketConfig {
     WebSocketConfig::default()
+        .max_message_size(Some(max_bytes))
+        .max_frame_size(Some(max_bytes))
         .read_buffer_size(MAX_FRAME_BYTES)
         .write_buffer_size(MAX_FRAME_BYTES)
 }
--- a/filbertpaddle-gateway/src/tunnel.rs
+++ b/filbertpaddle-gateway/src/tunnel.rs
@@ -128,14 +128,14 @@
     ) -> Poll<io::Result<()>> {
         while self.received.is_empty() && !self.is_ended {
             match ready!(Pin::new(&mut self.socket).poll_next(context)) {
-                Some(Ok(Frame::Binary(bytes))) => self.received = bytes,
+                Some(Ok(Frame::Binary(bytes))) if !bytes.is_empty() => self.received = bytes,
                 Some(Ok(Frame::Close(close))) if is_orderly_end(close.as_ref()) => {
                     self.is_ended = true;
                 }
-                Some(Ok(Frame::Close(_))) | None => {
+                // Frames without bytes could go on without end.
+                Some(Ok(_)) | None => {
                     return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
                 }
-                Some(Ok(_)) => {}
                 Some(Err(error)) => return Poll::Ready(Err(broken(error))),
             }
         }
--- a/filbertpaddle-gateway/src/tunnel_server.rs
+++ b/filbertpaddle-gateway/src/tunnel_server.rs
@@ -142,10 +142,7 @@
 
 /// Passes the node's bytes on to the target until the node closes the tunnel or the target fails.
 async fn forward(from_node: &mut SplitStream<Socket>, to_target: &mut WriteHalf<'_>) {
-    while let Some(Ok(frame)) = from_node.next().await {
-        let Frame::Binary(bytes) = frame else {
-            continue;
-        };
+    while let Some(Ok(Frame::Binary(bytes))) = from_node.next().await {
         if to_target.write_all(&bytes).await.is_err() {
             return;
         }
