Bound what is queued of a stream for its caller in bytes

Only what waits for the kernel counted towards the limit on peers that do not read.

Change: 64 KiB of a stream, or one event, are on their way to its caller until they are written; then its target is not read on. `slow_reader`, `slow_caller` hold; by reading, no test shows the former size.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -262,7 +262,7 @@
             self.record_progress(now);
             self.record_event_pace(now);
         }
-        self.writer.send_part(Ok(event.bytes)).await?;
+        self.writer.send_part(event.bytes).await?;
         if is_progress {
             // Later than `now` by the time in which the caller did not read.
             self.last_activity_ms = self.job.state.clock.now();
--- a/filbertpaddle-gateway/src/response_writer.rs
+++ b/filbertpaddle-gateway/src/response_writer.rs
@@ -1,6 +1,11 @@
 //! Writes the response of a request: either as a whole, or a head and then parts.
 
+use std::sync::Arc;
+
+use bytes::Bytes;
 use http::response::Parts;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -11,12 +16,28 @@
 
 /// Maximum number of events queued for a slow caller.
 const QUEUE_EVENTS: usize = 64;
+/// Maximum number of bytes that are held for a slow caller, unless they are one event.
+const QUEUE_BYTES: u32 = 64 << 10;
 
 /// Writes the response to one caller.
 #[derive(Debug)]
 pub struct ResponseWriter {
     head: Option<oneshot::Sender<Reply>>,
     parts: Option<mpsc::Sender<Part>>,
+    /// Bytes that may be queued.
+    room: Arc<Semaphore>,
+}
+
+/// Bytes that count as queued until they are written.
+struct QueuedBytes {
+    bytes: Bytes,
+    _room: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for QueuedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
 }
 
 /// The caller has closed its connection.
@@ -29,6 +50,7 @@
         Self {
             head: Some(head),
             parts: None,
+            room: Arc::new(Semaphore::new(QUEUE_BYTES as usize)),
         }
     }
 
@@ -63,8 +85,15 @@
     /// # Errors
     ///
     /// Returns [`CallerGone`] if the caller no longer reads.
-    pub async fn send_part(&self, part: Part) -> Result<(), CallerGone> {
+    pub async fn send_part(&self, bytes: Bytes) -> Result<(), CallerGone> {
         let parts = self.parts.as_ref().ok_or(CallerGone)?;
+        let length = u32::try_from(bytes.len()).unwrap_or(QUEUE_BYTES);
+        let room = Arc::clone(&self.room).acquire_many_owned(length.min(QUEUE_BYTES));
+        let queued = QueuedBytes {
+            bytes,
+            _room: room.await.map_err(|_| CallerGone)?,
+        };
+        let part = Ok(Bytes::from_owner(queued));
         parts.send(part).await.map_err(|_| CallerGone)
     }
 
