Bound what the clients of the own interface read without progress or end

Cause: `reqwest` hides its connections, so that only bytes of bodies could be counted, and the client of the platform counted none.

Ruled out: a layer around the connector of `reqwest`, whose connections are opaque; shorter time limits, which sound targets would meet.

Change: both clients use the one of `filbertpaddle-http`, on `hyper` as the forwarding path does; each connection counts bytes without progress, heads have 64 KiB, responses of the platform 32 MiB. It repeats no request, as before. Creating a client cannot fail any more.

--- a/filbertpaddle-platform/src/error.rs
+++ b/filbertpaddle-platform/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of requests to the platform, by whether the request may have taken effect.
 
+use filbertpaddle_http::client as http_client;
+
 /// Failure of a request to the platform.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -35,16 +37,22 @@
     }
 }
 
-impl From<reqwest::Error> for Error {
-    fn from(error: reqwest::Error) -> Self {
-        if error.is_builder() {
-            return Self::NotDone(NotDone::Invalid(error.to_string()));
-        }
-        // If connecting failed, no byte of the request was sent. A request over an
-        // existing connection may have arrived.
-        if error.is_connect() {
-            return Self::NotDone(NotDone::Unreachable(error.to_string()));
+impl From<NotDone> for Error {
+    fn from(reason: NotDone) -> Self {
+        Self::NotDone(reason)
+    }
+}
+
+impl From<http_client::Error> for Error {
+    fn from(error: http_client::Error) -> Self {
+        match error {
+            http_client::Error::Invalid(reason) => NotDone::Invalid(reason).into(),
+            // If connecting failed, no byte of the request was sent. A request over an
+            // existing connection may have arrived.
+            http_client::Error::Connect(reason) => NotDone::Unreachable(reason).into(),
+            http_client::Error::Lost(_) | http_client::Error::TooLarge(_) => {
+                Self::Unknown(error.to_string())
+            }
         }
-        Self::Unknown(error.to_string())
     }
 }
--- a/filbertpaddle-standins/src/experiment.rs
+++ b/filbertpaddle-standins/src/experiment.rs
@@ -99,9 +99,6 @@
     /// A control port did not answer.
     #[error(transparent)]
     Http(#[from] reqwest::Error),
-    /// The client of the baselines could not be set up.
-    #[error(transparent)]
-    Target(#[from] filbertpaddle_target::error::Error),
 }
 
 /// Settings of a run.
@@ -358,7 +355,7 @@
     fleet: &Fleet,
     policy: BalancingPolicy,
 ) -> Result<EntryPoints, Error> {
-    let client = client()?;
+    let client = client();
     let selector = |targets: &[Target], rotation| {
         TargetSelector::Independent(Balancer::new(policy, &addresses(targets), rotation))
     };
@@ -371,7 +368,7 @@
 }
 
 fn shared_pool(settings: &Settings, fleet: &Fleet, policy: Policy) -> Result<EntryPoints, Error> {
-    let client = client()?;
+    let client = client();
     let policy = policy::Settings {
         policy,
         ..policy::Settings::default()
@@ -386,12 +383,12 @@
     Ok(EntryPoints::Baseline(entry_vms.collect()))
 }
 
-fn client() -> Result<Client, Error> {
-    Ok(Client::new(client::Settings {
+fn client() -> Client {
+    Client::new(client::Settings {
         // Baselines wait through stalls of crowded engines, so that the stalls are measured.
         idle_timeout_ms: BASELINE_IDLE_TIMEOUT_MS,
         ..client::Settings::default()
-    })?)
+    })
 }
 
 fn addresses(targets: &[Target]) -> Vec<(SocketAddr, usize)> {
--- a/filbertpaddle-standins/tests/engine.rs
+++ b/filbertpaddle-standins/tests/engine.rs
@@ -28,7 +28,7 @@
 use filbertpaddle_target::stream::Tokens;
 
 fn client() -> Client {
-    Client::new(client::Settings::default()).unwrap()
+    Client::new(client::Settings::default())
 }
 
 fn settings() -> engine::Settings {
--- a/filbertpaddle-standins/tests/load.rs
+++ b/filbertpaddle-standins/tests/load.rs
@@ -128,7 +128,7 @@
     let selector =
         || TargetSelector::Independent(Balancer::new(BalancingPolicy::RoundRobin, &targets, 0));
     let entry_vm = EntryVm {
-        client: Client::new(client::Settings::default()).unwrap(),
+        client: Client::new(client::Settings::default()),
         engines: selector(),
         services: selector(),
     };
--- a/filbertpaddle-standins/tests/platform.rs
+++ b/filbertpaddle-standins/tests/platform.rs
@@ -25,7 +25,7 @@
     let platform = Platform::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
         .await
         .unwrap();
-    let client = Client::new(platform.base_url(), Duration::from_secs(20)).unwrap();
+    let client = Client::new(platform.base_url(), Duration::from_secs(20));
     (platform, client)
 }
 
@@ -125,8 +125,7 @@
 #[tokio::test]
 async fn stalled_request_is_an_unknown_outcome_and_has_no_effect() {
     let (platform, _) = start().await;
-    let short_timeout_client =
-        Client::new(platform.base_url(), Duration::from_millis(100)).unwrap();
+    let short_timeout_client = Client::new(platform.base_url(), Duration::from_millis(100));
     platform.set_faults(Faults {
         outage: Outage::Stall,
         ..Faults::default()
--- a/filbertpaddle-target/src/client.rs
+++ b/filbertpaddle-target/src/client.rs
@@ -3,15 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use reqwest::RequestBuilder;
-use reqwest::Response;
-use reqwest::StatusCode;
+use filbertpaddle_http::client as http_client;
+use filbertpaddle_http::client::Response;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::error::Error;
+use crate::error::NotStarted;
 use crate::error::UnknownOutcome;
 use crate::protocol::CacheEvents;
 use crate::protocol::CallAnswer;
@@ -57,24 +62,15 @@
 /// The client never repeats a request by itself.
 #[derive(Clone, Debug)]
 pub struct Client {
-    http: reqwest::Client,
+    http: http_client::Client,
     settings: Settings,
 }
 
 impl Client {
     /// Creates a client.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the HTTP client cannot be set up.
-    pub fn new(settings: Settings) -> Result<Self, Error> {
-        let http = reqwest::Client::builder()
-            .connect_timeout(duration(settings.connect_timeout_ms))
-            .tcp_nodelay(true)
-            .no_proxy()
-            .retry(reqwest::retry::never())
-            .build()?;
-        Ok(Self { http, settings })
+    pub fn new(settings: Settings) -> Self {
+        let http = http_client::Client::new(duration(settings.connect_timeout_ms));
+        Self { http, settings }
     }
 
     /// Starts a generation and returns its token stream.
@@ -83,7 +79,7 @@
     ///
     /// Returns [`Error::NotStarted`] only if the request provably had no effect.
     pub async fn submit(&self, address: SocketAddr, submit: &Submit) -> Result<Tokens, Error> {
-        let request = self.http.post(url(address, "generations")).json(submit);
+        let request = post(address, "generations", submit)?;
         self.stream(request, submit.attempt.clone(), 0).await
     }
 
@@ -99,7 +95,7 @@
         from: u32,
     ) -> Result<Tokens, Error> {
         let path = format!("generations/{attempt}?from={from}");
-        let request = self.http.get(url(address, &path));
+        let request = http_client::request(Method::GET, &url(address, &path))?;
         self.stream(request, attempt.clone(), from).await
     }
 
@@ -110,7 +106,7 @@
     /// Returns an error if the attempt is unknown to the target or the request fails.
     pub async fn cancel(&self, address: SocketAddr, attempt: &Name) -> Result<(), Error> {
         let path = format!("generations/{attempt}");
-        let request = self.http.delete(url(address, &path));
+        let request = http_client::request(Method::DELETE, &url(address, &path))?;
         let timeout_ms = self.settings.answer_timeout_ms;
         self.send(request, attempt, timeout_ms).await?;
         Ok(())
@@ -122,7 +118,7 @@
     ///
     /// Returns [`Error::NotStarted`] only if the request provably had no effect.
     pub async fn call(&self, address: SocketAddr, submit: &Submit) -> Result<CallAnswer, Error> {
-        let request = self.http.post(url(address, "calls")).json(submit);
+        let request = post(address, "calls", submit)?;
         let timeout_ms = self.settings.call_timeout_ms;
         let called = self.request_json(request, &submit.attempt, timeout_ms);
         let answer: CallAnswer = called.await?;
@@ -166,7 +162,7 @@
     ///
     /// Returns [`Error::NotStarted`] only if the request provably had no effect.
     pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderAnswer, Error> {
-        let request = self.http.post(url(address, "orders")).json(order);
+        let request = post(address, "orders", order)?;
         let timeout_ms = self.settings.answer_timeout_ms;
         self.request_json(request, &order.id, timeout_ms).await
     }
@@ -175,7 +171,7 @@
     where
         T: DeserializeOwned,
     {
-        let request = self.http.get(url(address, path));
+        let request = http_client::request(Method::GET, &url(address, path))?;
         let timeout_ms = self.settings.answer_timeout_ms;
         // A read is never refused.
         self.request_json(request, &Name::default(), timeout_ms)
@@ -184,7 +180,7 @@
 
     async fn stream(
         &self,
-        request: RequestBuilder,
+        request: Request<Full<Bytes>>,
         attempt: Name,
         from: u32,
     ) -> Result<Tokens, Error> {
@@ -197,7 +193,7 @@
     /// Sends the request of an attempt or order and decodes the answer.
     async fn request_json<T>(
         &self,
-        request: RequestBuilder,
+        request: Request<Full<Bytes>>,
         id: &Name,
         timeout_ms: Millis,
     ) -> Result<T, Error>
@@ -206,7 +202,7 @@
     {
         let answer = async {
             let response = self.send(request, id, timeout_ms).await?;
-            let body = read_body(response, MAX_ANSWER_BYTES).await?;
+            let body = response.read_to_end(MAX_ANSWER_BYTES).await?;
             serde_json::from_slice(&body).map_err(|error| malformed(&error.to_string()))
         };
         match tokio::time::timeout(duration(timeout_ms), answer).await {
@@ -217,11 +213,11 @@
 
     async fn send(
         &self,
-        request: RequestBuilder,
+        request: Request<Full<Bytes>>,
         id: &Name,
         timeout_ms: Millis,
     ) -> Result<Response, Error> {
-        let sent = tokio::time::timeout(duration(timeout_ms), request.send()).await;
+        let sent = tokio::time::timeout(duration(timeout_ms), self.http.send(request)).await;
         let response = sent.map_err(|_| Error::Unknown(UnknownOutcome::Timeout))??;
         match response.status() {
             status if status.is_success() => Ok(response),
@@ -237,10 +233,10 @@
     async fn read_refusal(&self, response: Response, id: &Name) -> Error {
         let status = response.status().as_u16();
         let timeout = duration(self.settings.answer_timeout_ms);
-        let body = match tokio::time::timeout(timeout, read_body(response, MAX_REFUSAL_BYTES)).await
-        {
+        let read = response.read_to_end(MAX_REFUSAL_BYTES);
+        let body = match tokio::time::timeout(timeout, read).await {
             Ok(Ok(body)) => body,
-            Ok(Err(error)) => return error,
+            Ok(Err(error)) => return error.into(),
             Err(_) => return Error::Unknown(UnknownOutcome::Timeout),
         };
         match serde_json::from_slice::<Refusal>(&body) {
@@ -251,16 +247,14 @@
     }
 }
 
-/// Reads a body up to a maximum size: a faulty target may send without end.
-async fn read_body(mut response: Response, max_bytes: usize) -> Result<BytesMut, Error> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = response.chunk().await? {
-        if body.len() + chunk.len() > max_bytes {
-            return Err(malformed(&format!("larger than {max_bytes} bytes")));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body)
+fn post<T>(address: SocketAddr, path: &str, body: &T) -> Result<Request<Full<Bytes>>, Error>
+where
+    T: Serialize,
+{
+    let body = serde_json::to_vec(body);
+    let body = body.map_err(|error| NotStarted::Invalid(error.to_string()))?;
+    let request = http_client::json_request(Method::POST, &url(address, path), body);
+    Ok(request?)
 }
 
 fn malformed(reason: &str) -> Error {
--- a/filbertpaddle-target/src/error.rs
+++ b/filbertpaddle-target/src/error.rs
@@ -1,6 +1,7 @@
 //! Errors of requests to targets, by whether the request may have run.
 
 use filbertpaddle_core::name::Name;
+use filbertpaddle_http::client as http_client;
 use thiserror::Error;
 
 use crate::protocol::RefusalCause;
@@ -22,6 +23,9 @@
     /// Connecting failed, so the request was not sent.
     #[error("cannot connect: {0}")]
     Unreachable(String),
+    /// The request cannot be built.
+    #[error("cannot build request: {0}")]
+    Invalid(String),
     /// The target refused the request.
     #[error("refused: {0:?}")]
     Refused(RefusalCause),
@@ -74,30 +78,24 @@
     }
 }
 
-impl From<reqwest::Error> for Error {
-    fn from(error: reqwest::Error) -> Self {
-        // A request is sent only after its connection is established.
-        if error.is_connect() {
-            return Self::NotStarted(NotStarted::Unreachable(describe(&error)));
-        }
-        if error.is_timeout() {
-            return Self::Unknown(UnknownOutcome::Timeout);
-        }
-        if error.is_decode() {
-            return Self::Unknown(UnknownOutcome::Malformed(describe(&error)));
-        }
-        Self::Unknown(UnknownOutcome::ConnectionLost(describe(&error)))
+impl From<NotStarted> for Error {
+    fn from(reason: NotStarted) -> Self {
+        Self::NotStarted(reason)
     }
 }
 
-/// Formats an error with its sources, since its own message omits the cause.
-fn describe(error: &reqwest::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = std::error::Error::source(error);
-    while let Some(cause) = source {
-        text.push_str(": ");
-        text.push_str(&cause.to_string());
-        source = cause.source();
+impl From<http_client::Error> for Error {
+    fn from(error: http_client::Error) -> Self {
+        match error {
+            http_client::Error::Invalid(reason) => NotStarted::Invalid(reason).into(),
+            // A request is sent only after its connection is established.
+            http_client::Error::Connect(reason) => NotStarted::Unreachable(reason).into(),
+            http_client::Error::Lost(reason) => {
+                Self::Unknown(UnknownOutcome::ConnectionLost(reason))
+            }
+            http_client::Error::TooLarge(_) => {
+                Self::Unknown(UnknownOutcome::Malformed(error.to_string()))
+            }
+        }
     }
-    text
 }
--- a/filbertpaddle-target/src/stream.rs
+++ b/filbertpaddle-target/src/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Buf;
 use bytes::BytesMut;
 use filbertpaddle_core::name::Name;
-use reqwest::Response;
+use filbertpaddle_http::client::Response;
 use tokio::time::Instant;
 
 use crate::error::Error;
--- a/filbertpaddle-target/tests/faulty_targets.rs
+++ b/filbertpaddle-target/tests/faulty_targets.rs
@@ -17,6 +17,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -29,7 +30,7 @@
         idle_timeout_ms: Millis(400),
         ..Settings::default()
     };
-    Client::new(settings).unwrap()
+    Client::new(settings)
 }
 
 fn submit(attempt: &str) -> Submit {
@@ -125,3 +126,74 @@
         Error::Unknown(UnknownOutcome::Malformed(_))
     ));
 }
+
+/// Answers with the same status and body, whatever is sent.
+async fn answer_always(mut stream: TcpStream, status: u16, body: &str) -> std::io::Result<()> {
+    let length = body.len();
+    let answer = format!("HTTP/1.1 {status} Any\r\nContent-Length: {length}\r\n\r\n{body}");
+    let mut request = [0; 4_096];
+    while stream.read(&mut request).await? > 0 {
+        stream.write_all(answer.as_bytes()).await?;
+    }
+    Ok(())
+}
+
+/// Guards callers against "not run" for a request that its target has run and then failed.
+#[tokio::test]
+async fn only_a_refusal_that_names_the_attempt_proves_that_it_was_not_run() {
+    for status in [404, 408, 409, 421, 429, 500, 503] {
+        for body in [
+            "",
+            "failed",
+            r#"{"cause":"leaving"}"#,
+            r#"{"id":"other","cause":"leaving"}"#,
+            r#"{"id":"a","cause":"failed"}"#,
+            r#"{"id":"a","cause":"leaving""#,
+        ] {
+            let target = start_target(move |stream| answer_always(stream, status, body)).await;
+            let submitted = client().submit(target, &submit("a")).await;
+            let called = client().call(target, &submit("a")).await;
+            for error in [submitted.unwrap_err(), called.unwrap_err()] {
+                assert!(!error.is_not_started(), "{status} {body:?}: {error:?}");
+            }
+        }
+    }
+}
+
+/// Number of bytes of a response after which a target without progress must have been given up.
+const MAX_IDLE_BYTES: usize = 16 << 20;
+
+/// Sends `start` and then `more` without end; passes on how many bytes the client took.
+async fn send_idle(
+    mut stream: TcpStream,
+    start: &'static str,
+    more: &'static str,
+    sent: mpsc::UnboundedSender<usize>,
+) -> std::io::Result<()> {
+    let mut request = [0; 4_096];
+    let _ = stream.read(&mut request).await?;
+    stream.write_all(start.as_bytes()).await?;
+    let part = more.repeat((64 << 10) / more.len());
+    let mut bytes = 0;
+    while bytes <= MAX_IDLE_BYTES && stream.write_all(part.as_bytes()).await.is_ok() {
+        bytes += part.len();
+    }
+    sent.send(bytes).ok();
+    Ok(())
+}
+
+/// They were read for as long as the time limit allowed, and took up the thread of the node.
+#[tokio::test]
+async fn bytes_that_belong_to_no_body_are_given_up() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (start, more) in [(CHUNKED, "0"), (INTERIM, INTERIM)] {
+        let (sent, mut sizes) = mpsc::unbounded_channel();
+        let target = start_target(move |stream| send_idle(stream, start, more, sent.clone())).await;
+        let answer = timeout(TEST_TIMEOUT, client().call(target, &submit("a"))).await;
+        let error = answer.unwrap().unwrap_err();
+        assert!(matches!(error, Error::Unknown(_)), "{error:?}");
+        let bytes = timeout(TEST_TIMEOUT, sizes.recv()).await.unwrap().unwrap();
+        assert!(bytes < MAX_IDLE_BYTES, "{bytes} bytes of {more:?}");
+    }
+}
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -102,7 +102,7 @@
         let identity = identity(&settings, advertised);
         let common = Common {
             own: identity.own.clone(),
-            platform: platform_client(&settings)?,
+            platform: platform_client(&settings),
             metrics,
             clock: Clock::start(),
             log: log.clone(),
@@ -115,7 +115,7 @@
             member: inboxes.member,
             grant: inboxes.grant,
             platform: common.platform.clone(),
-            targets: target::Client::new(target::Settings::default())?,
+            targets: target::Client::new(target::Settings::default()),
             availability: availability.clone(),
             clock: common.clock,
             placement: settings.placement,
@@ -137,7 +137,7 @@
             config_reader,
             claims,
             slots,
-        )?);
+        ));
         let servers = vec![
             serve(
                 callers,
@@ -198,10 +198,10 @@
     log: Logger,
 }
 
-fn platform_client(settings: &Settings) -> eyre::Result<Client> {
+fn platform_client(settings: &Settings) -> Client {
     let base = format!("http://{}", settings.platform.address);
     let timeout = clock::duration(settings.platform.timeout_ms);
-    Ok(Client::new(base, timeout)?)
+    Client::new(base, timeout)
 }
 
 fn request_context(
@@ -210,25 +210,25 @@
     config: ConfigReader,
     claims: Claims,
     slots: SlotRouter,
-) -> eyre::Result<RequestContext> {
+) -> RequestContext {
     let own = &common.own;
     let log = &common.log;
     let attempt_prefix = attempt_id::prefix(&NodeId {
         name: own.name.clone(),
         incarnation: own.incarnation,
     });
-    Ok(RequestContext {
+    RequestContext {
         config,
         claims,
         slots,
         retries: Retries::new(settings.retries),
-        targets: target::Client::new(target::Settings::default())?,
+        targets: target::Client::new(target::Settings::default()),
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
         metrics: Arc::clone(&common.metrics),
         log: log::component(log, "request"),
         admission: Admission::new(attempt_prefix, settings.limits.requests),
-    })
+    }
 }
 
 fn start_claims(
--- a/filbertpaddle/tests/common/fleet.rs
+++ b/filbertpaddle/tests/common/fleet.rs
@@ -149,7 +149,7 @@
     pub fn start() -> Self {
         let standin = StandIn::start(&["platform"]);
         let base = format!("http://{}", standin.address);
-        let client = Client::new(base, PLATFORM_TIMEOUT).unwrap();
+        let client = Client::new(base, PLATFORM_TIMEOUT);
         Self {
             standin,
             client,
