Bound the answers that a node of the own interface holds

Change: an answer ends after the tokens that were asked for, or 8 MiB; the texts of all answers and what their callers have not read share a quota of 16 MiB, beyond which one that has grown for no time is given up, as on the forwarding path. What its caller has not read is dropped; such a stream ends without an outcome, and may be resumed by its ticket.

Not bounded: what the HTTP libraries of this interface buffer for each caller (some 400 KiB).

--- a/filbertpaddle-core/src/delivery.rs
+++ b/filbertpaddle-core/src/delivery.rs
@@ -166,6 +166,11 @@
         Action::Finish(self.interrupted_outcome(Reason::TargetFailed))
     }
 
+    /// Returns the outcome of an answer that the node gives up.
+    pub fn give_up(&self) -> Outcome {
+        self.interrupted_outcome(Reason::TargetFailed)
+    }
+
     fn interrupted_outcome(&self, reason: Reason) -> Outcome {
         if !self.restart_policy.idempotent {
             return Outcome::MayHaveRun { reason };
--- a/filbertpaddle/src/caller_api.rs
+++ b/filbertpaddle/src/caller_api.rs
@@ -229,7 +229,8 @@
     context.metrics.count("request.resumed");
     let (first_response, receiver) = oneshot::channel();
     tokio::spawn(async move {
-        relay_resumed(&context, ticket, from, Output::new(first_response)).await;
+        let output = Output::new(first_response, context.texts.start());
+        relay_resumed(&context, ticket, from, output).await;
         drop(permit);
     });
     let task_lost = FirstResponse::Ended(Outcome::Incomplete {
@@ -247,6 +248,7 @@
     let attempt = Attempt {
         context,
         ticket,
+        max_tokens: None,
         grant: &grant,
         delivery: &mut delivery,
         output: &mut output,
--- a/filbertpaddle/src/generation.rs
+++ b/filbertpaddle/src/generation.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request on one target, from the submission to the last token.
 
+use std::fmt;
 use std::time::Duration;
 
 use filbertpaddle_core::delivery::Action;
@@ -16,6 +17,7 @@
 use filbertpaddle_target::stream::Received;
 use filbertpaddle_target::stream::Tokens;
 use slog::debug;
+use slog::info;
 
 use crate::clock;
 use crate::output::Output;
@@ -51,6 +53,8 @@
 pub(crate) struct Attempt<'a> {
     pub(crate) context: &'a RequestContext,
     pub(crate) ticket: Ticket,
+    /// Maximum number of tokens, if it is known.
+    pub(crate) max_tokens: Option<u32>,
     pub(crate) grant: &'a Grant,
     pub(crate) delivery: &'a mut Delivery,
     pub(crate) output: &'a mut Output,
@@ -86,6 +90,9 @@
         self.context.slots.mark_sent(self.grant);
         match answered {
             Ok(answer) => {
+                if let Err(limit) = self.output.count(&answer.body) {
+                    return self.give_up(&limit);
+                }
                 self.deliver_token(0, answer.body);
                 slot_use(
                     AttemptResult::Ended(Outcome::Complete { tokens: 1 }),
@@ -118,7 +125,12 @@
 
     async fn relay(&mut self, mut stream: Tokens) -> SlotUse {
         loop {
-            let (event, text) = match stream.next().await {
+            let next = tokio::select! {
+                biased;
+                next = stream.next() => next,
+                limit = self.output.evicted() => return self.give_up(&limit),
+            };
+            let (event, text) = match next {
                 Ok(Some(received)) => match self.delivery_event(received) {
                     Some(event) => event,
                     None => continue,
@@ -129,6 +141,12 @@
                     (failure_event(&error), String::new())
                 }
             };
+            if self.is_beyond_max_tokens(&event) {
+                return self.give_up(&"target sends more tokens than it was asked for");
+            }
+            if let Err(limit) = self.output.count(&text) {
+                return self.give_up(&limit);
+            }
             match self.delivery.on(&event) {
                 Action::Deliver => self.deliver_token(self.delivery.delivered_tokens() - 1, text),
                 Action::DropForeign | Action::DropDuplicate => self.count_dropped(),
@@ -181,6 +199,21 @@
         }
     }
 
+    fn is_beyond_max_tokens(&self, event: &Event) -> bool {
+        let max_tokens = self.max_tokens.unwrap_or(u32::MAX);
+        matches!(event, Event::Token { index, .. } if *index >= max_tokens)
+    }
+
+    /// Ends an attempt whose target goes on without end, or whose answer the node has no memory for.
+    fn give_up(&mut self, reason: &dyn fmt::Display) -> SlotUse {
+        let target = &self.grant.target;
+        info!(self.context.log, "Answer given up."; "target" => %target, "reason" => %reason);
+        self.context.metrics.count("answer.given_up");
+        self.output.give_up();
+        let outcome = self.delivery.give_up();
+        slot_use(AttemptResult::Ended(outcome), Ending::Failed)
+    }
+
     fn deliver_token(&mut self, index: u32, text: String) {
         let generation = self.delivery.attempt().clone();
         let secret = self.context.ticket_secret.as_bytes();
--- a/filbertpaddle/src/lib.rs
+++ b/filbertpaddle/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod health;
 pub mod heartbeat;
 pub mod inbox;
+pub mod item_queue;
 mod lent_slot;
 pub mod log;
 pub mod metrics;
--- a/filbertpaddle/src/node.rs
+++ b/filbertpaddle/src/node.rs
@@ -5,6 +5,7 @@
 
 use eyre::WrapErr;
 use filbertpaddle_core::roster::NodeId;
+use filbertpaddle_http::buffer_limit::BufferLimit;
 use filbertpaddle_platform::client::Client;
 use filbertpaddle_target::client as target;
 use filbertpaddle_wire::claim;
@@ -223,6 +224,7 @@
         slots,
         retries: Retries::new(settings.retries),
         targets: target::Client::new(target::Settings::default()),
+        texts: BufferLimit::new(),
         ticket_secret: settings.secrets.ticket.as_str().into(),
         limits: settings.limits.clone(),
         metrics: Arc::clone(&common.metrics),
--- a/filbertpaddle/src/output.rs
+++ b/filbertpaddle/src/output.rs
@@ -1,26 +1,46 @@
 //! Output of a running request to its caller.
 
 use filbertpaddle_core::outcome::Outcome;
-use tokio::sync::mpsc;
+use filbertpaddle_http::buffer_limit::BufferedBytes;
+use filbertpaddle_http::buffer_limit::ExceededLimit;
 use tokio::sync::oneshot;
 
+use crate::item_queue::ItemSender;
+use crate::item_queue::item_queue;
 use crate::request::FirstResponse;
 use crate::request::ResponseItem;
 
+/// Maximum size of the text of an answer.
+const MAX_TEXT_BYTES: usize = 8 << 20;
+/// Number of copies of a text: the whole one, and what the caller has not read.
+const TEXT_COPIES: usize = 2;
+
 /// Sends the response of a request to its caller, who may have disconnected.
 #[derive(Debug)]
 pub(crate) struct Output {
     first_response: Option<oneshot::Sender<FirstResponse>>,
-    items: Option<mpsc::UnboundedSender<ResponseItem>>,
+    items: Option<ItemSender>,
     text: String,
+    /// Counts the text towards the limit of the node.
+    buffered: BufferedBytes,
+    /// Size of the text that was received.
+    counted_bytes: usize,
+    /// Whether the caller misses a part of the answer.
+    is_cut_off: bool,
 }
 
 impl Output {
-    pub(crate) fn new(first_response: oneshot::Sender<FirstResponse>) -> Self {
+    pub(crate) fn new(
+        first_response: oneshot::Sender<FirstResponse>,
+        buffered: BufferedBytes,
+    ) -> Self {
         Self {
             first_response: Some(first_response),
             items: None,
             text: String::new(),
+            buffered,
+            counted_bytes: 0,
+            is_cut_off: false,
         }
     }
 
@@ -37,6 +57,19 @@
         }
     }
 
+    /// Counts text that has been received towards the limits on what the node holds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExceededLimit`] if the answer has become too large, or has to be given up for others.
+    pub(crate) fn count(&mut self, text: &str) -> Result<(), ExceededLimit> {
+        self.counted_bytes += text.len();
+        if self.counted_bytes > MAX_TEXT_BYTES {
+            return Err(ExceededLimit::Body);
+        }
+        self.buffered.set(self.counted_bytes * TEXT_COPIES)
+    }
+
     /// Sends one token; `start` creates the item to send before the first token.
     pub(crate) fn send_token<F>(&mut self, index: u32, text: String, start: F)
     where
@@ -49,9 +82,26 @@
         self.send(ResponseItem::Token { index, text });
     }
 
+    /// Gives the answer up: drops its text, and what the caller has not read. A stream of which
+    /// something was dropped ends without an outcome, as the outcome counts what was delivered.
+    pub(crate) fn give_up(&mut self) {
+        self.text = String::new();
+        if self.items.as_ref().is_some_and(ItemSender::discard) {
+            self.is_cut_off = true;
+        }
+    }
+
+    /// Waits until the answer has to be given up for others. Cancel-safe.
+    pub(crate) async fn evicted(&self) -> ExceededLimit {
+        self.buffered.evicted().await
+    }
+
     /// Discards the text sent so far, which a caller of a whole answer has not received yet.
     pub(crate) fn restart(&mut self) {
         self.text.clear();
+        // An answer that has been given up ends with its next token.
+        self.counted_bytes = 0;
+        self.buffered.set(0).ok();
         self.send(ResponseItem::Restart);
     }
 
@@ -64,6 +114,9 @@
 
     /// Sends the outcome of the request.
     pub(crate) fn close(mut self, outcome: Outcome) {
+        if self.is_cut_off {
+            return;
+        }
         if self.items.is_some() {
             self.send(ResponseItem::End(outcome));
             return;
@@ -72,7 +125,7 @@
     }
 
     fn open(&mut self, start: ResponseItem) {
-        let (items, receiver) = mpsc::unbounded_channel();
+        let (items, receiver) = item_queue();
         self.items = Some(items);
         self.respond(FirstResponse::Running(receiver));
         self.send(start);
@@ -80,7 +133,7 @@
 
     fn send(&self, item: ResponseItem) {
         if let Some(items) = &self.items {
-            items.send(item).ok();
+            items.send(item);
         }
     }
 }
--- a/filbertpaddle/src/reply.rs
+++ b/filbertpaddle/src/reply.rs
@@ -8,8 +8,6 @@
 use futures_util::Stream;
 use futures_util::StreamExt;
 use serde::Serialize;
-use tokio::sync::mpsc;
-use tokio_stream::wrappers::UnboundedReceiverStream;
 use warp::Reply;
 use warp::http::StatusCode;
 use warp::http::header::RETRY_AFTER;
@@ -17,6 +15,7 @@
 use warp::sse;
 
 use crate::claims::RequestResult;
+use crate::item_queue::ItemReceiver;
 use crate::request::FirstResponse;
 use crate::request::ResponseItem;
 use crate::request::ValidationError;
@@ -65,8 +64,8 @@
 }
 
 /// Returns a response that streams the items of a running generation.
-pub(crate) fn running(items: mpsc::UnboundedReceiver<ResponseItem>) -> Response {
-    sse::reply(events(UnboundedReceiverStream::new(items))).into_response()
+pub(crate) fn running(items: ItemReceiver) -> Response {
+    sse::reply(events(items)).into_response()
 }
 
 /// Returns the response to a request whose answer is delivered whole.
@@ -79,7 +78,7 @@
         FirstResponse::Running(items) => items,
     };
     let mut text = String::new();
-    while let Some(item) = items.recv().await {
+    while let Some(item) = items.next().await {
         match item {
             ResponseItem::Start { .. } => {}
             ResponseItem::Token { text: more, .. } => text.push_str(&more),
--- a/filbertpaddle/src/request.rs
+++ b/filbertpaddle/src/request.rs
@@ -14,10 +14,10 @@
 use serde::Deserialize;
 use sha2::Digest;
 use sha2::Sha256;
-use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::claims;
+use crate::item_queue::ItemReceiver;
 
 /// Estimated number of bytes per token.
 const TOKEN_BYTES: usize = 4;
@@ -96,7 +96,7 @@
     /// The request ran before and had this result.
     Replay(claims::RequestResult),
     /// The request is running.
-    Running(mpsc::UnboundedReceiver<ResponseItem>),
+    Running(ItemReceiver),
 }
 
 impl Request {
--- a/filbertpaddle/src/request_context.rs
+++ b/filbertpaddle/src/request_context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use filbertpaddle_http::buffer_limit::BufferLimit;
 use filbertpaddle_target::client::Client;
 use slog::Logger;
 
@@ -26,6 +27,8 @@
     pub retries: Retries,
     /// Client of targets.
     pub targets: Client,
+    /// Limit on the texts of answers that the node holds.
+    pub texts: BufferLimit,
     /// Secret that signs resume tickets.
     pub ticket_secret: Arc<str>,
     /// Limits on what callers may send.
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -41,9 +41,8 @@
 ) -> FirstResponse {
     let (first_response, receiver) = oneshot::channel();
     tokio::spawn(async move {
-        Run::new(context, request, Output::new(first_response))
-            .run()
-            .await;
+        let output = Output::new(first_response, context.texts.start());
+        Run::new(context, request, output).run().await;
         drop(permit);
     });
     receiver
@@ -213,6 +212,7 @@
                 &grant,
                 template.idempotent,
             ),
+            max_tokens: Some(template.max_tokens),
             grant: &grant,
             delivery: &mut self.delivery,
             output: &mut self.output,
