Keep only the texts of answers that may be replayed

Each answer's text was kept whole, in a buffer that grows by doubling, though only the results of non-idempotent requests are replayed; the quota counted it once.

Change: other answers keep no text, so that only what their callers have not read is held; kept ones count three times. `at_most_once` (15 tests, replays among them) holds.

--- a/filbertpaddle/src/caller_api.rs
+++ b/filbertpaddle/src/caller_api.rs
@@ -229,7 +229,7 @@
     context.metrics.count("request.resumed");
     let (first_response, receiver) = oneshot::channel();
     tokio::spawn(async move {
-        let output = Output::new(first_response, context.texts.start());
+        let output = Output::new(first_response, context.texts.start(), false);
         relay_resumed(&context, ticket, from, output).await;
         drop(permit);
     });
--- a/filbertpaddle/src/output.rs
+++ b/filbertpaddle/src/output.rs
@@ -12,15 +12,17 @@
 
 /// Maximum size of the text of an answer.
 const MAX_TEXT_BYTES: usize = 8 << 20;
-/// Number of copies of a text: the whole one, and what the caller has not read.
-const TEXT_COPIES: usize = 2;
+/// Sizes of a text that count if it is kept: what the caller has not read, and the whole text in a
+/// buffer that grows by doubling.
+const KEPT_TEXT_FACTOR: usize = 3;
 
 /// Sends the response of a request to its caller, who may have disconnected.
 #[derive(Debug)]
 pub(crate) struct Output {
     first_response: Option<oneshot::Sender<FirstResponse>>,
     items: Option<ItemSender>,
-    text: String,
+    /// The text, if it is kept to be replayed.
+    text: Option<String>,
     /// Counts the text towards the limit of the node.
     buffered: BufferedBytes,
     /// Size of the text that was received.
@@ -33,20 +35,21 @@
     pub(crate) fn new(
         first_response: oneshot::Sender<FirstResponse>,
         buffered: BufferedBytes,
+        keeps_text: bool,
     ) -> Self {
         Self {
             first_response: Some(first_response),
             items: None,
-            text: String::new(),
+            text: keeps_text.then(String::new),
             buffered,
             counted_bytes: 0,
             is_cut_off: false,
         }
     }
 
-    /// Returns the text that was sent of the current generation.
+    /// Returns the text that was sent of the current generation, if it is kept.
     pub(crate) fn text(&self) -> &str {
-        &self.text
+        self.text.as_deref().unwrap_or_default()
     }
 
     /// Waits until the caller disconnects; never returns once the first response was sent.
@@ -67,7 +70,12 @@
         if self.counted_bytes > MAX_TEXT_BYTES {
             return Err(ExceededLimit::Body);
         }
-        self.buffered.set(self.counted_bytes * TEXT_COPIES)
+        let factor = if self.text.is_some() {
+            KEPT_TEXT_FACTOR
+        } else {
+            1
+        };
+        self.buffered.set(self.counted_bytes * factor)
     }
 
     /// Sends one token; `start` creates the item to send before the first token.
@@ -78,14 +86,16 @@
         if self.items.is_none() {
             self.open(start());
         }
-        self.text.push_str(&text);
+        if let Some(kept) = &mut self.text {
+            kept.push_str(&text);
+        }
         self.send(ResponseItem::Token { index, text });
     }
 
     /// Gives the answer up: drops its text, and what the caller has not read. A stream of which
     /// something was dropped ends without an outcome, as the outcome counts what was delivered.
     pub(crate) fn give_up(&mut self) {
-        self.text = String::new();
+        self.text = None;
         if self.items.as_ref().is_some_and(ItemSender::discard) {
             self.is_cut_off = true;
         }
@@ -98,7 +108,9 @@
 
     /// Discards the text sent so far, which a caller of a whole answer has not received yet.
     pub(crate) fn restart(&mut self) {
-        self.text.clear();
+        if let Some(kept) = &mut self.text {
+            kept.clear();
+        }
         // An answer that has been given up ends with its next token.
         self.counted_bytes = 0;
         self.buffered.set(0).ok();
--- a/filbertpaddle/src/run.rs
+++ b/filbertpaddle/src/run.rs
@@ -41,7 +41,9 @@
 ) -> FirstResponse {
     let (first_response, receiver) = oneshot::channel();
     tokio::spawn(async move {
-        let output = Output::new(first_response, context.texts.start());
+        // Only a result that may be replayed needs its text.
+        let keeps_text = !request.template.idempotent;
+        let output = Output::new(first_response, context.texts.start(), keeps_text);
         Run::new(context, request, output).run().await;
         drop(permit);
     });
