Name the optional behaviour and the types that the new parts share

Cause: roll-outs, the speed of targets and admission by priority are in force only where the settings call for them, and several parts build on the same types.

Nothing reads them yet.

Ruled out: a switch for each part in the product's own settings, which the users' platform does not set.

--- /dev/null
+++ b/filbertpaddle-forward/src/features.rs
@@ -0,0 +1,14 @@
+//! Optional behaviour of nodes, switched on by the settings.
+
+use crate::rollout::RolloutLimits;
+
+/// Behaviour that is in force only where the settings call for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Features {
+    /// Limits on roll-outs; `None` if operators order none.
+    pub rollouts: Option<RolloutLimits>,
+    /// Whether the speed of each target is measured and used.
+    pub target_speeds: bool,
+    /// Whether more urgent requests are admitted before less urgent ones of their service.
+    pub priority_admission: bool,
+}
--- a/filbertpaddle-gateway/src/settings.rs
+++ b/filbertpaddle-gateway/src/settings.rs
@@ -4,6 +4,7 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use filbertpaddle_forward::features::Features;
 use filbertpaddle_forward::retry_budget;
 use indexmap::IndexSet;
 
@@ -27,6 +28,8 @@
     pub metrics: Option<SocketAddr>,
     /// CPU cores that the node may use.
     pub cores: f64,
+    /// Memory that the node may use; `None` if no limit is stated.
+    pub memory_bytes: Option<u64>,
     /// Settings that are reread while the node runs.
     pub reloadable: Reloadable,
 }
@@ -49,6 +52,7 @@
             ("peers", self.peers != reread.peers),
             ("metrics", self.metrics != reread.metrics),
             ("cores", self.cores != reread.cores),
+            ("memory_bytes", self.memory_bytes != reread.memory_bytes),
         ];
         let changed = fields.into_iter().filter(|(_, is_changed)| *is_changed);
         changed.map(|(name, _)| name).collect()
@@ -73,4 +77,6 @@
     /// Time in which operators and targets write their entries again after the store was
     /// rolled back to an older copy.
     pub rewrite_ms: Millis,
+    /// Optional behaviour.
+    pub features: Features,
 }
--- a/filbertpaddle-gateway/tests/settings.rs
+++ b/filbertpaddle-gateway/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Changed settings that take effect only after a restart.
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::features::Features;
 use filbertpaddle_forward::retry_budget::RetryLimits;
 use filbertpaddle_gateway::settings::Reloadable;
 use filbertpaddle_gateway::settings::Settings;
@@ -15,6 +16,7 @@
         peers: ([127, 0, 0, 1], 3).into(),
         metrics: None,
         cores: 0.25,
+        memory_bytes: Some(110 << 20),
         reloadable: Reloadable {
             store: ([127, 0, 0, 1], 4).into(),
             is_first_start: true,
@@ -27,6 +29,7 @@
             grace_ms: Millis(8_000),
             apply_ms: Millis(2_000),
             rewrite_ms: Millis(4_800),
+            features: Features::default(),
         },
     }
 }
@@ -42,6 +45,7 @@
         peers: ([127, 0, 0, 1], 13).into(),
         metrics: Some(([127, 0, 0, 1], 14).into()),
         cores: 0.5,
+        memory_bytes: None,
         reloadable: settings().reloadable,
     };
     let all = [
@@ -53,6 +57,7 @@
         "peers",
         "metrics",
         "cores",
+        "memory_bytes",
     ];
     assert_eq!(settings().changed_until_restart(&changed), all);
     assert!(settings().changed_until_restart(&settings()).is_empty());
