Count an end in doubt only if it is stated or two targets agree

Cause: the end counted where the query for what follows had no answer in time or was too late, and where the same target closed the query in order too, before any event. Only early ends seen at the service in the last 10 s spoke against it.

Change: an end counts if a target states it, if the target serves no query, or if two different targets close in order before any event after the same one. Else the stream is cut off, and its caller can resume it. A caller that resumes a whole stream is no longer answered with 502 and a back-off of sound targets: a target that has nothing more and goes on is excluded for this request, another is asked, and their agreement completes the answer. The record of early ends is gone.

Weighed: a second target within the first answer (one opinion, which the soak's independent cuts meet as often); cutting off only after early ends (lets the first through).

Changed expectations, each for a stricter one: `ends_in_doubt` wanted whole streams to be complete after a second end of their own target, a query that was not run or not answered, and a used-up retry budget; they are cut off. `stream_end` likewise; its test of early ends is replaced by one that holds without them. `resumed_ends` wants the first answer to be cut off too.

--- a/filbertpaddle-forward/src/stream_end.rs
+++ b/filbertpaddle-forward/src/stream_end.rs
@@ -5,7 +5,6 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use indexmap::IndexMap;
 
 /// Multiple of the latency goal that the answer to a query is awaited, as a first event is.
 const QUERY_GOAL_FACTOR: u64 = 2;
@@ -16,8 +15,8 @@
 /// Time left after a query without an answer to end the stream before its deadline passes or the
 /// node, which takes the last 150 ms of its grace period to exit.
 const RESERVE_MS: Millis = Millis(300);
-/// Time for which an end that was early counts against others at the same service.
-const EARLY_ENDS_MS: Millis = Millis::from_secs(10);
+/// Targets that have to close a run after the same event for its end to count.
+const AGREEING_TARGETS: usize = 2;
 
 /// End in order of a stream without a length, at a target that goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,12 +25,18 @@
     pub may_resume: bool,
     /// Whether the route allows one more attempt within the answer.
     pub has_sends_left: bool,
-    /// Whether it has gone on from one run to another within the answer.
-    pub has_resumed: bool,
+    /// Whether the route allows more than one attempt.
+    pub allows_retries: bool,
     /// Whether the last event has an ID, so that a target can be queried for those that follow it.
     pub is_placed: bool,
-    /// Whether the run was a query after another such end, and has sent no further event.
-    pub is_confirmation: bool,
+    /// Whether as many targets as needed agree that nothing follows.
+    pub is_agreed: bool,
+}
+
+/// Targets that have closed a run in order, without a length, before any event after the last.
+#[derive(Clone, Debug, Default)]
+pub struct EmptyRuns {
+    targets: Vec<Name>,
 }
 
 /// What to do at such an end.
@@ -66,47 +71,62 @@
 }
 
 impl UnstatedEnd {
-    /// Returns what to do. Two runs that end after the same event agree that it is the last. A
-    /// stream that has used up its attempts by going on elsewhere is left to its caller to resume.
+    /// Returns what to do. A second end of the same target may be another break, so that two
+    /// targets have to agree. A stream in doubt is left to its caller to resume.
     pub fn step(&self) -> EndStep {
-        let is_in_doubt = self.is_placed && self.may_resume && !self.is_confirmation;
-        match is_in_doubt {
+        let may_confirm = self.is_placed && self.may_resume && self.allows_retries;
+        match may_confirm && !self.is_agreed {
             true if self.has_sends_left => EndStep::Query,
-            true if self.has_resumed => EndStep::CutOff,
-            _ => EndStep::Complete,
+            true => EndStep::CutOff,
+            false => EndStep::Complete,
         }
     }
 }
 
 impl QueryFailure {
-    /// Returns what to do after it. The end counts unless there is a sign against it: a run that
-    /// has nothing to send ends at once, and seldom fails before. Early ends at the service are a
-    /// sign too, unless a target has declined: the caller can resume the stream.
-    pub fn step(self, has_early_ends: bool) -> EndStep {
+    /// Returns what to do after it. Nothing but a target that serves no query lets the end count:
+    /// its caller could not resume the stream either.
+    pub fn step(self) -> EndStep {
         match self {
-            Self::NotSent | Self::NotRun | Self::NoAnswer if has_early_ends => EndStep::CutOff,
-            Self::NotSent | Self::NotRun | Self::NoAnswer | Self::Declined => EndStep::Complete,
-            Self::TargetsFailing | Self::Failed | Self::TargetEnded => EndStep::CutOff,
+            Self::Declined => EndStep::Complete,
+            Self::NotSent
+            | Self::TargetsFailing
+            | Self::NotRun
+            | Self::NoAnswer
+            | Self::Failed
+            | Self::TargetEnded => EndStep::CutOff,
         }
     }
 }
 
-/// Services whose targets have closed streams early, as queries have shown.
-#[derive(Debug, Default)]
-pub struct EarlyEnds {
-    seen_ms: IndexMap<Name, Millis>,
-}
+impl EmptyRuns {
+    /// Records the target of such a run.
+    pub fn record(&mut self, target: &Name) {
+        if !self.targets.contains(target) {
+            self.targets.push(target.clone());
+        }
+    }
+
+    /// Forgets all of them, since another event has followed.
+    pub fn clear(&mut self) {
+        self.targets.clear();
+    }
+
+    /// Returns the targets that have closed such a run.
+    pub fn targets(&self) -> &[Name] {
+        &self.targets
+    }
 
-impl EarlyEnds {
-    /// Records that a query has brought events at `now`.
-    pub fn record(&mut self, now: Millis, service: &Name) {
-        self.seen_ms.insert(service.clone(), now);
+    /// Returns whether enough targets agree that nothing follows.
+    pub fn is_agreed(&self) -> bool {
+        self.targets.len() >= AGREEING_TARGETS
     }
 
-    /// Returns whether a query at the service has brought events recently.
-    pub fn is_recent(&self, now: Millis, service: &Name) -> bool {
-        let seen_ms = self.seen_ms.get(service);
-        seen_ms.is_some_and(|seen_ms| now.since(*seen_ms) < EARLY_ENDS_MS)
+    /// Returns whether the end of such a run at `target` would let enough targets agree.
+    pub fn would_agree(&self, target: &Name) -> bool {
+        let mut targets = self.clone();
+        targets.record(target);
+        targets.is_agreed()
     }
 }
 
--- a/filbertpaddle-forward/tests/stream_end.rs
+++ b/filbertpaddle-forward/tests/stream_end.rs
@@ -2,7 +2,7 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_forward::stream_end::EarlyEnds;
+use filbertpaddle_forward::stream_end::EmptyRuns;
 use filbertpaddle_forward::stream_end::EndStep;
 use filbertpaddle_forward::stream_end::QueryFailure;
 use filbertpaddle_forward::stream_end::UnstatedEnd;
@@ -11,13 +11,13 @@
 const RESUMABLE: UnstatedEnd = UnstatedEnd {
     may_resume: true,
     has_sends_left: true,
-    has_resumed: false,
+    allows_retries: true,
     is_placed: true,
-    is_confirmation: false,
+    is_agreed: false,
 };
 
 #[test]
-fn a_stream_is_asked_for_unless_it_cannot_be_or_two_runs_agree() {
+fn a_stream_is_asked_for_unless_it_cannot_be_or_two_targets_agree() {
     assert_eq!(RESUMABLE.step(), EndStep::Query);
     for end in [
         UnstatedEnd {
@@ -29,7 +29,11 @@
             ..RESUMABLE
         },
         UnstatedEnd {
-            is_confirmation: true,
+            allows_retries: false,
+            ..RESUMABLE
+        },
+        UnstatedEnd {
+            is_agreed: true,
             ..RESUMABLE
         },
     ] {
@@ -37,42 +41,50 @@
     }
 }
 
+/// Such streams were complete unless they had gone on elsewhere.
 #[test]
-fn a_resumed_stream_that_has_no_attempt_left_is_cut_off() {
+fn a_stream_that_has_no_attempt_left_is_cut_off() {
     let used_up = UnstatedEnd {
         has_sends_left: false,
         ..RESUMABLE
     };
-    assert_eq!(used_up.step(), EndStep::Complete);
-    let resumed = UnstatedEnd {
-        has_resumed: true,
+    assert_eq!(used_up.step(), EndStep::CutOff);
+    let agreed = UnstatedEnd {
+        is_agreed: true,
         ..used_up
     };
-    assert_eq!(resumed.step(), EndStep::CutOff);
-    let confirmed = UnstatedEnd {
-        is_confirmation: true,
-        ..resumed
-    };
-    assert_eq!(confirmed.step(), EndStep::Complete);
+    assert_eq!(agreed.step(), EndStep::Complete);
 }
 
+/// Cut streams were complete if their target closed the query for what follows too.
 #[test]
-fn only_a_sign_of_a_failure_counts_against_an_end() {
+fn two_different_targets_have_to_agree_on_an_end() {
+    let (first, second) = (Name::from("e1"), Name::from("e2"));
+    let mut runs = EmptyRuns::default();
+    runs.record(&first);
+    runs.record(&first);
+    assert!(!runs.is_agreed() && !runs.would_agree(&first));
+    assert!(runs.would_agree(&second));
+    runs.record(&second);
+    assert!(runs.is_agreed());
+    runs.clear();
+    assert!(!runs.is_agreed() && runs.targets().is_empty());
+}
+
+/// Cut streams were complete if no answer came, in time or at all, unless others had been early.
+#[test]
+fn only_a_target_that_serves_no_query_lets_an_end_count() {
     for failure in [
         QueryFailure::NotSent,
         QueryFailure::NotRun,
         QueryFailure::NoAnswer,
-        QueryFailure::Declined,
-    ] {
-        assert_eq!(failure.step(false), EndStep::Complete, "{failure}");
-    }
-    for failure in [
         QueryFailure::TargetsFailing,
         QueryFailure::Failed,
         QueryFailure::TargetEnded,
     ] {
-        assert_eq!(failure.step(false), EndStep::CutOff, "{failure}");
+        assert_eq!(failure.step(), EndStep::CutOff, "{failure}");
     }
+    assert_eq!(QueryFailure::Declined.step(), EndStep::Complete);
 }
 
 #[test]
@@ -90,22 +102,3 @@
     assert_eq!(timeout(long_ms, Some(Millis(349))), None);
     assert_eq!(timeout(Millis::ZERO, None), None);
 }
-
-#[test]
-fn an_end_that_cannot_be_asked_about_counts_unless_others_were_early() {
-    let (service, other) = (Name::from("engine"), Name::from("other"));
-    let mut early_ends = EarlyEnds::default();
-    let step = |early_ends: &EarlyEnds, now_ms, service| {
-        let has_early_ends = early_ends.is_recent(Millis(now_ms), service);
-        QueryFailure::NotSent.step(has_early_ends)
-    };
-    assert_eq!(step(&early_ends, 0, &service), EndStep::Complete);
-    early_ends.record(Millis::ZERO, &service);
-    assert_eq!(step(&early_ends, 9_999, &service), EndStep::CutOff);
-    assert_eq!(step(&early_ends, 10_000, &service), EndStep::Complete);
-    assert_eq!(step(&early_ends, 0, &other), EndStep::Complete);
-    for failure in [QueryFailure::NotRun, QueryFailure::NoAnswer] {
-        assert_eq!(failure.step(true), EndStep::CutOff, "{failure}");
-    }
-    assert_eq!(QueryFailure::Declined.step(true), EndStep::Complete);
-}
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -13,6 +13,7 @@
 use filbertpaddle_forward::idle_output::IdleOutput;
 use filbertpaddle_forward::migration::Step;
 use filbertpaddle_forward::service_pace::StreamMeter;
+use filbertpaddle_forward::stream_end::EmptyRuns;
 use filbertpaddle_forward::target::Target;
 use tokio::select;
 use tokio::sync::oneshot;
@@ -77,8 +78,8 @@
     pub(crate) is_end_query: bool,
     /// Whether the caller has been sent anything but comments, by any target.
     pub(crate) has_content: bool,
-    /// Whether the stream has gone on from one run to another.
-    pub(crate) has_resumed: bool,
+    /// Runs that have ended in order before any event after the last.
+    pub(crate) empty_runs: EmptyRuns,
     /// Time of the first of the new events.
     first_event_ms: Millis,
     /// Whether the current target has shown that the request does not crash it.
@@ -134,7 +135,7 @@
             is_placed: false,
             is_end_query: false,
             has_content: false,
-            has_resumed: false,
+            empty_runs: EmptyRuns::default(),
             first_event_ms: Millis::ZERO,
             is_sound: false,
             placement: None,
@@ -250,8 +251,8 @@
             }
         }
         if !event.is_comment() {
-            self.record_early_end(now);
             self.has_begun = true;
+            self.empty_runs.clear();
             self.has_content = true;
             self.is_placed = event.id.is_some();
         }
@@ -313,11 +314,18 @@
             let failure = match self.wait_first_event(&target).await {
                 Ok(source) => return Ok(source),
                 Err(OpenError::Stopped(stop)) => return Err(stop),
-                Err(OpenError::Failed(failure)) => failure,
+                Err(OpenError::Empty) => {
+                    self.release_placement();
+                    self.leave_empty_run(&target);
+                    Failure::Unknown(CLOSED_EARLY.to_owned())
+                }
+                Err(OpenError::Failed(failure)) => {
+                    self.release_placement();
+                    self.job.mark_failed(self.progress, &target, &failure);
+                    self.job.check_crash(&target, &failure).await;
+                    failure
+                }
             };
-            self.release_placement();
-            self.job.mark_failed(self.progress, &target, &failure);
-            self.job.check_crash(&target, &failure).await;
             if !self.job.may_retry(self.progress, &failure) {
                 return Err(StopReason::Refused(self.job.refusal(self.progress)));
             }
@@ -366,7 +374,10 @@
         }
         match source.next().await {
             StreamItem::Event(event) => source.put_back(event),
-            StreamItem::End if self.is_closed_early(&source) && !self.is_end_query => {
+            StreamItem::End if self.is_closed_early(&source) => {
+                if self.is_empty_run(&source).await {
+                    return Err(OpenError::Empty);
+                }
                 return Err(Failure::Unknown(CLOSED_EARLY.to_owned()).into());
             }
             StreamItem::End => {}
--- a/filbertpaddle-gateway/src/generation_end.rs
+++ b/filbertpaddle-gateway/src/generation_end.rs
@@ -12,6 +12,7 @@
 
 use crate::clock::duration;
 use crate::crash;
+use crate::ended_response;
 use crate::generation::Generation;
 use crate::job::Failure;
 use crate::job::ResumePoint;
@@ -41,7 +42,7 @@
             return self.recover(source, reason).await.map(Some);
         }
         let step = match source.is_unframed() {
-            true => self.end_step(),
+            true => self.end_step(&source.target),
             false => EndStep::Complete,
         };
         if step == EndStep::CutOff {
@@ -65,7 +66,7 @@
             Err(unsent) => unsent,
         };
         self.log_query_outcome(ended, &unsent.to_string());
-        match unsent.step(self.has_early_ends()) {
+        match unsent.step() {
             EndStep::Complete | EndStep::Query => {
                 self.record_complete(ended);
                 Ok(None)
@@ -74,33 +75,50 @@
         }
     }
 
-    /// Records that the run before has closed the stream early, if this is the first event of a query.
-    pub(crate) fn record_early_end(&self, now: Millis) {
-        if self.is_end_query && !self.has_begun {
-            let mut early_ends = self.job.state.early_ends.borrow_mut();
-            early_ends.record(now, &self.job.demand.service);
+    /// Returns what to do at the end of a run at `target`.
+    fn end_step(&mut self, target: &Target) -> EndStep {
+        if !self.has_begun {
+            self.empty_runs.record(&target.id);
         }
-    }
-
-    fn has_early_ends(&self) -> bool {
-        let state = &self.job.state;
-        let early_ends = state.early_ends.borrow();
-        early_ends.is_recent(state.clock.now(), &self.job.demand.service)
-    }
-
-    fn end_step(&self) -> EndStep {
         let end = UnstatedEnd {
             may_resume: self.may_resume(),
             has_sends_left: self.may_resend(),
-            has_resumed: self.has_resumed,
-            is_placed: self.is_placed && self.last_event.is_some(),
-            is_confirmation: self.is_end_query && !self.has_begun,
+            allows_retries: self.job.route.max_attempts > 1,
+            is_placed: self.last_event.is_some() && (self.is_placed || !self.has_begun),
+            is_agreed: self.empty_runs.is_agreed(),
         };
         end.step()
     }
 
+    /// Returns whether the end of a run without events at `target` may count: a query, or the last
+    /// of the runs that agree.
+    pub(crate) fn may_end_empty(&self, target: &Target) -> bool {
+        self.is_end_query || self.empty_runs.would_agree(&target.id)
+    }
+
+    /// Returns whether a run of `source` that has brought nothing is no sign of a failure: the
+    /// caller resumes a stream that may be whole, and the target goes on.
+    pub(crate) async fn is_empty_run(&self, source: &TargetStream) -> bool {
+        let may_be_whole = self.last_event.is_some()
+            && self.last_event == self.job.metadata.last_event
+            && self.may_resume();
+        may_be_whole && ended_response::goes_on(&self.job.state, &source.target).await
+    }
+
+    /// Excludes a target that has closed a run in order before any event. Others are asked too.
+    pub(crate) fn leave_empty_run(&mut self, target: &Target) {
+        self.empty_runs.record(&target.id);
+        self.progress.is_in_flight = false;
+        self.progress.sends += 1;
+        self.progress.may_have_run = true;
+        self.progress.excluded_targets.push(target.id.clone());
+        info!(self.job.state.log, "target has nothing that follows the last event of the caller";
+            "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
+            "last_event" => self.last_event, "sends" => self.progress.sends);
+    }
+
     /// Chooses the target that is asked, and how long its answer is awaited: the one of the
-    /// stream, which holds what it has read, or else another.
+    /// stream, which holds what it has read, or else another; none that has answered already.
     fn choose_queried(&mut self, ended: &Target) -> Result<(Target, Millis), QueryFailure> {
         let job = self.job;
         let now = job.state.clock.now();
@@ -111,7 +129,11 @@
             drain.map(|drain| drain.remaining_ms(now)),
         );
         let timeout_ms = timeout_ms.ok_or(QueryFailure::NotSent)?;
-        let target = match job.may_return_to(self.progress, ended) {
+        let asked = self.empty_runs.targets();
+        let failed = &mut self.progress.excluded_targets;
+        failed.extend(asked.iter().cloned());
+        let is_asked = asked.contains(&ended.id);
+        let target = match !is_asked && job.may_return_to(self.progress, ended) {
             true => ended.clone(),
             false => job.choose_target(self.progress).map_err(unsent_reason)?,
         };
@@ -160,7 +182,7 @@
             crash::check(self.job, ended).await;
         }
         self.log_query_outcome(target, &failure.to_string());
-        match failure.step(self.has_early_ends()) {
+        match failure.step() {
             EndStep::Complete | EndStep::Query => Ok(None),
             EndStep::CutOff => self.reopen(target).await.map(Some),
         }
@@ -200,7 +222,7 @@
             OpenError::Stopped(StopReason::Failed(reply)) if reply.status().is_client_error() => {
                 return Ok(QueryFailure::Declined);
             }
-            OpenError::Stopped(StopReason::Failed(_)) => {
+            OpenError::Stopped(StopReason::Failed(_)) | OpenError::Empty => {
                 return Ok(QueryFailure::Failed);
             }
             OpenError::Stopped(stop) => return Err(stop),
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -27,7 +27,6 @@
         let silent_ms = now.since(self.last_activity_ms);
         self.last_activity_ms = now;
         let is_resumed = self.writer.is_started();
-        self.has_resumed |= is_resumed;
         if is_resumed && !self.is_end_query {
             info!(state.log, "generation resumed at another target";
                 "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
--- a/filbertpaddle-gateway/src/generation_move.rs
+++ b/filbertpaddle-gateway/src/generation_move.rs
@@ -106,6 +106,11 @@
                     return Ok(stream);
                 }
                 Err(OpenError::Stopped(stop)) => return Err(stop),
+                Err(OpenError::Empty) => {
+                    self.release_placement();
+                    self.leave_empty_run(&point.target);
+                    break;
+                }
                 Err(OpenError::Failed(failure)) => {
                     self.release_placement();
                     self.job.mark_failed(self.progress, &point.target, &failure);
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -124,8 +124,7 @@
         if self.migrator.has_ordered_stop() {
             return Some("stopped");
         }
-        // A query has found the same end as the run before, whose target went on.
-        if self.is_closed_early(source) && !self.is_end_query {
+        if self.is_closed_early(source) {
             return Some(CLOSED_EARLY);
         }
         let goes_on = ended_response::goes_on(&self.job.state, &source.target).await;
@@ -139,10 +138,10 @@
         is_resumed && event.id.is_none() && !event.is_comment()
     }
 
-    /// Returns whether a stream has ended with its connection before any new event. A target that
-    /// crashes after the head of its response ends it in the same way.
+    /// Returns whether a stream has ended with its connection before any new event, and that may not
+    /// count. A target that crashes after the head of its response ends it in the same way.
     pub(crate) fn is_closed_early(&self, source: &TargetStream) -> bool {
-        source.is_unframed() && !self.has_begun
+        source.is_unframed() && !self.has_begun && !self.may_end_empty(&source.target)
     }
 
     /// Resumes after the stream of `source` has broken off.
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -23,7 +23,6 @@
 use filbertpaddle_forward::service_pace::ServicePace;
 use filbertpaddle_forward::store_reading::FollowedPeer;
 use filbertpaddle_forward::store_reading::Situation;
-use filbertpaddle_forward::stream_end::EarlyEnds;
 use filbertpaddle_forward::stream_versions::StreamVersions;
 use filbertpaddle_forward::stream_versions::VersionHistory;
 use filbertpaddle_forward::target::Incarnation;
@@ -112,8 +111,6 @@
     pub paces: RefCell<IndexMap<Name, ServicePace>>,
     /// What requests have in common that were waiting when their target crashed.
     pub suspects: RefCell<CrashAttribution>,
-    /// Services whose targets have closed streams early.
-    pub early_ends: RefCell<EarlyEnds>,
     /// Software versions that began streams.
     pub stream_versions: RefCell<StreamVersions>,
     /// Software versions that targets have had recently.
@@ -181,7 +178,6 @@
             contention: RefCell::default(),
             paces: RefCell::default(),
             suspects: RefCell::new(CrashAttribution::new()),
-            early_ends: RefCell::default(),
             stream_versions: RefCell::new(StreamVersions::new()),
             version_history: RefCell::new(VersionHistory::new()),
             has_rolled_back: Cell::new(false),
--- a/filbertpaddle-gateway/src/stop_reason.rs
+++ b/filbertpaddle-gateway/src/stop_reason.rs
@@ -46,6 +46,8 @@
 pub enum OpenError {
     /// The target did not serve it.
     Failed(Failure),
+    /// It ended in order, without a length, before any event that follows the caller's last.
+    Empty,
     /// The generation ends.
     Stopped(StopReason),
 }
--- a/filbertpaddle/tests/gateway/ends_in_doubt.rs
+++ b/filbertpaddle/tests/gateway/ends_in_doubt.rs
@@ -19,11 +19,11 @@
 use crate::cluster::request;
 use crate::cluster::wait_until;
 
-const ATTEMPT: &str = "doubt";
+pub(crate) const ATTEMPT: &str = "doubt";
 /// Events of the first run.
-const EVENTS: u64 = 3;
+pub(crate) const EVENTS: u64 = 3;
 /// Events of the whole stream, where the first run has ended early.
-const ALL_EVENTS: u64 = 10;
+pub(crate) const ALL_EVENTS: u64 = 10;
 /// Requests of the test of the retry budget, and the retries that it allows them.
 const REQUESTS: usize = 120;
 const MAX_RETRIES: usize = REQUESTS / 5 + 58;
@@ -32,7 +32,7 @@
 const EMPTY: &str = "Content-Length: 0\r\n\r\n";
 
 /// Returns a response without a length that has the events up to `last` after `first`.
-fn unframed(first: u64, last: u64) -> String {
+pub(crate) fn unframed(first: u64, last: u64) -> String {
     let all = complete_stream(ATTEMPT, last);
     let skipped = complete_stream(ATTEMPT, first).len();
     let events = String::from_utf8(all[skipped..].to_vec()).unwrap();
@@ -40,7 +40,7 @@
 }
 
 /// Returns a whole response in chunks that has the events up to `last` after `first`.
-fn chunked(first: u64, last: u64) -> String {
+pub(crate) fn chunked(first: u64, last: u64) -> String {
     let body = unframed(first, last);
     let (_, events) = body.split_once("\r\n\r\n").unwrap();
     let head = start_of_head(ATTEMPT) + CHUNKED;
@@ -49,7 +49,7 @@
 
 /// Starts a target that answers its first request with `first` and further ones with the parts of
 /// `next`.
-async fn start_target(first: String, next: &[&str]) -> RawTarget {
+pub(crate) async fn start_target(first: String, next: &[&str]) -> RawTarget {
     let runs = Arc::new(AtomicUsize::new(0));
     let parts: Vec<_> = next
         .iter()
@@ -68,7 +68,7 @@
 }
 
 /// Starts a node that prefers `target` to `other`, which is in another data centre.
-async fn start_cluster(name: &str, target: &RawTarget, other: &RawTarget) -> Cluster {
+pub(crate) async fn start_cluster(name: &str, target: &RawTarget, other: &RawTarget) -> Cluster {
     let mut cluster = Cluster::new(name).await;
     for (target, data_centre) in [(target, "dc-a"), (other, "dc-b")] {
         let entry = target.entry("engine", data_centre);
@@ -108,12 +108,12 @@
     answer
 }
 
-/// Checks that a resumable stream of [`EVENTS`] is complete after its target was asked once for
+/// Checks whether a resumable stream of [`EVENTS`] is complete after its target was asked once for
 /// what follows, and answered with `next`.
-async fn check_complete(name: &str, next: &[&str], outcome: &str) {
+async fn check_end(name: &str, next: &[&str], outcome: &str, is_complete: bool) {
     let first = unframed(0, EVENTS);
     let answer = answer_of(name, RESUMABLE_PATH, first, next, Some(outcome)).await;
-    assert!(answer.is_complete, "{name}");
+    assert_eq!(answer.is_complete, is_complete, "{name}");
     let events = complete_stream(ATTEMPT, EVENTS);
     assert_eq!((answer.code(), answer.body), (200, events), "{name}");
 }
@@ -190,34 +190,48 @@
     assert_eq!((target.requests().len(), other.requests().len()), (1, 1));
 }
 
-/// Guards whole streams: each of these confirms that nothing follows.
+/// Guards whole streams: each of these states that nothing follows.
 #[tokio::test]
 async fn a_whole_stream_is_complete_once_its_target_confirms_its_end() {
     let head = start_of_head(ATTEMPT);
     let nothing = start_of_head_with("204 No Content", ATTEMPT);
     for (name, next) in [
-        ("doubt-closed", unframed(EVENTS, EVENTS)),
-        ("doubt-repeated", unframed(0, EVENTS)),
-        ("doubt-comment", format!("{head}{UNFRAMED}:\n\n")),
         ("doubt-length", format!("{head}{EMPTY}")),
         ("doubt-chunk", format!("{head}{CHUNKED}0\r\n\r\n")),
         ("doubt-nothing", format!("{nothing}\r\n")),
     ] {
-        check_complete(name, &[&next], "answered").await;
+        check_end(name, &[&next], "answered", true).await;
+    }
+}
+
+/// Such cut streams were complete: the target closed the query too, in order, before any event.
+#[tokio::test]
+async fn a_second_end_in_order_of_the_same_target_confirms_nothing() {
+    let head = start_of_head(ATTEMPT);
+    for (name, next) in [
+        ("doubt-closed", unframed(EVENTS, EVENTS)),
+        ("doubt-repeated", unframed(0, EVENTS)),
+        ("doubt-comment", format!("{head}{UNFRAMED}:\n\n")),
+    ] {
+        check_end(name, &[&next], "answered", false).await;
     }
 }
 
-/// Guards whole streams whose target does not run the request once more, or takes too long: the
-/// protocol lets their first end count.
+/// Such cut streams were complete too: the target was full, or did not answer in time.
 #[tokio::test]
-async fn a_whole_stream_is_complete_if_its_target_does_not_say_what_follows() {
+async fn a_query_without_an_answer_confirms_nothing() {
     let full = start_of_head_with("503 Service Unavailable", ATTEMPT) + NOT_RUN + EMPTY;
-    check_complete("doubt-full", &[&full], "not_run").await;
-    let unknown = start_of_head_with("404 Not Found", ATTEMPT) + EMPTY;
-    check_complete("doubt-unknown", &[&unknown], "declined").await;
-    check_complete("doubt-silent", &[""], "no_answer").await;
+    check_end("doubt-full", &[&full], "not_run", false).await;
+    check_end("doubt-silent", &[""], "no_answer", false).await;
     let comment = format!("{}{CHUNKED}3\r\n:\n\n\r\n", start_of_head(ATTEMPT));
-    check_complete("doubt-comments", &[&comment, ""], "no_answer").await;
+    check_end("doubt-comments", &[&comment, ""], "no_answer", false).await;
+}
+
+/// Guards whole streams of targets that cannot be asked: the protocol lets their end count.
+#[tokio::test]
+async fn a_whole_stream_is_complete_if_its_target_serves_no_query() {
+    let unknown = start_of_head_with("404 Not Found", ATTEMPT) + EMPTY;
+    check_end("doubt-unknown", &[&unknown], "declined", true).await;
 }
 
 /// Guards streams that must not run again, or whose last event has no ID: the protocol lets their
@@ -237,7 +251,8 @@
     }
 }
 
-/// Guards the retry budget, which a query takes from, and the streams that it is too small for.
+/// Guards the retry budget, which a query takes from. Streams for which it is too small were
+/// complete.
 #[tokio::test]
 async fn queries_for_what_follows_stay_within_the_retry_budget() {
     let mut cluster = Cluster::new("doubt-budget").await;
@@ -249,7 +264,7 @@
     for number in 0..REQUESTS {
         let sent = request(ATTEMPT, Method::POST, RESUMABLE_PATH, Some(40));
         let answer = cluster.send(&sent).await;
-        assert!(answer.is_complete, "{number}");
+        assert!(!answer.is_complete, "{number}");
         assert_eq!(answer.body, complete_stream(ATTEMPT, EVENTS), "{number}");
     }
     cluster.close();
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a panic fails the test")]
 
+mod agreeing_ends;
 mod announcements;
 mod brittle;
 mod cluster;
--- a/filbertpaddle/tests/gateway/resumed_ends.rs
+++ b/filbertpaddle/tests/gateway/resumed_ends.rs
@@ -85,7 +85,7 @@
     cluster.add_node("node-0", "dc-a");
     cluster.wait_until_ready().await;
     let mut sent = request(ATTEMPT, Method::POST, RESUMABLE_PATH, Some(40));
-    assert!(cluster.send(&sent).await.is_complete);
+    assert!(!cluster.send(&sent).await.is_complete);
     sent.resume = Some(Resume {
         attempt: Some(ATTEMPT.to_owned()),
         last_event: EVENTS,
--- a/filbertpaddle/tests/soak/main.rs
+++ b/filbertpaddle/tests/soak/main.rs
@@ -84,6 +84,17 @@
     1_600_014,
 ];
 
+/// Seeds of responses without a length.
+const UNFRAMED_SEEDS: [u64; 5] = [
+    0, 1, //
+    // A query for what follows a cut stream had no answer in time, and the stream was complete.
+    1_800_038, //
+    // The target closed the query in order too, before any event.
+    1_800_061, //
+    // The deadline left no time for a query.
+    1_800_073,
+];
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_for_the_first_seeds() {
     check_seeds(&[0, 1, 2], &DEFAULT_SIZE, ScheduleKind::Mixed).await;
@@ -111,7 +122,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn invariants_hold_while_responses_have_no_length() {
-    check_seeds(&[0, 1], &DEFAULT_SIZE, ScheduleKind::Unframed).await;
+    check_seeds(&UNFRAMED_SEEDS, &DEFAULT_SIZE, ScheduleKind::Unframed).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
