Count what a target sends without a new event for each target

Cause: the count went on from one target to the next.

Change: it begins anew where the stream is placed on a target.

Tests: gateway `endless`, a target that begins with a comment after one that sends comments without end: failed before, 4 of 4 now.

--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -87,7 +87,7 @@
     pub(crate) placement: Option<Placement>,
     pub(crate) meter: StreamMeter,
     order: EventOrder,
-    idle_output: IdleOutput,
+    pub(crate) idle_output: IdleOutput,
     pub(crate) migrator: Migrator<'a>,
     changes: watch::Receiver<u64>,
 }
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -1,6 +1,7 @@
 //! Load of a generation at its target, and what the first event from there shows.
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::idle_output::IdleOutput;
 use filbertpaddle_forward::target::Target;
 use slog::info;
 
@@ -59,6 +60,7 @@
         self.is_sound = false;
         self.is_placed = false;
         self.is_end_query = false;
+        self.idle_output = IdleOutput::new();
         let load = self.job.mark_sent(self.progress, target);
         self.placement = Some(Placement {
             target: target.clone(),
--- a/filbertpaddle/tests/gateway/endless.rs
+++ b/filbertpaddle/tests/gateway/endless.rs
@@ -11,9 +11,12 @@
 use tokio::time::timeout;
 
 use crate::cluster::Cluster;
+use crate::cluster::RESUMABLE_PATH;
 use crate::cluster::STREAM_PATH;
 use crate::cluster::WRITE_PATH;
+use crate::cluster::complete_stream;
 use crate::cluster::request;
+use crate::ends_in_doubt;
 
 /// Memory of the smallest VM of the users' deployments.
 pub(crate) const MAX_MEMORY_KIB: u64 = 88 << 10;
@@ -21,6 +24,9 @@
 pub(crate) const MAX_WAIT: Duration = Duration::from_secs(6);
 const REQUESTS: usize = 16;
 const ATTEMPT: &str = "a";
+/// Events of a whole stream, and what an endless target sends at a time.
+const EVENTS: u64 = 10;
+const WRITE_BYTES: usize = 64 << 10;
 
 /// Sends requests to a target that sends without end; returns their status codes.
 async fn send_to_endless(cluster: &Cluster, path: &'static str) -> Vec<Option<u16>> {
@@ -84,3 +90,26 @@
     let bytes = "x".repeat(1 << 12);
     check_endless("endless-event", STREAM_PATH, start, bytes).await;
 }
+
+/// Comments of the target that was left counted against the next one, whose first comment ended the
+/// stream.
+#[tokio::test]
+async fn a_stream_left_for_its_comments_goes_on_at_a_target_that_begins_with_one() {
+    let head = start_of_head(ATTEMPT);
+    let begun = format!("{head}Connection: close\r\n\r\nid: 1\ndata: a 1\n\n");
+    let comments = Bytes::from(":\n\n".repeat(WRITE_BYTES / 3));
+    let next_part = move |_| Some(comments.clone());
+    let endless = RawTarget::start(begun, next_part).await.unwrap();
+    let events = complete_stream(ATTEMPT, EVENTS);
+    let rest = &events[complete_stream(ATTEMPT, 1).len()..];
+    let rest = format!(":\n\n{}", String::from_utf8_lossy(rest));
+    let whole = format!("{head}Content-Length: {}\r\n\r\n{rest}", rest.len());
+    let sound = RawTarget::start(whole, |_| None).await.unwrap();
+    let cluster = ends_in_doubt::start_cluster("endless-left", &endless, &sound).await;
+    let sent = request(ATTEMPT, Method::POST, RESUMABLE_PATH, Some(40));
+    let answer = timeout(MAX_WAIT, cluster.send(&sent)).await.unwrap();
+    cluster.close();
+    assert!(answer.is_complete);
+    assert!(answer.body.ends_with(rest.as_bytes()));
+    assert_eq!(sound.requests().len(), 1);
+}
