Estimate the speed of each target from the samples of all nodes

Cause: the choice of a target takes all of a service as equal; servers differ in speed by a factor of two and some slow down when half full.

Not yet in force: nothing records samples.

Not run: tests; the feature is off.

--- a/filbertpaddle-forward/src/admission.rs
+++ b/filbertpaddle-forward/src/admission.rs
@@ -150,6 +150,14 @@
         self.us_per_token += SAMPLE_WEIGHT * (sample - self.us_per_token);
     }
 
+    /// Returns the rate of a target that takes `factor` times as long.
+    #[must_use]
+    pub fn slowed_by(self, factor: f64) -> Self {
+        Self {
+            us_per_token: self.us_per_token * factor,
+        }
+    }
+
     /// Returns the expected time to process `tokens` of prompts.
     pub fn expected_ms(&self, tokens: u64) -> Millis {
         Millis((tokens as f64 * self.us_per_token / 1_000.0) as u64)
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -27,6 +27,7 @@
 use crate::stated_rate::StatedRates;
 use crate::target::Target;
 use crate::target_health::TargetHealth;
+use crate::target_speed::TargetSpeeds;
 
 /// Reason why no target can be given a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -87,6 +88,7 @@
     pub(crate) reachability: Reachability,
     pub(crate) stated_rates: StatedRates,
     pub(crate) brittle: BrittleTargets,
+    pub(crate) speeds: TargetSpeeds,
 }
 
 impl TargetSelector {
@@ -102,6 +104,7 @@
             reachability: Reachability::new(),
             stated_rates: StatedRates::new(),
             brittle: BrittleTargets::new(),
+            speeds: TargetSpeeds::new(),
         }
     }
 
@@ -417,8 +420,9 @@
             return true;
         };
         let prefill = self.prefill.get(&target.service).copied();
+        let prefill = self.prefill_at(prefill.unwrap_or_default(), target);
         let load = self.total_load(&target.id);
-        admission::has_room(&load, engine, demand, &prefill.unwrap_or_default())
+        admission::has_room(&load, engine, demand, &prefill)
     }
 
     pub(crate) fn has_place(&self, now: Millis, target: &Target) -> bool {
@@ -465,7 +469,8 @@
         let service = configuration.services.get(&target.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let load = self.total_load(&target.id);
-        load_cost(&load, engine, target, demand.total_tokens)
+        let cost = load_cost(&load, engine, target, demand.total_tokens);
+        self.cost_with_speed(cost, &load, target, engine, demand)
     }
 }
 
