--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::load_table::TargetLoad;
+use filbertpaddle_forward::speed_baseline::SpeedSample;
 use filbertpaddle_forward::target::Target;
 use http::StatusCode;
 use http::response::Parts;
@@ -40,12 +42,16 @@
         if !job.may_send(progress) {
             return finish(job, progress, last);
         }
-        job.mark_sent(progress, &target);
+        let former_load = job.mark_sent(progress, &target);
+        let sent_ms = job.state.clock.now();
         progress.placed_on = Some(target.clone());
         let result = attempt(job, progress, &target).await;
         job.release(progress);
         match result {
             Ok((head, bytes)) => {
+                if head.status.is_success() {
+                    record_speed(job, &target, former_load, sent_ms);
+                }
                 let mut selector = job.state.selector.borrow_mut();
                 selector.record_success(&target.id);
                 drop(selector);
@@ -72,6 +78,16 @@
     }
 }
 
+/// Records how long a target took for a whole answer, given its load before.
+fn record_speed(job: &Job, target: &Target, mut load: TargetLoad, sent_ms: Millis) {
+    load.add(&TargetLoad::from(&job.demand));
+    let sample = SpeedSample::Whole {
+        route: job.route.name.clone(),
+        time_ms: job.state.clock.now().since(sent_ms),
+    };
+    job.state.record_speed(target, &load, &sample);
+}
+
 async fn attempt(
     job: &Job,
     progress: &Progress,
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -1,6 +1,8 @@
 //! Load of a generation at its target, and what the first event from there shows.
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_forward::load_table::TargetLoad;
+use filbertpaddle_forward::speed_baseline::SpeedSample;
 use filbertpaddle_forward::target::Target;
 use slog::info;
 
@@ -12,8 +14,8 @@
     pub(crate) target: Target,
     is_started: bool,
     sent_ms: Millis,
-    /// Prompt tokens that were at the target before.
-    ahead_tokens: u64,
+    /// Load that was at the target before.
+    former_load: TargetLoad,
 }
 
 impl Generation<'_> {
@@ -35,6 +37,7 @@
                 "last_event" => self.last_event, "silent_ms" => silent_ms.0);
             state.metrics.time("generation.move_pause", silent_ms);
         }
+        let mut first_event = None;
         let mut selector = state.selector.borrow_mut();
         selector.record_prefilled(&target.id, &self.job.demand);
         if let Some(placement) = &mut self.placement {
@@ -42,10 +45,16 @@
             // A resumed generation does not process its whole prompt again.
             if !is_resumed {
                 let waited_ms = now.since(placement.sent_ms);
-                selector.record_first_event(&self.job.demand, placement.ahead_tokens, waited_ms);
+                let ahead_tokens = placement.former_load.prompt_tokens;
+                let typical_ms = selector.typical_ms(target, waited_ms);
+                selector.record_first_event(&self.job.demand, ahead_tokens, typical_ms);
+                first_event = Some((placement.former_load, waited_ms));
             }
         }
         drop(selector);
+        if let Some((former_load, waited_ms)) = first_event {
+            self.record_first_event_speed(target, former_load, waited_ms);
+        }
         let waited_ms = self.last_activity_ms.since(self.job.received_ms);
         info!(state.log, "first event from target";
             "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
@@ -53,6 +62,28 @@
         state.metrics.time("generation.first_event", waited_ms);
     }
 
+    fn record_first_event_speed(&self, target: &Target, mut load: TargetLoad, waited_ms: Millis) {
+        load.add(&TargetLoad::from(&self.job.demand));
+        let sample = SpeedSample::FirstEvent {
+            tokens: load.prompt_tokens,
+            waited_ms,
+        };
+        self.job.state.record_speed(target, &load, &sample);
+    }
+
+    /// Records the time of each token at the current target. A stream that has moved has paused
+    /// meanwhile.
+    pub(crate) fn record_token_speed(&self, token_us: u64) {
+        let Some(placement) = self.placement.as_ref().filter(|_| !self.has_resumed) else {
+            return;
+        };
+        let state = &self.job.state;
+        let load = state.selector.borrow().total_load(&placement.target.id);
+        let batch = load.running;
+        let sample = SpeedSample::Token { token_us, batch };
+        state.record_speed(&placement.target, &load, &sample);
+    }
+
     /// Adds the generation to the load of a target that it is sent to.
     pub(crate) fn place_on(&mut self, target: &Target) {
         self.events_here = 0;
@@ -65,7 +96,7 @@
             target: target.clone(),
             is_started: false,
             sent_ms: self.job.state.clock.now(),
-            ahead_tokens: load.prompt_tokens,
+            former_load: load,
         });
     }
 
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod settings;
 mod silence;
 pub mod socket_diagnostics;
+pub mod speed_exchange;
 pub mod state;
 pub mod stop_reason;
 pub mod store_sync;
--- a/filbertpaddle-gateway/src/load_exchange.rs
+++ b/filbertpaddle-gateway/src/load_exchange.rs
@@ -42,6 +42,7 @@
     let mut was_reader = false;
     loop {
         sleep(PUBLISH_INTERVAL).await;
+        state.refresh_speeds();
         let is_reader = state.is_reader();
         if is_reader {
             update_own_load(&state);
@@ -67,6 +68,7 @@
         if !readers.contains_key(name) {
             link.abort();
             state.load_table.borrow_mut().remove_group(name);
+            state.merge_speeds(|table, _| table.remove_group(name));
             return false;
         }
         !link.is_finished()
@@ -84,6 +86,7 @@
 fn leave_exchange(state: &State) {
     let mut load_table = state.load_table.borrow_mut();
     load_table.clear_groups();
+    state.merge_speeds(|table, _| table.clear_groups());
     load_table.remove_member(&state.settings.node);
 }
 
@@ -169,6 +172,7 @@
             "peer" => %reader, "error" => %error);
     }
     state.load_table.borrow_mut().remove_group(&reader);
+    state.merge_speeds(|table, _| table.remove_group(&reader));
     sleep(duration(Millis(rand::random_range(REDIAL_INTERVAL_MS)))).await;
 }
 
@@ -188,6 +192,9 @@
                     Message::Work(changes) => {
                         state.load_table.borrow_mut().update_group(reader, &changes);
                     }
+                    Message::Speeds(sent) => {
+                        state.merge_speeds(|table, now| table.update_group(now, reader, &sent));
+                    }
                     Message::Ages(ages) => state.record_peer_ages(&ages),
                     message => drop(merge_findings(state, message)),
                 }
--- a/filbertpaddle-gateway/src/pace.rs
+++ b/filbertpaddle-gateway/src/pace.rs
@@ -127,6 +127,9 @@
 
     fn record_pace(&self, sample: Option<PaceSample>) {
         let Some(sample) = sample else { return };
+        if let PaceSample::Token(token_us) = sample {
+            self.record_token_speed(token_us);
+        }
         let state = &self.job.state;
         let mut paces = state.paces.borrow_mut();
         let pace = paces.entry(self.job.demand.service.clone()).or_default();
--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -14,6 +14,8 @@
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
+use filbertpaddle_forward::speed_table::SpeedPart;
+use filbertpaddle_forward::speed_table::SpeedTable;
 use filbertpaddle_forward::store_reading::FollowedPeer;
 use rand::seq::IndexedRandom;
 use slog::debug;
@@ -51,6 +53,7 @@
         };
         let result = follow_peer(&state, address).await;
         state.set_followed_peer(FollowedPeer::default());
+        state.merge_speeds(|table, _| SpeedTable::clear_followed(table));
         info!(state.log, "stopped following a node";
             "peer" => %address, "reason" => result.as_ref().err().map(ToString::to_string));
         let Err(error) = result else {
@@ -101,6 +104,7 @@
             _ = publish_timer.tick() => {
                 let own = state.published_load();
                 link.publish(state, own).await?;
+                link.publish_speeds(state, SpeedPart::Own).await?;
             }
             () = sleep_until(last_received + SILENCE_TIMEOUT) => return Err(Error::Timeout),
             message = link.receive() => {
@@ -110,6 +114,9 @@
                         load_table::apply_changes(&mut load, &changes);
                         update_other_load(state, &load, link.published_load());
                     }
+                    Message::Speeds(sent) => {
+                        state.merge_speeds(|table, now| table.update_followed(now, &sent));
+                    }
                     message => apply_message(state, message)?,
                 }
             }
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -15,6 +15,8 @@
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::load_table::LoadChanges;
+use filbertpaddle_forward::speed_table::SentSpeed;
+use filbertpaddle_forward::speed_table::SpeedPart;
 use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::target::Incarnation;
 use futures_util::SinkExt;
@@ -33,6 +35,7 @@
 
 use crate::connection_pool::set_socket_options;
 use crate::platform_api::NodeList;
+use crate::speed_exchange::SpeedPublisher;
 use crate::state::State;
 use crate::tunnel::MAX_FRAME_BYTES;
 use crate::tunnel::OpenRequest;
@@ -85,6 +88,8 @@
     Leaving(Vec<Incarnation>),
     /// Request rates that targets have stated to some node.
     Rates(Vec<SentRate>),
+    /// Changed sums of the samples of targets' speed: those that the receiver adds to others.
+    Speeds(Vec<SentSpeed>),
     /// Changes of a table.
     Table {
         /// Age of the sender's data.
@@ -163,6 +168,7 @@
     leaving_published: u64,
     /// Sequence number of the last stated rate that was sent.
     rates_published: u64,
+    speeds: SpeedPublisher,
 }
 
 impl fmt::Debug for PeerLink {
@@ -300,6 +306,23 @@
         self.publish_findings(state).await
     }
 
+    /// Publishes what changed in a part of the samples of targets' speed, if it is time to.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the link has ended.
+    pub(crate) async fn publish_speeds(
+        &mut self,
+        state: &State,
+        part: SpeedPart,
+    ) -> Result<(), Error> {
+        let speeds = self.speeds.due(state, part);
+        if speeds.is_empty() {
+            return Ok(());
+        }
+        self.send(&Message::Speeds(speeds)).await
+    }
+
     /// Publishes what nodes find out about requests and targets: the suspects, the stated rates
     /// and the leaving targets that are new since the last call.
     ///
@@ -375,6 +398,7 @@
             suspects_published: 0,
             leaving_published: 0,
             rates_published: 0,
+            speeds: SpeedPublisher::default(),
         }
     }
 }
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -11,6 +11,7 @@
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::load_table::LoadByTarget;
+use filbertpaddle_forward::speed_table::SpeedPart;
 use slog::debug;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -68,6 +69,7 @@
     }
     let result = publish_to_follower(state, &mut link, &node).await;
     state.load_table.borrow_mut().remove_member(&node);
+    state.merge_speeds(|table, _| table.remove_member(&node));
     result
 }
 
@@ -80,6 +82,7 @@
             _ = publish_timer.tick() => {
                 let group_load = group_load(state);
                 link.publish(state, group_load).await?;
+                publish_group_speeds(state, link).await?;
             }
             _ = heartbeat.tick() => link.send(&ages_message(state)).await?,
             message = link.receive() => {
@@ -102,6 +105,14 @@
     }
 }
 
+/// Publishes the samples of this node's group, if it has one.
+async fn publish_group_speeds(state: &State, link: &mut PeerLink) -> Result<(), Error> {
+    if state.is_reader() {
+        link.publish_speeds(state, SpeedPart::Group).await?;
+    }
+    Ok(())
+}
+
 /// Publishes the store's tables and the load of all nodes to a follower.
 async fn publish_to_follower(state: &State, link: &mut PeerLink, node: &Name) -> Result<(), Error> {
     let mut changes = state.subscribe();
@@ -120,6 +131,7 @@
             _ = publish_timer.tick() => {
                 let total = state.load_table.borrow().total();
                 link.publish(state, total).await?;
+                link.publish_speeds(state, SpeedPart::Total).await?;
             }
             _ = heartbeat.tick() => send_ages(state, link, &mut published).await?,
             message = link.receive() => receive_from_follower(state, node, message?),
@@ -130,6 +142,9 @@
 fn receive_from_follower(state: &State, node: &Name, message: Message) {
     match message {
         Message::Work(changes) => state.load_table.borrow_mut().update_member(node, &changes),
+        Message::Speeds(sent) => {
+            state.merge_speeds(|table, now| table.update_member(now, node, &sent));
+        }
         message => {
             if let Some(message) = merge_findings(state, message) {
                 debug!(state.log, "unexpected message from follower ignored";
