--- a/filbertpaddle-forward/src/placement_speed.rs
+++ b/filbertpaddle-forward/src/placement_speed.rs
@@ -15,7 +15,7 @@
 
 /// Time that a request takes at an idle target, in the unit of costs: what a target's load adds
 /// until it is full.
-const OWN_TIME_COST: f64 = 1.0;
+const OWN_TIME_COST: f64 = 2.0;
 /// Largest load cost that counts as time; costs above rank targets that are to be avoided.
 const MAX_TIME_COST: f64 = 4.0;
 
--- a/filbertpaddle-forward/src/speed_baseline.rs
+++ b/filbertpaddle-forward/src/speed_baseline.rs
@@ -98,15 +98,18 @@
         let ln_time = self.ln_time(sample, fill);
         let recent = self.recent.entry(kind(sample, fill)).or_default();
         let typical = recent.median(now);
+        let recent_count = recent.0.len();
         recent.record(now, ln_time - known_ln);
         if let SpeedSample::Token { token_us, batch } = sample {
             let gap_ms = *token_us as f64 / 1_000.0 / known_ln.exp();
             self.gaps.observe(f64::from(*batch), gap_ms);
         }
         let ln_ratio = (ln_time - typical?).clamp(-MAX_LN_RATIO, MAX_LN_RATIO);
+        // A median of few samples is uncertain itself.
+        let certainty = recent_count as f64 / MAX_RECENT as f64;
         Some(SpeedRatio {
             ln_ratio,
-            weight: weight(sample),
+            weight: weight(sample) * certainty,
         })
     }
 
--- a/filbertpaddle-forward/src/speed_table.rs
+++ b/filbertpaddle-forward/src/speed_table.rs
@@ -17,7 +17,7 @@
 /// Time in which a sample loses half its weight in the sums of the lasting speed.
 const LASTING_HALF_LIFE_MS: Millis = Millis::from_secs(3);
 /// The same for the speed of the moment, which follows slow moments of half a second.
-const MOMENT_HALF_LIFE_MS: Millis = Millis(300);
+const MOMENT_HALF_LIFE_MS: Millis = Millis(120);
 /// Weight below which a sum is dropped.
 const MIN_WEIGHT: f64 = 0.125;
 /// Largest weight of a sum that is sent.
--- a/filbertpaddle-forward/src/target_speed.rs
+++ b/filbertpaddle-forward/src/target_speed.rs
@@ -20,15 +20,19 @@
 use crate::target::Target;
 
 /// Interval at which the estimates are formed anew.
-const REFRESH_MS: Millis = Millis(100);
+const REFRESH_MS: Millis = Millis(50);
 /// Smallest half of the dead band, as a logarithm.
 const MIN_BAND: f64 = 0.15;
 /// Standard deviation of the logarithm of a sample of weight 1.
-const SAMPLE_DEVIATION: f64 = 0.5;
+const SAMPLE_DEVIATION: f64 = 0.6;
 /// Half of the dead band in standard errors.
-const BAND_ERRORS: f64 = 2.0;
-/// Weight from which an estimate counts.
-const MIN_WEIGHT: f64 = 6.0;
+const BAND_ERRORS: f64 = 4.0;
+/// Weight from which an estimate of the lasting speed counts.
+const MIN_WEIGHT: f64 = 12.0;
+/// Weight from which one of the speed of the moment counts.
+const MIN_MOMENT_WEIGHT: f64 = 5.0;
+/// Smallest such difference in standard errors.
+const MOMENT_ERRORS: f64 = 3.0;
 /// Smallest difference of the speed of the moment from the lasting one that counts.
 const MIN_MOMENT_LN: f64 = 0.4;
 /// Speed, as a logarithm for each second, with which an estimate may improve: many nodes learn at
@@ -217,8 +221,9 @@
 
     /// Returns the logarithm of the time in relation to the typical one.
     fn ln_at(&self, fill: f64) -> f64 {
-        let at_fill = if fill >= BUSY_FILL { self.fill_ln } else { 0.0 };
-        self.calm_ln + at_fill + self.moment_ln
+        // The load is known with a delay, so that a target may already be fuller.
+        let busy_part = (fill / BUSY_FILL - 0.5).clamp(0.0, 0.5) * 2.0;
+        self.calm_ln + self.fill_ln * busy_part + self.moment_ln
     }
 
     /// Returns the factor up to half full, or above.
@@ -292,7 +297,7 @@
 fn fill_ln(now: Millis, known: Option<&SpeedEstimate>, sums: &SpeedSums) -> f64 {
     let is_measured = sums.calm.weight >= MIN_WEIGHT && sums.busy.weight >= MIN_WEIGHT;
     if is_measured {
-        let error = SAMPLE_DEVIATION / sums.calm.weight.min(sums.busy.weight).sqrt();
+        let error = SAMPLE_DEVIATION * (1.0 / sums.calm.weight + 1.0 / sums.busy.weight).sqrt();
         let added = sums.busy.mean_ln() - sums.calm.mean_ln();
         let is_slowed = added > MIN_FILL_LN.max(BAND_ERRORS * error);
         return if is_slowed { added } else { 0.0 };
@@ -312,13 +317,13 @@
 /// Returns what a target adds at the moment, if that is more than chance.
 fn moment_ln(sums: &SpeedSums, centre: Centre) -> f64 {
     let moment = sums.moment;
-    if moment.weight < MIN_WEIGHT {
+    if moment.weight < MIN_MOMENT_WEIGHT {
         return 0.0;
     }
     let error = SAMPLE_DEVIATION / moment.weight.sqrt();
     let lasting = sums.lasting().mean_ln().max(centre.lasting_ln);
     let added = moment.mean_ln() - lasting;
-    if added > MIN_MOMENT_LN.max(BAND_ERRORS * error) {
+    if added > MIN_MOMENT_LN.max(MOMENT_ERRORS * error) {
         added
     } else {
         0.0
--- a/filbertpaddle-gateway/src/speed_exchange.rs
+++ b/filbertpaddle-gateway/src/speed_exchange.rs
@@ -17,10 +17,10 @@
 use crate::state::State;
 
 /// Interval at which speeds are published on a link.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of entries published at a time: 200 a second on a link, about 8 KB, however
 /// many targets there are. Those that have changed most go first.
-const MAX_PUBLISHED_SPEEDS: usize = 20;
+const MAX_PUBLISHED_SPEEDS: usize = 10;
 /// Maximum number of changes logged at a time.
 const MAX_LOGGED_CHANGES: usize = 5;
 
