Admit generations by their priority where the settings call for it

All requests were alike at admission: a target's prompts and memory were bounded by each request's own goal, so that long generations with a wide goal filled targets beside short urgent ones, although engines process the more urgent prompts first.

Nodes now exchange, with the load of targets, the part of each priority level, and recent arrivals by level as an entry of the service. Only prompts of a request's own or a more urgent level count as ahead of it. A service without other levels is served as before. Without the feature, requests have no level, and nothing is published or decided anew.

Weighed: a fixed reserve at each target, which a service without urgent traffic would pay for; and learned hold times, which running counts make unnecessary.

TargetLoad is no longer Copy, for which two literals in tests/target_selector change.

--- a/filbertpaddle-forward/src/admission.rs
+++ b/filbertpaddle-forward/src/admission.rs
@@ -95,14 +95,19 @@
     if load.prompt_tokens > 0 && prefill.expected_ms(ahead_tokens) > demand.max_prefill_ms {
         return false;
     }
+    let tokens = load.tokens + u64::from(demand.total_tokens);
+    load.running < engine.slots
+        && tokens as f64 <= f64::from(engine.memory_tokens) * memory_share(demand)
+}
+
+/// Returns the part of a target's memory up to which a generation may fill it.
+pub(crate) fn memory_share(demand: &RequestDemand) -> f64 {
     let brief_share = if is_brief(demand) {
         BRIEF_EXTRA_SHARE
     } else {
         0.0
     };
-    let share = demand.claim.memory_share() + brief_share;
-    let tokens = load.tokens + u64::from(demand.total_tokens);
-    load.running < engine.slots && tokens as f64 <= f64::from(engine.memory_tokens) * share
+    demand.claim.memory_share() + brief_share
 }
 
 /// Returns how long the prompts at a target, the generation's own included, may take.
@@ -150,6 +155,11 @@
         self.us_per_token += SAMPLE_WEIGHT * (sample - self.us_per_token);
     }
 
+    /// Returns the time for one prompt token, in microseconds.
+    pub fn us_per_token(&self) -> f64 {
+        self.us_per_token
+    }
+
     /// Returns the expected time to process `tokens` of prompts.
     pub fn expected_ms(&self, tokens: u64) -> Millis {
         Millis((tokens as f64 * self.us_per_token / 1_000.0) as u64)
--- a/filbertpaddle-forward/src/load_table.rs
+++ b/filbertpaddle-forward/src/load_table.rs
@@ -9,8 +9,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::level_load::LevelLoads;
+
 /// Load on one target.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetLoad {
     /// Running requests.
     pub running: u32,
@@ -20,6 +22,9 @@
     pub prompt_tokens: u64,
     /// Nodes whose connections the target has recently refused.
     pub refusals: u32,
+    /// Parts of this load that belong to requests of a known priority level.
+    #[serde(default, skip_serializing_if = "LevelLoads::is_empty")]
+    pub levels: LevelLoads,
 }
 
 /// Load by target ID.
@@ -54,6 +59,7 @@
         self.tokens += other.tokens;
         self.prompt_tokens += other.prompt_tokens;
         self.refusals += other.refusals;
+        self.levels.add(&other.levels);
     }
 
     /// Returns this load less `other`; no count goes below zero.
@@ -63,8 +69,19 @@
             tokens: self.tokens.saturating_sub(other.tokens),
             prompt_tokens: self.prompt_tokens.saturating_sub(other.prompt_tokens),
             refusals: self.refusals.saturating_sub(other.refusals),
+            levels: self.levels.without(&other.levels),
         }
     }
+
+    /// Returns the prompt tokens that a target processes before those of a request of `level`:
+    /// those of no level, of its own and of more urgent ones.
+    pub fn prompt_tokens_ahead_of(&self, level: Option<u8>) -> u64 {
+        let Some(level) = level else {
+            return self.prompt_tokens;
+        };
+        let behind = self.levels.sum(|other| other > level);
+        self.prompt_tokens.saturating_sub(behind.prompt_tokens)
+    }
 }
 
 impl LoadTable {
@@ -115,7 +132,7 @@
         if load.is_empty() {
             known.shift_remove(target);
         } else {
-            known.insert(target.clone(), *load);
+            known.insert(target.clone(), load.clone());
         }
     }
 }
@@ -125,7 +142,7 @@
     let changed = current
         .iter()
         .filter(|(target, load)| published.get(*target) != Some(*load))
-        .map(|(target, load)| (target.clone(), *load));
+        .map(|(target, load)| (target.clone(), load.clone()));
     let removed = published
         .keys()
         .filter(|target| !current.contains_key(*target))
--- a/filbertpaddle-forward/src/request_demand.rs
+++ b/filbertpaddle-forward/src/request_demand.rs
@@ -4,7 +4,10 @@
 use filbertpaddle_core::name::Name;
 
 use crate::admission::Claim;
+use crate::level_load::LevelLoad;
+use crate::level_load::LevelLoads;
 use crate::load_table::TargetLoad;
+use crate::priority_admission::KeptRoom;
 use crate::software_version::VersionBinding;
 
 /// Resources that a request needs at a target.
@@ -22,6 +25,10 @@
     pub max_prefill_ms: Millis,
     /// Software versions of the targets that may run it.
     pub version: VersionBinding,
+    /// Priority level, 0 the highest; `None` if requests are admitted without regard to it.
+    pub level: Option<u8>,
+    /// Room that it leaves to requests of other levels.
+    pub kept: KeptRoom,
 }
 
 impl From<&RequestDemand> for TargetLoad {
@@ -31,6 +38,15 @@
             refusals: 0,
             tokens: u64::from(demand.total_tokens),
             prompt_tokens: u64::from(demand.prompt_tokens),
+            levels: demand.level.map_or_else(LevelLoads::default, |level| {
+                LevelLoads::from(LevelLoad {
+                    level,
+                    requests: 1,
+                    tokens: u64::from(demand.total_tokens),
+                    prompt_tokens: u64::from(demand.prompt_tokens),
+                    ..LevelLoad::default()
+                })
+            }),
         }
     }
 }
--- a/filbertpaddle-forward/src/target_records.rs
+++ b/filbertpaddle-forward/src/target_records.rs
@@ -2,6 +2,8 @@
 
 use filbertpaddle_core::clock::Millis;
 
+use crate::level_load::LevelLoad;
+use crate::level_load::LevelLoads;
 use crate::load_table::TargetLoad;
 use crate::reachability::Reachability;
 use crate::request_demand::RequestDemand;
@@ -34,8 +36,16 @@
     /// Records that a target has processed a request's prompt.
     pub fn record_prefilled(&mut self, id: &str, demand: &RequestDemand) {
         if let Some(state) = self.states.get_mut(id) {
+            let prompt_tokens = u64::from(demand.prompt_tokens);
             let prefilled = TargetLoad {
-                prompt_tokens: u64::from(demand.prompt_tokens),
+                prompt_tokens,
+                levels: demand.level.map_or_else(LevelLoads::default, |level| {
+                    LevelLoads::from(LevelLoad {
+                        level,
+                        prompt_tokens,
+                        ..LevelLoad::default()
+                    })
+                }),
                 ..TargetLoad::default()
             };
             state.own = state.own.without(&prefilled);
@@ -49,9 +59,11 @@
             self.record_prefilled(id, demand);
         }
         if let Some(state) = self.states.get_mut(id) {
+            let whole = TargetLoad::from(demand);
             let ended = TargetLoad {
                 prompt_tokens: 0,
-                ..TargetLoad::from(demand)
+                levels: whole.levels.without_prompts(),
+                ..whole
             };
             state.own = state.own.without(&ended);
         }
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -10,6 +10,9 @@
 use crate::cold_limit;
 use crate::configuration::Configuration;
 use crate::directory::Directory;
+use crate::level_arrivals::LevelArrivals;
+use crate::level_arrivals::service_key;
+use crate::level_load::LevelLoads;
 use crate::load_table::LoadByTarget;
 use crate::load_table::TargetLoad;
 use crate::placement_cost::CROSS_DATA_CENTRE_COPY_COST;
@@ -21,6 +24,7 @@
 use crate::placement_cost::cost_if;
 use crate::placement_cost::cross_data_centre_cost;
 use crate::placement_cost::load_cost;
+use crate::priority_admission;
 use crate::reachability::Reachability;
 use crate::refusal_limit::BrittleTargets;
 use crate::request_demand::RequestDemand;
@@ -87,6 +91,8 @@
     pub(crate) reachability: Reachability,
     pub(crate) stated_rates: StatedRates,
     pub(crate) brittle: BrittleTargets,
+    /// Arrivals by priority level at this node.
+    pub level_arrivals: LevelArrivals,
 }
 
 impl TargetSelector {
@@ -102,6 +108,7 @@
             reachability: Reachability::new(),
             stated_rates: StatedRates::new(),
             brittle: BrittleTargets::new(),
+            level_arrivals: LevelArrivals::new(),
         }
     }
 
@@ -333,13 +340,25 @@
     pub fn own_load(&self, now: Millis) -> LoadByTarget {
         let reported = |state: &TargetState| TargetLoad {
             refusals: u32::from(state.health.is_refusing(now)),
-            ..state.own
+            ..state.own.clone()
         };
-        self.states
+        let mut load: LoadByTarget = self
+            .states
             .iter()
             .map(|(id, state)| (id.clone(), reported(state)))
             .filter(|(_, load)| !load.is_empty())
-            .collect()
+            .collect();
+        self.level_arrivals.add_to(now, &mut load);
+        load
+    }
+
+    /// Returns a service's recent arrivals and waiting requests at all nodes, by level.
+    pub fn arrived_levels(&self, now: Millis, service: &str) -> LevelLoads {
+        let mut levels = self.level_arrivals.service(now, service);
+        if let Some(others) = self.others.get(&service_key(service)) {
+            levels.add(&others.levels);
+        }
+        levels
     }
 
     /// Sets the load of the other nodes.
@@ -352,7 +371,7 @@
         let mut load = self
             .states
             .get(id)
-            .map_or_else(TargetLoad::default, |state| state.own);
+            .map_or_else(TargetLoad::default, |state| state.own.clone());
         if let Some(others) = self.others.get(id) {
             load.add(others);
         }
@@ -417,8 +436,14 @@
             return true;
         };
         let prefill = self.prefill.get(&target.service).copied();
+        let prefill = prefill.unwrap_or_default();
         let load = self.total_load(&target.id);
-        admission::has_room(&load, engine, demand, &prefill.unwrap_or_default())
+        match demand.level {
+            Some(level) => {
+                priority_admission::has_room(&target.id, &load, engine, level, demand, &prefill)
+            }
+            None => admission::has_room(&load, engine, demand, &prefill),
+        }
     }
 
     pub(crate) fn has_place(&self, now: Millis, target: &Target) -> bool {
--- a/filbertpaddle-forward/tests/load_table.rs
+++ b/filbertpaddle-forward/tests/load_table.rs
@@ -1,6 +1,7 @@
 //! Load that nodes report to each other.
 
 use filbertpaddle_core::name::Name;
+use filbertpaddle_forward::level_load::LevelLoad;
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::load_table::LoadTable;
@@ -13,11 +14,18 @@
     (0..rng.random_range(0..6))
         .map(|_| {
             let target = Name::from(format!("t{}", rng.random_range(0..8)));
+            let level = LevelLoad {
+                level: rng.random_range(0..3),
+                requests: rng.random_range(0..3),
+                tokens: rng.random_range(0..9_000),
+                ..LevelLoad::default()
+            };
             let load = TargetLoad {
                 running: rng.random_range(1..5),
                 tokens: rng.random_range(0..9_000),
                 prompt_tokens: rng.random_range(0..3_000),
                 refusals: rng.random_range(0..2),
+                levels: level.into(),
             };
             (target, load)
         })
--- a/filbertpaddle-forward/tests/target_selector/main.rs
+++ b/filbertpaddle-forward/tests/target_selector/main.rs
@@ -204,6 +204,7 @@
         tokens: 20_000,
         prompt_tokens: 2_000,
         refusals: 0,
+        ..TargetLoad::default()
     };
     let refusing = TargetLoad {
         refusals: 1,
@@ -211,7 +212,7 @@
     };
     let mut others = LoadByTarget::new();
     others.insert("busy".into(), busy);
-    others.insert("idle".into(), refusing);
+    others.insert("idle".into(), refusing.clone());
     selector.set_other_load(others.clone());
     assert_eq!(
         choose(&selector, &directory, &demand(100, 200)).unwrap(),
@@ -254,6 +255,7 @@
         tokens: 20_000,
         prompt_tokens: 0,
         refusals: 0,
+        ..TargetLoad::default()
     };
     others.insert("a".into(), busy);
     selector.set_other_load(others);
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -65,7 +65,7 @@
             target: target.clone(),
             is_started: false,
             sent_ms: self.job.state.clock.now(),
-            ahead_tokens: load.prompt_tokens,
+            ahead_tokens: load.prompt_tokens_ahead_of(self.job.demand.level),
         });
     }
 
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -47,7 +47,7 @@
 /// 50 ms.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Lowest priority that targets accept.
-const LOWEST_PRIORITY: u8 = 9;
+pub const LOWEST_PRIORITY: u8 = 9;
 
 /// One admitted request.
 #[derive(Clone, Debug)]
@@ -229,9 +229,14 @@
 
     /// Returns the demand on a target, by what has happened so far.
     fn current_demand(&self, progress: &Progress) -> RequestDemand {
+        let state = &self.state;
+        let selector = state.selector.borrow();
+        let directory = state.directory.borrow();
+        let kept = selector.kept_room(state.clock.now(), &directory, &self.demand);
         RequestDemand {
             claim: self.claim(progress),
             version: self.version(progress),
+            kept,
             ..self.demand.clone()
         }
     }
--- a/filbertpaddle-gateway/src/load_exchange.rs
+++ b/filbertpaddle-gateway/src/load_exchange.rs
@@ -103,7 +103,10 @@
     let own = state.published_load();
     let mut load_table = state.load_table.borrow_mut();
     load_table.remove_member(&state.settings.node);
-    let changes = own.iter().map(|(id, load)| (id.clone(), *load)).collect();
+    let changes = own
+        .iter()
+        .map(|(id, load)| (id.clone(), load.clone()))
+        .collect();
     load_table.update_member(&state.settings.node, &changes);
     let total = load_table.total();
     drop(load_table);
@@ -115,7 +118,7 @@
     let others = all
         .iter()
         .map(|(target, load)| {
-            let own = own.get(target).copied().unwrap_or_default();
+            let own = own.get(target).cloned().unwrap_or_default();
             (target.clone(), load.without(&own))
         })
         .collect();
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -13,6 +13,7 @@
 use filbertpaddle_forward::configuration::Customer;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::fingerprint::fingerprints;
+use filbertpaddle_forward::priority_admission::KeptRoom;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::software_version::VersionBinding;
@@ -33,6 +34,7 @@
 use crate::clock::duration;
 use crate::generation;
 use crate::job::Job;
+use crate::job::LOWEST_PRIORITY;
 use crate::job::Progress;
 use crate::job_refusal::RESUME_RETRY_MS;
 use crate::job_refusal::RETRY_AFTER_MS;
@@ -147,6 +149,10 @@
     state.with_budget(&job.demand.service, |budget| {
         budget.record_request(received_ms)
     });
+    let arrived_ms = state.clock.now();
+    let mut selector = state.selector.borrow_mut();
+    selector.level_arrivals.record(arrived_ms, &job.demand);
+    drop(selector);
     log_admitted(&job, http_version, configuration.version);
     Ok(job)
 }
@@ -169,17 +175,22 @@
         customer: Option<&Customer>,
         continuation: Option<Continuation>,
     ) -> Job {
-        let demand = demand(route, &self.metadata, continuation);
+        let mut demand = demand(route, &self.metadata, continuation);
         let service = configuration.services.get(&demand.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let event_tokens = configuration.event_tokens(&demand.service);
         let own_priority = customer.and_then(|customer| customer.priority);
+        let priority = own_priority.unwrap_or(route.priority);
+        let features = state.reloadable.borrow().features;
+        demand.level = features
+            .priority_admission
+            .then_some(priority.min(LOWEST_PRIORITY));
         let customer = customer.map(|customer| customer.name.clone());
         let deadline_ms = self.metadata.deadline_ms.unwrap_or(route.timeout_ms);
         Job {
             state: Rc::clone(state),
             route: route.clone(),
-            priority: own_priority.unwrap_or(route.priority),
+            priority,
             fingerprints: fingerprints(
                 self.head.uri.path(),
                 customer.as_deref(),
@@ -412,6 +423,8 @@
         claim: claim(route, metadata),
         max_prefill_ms: admission::max_prefill_ms(route.latency_goal_ms),
         version,
+        level: None,
+        kept: KeptRoom::default(),
     }
 }
 
