--- a/filbertpaddle-forward/src/placement_speed.rs
+++ b/filbertpaddle-forward/src/placement_speed.rs
@@ -60,7 +60,7 @@
         if !self.speeds.is_in_force() {
             return load_cost;
         }
-        let mut with_request = *load;
+        let mut with_request = load.clone();
         with_request.add(&TargetLoad::from(demand));
         let fill = fill(&with_request, target, engine);
         let factor = self.speeds.time_factor_at(&target.incarnation(), fill);
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -80,6 +80,8 @@
     pub(crate) has_content: bool,
     /// Runs that have ended in order before any event after the last.
     pub(crate) empty_runs: EmptyRuns,
+    /// Whether the stream has gone on from one run to another.
+    pub(crate) has_resumed: bool,
     /// Time of the first of the new events.
     first_event_ms: Millis,
     /// Whether the current target has shown that the request does not crash it.
@@ -136,6 +138,7 @@
             is_end_query: false,
             has_content: false,
             empty_runs: EmptyRuns::default(),
+            has_resumed: false,
             first_event_ms: Millis::ZERO,
             is_sound: false,
             placement: None,
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -1,12 +1,9 @@
 //! Load of a generation at its target, and what the first event from there shows.
 
 use filbertpaddle_core::clock::Millis;
-<<<<<<< HEAD
 use filbertpaddle_forward::idle_output::IdleOutput;
-=======
 use filbertpaddle_forward::load_table::TargetLoad;
 use filbertpaddle_forward::speed_baseline::SpeedSample;
->>>>>>> part-d
 use filbertpaddle_forward::target::Target;
 use slog::info;
 
@@ -20,6 +17,8 @@
     sent_ms: Millis,
     /// Load that was at the target before.
     former_load: TargetLoad,
+    /// Prompt tokens that were at the target before and go ahead of this generation's.
+    ahead_tokens: u64,
 }
 
 impl Generation<'_> {
@@ -33,6 +32,7 @@
         let silent_ms = now.since(self.last_activity_ms);
         self.last_activity_ms = now;
         let is_resumed = self.writer.is_started();
+        self.has_resumed |= is_resumed;
         if is_resumed && !self.is_end_query {
             info!(state.log, "generation resumed at another target";
                 "id" => self.job.metadata.attempt.as_str(), "target" => target.id.as_str(),
@@ -48,15 +48,15 @@
             // A resumed generation does not process its whole prompt again.
             if !is_resumed {
                 let waited_ms = now.since(placement.sent_ms);
-                let ahead_tokens = placement.former_load.prompt_tokens;
+                let ahead_tokens = placement.ahead_tokens;
                 let typical_ms = selector.typical_ms(target, waited_ms);
                 selector.record_first_event(&self.job.demand, ahead_tokens, typical_ms);
-                first_event = Some((placement.former_load, waited_ms));
+                first_event = Some((placement.former_load.clone(), ahead_tokens, waited_ms));
             }
         }
         drop(selector);
-        if let Some((former_load, waited_ms)) = first_event {
-            self.record_first_event_speed(target, former_load, waited_ms);
+        if let Some((former_load, ahead_tokens, waited_ms)) = first_event {
+            self.record_first_event_speed(target, former_load, ahead_tokens, waited_ms);
         }
         let waited_ms = self.last_activity_ms.since(self.job.received_ms);
         info!(state.log, "first event from target";
@@ -65,10 +65,17 @@
         state.metrics.time("generation.first_event", waited_ms);
     }
 
-    fn record_first_event_speed(&self, target: &Target, mut load: TargetLoad, waited_ms: Millis) {
-        load.add(&TargetLoad::from(&self.job.demand));
+    fn record_first_event_speed(
+        &self,
+        target: &Target,
+        mut load: TargetLoad,
+        ahead_tokens: u64,
+        waited_ms: Millis,
+    ) {
+        let demand = &self.job.demand;
+        load.add(&TargetLoad::from(demand));
         let sample = SpeedSample::FirstEvent {
-            tokens: load.prompt_tokens,
+            tokens: ahead_tokens + u64::from(demand.prompt_tokens),
             waited_ms,
         };
         self.job.state.record_speed(target, &load, &sample);
@@ -100,6 +107,7 @@
             target: target.clone(),
             is_started: false,
             sent_ms: self.job.state.clock.now(),
+            ahead_tokens: load.prompt_tokens_ahead_of(self.job.demand.level),
             former_load: load,
         });
     }
