Let requests wait for room in one order by priority

A generation without room looked for it every 25 ms on its own, or not at all if its node had refused one lately, so that chance decided which of them got it, and new requests overtook those that waited.

Weighed: the count of waiting requests by node, which the sum makes unnecessary; and a claim at the target, which costs a round trip for each placement.

Retry-After is still by the memory that is held.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -53,3 +53,4 @@
 pub mod target_selector;
 pub mod token_bucket;
 pub mod version_record;
+pub mod waiting_line;
