Read orders of roll-outs, and encode records and statuses

Cause: no line of the code reads an operator's order of a roll-out.

Change: entries of the operators' table for orders, withdrawals and orders that cannot be decoded; the directory keeps them as it keeps the other entries, and followers get them with the table. An order that cannot be decoded is reported once and leaves the former in force, also when the whole table is read. The adapter encodes the record, in a table of this system, and the status in one transaction under a condition on the record's revision.

Weighed: to refuse orders with unknown fields. They are ignored, as in all other entries, so that the platform can add some.

--- a/filbertpaddle-forward/src/change.rs
+++ b/filbertpaddle-forward/src/change.rs
@@ -8,6 +8,7 @@
 
 use crate::configuration::Configuration;
 use crate::revision::Revision;
+use crate::rollout::RolloutOrder;
 use crate::target::Target;
 
 /// Table of the store that nodes follow.
@@ -45,6 +46,23 @@
     Target(Target),
     /// ID of a target that has no valid entry.
     NoTarget(Name),
+    /// Order of a roll-out.
+    Rollout(RolloutOrder),
+    /// Service whose order of a roll-out was withdrawn.
+    NoRollout(Name),
+    /// Service whose order of a roll-out cannot be decoded, which changes nothing.
+    InvalidRollout(Name),
+}
+
+impl Entry {
+    /// Returns the service that an order of a roll-out is for.
+    pub fn rollout_service(&self) -> Option<&Name> {
+        match self {
+            Self::Rollout(order) => Some(&order.service),
+            Self::NoRollout(service) | Self::InvalidRollout(service) => Some(service),
+            _ => None,
+        }
+    }
 }
 
 /// Changes of a table, or its whole content.
@@ -69,11 +87,14 @@
     pub data_centres: Vec<(Name, bool)>,
     /// IDs of targets that were added, changed or removed.
     pub targets: Vec<Name>,
+    /// Services whose order of a roll-out was given, replaced or withdrawn.
+    pub rollouts: Vec<Name>,
 }
 
 impl AppliedChanges {
     /// Returns whether nothing changed.
     pub fn is_empty(&self) -> bool {
-        self.configuration.is_none() && self.data_centres.is_empty() && self.targets.is_empty()
+        let are_targets_same = self.targets.is_empty() && self.data_centres.is_empty();
+        self.configuration.is_none() && are_targets_same && self.rollouts.is_empty()
     }
 }
--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -6,7 +6,8 @@
 //!
 //! If the store is rolled back to an older copy, what this node knows stays in force until
 //! operators and targets have had time to write their entries again: the configuration
-//! never reverts, data centres stay out of service, and targets stay listed or removed.
+//! never reverts, data centres stay out of service, orders of roll-outs stay in force, and
+//! targets stay listed or removed.
 
 use std::sync::Arc;
 
@@ -21,7 +22,9 @@
 use crate::change::Table;
 use crate::configuration::Configuration;
 use crate::leaving_targets::LeavingTargets;
+use crate::listed_orders::ListedOrders;
 use crate::revision::Revision;
+use crate::rollout::RolloutOrder;
 use crate::target::Incarnation;
 use crate::target::Target;
 use crate::target_list::Sequence;
@@ -59,6 +62,7 @@
     configuration_stamp: ChangeStamp,
     data_centres: IndexMap<Name, DataCentreState>,
     targets: TargetList,
+    orders: ListedOrders,
     sequence: Sequence,
     operator_revision: Revision,
     targets_revision: Revision,
@@ -148,6 +152,11 @@
         self.targets.leaving()
     }
 
+    /// Returns the orders of roll-outs.
+    pub fn orders(&self) -> &ListedOrders {
+        &self.orders
+    }
+
     /// Records that a table could not be read.
     pub fn record_store_lost(&mut self, now: Millis, table: Table) {
         self.store_lost_at_ms[table as usize].get_or_insert(now);
@@ -223,6 +232,7 @@
             .apply_due(now, &mut self.sequence, &mut applied.targets);
         if now >= self.rewrite_until_ms {
             self.return_data_centres(&mut applied);
+            self.withdraw_missing_orders(&mut applied);
         }
         applied
     }
@@ -267,7 +277,8 @@
                     is_out: state.is_out,
                 },
             });
-        configuration.chain(data_centres).collect()
+        let orders = self.orders.changes_after(sequence);
+        configuration.chain(data_centres).chain(orders).collect()
     }
 
     fn next_stamp(&mut self, revision: Revision) -> ChangeStamp {
@@ -303,9 +314,33 @@
                 self.targets
                     .remove(now, &mut self.sequence, revision, id, changed);
             }
+            Entry::Rollout(order) => {
+                self.set_order(revision, &order.service, Some(order), applied);
+            }
+            Entry::NoRollout(service) => self.set_order(revision, service, None, applied),
+            Entry::InvalidRollout(_) => {}
+        }
+    }
+
+    fn set_order(
+        &mut self,
+        revision: Revision,
+        service: &Name,
+        order: Option<&RolloutOrder>,
+        applied: &mut AppliedChanges,
+    ) {
+        let sequence = &mut self.sequence;
+        if self.orders.set(sequence, revision, service, order) {
+            applied.rollouts.push(service.clone());
         }
     }
 
+    /// Withdraws the orders that a whole table lacks.
+    fn withdraw_missing_orders(&mut self, applied: &mut AppliedChanges) {
+        let withdrawn = self.orders.withdraw_missing(&mut self.sequence);
+        applied.rollouts.extend(withdrawn);
+    }
+
     fn set_data_centre(
         &mut self,
         name: &Name,
@@ -358,8 +393,10 @@
                 state.missing_since = Some(batch.revision);
             }
         }
+        self.orders.record_missing(batch);
         if now >= self.rewrite_until_ms {
             self.return_data_centres(applied);
+            self.withdraw_missing_orders(applied);
         }
     }
 
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod idle_output;
 pub mod invalid_entries;
 pub mod leaving_targets;
+pub mod listed_orders;
 pub mod load_table;
 pub mod migration;
 pub mod node_rank;
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -11,6 +11,7 @@
 use filbertpaddle_forward::migration::Copy;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::revision::Revision;
+use filbertpaddle_forward::rollout::RolloutRecord;
 use filbertpaddle_forward::target::Report;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::version_record::VersionRecord;
@@ -229,6 +230,33 @@
     /// Writes the record of software versions if it still has a revision, or does not exist if
     /// that is 0; refused with status 412 otherwise.
     pub write_versions: fn(&VersionRecord, u64) -> Call,
+    /// Reads the records of roll-outs.
+    pub read_rollouts: fn() -> Call,
+    /// Decodes the records of roll-outs.
+    pub decode_rollouts: fn(&[u8]) -> Result<StoredRollouts, DecodeError>,
+    /// Writes the record of a roll-out, and the state that operators read, if the record still has
+    /// a revision, or does not exist if that is 0; refused with status 412 otherwise.
+    pub write_rollout: fn(&RolloutRecord, u64) -> Call,
+}
+
+/// The records of roll-outs as read from the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRollouts {
+    /// Row of each service that has one.
+    pub rows: Vec<StoredRollout>,
+    /// Time by the store's clock when they were read.
+    pub store_ms: Millis,
+}
+
+/// The row of a roll-out's record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRollout {
+    /// Service of the roll-out.
+    pub service: Name,
+    /// The record; `None` if it cannot be decoded.
+    pub record: Option<RolloutRecord>,
+    /// Revision of the row.
+    pub revision: u64,
 }
 
 /// The record of software versions as read from the store.
