--- a/filbertpaddle-forward/src/features.rs
+++ b/filbertpaddle-forward/src/features.rs
@@ -1,6 +1,6 @@
 //! Optional behaviour of nodes, switched on by the settings.
 
-use crate::rollout::RolloutLimits;
+use crate::rollout_record::RolloutLimits;
 
 /// Behaviour that is in force only where the settings call for it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/filbertpaddle-forward/src/rollout.rs
+++ b/filbertpaddle-forward/src/rollout_record.rs
@@ -34,6 +34,46 @@
     pub duration_ms: Millis,
 }
 
+/// Why an order changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum OrderError {
+    /// The service has no targets and is not configured.
+    #[error("no such service")]
+    UnknownService,
+    /// The order leaves no time.
+    #[error("the duration is zero")]
+    NoDuration,
+    /// No version is named.
+    #[error("the version is empty")]
+    NoVersion,
+    /// All targets of the service have the version already.
+    #[error("all targets have version {0}")]
+    AlreadyThere(Name),
+}
+
+impl RolloutOrder {
+    /// Checks the order against the versions that the targets of its service have now, `None`
+    /// if the service is unknown. A version that no target has yet is no error.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the order changes nothing.
+    pub fn check(&self, versions: Option<&[Name]>) -> Result<(), OrderError> {
+        let versions = versions.ok_or(OrderError::UnknownService)?;
+        if self.version.is_empty() {
+            return Err(OrderError::NoVersion);
+        }
+        if self.duration_ms == Millis::ZERO {
+            return Err(OrderError::NoDuration);
+        }
+        let is_there = !versions.is_empty() && versions.iter().all(|name| *name == self.version);
+        if is_there {
+            return Err(OrderError::AlreadyThere(self.version.clone()));
+        }
+        Ok(())
+    }
+}
+
 /// State of a roll-out, as operators read it.
 #[derive(
     Clone,
@@ -80,3 +120,20 @@
     /// Number of times that the record was written.
     pub step: u32,
 }
+
+impl RolloutRecord {
+    /// Returns whether this record replaces `other` of the same service.
+    pub fn is_after(&self, other: &Self) -> bool {
+        (self.ordered, self.step) > (other.ordered, other.step)
+    }
+
+    /// Returns the record that follows this one.
+    pub fn next(&self, state: RolloutState, share_per_mille: u32) -> Self {
+        Self {
+            state,
+            share_per_mille,
+            step: self.step + 1,
+            ..self.clone()
+        }
+    }
+}
