Split requests by the side of a roll-out, and write its records

Cause: roll-outs are decided, but no request follows them and nothing is read or written.

Change: a request's side is chosen at admission, and bounds the targets among which one is chosen, copied to or returned to; a request that cannot try the new version, or is sent again, goes to the side of those sent again. Outcomes, times to the first event and per token are counted by side. Readers of the store take the next steps in the order of their rank: they read the row, write it under a condition, and read it again after an unknown answer. Records go over all links; counts go from followers to their reader, and from each reader to the others, every 200 ms.

Weighed: counts on all links every 50 ms. Followers need only records, and bytes between data centres are dear.

Not run yet: process tests.

--- a/filbertpaddle-forward/src/change.rs
+++ b/filbertpaddle-forward/src/change.rs
@@ -8,7 +8,7 @@
 
 use crate::configuration::Configuration;
 use crate::revision::Revision;
-use crate::rollout::RolloutOrder;
+use crate::rollout_record::RolloutOrder;
 use crate::target::Target;
 
 /// Table of the store that nodes follow.
--- a/filbertpaddle-forward/src/directory.rs
+++ b/filbertpaddle-forward/src/directory.rs
@@ -24,7 +24,7 @@
 use crate::leaving_targets::LeavingTargets;
 use crate::listed_orders::ListedOrders;
 use crate::revision::Revision;
-use crate::rollout::RolloutOrder;
+use crate::rollout_record::RolloutOrder;
 use crate::target::Incarnation;
 use crate::target::Target;
 use crate::target_list::Sequence;
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -4,6 +4,7 @@
 //! As in `filbertpaddle-core`, nothing here performs I/O or reads a clock.
 
 pub mod admission;
+pub mod allowed_targets;
 pub mod change;
 pub mod cold_limit;
 pub mod configuration;
--- a/filbertpaddle-forward/src/listed_orders.rs
+++ b/filbertpaddle-forward/src/listed_orders.rs
@@ -7,7 +7,7 @@
 use crate::change::Change;
 use crate::change::Entry;
 use crate::revision::Revision;
-use crate::rollout::RolloutOrder;
+use crate::rollout_record::RolloutOrder;
 use crate::target_list::Sequence;
 
 /// The latest entry of a service.
--- a/filbertpaddle-forward/src/load_table.rs
+++ b/filbertpaddle-forward/src/load_table.rs
@@ -98,6 +98,11 @@
         self.groups.clear();
     }
 
+    /// Returns whether any other group has reported its load.
+    pub fn has_groups(&self) -> bool {
+        !self.groups.is_empty()
+    }
+
     /// Returns the total load of this node's group.
     pub fn group_total(&self) -> LoadByTarget {
         sum(self.members.values())
--- a/filbertpaddle-forward/src/request_demand.rs
+++ b/filbertpaddle-forward/src/request_demand.rs
@@ -4,7 +4,9 @@
 use filbertpaddle_core::name::Name;
 
 use crate::admission::Claim;
+use crate::allowed_targets::AllowedTargets;
 use crate::load_table::TargetLoad;
+use crate::rollout_counts::Side;
 use crate::software_version::VersionBinding;
 
 /// Resources that a request needs at a target.
@@ -22,6 +24,10 @@
     pub max_prefill_ms: Millis,
     /// Software versions of the targets that may run it.
     pub version: VersionBinding,
+    /// Side of its service's roll-out that it goes to; `None` if there was none at its admission.
+    pub side: Option<Side>,
+    /// Targets that may run it while its service is rolled out.
+    pub allowed: AllowedTargets,
 }
 
 impl From<&RequestDemand> for TargetLoad {
--- a/filbertpaddle-forward/src/rollout_counts.rs
+++ b/filbertpaddle-forward/src/rollout_counts.rs
@@ -35,6 +35,13 @@
         /// Whether the target was cold, so that its times show nothing.
         is_cold: bool,
     },
+    /// Stretch of a stream that was served or is still being sent.
+    Paced {
+        /// Time per token.
+        token_us: u64,
+        /// Whether the target was cold, so that its times show nothing.
+        is_cold: bool,
+    },
 }
 
 /// What a counter counts.
@@ -128,19 +135,27 @@
             };
             self.add(source, counter);
         };
-        let Outcome::Served {
-            first_ms,
-            token_us,
-            is_cold,
-        } = outcome
-        else {
-            return add(Event::Failed);
+        let (first_ms, token_us, is_cold) = match outcome {
+            Outcome::Failed => {
+                add(Event::Failed);
+                return;
+            }
+            Outcome::Served {
+                first_ms,
+                token_us,
+                is_cold,
+            } => {
+                add(Event::Served);
+                (Some(first_ms), token_us, is_cold)
+            }
+            Outcome::Paced { token_us, is_cold } => (None, Some(token_us), is_cold),
         };
-        add(Event::Served);
         if is_cold {
             return;
         }
-        add(Event::First(bucket(first_ms.0)));
+        if let Some(first_ms) = first_ms {
+            add(Event::First(bucket(first_ms.0)));
+        }
         if let Some(token_us) = token_us {
             add(Event::Token(bucket(token_us)));
         }
--- a/filbertpaddle-forward/src/same_target.rs
+++ b/filbertpaddle-forward/src/same_target.rs
@@ -28,6 +28,7 @@
             && !target.is_draining
             && !directory.is_out(&target.data_centre)
             && demand.version.allows(target)
+            && demand.allowed.allows(target)
             && !self.is_unreached(now, &target.id)
             && self
                 .check_available(now, configuration, target, read_ms, &[])
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -37,6 +37,9 @@
     /// No target that is in service and not draining may continue the stream.
     #[error("no target in service has the software version that began the stream")]
     NoneOfVersion,
+    /// No target in service may be given the request while its service is rolled out.
+    #[error("roll-out of the service allows no target in service")]
+    NoneOnSide,
     /// The targets failed recently, or are excluded for this request.
     #[error("targets of the service failed recently or are excluded for this request")]
     AllFailing,
@@ -204,6 +207,12 @@
                 }
                 continue;
             }
+            if !demand.allowed.allows(target) {
+                if reason == PlacementError::NoneInService {
+                    reason = PlacementError::NoneOnSide;
+                }
+                continue;
+            }
             if paths == Paths::Direct && self.is_unreached(now, &target.id) {
                 reason = PlacementError::AllFailing;
                 continue;
@@ -256,6 +265,7 @@
                 && target.id != source.id
                 && !target.is_draining
                 && demand.version.allows(target)
+                && demand.allowed.allows(target)
                 && !directory.is_out(&target.data_centre)
                 && !self.is_unreached(now, &target.id)
                 && self
--- a/filbertpaddle-forward/tests/listed_orders.rs
+++ b/filbertpaddle-forward/tests/listed_orders.rs
@@ -8,7 +8,7 @@
 use filbertpaddle_forward::configuration::Configuration;
 use filbertpaddle_forward::directory::Directory;
 use filbertpaddle_forward::revision::Revision;
-use filbertpaddle_forward::rollout::RolloutOrder;
+use filbertpaddle_forward::rollout_record::RolloutOrder;
 
 const REWRITE_MS: Millis = Millis(5_000);
 
--- a/filbertpaddle-gateway/src/buffered.rs
+++ b/filbertpaddle-gateway/src/buffered.rs
@@ -49,6 +49,7 @@
                 let mut selector = job.state.selector.borrow_mut();
                 selector.record_success(&target.id);
                 drop(selector);
+                job.record_side_answer(progress, &target, head.status);
                 progress.sends += 1;
                 progress.is_in_flight = false;
                 let may_resend = job.route.kind.is_idempotent()
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -120,6 +120,10 @@
     if let Err(StopReason::TimedOut | StopReason::CallerGone) = result {
         generation.watch_silent();
     }
+    if let Err(StopReason::TimedOut) = result {
+        let target = generation.placed_at();
+        job.record_side_timeout(generation.progress, target);
+    }
     generation.close();
     result
 }
@@ -353,7 +357,9 @@
         let (response, _) = self.job.send(target, resume).await?;
         let mut body = response.body;
         if !response.head.status.is_success() {
+            let status = response.head.status;
             let bytes = body.read_to_end().await.map_err(Failure::from)?;
+            self.job.record_side_answer(self.progress, target, status);
             let stop = match self.job.target_reply(response.head, bytes) {
                 Ok(reply) => StopReason::Failed(Box::new(reply)),
                 Err(refusal) => StopReason::Refused(refusal),
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -23,6 +23,9 @@
         self.progress.sends += 1;
         self.progress.is_in_flight = false;
         self.progress.may_have_run = true;
+        if self.last_event.is_none() {
+            self.job.record_side_served(self.progress, target);
+        }
         let now = state.clock.now();
         let silent_ms = now.since(self.last_activity_ms);
         self.last_activity_ms = now;
@@ -69,6 +72,11 @@
         });
     }
 
+    /// Returns the target on which the generation is placed.
+    pub(crate) fn placed_at(&self) -> Option<&Target> {
+        self.placement.as_ref().map(|placement| &placement.target)
+    }
+
     /// Removes the generation from the load of its target.
     pub(crate) fn release_placement(&mut self) {
         let Some(placement) = self.placement.take() else {
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -173,6 +173,7 @@
         state.metrics.count("stream.broken");
         if !source.is_relayed() {
             state.record_target_failure(&source.target);
+            self.job.record_side_failure(&source.target);
         }
         if !self.is_sound {
             crash::check(self.job, &source.target).await;
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -42,7 +42,7 @@
 /// Maximum number of connection attempts for one request before it is refused.
 pub const MAX_CONNECT_ATTEMPTS: u32 = 12;
 /// Number of targets that other nodes do not reach for a request before it is refused.
-const MAX_RELAY_FAILURES: u32 = 2;
+pub(crate) const MAX_RELAY_FAILURES: u32 = 2;
 /// Interval at which a request that waits for room looks for it. Nodes publish their load every
 /// 50 ms.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(25);
@@ -96,6 +96,8 @@
     pub was_misdirected: bool,
     /// Whether any target may have run it.
     pub may_have_run: bool,
+    /// Time when it was last sent to a target.
+    pub sent_ms: Millis,
     /// Whether it is being sent or run at a target now.
     pub is_in_flight: bool,
     /// Target whose load includes it, as a whole response.
@@ -190,30 +192,19 @@
     /// Returns [`PlacementError`] if the request cannot be placed on any target now.
     pub fn choose_target(&self, progress: &mut Progress) -> Result<Target, PlacementError> {
         let state = &self.state;
-        let now = state.clock.now();
         let directory = state.directory.borrow();
         let selector = state.selector.borrow();
-        let excluded = &progress.excluded_targets;
-        let unreached = progress.unreached_targets.iter();
-        let failed: Vec<_> = excluded.iter().chain(unreached).cloned().collect();
-        let draw = rand::random::<f64>;
         let demand = self.current_demand(progress);
-        let mut chosen = selector.choose(now, &directory, &demand, &failed, draw);
-        // Targets that are down look the same, and must not hold the request up one by one.
-        let may_relay = progress.relay_failures < MAX_RELAY_FAILURES;
-        if chosen == Err(PlacementError::AllFailing) && may_relay {
-            chosen = selector.choose_relayed(now, &directory, &demand, excluded, draw);
-        }
+        let chosen = self.choose_on_sides(&selector, &directory, progress, &demand);
         let error = chosen.as_ref().err().copied();
         if let Some(reason) = error
             && progress.placement_error != error
         {
             info!(state.log, "no target can take the request";
                 "id" => self.metadata.attempt.as_str(), "reason" => %reason,
-                "claim" => %demand.claim, "passed_over" => failed.len(),
+                "claim" => %demand.claim, "passed_over" => progress.passed_over(),
                 "age_ms" => state.data_age_ms(Table::Targets).0);
         }
-        let chosen = chosen.cloned();
         progress.placement_error = error;
         chosen
     }
@@ -229,9 +220,11 @@
 
     /// Returns the demand on a target, by what has happened so far.
     fn current_demand(&self, progress: &Progress) -> RequestDemand {
+        let version = self.version(progress);
         RequestDemand {
             claim: self.claim(progress),
-            version: self.version(progress),
+            allowed: self.allowed_targets(progress, version),
+            version,
             ..self.demand.clone()
         }
     }
@@ -396,6 +389,8 @@
             "limit_per_sec" => selector.stated_rates().per_sec(&target.incarnation()),
             "remaining_ms" => self.remaining_ms().0, "age_ms" => state.data_age_ms(Table::Targets).0);
         selector.record_sent(now, target, &self.demand);
+        self.record_side_sent(target);
+        progress.sent_ms = now;
         progress.connects += 1;
         progress.is_in_flight = true;
         load
@@ -452,6 +447,7 @@
             Failure::Unknown(_) => {
                 progress.sends += 1;
                 progress.may_have_run = true;
+                self.record_side_failure(target);
                 backoff_until_ms = state.record_target_failure(target);
             }
         }
--- a/filbertpaddle-gateway/src/migrator.rs
+++ b/filbertpaddle-gateway/src/migrator.rs
@@ -21,6 +21,7 @@
 use crate::copy_call::CopyCall;
 use crate::copy_call::Outcome;
 use crate::job::Job;
+use crate::job::Progress;
 use crate::platform_api::CopyOutcome;
 use crate::platform_api::StopOutcome;
 use crate::target_stream::TargetStream;
@@ -355,8 +356,10 @@
         let state = &self.job.state;
         let directory = state.directory.borrow();
         let selector = state.selector.borrow();
+        let version = VersionBinding::to_target(&source.target);
         let demand = RequestDemand {
-            version: VersionBinding::to_target(&source.target),
+            allowed: self.job.allowed_targets(&Progress::default(), version),
+            version,
             ..self.resume_demand()
         };
         let excluded: Vec<_> = self
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -28,6 +28,7 @@
 use crate::peer_publisher;
 use crate::platform_api::PlatformApi;
 use crate::reader_probe;
+use crate::rollout_steps;
 use crate::settings::Settings;
 use crate::state::State;
 use crate::store_sync;
@@ -131,6 +132,7 @@
     spawn(Box::pin(load_exchange::run(Rc::clone(&state))));
     spawn(Box::pin(version_exchange::serve(Rc::clone(&state))));
     spawn(Box::pin(version_record::run(Rc::clone(&state))));
+    spawn(Box::pin(rollout_steps::run(Rc::clone(&state))));
     spawn(Box::pin(reader_probe::run(Rc::clone(&state))));
     spawn(Box::pin(drain_detection::run(Rc::clone(&state))));
     let probing = Rc::clone(&state);
@@ -194,6 +196,7 @@
         store_sync::record_moved(state, previous.store, settings.reloadable.store);
     }
     if previous != settings.reloadable {
+        state.update_rollouts();
         info!(state.log, "settings reloaded";
             "store" => %settings.reloadable.store,
             "is_first_start" => settings.reloadable.is_first_start,
--- a/filbertpaddle-gateway/src/pace.rs
+++ b/filbertpaddle-gateway/src/pace.rs
@@ -128,6 +128,9 @@
     fn record_pace(&self, sample: Option<PaceSample>) {
         let Some(sample) = sample else { return };
         let state = &self.job.state;
+        if let PaceSample::Token(token_us) = sample {
+            self.record_side_pace(token_us);
+        }
         let mut paces = state.paces.borrow_mut();
         let pace = paces.entry(self.job.demand.service.clone()).or_default();
         pace.record(state.clock.now(), sample);
--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -101,6 +101,7 @@
             _ = publish_timer.tick() => {
                 let own = state.published_load();
                 link.publish(state, own).await?;
+                link.publish_counts(state).await?;
             }
             () = sleep_until(last_received + SILENCE_TIMEOUT) => return Err(Error::Timeout),
             message = link.receive() => {
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -15,6 +15,7 @@
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::load_table::LoadChanges;
+use filbertpaddle_forward::rollout_counts::CountsChange;
 use filbertpaddle_forward::stated_rate::RateStatement;
 use filbertpaddle_forward::target::Incarnation;
 use futures_util::SinkExt;
@@ -33,6 +34,9 @@
 
 use crate::connection_pool::set_socket_options;
 use crate::platform_api::NodeList;
+use crate::rollout_exchange;
+use crate::rollout_exchange::SentRecord;
+use crate::rollout_exchange::SentRollouts;
 use crate::state::State;
 use crate::tunnel::MAX_FRAME_BYTES;
 use crate::tunnel::OpenRequest;
@@ -85,6 +89,10 @@
     Leaving(Vec<Incarnation>),
     /// Request rates that targets have stated to some node.
     Rates(Vec<SentRate>),
+    /// Records of roll-outs.
+    Rollouts(Vec<SentRecord>),
+    /// Changed counts of requests and answers during roll-outs.
+    RolloutCounts(Vec<CountsChange>),
     /// Changes of a table.
     Table {
         /// Age of the sender's data.
@@ -163,6 +171,7 @@
     leaving_published: u64,
     /// Sequence number of the last stated rate that was sent.
     rates_published: u64,
+    pub(crate) rollouts: SentRollouts,
 }
 
 impl fmt::Debug for PeerLink {
@@ -309,6 +318,7 @@
     pub async fn publish_findings(&mut self, state: &State) -> Result<(), Error> {
         self.publish_suspects(state).await?;
         self.publish_rates(state).await?;
+        self.publish_records(state).await?;
         let (sequence, leaving) = {
             let directory = state.directory.borrow();
             let leaving = directory.leaving();
@@ -375,6 +385,7 @@
             suspects_published: 0,
             leaving_published: 0,
             rates_published: 0,
+            rollouts: SentRollouts::default(),
         }
     }
 }
@@ -409,6 +420,8 @@
             .iter()
             .for_each(|incarnation| state.mark_target_draining(incarnation, "peer")),
         Message::Rates(rates) => merge_rates(state, rates),
+        Message::Rollouts(records) => rollout_exchange::merge_records(state, &records),
+        Message::RolloutCounts(counts) => state.merge_rollout_counts(&counts, false),
         other => return Some(other),
     }
     None
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -80,6 +80,7 @@
             _ = publish_timer.tick() => {
                 let group_load = group_load(state);
                 link.publish(state, group_load).await?;
+                link.publish_counts(state).await?;
             }
             _ = heartbeat.tick() => link.send(&ages_message(state)).await?,
             message = link.receive() => {
@@ -130,6 +131,7 @@
 fn receive_from_follower(state: &State, node: &Name, message: Message) {
     match message {
         Message::Work(changes) => state.load_table.borrow_mut().update_member(node, &changes),
+        Message::RolloutCounts(counts) => state.merge_rollout_counts(&counts, true),
         message => {
             if let Some(message) = merge_findings(state, message) {
                 debug!(state.log, "unexpected message from follower ignored";
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -11,7 +11,7 @@
 use filbertpaddle_forward::migration::Copy;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::revision::Revision;
-use filbertpaddle_forward::rollout::RolloutRecord;
+use filbertpaddle_forward::rollout_record::RolloutRecord;
 use filbertpaddle_forward::target::Report;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::version_record::VersionRecord;
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -169,7 +169,8 @@
         customer: Option<&Customer>,
         continuation: Option<Continuation>,
     ) -> Job {
-        let demand = demand(route, &self.metadata, continuation);
+        let mut demand = demand(route, &self.metadata, continuation);
+        demand.side = state.choose_side(&demand.service);
         let service = configuration.services.get(&demand.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let event_tokens = configuration.event_tokens(&demand.service);
@@ -320,6 +321,9 @@
     if let None | Some(Err(Refusal::TimedOut)) = result {
         job.watch_unanswered(&progress);
     }
+    if let Some(Err(Refusal::TimedOut)) = result {
+        job.record_side_timeout(&progress, progress.placed_on.as_ref());
+    }
     job.release(&mut progress);
     let Some(result) = result else {
         log_end(job, &progress, "caller_gone", 0);
@@ -412,6 +416,7 @@
         claim: claim(route, metadata),
         max_prefill_ms: admission::max_prefill_ms(route.latency_goal_ms),
         version,
+        ..RequestDemand::default()
     }
 }
 
--- /dev/null
+++ b/filbertpaddle-gateway/src/rollout_job.rs
@@ -0,0 +1,179 @@
+//! Requests of a service that is rolled out: the targets that they may go to, and what their
+//! answers show.
+
+use filbertpaddle_forward::allowed_targets::AllowedTargets;
+use filbertpaddle_forward::directory::Directory;
+use filbertpaddle_forward::request_demand::RequestDemand;
+use filbertpaddle_forward::rollout_counts::Outcome;
+use filbertpaddle_forward::rollout_counts::Side;
+use filbertpaddle_forward::software_version::VersionBinding;
+use filbertpaddle_forward::target::Target;
+use filbertpaddle_forward::target_selector::PlacementError;
+use filbertpaddle_forward::target_selector::TargetSelector;
+use http::StatusCode;
+
+use crate::generation::Generation;
+use crate::job::Job;
+use crate::job::MAX_RELAY_FAILURES;
+use crate::job::Progress;
+
+impl Job {
+    /// Chooses a target for a demand, or for the same demand on the side to which requests are
+    /// sent again: one that was to try the new version is served by the old one if it cannot.
+    pub(crate) fn choose_on_sides(
+        &self,
+        selector: &TargetSelector,
+        directory: &Directory,
+        progress: &Progress,
+        demand: &RequestDemand,
+    ) -> Result<Target, PlacementError> {
+        let chosen = self.choose_for(selector, directory, progress, demand);
+        if chosen.is_ok() {
+            return chosen;
+        }
+        match self.on_retry_side(progress, demand) {
+            Some(demand) => self.choose_for(selector, directory, progress, &demand),
+            None => chosen,
+        }
+    }
+
+    fn choose_for(
+        &self,
+        selector: &TargetSelector,
+        directory: &Directory,
+        progress: &Progress,
+        demand: &RequestDemand,
+    ) -> Result<Target, PlacementError> {
+        let now = self.state.clock.now();
+        let excluded = &progress.excluded_targets;
+        let unreached = progress.unreached_targets.iter();
+        let failed: Vec<_> = excluded.iter().chain(unreached).cloned().collect();
+        let draw = rand::random::<f64>;
+        let mut chosen = selector.choose(now, directory, demand, &failed, draw);
+        // Targets that are down look the same, and must not hold the request up one by one.
+        let may_relay = progress.relay_failures < MAX_RELAY_FAILURES;
+        if chosen == Err(PlacementError::AllFailing) && may_relay {
+            chosen = selector.choose_relayed(now, directory, demand, excluded, draw);
+        }
+        chosen.cloned()
+    }
+
+    /// Returns the targets that the request may go to, by what has happened so far.
+    pub(crate) fn allowed_targets(
+        &self,
+        progress: &Progress,
+        version: VersionBinding,
+    ) -> AllowedTargets {
+        if !self.state.has_rollouts() {
+            return AllowedTargets::default();
+        }
+        let demand = RequestDemand {
+            version,
+            ..self.demand.clone()
+        };
+        self.state.allowed_targets(&demand, self.side(progress))
+    }
+
+    /// Returns the demand on the side to which requests are sent again, if it is another one.
+    fn on_retry_side(&self, progress: &Progress, demand: &RequestDemand) -> Option<RequestDemand> {
+        if !self.state.has_rollouts() || demand.version != VersionBinding::Free {
+            return None;
+        }
+        let side = self.state.retry_side(&demand.service);
+        let is_other = side != self.side(progress);
+        is_other.then(|| RequestDemand {
+            allowed: self.state.allowed_targets(demand, side),
+            ..demand.clone()
+        })
+    }
+
+    /// Returns the side that the request goes to now. Only its first target may be of the new
+    /// version while that is on trial.
+    fn side(&self, progress: &Progress) -> Side {
+        let is_first = progress.sends == 0 && !progress.was_misdirected;
+        let first_side = self.demand.side.filter(|_| is_first);
+        first_side.unwrap_or_else(|| self.state.retry_side(&self.demand.service))
+    }
+
+    /// Records that the request is sent to a target.
+    pub(crate) fn record_side_sent(&self, target: &Target) {
+        if !self.state.has_rollouts() {
+            return;
+        }
+        let generation = self.metadata.generation.as_ref();
+        if let Some(generation) = generation {
+            let tokens = generation.expected_output_tokens();
+            let rollouts = &self.state.rollouts;
+            rollouts.record_output_tokens(&self.demand.service, tokens);
+        }
+        self.state.record_rollout_sent(&self.route.name, target);
+    }
+
+    /// Records the answer of a target to a request that is no stream, or its error.
+    pub(crate) fn record_side_answer(
+        &self,
+        progress: &Progress,
+        target: &Target,
+        status: StatusCode,
+    ) {
+        if status.is_server_error() {
+            self.record_side_failure(target);
+        } else {
+            self.record_side_served(progress, target);
+        }
+    }
+
+    /// Records that a target has answered, or that its first event has arrived.
+    pub(crate) fn record_side_served(&self, progress: &Progress, target: &Target) {
+        if !self.state.has_rollouts() {
+            return;
+        }
+        let outcome = Outcome::Served {
+            first_ms: self.state.clock.now().since(progress.sent_ms),
+            token_us: None,
+            is_cold: self.state.is_cold(target),
+        };
+        let route = &self.route.name;
+        self.state.record_rollout_answer(route, target, outcome);
+    }
+
+    /// Records that a target has failed to serve the request.
+    pub(crate) fn record_side_failure(&self, target: &Target) {
+        let route = &self.route.name;
+        self.state
+            .record_rollout_answer(route, target, Outcome::Failed);
+    }
+
+    /// Records that the deadline of the request has passed while a target ran it.
+    pub(crate) fn record_side_timeout(&self, progress: &Progress, target: Option<&Target>) {
+        if let Some(target) = target.filter(|_| progress.is_in_flight) {
+            self.record_side_failure(target);
+        }
+    }
+}
+
+impl Progress {
+    /// Returns the number of targets that are passed over for the request.
+    pub(crate) fn passed_over(&self) -> usize {
+        self.excluded_targets.len() + self.unreached_targets.len()
+    }
+}
+
+impl Generation<'_> {
+    /// Records the time that the current target takes for each token.
+    pub(crate) fn record_side_pace(&self, token_us: u64) {
+        let state = &self.job.state;
+        let Some(placement) = &self.placement else {
+            return;
+        };
+        if !state.has_rollouts() {
+            return;
+        }
+        let target = &placement.target;
+        let outcome = Outcome::Paced {
+            token_us,
+            is_cold: state.is_cold(target),
+        };
+        state.record_rollout_answer(&self.job.route.name, target, outcome);
+    }
+}
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -44,6 +44,7 @@
 use crate::peer_link::Ages;
 use crate::platform_api::NodeList;
 use crate::platform_api::PlatformApi;
+use crate::rollouts::RolloutView;
 use crate::settings::Reloadable;
 use crate::settings::Settings;
 use crate::version_exchange::VersionExchange;
@@ -124,6 +125,8 @@
     pub version_record: RecordCache,
     /// Exchange of the versions that began streams, once its address is bound.
     pub version_exchange: OnceCell<VersionExchange>,
+    /// Roll-outs of services.
+    pub rollouts: RolloutView,
     /// Whether the node has tried to read the list of nodes.
     pub is_registered: Cell<bool>,
     /// Whether the node is about to exit and refuses all requests.
@@ -153,6 +156,7 @@
         let selector = TargetSelector::new(settings.node.clone(), settings.data_centre.clone());
         Rc::new(Self {
             reloadable: watch::Sender::new(settings.reloadable.clone()),
+            rollouts: RolloutView::new(&settings),
             settings,
             platform,
             clock,
@@ -468,6 +472,7 @@
             self.version_record.clear();
         }
         drop(directory);
+        self.update_rollouts();
         self.notify();
     }
 
