--- a/filbertpaddle-gateway/src/rollout_job.rs
+++ b/filbertpaddle-gateway/src/rollout_job.rs
@@ -107,6 +107,9 @@
             rollouts.record_output_tokens(&self.demand.service, tokens);
         }
         self.state.record_rollout_sent(&self.route.name, target);
+        if let Some(side) = self.demand.side {
+            self.state.metrics.count(&format!("rollout.chosen.{side}"));
+        }
     }
 
     /// Records the answer of a target to a request that is no stream, or its error.
--- a/filbertpaddle-gateway/src/rollouts.rs
+++ b/filbertpaddle-gateway/src/rollouts.rs
@@ -79,6 +79,20 @@
         self.reloadable.borrow().features.rollouts.is_some()
     }
 
+    /// Logs the services whose order of a roll-out was given, replaced or withdrawn.
+    pub(crate) fn log_orders(&self, source: &str, age_ms: u64, services: &[Name]) {
+        let directory = self.directory.borrow();
+        for (service, order, revision) in directory.orders().entries() {
+            if !services.contains(service) {
+                continue;
+            }
+            info!(self.log, "order of a roll-out changed";
+                "service" => service.as_str(), "to" => order.map(|order| order.version.as_str()),
+                "is_withdrawn" => order.is_none(), "revision" => revision.number,
+                "source" => source, "age_ms" => age_ms);
+        }
+    }
+
     /// Applies the listed targets and orders.
     pub fn update_rollouts(&self) {
         let Some(limits) = self.reloadable.borrow().features.rollouts else {
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -462,6 +462,7 @@
         for id in &applied.targets {
             self.log_target(id, source, age_ms);
         }
+        self.log_orders(source, age_ms, &applied.rollouts);
         let directory = self.directory.borrow();
         self.selector.borrow_mut().update_targets(&directory);
         let listed = directory
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -117,6 +117,15 @@
         self.start_target(options).await;
     }
 
+    /// Starts a plain target with a version of its software in the first data centre.
+    pub(crate) async fn add_plain_of_version(&mut self, id: &str, version: &str) {
+        let options = target::Options {
+            version: version.to_owned(),
+            ..target_options(id, "app", "dc-a")
+        };
+        self.start_target(options).await;
+    }
+
     /// Starts an engine in the first data centre that sends an event each `event_ms`.
     pub(crate) async fn add_paced_engine(&mut self, id: &str, event_ms: u64) {
         let options = target::Options {
@@ -143,6 +152,7 @@
             seeds: Vec::new(),
             grace_s: 8,
             is_first_start: self.is_first_start.get(),
+            has_rollouts: false,
         }
     }
 
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod repeated_refusals;
 mod resumed_ends;
 mod rollback;
+mod rollouts;
 mod settings;
 mod silent_targets;
 mod slow_caller;
