--- a/filbertpaddle-forward/src/rollout_counts.rs
+++ b/filbertpaddle-forward/src/rollout_counts.rs
@@ -3,6 +3,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -21,20 +22,30 @@
     New,
 }
 
-/// How a request ended at a target.
+/// Time for which a stream runs after its first event before its time per token is recorded,
+/// unless it ends sooner. A slow one is thus known before it ends.
+pub const TOKEN_SAMPLE_MS: Millis = Millis(1_000);
+
+/// What became of a request at a target. Each request has one of `Failed` and `Began`; the
+/// others may follow `Began`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// Server error, broken response or wrong bytes.
+    /// Server error, broken response or wrong bytes, before the first event.
     Failed,
-    /// Whole answer.
-    Served {
-        /// Time to the first event, or to the whole answer if it is no stream.
+    /// The first event came, or the whole answer if it is no stream.
+    Began {
+        /// Time from the request to it.
         first_ms: Millis,
-        /// Time per token after the first event of a stream.
-        token_us: Option<u64>,
         /// Whether the target was cold, so that its times show nothing.
         is_cold: bool,
     },
+    /// The stream has run for [`TOKEN_SAMPLE_MS`], or has ended sooner.
+    Paced {
+        /// Mean time per token after the first event.
+        token_us: u64,
+    },
+    /// The stream broke or had wrong bytes after its first event.
+    Broken,
 }
 
 /// What a counter counts.
@@ -42,11 +53,13 @@
 pub enum Event {
     /// Requests sent to the side.
     Sent,
-    /// Answers that failed.
+    /// Requests that failed before their first event.
     Failed,
-    /// Whole answers.
-    Served,
-    /// Answers whose time to the first event, in milliseconds, is in this [`bucket`].
+    /// Requests whose first event came.
+    Began,
+    /// Streams that broke after it.
+    Broken,
+    /// Requests whose time to the first event, in milliseconds, is in this [`bucket`].
     First(u8),
     /// Streams whose time per token, in microseconds, is in this [`bucket`].
     Token(u8),
@@ -65,8 +78,23 @@
     pub event: Event,
 }
 
-/// Counts by counter.
-pub type Counts = IndexMap<Counter, u32>;
+/// Sums over all sources. Counters keep their order, and new ones come last.
+#[derive(Clone, Debug, Default)]
+pub struct Totals {
+    counts: IndexMap<Counter, u32>,
+    places: Vec<Place>,
+    routes: IndexSet<Name>,
+    data_centres: IndexSet<Name>,
+}
+
+/// Numbers of a counter's route and data centre.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Number of the route.
+    pub route: usize,
+    /// Number of the data centre.
+    pub data_centre: usize,
+}
 
 /// Changed counts of one source, as sent to other nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -88,7 +116,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct RolloutCounts {
     by_source: IndexMap<Name, IndexMap<Counter, Entry>>,
-    totals: Counts,
+    totals: Totals,
+    has_new_answers: bool,
     sequence: u64,
 }
 
@@ -128,21 +157,16 @@
             };
             self.add(source, counter);
         };
-        let Outcome::Served {
-            first_ms,
-            token_us,
-            is_cold,
-        } = outcome
-        else {
-            return add(Event::Failed);
-        };
-        add(Event::Served);
-        if is_cold {
-            return;
-        }
-        add(Event::First(bucket(first_ms.0)));
-        if let Some(token_us) = token_us {
-            add(Event::Token(bucket(token_us)));
+        match outcome {
+            Outcome::Failed => add(Event::Failed),
+            Outcome::Broken => add(Event::Broken),
+            Outcome::Paced { token_us } => add(Event::Token(bucket(token_us))),
+            Outcome::Began { first_ms, is_cold } => {
+                add(Event::Began);
+                if !is_cold {
+                    add(Event::First(bucket(first_ms.0)));
+                }
+            }
         }
     }
 
@@ -156,7 +180,7 @@
     }
 
     /// Returns the sums over all sources.
-    pub fn totals(&self) -> &Counts {
+    pub fn totals(&self) -> &Totals {
         &self.totals
     }
 
@@ -186,21 +210,18 @@
 
     /// Returns the number of requests sent to a side.
     pub fn sent(&self, side: Side) -> u64 {
-        self.totals
-            .iter()
-            .filter(|(counter, _)| counter.side == side && counter.event == Event::Sent)
-            .map(|(_, count)| u64::from(*count))
-            .sum()
+        self.totals.sum(side, |event| event == Event::Sent)
+    }
+
+    /// Returns whether there are answers of the new side.
+    pub fn has_new_answers(&self) -> bool {
+        self.has_new_answers
     }
 
     /// Returns the number of answers of a side.
     pub fn answers(&self, side: Side) -> u64 {
-        let is_answer = |event| matches!(event, Event::Failed | Event::Served);
-        self.totals
-            .iter()
-            .filter(|(counter, _)| counter.side == side && is_answer(counter.event))
-            .map(|(_, count)| u64::from(*count))
-            .sum()
+        let is_answer = |event| matches!(event, Event::Failed | Event::Began);
+        self.totals.sum(side, is_answer)
     }
 
     fn count(&self, source: &Name, counter: &Counter) -> u32 {
@@ -221,7 +242,53 @@
             count,
             changed: self.sequence,
         };
-        *self.totals.entry(counter).or_default() += added;
+        self.has_new_answers |= counter.side == Side::New && counter.event != Event::Sent;
+        self.totals.add(counter, added);
+    }
+}
+
+impl Totals {
+    /// Returns the counters with their places and counts.
+    pub fn iter(&self) -> impl Iterator<Item = (&Counter, Place, u32)> {
+        let counts = self.counts.iter().zip(&self.places);
+        counts.map(|((counter, count), place)| (counter, *place, *count))
+    }
+
+    /// Returns the counts alone, in the order of the counters.
+    pub fn counts(&self) -> Vec<u32> {
+        self.counts.values().copied().collect()
+    }
+
+    /// Returns the routes by number.
+    pub fn routes(&self) -> &IndexSet<Name> {
+        &self.routes
+    }
+
+    /// Returns the number of data centres.
+    pub fn data_centres(&self) -> usize {
+        self.data_centres.len()
+    }
+
+    fn sum<F>(&self, side: Side, is_summed: F) -> u64
+    where
+        F: Fn(Event) -> bool,
+    {
+        let counts = self.counts.iter();
+        counts
+            .filter(|(counter, _)| counter.side == side && is_summed(counter.event))
+            .map(|(_, count)| u64::from(*count))
+            .sum()
+    }
+
+    fn add(&mut self, counter: Counter, added: u32) {
+        if let Some(count) = self.counts.get_mut(&counter) {
+            *count = count.saturating_add(added);
+            return;
+        }
+        let (route, _) = self.routes.insert_full(counter.route.clone());
+        let (data_centre, _) = self.data_centres.insert_full(counter.data_centre.clone());
+        self.places.push(Place { route, data_centre });
+        self.counts.insert(counter, added);
     }
 }
 
--- a/filbertpaddle-forward/src/rollout_judge.rs
+++ b/filbertpaddle-forward/src/rollout_judge.rs
@@ -6,13 +6,12 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use indexmap::IndexMap;
 use strum::IntoEnumIterator;
 
-use crate::rollout_counts::Counter;
-use crate::rollout_counts::Counts;
 use crate::rollout_counts::Event;
+use crate::rollout_counts::Place;
 use crate::rollout_counts::Side;
+use crate::rollout_counts::Totals;
 
 /// Interval between judgements.
 const JUDGE_INTERVAL_MS: Millis = Millis(200);
@@ -27,7 +26,7 @@
 const BAD_SCORE: f64 = 10.0;
 
 /// Score from which it may be bad.
-const DOUBT_SCORE: f64 = 3.0;
+const DOUBT_SCORE: f64 = 1.5;
 
 /// Bad answers without which a version is not bad.
 const BAD_ANSWERS: u32 = 4;
@@ -111,11 +110,18 @@
 /// Judge of one order's new version. A verdict that it is bad is final.
 #[derive(Clone, Debug, Default)]
 pub struct RolloutJudge {
-    snapshots: VecDeque<(Millis, Counts)>,
+    snapshots: VecDeque<Snapshot>,
     judged_at: Option<Millis>,
     verdict: Verdict,
 }
 
+/// Counts at an earlier time, in the order of their counters.
+#[derive(Clone, Debug)]
+struct Snapshot {
+    at: Millis,
+    counts: Vec<u32>,
+}
+
 impl RolloutJudge {
     /// Returns the last verdict.
     pub fn verdict(&self) -> &Verdict {
@@ -128,7 +134,7 @@
     }
 
     /// Judges by the counts since the order, unless that was done a moment ago.
-    pub fn update(&mut self, now: Millis, totals: &Counts) {
+    pub fn update(&mut self, now: Millis, totals: &Totals) {
         let is_recent = |at| now.since(at) < JUDGE_INTERVAL_MS;
         if self.is_bad() || self.judged_at.is_some_and(is_recent) {
             return;
@@ -138,23 +144,17 @@
         self.keep_snapshot(now, totals);
     }
 
-    fn judge(&self, now: Millis, totals: &Counts) -> Verdict {
-        let since = |window_ms: &Millis| {
+    fn judge(&self, now: Millis, totals: &Totals) -> Verdict {
+        let start = |window_ms: &Millis| {
             let mut snapshots = self.snapshots.iter().rev();
-            let earlier = snapshots.find(|(at, _)| now.since(*at) >= *window_ms);
-            earlier.map(|(_, counts)| difference(totals, counts))
+            let start = snapshots.find(|snapshot| now.since(snapshot.at) >= *window_ms);
+            start.map(|snapshot| snapshot.counts.as_slice())
         };
-        let mut worst = judge_window(totals, totals);
-        for window in WINDOWS_MS.iter().filter_map(since) {
-            let evidence = judge_window(&window, totals);
-            let is_worse = |evidence: &Evidence| {
-                let known = worst.as_ref().map_or(0.0, |worst| worst.score);
-                evidence.score > known
-            };
-            if let Some(evidence) = evidence.filter(is_worse) {
-                worst = Some(evidence);
-            }
-        }
+        let starts = WINDOWS_MS.iter().filter_map(start);
+        let windows = starts.chain([[].as_slice()]);
+        let worst = windows
+            .filter_map(|before| judge_window(totals, before))
+            .max_by(|a, b| a.score.total_cmp(&b.score));
         match worst {
             Some(evidence) if evidence.is_enough(BAD_SCORE, BAD_ANSWERS) => Verdict::Bad(evidence),
             Some(evidence) if evidence.is_enough(DOUBT_SCORE, DOUBT_ANSWERS) => {
@@ -164,14 +164,17 @@
         }
     }
 
-    fn keep_snapshot(&mut self, now: Millis, totals: &Counts) {
+    fn keep_snapshot(&mut self, now: Millis, totals: &Totals) {
         let last = self.snapshots.back();
-        if last.is_some_and(|(at, _)| now.since(*at) < SNAPSHOT_INTERVAL_MS) {
+        if last.is_some_and(|last| now.since(last.at) < SNAPSHOT_INTERVAL_MS) {
             return;
         }
-        self.snapshots.push_back((now, totals.clone()));
+        self.snapshots.push_back(Snapshot {
+            at: now,
+            counts: totals.counts(),
+        });
         let longest_ms = WINDOWS_MS[WINDOWS_MS.len() - 1] + SNAPSHOT_INTERVAL_MS;
-        let is_old = |(at, _): &(Millis, Counts)| now.since(*at) > longest_ms;
+        let is_old = |snapshot: &Snapshot| now.since(snapshot.at) > longest_ms;
         while self.snapshots.front().is_some_and(is_old) {
             self.snapshots.pop_front();
         }
@@ -193,122 +196,152 @@
     /// Returns an upper estimate of the part of bad answers.
     fn bad_share_bound(self) -> f64 {
         let answers = f64::from(self.answers);
-        let share = (f64::from(self.bad) + 0.5) / (answers + 1.0);
+        let bad = f64::from(self.bad).min(answers);
+        let share = (bad + 0.5) / (answers + 1.0);
         let deviation = (share * (1.0 - share) / answers.max(1.0)).sqrt();
         (share + deviation).max(LEAST_BAD_SHARE)
     }
 }
 
-/// Answers of both sides, by route and data centre.
-#[derive(Default)]
-struct Comparison<'a> {
-    new: IndexMap<(&'a Name, &'a Name), Sample>,
-    old: IndexMap<(&'a Name, &'a Name), Sample>,
-    old_by_route: IndexMap<&'a Name, Sample>,
-    /// Answers of the old side before the window, for routes without any within it.
-    earlier_by_route: IndexMap<&'a Name, Sample>,
+/// Answers of both sides by one measure, by the numbers of routes and data centres.
+struct Comparison {
+    data_centres: usize,
+    new: Vec<Sample>,
+    old: Vec<Sample>,
+    old_by_route: Vec<Sample>,
+    /// Answers of the old side since the order.
+    all_old_by_route: Vec<Sample>,
 }
 
-/// Scores by data centre, with what they rest on.
-#[derive(Default)]
-struct Score<'a> {
-    by_site: IndexMap<&'a Name, (f64, Sample)>,
+/// Scores by data centre, with the answers that they rest on.
+struct Score {
+    by_site: Vec<(f64, Sample)>,
     old: Sample,
 }
 
-/// Returns the evidence with the highest score in a window; `all` are the counts since the order.
-fn judge_window(window: &Counts, all: &Counts) -> Option<Evidence> {
+/// Returns the evidence with the highest score in the window that began with the counts `before`.
+fn judge_window(totals: &Totals, before: &[u32]) -> Option<Evidence> {
     let evidence = Measure::iter().flat_map(|measure| {
-        let usual = usual_buckets(measure, window, all);
-        let comparison = Comparison::new(measure, window, all, &usual);
-        comparison.evidence(measure)
+        let usual = usual_buckets(measure, totals, before);
+        let comparison = Comparison::new(measure, totals, before, &usual);
+        comparison.evidence(measure, totals)
     });
     evidence.max_by(|a, b| a.score.total_cmp(&b.score))
 }
 
-impl<'a> Comparison<'a> {
-    fn new(
-        measure: Measure,
-        window: &'a Counts,
-        all: &'a Counts,
-        usual: &IndexMap<Name, u8>,
-    ) -> Self {
-        let mut comparison = Self::default();
-        for (counter, count) in window {
-            let Some(sample) = sample(measure, counter, *count, usual) else {
+/// Returns the counters with their counts in the window, and since the order.
+fn in_window<'a>(
+    totals: &'a Totals,
+    before: &'a [u32],
+) -> impl Iterator<Item = (Side, Event, Place, u32, u32)> {
+    let before = before.iter().copied().chain(std::iter::repeat(0));
+    let counters = totals.iter().zip(before);
+    counters.map(|((counter, place, count), before)| {
+        let within = count.saturating_sub(before);
+        (counter.side, counter.event, place, within, count)
+    })
+}
+
+impl Comparison {
+    fn new(measure: Measure, totals: &Totals, before: &[u32], usual: &[Option<u8>]) -> Self {
+        let routes = totals.routes().len();
+        let data_centres = totals.data_centres();
+        let mut comparison = Self {
+            data_centres,
+            new: vec![Sample::default(); routes * data_centres],
+            old: vec![Sample::default(); routes * data_centres],
+            old_by_route: vec![Sample::default(); routes],
+            all_old_by_route: vec![Sample::default(); routes],
+        };
+        for (side, event, place, within, count) in in_window(totals, before) {
+            let sample = |count| sample(measure, event, count, usual[place.route]);
+            let Some(recent) = sample(within) else {
                 continue;
             };
-            let place = (&counter.route, &counter.data_centre);
-            if counter.side == Side::New {
-                comparison.new.entry(place).or_default().add(sample);
+            let index = comparison.index(place.route, place.data_centre);
+            if side == Side::New {
+                comparison.new[index].add(recent);
                 continue;
             }
-            let by_route = &mut comparison.old_by_route;
-            by_route.entry(&counter.route).or_default().add(sample);
-            comparison.old.entry(place).or_default().add(sample);
-        }
-        for (counter, count) in all.iter().filter(|(counter, _)| counter.side == Side::Old) {
-            if let Some(sample) = sample(measure, counter, *count, usual) {
-                let by_route = &mut comparison.earlier_by_route;
-                by_route.entry(&counter.route).or_default().add(sample);
-            }
+            comparison.old[index].add(recent);
+            comparison.old_by_route[place.route].add(recent);
+            comparison.all_old_by_route[place.route].add(sample(count).unwrap_or_default());
         }
         comparison
     }
 
+    fn index(&self, route: usize, data_centre: usize) -> usize {
+        route * self.data_centres + data_centre
+    }
+
     /// Returns the evidence of each route, and of all together.
-    fn evidence(&self, measure: Measure) -> Vec<Evidence> {
-        let mut all = Score::default();
-        let mut by_route: IndexMap<&Name, Score<'_>> = IndexMap::new();
-        for ((route, site), new) in &self.new {
-            let Some((expected, old)) = self.expected(route, site) else {
-                continue;
-            };
-            let score = score(*new, expected);
-            let of_route = by_route.entry(*route).or_default();
-            of_route.add(site, score, *new);
-            of_route.old = old;
-            all.add(site, score, *new);
+    fn evidence(&self, measure: Measure, totals: &Totals) -> Vec<Evidence> {
+        let mut all = Score::new(self.data_centres);
+        let mut evidence = Vec::new();
+        for (route, name) in totals.routes().iter().enumerate() {
+            let score = self.score(route);
+            all.add(&score);
+            evidence.extend(score.evidence(measure, Some(name)));
         }
-        for score in by_route.values() {
-            all.old.add(score.old);
-        }
-        let routes = by_route.iter();
-        let routes = routes.filter_map(|(route, score)| score.evidence(measure, Some(route)));
-        routes.chain(all.evidence(measure, None)).collect()
+        evidence.extend(all.evidence(measure, None));
+        evidence
     }
 
-    /// Returns the part of bad answers that the old version leads to expect, and its answers.
-    fn expected(&self, route: &Name, site: &Name) -> Option<(f64, Sample)> {
-        let enough = |sample: &&Sample| sample.answers >= OLD_ANSWERS;
-        if let Some(old) = self.old_by_route.get(route).filter(enough) {
-            let of_site = self.old.get(&(route, site)).filter(enough);
-            let of_site = of_site.map_or(0.0, |sample| sample.bad_share_bound());
-            return Some((old.bad_share_bound().max(of_site), *old));
+    fn score(&self, route: usize) -> Score {
+        let mut of_route = Score::new(self.data_centres);
+        of_route.old = self.old_by_route[route];
+        for site in 0..self.data_centres {
+            let new = self.new[self.index(route, site)];
+            if new.answers > 0
+                && let Some(expected) = self.expected(route, site)
+            {
+                of_route.by_site[site] = (score(new, expected), new);
+            }
         }
-        let old = self.earlier_by_route.get(route).filter(enough)?;
-        Some((old.bad_share_bound() + EARLIER_MARGIN, *old))
+        of_route
+    }
+
+    /// Returns the part of bad answers that the old version leads to expect, if it has answered.
+    fn expected(&self, route: usize, site: usize) -> Option<f64> {
+        let bound = |sample: Sample| {
+            let is_enough = sample.answers >= OLD_ANSWERS;
+            is_enough.then(|| sample.bad_share_bound())
+        };
+        let since_order = bound(self.all_old_by_route[route])?;
+        let Some(recent) = bound(self.old_by_route[route]) else {
+            return Some(since_order + EARLIER_MARGIN);
+        };
+        let of_site = bound(self.old[self.index(route, site)]).unwrap_or_default();
+        Some(since_order.max(recent).max(of_site))
     }
 }
 
-impl<'a> Score<'a> {
-    fn add(&mut self, site: &'a Name, score: f64, new: Sample) {
-        let (sum, sample) = self.by_site.entry(site).or_default();
-        *sum += score;
-        sample.add(new);
+impl Score {
+    fn new(data_centres: usize) -> Self {
+        Self {
+            by_site: vec![(0.0, Sample::default()); data_centres],
+            old: Sample::default(),
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.old.add(other.old);
+        for ((sum, new), (score, sample)) in self.by_site.iter_mut().zip(&other.by_site) {
+            *sum += score;
+            new.add(*sample);
+        }
     }
 
     fn evidence(&self, measure: Measure, route: Option<&Name>) -> Option<Evidence> {
-        let total: f64 = self.by_site.values().map(|(score, _)| score).sum();
-        let counted = self.by_site.values();
+        let total: f64 = self.by_site.iter().map(|(score, _)| score).sum();
+        let counted = self.by_site.iter();
         let counted = counted.filter(|(_, sample)| sample.answers >= SITE_ANSWERS);
-        let scores: Vec<f64> = counted.map(|(score, _)| *score).collect();
-        let worst = scores.iter().copied().fold(0.0, f64::max);
-        if scores.len() > 1 && total - worst < OTHER_SITES_SCORE {
+        let worst = counted.clone().map(|(score, _)| *score).fold(0.0, f64::max);
+        if counted.count() > 1 && total - worst < OTHER_SITES_SCORE {
             return None;
         }
         let mut new = Sample::default();
-        for (_, sample) in self.by_site.values() {
+        for (_, sample) in &self.by_site {
             new.add(*sample);
         }
         Some(Evidence {
@@ -328,28 +361,24 @@
         return 0.0;
     }
     let spoilt = expected + SPOILT_SHARE * (1.0 - expected);
-    let good = f64::from(new.answers - new.bad);
+    let good = f64::from(new.answers.saturating_sub(new.bad));
     let bad = f64::from(new.bad);
     bad * (spoilt / expected).ln() + good * ((1.0 - spoilt) / (1.0 - expected)).ln()
 }
 
-/// Returns what a counter adds to the answers compared by a measure.
-fn sample(
-    measure: Measure,
-    counter: &Counter,
-    count: u32,
-    usual: &IndexMap<Name, u8>,
-) -> Option<Sample> {
-    let is_bad = match (measure, counter.event) {
-        (Measure::Failure, Event::Failed) => true,
-        (Measure::Failure, Event::Served) => false,
-        _ => time_bucket(measure, counter.event)? >= usual.get(&counter.route)? + SLOW_BUCKETS,
+/// Returns what the count of an event adds to the answers compared by a measure; `usual` is the
+/// bucket of the route's usual time.
+fn sample(measure: Measure, event: Event, count: u32, usual: Option<u8>) -> Option<Sample> {
+    let (answers, bad) = match (measure, event) {
+        (Measure::Failure, Event::Failed) => (count, count),
+        (Measure::Failure, Event::Began) => (count, 0),
+        (Measure::Failure, Event::Broken) => (0, count),
+        _ => {
+            let is_slow = time_bucket(measure, event)? >= usual? + SLOW_BUCKETS;
+            (count, if is_slow { count } else { 0 })
+        }
     };
-    let bad = if is_bad { count } else { 0 };
-    Some(Sample {
-        answers: count,
-        bad,
-    })
+    Some(Sample { answers, bad })
 }
 
 fn time_bucket(measure: Measure, event: Event) -> Option<u8> {
@@ -362,26 +391,20 @@
 
 /// Returns the bucket of the old version's usual time by route: the median within the window,
 /// or since the order if the window has too few answers.
-fn usual_buckets(measure: Measure, window: &Counts, all: &Counts) -> IndexMap<Name, u8> {
-    let mut usual = medians(measure, all);
-    usual.extend(medians(measure, window));
-    usual
-}
-
-fn medians(measure: Measure, counts: &Counts) -> IndexMap<Name, u8> {
-    let mut times: IndexMap<&Name, Vec<(u8, u32)>> = IndexMap::new();
-    let old = counts
-        .iter()
-        .filter(|(counter, _)| counter.side == Side::Old);
-    for (counter, count) in old {
-        if let Some(bucket) = time_bucket(measure, counter.event) {
-            let of_route = times.entry(&counter.route).or_default();
-            of_route.push((bucket, *count));
+fn usual_buckets(measure: Measure, totals: &Totals, before: &[u32]) -> Vec<Option<u8>> {
+    let mut recent = vec![Vec::new(); totals.routes().len()];
+    let mut all = recent.clone();
+    for (side, event, place, within, count) in in_window(totals, before) {
+        if side == Side::Old
+            && let Some(bucket) = time_bucket(measure, event)
+        {
+            recent[place.route].push((bucket, within));
+            all[place.route].push((bucket, count));
         }
     }
-    let medians = times.into_iter();
-    medians
-        .filter_map(|(route, times)| Some((route.clone(), median(times)?)))
+    let by_route = recent.into_iter().zip(all);
+    by_route
+        .map(|(recent, all)| median(recent).or_else(|| median(all)))
         .collect()
 }
 
@@ -401,11 +424,3 @@
         })
         .map(|(bucket, _)| bucket)
 }
-
-fn difference(totals: &Counts, earlier: &Counts) -> Counts {
-    let changed = totals.iter().filter_map(|(counter, count)| {
-        let before = earlier.get(counter).copied().unwrap_or_default();
-        (*count > before).then(|| (counter.clone(), count - before))
-    });
-    changed.collect()
-}
--- a/filbertpaddle-forward/src/rollout_stage.rs
+++ b/filbertpaddle-forward/src/rollout_stage.rs
@@ -17,7 +17,7 @@
 const MEASURE_MS: Millis = Millis(2_000);
 
 /// Part of the callers' limit that the canary uses; the rest covers the switch.
-const CANARY_PART: f64 = 0.25;
+const CANARY_PART: f64 = 0.4;
 
 /// Shares of the switch, in thousandths.
 const SWITCH_SHARES_PER_MILLE: [u32; 4] = [100, 250, 500, 1_000];
@@ -26,7 +26,7 @@
 const SWITCH_STEP_MS: Millis = Millis(1_000);
 
 /// Time from the end of the last request at the old targets to the end of the roll-out.
-const COMPLETION_MS: Millis = Millis(3_000);
+const COMPLETION_MS: Millis = Millis(4_000);
 
 /// Longest time that a canary must run where the order leaves less than it needs.
 const SHORT_CANARY_MS: Millis = Millis(5_000);
@@ -146,7 +146,6 @@
         return None;
     }
     let mut larger = SWITCH_SHARES_PER_MILLE.into_iter();
-    // The canary's share may be as large as the first one of the switch.
     larger.find(|share| *share > record.share_per_mille)
 }
 
--- a/filbertpaddle-forward/src/rollouts.rs
+++ b/filbertpaddle-forward/src/rollouts.rs
@@ -123,7 +123,7 @@
         }
     }
 
-    /// Records how a request ended at a target of `version`. Requests that the caller gave up,
+    /// Records what became of a request at a target of `version`. Requests that the caller gave up,
     /// and those that the target refused without running them, are not recorded.
     pub fn record_answer(
         &mut self,
--- a/filbertpaddle-forward/src/service_rollout.rs
+++ b/filbertpaddle-forward/src/service_rollout.rs
@@ -235,7 +235,7 @@
 
     /// Judges the new version by the counts, unless it was done a moment ago.
     pub(crate) fn judge(&mut self, now: Millis) {
-        if self.is_running() && self.counted == self.ordered {
+        if self.is_running() && self.counted == self.ordered && self.counts.has_new_answers() {
             self.judge.update(now, self.counts.totals());
         }
     }
--- /dev/null
+++ b/filbertpaddle-forward/tests/rollout/main.rs
@@ -0,0 +1,5 @@
+//! Decisions of roll-outs, under the faults of versions, nodes, links and store that they are
+//! made for.
+
+mod fleet;
+mod seeds;
