--- a/filbertpaddle-forward/src/service_pace.rs
+++ b/filbertpaddle-forward/src/service_pace.rs
@@ -205,6 +205,11 @@
         self.is_held_up |= taken_ms.since(arrived_ms) > MAX_DELIVERY_MS;
     }
 
+    /// Returns whether the caller reads more slowly than the target sends.
+    pub fn is_held_up(&self) -> bool {
+        self.is_held_up
+    }
+
     /// Returns the sample that the end of a stream leaves, if it is long enough.
     pub fn last_sample(&self, event_tokens: u32) -> Option<PaceSample> {
         let stretch = self.stretch.filter(|stretch| stretch.gaps >= MIN_GAPS)?;
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -80,7 +80,9 @@
     /// Whether the stream has gone on from one run to another.
     pub(crate) has_resumed: bool,
     /// Time of the first of the new events.
-    first_event_ms: Millis,
+    pub(crate) first_event_ms: Millis,
+    /// Whether the time per token at the current target is to be recorded for a roll-out.
+    pub(crate) awaits_side_pace: bool,
     /// Whether the current target has shown that the request does not crash it.
     pub(crate) is_sound: bool,
     pub(crate) placement: Option<Placement>,
@@ -140,6 +142,7 @@
             has_content: false,
             has_resumed: false,
             first_event_ms: Millis::ZERO,
+            awaits_side_pace: false,
             is_sound: false,
             placement: None,
             meter: StreamMeter::new(job.state.clock.now()),
@@ -155,6 +158,7 @@
 
     /// Releases the generation's load at its target and its copy.
     fn close(mut self) {
+        self.record_side_pace(self.last_activity_ms, true);
         self.record_last_pace();
         self.release_placement();
         self.migrator.close();
@@ -291,6 +295,7 @@
             self.first_event_ms = now;
         }
         self.events_here += 1;
+        self.record_side_pace(now, false);
         if !self.is_sound && now.since(self.first_event_ms) >= SOUND_TIME_MS {
             self.is_sound = true;
             self.job.record_sound();
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -24,7 +24,7 @@
         self.progress.is_in_flight = false;
         self.progress.may_have_run = true;
         if self.last_event.is_none() {
-            self.job.record_side_served(self.progress, target);
+            self.record_side_begun(target);
         }
         let now = state.clock.now();
         let silent_ms = now.since(self.last_activity_ms);
@@ -63,6 +63,7 @@
         self.is_sound = false;
         self.is_placed = false;
         self.is_end_query = false;
+        self.awaits_side_pace = false;
         let load = self.job.mark_sent(self.progress, target);
         self.placement = Some(Placement {
             target: target.clone(),
--- a/filbertpaddle-gateway/src/rollout_job.rs
+++ b/filbertpaddle-gateway/src/rollout_job.rs
@@ -1,11 +1,13 @@
 //! Requests of a service that is rolled out: the targets that they may go to, and what their
 //! answers show.
 
+use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::allowed_targets::AllowedTargets;
 use filbertpaddle_forward::directory::Directory;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::rollout_counts::Outcome;
 use filbertpaddle_forward::rollout_counts::Side;
+use filbertpaddle_forward::rollout_counts::TOKEN_SAMPLE_MS;
 use filbertpaddle_forward::software_version::VersionBinding;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
@@ -122,25 +124,24 @@
         if status.is_server_error() {
             self.record_side_failure(target);
         } else {
-            self.record_side_served(progress, target);
+            self.record_side_begun(progress, target);
         }
     }
 
     /// Records that a target has answered, or that its first event has arrived.
-    pub(crate) fn record_side_served(&self, progress: &Progress, target: &Target) {
+    pub(crate) fn record_side_begun(&self, progress: &Progress, target: &Target) {
         if !self.state.has_rollouts() {
             return;
         }
-        let outcome = Outcome::Served {
+        let outcome = Outcome::Began {
             first_ms: self.state.clock.now().since(progress.sent_ms),
-            token_us: None,
             is_cold: self.state.is_cold(target),
         };
         let route = &self.route.name;
         self.state.record_rollout_answer(route, target, outcome);
     }
 
-    /// Records that a target has failed to serve the request.
+    /// Records that a target has failed to serve the request before any event of it.
     pub(crate) fn record_side_failure(&self, target: &Target) {
         let route = &self.route.name;
         self.state
@@ -163,20 +164,41 @@
 }
 
 impl Generation<'_> {
-    /// Records the time that the current target takes for each token.
-    pub(crate) fn record_side_pace(&self, token_us: u64) {
-        let state = &self.job.state;
-        let Some(placement) = &self.placement else {
+    /// Records that the first event of the stream has come from a target.
+    pub(crate) fn record_side_begun(&mut self, target: &Target) {
+        self.job.record_side_begun(self.progress, target);
+        self.awaits_side_pace = true;
+    }
+
+    /// Records the time that the current target takes for each token, once it has sent events for
+    /// long enough, or has ended. The pace of a caller that reads slowly shows nothing.
+    pub(crate) fn record_side_pace(&mut self, now: Millis, is_ended: bool) {
+        if !self.awaits_side_pace {
             return;
-        };
-        if !state.has_rollouts() {
+        }
+        let span_ms = now.since(self.first_event_ms);
+        let gaps = self.events_here.saturating_sub(1);
+        if gaps == 0 || !is_ended && span_ms < TOKEN_SAMPLE_MS {
             return;
         }
-        let target = &placement.target;
-        let outcome = Outcome::Paced {
-            token_us,
-            is_cold: state.is_cold(target),
-        };
-        state.record_rollout_answer(&self.job.route.name, target, outcome);
+        self.awaits_side_pace = false;
+        let target = self.placed_at().filter(|_| !self.meter.is_held_up());
+        let Some(target) = target else { return };
+        if self.job.state.is_cold(target) {
+            return;
+        }
+        let tokens = gaps.saturating_mul(u64::from(self.job.event_tokens.max(1)));
+        let token_us = span_ms.0.saturating_mul(1_000) / tokens;
+        let route = &self.job.route.name;
+        let outcome = Outcome::Paced { token_us };
+        self.job.state.record_rollout_answer(route, target, outcome);
+    }
+
+    /// Records that a target's stream has broken off, stalled or is faulty.
+    pub(crate) fn record_side_broken(&self, target: &Target) {
+        let route = &self.job.route.name;
+        self.job
+            .state
+            .record_rollout_answer(route, target, Outcome::Broken);
     }
 }
