Test roll-outs with processes; bound how far a reading of a record is passed on

Cause: nodes pass on how long ago a record was read, and each message adds its own time on the way. A reading that went round between nodes would stay young while nobody reads the store.

Change: it counts the nodes that have passed it on; after three a record counts, but not as read lately. Process tests: a good version (plain requests and streams), one that fails, a slow one, the writing node killed, no store, an order withdrawn, an order that cannot be read.

--- a/filbertpaddle-gateway/src/rollout_exchange.rs
+++ b/filbertpaddle-gateway/src/rollout_exchange.rs
@@ -13,6 +13,7 @@
 use crate::peer_link::Error;
 use crate::peer_link::Message;
 use crate::peer_link::PeerLink;
+use crate::rollouts::RecordReading;
 use crate::state::State;
 
 /// Interval at which changed counts are sent. Shorter ones cost bytes between data centres, and
@@ -30,6 +31,8 @@
     pub record: RolloutRecord,
     /// Time since it was read from the store.
     pub age_ms: Millis,
+    /// Number of nodes that have passed it on, the sender included.
+    pub relays: u8,
 }
 
 /// What has been sent of roll-outs on one link.
@@ -54,7 +57,15 @@
             return Ok(());
         }
         let records = known.into_iter();
-        let records = records.map(|(record, age_ms)| SentRecord { record, age_ms });
+        let records = records.map(|(record, age_ms)| SentRecord {
+            relays: state
+                .rollouts
+                .reading(&record.order.service)
+                .relays
+                .saturating_add(1),
+            record,
+            age_ms,
+        });
         self.send(&Message::Rollouts(records.collect())).await
     }
 
@@ -108,8 +119,13 @@
     if !state.has_rollouts() {
         return;
     }
+    let now = state.clock.now();
     for sent in records {
-        state.merge_rollout_record("peer", &sent.record, sent.age_ms);
+        let reading = RecordReading {
+            read_ms: Millis(now.0.saturating_sub(sent.age_ms.0)),
+            relays: sent.relays,
+        };
+        state.merge_rollout_record("peer", &sent.record, reading);
     }
 }
 
--- a/filbertpaddle-gateway/src/rollout_steps.rs
+++ b/filbertpaddle-gateway/src/rollout_steps.rs
@@ -27,6 +27,7 @@
 
 use crate::platform_api::StoredRollout;
 use crate::platform_api::StoredRollouts;
+use crate::rollouts::RecordReading;
 use crate::state::State;
 use crate::store_sync;
 use crate::store_sync::Error;
@@ -129,6 +130,11 @@
                 state.metrics.count("rollout.written");
                 state.metrics.count(&format!("rollout.{}", next.state));
                 known.on_written(now, &next);
+                let reading = RecordReading {
+                    read_ms: now,
+                    relays: 0,
+                };
+                state.rollouts.record_reading(service, reading);
             }
             Ok(WriteResult::Conflict(current)) => {
                 info!(state.log, "roll-out step not written, another node was first";
@@ -217,10 +223,13 @@
     let call = (calls.read_rollouts)();
     let (_, bytes) = store_sync::call_store(state, &call, RESPONSE_TIMEOUT_MS).await?;
     let stored = (calls.decode_rollouts)(&bytes)?;
-    let age_ms = state.clock.now().since(requested_ms);
+    let reading = RecordReading {
+        read_ms: requested_ms,
+        relays: 0,
+    };
     let records = stored.rows.iter().filter_map(|row| row.record.as_ref());
     for record in records {
-        state.merge_rollout_record("store", record, age_ms);
+        state.merge_rollout_record("store", record, reading);
     }
     state.metrics.count("rollout.read");
     Ok(stored)
--- a/filbertpaddle-gateway/src/rollouts.rs
+++ b/filbertpaddle-gateway/src/rollouts.rs
@@ -32,6 +32,19 @@
     rollback_ms: Millis::ZERO,
 };
 
+/// Number of nodes over which the time of reading of a record is passed on. Each adds the time of a
+/// message to it; a record that went round between nodes would never be too old.
+const MAX_RELAYS: u8 = 3;
+
+/// When a record was read from the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RecordReading {
+    /// Time, by this node's clock.
+    pub read_ms: Millis,
+    /// Number of nodes that have passed it on to this one.
+    pub relays: u8,
+}
+
 /// What a node knows of roll-outs.
 #[derive(Debug)]
 pub struct RolloutView {
@@ -39,6 +52,8 @@
     pub known: RefCell<Rollouts>,
     /// Processes whose counts this node passes on: itself and its followers.
     pub group: RefCell<IndexSet<Name>>,
+    /// Latest reading of the record of each service.
+    readings: RefCell<IndexMap<Name, RecordReading>>,
     /// Revision of the last order of each service that is reported to change nothing.
     ignored: RefCell<IndexMap<Name, Revision>>,
     /// Most output tokens that a request of each service was expected to need.
@@ -54,6 +69,7 @@
         Self {
             group: RefCell::new(IndexSet::from([source.clone()])),
             known: RefCell::new(Rollouts::new(source, limits)),
+            readings: RefCell::default(),
             ignored: RefCell::default(),
             output_tokens: RefCell::default(),
         }
@@ -65,6 +81,21 @@
         known.get(service).copied().unwrap_or_default()
     }
 
+    /// Returns the latest reading of a service's record.
+    pub fn reading(&self, service: &Name) -> RecordReading {
+        let readings = self.readings.borrow();
+        readings.get(service).copied().unwrap_or_default()
+    }
+
+    /// Records a reading of a service's record, if it is later than the known one.
+    pub fn record_reading(&self, service: &Name, reading: RecordReading) {
+        let mut readings = self.readings.borrow_mut();
+        let known = readings.entry(service.clone()).or_default();
+        if reading.read_ms > known.read_ms {
+            *known = reading;
+        }
+    }
+
     /// Records the output tokens that a request is expected to need.
     pub fn record_output_tokens(&self, service: &Name, tokens: u32) {
         let mut known = self.output_tokens.borrow_mut();
@@ -223,9 +254,22 @@
         found.is_some_and(|(listed, read_ms)| now < read_ms + listed.cold_ms)
     }
 
-    /// Merges a record of a roll-out that `source` has read from the store `age_ms` ago.
-    pub fn merge_rollout_record(&self, source: &str, record: &RolloutRecord, age_ms: Millis) {
+    /// Merges a record of a roll-out that `source` has read from the store, or passes on. One that
+    /// was passed on too often counts, but not as read lately.
+    pub fn merge_rollout_record(
+        &self,
+        source: &str,
+        record: &RolloutRecord,
+        reading: RecordReading,
+    ) {
         let now = self.clock.now();
+        let mut age_ms = now.since(reading.read_ms);
+        if reading.relays > MAX_RELAYS {
+            age_ms = now;
+        } else {
+            let service = &record.order.service;
+            self.rollouts.record_reading(service, reading);
+        }
         let mut known = self.rollouts.known.borrow_mut();
         if !known.merge_record(now, record, age_ms) {
             return;
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -126,6 +126,16 @@
         self.start_target(options).await;
     }
 
+    /// Starts an engine with a version of its software that sends an event each `event_ms`.
+    pub(crate) async fn add_engine_of_version(&mut self, id: &str, version: &str, event_ms: u64) {
+        let options = target::Options {
+            event_ms,
+            version: version.to_owned(),
+            ..target_options(id, "engine", "dc-a")
+        };
+        self.start_target(options).await;
+    }
+
     /// Starts an engine in the first data centre that sends an event each `event_ms`.
     pub(crate) async fn add_paced_engine(&mut self, id: &str, event_ms: u64) {
         let options = target::Options {
--- a/filbertpaddle/tests/gateway/rollouts.rs
+++ b/filbertpaddle/tests/gateway/rollouts.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use filbertpaddle_adapter_standins::caller;
+use filbertpaddle_adapter_standins::caller::SentRequest;
 use filbertpaddle_adapter_standins::store::Fault;
 use filbertpaddle_adapter_standins::target::Behaviour;
+use filbertpaddle_adapter_standins::target::EVENT_TOKENS;
 use http::Method;
 use serde_json::json;
 use tokio::task::JoinHandle;
@@ -17,14 +19,20 @@
 
 use crate::cluster::Cluster;
 use crate::cluster::READ_PATH;
+use crate::cluster::STREAM_PATH;
 use crate::cluster::request;
 use crate::cluster::wait_until;
 
 const SERVICE: &str = "app";
+const ENGINES: &str = "engine";
+/// Time between events of sound engines.
+const EVENT_MS: u64 = 20;
 /// Time from the orders to their deadlines.
 const DURATION_S: u32 = 14;
 /// Time between two requests of the callers.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two streams of the callers.
+const STREAM_INTERVAL: Duration = Duration::from_millis(100);
 /// Part of the requests that a bad version may get, and requests beyond it, as the nodes' settings
 /// state them.
 const MAX_SHARE: f64 = 0.1;
@@ -38,11 +46,12 @@
 /// Callers that send requests to nodes in turn until they are stopped.
 struct Callers {
     is_stopped: Arc<AtomicBool>,
-    sending: JoinHandle<Vec<u16>>,
+    /// Whether each answer was whole and a success.
+    sending: JoinHandle<Vec<bool>>,
 }
 
 impl Callers {
-    fn start(nodes: Vec<SocketAddr>) -> Self {
+    fn start(nodes: Vec<SocketAddr>, sent: SentRequest, interval: Duration) -> Self {
         let is_stopped = Arc::new(AtomicBool::new(false));
         let stopped = Arc::clone(&is_stopped);
         let sending = tokio::spawn(async move {
@@ -51,9 +60,15 @@
                 if stopped.load(Ordering::Relaxed) {
                     break;
                 }
-                let sent = request(&format!("c{number}"), Method::GET, READ_PATH, None);
-                answers.spawn(async move { caller::send(node, &sent).await.code() });
-                sleep(REQUEST_INTERVAL).await;
+                let sent = SentRequest {
+                    attempt: format!("c{number}"),
+                    ..sent.clone()
+                };
+                answers.spawn(async move {
+                    let answer = caller::send(node, &sent).await;
+                    answer.code() == 200 && answer.is_complete
+                });
+                sleep(interval).await;
             }
             answers.join_all().await
         });
@@ -63,10 +78,12 @@
         }
     }
 
-    /// Stops the callers; returns the statuses of all answers.
-    async fn stop(self) -> Vec<u16> {
+    /// Stops the callers; returns the number of answers that were no whole success.
+    async fn stop(self) -> usize {
         self.is_stopped.store(true, Ordering::Relaxed);
-        self.sending.await.unwrap()
+        let answers = self.sending.await.unwrap();
+        assert!(!answers.is_empty());
+        answers.iter().filter(|is_whole| !**is_whole).count()
     }
 }
 
@@ -97,9 +114,48 @@
         }
     }
 
+    /// Starts callers of plain requests.
     fn callers(&self) -> Callers {
+        let sent = request("c", Method::GET, READ_PATH, None);
+        self.callers_of(sent, REQUEST_INTERVAL)
+    }
+
+    /// Starts callers of streams with a number of events.
+    fn stream_callers(&self, events: u64) -> Callers {
+        let tokens = u32::try_from(events * EVENT_TOKENS).unwrap();
+        let sent = request("c", Method::POST, STREAM_PATH, Some(tokens));
+        self.callers_of(sent, STREAM_INTERVAL)
+    }
+
+    fn callers_of(&self, sent: SentRequest, interval: Duration) -> Callers {
         let nodes = self.nodes.iter();
-        Callers::start(nodes.map(|node| node.addresses.callers).collect())
+        let nodes = nodes.map(|node| node.addresses.callers).collect();
+        Callers::start(nodes, sent, interval)
+    }
+
+    /// Starts nodes with roll-outs and two engines of the old version.
+    async fn with_engine_rollouts(name: &str) -> Self {
+        let mut cluster = Self::with_rollouts(name, 2).await;
+        for id in ["old-3", "old-4"] {
+            cluster.add_engine_of_version(id, "v1", EVENT_MS).await;
+        }
+        let nodes = ["node-0", "node-1"];
+        cluster.wait_until_listed("old-4", "", &nodes).await;
+        cluster
+    }
+
+    /// Orders a roll-out of the engines, and starts two of the new version.
+    async fn order_engines(&mut self, event_ms: u64) {
+        self.store.put_rollout(ENGINES, "v2", DURATION_S);
+        for id in ["new-3", "new-4"] {
+            self.add_engine_of_version(id, "v2", event_ms).await;
+        }
+    }
+
+    /// Checks that the new version got no more requests than a bad one may get.
+    fn check_exposure(&self) {
+        let (old, new) = (self.runs_at("v1") as f64, self.runs_at("v2") as f64);
+        assert!(new <= MAX_SHARE * (old + new) + MAX_SLACK, "{new} of {old}");
     }
 
     fn runs_at(&self, version: &str) -> usize {
@@ -107,12 +163,16 @@
         runs.iter().filter(|run| run.version == version).count()
     }
 
-    fn has_status(&self, state: &str) -> bool {
-        self.store.rollout_status(SERVICE) == Some(json!({"state": state, "to": "v2"}))
+    async fn wait_for_status(&self, state: &str) {
+        self.wait_for_status_of(SERVICE, state).await;
     }
 
-    async fn wait_for_status(&self, state: &str) {
-        wait_until(state, async || self.has_status(state)).await;
+    async fn wait_for_status_of(&self, service: &str, state: &str) {
+        let expected = json!({"state": state, "to": "v2"});
+        wait_until(state, async || {
+            self.store.rollout_status(service).as_ref() == Some(&expected)
+        })
+        .await;
     }
 
     /// Waits until some requests have reached the new version.
@@ -142,9 +202,8 @@
         cluster.store.remove_target(id);
     }
     sleep(WATCH_TIME).await;
-    let answers = callers.stop().await;
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
     assert_eq!(cluster.runs_at("v1"), runs);
-    assert!(answers.iter().all(|code| *code == 200), "{answers:?}");
     cluster.close();
 }
 
@@ -157,11 +216,39 @@
     cluster.wait_for_status("rolled_back").await;
     sleep(LAPSE_TIME).await;
     cluster.check_gets_nothing("v2").await;
-    let answers = callers.stop().await;
-    let (old, new) = (cluster.runs_at("v1") as f64, cluster.runs_at("v2") as f64);
-    assert!(new <= MAX_SHARE * (old + new) + MAX_SLACK, "{new} of {old}");
-    let failed = answers.iter().filter(|code| **code != 200).count();
-    assert_eq!(failed, 0, "answers of the old version replace failures");
+    // Answers of the old version replace the failures.
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
+    cluster.check_exposure();
+    cluster.close();
+}
+
+/// A stream runs for seconds at the old targets: it ends before they stop.
+#[tokio::test]
+async fn streams_at_the_old_version_end_before_the_new_one_is_completed() {
+    let mut cluster = Cluster::with_engine_rollouts("rollout-streams").await;
+    let callers = cluster.stream_callers(100);
+    cluster.order_engines(EVENT_MS).await;
+    cluster.wait_for_status_of(ENGINES, "completed").await;
+    for id in ["old-3", "old-4"] {
+        cluster.take_target(id).close();
+        cluster.store.remove_target(id);
+    }
+    sleep(WATCH_TIME).await;
+    assert_eq!(callers.stop().await, 0, "streams that are not whole");
+    cluster.close();
+}
+
+/// The new version fails nothing, but its events come several times slower.
+#[tokio::test]
+async fn a_slow_version_is_rolled_back() {
+    let mut cluster = Cluster::with_engine_rollouts("rollout-slow").await;
+    let callers = cluster.stream_callers(20);
+    cluster.order_engines(8 * EVENT_MS).await;
+    cluster.wait_for_status_of(ENGINES, "rolled_back").await;
+    sleep(LAPSE_TIME).await;
+    cluster.check_gets_nothing("v2").await;
+    assert_eq!(callers.stop().await, 0, "streams that are not whole");
+    cluster.check_exposure();
     cluster.close();
 }
 
@@ -185,8 +272,7 @@
     cluster.wait_for_status("completed").await;
     sleep(LAPSE_TIME).await;
     cluster.check_gets_nothing("v1").await;
-    let answers = callers.stop().await;
-    assert!(answers.iter().all(|code| *code == 200), "{answers:?}");
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
     cluster.close();
 }
 
@@ -202,8 +288,7 @@
     cluster.check_gets_nothing("v2").await;
     cluster.store.set_fault(Fault::None);
     cluster.wait_for_status("completed").await;
-    let answers = callers.stop().await;
-    assert!(answers.iter().all(|code| *code == 200), "{answers:?}");
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
     cluster.close();
 }
 
@@ -217,8 +302,7 @@
     cluster.store.remove_rollout(SERVICE);
     sleep(LAPSE_TIME).await;
     cluster.check_gets_nothing("v2").await;
-    let answers = callers.stop().await;
-    assert!(answers.iter().all(|code| *code == 200), "{answers:?}");
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
     cluster.close();
 }
 
