Send what waits for the old version to the new one once all goes there

A request that was to go to the old version may wait for room while the last share takes effect; it would reach targets that stop on completion.

--- a/filbertpaddle-gateway/src/rollout_job.rs
+++ b/filbertpaddle-gateway/src/rollout_job.rs
@@ -90,11 +90,14 @@
     }
 
     /// Returns the side that the request goes to now. Only its first target may be of the new
-    /// version while that is on trial.
+    /// version while that is on trial; one that was to go to the old version goes to the new one
+    /// if all do by now.
     fn side(&self, progress: &Progress) -> Side {
         let is_first = progress.sends == 0 && !progress.was_misdirected;
-        let first_side = self.demand.side.filter(|_| is_first);
-        first_side.unwrap_or_else(|| self.state.retry_side(&self.demand.service))
+        match self.demand.side {
+            Some(Side::New) if is_first => Side::New,
+            _ => self.state.retry_side(&self.demand.service),
+        }
     }
 
     /// Records that the request is sent to a target.
