--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -4,6 +4,7 @@
 //! As in `filbertpaddle-core`, nothing here performs I/O or reads a clock.
 
 pub mod admission;
+pub mod allowed_targets;
 pub mod change;
 pub mod cold_limit;
 pub mod configuration;
@@ -22,6 +23,7 @@
 pub mod leaving_targets;
 pub mod level_arrivals;
 pub mod level_load;
+pub mod listed_orders;
 pub mod load_table;
 pub mod migration;
 pub mod node_rank;
@@ -36,9 +38,15 @@
 pub mod request_metadata;
 pub mod retry_budget;
 pub mod revision;
-pub mod rollout;
+pub mod rollout_counts;
+pub mod rollout_judge;
+pub mod rollout_record;
+pub mod rollout_split;
+pub mod rollout_stage;
+pub mod rollouts;
 pub mod same_target;
 pub mod service_pace;
+mod service_rollout;
 pub mod silent_target;
 pub mod software_version;
 pub mod speed_baseline;
--- a/filbertpaddle-forward/src/request_demand.rs
+++ b/filbertpaddle-forward/src/request_demand.rs
@@ -4,10 +4,12 @@
 use filbertpaddle_core::name::Name;
 
 use crate::admission::Claim;
+use crate::allowed_targets::AllowedTargets;
 use crate::level_load::LevelLoad;
 use crate::level_load::LevelLoads;
 use crate::load_table::TargetLoad;
 use crate::priority_admission::KeptRoom;
+use crate::rollout_counts::Side;
 use crate::software_version::VersionBinding;
 
 /// Resources that a request needs at a target.
@@ -29,6 +31,10 @@
     pub level: Option<u8>,
     /// Room that it leaves to requests of other levels.
     pub kept: KeptRoom,
+    /// Side of its service's roll-out that it goes to; `None` if there was none at its admission.
+    pub side: Option<Side>,
+    /// Targets that may run it while its service is rolled out.
+    pub allowed: AllowedTargets,
 }
 
 impl From<&RequestDemand> for TargetLoad {
--- a/filbertpaddle-gateway/src/generation.rs
+++ b/filbertpaddle-gateway/src/generation.rs
@@ -83,7 +83,9 @@
     /// Whether the stream has gone on from one run to another.
     pub(crate) has_resumed: bool,
     /// Time of the first of the new events.
-    first_event_ms: Millis,
+    pub(crate) first_event_ms: Millis,
+    /// Whether the time per token at the current target is to be recorded for a roll-out.
+    pub(crate) awaits_side_pace: bool,
     /// Whether the current target has shown that the request does not crash it.
     pub(crate) is_sound: bool,
     pub(crate) placement: Option<Placement>,
@@ -123,6 +125,10 @@
     if let Err(StopReason::TimedOut | StopReason::CallerGone) = result {
         generation.watch_silent();
     }
+    if let Err(StopReason::TimedOut) = result {
+        let target = generation.placed_at();
+        job.record_side_timeout(generation.progress, target);
+    }
     generation.close();
     result
 }
@@ -140,6 +146,7 @@
             empty_runs: EmptyRuns::default(),
             has_resumed: false,
             first_event_ms: Millis::ZERO,
+            awaits_side_pace: false,
             is_sound: false,
             placement: None,
             meter: StreamMeter::new(job.state.clock.now()),
@@ -155,6 +162,7 @@
 
     /// Releases the generation's load at its target and its copy.
     fn close(mut self) {
+        self.record_side_pace(self.last_activity_ms, true);
         self.record_last_pace();
         self.release_placement();
         self.migrator.close();
@@ -291,6 +299,7 @@
             self.first_event_ms = now;
         }
         self.events_here += 1;
+        self.record_side_pace(now, false);
         if !self.is_sound && now.since(self.first_event_ms) >= SOUND_TIME_MS {
             self.is_sound = true;
             self.job.record_sound();
@@ -364,7 +373,9 @@
         let (response, _) = self.job.send(target, resume).await?;
         let mut body = response.body;
         if !response.head.status.is_success() {
+            let status = response.head.status;
             let bytes = body.read_to_end().await.map_err(Failure::from)?;
+            self.job.record_side_answer(self.progress, target, status);
             let stop = match self.job.target_reply(response.head, bytes) {
                 Ok(reply) => StopReason::Failed(Box::new(reply)),
                 Err(refusal) => StopReason::Refused(refusal),
--- a/filbertpaddle-gateway/src/generation_load.rs
+++ b/filbertpaddle-gateway/src/generation_load.rs
@@ -28,6 +28,9 @@
         self.progress.sends += 1;
         self.progress.is_in_flight = false;
         self.progress.may_have_run = true;
+        if self.last_event.is_none() {
+            self.record_side_begun(target);
+        }
         let now = state.clock.now();
         let silent_ms = now.since(self.last_activity_ms);
         self.last_activity_ms = now;
@@ -102,6 +105,7 @@
         self.is_placed = false;
         self.is_end_query = false;
         self.idle_output = IdleOutput::new();
+        self.awaits_side_pace = false;
         let load = self.job.mark_sent(self.progress, target);
         self.placement = Some(Placement {
             target: target.clone(),
@@ -112,6 +116,11 @@
         });
     }
 
+    /// Returns the target on which the generation is placed.
+    pub(crate) fn placed_at(&self) -> Option<&Target> {
+        self.placement.as_ref().map(|placement| &placement.target)
+    }
+
     /// Removes the generation from the load of its target.
     pub(crate) fn release_placement(&mut self) {
         let Some(placement) = self.placement.take() else {
--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -172,6 +172,7 @@
         state.metrics.count("stream.broken");
         if !source.is_relayed() {
             state.record_target_failure(&source.target);
+            self.record_side_broken(&source.target);
         }
         if !self.is_sound {
             crash::check(self.job, &source.target).await;
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -83,6 +83,7 @@
                 let group_load = group_load(state);
                 link.publish(state, group_load).await?;
                 publish_group_speeds(state, link).await?;
+                link.publish_counts(state).await?;
             }
             _ = heartbeat.tick() => link.send(&ages_message(state)).await?,
             message = link.receive() => {
@@ -145,6 +146,7 @@
         Message::Speeds(sent) => {
             state.merge_speeds(|table, now| table.update_member(now, node, &sent));
         }
+        Message::RolloutCounts(counts) => state.merge_rollout_counts(&counts, true),
         message => {
             if let Some(message) = merge_findings(state, message) {
                 debug!(state.log, "unexpected message from follower ignored";
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -13,7 +13,6 @@
 use filbertpaddle_forward::configuration::Customer;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::fingerprint::fingerprints;
-use filbertpaddle_forward::priority_admission::KeptRoom;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::software_version::VersionBinding;
@@ -176,6 +175,7 @@
         continuation: Option<Continuation>,
     ) -> Job {
         let mut demand = demand(route, &self.metadata, continuation);
+        demand.side = state.choose_side(&demand.service);
         let service = configuration.services.get(&demand.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let event_tokens = configuration.event_tokens(&demand.service);
@@ -331,6 +331,9 @@
     if let None | Some(Err(Refusal::TimedOut)) = result {
         job.watch_unanswered(&progress);
     }
+    if let Some(Err(Refusal::TimedOut)) = result {
+        job.record_side_timeout(&progress, progress.placed_on.as_ref());
+    }
     job.release(&mut progress);
     let Some(result) = result else {
         log_end(job, &progress, "caller_gone", 0);
@@ -423,8 +426,7 @@
         claim: claim(route, metadata),
         max_prefill_ms: admission::max_prefill_ms(route.latency_goal_ms),
         version,
-        level: None,
-        kept: KeptRoom::default(),
+        ..RequestDemand::default()
     }
 }
 
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -44,6 +44,7 @@
 use crate::peer_link::Ages;
 use crate::platform_api::NodeList;
 use crate::platform_api::PlatformApi;
+use crate::rollouts::RolloutView;
 use crate::settings::Reloadable;
 use crate::settings::Settings;
 use crate::version_exchange::VersionExchange;
@@ -123,6 +124,8 @@
     pub version_record: RecordCache,
     /// Exchange of the versions that began streams, once its address is bound.
     pub version_exchange: OnceCell<VersionExchange>,
+    /// Roll-outs of services.
+    pub rollouts: RolloutView,
     /// Whether the node has tried to read the list of nodes.
     pub is_registered: Cell<bool>,
     /// Whether the node is about to exit and refuses all requests.
@@ -152,6 +155,7 @@
         let selector = TargetSelector::new(settings.node.clone(), settings.data_centre.clone());
         Rc::new(Self {
             reloadable: watch::Sender::new(settings.reloadable.clone()),
+            rollouts: RolloutView::new(&settings),
             settings,
             platform,
             clock,
@@ -466,6 +470,7 @@
         for id in &applied.targets {
             self.log_target(id, source, age_ms);
         }
+        self.log_orders(source, age_ms, &applied.rollouts);
         let directory = self.directory.borrow();
         self.selector.borrow_mut().update_targets(&directory);
         let listed = directory
@@ -476,6 +481,7 @@
             self.version_record.clear();
         }
         drop(directory);
+        self.update_rollouts();
         self.notify();
     }
 
--- /dev/null
+++ b/filbertpaddle/tests/gateway/rollouts.rs
@@ -0,0 +1,327 @@
+//! Roll-outs ordered by operators: each test plays one version, good or bad, or one failure.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use filbertpaddle_adapter_standins::caller;
+use filbertpaddle_adapter_standins::caller::SentRequest;
+use filbertpaddle_adapter_standins::store::Fault;
+use filbertpaddle_adapter_standins::target::Behaviour;
+use filbertpaddle_adapter_standins::target::EVENT_TOKENS;
+use http::Method;
+use serde_json::json;
+use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::cluster::Cluster;
+use crate::cluster::READ_PATH;
+use crate::cluster::STREAM_PATH;
+use crate::cluster::request;
+use crate::cluster::wait_until;
+
+const SERVICE: &str = "app";
+const ENGINES: &str = "engine";
+/// Time between events of sound engines.
+const EVENT_MS: u64 = 20;
+/// Time from the orders to their deadlines.
+const DURATION_S: u32 = 14;
+/// Time between two requests of the callers.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two streams of the callers.
+const STREAM_INTERVAL: Duration = Duration::from_millis(100);
+/// Part of the requests that a bad version may get, and requests beyond it, as the nodes' settings
+/// state them.
+const MAX_SHARE: f64 = 0.1;
+const MAX_SLACK: f64 = 50.0;
+/// Time within which no node uses a record any more that it cannot read again: half of the time
+/// within which a bad version must get no requests.
+const LAPSE_TIME: Duration = Duration::from_millis(2_500);
+/// Time in which requests arrive at targets that must get none.
+const WATCH_TIME: Duration = Duration::from_secs(2);
+
+/// Callers that send requests to nodes in turn until they are stopped.
+struct Callers {
+    is_stopped: Arc<AtomicBool>,
+    /// Whether each answer was whole and a success.
+    sending: JoinHandle<Vec<bool>>,
+}
+
+impl Callers {
+    fn start(nodes: Vec<SocketAddr>, sent: SentRequest, interval: Duration) -> Self {
+        let is_stopped = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&is_stopped);
+        let sending = tokio::spawn(async move {
+            let mut answers = JoinSet::new();
+            for (number, node) in nodes.into_iter().cycle().enumerate() {
+                if stopped.load(Ordering::Relaxed) {
+                    break;
+                }
+                let sent = SentRequest {
+                    attempt: format!("c{number}"),
+                    ..sent.clone()
+                };
+                answers.spawn(async move {
+                    let answer = caller::send(node, &sent).await;
+                    answer.code() == 200 && answer.is_complete
+                });
+                sleep(interval).await;
+            }
+            answers.join_all().await
+        });
+        Self {
+            is_stopped,
+            sending,
+        }
+    }
+
+    /// Stops the callers; returns the number of answers that were no whole success.
+    async fn stop(self) -> usize {
+        self.is_stopped.store(true, Ordering::Relaxed);
+        let answers = self.sending.await.unwrap();
+        assert!(!answers.is_empty());
+        answers.iter().filter(|is_whole| !**is_whole).count()
+    }
+}
+
+impl Cluster {
+    /// Starts nodes in data centres of their own, and two targets of the old version.
+    async fn with_rollouts(name: &str, nodes: usize) -> Self {
+        let mut cluster = Self::new(name).await;
+        for id in ["old-1", "old-2"] {
+            cluster.add_plain_of_version(id, "v1").await;
+        }
+        for index in 0..nodes {
+            let mut options =
+                cluster.node_options(&format!("node-{index}"), &format!("dc-{index}"));
+            options.has_rollouts = true;
+            cluster.start_node(&options);
+        }
+        cluster.wait_until_ready().await;
+        cluster.wait_until_registered().await;
+        cluster
+    }
+
+    /// Orders a roll-out and starts two targets of the new version.
+    async fn order(&mut self, behaviour: Behaviour) {
+        self.store.put_rollout(SERVICE, "v2", DURATION_S);
+        for id in ["new-1", "new-2"] {
+            self.add_plain_of_version(id, "v2").await;
+            self.target(id).set_behaviour(behaviour);
+        }
+    }
+
+    /// Starts callers of plain requests.
+    fn callers(&self) -> Callers {
+        let sent = request("c", Method::GET, READ_PATH, None);
+        self.callers_of(sent, REQUEST_INTERVAL)
+    }
+
+    /// Starts callers of streams with a number of events.
+    fn stream_callers(&self, events: u64) -> Callers {
+        let tokens = u32::try_from(events * EVENT_TOKENS).unwrap();
+        let sent = request("c", Method::POST, STREAM_PATH, Some(tokens));
+        self.callers_of(sent, STREAM_INTERVAL)
+    }
+
+    fn callers_of(&self, sent: SentRequest, interval: Duration) -> Callers {
+        let nodes = self.nodes.iter();
+        let nodes = nodes.map(|node| node.addresses.callers).collect();
+        Callers::start(nodes, sent, interval)
+    }
+
+    /// Starts nodes with roll-outs and two engines of the old version.
+    async fn with_engine_rollouts(name: &str) -> Self {
+        let mut cluster = Self::with_rollouts(name, 2).await;
+        for id in ["old-3", "old-4"] {
+            cluster.add_engine_of_version(id, "v1", EVENT_MS).await;
+        }
+        let nodes = ["node-0", "node-1"];
+        cluster.wait_until_listed("old-4", "", &nodes).await;
+        cluster
+    }
+
+    /// Orders a roll-out of the engines, and starts two of the new version.
+    async fn order_engines(&mut self, event_ms: u64) {
+        self.store.put_rollout(ENGINES, "v2", DURATION_S);
+        for id in ["new-3", "new-4"] {
+            self.add_engine_of_version(id, "v2", event_ms).await;
+        }
+    }
+
+    /// Checks that the new version got no more requests than a bad one may get.
+    fn check_exposure(&self) {
+        let (old, new) = (self.runs_at("v1") as f64, self.runs_at("v2") as f64);
+        assert!(new <= MAX_SHARE * (old + new) + MAX_SLACK, "{new} of {old}");
+    }
+
+    fn runs_at(&self, version: &str) -> usize {
+        let runs = self.run_log.runs();
+        runs.iter().filter(|run| run.version == version).count()
+    }
+
+    async fn wait_for_status(&self, state: &str) {
+        self.wait_for_status_of(SERVICE, state).await;
+    }
+
+    async fn wait_for_status_of(&self, service: &str, state: &str) {
+        let expected = json!({"state": state, "to": "v2"});
+        wait_until(state, async || {
+            self.store.rollout_status(service).as_ref() == Some(&expected)
+        })
+        .await;
+    }
+
+    /// Waits until some requests have reached the new version.
+    async fn wait_for_trial(&self) {
+        wait_until("the new version is tried", async || self.runs_at("v2") > 2).await;
+    }
+
+    /// Checks that the targets of a version get nothing for a while.
+    async fn check_gets_nothing(&self, version: &str) {
+        let before = self.runs_at(version);
+        sleep(WATCH_TIME).await;
+        assert_eq!(self.runs_at(version), before, "requests to {version}");
+    }
+}
+
+/// The old targets stop as soon as the status says so: nothing may still run there.
+#[tokio::test]
+async fn a_good_version_is_completed_and_its_predecessor_can_stop_at_once() {
+    let mut cluster = Cluster::with_rollouts("rollout-good", 2).await;
+    let callers = cluster.callers();
+    cluster.order(Behaviour::Normal).await;
+    cluster.wait_for_status("running").await;
+    cluster.wait_for_status("completed").await;
+    let runs = cluster.runs_at("v1");
+    for id in ["old-1", "old-2"] {
+        cluster.take_target(id).close();
+        cluster.store.remove_target(id);
+    }
+    sleep(WATCH_TIME).await;
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
+    assert_eq!(cluster.runs_at("v1"), runs);
+    cluster.close();
+}
+
+/// Each answer of the new version is a failure.
+#[tokio::test]
+async fn a_bad_version_gets_few_requests_and_is_rolled_back() {
+    let mut cluster = Cluster::with_rollouts("rollout-bad", 2).await;
+    let callers = cluster.callers();
+    cluster.order(Behaviour::Failing).await;
+    cluster.wait_for_status("rolled_back").await;
+    sleep(LAPSE_TIME).await;
+    cluster.check_gets_nothing("v2").await;
+    // Answers of the old version replace the failures.
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
+    cluster.check_exposure();
+    cluster.close();
+}
+
+/// A stream runs for seconds at the old targets: it ends before they stop.
+#[tokio::test]
+async fn streams_at_the_old_version_end_before_the_new_one_is_completed() {
+    let mut cluster = Cluster::with_engine_rollouts("rollout-streams").await;
+    let callers = cluster.stream_callers(100);
+    cluster.order_engines(EVENT_MS).await;
+    cluster.wait_for_status_of(ENGINES, "completed").await;
+    for id in ["old-3", "old-4"] {
+        cluster.take_target(id).close();
+        cluster.store.remove_target(id);
+    }
+    sleep(WATCH_TIME).await;
+    assert_eq!(callers.stop().await, 0, "streams that are not whole");
+    cluster.close();
+}
+
+/// The new version fails nothing, but its events come several times slower.
+#[tokio::test]
+async fn a_slow_version_is_rolled_back() {
+    let mut cluster = Cluster::with_engine_rollouts("rollout-slow").await;
+    let callers = cluster.stream_callers(20);
+    cluster.order_engines(8 * EVENT_MS).await;
+    cluster.wait_for_status_of(ENGINES, "rolled_back").await;
+    sleep(LAPSE_TIME).await;
+    cluster.check_gets_nothing("v2").await;
+    assert_eq!(callers.stop().await, 0, "streams that are not whole");
+    cluster.check_exposure();
+    cluster.close();
+}
+
+/// The node that has written the last step is killed; another one takes the next.
+#[tokio::test]
+async fn a_roll_out_goes_on_after_the_node_that_writes_is_killed() {
+    let mut cluster = Cluster::with_rollouts("rollout-killed", 3).await;
+    let callers = cluster.callers();
+    cluster.order(Behaviour::Normal).await;
+    cluster.wait_for_status("running").await;
+    cluster.wait_for_trial().await;
+    let writer = (0..3)
+        .find(|index| {
+            let log = cluster.log(&format!("node-{index}"));
+            log.contains("roll-out step written")
+        })
+        .unwrap();
+    callers.stop().await;
+    cluster.nodes.remove(writer).close().unwrap();
+    let callers = cluster.callers();
+    cluster.wait_for_status("completed").await;
+    sleep(LAPSE_TIME).await;
+    cluster.check_gets_nothing("v1").await;
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
+    cluster.close();
+}
+
+/// The nodes cannot read whether the version was rolled back.
+#[tokio::test]
+async fn nobody_tries_a_version_while_the_store_does_not_answer() {
+    let mut cluster = Cluster::with_rollouts("rollout-storeless", 2).await;
+    let callers = cluster.callers();
+    cluster.order(Behaviour::Normal).await;
+    cluster.wait_for_trial().await;
+    cluster.store.set_fault(Fault::Unavailable);
+    sleep(LAPSE_TIME).await;
+    cluster.check_gets_nothing("v2").await;
+    cluster.store.set_fault(Fault::None);
+    cluster.wait_for_status("completed").await;
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
+    cluster.close();
+}
+
+/// The operator takes the order back in the middle.
+#[tokio::test]
+async fn a_withdrawn_order_gives_the_new_version_nothing_more() {
+    let mut cluster = Cluster::with_rollouts("rollout-withdrawn", 2).await;
+    let callers = cluster.callers();
+    cluster.order(Behaviour::Normal).await;
+    cluster.wait_for_trial().await;
+    cluster.store.remove_rollout(SERVICE);
+    sleep(LAPSE_TIME).await;
+    cluster.check_gets_nothing("v2").await;
+    assert_eq!(callers.stop().await, 0, "answers that are not whole");
+    cluster.close();
+}
+
+/// Another writer has left bytes that are no order.
+#[tokio::test]
+async fn an_order_that_cannot_be_read_changes_nothing() {
+    let cluster = Cluster::with_rollouts("rollout-unreadable", 1).await;
+    let order = br#"{"service":"app","to":"v2","duration_s":-1}"#;
+    cluster.store.put_raw_rollout(SERVICE, order.to_vec());
+    wait_until("it is reported", async || {
+        cluster.log("node-0").contains("entry cannot be decoded")
+    })
+    .await;
+    let answer = cluster
+        .send(&request("r", Method::GET, READ_PATH, None))
+        .await;
+    assert_eq!(answer.code(), 200);
+    sleep(WATCH_TIME).await;
+    assert_eq!(cluster.store.rollout_status(SERVICE), None);
+    assert_eq!(cluster.runs_at("v1"), 1);
+    cluster.close();
+}
