--- a/filbertpaddle-forward/src/level_arrivals.rs
+++ b/filbertpaddle-forward/src/level_arrivals.rs
@@ -1,5 +1,4 @@
-//! Recent arrivals of a service's requests by priority level, how many found room, and how many
-//! wait for it.
+//! Recent arrivals of a service's requests by priority level, and how many wait for room.
 //!
 //! Nodes exchange them with the load of the targets, as an entry of the service.
 
@@ -57,31 +56,14 @@
             requests: 1,
             tokens,
             prompt_tokens: u64::from(demand.prompt_tokens),
-            ..LevelLoad::default()
+            waiting: 0,
         };
-        self.count(now, &demand.service, &load);
-    }
-
-    /// Records that a request was sent to a target.
-    pub fn record_placed(&mut self, now: Millis, demand: &RequestDemand) {
-        let Some(level) = demand.level else {
-            return;
-        };
-        let load = LevelLoad {
-            level,
-            placed: 1,
-            ..LevelLoad::default()
-        };
-        self.count(now, &demand.service, &load);
-    }
-
-    fn count(&mut self, now: Millis, service: &Name, load: &LevelLoad) {
-        let service = self.services.entry(service.clone()).or_default();
+        let service = self.services.entry(demand.service.clone()).or_default();
         service.discard_old(now);
         let number = interval(now);
         match service.intervals.back_mut() {
-            Some((last, loads)) if *last == number => loads.add_level(load),
-            _ => service.intervals.push_back((number, (*load).into())),
+            Some((last, loads)) if *last == number => loads.add_level(&load),
+            _ => service.intervals.push_back((number, load.into())),
         }
     }
 
--- a/filbertpaddle-forward/src/level_load.rs
+++ b/filbertpaddle-forward/src/level_load.rs
@@ -15,9 +15,6 @@
     pub tokens: u64,
     /// Prompt tokens that are not yet processed.
     pub prompt_tokens: u64,
-    /// Requests that were sent to targets.
-    #[serde(skip_serializing_if = "is_none")]
-    pub placed: u32,
     /// Requests that wait at their nodes for room.
     #[serde(skip_serializing_if = "is_none")]
     pub waiting: u32,
@@ -41,7 +38,6 @@
         self.requests = self.requests.saturating_add(other.requests);
         self.tokens = self.tokens.saturating_add(other.tokens);
         self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
-        self.placed = self.placed.saturating_add(other.placed);
         self.waiting = self.waiting.saturating_add(other.waiting);
     }
 
@@ -49,7 +45,6 @@
         self.requests = self.requests.saturating_sub(other.requests);
         self.tokens = self.tokens.saturating_sub(other.tokens);
         self.prompt_tokens = self.prompt_tokens.saturating_sub(other.prompt_tokens);
-        self.placed = self.placed.saturating_sub(other.placed);
         self.waiting = self.waiting.saturating_sub(other.waiting);
     }
 }
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -65,4 +65,3 @@
 pub mod target_speed;
 pub mod token_bucket;
 pub mod version_record;
-pub mod waiting_line;
--- a/filbertpaddle-forward/src/priority_admission.rs
+++ b/filbertpaddle-forward/src/priority_admission.rs
@@ -60,8 +60,8 @@
 }
 
 impl LevelNeed {
-    /// Returns the need of the levels that `is_included` accepts, by recent arrivals, by
-    /// what waits, and by what runs at the targets, whose IDs have the sorted `hashes`.
+    /// Returns the need of the levels that `is_included` accepts, by recent arrivals and by
+    /// what runs at the targets, whose IDs have the sorted `hashes`.
     fn new<F>(arrived: &LevelLoads, running: &LevelLoads, hashes: &[u64], is_included: F) -> Self
     where
         F: Fn(u8) -> bool,
@@ -71,8 +71,7 @@
             return Self::default();
         }
         let running = f64::from(running.sum(&is_included).requests);
-        let waiting = f64::from(recent.waiting);
-        let needed = (running + waiting + DEVIATIONS * (running + 1.0).sqrt()).ceil() as usize;
+        let needed = (running + DEVIATIONS * (running + 1.0).sqrt()).ceil() as usize;
         Self {
             requests: u32::try_from(needed / hashes.len()).unwrap_or(u32::MAX),
             one_more_below: hashes[needed % hashes.len()],
@@ -189,18 +188,6 @@
 }
 
 impl TargetSelector {
-    /// Returns the number of targets that have room for a request.
-    pub fn targets_with_room(&self, directory: &Directory, demand: &RequestDemand) -> usize {
-        let Some(configuration) = directory.configuration() else {
-            return 0;
-        };
-        directory
-            .targets()
-            .filter(|(target, _)| target.service == demand.service && !target.is_draining)
-            .filter(|(target, _)| self.has_room(configuration, target, demand))
-            .count()
-    }
-
     /// Returns the room that requests of `level` leave to other levels of their service.
     pub fn kept_room(
         &self,
--- a/filbertpaddle-forward/src/target_records.rs
+++ b/filbertpaddle-forward/src/target_records.rs
@@ -16,7 +16,6 @@
         let state = self.states.entry(target.id.clone()).or_default();
         state.own.add(&TargetLoad::from(demand));
         state.cold.record_sent(now);
-        self.level_arrivals.record_placed(now, demand);
         self.stated_rates
             .record_sent(now, &target.incarnation(), &self.node, &self.nodes);
     }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -219,7 +219,7 @@
     }
 
     /// Returns the demand on a target, by what has happened so far.
-    pub(crate) fn current_demand(&self, progress: &Progress) -> RequestDemand {
+    fn current_demand(&self, progress: &Progress) -> RequestDemand {
         let state = &self.state;
         let version = self.version(progress);
         let selector = state.selector.borrow();
@@ -236,9 +236,6 @@
 
     /// Chooses a target, and waits a moment for room if all are full.
     pub async fn place(&self, progress: &mut Progress) -> Option<Target> {
-        if let (Some(level), 0) = (self.demand.level, progress.pace.events()) {
-            return self.place_in_order(level, progress).await;
-        }
         let clock = self.state.clock;
         let max_wait_ms = match progress.pace.events() {
             0 => self.max_room_wait_ms(),
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -30,7 +30,6 @@
 pub mod migrator;
 pub mod node;
 pub mod nodes;
-mod ordered_placement;
 pub mod pace;
 pub mod page_limit;
 pub mod peer_follower;
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -28,7 +28,6 @@
 use filbertpaddle_forward::target::Incarnation;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::TargetSelector;
-use filbertpaddle_forward::waiting_line::WaitingLine;
 use filbertpaddle_http::buffer_limit::BufferLimit;
 use indexmap::IndexMap;
 use slog::Logger;
@@ -109,7 +108,6 @@
     first_read_draw: f64,
     budgets: RefCell<IndexMap<Name, RetryBudget>>,
     contention: RefCell<IndexMap<Name, Contention>>,
-    waiting_lines: RefCell<IndexMap<Name, WaitingLine>>,
     /// Pace of the targets of each service.
     pub paces: RefCell<IndexMap<Name, ServicePace>>,
     /// What requests have in common that were waiting when their target crashed.
@@ -182,7 +180,6 @@
             load_table: RefCell::new(LoadTable::new()),
             budgets: RefCell::default(),
             contention: RefCell::default(),
-            waiting_lines: RefCell::default(),
             paces: RefCell::default(),
             suspects: RefCell::new(CrashAttribution::new()),
             stream_versions: RefCell::new(StreamVersions::new()),
@@ -263,15 +260,6 @@
         action(contention.entry(service.clone()).or_default())
     }
 
-    /// Calls `action` with the requests of a service that wait for room at this node.
-    pub fn with_line<T, F>(&self, service: &Name, action: F) -> T
-    where
-        F: FnOnce(&mut WaitingLine) -> T,
-    {
-        let mut lines = self.waiting_lines.borrow_mut();
-        action(lines.entry(service.clone()).or_default())
-    }
-
     /// Replaces the list of nodes; returns the entries to remove.
     pub fn update_nodes(&self, list: NodeList) -> Vec<Name> {
         let mut nodes = self.nodes.borrow_mut();
