Let what a node holds follow the memory that its settings state

Change: `memory_budget` divides the stated memory: shares for the buffers of callers, targets and readers, the queue of each slow caller, and the number of requests in flight from which new ones are refused before their body is read (503, `no_memory`, not run). Without a stated memory all bounds stay.

Weighed: resident memory read from the kernel (allocators return little, so that a node would refuse for good), a count of every byte (libraries' buffers can't be seen), ending old streams (work lost).

Changed tests: `watched_stream` states the limit that was a constant. The stand-in of the node's settings can state a memory.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod invalid_entries;
 pub mod leaving_targets;
 pub mod load_table;
+pub mod memory_budget;
 pub mod migration;
 pub mod node_rank;
 pub mod peer_silence;
--- a/filbertpaddle-gateway/src/node.rs
+++ b/filbertpaddle-gateway/src/node.rs
@@ -109,6 +109,7 @@
         "ready" => %settings.ready, "peers" => %settings.peers,
         "store" => %settings.reloadable.store,
         "is_first_start" => settings.reloadable.is_first_start,
+        "memory_bytes" => settings.memory_bytes, "max_requests" => state.memory.max_requests,
         "version" => env!("CARGO_PKG_VERSION"));
     let (phase, phases) = watch::channel(Phase::Running);
     let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -114,6 +114,13 @@
     let metadata = (state.platform.headers.decode_request)(&head.headers)
         .map_err(|error| deny(state, "", Refusal::BadRequest, &error.to_string()))?;
     let id = metadata.attempt.clone();
+    // This request is one of those in flight.
+    let others = state.in_flight.get().saturating_sub(1);
+    if state.memory.refuses(others) {
+        state.metrics.count("memory.refused");
+        let reason = format!("{others} requests in flight, the memory of the node allows no more");
+        return Err(deny(state, &id, Refusal::NoMemory, &reason));
+    }
     let body = read_body(state, &metadata, body, input)
         .await
         .map_err(|refusal| deny(state, &id, refusal, ""))?;
@@ -293,7 +300,7 @@
     let (head, reply) = oneshot::channel();
     let (caller_present, gone) = oneshot::channel();
     tokio::task::spawn_local(async move {
-        let writer = ResponseWriter::new(head);
+        let writer = ResponseWriter::new(head, job.state.memory.queue_bytes);
         if job.route.kind.is_stream() {
             run_generation(&job, writer, gone).await;
         } else {
--- a/filbertpaddle-gateway/src/response_writer.rs
+++ b/filbertpaddle-gateway/src/response_writer.rs
@@ -16,8 +16,6 @@
 
 /// Maximum number of events queued for a slow caller.
 const QUEUE_EVENTS: usize = 64;
-/// Maximum number of bytes that are held for a slow caller, unless they are one event.
-const QUEUE_BYTES: u32 = 64 << 10;
 
 /// Writes the response to one caller.
 #[derive(Debug)]
@@ -26,6 +24,7 @@
     parts: Option<mpsc::Sender<Part>>,
     /// Bytes that may be queued.
     room: Arc<Semaphore>,
+    queue_bytes: u32,
 }
 
 /// Bytes that count as queued until they are written.
@@ -45,12 +44,14 @@
 pub struct CallerGone;
 
 impl ResponseWriter {
-    /// Creates a writer that sends the reply to `head`.
-    pub fn new(head: oneshot::Sender<Reply>) -> Self {
+    /// Creates a writer that sends the reply to `head`, and holds up to `queue_bytes` for a slow
+    /// caller, unless they are one event.
+    pub fn new(head: oneshot::Sender<Reply>, queue_bytes: u32) -> Self {
         Self {
             head: Some(head),
             parts: None,
-            room: Arc::new(Semaphore::new(QUEUE_BYTES as usize)),
+            room: Arc::new(Semaphore::new(queue_bytes as usize)),
+            queue_bytes,
         }
     }
 
@@ -87,8 +88,8 @@
     /// Returns [`CallerGone`] if the caller no longer reads.
     pub async fn send_part(&self, bytes: Bytes) -> Result<(), CallerGone> {
         let parts = self.parts.as_ref().ok_or(CallerGone)?;
-        let length = u32::try_from(bytes.len()).unwrap_or(QUEUE_BYTES);
-        let room = Arc::clone(&self.room).acquire_many_owned(length.min(QUEUE_BYTES));
+        let length = u32::try_from(bytes.len()).unwrap_or(self.queue_bytes);
+        let room = Arc::clone(&self.room).acquire_many_owned(length.min(self.queue_bytes));
         let queued = QueuedBytes {
             bytes,
             _room: room.await.map_err(|_| CallerGone)?,
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -18,6 +18,7 @@
 use filbertpaddle_forward::freshness::AgeLimits;
 use filbertpaddle_forward::invalid_entries::InvalidEntries;
 use filbertpaddle_forward::load_table::LoadTable;
+use filbertpaddle_forward::memory_budget::MemoryBudget;
 use filbertpaddle_forward::relay_choice::RelayChoice;
 use filbertpaddle_forward::retry_budget::RetryBudget;
 use filbertpaddle_forward::service_pace::ServicePace;
@@ -71,6 +72,8 @@
     pub connections: Rc<ConnectionPool>,
     /// Distinguishes dead peers from those that read slowly.
     pub peer_watch: PeerWatch,
+    /// Bounds on what the node holds of others.
+    pub memory: MemoryBudget,
     /// Limit on the buffered responses of targets.
     pub target_buffers: BufferLimit,
     /// Limit on the buffered requests of callers.
@@ -146,7 +149,8 @@
     /// Creates the state of a node that has read nothing yet.
     pub fn new(settings: Settings, platform: PlatformApi, log: Logger) -> Rc<Self> {
         let clock = Clock::new();
-        let peer_watch = PeerWatch::new(clock, log.clone());
+        let memory = MemoryBudget::new(settings.memory_bytes);
+        let peer_watch = PeerWatch::new(clock, log.clone(), memory.readers_bytes);
         let selector = TargetSelector::new(settings.node.clone(), settings.data_centre.clone());
         Rc::new(Self {
             reloadable: watch::Sender::new(settings.reloadable.clone()),
@@ -157,8 +161,9 @@
             metrics: Metrics::new(),
             connections: ConnectionPool::new(clock),
             peer_watch,
-            target_buffers: BufferLimit::new(),
-            caller_buffers: BufferLimit::new(),
+            memory,
+            target_buffers: BufferLimit::of(memory.targets_bytes),
+            caller_buffers: BufferLimit::of(memory.callers_bytes),
             store_buffers: BufferLimit::new(),
             directory: RefCell::new(Directory::new()),
             invalid_entries: RefCell::default(),
--- a/filbertpaddle-gateway/src/watched_stream.rs
+++ b/filbertpaddle-gateway/src/watched_stream.rs
@@ -34,9 +34,6 @@
 
 /// Interval of the checks while bytes are unacknowledged.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of bytes that a node holds for peers that do not read; above, they are given
-/// up early.
-const MAX_HELD_BYTES: usize = 16 << 20;
 /// What is assumed while the diagnostics fail: the peer is dead unless they work again in time.
 const UNKNOWN_STATE: SendState = SendState {
     queued_bytes: u32::MAX,
@@ -52,6 +49,7 @@
     diagnostics: Option<Rc<SocketDiagnostics>>,
     is_failure_logged: Cell<bool>,
     held_bytes: Rc<Cell<usize>>,
+    max_held_bytes: usize,
 }
 
 /// A connection that ends when its peer is dead.
@@ -79,17 +77,20 @@
 struct HeldBytes {
     all: Rc<Cell<usize>>,
     own: usize,
+    max_bytes: usize,
 }
 
 impl PeerWatch {
-    /// Opens the kernel's diagnostics.
-    pub fn new(clock: Clock, log: Logger) -> Self {
+    /// Opens the kernel's diagnostics. Peers that do not read are given up early while the node
+    /// holds more than `max_held_bytes` for all of them.
+    pub fn new(clock: Clock, log: Logger, max_held_bytes: usize) -> Self {
         let mut watch = Self {
             clock,
             log,
             diagnostics: None,
             is_failure_logged: Cell::new(false),
             held_bytes: Rc::default(),
+            max_held_bytes,
         };
         let opened = SocketDiagnostics::open().map(Rc::new);
         let logged = opened.inspect_err(|error| watch.log_failure(error));
@@ -118,7 +119,7 @@
             own: stream.local_addr()?,
             peer: stream.peer_addr()?,
             silence: PeerSilence::new(unread_limit_ms),
-            held: HeldBytes::new(&self.held_bytes),
+            held: HeldBytes::new(&self.held_bytes, self.max_held_bytes),
             next: None,
         };
         if let Err(error) = checks.send_state() {
@@ -222,10 +223,11 @@
 }
 
 impl HeldBytes {
-    fn new(all: &Rc<Cell<usize>>) -> Self {
+    fn new(all: &Rc<Cell<usize>>, max_bytes: usize) -> Self {
         Self {
             all: Rc::clone(all),
             own: 0,
+            max_bytes,
         }
     }
 
@@ -236,7 +238,7 @@
 
     /// Returns whether the node holds too much, some of it for this peer.
     fn is_crowded(&self) -> bool {
-        self.own > 0 && self.all.get() > MAX_HELD_BYTES
+        self.own > 0 && self.all.get() > self.max_bytes
     }
 }
 
--- a/filbertpaddle-gateway/tests/watched_stream.rs
+++ b/filbertpaddle-gateway/tests/watched_stream.rs
@@ -23,6 +23,8 @@
 use tokio::time::timeout;
 
 /// More than the buffers of both ends hold.
+/// What the node holds for peers that do not read; none of the tests reaches it.
+const MAX_HELD_BYTES: usize = 16 << 20;
 const BYTES: usize = 16 << 20;
 /// Longer than a dead peer is waited for.
 const PAUSE: Duration = Duration::from_secs(4);
@@ -34,7 +36,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let (opened, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
-    let watch = PeerWatch::new(Clock::new(), Logger::root(Discard, o!()));
+    let watch = PeerWatch::new(Clock::new(), Logger::root(Discard, o!()), MAX_HELD_BYTES);
     let watched = watch.watch(opened.unwrap(), unread_limit_ms).unwrap();
     (watched, accepted.unwrap().0)
 }
--- a/filbertpaddle-http/src/buffer_limit.rs
+++ b/filbertpaddle-http/src/buffer_limit.rs
@@ -17,7 +17,7 @@
 
 /// Maximum size of a body that is buffered as a whole.
 const MAX_BODY_BYTES: usize = 8 << 20;
-/// Maximum number of bytes that a node buffers at a time.
+/// Maximum number of bytes that a node buffers at a time, unless it is given another.
 const MAX_NODE_BYTES: usize = 16 << 20;
 
 /// What is buffered has exceeded a limit.
@@ -27,7 +27,7 @@
     #[error("body is larger than {MAX_BODY_BYTES} bytes")]
     Body,
     /// The limit of the node.
-    #[error("this node buffers more than {MAX_NODE_BYTES} bytes, giving up some of the largest")]
+    #[error("this node buffers too many bytes, giving up some of the largest")]
     Node,
 }
 
@@ -54,8 +54,13 @@
 impl BufferLimit {
     /// Creates a limit of which nothing is used.
     pub fn new() -> Self {
+        Self::of(MAX_NODE_BYTES)
+    }
+
+    /// Creates a limit of a number of bytes.
+    pub fn of(max_bytes: usize) -> Self {
         Self(Arc::new(Mutex::new(Shared {
-            quota: ByteQuota::new(MAX_NODE_BYTES),
+            quota: ByteQuota::new(max_bytes),
             evictions: IndexMap::new(),
         })))
     }
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -143,6 +143,7 @@
             seeds: Vec::new(),
             grace_s: 8,
             is_first_start: self.is_first_start.get(),
+            memory_mb: None,
         }
     }
 
--- a/filbertpaddle/tests/gateway/crowded.rs
+++ b/filbertpaddle/tests/gateway/crowded.rs
@@ -49,7 +49,7 @@
 }
 
 /// Starts targets that each send `start` and `more`, and then nothing on an open connection.
-async fn stalled(count: usize, start: &str, more: String) -> Vec<RawTarget> {
+pub(crate) async fn stalled(count: usize, start: &str, more: String) -> Vec<RawTarget> {
     let more = Bytes::from(more);
     let mut targets = Vec::new();
     for _ in 0..count {
@@ -68,14 +68,18 @@
 }
 
 /// Returns a request of which a target has memory for many.
-fn small_generation() -> SentRequest {
+pub(crate) fn small_generation() -> SentRequest {
     SentRequest {
         tokens: Some((100, 10)),
         ..request(ATTEMPT, Method::POST, STREAM_PATH, None)
     }
 }
 
-fn send_all(node: SocketAddr, count: usize, sent: &SentRequest) -> JoinSet<ReceivedAnswer> {
+pub(crate) fn send_all(
+    node: SocketAddr,
+    count: usize,
+    sent: &SentRequest,
+) -> JoinSet<ReceivedAnswer> {
     let mut callers = JoinSet::new();
     for _ in 0..count {
         let sent = sent.clone();
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod silent_targets;
 mod slow_caller;
 mod slow_reader;
+mod small_memory;
 mod starting;
 mod stopping;
 mod stopping_ends;
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -223,6 +223,7 @@
             grace_s: GRACE_SEC,
             // VMs do not start together here, as on a first start.
             is_first_start: false,
+            memory_mb: None,
         }
     }
 
