--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod level_load;
 pub mod listed_orders;
 pub mod load_table;
+pub mod memory_budget;
 pub mod migration;
 pub mod node_rank;
 pub mod peer_silence;
--- a/filbertpaddle/tests/gateway/cluster.rs
+++ b/filbertpaddle/tests/gateway/cluster.rs
@@ -163,6 +163,7 @@
             grace_s: 8,
             is_first_start: self.is_first_start.get(),
             has_rollouts: false,
+            memory_mb: None,
         }
     }
 
--- a/filbertpaddle/tests/soak/cluster.rs
+++ b/filbertpaddle/tests/soak/cluster.rs
@@ -224,6 +224,7 @@
             // VMs do not start together here, as on a first start.
             is_first_start: false,
             has_rollouts: false,
+            memory_mb: None,
         }
     }
 
