Complete a roll-out also while a data centre is out of reach

Cause: without any link to other data centres a node took their requests to run at the old targets for as long as they are listed, 75 s after their last entry, so that a good version would miss its deadline.

Change: it waits for as long as such nodes need to read the step in the store and to finish the longest requests. A process test cuts one node off from the store and the other node: it stops trying the new version, and the other node completes the roll-out.

--- a/filbertpaddle-gateway/src/rollout_steps.rs
+++ b/filbertpaddle-gateway/src/rollout_steps.rs
@@ -39,6 +39,9 @@
 /// Delay by which a reader of the next rank reads them later.
 const RANK_DELAY_MS: Millis = Millis(300);
 
+/// Time in which nodes that this one has no link to learn of a step from the store.
+const UNSEEN_STEP_MS: Millis = Millis::from_secs(2);
+
 /// Result of the attempt to write a record.
 #[derive(Debug)]
 enum WriteResult {
@@ -54,6 +57,9 @@
     read_ms: Millis,
     /// Whether the last call has failed.
     is_store_lost: bool,
+    /// Step of each service, and time since which it was known without a link to the nodes of
+    /// other data centres.
+    unseen: IndexMap<Name, (u32, Millis)>,
     /// Verdict on each new version when it was last logged.
     verdicts: IndexMap<Name, Verdict>,
 }
@@ -76,6 +82,7 @@
             known.running().cloned().collect()
         };
         self.verdicts.retain(|service, _| running.contains(service));
+        self.unseen.retain(|service, _| running.contains(service));
         for service in &running {
             self.log_verdict(state, service);
         }
@@ -113,7 +120,10 @@
     /// Writes the next record of a service, if one is due.
     async fn step(&mut self, state: &Rc<State>, service: &Name) {
         let now = state.clock.now();
-        let inputs = inputs(state, service);
+        let mut inputs = inputs(state, service);
+        if self.may_run_unseen(state, service, inputs.stream_ms) {
+            inputs.old_running += 1;
+        }
         let next = {
             let mut known = state.rollouts.known.borrow_mut();
             known.next_step(now, service, &inputs)
@@ -155,6 +165,25 @@
         state.notify();
     }
 
+    /// Returns whether requests of nodes that this one has no link to may still run at the old
+    /// targets. Such nodes read of the step in the store, and what they have sent before ends.
+    fn may_run_unseen(&mut self, state: &State, service: &Name, stream_ms: Millis) -> bool {
+        if !is_cut_off(state) {
+            self.unseen.shift_remove(service);
+            return false;
+        }
+        let now = state.clock.now();
+        let records = state.rollouts.known.borrow().records(now);
+        let mut records = records.iter().map(|(record, _)| record);
+        let record = records.find(|record| record.order.service == *service);
+        let step = record.map_or(0, |record| record.step);
+        let (known_step, since_ms) = self.unseen.entry(service.clone()).or_insert((step, now));
+        if *known_step != step {
+            (*known_step, *since_ms) = (step, now);
+        }
+        now.since(*since_ms) < UNSEEN_STEP_MS + stream_ms
+    }
+
     /// Logs that the store is lost or answers again.
     fn record_call(&mut self, state: &State, error: Option<&Error>) {
         match error {
@@ -291,10 +320,6 @@
             inputs.old_running += u64::from(selector.total_load(&target.id).running);
         }
     }
-    // The load that nodes of the other data centres place is not known then.
-    if is_cut_off(state) {
-        inputs.old_running += 1;
-    }
     inputs
 }
 
--- a/filbertpaddle/tests/gateway/rollouts.rs
+++ b/filbertpaddle/tests/gateway/rollouts.rs
@@ -8,9 +8,12 @@
 
 use filbertpaddle_adapter_standins::caller;
 use filbertpaddle_adapter_standins::caller::SentRequest;
+use filbertpaddle_adapter_standins::node;
 use filbertpaddle_adapter_standins::store::Fault;
 use filbertpaddle_adapter_standins::target::Behaviour;
 use filbertpaddle_adapter_standins::target::EVENT_TOKENS;
+use filbertpaddle_standins::proxy::Link;
+use filbertpaddle_standins::proxy::Proxy;
 use http::Method;
 use serde_json::json;
 use tokio::task::JoinHandle;
@@ -61,7 +64,7 @@
                     break;
                 }
                 let sent = SentRequest {
-                    attempt: format!("c{number}"),
+                    attempt: format!("{}{number}", sent.attempt),
                     ..sent.clone()
                 };
                 answers.spawn(async move {
@@ -91,20 +94,28 @@
     /// Starts nodes in data centres of their own, and two targets of the old version.
     async fn with_rollouts(name: &str, nodes: usize) -> Self {
         let mut cluster = Self::new(name).await;
-        for id in ["old-1", "old-2"] {
-            cluster.add_plain_of_version(id, "v1").await;
-        }
+        cluster.add_old_targets().await;
         for index in 0..nodes {
-            let mut options =
-                cluster.node_options(&format!("node-{index}"), &format!("dc-{index}"));
-            options.has_rollouts = true;
-            cluster.start_node(&options);
+            cluster.start_node(&cluster.rollout_options(index));
         }
         cluster.wait_until_ready().await;
         cluster.wait_until_registered().await;
         cluster
     }
 
+    async fn add_old_targets(&mut self) {
+        for id in ["old-1", "old-2"] {
+            self.add_plain_of_version(id, "v1").await;
+        }
+    }
+
+    /// Returns the settings of a node with roll-outs in a data centre of its own.
+    fn rollout_options(&self, index: usize) -> node::Options {
+        let mut options = self.node_options(&format!("node-{index}"), &format!("dc-{index}"));
+        options.has_rollouts = true;
+        options
+    }
+
     /// Orders a roll-out and starts two targets of the new version.
     async fn order(&mut self, behaviour: Behaviour) {
         self.store.put_rollout(SERVICE, "v2", DURATION_S);
@@ -116,14 +127,14 @@
 
     /// Starts callers of plain requests.
     fn callers(&self) -> Callers {
-        let sent = request("c", Method::GET, READ_PATH, None);
+        let sent = request("c-", Method::GET, READ_PATH, None);
         self.callers_of(sent, REQUEST_INTERVAL)
     }
 
     /// Starts callers of streams with a number of events.
     fn stream_callers(&self, events: u64) -> Callers {
         let tokens = u32::try_from(events * EVENT_TOKENS).unwrap();
-        let sent = request("c", Method::POST, STREAM_PATH, Some(tokens));
+        let sent = request("c-", Method::POST, STREAM_PATH, Some(tokens));
         self.callers_of(sent, STREAM_INTERVAL)
     }
 
@@ -292,6 +303,48 @@
     cluster.close();
 }
 
+/// One node reaches neither the store nor the other node, which goes on.
+#[tokio::test]
+async fn a_node_that_is_cut_off_stops_trying_the_new_version() {
+    let mut cluster = Cluster::new("rollout-cut").await;
+    cluster.add_old_targets().await;
+    let mut links = Vec::new();
+    for index in 0..2 {
+        let to_store = Proxy::start(cluster.store.address).await.unwrap();
+        let mut options = cluster.rollout_options(index);
+        options.store = to_store.address;
+        cluster.start_node(&options);
+        let address = cluster.nodes[index].addresses.peers;
+        let peers = Proxy::start(address).await.unwrap();
+        cluster.store.replace_address(address, peers.address);
+        links.push((to_store, peers));
+    }
+    cluster.wait_until_ready().await;
+    cluster.wait_until_registered().await;
+    let cut_node = cluster.nodes[1].addresses.callers;
+    let sent = request("cut-", Method::GET, READ_PATH, None);
+    let callers = Callers::start(vec![cut_node], sent, REQUEST_INTERVAL);
+    let others = cluster.callers();
+    cluster.order(Behaviour::Normal).await;
+    let tried = || {
+        let runs = cluster.run_log.runs().into_iter();
+        runs.filter(|run| run.version == "v2" && run.attempt.starts_with("cut-"))
+            .count()
+    };
+    wait_until("the node tries the new version", async || tried() > 2).await;
+    links[1].0.set_link(Link::Cut);
+    links
+        .iter()
+        .for_each(|(_, peers)| peers.set_link(Link::Cut));
+    sleep(LAPSE_TIME).await;
+    let before = tried();
+    sleep(WATCH_TIME).await;
+    assert_eq!(tried(), before, "requests of the node that is cut off");
+    cluster.wait_for_status("completed").await;
+    assert_eq!(callers.stop().await + others.stop().await, 0);
+    cluster.close();
+}
+
 /// The operator takes the order back in the middle.
 #[tokio::test]
 async fn a_withdrawn_order_gives_the_new_version_nothing_more() {
