--- a/filbertpaddle-forward/src/rollout_stage.rs
+++ b/filbertpaddle-forward/src/rollout_stage.rs
@@ -26,7 +26,7 @@
 const SWITCH_STEP_MS: Millis = Millis(2_000);
 
 /// Time from the end of the last request at the old targets to the end of the roll-out.
-const COMPLETION_MS: Millis = Millis(4_000);
+const COMPLETION_MS: Millis = Millis(4_500);
 
 /// Longest time that a canary must run where the order leaves less than it needs.
 const SHORT_CANARY_MS: Millis = Millis(5_000);
@@ -37,8 +37,15 @@
 /// Time for which a step waits for these answers.
 const ANSWERS_WAIT_MS: Millis = Millis(3_000);
 
-/// Time for which a doubtful verdict holds a step up.
-const DOUBT_WAIT_MS: Millis = Millis(5_000);
+/// Time for which a doubt holds a step up, for each unit of its score.
+const DOUBT_WAIT_MS: f64 = 750.0;
+
+/// Score of a doubt that holds a step up even if the roll-out then ends after its deadline.
+const GRAVE_DOUBT_SCORE: f64 = 6.0;
+
+/// Time from the end of the last request at the old targets to the end of the roll-out, without
+/// any reserve.
+const LEAST_COMPLETION_MS: Millis = Millis(4_000);
 
 /// Time for which the old targets must have been idle at the end.
 const IDLE_MS: Millis = Millis(1_000);
@@ -142,7 +149,9 @@
         return (record.step == 1 && is_measured).then_some(share);
     }
     let needed_ms = short_canary(progress.order.duration_ms);
-    if progress.with_targets_ms < needed_ms || !may_step(progress) {
+    let least_ms = inputs.stream_ms + LEAST_COMPLETION_MS;
+    let is_late = elapsed_ms >= progress.order.duration_ms.since(least_ms);
+    if progress.with_targets_ms < needed_ms || !may_step(progress, is_late) {
         return None;
     }
     let mut larger = SWITCH_SHARES_PER_MILLE.into_iter();
@@ -177,15 +186,25 @@
     (share as u32).max(1)
 }
 
-fn may_step(progress: &Progress<'_>) -> bool {
+fn may_step(progress: &Progress<'_>, is_late: bool) -> bool {
     let in_step_ms = progress.in_step_ms;
     let has_evidence = progress.step_answers >= STEP_ANSWERS || in_step_ms >= ANSWERS_WAIT_MS;
-    let is_clear = *progress.verdict == Verdict::Open || in_step_ms >= DOUBT_WAIT_MS;
-    in_step_ms >= SWITCH_STEP_MS && has_evidence && is_clear
+    let score = match progress.verdict {
+        Verdict::Open => 0.0,
+        Verdict::Doubtful(evidence) | Verdict::Bad(evidence) => evidence.score,
+    };
+    let is_held = !is_late || score >= GRAVE_DOUBT_SCORE;
+    let doubt_ms = if is_held {
+        (score * DOUBT_WAIT_MS) as u64
+    } else {
+        0
+    };
+    let is_clear = in_step_ms >= SWITCH_STEP_MS + Millis(doubt_ms);
+    has_evidence && is_clear
 }
 
 fn is_complete(progress: &Progress<'_>, inputs: &StepInputs) -> bool {
     let is_idle = inputs.old_running == 0 && inputs.old_streams == 0;
     let has_settled = progress.in_step_ms >= SETTLE_MS && progress.idle_ms >= IDLE_MS;
-    is_idle && has_settled && may_step(progress)
+    is_idle && has_settled && may_step(progress, true)
 }
--- a/filbertpaddle-forward/tests/rollout/main.rs
+++ b/filbertpaddle-forward/tests/rollout/main.rs
@@ -3,3 +3,4 @@
 
 mod fleet;
 mod seeds;
+mod versions;
