Keep the typical speed of a service while slow targets get few samples

Cause: slow targets got too few samples to count, the median of the rest was that of the fast ones, and all counted as typical by turns. Samples of a former incarnation that came late replaced those of the next. A target that turned slow was not found slow within 5 s, since many older samples outweighed the few new.

Change: the last mean of each target counts for the median; only sums of the listed incarnation are added; the speed of the moment has a half-life of 700 ms (120 before); nodes only learn what is typical in the first 2 s; a wider band.

--- a/filbertpaddle-forward/src/speed_baseline.rs
+++ b/filbertpaddle-forward/src/speed_baseline.rs
@@ -14,6 +14,11 @@
 const MAX_RECENT: usize = 32;
 /// Number of samples below which nothing is taken for typical.
 const MIN_RECENT: usize = 6;
+/// Number of samples from which the median counts as certain.
+const CERTAIN_RECENT: usize = 16;
+/// Time from a node's first sample of a service in which it only learns what is typical: the first
+/// answers to end are the short ones.
+const WARM_UP_MS: Millis = Millis::from_secs(2);
 /// Age from which a sample is not used.
 const MAX_AGE_MS: Millis = Millis::from_secs(30);
 /// Part of a target's capacity from which it counts as busy.
@@ -65,6 +70,7 @@
 /// Typical times at the targets of one service, as this node has seen them.
 #[derive(Clone, Debug, Default)]
 pub struct SpeedBaseline {
+    began_ms: Option<Millis>,
     gaps: GapModel,
     recent: IndexMap<SampleKind, RecentLns>,
 }
@@ -104,9 +110,13 @@
             let gap_ms = *token_us as f64 / 1_000.0 / known_ln.exp();
             self.gaps.observe(f64::from(*batch), gap_ms);
         }
+        let began_ms = *self.began_ms.get_or_insert(now);
+        if now.since(began_ms) < WARM_UP_MS {
+            return None;
+        }
         let ln_ratio = (ln_time - typical?).clamp(-MAX_LN_RATIO, MAX_LN_RATIO);
         // A median of few samples is uncertain itself.
-        let certainty = recent_count as f64 / MAX_RECENT as f64;
+        let certainty = (recent_count as f64 / CERTAIN_RECENT as f64).min(1.0);
         Some(SpeedRatio {
             ln_ratio,
             weight: weight(sample) * certainty,
--- a/filbertpaddle-forward/src/speed_table.rs
+++ b/filbertpaddle-forward/src/speed_table.rs
@@ -16,8 +16,8 @@
 
 /// Time in which a sample loses half its weight in the sums of the lasting speed.
 const LASTING_HALF_LIFE_MS: Millis = Millis::from_secs(3);
-/// The same for the speed of the moment, which follows slow moments of half a second.
-const MOMENT_HALF_LIFE_MS: Millis = Millis(120);
+/// The same for the speed of the moment, by which a change is found within two seconds.
+const MOMENT_HALF_LIFE_MS: Millis = Millis(700);
 /// Weight below which a sum is dropped.
 const MIN_WEIGHT: f64 = 0.125;
 /// Largest weight of a sum that is sent.
@@ -174,6 +174,8 @@
     members: IndexMap<Name, Reported>,
     groups: IndexMap<Name, Reported>,
     followed: Reported,
+    /// Hashes of the listed incarnations.
+    runs: IndexMap<Name, u32>,
 }
 
 /// Part of the sums.
@@ -193,6 +195,15 @@
         Self::default()
     }
 
+    /// Sets the listed incarnations, by target. Sums of others do not count.
+    pub fn set_incarnations<I>(&mut self, incarnations: I)
+    where
+        I: Iterator<Item = Incarnation>,
+    {
+        let runs = incarnations.map(|incarnation| (incarnation.id.clone(), run_hash(&incarnation)));
+        self.runs = runs.collect();
+    }
+
     /// Records a sample of this node.
     pub fn record_own(
         &mut self,
@@ -255,19 +266,18 @@
         }
     }
 
-    /// Returns a part of the sums as of `now`; of a restarted target, those of the incarnation
-    /// that got samples last.
+    /// Returns a part of the sums of the listed incarnations as of `now`.
     pub fn part(&self, now: Millis, part: SpeedPart) -> SpeedByTarget {
         let mut total = SpeedByTarget::new();
         self.own
             .iter()
-            .for_each(|(id, sums)| add(&mut total, now, id, sums));
+            .for_each(|(id, sums)| self.add(&mut total, now, id, sums));
         if part == SpeedPart::Own {
             return total;
         }
-        add_reported(&mut total, now, self.members.values());
+        self.add_reported(&mut total, now, self.members.values());
         if part == SpeedPart::Total {
-            add_reported(&mut total, now, self.groups.values());
+            self.add_reported(&mut total, now, self.groups.values());
         }
         total
     }
@@ -280,15 +290,36 @@
             return self.part(now, SpeedPart::Total);
         }
         let mut known = SpeedByTarget::new();
-        add_reported(&mut known, now, std::iter::once(&self.followed));
+        self.add_reported(&mut known, now, std::iter::once(&self.followed));
         for (id, own) in &self.own {
             // Not yet part of what the followed node has sent.
             if !known.contains_key(id) {
-                add(&mut known, now, id, own);
+                self.add(&mut known, now, id, own);
             }
         }
         known
     }
+
+    fn add_reported<'a, I>(&self, total: &mut SpeedByTarget, now: Millis, reported: I)
+    where
+        I: Iterator<Item = &'a Reported>,
+    {
+        for (id, (_, sums)) in reported.flatten() {
+            self.add(total, now, id, sums);
+        }
+    }
+
+    /// Adds sums to those of a target, if they are of its listed incarnation.
+    fn add(&self, total: &mut SpeedByTarget, now: Millis, id: &Name, sums: &SpeedSums) {
+        if self.runs.get(id) != Some(&sums.run) {
+            return;
+        }
+        let sums = sums.faded(now);
+        match total.get_mut(id) {
+            Some(known) => known.add(&sums),
+            None => drop(total.insert(id.clone(), sums)),
+        }
+    }
 }
 
 /// Entries that were sent on one link.
@@ -373,30 +404,6 @@
     }
 }
 
-fn add_reported<'a, I>(total: &mut SpeedByTarget, now: Millis, reported: I)
-where
-    I: Iterator<Item = &'a Reported>,
-{
-    for (id, (_, sums)) in reported.flatten() {
-        add(total, now, id, sums);
-    }
-}
-
-/// Adds sums to those of the same incarnation. Those of another one count instead if they have
-/// the later samples: their moment has more weight.
-fn add(total: &mut SpeedByTarget, now: Millis, id: &Name, sums: &SpeedSums) {
-    let sums = sums.faded(now);
-    let Some(known) = total.get_mut(id) else {
-        total.insert(id.clone(), sums);
-        return;
-    };
-    if known.run == sums.run {
-        known.add(&sums);
-    } else if sums.moment.weight > known.moment.weight {
-        *known = sums;
-    }
-}
-
 fn fade_factor(age_ms: Millis, half_life_ms: Millis) -> f64 {
     (-(age_ms.0 as f64) / half_life_ms.0 as f64).exp2()
 }
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -133,6 +133,7 @@
             .retain_listed(|id| directory.target(id).is_some());
         self.brittle
             .retain_listed(|id| directory.target(id).is_some());
+        self.speeds.update_targets(directory);
     }
 
     /// Chooses the target with the lowest cost for a request; `draw` returns random numbers
--- a/filbertpaddle-forward/src/target_speed.rs
+++ b/filbertpaddle-forward/src/target_speed.rs
@@ -24,13 +24,13 @@
 /// Smallest half of the dead band, as a logarithm.
 const MIN_BAND: f64 = 0.15;
 /// Standard deviation of the logarithm of a sample of weight 1.
-const SAMPLE_DEVIATION: f64 = 0.6;
+const SAMPLE_DEVIATION: f64 = 0.65;
 /// Half of the dead band in standard errors.
 const BAND_ERRORS: f64 = 4.0;
 /// Weight from which an estimate of the lasting speed counts.
 const MIN_WEIGHT: f64 = 12.0;
 /// Weight from which one of the speed of the moment counts.
-const MIN_MOMENT_WEIGHT: f64 = 5.0;
+const MIN_MOMENT_WEIGHT: f64 = 6.0;
 /// Smallest such difference in standard errors.
 const MOMENT_ERRORS: f64 = 3.0;
 /// Smallest difference of the speed of the moment from the lasting one that counts.
@@ -58,6 +58,9 @@
     pub moment_ln: f64,
     /// Weight of the samples.
     pub weight: f64,
+    /// Mean of the samples when they last counted, by which the typical time is found. Slow
+    /// targets get few samples, and without them the fast ones would seem typical.
+    mean_ln: Option<f64>,
     /// Known difference to the typical time, without the dead band, by which samples are compared.
     centred_ln: f64,
     refreshed_ms: Millis,
@@ -92,12 +95,13 @@
     }
 
     /// Sets whether speeds are measured and used. What is known is dropped with the use.
-    pub fn set_in_force(&mut self, is_in_force: bool) {
+    pub fn set_in_force(&mut self, is_in_force: bool, directory: &Directory) {
         if self.is_in_force != is_in_force {
             *self = Self {
                 is_in_force,
                 ..Self::default()
             };
+            self.update_targets(directory);
         }
     }
 
@@ -116,6 +120,14 @@
         &mut self.table
     }
 
+    /// Updates the targets from the directory: samples of former incarnations no longer count.
+    pub fn update_targets(&mut self, directory: &Directory) {
+        if self.is_in_force {
+            let listed = directory.targets().map(|(target, _)| target.incarnation());
+            self.table.set_incarnations(listed);
+        }
+    }
+
     /// Records what this node has measured at a target that was `fill` (a part of its capacity)
     /// full.
     pub fn record(&mut self, now: Millis, target: &Target, fill: f64, sample: &SpeedSample) {
@@ -176,11 +188,21 @@
         let mut changes = Vec::new();
         let mut estimates = IndexMap::new();
         for targets in services.values() {
-            let centre = centre(targets);
+            let known = |target: &Target, sums: &SpeedSums| {
+                let known = self.estimates.get(&target.id).copied();
+                known.filter(|known| known.run == sums.run)
+            };
+            let means = targets.iter().filter_map(|(target, sums)| {
+                let lasting = sums.lasting();
+                let is_known = lasting.weight >= MIN_WEIGHT;
+                is_known
+                    .then(|| lasting.mean_ln())
+                    .or_else(|| known(target, sums)?.mean_ln)
+            });
+            let centre_ln = median(means.collect());
             for (target, sums) in targets {
-                let known = self.estimates.get(&target.id);
-                let known = known.filter(|known| known.run == sums.run);
-                let mut estimate = SpeedEstimate::form(now, known, sums, centre);
+                let known = known(target, sums);
+                let mut estimate = SpeedEstimate::form(now, known.as_ref(), sums, centre_ln);
                 changes.extend(estimate.report(&target.id));
                 estimates.insert(target.id.clone(), estimate);
             }
@@ -191,19 +213,17 @@
 }
 
 impl SpeedEstimate {
-    fn form(now: Millis, known: Option<&Self>, sums: &SpeedSums, centre: Centre) -> Self {
+    fn form(now: Millis, known: Option<&Self>, sums: &SpeedSums, centre_ln: f64) -> Self {
         let lasting = sums.lasting();
         let fill_ln = fill_ln(now, known, sums);
         let calm_ln = match sums.calm.weight >= MIN_WEIGHT {
-            true => beyond_band(sums.calm, centre.calm_ln),
+            true => beyond_band(sums.calm, centre_ln),
             // Busy samples show the target's speed and what its load adds.
-            false => beyond_band(lasting, centre.lasting_ln) - fill_ln.max(0.0),
-        };
-        let centred_ln = if lasting.weight >= MIN_WEIGHT {
-            lasting.mean_ln() - centre.lasting_ln
-        } else {
-            0.0
+            false => beyond_band(lasting, centre_ln) - fill_ln.max(0.0),
         };
+        let is_known = lasting.weight >= MIN_WEIGHT;
+        let mean_ln = is_known.then(|| lasting.mean_ln());
+        let centred_ln = mean_ln.map_or(0.0, |mean_ln| mean_ln - centre_ln);
         let known_ln = known.map_or(0.0, |known| known.calm_ln);
         let span_ms = known.map_or(REFRESH_MS, |known| now.since(known.refreshed_ms));
         let max_gain = MAX_GAIN_PER_SEC * span_ms.0 as f64 / 1_000.0;
@@ -211,8 +231,9 @@
             run: sums.run,
             calm_ln: calm_ln.max(known_ln - max_gain),
             fill_ln,
-            moment_ln: moment_ln(sums, centre),
+            moment_ln: moment_ln(sums, centre_ln),
             weight: lasting.weight,
+            mean_ln: mean_ln.or_else(|| known?.mean_ln),
             centred_ln,
             refreshed_ms: now,
             reported_ln: known.map_or(0.0, |known| known.reported_ln),
@@ -251,34 +272,14 @@
     }
 }
 
-/// Median of the targets of a service.
-#[derive(Clone, Copy, Debug)]
-struct Centre {
-    calm_ln: f64,
-    lasting_ln: f64,
-}
-
-fn centre(targets: &[(&Target, SpeedSums)]) -> Centre {
-    let lasting = targets.iter().map(|(_, sums)| sums.lasting());
-    let calm = targets.iter().map(|(_, sums)| sums.calm);
-    let lasting_ln = median(lasting).unwrap_or(0.0);
-    Centre {
-        calm_ln: median(calm).unwrap_or(lasting_ln),
-        lasting_ln,
-    }
-}
-
-/// Returns the median of the means that count, of the middle two for an even number.
-fn median<I>(sums: I) -> Option<f64>
-where
-    I: Iterator<Item = RatioSum>,
-{
-    let sums = sums.filter(|sum| sum.weight >= MIN_WEIGHT);
-    let mut means: Vec<f64> = sums.map(|sum| sum.mean_ln()).collect();
+/// Returns the median, of the middle two for an even number; 0 if there is none.
+fn median(mut means: Vec<f64>) -> f64 {
     means.sort_unstable_by(f64::total_cmp);
-    let upper = *means.get(means.len() / 2)?;
-    let lower = *means.get((means.len() - 1) / 2)?;
-    Some(f64::midpoint(lower, upper))
+    let upper = means.get(means.len() / 2).copied();
+    let lower = means.get(means.len().saturating_sub(1) / 2).copied();
+    upper
+        .zip(lower)
+        .map_or(0.0, |(upper, lower)| f64::midpoint(lower, upper))
 }
 
 /// Returns what a sum says beyond the dead band: nothing within it, all from twice its width on.
@@ -315,13 +316,13 @@
 }
 
 /// Returns what a target adds at the moment, if that is more than chance.
-fn moment_ln(sums: &SpeedSums, centre: Centre) -> f64 {
+fn moment_ln(sums: &SpeedSums, centre_ln: f64) -> f64 {
     let moment = sums.moment;
     if moment.weight < MIN_MOMENT_WEIGHT {
         return 0.0;
     }
     let error = SAMPLE_DEVIATION / moment.weight.sqrt();
-    let lasting = sums.lasting().mean_ln().max(centre.lasting_ln);
+    let lasting = sums.lasting().mean_ln().max(centre_ln);
     let added = moment.mean_ln() - lasting;
     if added > MIN_MOMENT_LN.max(MOMENT_ERRORS * error) {
         added
--- a/filbertpaddle-gateway/src/speed_exchange.rs
+++ b/filbertpaddle-gateway/src/speed_exchange.rs
@@ -56,7 +56,7 @@
         let changes = {
             let directory = self.directory.borrow();
             let mut selector = self.selector.borrow_mut();
-            selector.speeds_mut().set_in_force(is_in_force);
+            selector.speeds_mut().set_in_force(is_in_force, &directory);
             selector.speeds_mut().refresh(self.clock.now(), &directory)
         };
         changes
