--- a/filbertpaddle-forward/tests/target_speed/pool.rs
+++ b/filbertpaddle-forward/tests/target_speed/pool.rs
@@ -108,7 +108,7 @@
             .map(|number| target(number, setup.slots))
             .collect();
         let directory = directory(&targets, setup);
-        let names: Vec<Name> = (0..setup.nodes).map(|node| node_name(node)).collect();
+        let names: Vec<Name> = (0..setup.nodes).map(node_name).collect();
         let selectors = names.iter().map(|name| {
             let mut selector = TargetSelector::new(name.clone(), "dc".into());
             selector.set_nodes(names.clone());
@@ -137,10 +137,10 @@
     pub(crate) fn run_until(&mut self, end_ms: u64) {
         while self.now_ms < end_ms {
             self.now_ms += TICK_MS;
-            if self.now_ms % LOAD_INTERVAL_MS == 0 {
+            if self.now_ms.is_multiple_of(LOAD_INTERVAL_MS) {
                 self.exchange_load();
             }
-            if self.now_ms % SPEED_INTERVAL_MS == 0 {
+            if self.now_ms.is_multiple_of(SPEED_INTERVAL_MS) {
                 self.exchange_speeds();
             }
             (0..self.targets.len()).for_each(|number| self.work(number));
