--- a/filbertpaddle-forward/tests/target_speed/pool.rs
+++ b/filbertpaddle-forward/tests/target_speed/pool.rs
@@ -82,7 +82,6 @@
     prompt_left: f64,
     /// Milliseconds of work, or output tokens.
     work_left: f64,
-    tokens: u32,
     load: TargetLoad,
     is_started: bool,
     stretch: (u64, f64),
@@ -109,13 +108,13 @@
             .map(|number| target(number, setup.slots))
             .collect();
         let directory = directory(&targets, setup);
-        let names: Vec<Name> = (0..setup.nodes).map(|node| node_name(node)).collect();
+        let names: Vec<Name> = (0..setup.nodes).map(node_name).collect();
         let selectors = names.iter().map(|name| {
             let mut selector = TargetSelector::new(name.clone(), "dc".into());
             selector.set_nodes(names.clone());
             selector.update_targets(&directory);
             let is_learned = setup.policy == Policy::Learned;
-            selector.speeds_mut().set_in_force(is_learned);
+            selector.speeds_mut().set_in_force(is_learned, &directory);
             selector
         });
         Self {
@@ -138,10 +137,10 @@
     pub(crate) fn run_until(&mut self, end_ms: u64) {
         while self.now_ms < end_ms {
             self.now_ms += TICK_MS;
-            if self.now_ms % LOAD_INTERVAL_MS == 0 {
+            if self.now_ms.is_multiple_of(LOAD_INTERVAL_MS) {
                 self.exchange_load();
             }
-            if self.now_ms % SPEED_INTERVAL_MS == 0 {
+            if self.now_ms.is_multiple_of(SPEED_INTERVAL_MS) {
                 self.exchange_speeds();
             }
             (0..self.targets.len()).for_each(|number| self.work(number));
@@ -206,7 +205,6 @@
             sent_ms: self.now_ms,
             prompt_left: f64::from(prompt_tokens),
             work_left: work,
-            tokens,
             load,
             is_started: false,
             stretch: (0, 0.0),
