--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -244,7 +244,8 @@
     /// Chooses a target, and waits a moment for room if all are full.
     pub async fn place(&self, progress: &mut Progress) -> Option<Target> {
         if let (Some(level), 0) = (self.demand.level, progress.pace.events()) {
-            return self.place_in_order(level, progress).await;
+            // Boxed, so that requests without levels hold no memory for it.
+            return Box::pin(self.place_in_order(level, progress)).await;
         }
         let clock = self.state.clock;
         let max_wait_ms = match progress.pace.events() {
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod moves;
 mod odd_entries;
 mod paged_nodes;
+mod priorities;
 mod rate_limits;
 mod refusals;
 mod relayed_ends;
