--- a/filbertpaddle-forward/src/priority_admission.rs
+++ b/filbertpaddle-forward/src/priority_admission.rs
@@ -17,6 +17,7 @@
 use crate::configuration::Engine;
 use crate::directory::Directory;
 use crate::level_arrivals::ARRIVAL_WINDOW_MS;
+use crate::level_arrivals::service_key;
 use crate::level_load::LevelLoad;
 use crate::level_load::LevelLoads;
 use crate::load_table::TargetLoad;
@@ -189,6 +190,15 @@
 }
 
 impl TargetSelector {
+    /// Returns a service's recent arrivals and waiting requests at all nodes, by level.
+    pub fn arrived_levels(&self, now: Millis, service: &str) -> LevelLoads {
+        let mut levels = self.level_arrivals.service(now, service);
+        if let Some(others) = self.others.get(&service_key(service)) {
+            levels.add(&others.levels);
+        }
+        levels
+    }
+
     /// Returns the number of targets that have room for a request.
     pub fn targets_with_room(&self, directory: &Directory, demand: &RequestDemand) -> usize {
         let Some(configuration) = directory.configuration() else {
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -11,8 +11,6 @@
 use crate::configuration::Configuration;
 use crate::directory::Directory;
 use crate::level_arrivals::LevelArrivals;
-use crate::level_arrivals::service_key;
-use crate::level_load::LevelLoads;
 use crate::load_table::LoadByTarget;
 use crate::load_table::TargetLoad;
 use crate::placement_cost::CROSS_DATA_CENTRE_COPY_COST;
@@ -85,7 +83,7 @@
     pub(crate) nodes: Vec<Name>,
     pub(crate) states: IndexMap<Name, TargetState>,
     /// Load of the other nodes.
-    others: LoadByTarget,
+    pub(crate) others: LoadByTarget,
     /// Time that the engines of each service take for prompts.
     pub(crate) prefill: IndexMap<Name, PrefillRate>,
     pub(crate) reachability: Reachability,
@@ -352,15 +350,6 @@
         load
     }
 
-    /// Returns a service's recent arrivals and waiting requests at all nodes, by level.
-    pub fn arrived_levels(&self, now: Millis, service: &str) -> LevelLoads {
-        let mut levels = self.level_arrivals.service(now, service);
-        if let Some(others) = self.others.get(&service_key(service)) {
-            levels.add(&others.levels);
-        }
-        levels
-    }
-
     /// Sets the load of the other nodes.
     pub fn set_other_load(&mut self, others: LoadByTarget) {
         self.others = others;
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -227,20 +227,6 @@
         selector.may_return(now, &directory, &self.current_demand(progress), target)
     }
 
-    /// Returns the demand on a target, by what has happened so far.
-    pub(crate) fn current_demand(&self, progress: &Progress) -> RequestDemand {
-        let state = &self.state;
-        let selector = state.selector.borrow();
-        let directory = state.directory.borrow();
-        let kept = selector.kept_room(state.clock.now(), &directory, &self.demand);
-        RequestDemand {
-            claim: self.claim(progress),
-            version: self.version(progress),
-            kept,
-            ..self.demand.clone()
-        }
-    }
-
     /// Chooses a target, and waits a moment for room if all are full.
     pub async fn place(&self, progress: &mut Progress) -> Option<Target> {
         if let (Some(level), 0) = (self.demand.level, progress.pace.events()) {
@@ -265,7 +251,7 @@
     }
 
     /// Returns the request's claim on the targets' memory.
-    fn claim(&self, progress: &Progress) -> Claim {
+    pub(crate) fn claim(&self, progress: &Progress) -> Claim {
         if progress.may_have_run {
             Claim::Started
         } else {
--- a/filbertpaddle-gateway/src/ordered_placement.rs
+++ b/filbertpaddle-gateway/src/ordered_placement.rs
@@ -6,6 +6,7 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::admission::Claim;
+use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::target::Target;
 use filbertpaddle_forward::target_selector::PlacementError;
 use filbertpaddle_forward::waiting_line;
@@ -72,6 +73,20 @@
 }
 
 impl Job {
+    /// Returns the demand on a target, by what has happened so far.
+    pub(crate) fn current_demand(&self, progress: &Progress) -> RequestDemand {
+        let state = &self.state;
+        let selector = state.selector.borrow();
+        let directory = state.directory.borrow();
+        let kept = selector.kept_room(state.clock.now(), &directory, &self.demand);
+        RequestDemand {
+            claim: self.claim(progress),
+            version: self.version(progress),
+            kept,
+            ..self.demand.clone()
+        }
+    }
+
     /// Chooses a target. If all are full, waits in the order of the service's line as long as
     /// room is expected in time.
     pub(crate) async fn place_in_order(
