--- a/filbertpaddle-forward/src/level_arrivals.rs
+++ b/filbertpaddle-forward/src/level_arrivals.rs
@@ -1,4 +1,4 @@
-//! Recent arrivals of a service's requests by priority level, and how many wait for room.
+//! Recent arrivals of a service's requests by priority level.
 //!
 //! Nodes exchange them with the load of the targets, as an entry of the service.
 
@@ -36,7 +36,6 @@
 struct ServiceArrivals {
     /// Arrivals of each interval that has any, the oldest first.
     intervals: VecDeque<(u64, LevelLoads)>,
-    waiting: LevelLoads,
 }
 
 impl LevelArrivals {
@@ -56,7 +55,6 @@
             requests: 1,
             tokens,
             prompt_tokens: u64::from(demand.prompt_tokens),
-            waiting: 0,
         };
         let service = self.services.entry(demand.service.clone()).or_default();
         service.discard_old(now);
@@ -67,19 +65,6 @@
         }
     }
 
-    /// Records that a request has begun to wait for room at this node.
-    pub fn record_waiting(&mut self, service: &Name, level: u8) {
-        let service = self.services.entry(service.clone()).or_default();
-        service.waiting.add_level(&waiting(level));
-    }
-
-    /// Records that a request no longer waits for room at this node.
-    pub fn record_waited(&mut self, service: &str, level: u8) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.waiting = service.waiting.without(&waiting(level).into());
-        }
-    }
-
     /// Returns this node's part of a service's entry.
     pub fn service(&self, now: Millis, service: &str) -> LevelLoads {
         let service = self.services.get(service);
@@ -110,9 +95,9 @@
         }
     }
 
-    /// Returns the arrivals of the intervals that are over, and those that wait.
+    /// Returns the arrivals of the intervals that are over.
     fn total(&self, now: Millis) -> LevelLoads {
-        let mut total = self.waiting.clone();
+        let mut total = LevelLoads::default();
         let recent = first_interval(now)..interval(now);
         let intervals = self.intervals.iter();
         intervals
@@ -122,14 +107,6 @@
     }
 }
 
-fn waiting(level: u8) -> LevelLoad {
-    LevelLoad {
-        level,
-        waiting: 1,
-        ..LevelLoad::default()
-    }
-}
-
 fn interval(now: Millis) -> u64 {
     now.0 / INTERVAL_MS.0
 }
--- a/filbertpaddle-forward/src/level_load.rs
+++ b/filbertpaddle-forward/src/level_load.rs
@@ -15,9 +15,6 @@
     pub tokens: u64,
     /// Prompt tokens that are not yet processed.
     pub prompt_tokens: u64,
-    /// Requests that wait at their nodes for room.
-    #[serde(skip_serializing_if = "is_none")]
-    pub waiting: u32,
 }
 
 /// Loads of the levels that have any, the most urgent first.
@@ -38,14 +35,12 @@
         self.requests = self.requests.saturating_add(other.requests);
         self.tokens = self.tokens.saturating_add(other.tokens);
         self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
-        self.waiting = self.waiting.saturating_add(other.waiting);
     }
 
     fn subtract(&mut self, other: &Self) {
         self.requests = self.requests.saturating_sub(other.requests);
         self.tokens = self.tokens.saturating_sub(other.tokens);
         self.prompt_tokens = self.prompt_tokens.saturating_sub(other.prompt_tokens);
-        self.waiting = self.waiting.saturating_sub(other.waiting);
     }
 }
 
@@ -121,10 +116,3 @@
         loads
     }
 }
-
-fn is_none<T>(count: &T) -> bool
-where
-    T: Default + PartialEq,
-{
-    *count == T::default()
-}
--- a/filbertpaddle-forward/src/request_demand.rs
+++ b/filbertpaddle-forward/src/request_demand.rs
@@ -50,7 +50,6 @@
                     requests: 1,
                     tokens: u64::from(demand.total_tokens),
                     prompt_tokens: u64::from(demand.prompt_tokens),
-                    ..LevelLoad::default()
                 })
             }),
         }
--- a/filbertpaddle-forward/tests/target_speed/pool.rs
+++ b/filbertpaddle-forward/tests/target_speed/pool.rs
@@ -353,7 +353,7 @@
         }
         for (selector, own) in self.selectors.iter_mut().zip(&own) {
             let others = total.iter().map(|(id, load)| {
-                let own = own.get(id).copied().unwrap_or_default();
+                let own = own.get(id).cloned().unwrap_or_default();
                 (id.clone(), load.without(&own))
             });
             selector.set_other_load(others.collect());
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -254,7 +254,7 @@
     }
 
     /// Returns the request's claim on the targets' memory.
-    fn claim(&self, progress: &Progress) -> Claim {
+    pub(crate) fn claim(&self, progress: &Progress) -> Claim {
         if progress.may_have_run {
             Claim::Started
         } else {
