Leave the balancer's rotation while no target in service can be reached

Cause: its nodes stayed ready. They took themselves for cut off and for restored by turns, four times a second, because probes reached their own targets, which are out of service.

Change: probes and the state of a node's paths count targets in service only; a node that finds no path to any, by its own links or through others, is not ready where the settings call for it, refuses at once, names the time by which the balancer has moved callers, and closes the connection with the answer. Probes go on, directly and through others, and end it.

--- a/filbertpaddle-forward/src/features.rs
+++ b/filbertpaddle-forward/src/features.rs
@@ -9,6 +9,8 @@
     pub rollouts: Option<RolloutLimits>,
     /// Whether the speed of each target is measured and used.
     pub target_speeds: bool,
+    /// Whether a node that reaches no target in service, by any path, is not ready.
+    pub path_readiness: bool,
     /// Whether more urgent requests are admitted before less urgent ones of their service.
     pub priority_admission: bool,
 }
--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod rollout;
 pub mod same_target;
 pub mod service_pace;
+pub mod service_path;
 pub mod silent_target;
 pub mod software_version;
 pub mod stated_rate;
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod response_body;
 pub mod response_writer;
 pub mod resumption;
+mod service_path;
 pub mod settings;
 mod silence;
 pub mod socket_diagnostics;
--- a/filbertpaddle-gateway/src/request.rs
+++ b/filbertpaddle-gateway/src/request.rs
@@ -76,7 +76,7 @@
         Ok(job) => run(job, guard).await,
         Err(denied) => denied,
     };
-    if state.drain.get().is_some() {
+    if state.drain.get().is_some() || state.is_path_lost() {
         let close = HeaderValue::from_static("close");
         reply.headers_mut().insert(header::CONNECTION, close);
     }
@@ -126,6 +126,9 @@
     let customer = configuration
         .customer(route, metadata.key.as_deref())
         .map_err(|_| deny(state, &id, Refusal::UnknownKey, &route.name))?;
+    if state.is_path_lost() {
+        return Err(deny(state, &id, Refusal::NoTarget, "no path to any target"));
+    }
     if !can_finish(state, &configuration, route, &metadata) {
         return Err(deny(state, &id, Refusal::Stopping, &route.name));
     }
@@ -271,7 +274,8 @@
     let retry_ms = match refusal {
         Refusal::NoConfiguration => Some(NOT_READY_RETRY_MS),
         Refusal::Stopping => Some(STOPPING_RETRY_MS),
-        Refusal::NoTarget | Refusal::NoMemory => Some(RETRY_AFTER_MS),
+        Refusal::NoTarget => Some(state.until_rebalanced_ms().max(RETRY_AFTER_MS)),
+        Refusal::NoMemory => Some(RETRY_AFTER_MS),
         Refusal::NotResumable => Some(RESUME_RETRY_MS),
         _ => None,
     };
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -21,6 +21,7 @@
 use filbertpaddle_forward::relay_choice::RelayChoice;
 use filbertpaddle_forward::retry_budget::RetryBudget;
 use filbertpaddle_forward::service_pace::ServicePace;
+use filbertpaddle_forward::service_path::ServicePath;
 use filbertpaddle_forward::store_reading::FollowedPeer;
 use filbertpaddle_forward::store_reading::Situation;
 use filbertpaddle_forward::stream_end::EarlyEnds;
@@ -84,6 +85,8 @@
     pub invalid_entries: RefCell<InvalidEntries>,
     /// Whether this node reaches targets itself.
     pub direct_path: RefCell<DirectPath>,
+    /// Whether requests of this node reach targets in service, by any path.
+    pub service_path: Cell<ServicePath>,
     /// Notified when a connection to a target failed.
     pub probe_due: Notify,
     /// Which nodes are asked for connections to targets that this one does not reach.
@@ -166,6 +169,7 @@
             directory: RefCell::new(Directory::new()),
             invalid_entries: RefCell::default(),
             direct_path: RefCell::new(DirectPath::new()),
+            service_path: Cell::new(ServicePath::new()),
             probe_due: Notify::new(),
             relay_choice: RefCell::new(RelayChoice::new()),
             tunnels: Cell::new(0),
@@ -438,7 +442,7 @@
 
     /// Returns whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.drain.get().is_none() && self.has_data()
+        self.drain.get().is_none() && self.has_data() && !self.is_path_lost()
     }
 
     fn record_applied(&self, source: &str, as_of_ms: Millis, applied: &AppliedChanges) {
--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -71,6 +71,11 @@
         }
         _ => {}
     }
+    match &relayed {
+        Ok(_) | Err(Error::Refused | Error::Unreachable) => state.record_path_found(),
+        Err(Error::NoPath) => state.record_no_path(),
+        Err(_) => {}
+    }
     relayed
 }
 
@@ -97,8 +102,9 @@
 pub async fn run_probes(state: &State) {
     loop {
         state.probe_due.notified().await;
-        while state.direct_path.borrow().is_in_doubt() {
+        while state.is_path_in_doubt() {
             if !probe(state, None).await {
+                probe_relays(state).await;
                 sleep(PROBE_INTERVAL).await;
             }
         }
@@ -155,6 +161,17 @@
     probe_some(state, |target| Some(&target.id) != except).await
 }
 
+/// Tries to reach a target through another node if no request does: all are refused.
+async fn probe_relays(state: &State) {
+    if !state.is_path_lost() {
+        return;
+    }
+    if let Some(target) = probed_targets(state, |_| true).first() {
+        // What it shows is recorded.
+        open_relayed(state, target, Purpose::Call).await.ok();
+    }
+}
+
 /// Tries to reach some of the targets for which `is_wanted` holds; returns whether one accepted a
 /// connection.
 async fn probe_some<W>(state: &State, is_wanted: W) -> bool
@@ -172,8 +189,8 @@
     false
 }
 
-/// Returns some of the targets that are not leaving, in random order, those that have not failed
-/// yet before the others. What listens at the address of an entry whose service the configuration
+/// Returns some of the targets in service that are not leaving, in random order, those that have
+/// not failed yet before the others. What listens at the address of an entry whose service the configuration
 /// does not name shows nothing about targets.
 fn probed_targets<W>(state: &State, is_wanted: W) -> Vec<Target>
 where
@@ -186,7 +203,8 @@
         |target: &Target| services.is_some_and(|services| services.contains_key(&target.service));
     let listed = directory.targets().map(|(target, _)| target);
     let mut targets: Vec<_> = listed
-        .filter(|target| !target.is_draining && is_wanted(target) && is_named(target))
+        .filter(|target| !target.is_draining && !directory.is_out(&target.data_centre))
+        .filter(|target| is_wanted(target) && is_named(target))
         .cloned()
         .collect();
     targets.shuffle(&mut rand::rng());
@@ -222,6 +240,9 @@
             .borrow_mut()
             .record_connected(self.clock.now());
         self.log_path_change(change);
+        if !self.directory.borrow().is_out(&target.data_centre) {
+            self.record_path_found();
+        }
     }
 
     /// Records that a target accepted no connection of this node.
