--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod rollouts;
 pub mod same_target;
 pub mod service_pace;
+pub mod service_path;
 mod service_rollout;
 pub mod silent_target;
 pub mod software_version;
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod rollout_job;
 pub mod rollout_steps;
 pub mod rollouts;
+mod service_path;
 pub mod settings;
 mod silence;
 pub mod socket_diagnostics;
