--- a/filbertpaddle-forward/tests/priority_admission.rs
+++ b/filbertpaddle-forward/tests/priority_admission.rs
@@ -295,7 +295,6 @@
         requests: 160,
         tokens: 160 * 2_558,
         prompt_tokens: 160 * 2_550,
-        ..LevelLoad::default()
     });
     let arrivals = TargetLoad {
         levels,
