Let the targets of two tests of slow reading state the end of their streams

Cause: `slow_caller` and `slow_reader` want a whole stream at a caller that reads slowly.

Change: the targets send chunks. What is asserted stays: all events, the last chunk, no stall.

--- a/filbertpaddle/tests/gateway/slow_caller.rs
+++ b/filbertpaddle/tests/gateway/slow_caller.rs
@@ -1,5 +1,6 @@
 //! A caller that reads its stream slowly.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,17 +21,24 @@
 /// Longer than a stream may stall.
 const PAUSE: Duration = Duration::from_millis(1_500);
 
-/// Returns an event of a stream, or `None` after its end.
+/// Returns a chunk with an event of a stream or its end, or `None` after it.
 fn next_event(id: u64) -> Option<Bytes> {
     let event = format!("id: {id}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
-    (id <= EVENTS).then(|| Bytes::from(event))
+    match id.cmp(&(EVENTS + 1)) {
+        Ordering::Less => Some(Bytes::from(format!("{:x}\r\n{event}\r\n", event.len()))),
+        Ordering::Equal => Some(Bytes::from_static(b"0\r\n\r\n")),
+        Ordering::Greater => None,
+    }
 }
 
 /// A stream whose caller did not read for a while counted as stalled at its target.
 #[tokio::test]
 async fn a_stream_whose_caller_reads_slowly_stays_at_its_target() {
     let mut cluster = Cluster::new("slow-caller").await;
-    let start = format!("{}connection: close\r\n\r\n", start_of_head("slow"));
+    let start = format!(
+        "{}transfer-encoding: chunked\r\n\r\n",
+        start_of_head("slow")
+    );
     let mut targets = Vec::new();
     for id in ["s1", "s2"] {
         let target = RawTarget::start(start.clone(), next_event).await.unwrap();
--- a/filbertpaddle/tests/gateway/slow_reader.rs
+++ b/filbertpaddle/tests/gateway/slow_reader.rs
@@ -1,5 +1,6 @@
 //! Callers and targets that read nothing for longer than a dead peer is waited for.
 
+use std::cmp::Ordering;
 use std::io;
 use std::time::Duration;
 
@@ -38,15 +39,23 @@
 /// Time in which the node reads the part of an answer that comes before a reset.
 const RESET_DELAY: Duration = Duration::from_millis(20);
 
+/// Returns a chunk with an event of a stream or its end, or `None` after it.
 fn next_event(id: u64) -> Option<Bytes> {
     let event = format!("id: {id}\ndata: {}\n\n", "x".repeat(EVENT_BYTES));
-    (id <= EVENTS).then(|| Bytes::from(event))
+    match id.cmp(&(EVENTS + 1)) {
+        Ordering::Less => Some(Bytes::from(format!("{:x}\r\n{event}\r\n", event.len()))),
+        Ordering::Equal => Some(Bytes::from_static(b"0\r\n\r\n")),
+        Ordering::Greater => None,
+    }
 }
 
 #[tokio::test]
 async fn a_caller_that_reads_nothing_for_some_seconds_gets_its_whole_stream() {
     let mut cluster = Cluster::new("unread-stream").await;
-    let start = format!("{}connection: close\r\n\r\n", start_of_head("unread"));
+    let start = format!(
+        "{}transfer-encoding: chunked\r\n\r\n",
+        start_of_head("unread")
+    );
     let target = RawTarget::start(start, next_event).await.unwrap();
     cluster
         .store
