Count no failure of a target whose stream this node gives up for its own memory

Seen once, on a busy machine: crowded streams_that_stop_within_an_event_stay_within_the_memory_of_a_small_vm reached 129 of 150 streams. Its log: 240 callers were admitted over 1.04 s; the node gave up 61 streams for its buffers, which put all 12 targets in back-off, and later callers found none.

Cause: giving up a stream counted as a failure of its target, whatever the reason.

Change: a stream that the node gives up for others accuses neither target nor request. Not reproduced at will, so the test that saw it is the guard.

--- a/filbertpaddle-gateway/src/generation_recovery.rs
+++ b/filbertpaddle-gateway/src/generation_recovery.rs
@@ -170,6 +170,10 @@
             "target" => source.target.id.as_str(), "reason" => reason,
             "last_event" => self.last_event, "has_copy" => self.migrator.has_copy());
         state.metrics.count("stream.broken");
+        if source.is_evicted() {
+            // The limits of this node are no sign of a fault of the target or the request.
+            return;
+        }
         if !source.is_relayed() {
             state.record_target_failure(&source.target);
             self.record_side_broken(&source.target);
--- a/filbertpaddle-gateway/src/response_body.rs
+++ b/filbertpaddle-gateway/src/response_body.rs
@@ -99,6 +99,11 @@
         self.buffered.evicted().await;
     }
 
+    /// Returns whether the response has to be given up for others.
+    pub fn is_evicted(&self) -> bool {
+        self.buffered.is_evicted()
+    }
+
     /// Returns whether the body ends with its connection, as it has neither a length nor chunks.
     /// `headers` are those of its response.
     pub fn is_unframed(&self, headers: &HeaderMap) -> bool {
--- a/filbertpaddle-gateway/src/target_stream.rs
+++ b/filbertpaddle-gateway/src/target_stream.rs
@@ -94,6 +94,11 @@
         self.body.evicted().await;
     }
 
+    /// Returns whether this node gives the stream up for others.
+    pub fn is_evicted(&self) -> bool {
+        self.body.is_evicted()
+    }
+
     /// Returns whether another node relays its connection.
     pub fn is_relayed(&self) -> bool {
         self.body.is_relayed()
--- a/filbertpaddle-http/src/buffer_limit.rs
+++ b/filbertpaddle-http/src/buffer_limit.rs
@@ -135,7 +135,8 @@
         ExceededLimit::Node
     }
 
-    fn is_evicted(&self) -> bool {
+    /// Returns whether this message has to be given up for others.
+    pub fn is_evicted(&self) -> bool {
         !self.limit.lock().evictions.contains_key(&self.id)
     }
 }
