--- a/filbertpaddle-forward/tests/rollout/main.rs
+++ b/filbertpaddle-forward/tests/rollout/main.rs
@@ -2,5 +2,6 @@
 //! made for.
 
 mod fleet;
+mod orders;
 mod seeds;
 mod versions;
