--- a/filbertpaddle-forward/src/target_speed.rs
+++ b/filbertpaddle-forward/src/target_speed.rs
@@ -216,12 +216,16 @@
     fn form(now: Millis, known: Option<&Self>, sums: &SpeedSums, centre_ln: f64) -> Self {
         let lasting = sums.lasting();
         let fill_ln = fill_ln(now, known, sums);
+        let is_known = lasting.weight >= MIN_WEIGHT;
         let calm_ln = match sums.calm.weight >= MIN_WEIGHT {
             true => beyond_band(sums.calm, centre_ln),
+            false if !is_known => 0.0,
             // Busy samples show the target's speed and what its load adds.
-            false => beyond_band(lasting, centre_ln) - fill_ln.max(0.0),
+            false => {
+                let busy_part = sums.busy.weight / lasting.weight;
+                beyond_band(lasting, centre_ln) - fill_ln.max(0.0) * busy_part
+            }
         };
-        let is_known = lasting.weight >= MIN_WEIGHT;
         let mean_ln = is_known.then(|| lasting.mean_ln());
         let centred_ln = mean_ln.map_or(0.0, |mean_ln| mean_ln - centre_ln);
         let known_ln = known.map_or(0.0, |known| known.calm_ln);
--- a/filbertpaddle-gateway/src/generation_end.rs
+++ b/filbertpaddle-gateway/src/generation_end.rs
@@ -16,6 +16,7 @@
 use crate::generation::Generation;
 use crate::job::Failure;
 use crate::job::ResumePoint;
+use crate::job_refusal::promises_not_run;
 use crate::stop_reason::OpenError;
 use crate::stop_reason::StopReason;
 use crate::target_stream::StreamItem;
@@ -219,6 +220,9 @@
         error: OpenError,
     ) -> Result<QueryFailure, StopReason> {
         let failure = match error {
+            OpenError::Stopped(StopReason::Failed(reply)) if promises_not_run(reply.status()) => {
+                return Ok(QueryFailure::NotRun);
+            }
             OpenError::Stopped(StopReason::Failed(reply)) if reply.status().is_client_error() => {
                 return Ok(QueryFailure::Declined);
             }
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -11,6 +11,7 @@
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::load_table::TargetLoad;
+use filbertpaddle_forward::priority_admission::KeptRoom;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::software_version::VersionBinding;
@@ -224,9 +225,14 @@
         let version = self.version(progress);
         let selector = state.selector.borrow();
         let directory = state.directory.borrow();
-        let kept = selector.kept_room(state.clock.now(), &directory, &self.demand);
+        let claim = self.claim(progress);
+        let kept = match claim {
+            // What it has made would be lost.
+            Claim::Started => KeptRoom::default(),
+            _ => selector.kept_room(state.clock.now(), &directory, &self.demand),
+        };
         RequestDemand {
-            claim: self.claim(progress),
+            claim,
             allowed: self.allowed_targets(progress, version),
             version,
             kept,
--- a/filbertpaddle-gateway/src/job_refusal.rs
+++ b/filbertpaddle-gateway/src/job_refusal.rs
@@ -109,7 +109,7 @@
 }
 
 /// Returns whether a status promises a caller that its request has not run and will not.
-fn promises_not_run(status: StatusCode) -> bool {
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::SERVICE_UNAVAILABLE
--- a/filbertpaddle-gateway/src/speed_exchange.rs
+++ b/filbertpaddle-gateway/src/speed_exchange.rs
@@ -1,7 +1,5 @@
 //! Measures the speed of targets, and exchanges the samples between nodes.
 
-use std::time::Duration;
-
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::load_table::TargetLoad;
 use filbertpaddle_forward::placement_speed;
@@ -16,8 +14,6 @@
 
 use crate::state::State;
 
-/// Interval at which speeds are published on a link.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum number of entries published at a time: 200 a second on a link, about 8 KB, however
 /// many targets there are. Those that have changed most go first.
 const MAX_PUBLISHED_SPEEDS: usize = 10;
@@ -28,22 +24,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct SpeedPublisher {
     sent: SentSpeeds,
-    sent_ms: Option<Millis>,
 }
 
 impl SpeedPublisher {
     /// Returns the entries to publish now.
     pub(crate) fn due(&mut self, state: &State, part: SpeedPart) -> Vec<SentSpeed> {
         let now = state.clock.now();
-        let interval_ms = PUBLISH_INTERVAL.as_millis() as u64;
-        let is_due = self
-            .sent_ms
-            .is_none_or(|sent_ms| now.since(sent_ms).0 >= interval_ms);
         let selector = state.selector.borrow();
-        if !is_due || !selector.speeds().is_in_force() {
+        if !selector.speeds().is_in_force() {
             return Vec::new();
         }
-        self.sent_ms = Some(now);
         let current = selector.speeds().table().part(now, part);
         self.sent.take_changed(now, &current, MAX_PUBLISHED_SPEEDS)
     }
--- a/filbertpaddle-gateway/src/target_connection.rs
+++ b/filbertpaddle-gateway/src/target_connection.rs
@@ -71,10 +71,13 @@
         }
         _ => {}
     }
-    match &relayed {
-        Ok(_) | Err(Error::Refused | Error::Unreachable) => state.record_path_found(),
-        Err(Error::NoPath) => state.record_no_path(),
-        Err(_) => {}
+    if state.is_in_service(target) {
+        match &relayed {
+            Ok(_) | Err(Error::Refused | Error::Unreachable) => state.record_path_found(),
+            // Else other targets accept connections of this node.
+            Err(Error::NoPath) if state.direct_path.borrow().is_cut_off() => state.record_no_path(),
+            Err(_) => {}
+        }
     }
     relayed
 }
@@ -189,9 +192,10 @@
     false
 }
 
-/// Returns some of the targets in service that are not leaving, in random order, those that have
-/// not failed yet before the others. What listens at the address of an entry whose service the configuration
-/// does not name shows nothing about targets.
+/// Returns some of the targets that are not leaving, in random order, those that have not failed
+/// yet before the others. What listens at the address of an entry whose service the configuration
+/// does not name shows nothing about targets. Where requests need a path to targets in service,
+/// others do not count.
 fn probed_targets<W>(state: &State, is_wanted: W) -> Vec<Target>
 where
     W: Fn(&Target) -> bool,
@@ -203,7 +207,8 @@
         |target: &Target| services.is_some_and(|services| services.contains_key(&target.service));
     let listed = directory.targets().map(|(target, _)| target);
     let mut targets: Vec<_> = listed
-        .filter(|target| !target.is_draining && !directory.is_out(&target.data_centre))
+        .filter(|target| !target.is_draining)
+        .filter(|target| !state.watches_path() || state.is_in_service(target))
         .filter(|target| is_wanted(target) && is_named(target))
         .cloned()
         .collect();
@@ -232,6 +237,11 @@
         }
     }
 
+    /// Returns whether the data centre of a target is in service.
+    fn is_in_service(&self, target: &Target) -> bool {
+        !self.directory.borrow().is_out(&target.data_centre)
+    }
+
     /// Records that a target accepted a connection of this node.
     fn record_connected(&self, target: &Target) {
         self.selector.borrow_mut().record_reached(&target.id);
@@ -240,7 +250,7 @@
             .borrow_mut()
             .record_connected(self.clock.now());
         self.log_path_change(change);
-        if !self.directory.borrow().is_out(&target.data_centre) {
+        if self.is_in_service(target) {
             self.record_path_found();
         }
     }
