--- a/filbertpaddle/tests/gateway/cut_from_targets.rs
+++ b/filbertpaddle/tests/gateway/cut_from_targets.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Sets the gates to the targets of the first data centre, which alternate with the others.
+    pub(crate) async fn set_first_data_centre(&mut self, node: usize, passage: Passage) {
+        for gate in self.gates[node].iter_mut().step_by(2) {
+            gate.set(passage).await.unwrap();
+        }
+    }
+
     pub(crate) async fn send(&self, node: usize, request: &SentRequest) -> ReceivedAnswer {
         caller::send(self.cluster.nodes[node].addresses.callers, request).await
     }
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod moves;
 mod odd_entries;
 mod paged_nodes;
+mod path_readiness;
 mod priorities;
 mod rate_limits;
 mod refusals;
