Count 72 KiB for a request in flight at a small VM

Cause: requests hold more since the parts were joined, and the estimate of 48 KiB had no margin for it in an unoptimized build.

--- a/filbertpaddle-forward/src/memory_budget.rs
+++ b/filbertpaddle-forward/src/memory_budget.rs
@@ -12,7 +12,7 @@
 /// Smallest size of a kind of buffer.
 const MIN_SHARE_BYTES: u64 = 1 << 20;
 /// What the libraries and the kernel's copies hold for a request and its two connections.
-const REQUEST_BYTES: u64 = 48 << 10;
+const REQUEST_BYTES: u64 = 72 << 10;
 /// Smallest number of requests in flight that a node takes.
 const MIN_REQUESTS: u64 = 64;
 /// Bytes of events that are queued for a caller that reads slowly.
