--- a/filbertpaddle-forward/src/level_arrivals.rs
+++ b/filbertpaddle-forward/src/level_arrivals.rs
@@ -44,7 +44,7 @@
         Self::default()
     }
 
-    /// Records that a request has arrived, if requests of its service are told apart by level.
+    /// Records that a request has arrived, if it has a level.
     pub fn record(&mut self, now: Millis, demand: &RequestDemand) {
         let Some(level) = demand.level else {
             return;
--- a/filbertpaddle-forward/src/speed_baseline.rs
+++ b/filbertpaddle-forward/src/speed_baseline.rs
@@ -1,7 +1,7 @@
 //! What a node takes for typical times at the targets of a service.
 //!
 //! Each node compares its samples of a target with its own samples of the others: what its link or
-//! its CPU adds is in all of them, and says nothing about a target.
+//! its CPU adds is in all of them, and is no property of a target.
 
 use std::collections::VecDeque;
 
@@ -16,7 +16,7 @@
 const MIN_RECENT: usize = 6;
 /// Number of samples from which the median counts as certain.
 const CERTAIN_RECENT: usize = 16;
-/// Time from a node's first sample of a service in which it only learns what is typical: the first
+/// Time from a node's first sample of a service in which samples only form the typical time: the first
 /// answers to end are the short ones.
 const WARM_UP_MS: Millis = Millis::from_secs(2);
 /// Age from which a sample is not used.
--- a/filbertpaddle-forward/src/speed_table.rs
+++ b/filbertpaddle-forward/src/speed_table.rs
@@ -282,7 +282,7 @@
         total
     }
 
-    /// Returns the sums of all nodes, as far as this node knows them.
+    /// Returns the sums of all nodes, as far as this node has received them.
     ///
     /// What the followed node has sent contains this node's own sums already.
     pub fn known(&self, now: Millis) -> SpeedByTarget {
--- a/filbertpaddle-forward/src/target_speed.rs
+++ b/filbertpaddle-forward/src/target_speed.rs
@@ -35,10 +35,10 @@
 const MOMENT_ERRORS: f64 = 3.0;
 /// Smallest difference of the speed of the moment from the lasting one that counts.
 const MIN_MOMENT_LN: f64 = 0.4;
-/// Speed, as a logarithm for each second, with which an estimate may improve: many nodes learn at
+/// Speed, as a logarithm for each second, with which an estimate may improve: many nodes receive at
 /// once that a target has become faster, and their load on it is known only later.
 const MAX_GAIN_PER_SEC: f64 = 0.4;
-/// Time in which half of what is known about a slow-down at load is forgotten while the target
+/// Time in which half of the estimated slow-down at load fades while the target
 /// is not loaded.
 const FILL_HALF_LIFE_MS: Millis = Millis::from_secs(10);
 /// Smallest slow-down from calm to busy, as a logarithm, that counts as one.
@@ -128,7 +128,7 @@
         }
     }
 
-    /// Records what this node has measured at a target that was `fill` (a part of its capacity)
+    /// Records a sample of this node of a target that was `fill` (a part of its capacity)
     /// full.
     pub fn record(&mut self, now: Millis, target: &Target, fill: f64, sample: &SpeedSample) {
         if !self.is_in_force {
@@ -286,7 +286,7 @@
         .map_or(0.0, |(upper, lower)| f64::midpoint(lower, upper))
 }
 
-/// Returns what a sum says beyond the dead band: nothing within it, all from twice its width on.
+/// Returns the mean of a sum beyond the dead band: 0 within it, all of it from twice its width on.
 fn beyond_band(sum: RatioSum, centre_ln: f64) -> f64 {
     if sum.weight < MIN_WEIGHT {
         return 0.0;
