--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod change;
 pub mod cold_limit;
 pub mod configuration;
+mod copy_target;
 pub mod direct_path;
 pub mod directory;
 pub mod drain;
--- a/filbertpaddle-forward/src/target_selector.rs
+++ b/filbertpaddle-forward/src/target_selector.rs
@@ -13,7 +13,6 @@
 use crate::level_arrivals::LevelArrivals;
 use crate::load_table::LoadByTarget;
 use crate::load_table::TargetLoad;
-use crate::placement_cost::CROSS_DATA_CENTRE_COPY_COST;
 use crate::placement_cost::CROSS_DATA_CENTRE_COST;
 use crate::placement_cost::JITTER_COST;
 use crate::placement_cost::UNREACHABLE_COST;
@@ -252,54 +251,6 @@
         best.map(|(_, target)| target).ok_or(reason)
     }
 
-    /// Chooses the target to which a running generation of `source` is copied.
-    ///
-    /// Returns `None` if there is none now; a generation that would exceed the rate limit of
-    /// a cold target is copied later, while its own target still runs it.
-    pub fn choose_copy_target<'a, D>(
-        &self,
-        now: Millis,
-        directory: &'a Directory,
-        source: &Target,
-        demand: &RequestDemand,
-        excluded: &[Name],
-        mut draw: D,
-    ) -> Option<&'a Target>
-    where
-        D: FnMut() -> f64,
-    {
-        let configuration = directory.configuration()?;
-        let is_eligible = |target: &Target, read_ms: Millis| {
-            target.service == source.service
-                && target.id != source.id
-                && !target.is_draining
-                && demand.version.allows(target)
-                && demand.allowed.allows(target)
-                && !directory.is_out(&target.data_centre)
-                && !self.is_unreached(now, &target.id)
-                && self
-                    .check_available(now, configuration, target, read_ms, excluded)
-                    .is_ok()
-        };
-        let share = candidate_share(count_targets(directory, &source.service));
-        directory
-            .targets()
-            .filter(|(target, read_ms)| is_eligible(target, *read_ms))
-            .map(|(target, _)| {
-                let cost = self.cost(configuration, target, demand)
-                    + self.unreachable_cost(now, target)
-                    + cross_data_centre_cost(
-                        target,
-                        &source.data_centre,
-                        CROSS_DATA_CENTRE_COPY_COST,
-                    )
-                    + candidate_cost(draw(), share);
-                (cost + JITTER_COST * draw(), target)
-            })
-            .min_by(|(a, _), (b, _)| a.total_cmp(b))
-            .map(|(_, target)| target)
-    }
-
     /// Returns what targets state about refusals, to record statements.
     pub fn brittle_mut(&mut self) -> &mut BrittleTargets {
         &mut self.brittle
@@ -423,7 +374,7 @@
     }
 
     /// Returns the cost of a target in a data centre that this node does not reach.
-    fn unreachable_cost(&self, now: Millis, target: &Target) -> f64 {
+    pub(crate) fn unreachable_cost(&self, now: Millis, target: &Target) -> f64 {
         let is_avoided = self.reachability.is_avoided(now, &target.data_centre);
         cost_if(is_avoided, UNREACHABLE_COST)
     }
@@ -489,7 +440,12 @@
             .until_capacity_ms(now, &incarnation, &self.node, &self.nodes)
     }
 
-    fn cost(&self, configuration: &Configuration, target: &Target, demand: &RequestDemand) -> f64 {
+    pub(crate) fn cost(
+        &self,
+        configuration: &Configuration,
+        target: &Target,
+        demand: &RequestDemand,
+    ) -> f64 {
         let service = configuration.services.get(&target.service);
         let engine = service.and_then(|service| service.engine.as_ref());
         let load = self.total_load(&target.id);
@@ -498,7 +454,7 @@
     }
 }
 
-fn count_targets(directory: &Directory, service: &Name) -> usize {
+pub(crate) fn count_targets(directory: &Directory, service: &Name) -> usize {
     let targets = directory.targets();
     targets
         .filter(|(target, _)| target.service == *service)
--- a/filbertpaddle-gateway/src/job.rs
+++ b/filbertpaddle-gateway/src/job.rs
@@ -6,12 +6,10 @@
 use bytes::Bytes;
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
-use filbertpaddle_forward::admission::Claim;
 use filbertpaddle_forward::admission::MAX_RESUME_WAIT_MS;
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Route;
 use filbertpaddle_forward::load_table::TargetLoad;
-use filbertpaddle_forward::priority_admission::KeptRoom;
 use filbertpaddle_forward::request_demand::RequestDemand;
 use filbertpaddle_forward::request_metadata::RequestMetadata;
 use filbertpaddle_forward::software_version::VersionBinding;
@@ -210,36 +208,6 @@
         chosen
     }
 
-    /// Returns whether a target that has run the request may be sent it once more now.
-    pub fn may_return_to(&self, progress: &Progress, target: &Target) -> bool {
-        let state = &self.state;
-        let now = state.clock.now();
-        let directory = state.directory.borrow();
-        let selector = state.selector.borrow();
-        selector.may_return(now, &directory, &self.current_demand(progress), target)
-    }
-
-    /// Returns the demand on a target, by what has happened so far.
-    fn current_demand(&self, progress: &Progress) -> RequestDemand {
-        let state = &self.state;
-        let version = self.version(progress);
-        let selector = state.selector.borrow();
-        let directory = state.directory.borrow();
-        let claim = self.claim(progress);
-        let kept = match claim {
-            // What it has made would be lost.
-            Claim::Started => KeptRoom::default(),
-            _ => selector.kept_room(state.clock.now(), &directory, &self.demand),
-        };
-        RequestDemand {
-            claim,
-            allowed: self.allowed_targets(progress, version),
-            version,
-            kept,
-            ..self.demand.clone()
-        }
-    }
-
     /// Chooses a target, and waits a moment for room if all are full.
     pub async fn place(&self, progress: &mut Progress) -> Option<Target> {
         let clock = self.state.clock;
@@ -259,15 +227,6 @@
         }
     }
 
-    /// Returns the request's claim on the targets' memory.
-    pub(crate) fn claim(&self, progress: &Progress) -> Claim {
-        if progress.may_have_run {
-            Claim::Started
-        } else {
-            self.demand.claim
-        }
-    }
-
     /// Sends the request to a target and waits for the head of its response.
     ///
     /// # Errors
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod generation_move;
 mod generation_recovery;
 pub mod job;
+mod job_demand;
 pub mod job_refusal;
 pub mod listener;
 pub mod load_exchange;
