Let a withdrawn version serve beside a later order

The old side left out withdrawn versions as if they were bad. With only such a version beside the ordered one, the ordered one counted as alone and got every request at once, without a canary.

Withdrawn targets now count as old ones if nothing else serves, and the ordered version no longer keeps them from serving the old side. Only rolled-back versions are left out for good. Weighed: counting withdrawn targets always; the canary would then use more targets than the load of the old ones calls for.

The new test fails before the change.

--- a/filbertpaddle-forward/src/rollout_split.rs
+++ b/filbertpaddle-forward/src/rollout_split.rs
@@ -94,13 +94,20 @@
         self.versions.get(version).map_or(0, |entry| entry.targets)
     }
 
-    /// Returns the number of targets of other versions that are not refused.
+    /// Returns the number of targets of other versions that serve: withdrawn ones only if nothing
+    /// else can.
     pub(crate) fn others(&self, version: &str) -> usize {
-        let others = self.versions.iter().filter(|(name, _)| ***name != *version);
-        others
-            .filter(|(_, entry)| entry.refused.is_none())
-            .map(|(_, entry)| entry.targets)
-            .sum()
+        let count = |refused: Option<RefusalCause>| -> usize {
+            let others = self.versions.iter().filter(|(name, _)| ***name != *version);
+            others
+                .filter(|(_, entry)| entry.refused == refused)
+                .map(|(_, entry)| entry.targets)
+                .sum()
+        };
+        match count(None) {
+            0 => count(Some(RefusalCause::Withdrawn)),
+            others => others,
+        }
     }
 
     /// Returns whether targets of other versions may get requests.
@@ -127,8 +134,9 @@
         entry.refused = Some(cause);
     }
 
-    /// Returns whether the version may get requests without an order.
-    pub(crate) fn is_allowed(&self, now: Millis, version: &str) -> bool {
+    /// Returns whether the version may get requests without an order. A version that is `ordered`
+    /// takes none of these requests, so a withdrawn one may serve beside it.
+    pub(crate) fn is_allowed(&self, now: Millis, version: &str, ordered: Option<&Name>) -> bool {
         let Some(entry) = self.versions.get(version) else {
             return self.versions.is_empty();
         };
@@ -136,8 +144,11 @@
             return true;
         }
         let is_bad = entry.refused == Some(RefusalCause::RolledBack);
-        let mut others = self.versions.values();
-        !is_bad && !others.any(|other| other.targets > 0 && other.is_allowed(now))
+        let mut others = self
+            .versions
+            .iter()
+            .filter(|(name, _)| ordered != Some(*name));
+        !is_bad && !others.any(|(_, other)| other.targets > 0 && other.is_allowed(now))
     }
 
     /// Returns whether any version is held back or refused.
--- a/filbertpaddle-forward/src/service_rollout.rs
+++ b/filbertpaddle-forward/src/service_rollout.rs
@@ -271,10 +271,11 @@
     }
 
     pub(crate) fn allows(&self, now: Millis, side: Side, version: &str) -> bool {
-        let is_new = self.new_version().is_some_and(|name| **name == *version);
+        let ordered = self.new_version();
+        let is_new = ordered.is_some_and(|name| **name == *version);
         match side {
             Side::New => is_new,
-            Side::Old => !is_new && self.versions.is_allowed(now, version),
+            Side::Old => !is_new && self.versions.is_allowed(now, version, ordered),
         }
     }
 
--- a/filbertpaddle-forward/tests/rollout/main.rs
+++ b/filbertpaddle-forward/tests/rollout/main.rs
@@ -3,5 +3,6 @@
 
 mod fleet;
 mod orders;
+mod releases;
 mod seeds;
 mod versions;
