End the restrictions of an order when it is completed

After `completed` only the ordered version was allowed for good: a later replacement without an order left the service without targets. An order that named the only version began once another version was listed.

The ordered version is set apart only while its order runs. On completion the other listed versions are held back for the time in which an order is awaited, so that their targets can stop. Requests of the new side that still wait then keep their targets. An order that is already fulfilled stays ignored at its revision; a record of it still counts. Weighed: refusing the old versions for good, which would send all requests to the first target of a later version at a node that starts in the middle of its release.

Both new tests fail before the change.

--- a/filbertpaddle-forward/src/rollout_split.rs
+++ b/filbertpaddle-forward/src/rollout_split.rs
@@ -123,8 +123,12 @@
         entry.most_targets = entry.targets;
     }
 
-    /// Records that all requests go to the version for good.
-    pub(crate) fn complete(&mut self, version: &Name) {
+    /// Records that the roll-out of the version is completed. Other listed versions are held back
+    /// until their targets have stopped.
+    pub(crate) fn complete(&mut self, now: Millis, version: &Name) {
+        for entry in self.versions.values_mut() {
+            entry.held_until = now + ORDER_WAIT_MS;
+        }
         self.start(version);
     }
 
--- a/filbertpaddle-forward/src/rollouts.rs
+++ b/filbertpaddle-forward/src/rollouts.rs
@@ -74,8 +74,17 @@
         if known.is_some_and(|rollout| rollout.last_order() >= ordered) {
             return Ok(false);
         }
+        if known.is_some_and(|rollout| rollout.was_ignored(ordered)) {
+            return Err(OrderError::AlreadyThere(order.version.clone()));
+        }
         let versions = known.map(ServiceRollout::versions).unwrap_or_default();
-        order.check(is_known.then_some(versions.as_slice()))?;
+        let checked = order.check(is_known.then_some(versions.as_slice()));
+        if let Err(OrderError::AlreadyThere(_)) = checked
+            && let Some(rollout) = self.services.get_mut(&order.service)
+        {
+            rollout.ignore(ordered);
+        }
+        checked?;
         let rollout = self.services.entry(order.service.clone()).or_default();
         rollout.set_order(order.clone(), ordered);
         Ok(true)
--- a/filbertpaddle-forward/src/service_rollout.rs
+++ b/filbertpaddle-forward/src/service_rollout.rs
@@ -41,6 +41,8 @@
     versions: VersionList,
     order: Option<RolloutOrder>,
     ordered: Revision,
+    /// Revision of the last order that changed nothing.
+    ignored: Revision,
     record: Option<RolloutRecord>,
     read_at: Millis,
     step_since: Millis,
@@ -60,6 +62,16 @@
         self.ordered
     }
 
+    /// Returns whether the order of this revision was checked before and changed nothing.
+    pub(crate) fn was_ignored(&self, ordered: Revision) -> bool {
+        self.ignored == ordered
+    }
+
+    /// Records that the order of this revision changes nothing, whatever targets come later.
+    pub(crate) fn ignore(&mut self, ordered: Revision) {
+        self.ignored = self.ignored.max(ordered);
+    }
+
     /// Returns the versions of the listed targets.
     pub(crate) fn versions(&self) -> Vec<Name> {
         self.versions.names()
@@ -154,7 +166,7 @@
         self.record = Some(record.clone());
         match record.state {
             RolloutState::Running => {}
-            RolloutState::Completed => self.versions.complete(&record.order.version),
+            RolloutState::Completed => self.versions.complete(now, &record.order.version),
             RolloutState::RolledBack => {
                 let version = &record.order.version;
                 self.versions.refuse(version, RefusalCause::RolledBack);
@@ -244,11 +256,7 @@
         let Some(version) = self.new_version() else {
             return Side::Old;
         };
-        let is_completed = self.state() == RolloutState::Completed;
         let is_alone = !self.versions.has_other(version);
-        if is_completed {
-            return Side::New;
-        }
         if self.judge.is_bad() || self.versions.targets(version) == 0 {
             return Side::Old;
         }
@@ -271,11 +279,14 @@
     }
 
     pub(crate) fn allows(&self, now: Millis, side: Side, version: &str) -> bool {
+        let is_version = |name: &Name| **name == *version;
         let ordered = self.new_version();
-        let is_new = ordered.is_some_and(|name| **name == *version);
         match side {
-            Side::New => is_new,
-            Side::Old => !is_new && self.versions.is_allowed(now, version, ordered),
+            // Requests of the new side may still wait when the roll-out is completed.
+            Side::New => self.good_version().is_some_and(is_version),
+            Side::Old => {
+                !ordered.is_some_and(is_version) && self.versions.is_allowed(now, version, ordered)
+            }
         }
     }
 
@@ -357,8 +368,14 @@
         record.map_or(RolloutState::Running, |record| record.state)
     }
 
-    /// Returns the version of the order, unless it was rolled back.
+    /// Returns the version of the order while that runs.
     fn new_version(&self) -> Option<&Name> {
+        let order = self.order.as_ref()?;
+        (self.state() == RolloutState::Running).then_some(&order.version)
+    }
+
+    /// Returns the version of the order, unless it was rolled back.
+    fn good_version(&self) -> Option<&Name> {
         let order = self.order.as_ref()?;
         (self.state() != RolloutState::RolledBack).then_some(&order.version)
     }
--- a/filbertpaddle-forward/tests/rollout/releases.rs
+++ b/filbertpaddle-forward/tests/rollout/releases.rs
@@ -3,7 +3,10 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_forward::revision::Revision;
 use filbertpaddle_forward::rollout_counts::Side;
+use filbertpaddle_forward::rollout_record::OrderError;
 use filbertpaddle_forward::rollout_record::RolloutOrder;
+use filbertpaddle_forward::rollout_record::RolloutRecord;
+use filbertpaddle_forward::rollout_record::RolloutState;
 use filbertpaddle_forward::rollout_split::VersionCount;
 use filbertpaddle_forward::rollouts::Rollouts;
 
@@ -54,3 +57,44 @@
     assert!(node.allows(LATER, SERVICE, Side::Old, "v2"));
     assert!(!node.allows(LATER, SERVICE, Side::Old, "v3"));
 }
+
+fn record(version: &str, number: u64, state: RolloutState) -> RolloutRecord {
+    RolloutRecord {
+        order: order(version),
+        ordered: Revision::new(0, number),
+        started_ms: NOW,
+        state,
+        share_per_mille: 1_000,
+        step: 5,
+    }
+}
+
+/// A service is updated without an order after a completed roll-out.
+#[test]
+fn a_completed_order_leaves_later_replacements_alone() {
+    let mut node = node();
+    list(&mut node, NOW, &["v1", "v2"]);
+    apply(&mut node, "v2", 5);
+    let completed = record("v2", 5, RolloutState::Completed);
+    assert!(node.merge_record(NOW, &completed, Millis::ZERO));
+    let side = node.side_for(NOW, SERVICE, 0.5);
+    assert!(node.allows(NOW, SERVICE, side, "v2"));
+    assert!(!node.allows(NOW, SERVICE, side, "v1"));
+    list(&mut node, LATER, &["v2"]);
+    list(&mut node, LATER, &["v2", "v3"]);
+    list(&mut node, LATER, &["v3"]);
+    let side = node.side_for(LATER, SERVICE, 0.5);
+    assert!(node.allows(LATER, SERVICE, side, "v3"));
+}
+
+/// An order names the only version; the next version comes without an order.
+#[test]
+fn an_order_that_changed_nothing_does_not_begin_later() {
+    let mut node = node();
+    let there = Err(OrderError::AlreadyThere("v1".into()));
+    let revision = Revision::new(0, 5);
+    assert_eq!(node.on_order(&order("v1"), revision, true), there);
+    list(&mut node, LATER, &["v1", "v2"]);
+    assert_eq!(node.on_order(&order("v1"), revision, true), there);
+    assert_eq!(node.running().count(), 0);
+}
