Don't hold the first targets back where the order came before them

A node that starts during a roll-out has the order before the targets. The ordered version then counted as known, and the old version was held back for the time in which an order is awaited, as was any third one.

The versions of the first listed targets count as first ones. The new test fails before the change.

--- a/filbertpaddle-forward/src/rollout_split.rs
+++ b/filbertpaddle-forward/src/rollout_split.rs
@@ -61,7 +61,8 @@
 impl VersionList {
     /// Applies the list; a new version other than the first ones and the ordered one is held back.
     pub(crate) fn update(&mut self, now: Millis, listed: &[VersionCount], ordered: Option<&Name>) {
-        let is_first = self.versions.is_empty();
+        // An order may arrive before the targets.
+        let is_first = self.versions.values().all(|entry| entry.targets == 0);
         let is_listed = |name: &Name| listed.iter().any(|count| count.version == *name);
         self.versions
             .retain(|name, _| is_listed(name) || ordered == Some(name));
--- a/filbertpaddle-forward/tests/rollout/releases.rs
+++ b/filbertpaddle-forward/tests/rollout/releases.rs
@@ -98,3 +98,17 @@
     assert_eq!(node.on_order(&order("v1"), revision, true), there);
     assert_eq!(node.running().count(), 0);
 }
+
+/// A node that starts during a roll-out has the order before the targets.
+#[test]
+fn a_node_that_starts_late_does_not_hold_the_old_version_back() {
+    let mut node = Rollouts::new("n".into(), LIMITS);
+    apply(&mut node, "v2", 5);
+    list(&mut node, NOW, &["v1", "v2"]);
+    assert_eq!(node.side_for(NOW, SERVICE, 0.5), Side::Old);
+    assert!(node.allows(NOW, SERVICE, Side::Old, "v1"));
+    // Nor does the next version take part before its order can arrive.
+    list(&mut node, NOW, &["v1", "v2", "v3"]);
+    assert!(node.allows(NOW, SERVICE, Side::Old, "v1"));
+    assert!(!node.allows(NOW, SERVICE, Side::Old, "v3"));
+}
