--- a/filbertpaddle-forward/src/rollout_stage.rs
+++ b/filbertpaddle-forward/src/rollout_stage.rs
@@ -64,8 +64,6 @@
     pub old_targets: usize,
     /// Requests that run or wait at targets of other versions, from all nodes.
     pub old_running: u64,
-    /// Streams that are bound to other versions, from all nodes.
-    pub old_streams: u64,
     /// Longest planned duration of a request of the service.
     pub stream_ms: Millis,
     /// Number of nodes that write the next step before this one does.
@@ -204,7 +202,7 @@
 }
 
 fn is_complete(progress: &Progress<'_>, inputs: &StepInputs) -> bool {
-    let is_idle = inputs.old_running == 0 && inputs.old_streams == 0;
+    let is_idle = inputs.old_running == 0;
     let has_settled = progress.in_step_ms >= SETTLE_MS && progress.idle_ms >= IDLE_MS;
     is_idle && has_settled && may_step(progress, true)
 }
--- a/filbertpaddle-forward/src/service_rollout.rs
+++ b/filbertpaddle-forward/src/service_rollout.rs
@@ -356,7 +356,7 @@
     }
 
     fn note_idle(&mut self, now: Millis, inputs: &StepInputs) {
-        if inputs.old_running > 0 || inputs.old_streams > 0 {
+        if inputs.old_running > 0 {
             self.idle_since = None;
         } else if self.idle_since.is_none() {
             self.idle_since = Some(now);
--- a/filbertpaddle-forward/tests/rollout/fleet.rs
+++ b/filbertpaddle-forward/tests/rollout/fleet.rs
@@ -327,7 +327,6 @@
                 self.scenario.old_targets
             },
             old_running: self.old_running_before.into(),
-            old_streams: 0,
             stream_ms: Millis(self.scenario.longest_stream_ms),
             rank: 0,
         };
