Complete no roll-out while a data centre's load is unseen

A node counted as cut off only if no other group at all had reported its load. With the link to one of two other data centres lost it could write `completed` while requests of that one ran at the old targets.

It is now cut off if a reader of any other data centre with live nodes has not reported. A group without load sends none, so its first heartbeat counts as a report. Being cut off only delays the completion, by the time of the longest requests.

--- a/filbertpaddle-forward/src/load_table.rs
+++ b/filbertpaddle-forward/src/load_table.rs
@@ -115,9 +115,14 @@
         self.groups.clear();
     }
 
-    /// Returns whether any other group has reported its load.
-    pub fn has_groups(&self) -> bool {
-        !self.groups.is_empty()
+    /// Returns whether all `readers` of a data centre, at least one, have reported their groups'
+    /// load.
+    pub fn covers<'a, Readers>(&self, readers: Readers) -> bool
+    where
+        Readers: IntoIterator<Item = &'a Name>,
+    {
+        let mut readers = readers.into_iter().peekable();
+        readers.peek().is_some() && readers.all(|reader| self.groups.contains_key(reader))
     }
 
     /// Returns the total load of this node's group.
--- a/filbertpaddle-forward/tests/load_table.rs
+++ b/filbertpaddle-forward/tests/load_table.rs
@@ -82,3 +82,17 @@
     table.remove_group("r");
     assert!(table.total().is_empty());
 }
+
+/// The links to one of two other data centres, or to one of its two readers, are cut.
+#[test]
+fn a_data_centre_is_covered_only_if_all_its_readers_report() {
+    let mut table = LoadTable::new();
+    let readers: [Name; 3] = ["a1".into(), "b1".into(), "b2".into()];
+    table.update_group(&readers[0], &Vec::new());
+    table.update_group(&readers[1], &Vec::new());
+    assert!(table.covers(&readers[..1]));
+    assert!(!table.covers(&readers[1..]));
+    assert!(!table.covers(&readers[..0]));
+    table.update_group(&readers[2], &Vec::new());
+    assert!(table.covers(&readers[1..]));
+}
--- a/filbertpaddle-gateway/src/load_exchange.rs
+++ b/filbertpaddle-gateway/src/load_exchange.rs
@@ -198,7 +198,11 @@
                     Message::Speeds(sent) => {
                         state.merge_speeds(|table, now| table.update_group(now, reader, &sent));
                     }
-                    Message::Ages(ages) => state.record_peer_ages(&ages),
+                    Message::Ages(ages) => {
+                        // A group without any load sends none.
+                        state.load_table.borrow_mut().update_group(reader, &Vec::new());
+                        state.record_peer_ages(&ages);
+                    }
                     message => drop(merge_findings(state, message)),
                 }
             }
--- a/filbertpaddle-gateway/src/rollout_steps.rs
+++ b/filbertpaddle-gateway/src/rollout_steps.rs
@@ -323,13 +323,19 @@
     inputs
 }
 
-/// Returns whether this node has no link to a node of another data centre, although there are
-/// some.
+/// Returns whether a reader of another data centre that has live nodes has not reported its
+/// group's load to this node.
 fn is_cut_off(state: &State) -> bool {
+    let now = state.clock.now();
     let own = &state.settings.data_centre;
     let nodes = state.nodes.borrow();
-    let has_others = nodes.live().iter().any(|node| node.data_centre != *own);
-    has_others && !state.load_table.borrow().has_groups()
+    let load_table = state.load_table.borrow();
+    let data_centres = nodes.live().iter().map(|node| &node.data_centre);
+    let others: IndexSet<&Name> = data_centres.filter(|name| *name != own).collect();
+    others.into_iter().any(|data_centre| {
+        let readers = nodes.readers(now, data_centre).into_iter();
+        !load_table.covers(readers.map(|node| &node.name))
+    })
 }
 
 /// Returns the time that the longest requests of a service are expected to take.
