Time the steps of a roll-out from the store's answer

The time of a step was taken before the two calls that write it, so a slow store shortened the next step's wait. A step now begins when the answer is there. The record's validity counts from the beginning of the write call: counted from the answer, a record that another node has replaced meanwhile would stay in use for longer.

While a node's record is invalid, requests go to the old targets again. The time for which those are idle now starts again then.

--- a/filbertpaddle-forward/src/rollouts.rs
+++ b/filbertpaddle-forward/src/rollouts.rs
@@ -220,10 +220,10 @@
         rollout.next_step(now, &self.limits, inputs)
     }
 
-    /// Records that the store has accepted a record of this node.
-    pub fn on_written(&mut self, now: Millis, record: &RolloutRecord) {
+    /// Records that the store has accepted a record of this node, whose write began `age_ms` ago.
+    pub fn on_written(&mut self, now: Millis, record: &RolloutRecord, age_ms: Millis) {
         self.on_write_failed(&record.order.service);
-        self.merge_record(now, record, Millis::ZERO);
+        self.merge_record(now, record, age_ms);
     }
 
     /// Records that another node was first; `current` is the row, if it was read.
--- a/filbertpaddle-forward/src/service_rollout.rs
+++ b/filbertpaddle-forward/src/service_rollout.rs
@@ -266,8 +266,7 @@
         let Some(record) = &self.record else {
             return Side::Old;
         };
-        let validity_ms = limits.rollback_ms.0 as f64 * RECORD_VALIDITY;
-        if now.since(self.read_at).0 as f64 > validity_ms {
+        if !self.is_valid(now, limits) {
             return Side::Old;
         }
         let share = record
@@ -278,6 +277,12 @@
         if is_new { Side::New } else { Side::Old }
     }
 
+    /// Returns whether the record was read so lately that the new version may get requests by it.
+    fn is_valid(&self, now: Millis, limits: &RolloutLimits) -> bool {
+        let validity_ms = limits.rollback_ms.0 as f64 * RECORD_VALIDITY;
+        now.since(self.read_at).0 as f64 <= validity_ms
+    }
+
     pub(crate) fn allows(&self, now: Millis, side: Side, version: &str) -> bool {
         let is_version = |name: &Name| **name == *version;
         let ordered = self.new_version();
@@ -308,7 +313,7 @@
         limits: &RolloutLimits,
         inputs: &StepInputs,
     ) -> Option<RolloutRecord> {
-        self.note_idle(now, inputs);
+        self.note_idle(now, limits, inputs);
         let Some(next) = self.due_record(now, limits, inputs) else {
             self.due = None;
             return None;
@@ -355,8 +360,9 @@
         next_record(limits, &progress, inputs)
     }
 
-    fn note_idle(&mut self, now: Millis, inputs: &StepInputs) {
-        if inputs.old_running > 0 {
+    fn note_idle(&mut self, now: Millis, limits: &RolloutLimits, inputs: &StepInputs) {
+        // Without a valid record requests go to the old targets again.
+        if inputs.old_running > 0 || !self.is_valid(now, limits) {
             self.idle_since = None;
         } else if self.idle_since.is_none() {
             self.idle_since = Some(now);
--- a/filbertpaddle-forward/tests/rollout/fleet.rs
+++ b/filbertpaddle-forward/tests/rollout/fleet.rs
@@ -376,7 +376,9 @@
                 self.nodes[to].merge_record(at, &record, age_ms);
             }
             Message::Write(node, record) => self.write(now, node, record),
-            Message::Written(node, record) => self.nodes[node].on_written(at, &record),
+            Message::Written(node, record) => {
+                self.nodes[node].on_written(at, &record, Millis::ZERO);
+            }
             Message::Conflict(node, row) => {
                 self.nodes[node].on_conflict(at, &SERVICE.into(), Some(&row));
             }
--- a/filbertpaddle-gateway/src/rollout_steps.rs
+++ b/filbertpaddle-gateway/src/rollout_steps.rs
@@ -45,7 +45,8 @@
 /// Result of the attempt to write a record.
 #[derive(Debug)]
 enum WriteResult {
-    Written,
+    /// The write began at this time.
+    Written(Millis),
     /// Another node was first; its record, if the row has one.
     Conflict(Option<RolloutRecord>),
 }
@@ -133,15 +134,16 @@
         let result = write(state, &next).await;
         let mut known = state.rollouts.known.borrow_mut();
         match &result {
-            Ok(WriteResult::Written) => {
+            Ok(WriteResult::Written(requested_ms)) => {
+                let written_ms = state.clock.now();
                 info!(state.log, "roll-out step written";
                     "service" => service.as_str(), "state" => %next.state,
                     "share_per_mille" => next.share_per_mille, "step" => next.step);
                 state.metrics.count("rollout.written");
                 state.metrics.count(&format!("rollout.{}", next.state));
-                known.on_written(now, &next);
+                known.on_written(written_ms, &next, written_ms.since(*requested_ms));
                 let reading = RecordReading {
-                    read_ms: now,
+                    read_ms: *requested_ms,
                     relays: 0,
                 };
                 state.rollouts.record_reading(service, reading);
@@ -275,9 +277,10 @@
     {
         return Ok(WriteResult::Conflict(current));
     }
+    let requested_ms = state.clock.now();
     let call = (state.platform.store.write_rollout)(next, revision);
     match store_sync::call_store(state, &call, RESPONSE_TIMEOUT_MS).await {
-        Ok(_) => Ok(WriteResult::Written),
+        Ok(_) => Ok(WriteResult::Written(requested_ms)),
         Err(Error::Status(StatusCode::PRECONDITION_FAILED)) => {
             let stored = stored_row(read(state).await?, service);
             Ok(WriteResult::Conflict(stored.and_then(|row| row.record)))
