Take no step by the counts of a later order

Counts of a later order from a peer replace those of the current one. The answers of the step then went below zero, and steps were judged by counts of another version.

A node takes no step until it has the order that it counts for. The new test fails before the change.

--- a/filbertpaddle-forward/src/service_rollout.rs
+++ b/filbertpaddle-forward/src/service_rollout.rs
@@ -344,6 +344,10 @@
         inputs: &StepInputs,
     ) -> Option<RolloutRecord> {
         let order = self.order.as_ref()?;
+        if self.counted != self.ordered {
+            // A peer has a later order.
+            return None;
+        }
         let span = |since: Option<Millis>| since.map_or(Millis::ZERO, |since| now.since(since));
         let progress = Progress {
             order,
@@ -352,7 +356,7 @@
             in_step_ms: now.since(self.step_since),
             with_targets_ms: span(self.targets_since),
             idle_ms: span(self.idle_since),
-            step_answers: self.new_answers() - self.step_answers,
+            step_answers: self.new_answers().saturating_sub(self.step_answers),
             sent: self.counts.sent(Side::New) + self.counts.sent(Side::Old),
             has_lost_targets: self.versions.share_limit(&order.version) < 1_000,
             verdict: self.judge.verdict(),
--- a/filbertpaddle-forward/tests/rollout/releases.rs
+++ b/filbertpaddle-forward/tests/rollout/releases.rs
@@ -1,13 +1,17 @@
 //! Versions that come and go beside an order: replacements without one, and lists that arrive late.
 
 use filbertpaddle_core::clock::Millis;
+use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::revision::Revision;
+use filbertpaddle_forward::rollout_counts::CountsChange;
+use filbertpaddle_forward::rollout_counts::Outcome;
 use filbertpaddle_forward::rollout_counts::Side;
 use filbertpaddle_forward::rollout_record::OrderError;
 use filbertpaddle_forward::rollout_record::RolloutOrder;
 use filbertpaddle_forward::rollout_record::RolloutRecord;
 use filbertpaddle_forward::rollout_record::RolloutState;
 use filbertpaddle_forward::rollout_split::VersionCount;
+use filbertpaddle_forward::rollout_stage::StepInputs;
 use filbertpaddle_forward::rollouts::Rollouts;
 
 use crate::fleet::LIMITS;
@@ -112,3 +116,33 @@
     assert!(node.allows(NOW, SERVICE, Side::Old, "v1"));
     assert!(!node.allows(NOW, SERVICE, Side::Old, "v3"));
 }
+
+/// A peer has a later order already and sends its counts: the former order takes no steps by them.
+#[test]
+fn counts_of_a_later_order_allow_no_step() {
+    let mut node = node();
+    list(&mut node, NOW, &["v1", "v2"]);
+    apply(&mut node, "v2", 5);
+    let service: Name = SERVICE.into();
+    let (route, version, site) = ("sort".into(), "v2".into(), "dc".into());
+    node.record_sent(&service, &route, &version, &site);
+    node.record_answer(NOW, &service, &route, &version, &site, Outcome::Failed);
+    let running = record("v2", 5, RolloutState::Running);
+    assert!(node.merge_record(NOW, &running, Millis::ZERO));
+    let change = CountsChange {
+        service: service.clone(),
+        ordered: Revision::new(0, 6),
+        source: "peer".into(),
+        counts: Vec::new(),
+    };
+    node.merge_counts(NOW, &change);
+    let inputs = StepInputs {
+        store_ms: LATER,
+        new_targets: 60,
+        ..StepInputs::default()
+    };
+    for now in (1_000..60_000).step_by(100).map(Millis) {
+        node.merge_record(now, &running, Millis::ZERO);
+        assert_eq!(node.next_step(now, &service, &inputs), None);
+    }
+}
