Drop the restrictions of a roll-out when nothing is held back any more

Any release without an order, and any finished one, left its service restricted for good: each choice built a list of targets and searched it from the start.

A service is restricted while its order runs, or while listed targets of a version are held back or refused. The allowed targets are a set.

--- a/filbertpaddle-forward/src/allowed_targets.rs
+++ b/filbertpaddle-forward/src/allowed_targets.rs
@@ -4,6 +4,7 @@
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
+use indexmap::IndexSet;
 
 use crate::directory::Directory;
 use crate::rollout_counts::Side;
@@ -17,7 +18,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AllowedTargets {
     /// IDs of the targets; `None` if no roll-out restricts them.
-    ids: Option<Arc<[Name]>>,
+    ids: Option<Arc<IndexSet<Name>>>,
 }
 
 impl AllowedTargets {
@@ -31,7 +32,7 @@
         binding: VersionBinding,
         side: Side,
     ) -> Self {
-        if !rollouts.restricts(service) {
+        if !rollouts.restricts(now, service) {
             return Self::default();
         }
         let may_go_to =
@@ -41,7 +42,7 @@
             .map(|(target, _)| target)
             .filter(|target| target.service == *service && !target.is_draining)
             .collect();
-        let ids = match (binding, side) {
+        let ids: Vec<Name> = match (binding, side) {
             (VersionBinding::Free, Side::New) => {
                 let mut new = listed;
                 new.retain(|target| may_go_to(Side::New, target));
@@ -61,7 +62,7 @@
             }
         };
         Self {
-            ids: Some(ids.into()),
+            ids: Some(Arc::new(ids.into_iter().collect())),
         }
     }
 
--- a/filbertpaddle-forward/src/rollout_judge.rs
+++ b/filbertpaddle-forward/src/rollout_judge.rs
@@ -105,7 +105,7 @@
 /// Judgement of a new version.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum Verdict {
-    /// Nothing speaks against it.
+    /// No evidence against it.
     #[default]
     Open,
     /// It may be bad: it gets no larger share for now.
--- a/filbertpaddle-forward/src/rollout_split.rs
+++ b/filbertpaddle-forward/src/rollout_split.rs
@@ -156,10 +156,10 @@
         !is_bad && !others.any(|(_, other)| other.targets > 0 && other.is_allowed(now))
     }
 
-    /// Returns whether any version is held back or refused.
-    pub(crate) fn has_restrictions(&self) -> bool {
+    /// Returns whether targets of any version are held back or refused now.
+    pub(crate) fn has_restrictions(&self, now: Millis) -> bool {
         let mut entries = self.versions.values();
-        entries.any(|entry| entry.refused.is_some() || entry.held_until > Millis::ZERO)
+        entries.any(|entry| entry.targets > 0 && !entry.is_allowed(now))
     }
 
     /// Returns the largest share, in thousandths, that the remaining targets of the version can
--- a/filbertpaddle-forward/src/rollout_stage.rs
+++ b/filbertpaddle-forward/src/rollout_stage.rs
@@ -50,7 +50,7 @@
 /// Time for which the old targets must have been idle at the end.
 const IDLE_MS: Millis = Millis(1_000);
 
-/// Time after the switch within which all nodes have learnt of it or stopped using their record.
+/// Time after the switch within which all nodes have received it or stopped using their record.
 const SETTLE_MS: Millis = Millis(2_000);
 
 /// What the next step of a roll-out depends on besides records and counts.
@@ -70,19 +70,19 @@
     pub rank: usize,
 }
 
-/// What a node knows of a roll-out when it looks for the next step.
+/// State of a roll-out at a node when it looks for the next step.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Progress<'a> {
     pub(crate) order: &'a RolloutOrder,
     pub(crate) ordered: Revision,
     pub(crate) record: Option<&'a RolloutRecord>,
-    /// Time since this node learnt of the record.
+    /// Time since this node received the record.
     pub(crate) in_step_ms: Millis,
     /// Time for which the new version has had targets.
     pub(crate) with_targets_ms: Millis,
     /// Time for which nothing has run at the old targets.
     pub(crate) idle_ms: Millis,
-    /// Answers of the new version since this node learnt of the record.
+    /// Answers of the new version since this node received the record.
     pub(crate) step_answers: u64,
     /// Requests of both sides since the order.
     pub(crate) sent: u64,
--- a/filbertpaddle-forward/src/rollouts.rs
+++ b/filbertpaddle-forward/src/rollouts.rs
@@ -1,4 +1,4 @@
-//! Roll-outs as one node knows them: orders, records, counts and what follows for requests.
+//! Roll-outs as held by one node: orders, records, counts and what follows for requests.
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
@@ -18,7 +18,7 @@
 use crate::rollout_stage::StepInputs;
 use crate::service_rollout::ServiceRollout;
 
-/// All roll-outs, as one node knows them. `now` is the node's own clock throughout.
+/// All roll-outs, as held by one node. `now` is the node's own clock throughout.
 #[derive(Clone, Debug)]
 pub struct Rollouts {
     source: Name,
@@ -149,8 +149,8 @@
         }
     }
 
-    /// Merges counts from another node. Counts of an order that this node does not know yet are
-    /// kept for it.
+    /// Merges counts from another node. Counts of an order that has not arrived yet are kept
+    /// for it.
     pub fn merge_counts(&mut self, now: Millis, change: &CountsChange) {
         let rollout = self.services.entry(change.service.clone()).or_default();
         rollout.merge_counts(change);
@@ -195,9 +195,9 @@
 
     /// Returns whether requests of this service are split or some of its targets held back now;
     /// if not, [`Self::allows`] allows all targets.
-    pub fn restricts(&self, service: &str) -> bool {
+    pub fn restricts(&self, now: Millis, service: &str) -> bool {
         let rollout = self.services.get(service);
-        rollout.is_some_and(ServiceRollout::restricts)
+        rollout.is_some_and(|rollout| rollout.restricts(now))
     }
 
     /// Returns which of the new version's `targets` take its requests now.
--- a/filbertpaddle-forward/src/service_rollout.rs
+++ b/filbertpaddle-forward/src/service_rollout.rs
@@ -1,4 +1,4 @@
-//! Roll-out of one service, as one node knows it.
+//! Roll-out of one service, as held by one node.
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
@@ -35,7 +35,7 @@
 /// Time after which a node no longer waits for the outcome of its write.
 const WRITE_TIMEOUT_MS: Millis = Millis(2_000);
 
-/// Roll-out of one service, as one node knows it.
+/// Roll-out of one service, as held by one node.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServiceRollout {
     versions: VersionList,
@@ -295,8 +295,8 @@
         }
     }
 
-    pub(crate) fn restricts(&self) -> bool {
-        self.order.is_some() || self.versions.has_restrictions()
+    pub(crate) fn restricts(&self, now: Millis) -> bool {
+        self.is_running() || self.versions.has_restrictions(now)
     }
 
     pub(crate) fn new_targets(&self, targets: &[NewTarget<'_>]) -> Vec<Name> {
--- a/filbertpaddle-forward/tests/rollout/releases.rs
+++ b/filbertpaddle-forward/tests/rollout/releases.rs
@@ -89,6 +89,7 @@
     list(&mut node, LATER, &["v3"]);
     let side = node.side_for(LATER, SERVICE, 0.5);
     assert!(node.allows(LATER, SERVICE, side, "v3"));
+    assert!(!node.restricts(LATER + Millis(5_000), SERVICE));
 }
 
 /// An order names the only version; the next version comes without an order.
--- a/filbertpaddle-gateway/src/rollout_steps.rs
+++ b/filbertpaddle-gateway/src/rollout_steps.rs
@@ -39,7 +39,7 @@
 /// Delay by which a reader of the next rank reads them later.
 const RANK_DELAY_MS: Millis = Millis(300);
 
-/// Time in which nodes that this one has no link to learn of a step from the store.
+/// Time in which nodes that this one has no link to read a step from the store.
 const UNSEEN_STEP_MS: Millis = Millis::from_secs(2);
 
 /// Result of the attempt to write a record.
@@ -51,14 +51,14 @@
     Conflict(Option<RolloutRecord>),
 }
 
-/// What the task remembers.
+/// State of the task.
 #[derive(Debug, Default)]
 struct Steps {
     /// Time of the last attempt to read the records.
     read_ms: Millis,
     /// Whether the last call has failed.
     is_store_lost: bool,
-    /// Step of each service, and time since which it was known without a link to the nodes of
+    /// Step of each service, and time since which it has been held without a link to the nodes of
     /// other data centres.
     unseen: IndexMap<Name, (u32, Millis)>,
     /// Verdict on each new version when it was last logged.
--- a/filbertpaddle-gateway/src/rollouts.rs
+++ b/filbertpaddle-gateway/src/rollouts.rs
@@ -1,4 +1,4 @@
-//! Roll-outs at one node: the orders and records that it knows, and what its requests add.
+//! Roll-outs at one node: the orders and records that it holds, and what its requests add.
 
 use std::cell::RefCell;
 
@@ -45,7 +45,7 @@
     pub relays: u8,
 }
 
-/// What a node knows of roll-outs.
+/// State of a node in roll-outs.
 #[derive(Debug)]
 pub struct RolloutView {
     /// Orders, records and counts.
@@ -61,7 +61,7 @@
 }
 
 impl RolloutView {
-    /// Creates the roll-outs of a node that knows no orders.
+    /// Creates the roll-outs of a node without orders.
     pub fn new(settings: &Settings) -> Self {
         // No other process counts under this name.
         let source: Name = format!("{}/{:016x}", settings.node, rand::random::<u64>()).into();
@@ -184,7 +184,7 @@
         }
         let known = self.rollouts.known.borrow();
         let now = self.clock.now();
-        let is_restricted = known.restricts(service);
+        let is_restricted = known.restricts(now, service);
         is_restricted.then(|| known.side_for(now, service, rand::random()))
     }
 
