Send nothing to the old version once its roll-out is completed

Holding the old version back for a while after `completed` gave it requests again if its targets were still listed then: the process test a_roll_out_goes_on_after_the_node_that_writes_is_killed failed.

A node that ran the roll-out now refuses the versions listed at its end, as withdrawn ones: they serve only if nothing else can. A node that starts later can't tell old versions from later ones, and holds them back for a while only.

--- a/filbertpaddle-forward/src/rollout_split.rs
+++ b/filbertpaddle-forward/src/rollout_split.rs
@@ -124,11 +124,15 @@
         entry.most_targets = entry.targets;
     }
 
-    /// Records that the roll-out of the version is completed. Other listed versions are held back
-    /// until their targets have stopped.
-    pub(crate) fn complete(&mut self, now: Millis, version: &Name) {
+    /// Records that the roll-out of the version is completed. If this node `was_running` it, the
+    /// other listed versions are the old ones, whose targets may stop. Else they may be later ones,
+    /// and are held back for a while only.
+    pub(crate) fn complete(&mut self, now: Millis, version: &Name, was_running: bool) {
         for entry in self.versions.values_mut() {
             entry.held_until = now + ORDER_WAIT_MS;
+            if was_running && entry.refused.is_none() {
+                entry.refused = Some(RefusalCause::Withdrawn);
+            }
         }
         self.start(version);
     }
--- a/filbertpaddle-forward/src/service_rollout.rs
+++ b/filbertpaddle-forward/src/service_rollout.rs
@@ -159,6 +159,7 @@
         {
             return false;
         }
+        let was_running = self.record.is_some();
         self.read_at = read_at;
         self.step_since = now;
         self.step_answers = self.new_answers();
@@ -166,7 +167,10 @@
         self.record = Some(record.clone());
         match record.state {
             RolloutState::Running => {}
-            RolloutState::Completed => self.versions.complete(now, &record.order.version),
+            RolloutState::Completed => {
+                let version = &record.order.version;
+                self.versions.complete(now, version, was_running);
+            }
             RolloutState::RolledBack => {
                 let version = &record.order.version;
                 self.versions.refuse(version, RefusalCause::RolledBack);
--- a/filbertpaddle-forward/tests/rollout/releases.rs
+++ b/filbertpaddle-forward/tests/rollout/releases.rs
@@ -147,3 +147,21 @@
         assert_eq!(node.next_step(now, &service, &inputs), None);
     }
 }
+
+/// The old targets stay listed long after the roll-out.
+#[test]
+fn old_targets_get_nothing_after_a_completed_order() {
+    let mut node = node();
+    list(&mut node, NOW, &["v1", "v2"]);
+    apply(&mut node, "v2", 5);
+    for (state, step) in [(RolloutState::Running, 4), (RolloutState::Completed, 5)] {
+        let record = RolloutRecord {
+            step,
+            ..record("v2", 5, state)
+        };
+        assert!(node.merge_record(NOW, &record, Millis::ZERO));
+    }
+    let side = node.side_for(LATER, SERVICE, 0.5);
+    assert!(node.allows(LATER, SERVICE, side, "v2"));
+    assert!(!node.allows(LATER, SERVICE, side, "v1"));
+}
