Merge only the store's records of current orders

The row of a withdrawn or replaced order stays in the store, and a reader merged it as that of a running one. Rows are merged only if their order is the listed one, at the same revision.

--- a/filbertpaddle-gateway/src/rollout_steps.rs
+++ b/filbertpaddle-gateway/src/rollout_steps.rs
@@ -154,7 +154,9 @@
                     "stored_step" => current.as_ref().map(|current| current.step),
                     "stored_state" => current.as_ref().map(|current| current.state.to_string()));
                 state.metrics.count("rollout.conflict");
-                known.on_conflict(now, service, current.as_ref());
+                let current = current.as_ref();
+                let current = current.filter(|current| is_ordered(state, current));
+                known.on_conflict(now, service, current);
             }
             Err(_) => {
                 known.on_write_failed(service);
@@ -247,7 +249,7 @@
         "old_sent" => known.sent(service, Side::Old), "rank" => inputs.rank);
 }
 
-/// Reads the records and merges them.
+/// Reads the records and merges those of the current orders.
 async fn read(state: &Rc<State>) -> Result<StoredRollouts, Error> {
     let calls = state.platform.store;
     let requested_ms = state.clock.now();
@@ -259,13 +261,24 @@
         relays: 0,
     };
     let records = stored.rows.iter().filter_map(|row| row.record.as_ref());
-    for record in records {
+    for record in records.filter(|record| is_ordered(state, record)) {
         state.merge_rollout_record("store", record, reading);
     }
     state.metrics.count("rollout.read");
     Ok(stored)
 }
 
+/// Returns whether a record belongs to the current order of its service. The row of an order that
+/// was withdrawn or replaced stays in the store.
+fn is_ordered(state: &State, record: &RolloutRecord) -> bool {
+    let directory = state.directory.borrow();
+    let mut orders = directory.orders().entries();
+    orders.any(|(service, order, revision)| {
+        let is_same = *service == record.order.service && revision == record.ordered;
+        is_same && order.is_some()
+    })
+}
+
 /// Writes a record if the stored one is an earlier one and nobody writes another meanwhile.
 async fn write(state: &Rc<State>, next: &RolloutRecord) -> Result<WriteResult, Error> {
     let service = &next.order.service;
