--- a/filbertpaddle-forward/src/rollout_split.rs
+++ b/filbertpaddle-forward/src/rollout_split.rs
@@ -61,7 +61,8 @@
 impl VersionList {
     /// Applies the list; a new version other than the first ones and the ordered one is held back.
     pub(crate) fn update(&mut self, now: Millis, listed: &[VersionCount], ordered: Option<&Name>) {
-        let is_first = self.versions.is_empty();
+        // An order may arrive before the targets.
+        let is_first = self.versions.values().all(|entry| entry.targets == 0);
         let is_listed = |name: &Name| listed.iter().any(|count| count.version == *name);
         self.versions
             .retain(|name, _| is_listed(name) || ordered == Some(name));
@@ -94,13 +95,20 @@
         self.versions.get(version).map_or(0, |entry| entry.targets)
     }
 
-    /// Returns the number of targets of other versions that are not refused.
+    /// Returns the number of targets of other versions that serve: withdrawn ones only if nothing
+    /// else can.
     pub(crate) fn others(&self, version: &str) -> usize {
-        let others = self.versions.iter().filter(|(name, _)| ***name != *version);
-        others
-            .filter(|(_, entry)| entry.refused.is_none())
-            .map(|(_, entry)| entry.targets)
-            .sum()
+        let count = |refused: Option<RefusalCause>| -> usize {
+            let others = self.versions.iter().filter(|(name, _)| ***name != *version);
+            others
+                .filter(|(_, entry)| entry.refused == refused)
+                .map(|(_, entry)| entry.targets)
+                .sum()
+        };
+        match count(None) {
+            0 => count(Some(RefusalCause::Withdrawn)),
+            others => others,
+        }
     }
 
     /// Returns whether targets of other versions may get requests.
@@ -116,8 +124,16 @@
         entry.most_targets = entry.targets;
     }
 
-    /// Records that all requests go to the version for good.
-    pub(crate) fn complete(&mut self, version: &Name) {
+    /// Records that the roll-out of the version is completed. If this node `was_running` it, the
+    /// other listed versions are the old ones, whose targets may stop. Else they may be later ones,
+    /// and are held back for a while only.
+    pub(crate) fn complete(&mut self, now: Millis, version: &Name, was_running: bool) {
+        for entry in self.versions.values_mut() {
+            entry.held_until = now + ORDER_WAIT_MS;
+            if was_running && entry.refused.is_none() {
+                entry.refused = Some(RefusalCause::Withdrawn);
+            }
+        }
         self.start(version);
     }
 
@@ -127,8 +143,9 @@
         entry.refused = Some(cause);
     }
 
-    /// Returns whether the version may get requests without an order.
-    pub(crate) fn is_allowed(&self, now: Millis, version: &str) -> bool {
+    /// Returns whether the version may get requests without an order. A version that is `ordered`
+    /// takes none of these requests, so a withdrawn one may serve beside it.
+    pub(crate) fn is_allowed(&self, now: Millis, version: &str, ordered: Option<&Name>) -> bool {
         let Some(entry) = self.versions.get(version) else {
             return self.versions.is_empty();
         };
@@ -136,14 +153,17 @@
             return true;
         }
         let is_bad = entry.refused == Some(RefusalCause::RolledBack);
-        let mut others = self.versions.values();
-        !is_bad && !others.any(|other| other.targets > 0 && other.is_allowed(now))
+        let mut others = self
+            .versions
+            .iter()
+            .filter(|(name, _)| ordered != Some(*name));
+        !is_bad && !others.any(|(_, other)| other.targets > 0 && other.is_allowed(now))
     }
 
-    /// Returns whether any version is held back or refused.
-    pub(crate) fn has_restrictions(&self) -> bool {
+    /// Returns whether targets of any version are held back or refused now.
+    pub(crate) fn has_restrictions(&self, now: Millis) -> bool {
         let mut entries = self.versions.values();
-        entries.any(|entry| entry.refused.is_some() || entry.held_until > Millis::ZERO)
+        entries.any(|entry| entry.targets > 0 && !entry.is_allowed(now))
     }
 
     /// Returns the largest share, in thousandths, that the remaining targets of the version can
--- a/filbertpaddle-forward/src/rollouts.rs
+++ b/filbertpaddle-forward/src/rollouts.rs
@@ -1,4 +1,4 @@
-//! Roll-outs as one node knows them: orders, records, counts and what follows for requests.
+//! Roll-outs as held by one node: orders, records, counts and what follows for requests.
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
@@ -18,7 +18,7 @@
 use crate::rollout_stage::StepInputs;
 use crate::service_rollout::ServiceRollout;
 
-/// All roll-outs, as one node knows them. `now` is the node's own clock throughout.
+/// All roll-outs, as held by one node. `now` is the node's own clock throughout.
 #[derive(Clone, Debug)]
 pub struct Rollouts {
     source: Name,
@@ -74,8 +74,17 @@
         if known.is_some_and(|rollout| rollout.last_order() >= ordered) {
             return Ok(false);
         }
+        if known.is_some_and(|rollout| rollout.was_ignored(ordered)) {
+            return Err(OrderError::AlreadyThere(order.version.clone()));
+        }
         let versions = known.map(ServiceRollout::versions).unwrap_or_default();
-        order.check(is_known.then_some(versions.as_slice()))?;
+        let checked = order.check(is_known.then_some(versions.as_slice()));
+        if let Err(OrderError::AlreadyThere(_)) = checked
+            && let Some(rollout) = self.services.get_mut(&order.service)
+        {
+            rollout.ignore(ordered);
+        }
+        checked?;
         let rollout = self.services.entry(order.service.clone()).or_default();
         rollout.set_order(order.clone(), ordered);
         Ok(true)
@@ -140,8 +149,8 @@
         }
     }
 
-    /// Merges counts from another node. Counts of an order that this node does not know yet are
-    /// kept for it.
+    /// Merges counts from another node. Counts of an order that has not arrived yet are kept
+    /// for it.
     pub fn merge_counts(&mut self, now: Millis, change: &CountsChange) {
         let rollout = self.services.entry(change.service.clone()).or_default();
         rollout.merge_counts(change);
@@ -186,9 +195,9 @@
 
     /// Returns whether requests of this service are split or some of its targets held back now;
     /// if not, [`Self::allows`] allows all targets.
-    pub fn restricts(&self, service: &str) -> bool {
+    pub fn restricts(&self, now: Millis, service: &str) -> bool {
         let rollout = self.services.get(service);
-        rollout.is_some_and(ServiceRollout::restricts)
+        rollout.is_some_and(|rollout| rollout.restricts(now))
     }
 
     /// Returns which of the new version's `targets` take its requests now.
@@ -211,10 +220,10 @@
         rollout.next_step(now, &self.limits, inputs)
     }
 
-    /// Records that the store has accepted a record of this node.
-    pub fn on_written(&mut self, now: Millis, record: &RolloutRecord) {
+    /// Records that the store has accepted a record of this node, whose write began `age_ms` ago.
+    pub fn on_written(&mut self, now: Millis, record: &RolloutRecord, age_ms: Millis) {
         self.on_write_failed(&record.order.service);
-        self.merge_record(now, record, Millis::ZERO);
+        self.merge_record(now, record, age_ms);
     }
 
     /// Records that another node was first; `current` is the row, if it was read.
--- a/filbertpaddle-forward/src/service_rollout.rs
+++ b/filbertpaddle-forward/src/service_rollout.rs
@@ -1,4 +1,4 @@
-//! Roll-out of one service, as one node knows it.
+//! Roll-out of one service, as held by one node.
 
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
@@ -35,12 +35,14 @@
 /// Time after which a node no longer waits for the outcome of its write.
 const WRITE_TIMEOUT_MS: Millis = Millis(2_000);
 
-/// Roll-out of one service, as one node knows it.
+/// Roll-out of one service, as held by one node.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServiceRollout {
     versions: VersionList,
     order: Option<RolloutOrder>,
     ordered: Revision,
+    /// Revision of the last order that changed nothing.
+    ignored: Revision,
     record: Option<RolloutRecord>,
     read_at: Millis,
     step_since: Millis,
@@ -60,6 +62,16 @@
         self.ordered
     }
 
+    /// Returns whether the order of this revision was checked before and changed nothing.
+    pub(crate) fn was_ignored(&self, ordered: Revision) -> bool {
+        self.ignored == ordered
+    }
+
+    /// Records that the order of this revision changes nothing, whatever targets come later.
+    pub(crate) fn ignore(&mut self, ordered: Revision) {
+        self.ignored = self.ignored.max(ordered);
+    }
+
     /// Returns the versions of the listed targets.
     pub(crate) fn versions(&self) -> Vec<Name> {
         self.versions.names()
@@ -147,6 +159,7 @@
         {
             return false;
         }
+        let was_running = self.record.is_some();
         self.read_at = read_at;
         self.step_since = now;
         self.step_answers = self.new_answers();
@@ -154,7 +167,10 @@
         self.record = Some(record.clone());
         match record.state {
             RolloutState::Running => {}
-            RolloutState::Completed => self.versions.complete(&record.order.version),
+            RolloutState::Completed => {
+                let version = &record.order.version;
+                self.versions.complete(now, version, was_running);
+            }
             RolloutState::RolledBack => {
                 let version = &record.order.version;
                 self.versions.refuse(version, RefusalCause::RolledBack);
@@ -244,11 +260,7 @@
         let Some(version) = self.new_version() else {
             return Side::Old;
         };
-        let is_completed = self.state() == RolloutState::Completed;
         let is_alone = !self.versions.has_other(version);
-        if is_completed {
-            return Side::New;
-        }
         if self.judge.is_bad() || self.versions.targets(version) == 0 {
             return Side::Old;
         }
@@ -258,8 +270,7 @@
         let Some(record) = &self.record else {
             return Side::Old;
         };
-        let validity_ms = limits.rollback_ms.0 as f64 * RECORD_VALIDITY;
-        if now.since(self.read_at).0 as f64 > validity_ms {
+        if !self.is_valid(now, limits) {
             return Side::Old;
         }
         let share = record
@@ -270,16 +281,26 @@
         if is_new { Side::New } else { Side::Old }
     }
 
+    /// Returns whether the record was read so lately that the new version may get requests by it.
+    fn is_valid(&self, now: Millis, limits: &RolloutLimits) -> bool {
+        let validity_ms = limits.rollback_ms.0 as f64 * RECORD_VALIDITY;
+        now.since(self.read_at).0 as f64 <= validity_ms
+    }
+
     pub(crate) fn allows(&self, now: Millis, side: Side, version: &str) -> bool {
-        let is_new = self.new_version().is_some_and(|name| **name == *version);
+        let is_version = |name: &Name| **name == *version;
+        let ordered = self.new_version();
         match side {
-            Side::New => is_new,
-            Side::Old => !is_new && self.versions.is_allowed(now, version),
+            // Requests of the new side may still wait when the roll-out is completed.
+            Side::New => self.good_version().is_some_and(is_version),
+            Side::Old => {
+                !ordered.is_some_and(is_version) && self.versions.is_allowed(now, version, ordered)
+            }
         }
     }
 
-    pub(crate) fn restricts(&self) -> bool {
-        self.order.is_some() || self.versions.has_restrictions()
+    pub(crate) fn restricts(&self, now: Millis) -> bool {
+        self.is_running() || self.versions.has_restrictions(now)
     }
 
     pub(crate) fn new_targets(&self, targets: &[NewTarget<'_>]) -> Vec<Name> {
@@ -296,7 +317,7 @@
         limits: &RolloutLimits,
         inputs: &StepInputs,
     ) -> Option<RolloutRecord> {
-        self.note_idle(now, inputs);
+        self.note_idle(now, limits, inputs);
         let Some(next) = self.due_record(now, limits, inputs) else {
             self.due = None;
             return None;
@@ -327,6 +348,10 @@
         inputs: &StepInputs,
     ) -> Option<RolloutRecord> {
         let order = self.order.as_ref()?;
+        if self.counted != self.ordered {
+            // A peer has a later order.
+            return None;
+        }
         let span = |since: Option<Millis>| since.map_or(Millis::ZERO, |since| now.since(since));
         let progress = Progress {
             order,
@@ -335,7 +360,7 @@
             in_step_ms: now.since(self.step_since),
             with_targets_ms: span(self.targets_since),
             idle_ms: span(self.idle_since),
-            step_answers: self.new_answers() - self.step_answers,
+            step_answers: self.new_answers().saturating_sub(self.step_answers),
             sent: self.counts.sent(Side::New) + self.counts.sent(Side::Old),
             has_lost_targets: self.versions.share_limit(&order.version) < 1_000,
             verdict: self.judge.verdict(),
@@ -343,8 +368,9 @@
         next_record(limits, &progress, inputs)
     }
 
-    fn note_idle(&mut self, now: Millis, inputs: &StepInputs) {
-        if inputs.old_running > 0 || inputs.old_streams > 0 {
+    fn note_idle(&mut self, now: Millis, limits: &RolloutLimits, inputs: &StepInputs) {
+        // Without a valid record requests go to the old targets again.
+        if inputs.old_running > 0 || !self.is_valid(now, limits) {
             self.idle_since = None;
         } else if self.idle_since.is_none() {
             self.idle_since = Some(now);
@@ -356,8 +382,14 @@
         record.map_or(RolloutState::Running, |record| record.state)
     }
 
-    /// Returns the version of the order, unless it was rolled back.
+    /// Returns the version of the order while that runs.
     fn new_version(&self) -> Option<&Name> {
+        let order = self.order.as_ref()?;
+        (self.state() == RolloutState::Running).then_some(&order.version)
+    }
+
+    /// Returns the version of the order, unless it was rolled back.
+    fn good_version(&self) -> Option<&Name> {
         let order = self.order.as_ref()?;
         (self.state() != RolloutState::RolledBack).then_some(&order.version)
     }
--- a/filbertpaddle-gateway/src/rollout_steps.rs
+++ b/filbertpaddle-gateway/src/rollout_steps.rs
@@ -39,25 +39,26 @@
 /// Delay by which a reader of the next rank reads them later.
 const RANK_DELAY_MS: Millis = Millis(300);
 
-/// Time in which nodes that this one has no link to learn of a step from the store.
+/// Time in which nodes that this one has no link to read a step from the store.
 const UNSEEN_STEP_MS: Millis = Millis::from_secs(2);
 
 /// Result of the attempt to write a record.
 #[derive(Debug)]
 enum WriteResult {
-    Written,
+    /// The write began at this time.
+    Written(Millis),
     /// Another node was first; its record, if the row has one.
     Conflict(Option<RolloutRecord>),
 }
 
-/// What the task remembers.
+/// State of the task.
 #[derive(Debug, Default)]
 struct Steps {
     /// Time of the last attempt to read the records.
     read_ms: Millis,
     /// Whether the last call has failed.
     is_store_lost: bool,
-    /// Step of each service, and time since which it was known without a link to the nodes of
+    /// Step of each service, and time since which it has been held without a link to the nodes of
     /// other data centres.
     unseen: IndexMap<Name, (u32, Millis)>,
     /// Verdict on each new version when it was last logged.
@@ -133,15 +134,16 @@
         let result = write(state, &next).await;
         let mut known = state.rollouts.known.borrow_mut();
         match &result {
-            Ok(WriteResult::Written) => {
+            Ok(WriteResult::Written(requested_ms)) => {
+                let written_ms = state.clock.now();
                 info!(state.log, "roll-out step written";
                     "service" => service.as_str(), "state" => %next.state,
                     "share_per_mille" => next.share_per_mille, "step" => next.step);
                 state.metrics.count("rollout.written");
                 state.metrics.count(&format!("rollout.{}", next.state));
-                known.on_written(now, &next);
+                known.on_written(written_ms, &next, written_ms.since(*requested_ms));
                 let reading = RecordReading {
-                    read_ms: now,
+                    read_ms: *requested_ms,
                     relays: 0,
                 };
                 state.rollouts.record_reading(service, reading);
@@ -152,7 +154,9 @@
                     "stored_step" => current.as_ref().map(|current| current.step),
                     "stored_state" => current.as_ref().map(|current| current.state.to_string()));
                 state.metrics.count("rollout.conflict");
-                known.on_conflict(now, service, current.as_ref());
+                let current = current.as_ref();
+                let current = current.filter(|current| is_ordered(state, current));
+                known.on_conflict(now, service, current);
             }
             Err(_) => {
                 known.on_write_failed(service);
@@ -245,7 +249,7 @@
         "old_sent" => known.sent(service, Side::Old), "rank" => inputs.rank);
 }
 
-/// Reads the records and merges them.
+/// Reads the records and merges those of the current orders.
 async fn read(state: &Rc<State>) -> Result<StoredRollouts, Error> {
     let calls = state.platform.store;
     let requested_ms = state.clock.now();
@@ -257,13 +261,24 @@
         relays: 0,
     };
     let records = stored.rows.iter().filter_map(|row| row.record.as_ref());
-    for record in records {
+    for record in records.filter(|record| is_ordered(state, record)) {
         state.merge_rollout_record("store", record, reading);
     }
     state.metrics.count("rollout.read");
     Ok(stored)
 }
 
+/// Returns whether a record belongs to the current order of its service. The row of an order that
+/// was withdrawn or replaced stays in the store.
+fn is_ordered(state: &State, record: &RolloutRecord) -> bool {
+    let directory = state.directory.borrow();
+    let mut orders = directory.orders().entries();
+    orders.any(|(service, order, revision)| {
+        let is_same = *service == record.order.service && revision == record.ordered;
+        is_same && order.is_some()
+    })
+}
+
 /// Writes a record if the stored one is an earlier one and nobody writes another meanwhile.
 async fn write(state: &Rc<State>, next: &RolloutRecord) -> Result<WriteResult, Error> {
     let service = &next.order.service;
@@ -275,9 +290,10 @@
     {
         return Ok(WriteResult::Conflict(current));
     }
+    let requested_ms = state.clock.now();
     let call = (state.platform.store.write_rollout)(next, revision);
     match store_sync::call_store(state, &call, RESPONSE_TIMEOUT_MS).await {
-        Ok(_) => Ok(WriteResult::Written),
+        Ok(_) => Ok(WriteResult::Written(requested_ms)),
         Err(Error::Status(StatusCode::PRECONDITION_FAILED)) => {
             let stored = stored_row(read(state).await?, service);
             Ok(WriteResult::Conflict(stored.and_then(|row| row.record)))
@@ -323,13 +339,19 @@
     inputs
 }
 
-/// Returns whether this node has no link to a node of another data centre, although there are
-/// some.
+/// Returns whether a reader of another data centre that has live nodes has not reported its
+/// group's load to this node.
 fn is_cut_off(state: &State) -> bool {
+    let now = state.clock.now();
     let own = &state.settings.data_centre;
     let nodes = state.nodes.borrow();
-    let has_others = nodes.live().iter().any(|node| node.data_centre != *own);
-    has_others && !state.load_table.borrow().has_groups()
+    let load_table = state.load_table.borrow();
+    let data_centres = nodes.live().iter().map(|node| &node.data_centre);
+    let others: IndexSet<&Name> = data_centres.filter(|name| *name != own).collect();
+    others.into_iter().any(|data_centre| {
+        let readers = nodes.readers(now, data_centre).into_iter();
+        !load_table.covers(readers.map(|node| &node.name))
+    })
 }
 
 /// Returns the time that the longest requests of a service are expected to take.
