--- a/filbertpaddle-forward/src/rollout_judge.rs
+++ b/filbertpaddle-forward/src/rollout_judge.rs
@@ -51,7 +51,7 @@
 /// Smallest part of bad answers that is expected of any version.
 const LEAST_BAD_SHARE: f64 = 0.01;
 
-/// Largest part of bad answers of the old version at which versions can be told apart.
+/// Largest part of bad answers of the old version up to which two versions are compared.
 const MOST_BAD_SHARE: f64 = 0.7;
 
 /// What is added to the old version's part of bad answers if it is not from the same time.
--- a/filbertpaddle/tests/gateway/rollouts.rs
+++ b/filbertpaddle/tests/gateway/rollouts.rs
@@ -200,7 +200,7 @@
     }
 }
 
-/// One old target stops as soon as the status says so, and the other must get nothing more. The
+/// One old target stops as soon as the status is `completed`, and the other must get nothing more. The
 /// requests may not run twice, so that one that is cut shows.
 #[tokio::test]
 async fn a_good_version_is_completed_and_its_predecessor_can_stop_at_once() {
