Add failing tests of late configurations behind slow and narrow links

The own interface is checked by a simulated network with a relay that reaches only its members: it holds, as it counts ages from its requests. The stand-in of links limits the bytes per second of a connection.

--- a/filbertpaddle-core/tests/replicator.rs
+++ b/filbertpaddle-core/tests/replicator.rs
@@ -34,6 +34,8 @@
     cut_from_table: Vec<Name>,
     /// Data centres that are cut off from the others.
     cut_from_peers: Vec<Name>,
+    /// Nodes that reach only those of their data centre; their reads of the table get no answer.
+    confined: Vec<Name>,
     /// Audit rows up to this revision are no longer in the table.
     trimmed_up_to: Revision,
 }
@@ -75,6 +77,7 @@
             dead: Vec::new(),
             cut_from_table: Vec::new(),
             cut_from_peers: Vec::new(),
+            confined: Vec::new(),
             trimmed_up_to: Revision::ZERO,
         };
         members.into_iter().for_each(|member| network.add(member));
@@ -94,7 +97,9 @@
     fn is_reachable(&self, from: &Name, to: &Name) -> bool {
         let (here, there) = (self.data_centre(from), self.data_centre(to));
         let is_cut = |data_centre| self.cut_from_peers.contains(data_centre);
-        !self.dead.contains(to) && (here == there || !(is_cut(&here) || is_cut(&there)))
+        let is_confined = self.confined.contains(from) || self.confined.contains(to);
+        let is_open = !(is_cut(&here) || is_cut(&there) || is_confined);
+        !self.dead.contains(to) && (here == there || is_open)
     }
 
     fn accept(&mut self, through: &str) {
@@ -117,6 +122,7 @@
         match action {
             Action::Send { to, message } => self.send(node, &to, message),
             Action::Applied(_) => {}
+            _ if self.confined.contains(node) => {}
             read => {
                 let is_cut = self.cut_from_table.contains(&self.data_centre(node));
                 let event = if is_cut {
@@ -241,6 +247,23 @@
     );
 }
 
+// At the users' platform, the followers of a node that was cut off like this kept an old
+// configuration for longer than the bound.
+#[test]
+fn a_relay_that_reaches_only_its_members_is_bypassed_within_the_bound() {
+    for cut_after_ms in (0..3_000).step_by(250) {
+        let mut network = Network::new(3, 20);
+        network.advance(2_000 + cut_after_ms);
+        let relay = network.relay_of("dc-1");
+        network.confined.push(relay.clone());
+        network.accept("node-0");
+        network.advance(CONVERGENCE_BOUND_MS);
+        let mut behind = network.nodes_behind();
+        behind.retain(|node| **node != relay);
+        assert!(behind.is_empty(), "cut after {cut_after_ms} ms: {behind:?}");
+    }
+}
+
 #[test]
 fn a_data_centre_cut_off_from_the_table_pulls_from_its_peers() {
     let mut network = Network::new(3, 20);
--- a/filbertpaddle-standins/src/proxy.rs
+++ b/filbertpaddle-standins/src/proxy.rs
@@ -40,6 +40,8 @@
     pub link: Link,
     /// Delay of each chunk of data on the link, in each direction.
     pub delay_ms: Millis,
+    /// Bytes per second of each connection in each direction; `None` for no limit.
+    pub bytes_per_sec: Option<u64>,
 }
 
 /// State of a link: whether bytes and new connections pass.
@@ -160,7 +162,7 @@
     pub fn set_link(&self, link: Link) {
         self.set_faults(Faults {
             link,
-            delay_ms: Millis::ZERO,
+            ..Faults::default()
         });
     }
 
--- a/filbertpaddle-standins/src/proxy_connection.rs
+++ b/filbertpaddle-standins/src/proxy_connection.rs
@@ -208,20 +208,34 @@
     }
 }
 
+/// Returns how long a link with this rate takes to accept bytes.
+fn transmission_time(len: usize, bytes_per_sec: Option<u64>) -> Duration {
+    bytes_per_sec.map_or(Duration::ZERO, |rate| {
+        Duration::from_secs_f64(len as f64 / rate as f64)
+    })
+}
+
 async fn read(
     mut from: ReadHalf<'_>,
     chunks: mpsc::Sender<Chunk>,
     faults: watch::Receiver<Faults>,
 ) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK_BYTES];
+    // Time when the bytes read so far have left the sender.
+    let mut sent = Instant::now();
     loop {
         let len = from.read(&mut buffer).await?;
         if len == 0 {
             return Ok(());
         }
-        let delay = Duration::from_millis(faults.borrow().delay_ms.0);
+        let Faults {
+            delay_ms,
+            bytes_per_sec,
+            ..
+        } = *faults.borrow();
+        sent = sent.max(Instant::now()) + transmission_time(len, bytes_per_sec);
         let chunk = Chunk {
-            due: Instant::now() + delay,
+            due: sent + Duration::from_millis(delay_ms.0),
             bytes: Bytes::copy_from_slice(&buffer[..len]),
         };
         if chunks.send(chunk).await.is_err() {
--- a/filbertpaddle/tests/gateway/cut_reader.rs
+++ b/filbertpaddle/tests/gateway/cut_reader.rs
@@ -17,12 +17,12 @@
 
 /// Time within which an acknowledged change must be in force, as the users' deployments
 /// state it.
-const APPLY_BOUND: Duration = Duration::from_millis(2_000);
+pub(crate) const APPLY_BOUND: Duration = Duration::from_millis(2_000);
 /// Time within which a reader calls the store at least once.
 const CALL_WINDOW: Duration = Duration::from_millis(2_500);
 /// Time after a change of a table after which a reader has begun its next long poll of it.
-const NEXT_POLL_DELAY: Duration = Duration::from_millis(300);
-const NODES: usize = 3;
+pub(crate) const NEXT_POLL_DELAY: Duration = Duration::from_millis(300);
+pub(crate) const NODES: usize = 3;
 
 /// Starts nodes of one data centre, each with its own path to the store.
 async fn start_nodes(cluster: &mut Cluster) -> Vec<Proxy> {
@@ -39,7 +39,7 @@
 }
 
 /// Waits until all nodes but one follow that one; returns its number.
-async fn find_reader(paths: &[Proxy]) -> usize {
+pub(crate) async fn find_reader(paths: &[&Proxy]) -> usize {
     let bytes = || paths.iter().map(|path| path.counts().forward_bytes);
     loop {
         let before: Vec<_> = bytes().collect();
@@ -58,7 +58,7 @@
 impl Cluster {
     /// Writes a configuration with a new API key and waits until it is in force at `nodes`;
     /// returns the longest time that it took.
-    async fn change_key(&self, version: u64, nodes: &[usize]) -> Duration {
+    pub(crate) async fn change_key(&self, version: u64, nodes: &[usize]) -> Duration {
         let key = format!("key-{version}");
         self.store.put_configuration(&configuration(version, &key));
         let acknowledged = Instant::now();
@@ -84,7 +84,8 @@
         cluster.add_target(id, "app", "dc-a").await;
     }
     let paths = start_nodes(&mut cluster).await;
-    let reader = find_reader(&paths).await;
+    let to_store: Vec<_> = paths.iter().collect();
+    let reader = find_reader(&to_store).await;
     let followers: Vec<_> = (0..NODES).filter(|node| *node != reader).collect();
     // The reader begins the long polls of both tables anew, with their whole time to wait.
     cluster.announce("p1");
--- a/filbertpaddle/tests/gateway/main.rs
+++ b/filbertpaddle/tests/gateway/main.rs
@@ -31,6 +31,7 @@
 mod settings;
 mod silent_targets;
 mod slow_caller;
+mod slow_link;
 mod slow_reader;
 mod small_memory;
 mod starting;
--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -69,8 +69,8 @@
         }
         Fault::TargetDelay(target, delay_ms) => with_running_target(cluster, target, |running| {
             running.way.link.set_faults(Faults {
-                link: Link::Open,
                 delay_ms,
+                ..Faults::default()
             });
         }),
         Fault::TargetBehaviour(target, behaviour) => {
