Count the age of a table from when its sender is sure to have had it

Cause: a follower took a table to be as old as the message said when it arrived, a reader a long poll as its end; how long either was under way was not counted. And a follower compared ages only when a message came, and did not read the store while it waited for another node to follow. Class: an age that counts from the arrival of an answer instead of its request. Change: nodes bound the clock of the store and of the node that they follow by requests and responses (remote_clock), count ages by it, and read the store by themselves once their own data is too old to wait, whatever keeps newer from coming. Readers state the age of a table when they have read it.

--- a/filbertpaddle-forward/src/lib.rs
+++ b/filbertpaddle-forward/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod reachability;
 pub mod refusal_limit;
 pub mod relay_choice;
+pub mod remote_clock;
 pub mod request_demand;
 pub mod request_metadata;
 pub mod retry_budget;
--- a/filbertpaddle-forward/src/store_reading.rs
+++ b/filbertpaddle-forward/src/store_reading.rs
@@ -40,6 +40,8 @@
     pub has_data: bool,
     /// Status of the followed node.
     pub followed: FollowedPeer,
+    /// Time when the node's data becomes too old to rely on another node for newer.
+    pub outdated_from_ms: Millis,
     /// Time when the followed node was lost, or when this node could first follow one.
     pub peer_lost_ms: Millis,
     /// Time when a node first refused this one, or turned out to have no data, while this one had
@@ -52,29 +54,38 @@
 }
 
 impl Situation {
-    /// Returns the time from which the node reads the store; `None` while it relies on another.
+    /// Returns the time from which the node reads the store; `None` while it waits for its first
+    /// data from another.
+    ///
+    /// Whatever keeps newer data from arriving, the node does not wait for it beyond the age at
+    /// which it can still read the store in time.
     pub fn read_from_ms(&self) -> Option<Millis> {
         if self.is_reader {
             return Some(Millis::ZERO);
         }
         if self.followed.is_up && !self.followed.is_store_lost {
-            return None;
+            return self.has_data.then_some(self.outdated_from_ms);
         }
         match (self.has_data, self.turned_away_ms) {
             (true, _) if self.followed.is_up => Some(Millis::ZERO),
             (false, Some(at_ms)) => Some(at_ms + self.first_read_delay_ms()),
             (false, None) if self.followed.is_up => Some(self.peer_lost_ms + FIRST_START_WAIT_MS),
+            (true, _) => Some(
+                self.outdated_from_ms
+                    .min(self.peer_lost_ms + RELINK_WAIT_MS),
+            ),
             _ => Some(self.peer_lost_ms + RELINK_WAIT_MS),
         }
     }
 
     /// Returns the delay after failed calls; `draw` is a random number from 0 to 1.
     ///
-    /// Readers retry often, for all nodes, and so does a node without data. The others retry
-    /// rarely, in case only their readers cannot reach the store; but one failed call may be due
-    /// to chance.
+    /// Readers retry often, for all nodes, and so does a node without data or whose reader gives
+    /// no reason to expect a failure. The others retry rarely, in case only their readers cannot
+    /// reach the store; but one failed call may be due to chance.
     pub fn retry_delay_ms(&self, failures: u64, draw: f64) -> Millis {
-        if self.is_reader || !self.has_data || !self.followed.is_up {
+        let is_lost_to_reader = self.followed.is_up && self.followed.is_store_lost;
+        if self.is_reader || !self.has_data || !is_lost_to_reader {
             return Millis(RETRY_DELAY_MS.0 * failures.min(4)).min(MAX_RETRY_DELAY_MS);
         }
         let [shortest_ms, longest_ms] = match failures {
--- a/filbertpaddle-forward/tests/store_reading.rs
+++ b/filbertpaddle-forward/tests/store_reading.rs
@@ -17,6 +17,7 @@
         is_reader: false,
         has_data: false,
         followed: FollowedPeer::default(),
+        outdated_from_ms: Millis(1_000),
         peer_lost_ms: Millis(10),
         turned_away_ms: None,
         nodes,
@@ -165,3 +166,28 @@
         assert!(empty.retry_delay_ms(failures, 1.0) <= Millis(600));
     }
 }
+
+/// A follower waited for newer data from a node that was up, however old its own had become.
+#[test]
+fn a_node_whose_data_is_outdated_reads_though_its_reader_responds() {
+    let outdated_from_ms = Millis(1_500);
+    let served = Situation {
+        has_data: true,
+        followed: following(false),
+        outdated_from_ms,
+        ..starting(295)
+    };
+    assert_eq!(served.read_from_ms(), Some(outdated_from_ms));
+}
+
+#[test]
+fn a_node_with_outdated_data_does_not_wait_for_another_to_follow() {
+    let outdated_from_ms = Millis(1_500);
+    let alone = Situation {
+        has_data: true,
+        peer_lost_ms: Millis(1_400),
+        outdated_from_ms,
+        ..starting(295)
+    };
+    assert_eq!(alone.read_from_ms(), Some(outdated_from_ms));
+}
--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -14,6 +14,7 @@
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
+use filbertpaddle_forward::remote_clock::RemoteClock;
 use filbertpaddle_forward::speed_table::SpeedPart;
 use filbertpaddle_forward::speed_table::SpeedTable;
 use filbertpaddle_forward::store_reading::FollowedPeer;
@@ -36,6 +37,8 @@
 use crate::store_sync::REGISTRATION_CHECK_INTERVAL;
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the followed node is asked for its clock.
+const CLOCK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Follows another node whenever this one needs to, for as long as it runs.
 pub async fn run(state: Rc<State>) {
@@ -90,7 +93,44 @@
     }
 }
 
+/// Clock of the followed node.
+#[derive(Clone, Copy, Debug)]
+struct PeerClock {
+    /// Time before the first message of this link was sent.
+    dialled_ms: Millis,
+    clock: RemoteClock,
+    /// Whether the node states its clock. One of an earlier build does not.
+    is_stated: bool,
+}
+
+impl PeerClock {
+    fn new(dialled_ms: Millis) -> Self {
+        Self {
+            dialled_ms,
+            clock: RemoteClock::default(),
+            is_stated: false,
+        }
+    }
+
+    /// Records the response to a request for the node's clock.
+    fn record(&mut self, requested_ms: Millis, now: Millis, clock_ms: Millis) {
+        self.clock.record(requested_ms, now, clock_ms);
+    }
+
+    /// Returns the latest time at which a message that states the node's clock was sent for
+    /// certain: it may have been under way for any time.
+    fn sent_ms(&mut self, now: Millis, clock_ms: Option<Millis>) -> Millis {
+        let Some(clock_ms) = clock_ms else {
+            return now;
+        };
+        self.is_stated = true;
+        self.clock.record(self.dialled_ms, now, clock_ms);
+        self.clock.local_ms(clock_ms).min(now)
+    }
+}
+
 async fn follow_peer(state: &State, address: SocketAddr) -> Result<(), Error> {
+    let mut clock = PeerClock::new(state.clock.now());
     let mut link = PeerLink::dial(state, address, false).await?;
     info!(state.log, "following a node";
         "peer" => %address, "is_reader" => state.is_reader(),
@@ -98,9 +138,14 @@
     state.metrics.count("peer.followed");
     let mut load = LoadByTarget::new();
     let mut publish_timer = interval(PUBLISH_INTERVAL);
+    let mut clock_timer = interval(CLOCK_INTERVAL);
     let mut last_received = Instant::now();
     loop {
         tokio::select! {
+            _ = clock_timer.tick(), if clock.is_stated => {
+                let sent_ms = state.clock.now();
+                link.send(&Message::ClockRequest { sent_ms }).await?;
+            }
             _ = publish_timer.tick() => {
                 let own = state.published_load();
                 link.publish(state, own).await?;
@@ -118,7 +163,7 @@
                     Message::Speeds(sent) => {
                         state.merge_speeds(|table, now| table.update_followed(now, &sent));
                     }
-                    message => apply_message(state, message)?,
+                    message => apply_message(state, &mut clock, message)?,
                 }
             }
         }
@@ -141,23 +186,39 @@
         || readers.iter().any(|node| node.peers == address)
 }
 
+fn before(at_ms: Millis, age_ms: Millis) -> Millis {
+    Millis(at_ms.0.saturating_sub(age_ms.0))
+}
+
 /// Applies a message from the followed node.
-fn apply_message(state: &State, message: Message) -> Result<(), Error> {
+fn apply_message(state: &State, clock: &mut PeerClock, message: Message) -> Result<(), Error> {
     let now = state.clock.now();
-    let as_of = |age_ms: Millis| Millis(now.0.saturating_sub(age_ms.0));
     match message {
-        Message::Table { age_ms, batch } => state.apply("peer", as_of(age_ms), &batch),
+        Message::Clock {
+            requested_ms,
+            clock_ms,
+        } => clock.record(requested_ms, now, clock_ms),
+        Message::Table {
+            age_ms,
+            clock_ms,
+            batch,
+        } => {
+            let as_of_ms = before(clock.sent_ms(now, clock_ms), age_ms);
+            state.apply("peer", as_of_ms, &batch);
+        }
         Message::Ages(ages) => {
             state.record_peer_ages(&ages);
+            let sent_ms = clock.sent_ms(now, ages.clock_ms);
             let max_age_ms = state.age_limits().max_age_ms;
             let is_behind = ages.era < state.directory.borrow().era();
-            let is_old = is_behind || ages.operator_ms.max(ages.targets_ms) > max_age_ms;
+            let age_ms = now.since(sent_ms) + ages.operator_ms.max(ages.targets_ms);
+            let is_old = is_behind || age_ms > max_age_ms;
             if is_old && state.is_reader() {
                 return Err(Error::TooOld);
             }
             let mut directory = state.directory.borrow_mut();
-            directory.record_current(Table::Operator, as_of(ages.operator_ms));
-            directory.record_current(Table::Targets, as_of(ages.targets_ms));
+            directory.record_current(Table::Operator, before(sent_ms, ages.operator_ms));
+            directory.record_current(Table::Targets, before(sent_ms, ages.targets_ms));
             drop(directory);
             let status = FollowedPeer {
                 is_up: true,
@@ -166,7 +227,8 @@
             if state.followed_peer.get() != status {
                 info!(state.log, "status of followed node changed";
                     "is_store_lost" => status.is_store_lost,
-                    "operator_age_ms" => ages.operator_ms.0, "targets_age_ms" => ages.targets_ms.0);
+                    "operator_age_ms" => ages.operator_ms.0, "targets_age_ms" => ages.targets_ms.0,
+                    "under_way_ms" => now.since(sent_ms).0);
             }
             if status.is_store_lost {
                 state.record_turned_away();
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -102,11 +102,26 @@
     Table {
         /// Age of the sender's data.
         age_ms: Millis,
+        /// Time by the sender's clock; absent from nodes of earlier builds.
+        #[serde(default)]
+        clock_ms: Option<Millis>,
         /// The changes.
         batch: Batch,
     },
     /// Age of the sender's data.
     Ages(Ages),
+    /// Asks a node that states its clock for [`Message::Clock`].
+    ClockRequest {
+        /// Time by the sender's clock, which the response repeats.
+        sent_ms: Millis,
+    },
+    /// Response to [`Message::ClockRequest`].
+    Clock {
+        /// Time that the request stated.
+        requested_ms: Millis,
+        /// Time by the sender's clock.
+        clock_ms: Millis,
+    },
 }
 
 /// Request rate that a target states as its limit.
@@ -127,6 +142,10 @@
     pub operator_ms: Millis,
     /// Age of the targets' table.
     pub targets_ms: Millis,
+    /// Time by the sender's clock at which these are the ages; absent from nodes of earlier
+    /// builds.
+    #[serde(default)]
+    pub clock_ms: Option<Millis>,
     /// Whether the node cannot get current data from the store.
     pub is_store_lost: bool,
     /// Latest era of the store that it knows.
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::load_table::LoadByTarget;
@@ -39,6 +40,8 @@
     reads: u64,
     /// Whether this node had lost the store when its ages were last sent.
     is_store_lost: bool,
+    /// Times when the tables were up to date, when the ages were last sent.
+    current_at_ms: [Millis; 2],
 }
 
 /// Accepts links from other nodes for as long as this one runs.
@@ -123,8 +126,9 @@
     loop {
         send_tables(state, link, &mut published).await?;
         send_nodes(state, link, &mut published).await?;
-        if published.is_store_lost != state.lacks_data() {
-            // Followers read the store themselves from now on, or no longer.
+        let is_store_lost = published.is_store_lost != state.lacks_data();
+        if is_store_lost || published.current_at_ms != current_at_ms(state) {
+            // Followers read the store themselves from now on, or rely on this node for longer.
             send_ages(state, link, &mut published).await?;
         }
         tokio::select! {
@@ -135,7 +139,14 @@
                 link.publish_speeds(state, SpeedPart::Total).await?;
             }
             _ = heartbeat.tick() => send_ages(state, link, &mut published).await?,
-            message = link.receive() => receive_from_follower(state, node, message?),
+            message = link.receive() => match message? {
+                Message::ClockRequest { sent_ms } => {
+                    let clock_ms = state.clock.now();
+                    let clock = Message::Clock { requested_ms: sent_ms, clock_ms };
+                    link.send(&clock).await?;
+                }
+                message => receive_from_follower(state, node, message),
+            },
         }
     }
 }
@@ -171,7 +182,13 @@
     for batch in batches {
         if !batch.revision.is_zero() && !batch.changes.is_empty() {
             let age_ms = state.data_age_ms(batch.table);
-            link.send(&Message::Table { age_ms, batch }).await?;
+            let clock_ms = Some(state.clock.now());
+            let table = Message::Table {
+                age_ms,
+                clock_ms,
+                batch,
+            };
+            link.send(&table).await?;
         }
     }
     published.sequence = sequence;
@@ -200,9 +217,16 @@
     published: &mut Published,
 ) -> Result<(), Error> {
     published.is_store_lost = state.lacks_data();
+    published.current_at_ms = current_at_ms(state);
     link.send(&ages_message(state)).await
 }
 
+/// Returns the times when this node's tables were last known to be up to date.
+fn current_at_ms(state: &State) -> [Millis; 2] {
+    let directory = state.directory.borrow();
+    [Table::Operator, Table::Targets].map(|table| directory.current_at_ms(table))
+}
+
 fn ages_message(state: &State) -> Message {
     let nodes = state.nodes.borrow();
     let (nodes_fingerprint, listed_ms) = (nodes.fingerprint(), nodes.listed_ms());
@@ -210,6 +234,7 @@
     Message::Ages(Ages {
         operator_ms: state.data_age_ms(Table::Operator),
         targets_ms: state.data_age_ms(Table::Targets),
+        clock_ms: Some(state.clock.now()),
         is_store_lost: state.lacks_data(),
         era: state.directory.borrow().era(),
         nodes_fingerprint,
--- a/filbertpaddle-gateway/src/platform_api.rs
+++ b/filbertpaddle-gateway/src/platform_api.rs
@@ -279,6 +279,8 @@
     pub next: Option<String>,
     /// Keys of rows that could not be decoded.
     pub unreadable: Vec<Name>,
+    /// Time by the store's monotonic clock when it made the response.
+    pub store_ms: Millis,
 }
 
 /// The nodes that have entries in the store.
--- a/filbertpaddle-gateway/src/state.rs
+++ b/filbertpaddle-gateway/src/state.rs
@@ -20,6 +20,7 @@
 use filbertpaddle_forward::load_table::LoadTable;
 use filbertpaddle_forward::memory_budget::MemoryBudget;
 use filbertpaddle_forward::relay_choice::RelayChoice;
+use filbertpaddle_forward::remote_clock::RemoteClock;
 use filbertpaddle_forward::retry_budget::RetryBudget;
 use filbertpaddle_forward::service_pace::ServicePace;
 use filbertpaddle_forward::service_path::ServicePath;
@@ -84,6 +85,8 @@
     pub store_buffers: BufferLimit,
     /// Configuration, targets and data centres as read from the store.
     pub directory: RefCell<Directory>,
+    /// The store's clock.
+    pub store_clock: Cell<RemoteClock>,
     /// Entries of the store that cannot be decoded.
     pub invalid_entries: RefCell<InvalidEntries>,
     /// Whether this node reaches targets itself.
@@ -173,6 +176,7 @@
             caller_buffers: BufferLimit::of(memory.callers_bytes),
             store_buffers: BufferLimit::new(),
             directory: RefCell::new(Directory::new()),
+            store_clock: Cell::default(),
             invalid_entries: RefCell::default(),
             direct_path: RefCell::new(DirectPath::new()),
             service_path: Cell::new(ServicePath::new()),
@@ -345,6 +349,14 @@
         AgeLimits::within(self.reloadable.borrow().apply_ms)
     }
 
+    /// Returns the time when this node's data becomes too old to rely on another for newer.
+    fn outdated_from_ms(&self) -> Millis {
+        let directory = self.directory.borrow();
+        let tables = [Table::Operator, Table::Targets];
+        let [operator_ms, targets_ms] = tables.map(|table| directory.current_at_ms(table));
+        operator_ms.min(targets_ms) + self.age_limits().max_age_ms
+    }
+
     /// Records the age of this node's data in the metrics.
     pub fn record_data_ages(&self) {
         let operator_ms = self.data_age_ms(Table::Operator);
@@ -359,6 +371,7 @@
             is_reader: self.is_reader(),
             has_data: self.has_data(),
             followed: self.followed_peer.get(),
+            outdated_from_ms: self.outdated_from_ms(),
             peer_lost_ms: self.peer_lost_ms.get(),
             turned_away_ms: self.turned_away_ms.get(),
             nodes: self.nodes.borrow().live().len(),
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -360,10 +360,14 @@
     limit: &mut PageLimit,
 ) -> Result<Page, Error> {
     let calls = state.platform.store;
+    let requested_ms = state.clock.now();
     let call = (calls.read)(table, from);
     let (era, bytes) = call_store(state, &call, RESPONSE_TIMEOUT_MS).await?;
     limit.add(bytes.len())?;
-    Ok((calls.decode)(table, true, era, &bytes)?)
+    let page = (calls.decode)(table, true, era, &bytes)?;
+    // Short calls give the best bounds for the long polls that follow.
+    store_time_ms(state, requested_ms, page.store_ms);
+    Ok(page)
 }
 
 fn apply_page(state: &Rc<State>, table: Table, requested_ms: Millis, page: &Page) {
@@ -377,9 +381,20 @@
     let as_of_ms = if page.batch.is_whole {
         requested_ms
     } else {
-        now
+        store_time_ms(state, requested_ms, page.store_ms)
     };
     state.apply("store", as_of_ms, &page.batch);
+    // Followers receive the new age of the table.
+    state.notify();
+}
+
+/// Returns the latest time at which the store has made a response for certain.
+fn store_time_ms(state: &State, requested_ms: Millis, store_ms: Millis) -> Millis {
+    let now = state.clock.now();
+    let mut clock = state.store_clock.get();
+    clock.record(requested_ms, now, store_ms);
+    state.store_clock.set(clock);
+    clock.local_ms(store_ms).clamp(requested_ms, now)
 }
 
 /// Logs the entries that cannot be decoded, each once for as long as it stays invalid.
--- a/filbertpaddle-gateway/tests/odd_messages.rs
+++ b/filbertpaddle-gateway/tests/odd_messages.rs
@@ -61,6 +61,7 @@
     let entries = [Entry::Target(target), Entry::NoTarget("\u{0}".into())];
     let change = |entry| Change { revision, entry };
     let message = Message::Table {
+        clock_ms: None,
         age_ms: Millis(u64::MAX),
         batch: Batch {
             table: Table::Targets,
--- a/filbertpaddle-standins/tests/proxy.rs
+++ b/filbertpaddle-standins/tests/proxy.rs
@@ -138,6 +138,7 @@
     connection.proxy.set_faults(Faults {
         link: Link::Open,
         delay_ms: Millis(200),
+        ..Faults::default()
     });
     let start = Instant::now();
     send_and_receive(&mut connection.client, &mut connection.server).await;
