Give up a read of the store when it stalls, not while it arrives

Cause: a long poll failed 0.5 s after it was answered, whole or not; over a link of 10 Mbit/s a large configuration takes as long, and each retry began from the start. Class: a timeout of a whole transfer that was meant to find silence. Change: the time limit of a call to the store holds until its head, then for each part of the body; 3 s more for all.

--- a/filbertpaddle-gateway/src/connection_pool.rs
+++ b/filbertpaddle-gateway/src/connection_pool.rs
@@ -31,6 +31,7 @@
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::clock::Clock;
@@ -82,6 +83,13 @@
     RelayLost(String),
 }
 
+impl Error {
+    /// Returns the error of a response, or a part of one, that did not come in time.
+    pub(crate) fn timed_out(time_limit: Duration) -> Self {
+        Self::Unknown(format!("no complete response within {time_limit:?}"))
+    }
+}
+
 impl From<ExceededLimit> for Error {
     fn from(limit: ExceededLimit) -> Self {
         Self::Unknown(limit.to_string())
@@ -147,8 +155,11 @@
 /// How a call is made whose response is read as a whole.
 #[derive(Clone, Copy, Debug)]
 pub struct CallOptions<'a> {
-    /// Limit on the time until the response is complete.
+    /// Limit on the time until the response is complete, or until its head if there is a
+    /// `part_limit`.
     pub time_limit: Duration,
+    /// Limit on the time until each further part of the body.
+    pub part_limit: Option<Duration>,
     /// Connections that it may use. One of its own is closed after it.
     pub reuse: Reuse,
     /// Limit on what is buffered of the response.
@@ -227,23 +238,28 @@
     {
         let CallOptions {
             time_limit,
+            part_limit,
             reuse,
             buffers,
         } = options;
-        let response = async {
-            let send_options = SendOptions { reuse, buffers };
-            let sent = self.send_with(address, request, send_options, connect);
-            let PendingResponse { head, mut body } = sent.await?;
-            let bytes = body.read_to_end().await?;
-            if reuse == Reuse::Idle {
-                body.recycle(&head.headers);
+        let send_options = SendOptions { reuse, buffers };
+        let sent = self.send_with(address, request, send_options, connect);
+        let started = Instant::now();
+        let response = timeout(time_limit, sent).await;
+        let PendingResponse { head, mut body } =
+            response.map_err(|_| Error::timed_out(time_limit))??;
+        let bytes = match part_limit {
+            Some(part_limit) => body.read_parts(part_limit).await?,
+            None => {
+                let rest = time_limit.saturating_sub(started.elapsed());
+                let read = timeout(rest, body.read_to_end()).await;
+                read.map_err(|_| Error::timed_out(time_limit))??
             }
-            Ok((head, bytes))
         };
-        let timed_out = || Error::Unknown(format!("no complete response within {time_limit:?}"));
-        timeout(time_limit, response)
-            .await
-            .map_err(|_| timed_out())?
+        if reuse == Reuse::Idle {
+            body.recycle(&head.headers);
+        }
+        Ok((head, bytes))
     }
 
     /// Closes connections that have been idle for too long.
--- a/filbertpaddle-gateway/src/response_body.rs
+++ b/filbertpaddle-gateway/src/response_body.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -13,6 +14,7 @@
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use tokio::select;
+use tokio::time::timeout;
 
 use crate::connection_headers::is_chunked;
 use crate::connection_pool::Connection;
@@ -85,6 +87,23 @@
         Ok(all.freeze())
     }
 
+    /// Does the same, and fails if a further part takes longer than `part_limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unknown`] if the response breaks off, exceeds a limit or stalls.
+    pub async fn read_parts(&mut self, part_limit: Duration) -> Result<Bytes, Error> {
+        let mut all = BytesMut::new();
+        loop {
+            let next = timeout(part_limit, self.next()).await;
+            let Some(more) = next.map_err(|_| Error::timed_out(part_limit))?? else {
+                return Ok(all.freeze());
+            };
+            self.buffered.add(more.len())?;
+            all.extend_from_slice(&more);
+        }
+    }
+
     /// Records how much of the body its reader buffers.
     ///
     /// # Errors
--- a/filbertpaddle-gateway/src/store_sync.rs
+++ b/filbertpaddle-gateway/src/store_sync.rs
@@ -48,6 +48,9 @@
 /// Delay after a failed refresh of the registration; random, so that not all nodes retry at once.
 const REFRESH_RETRY_DELAY_MS: std::ops::Range<u64> = 1_500..3_500;
 
+/// Time that a large response may take on a narrow link.
+const MAX_TRANSFER_MS: Millis = Millis::from_secs(3);
+
 /// Delay before a node of a first start reads the list of nodes. All nodes start
 /// within 0.3 s of each other and write their entries in this time.
 const FIRST_READ_DELAY: Duration = Duration::from_millis(500);
@@ -433,6 +436,7 @@
     state.metrics.count("store.calls");
     let options = CallOptions {
         time_limit: duration(timeout),
+        part_limit: Some(duration(RESPONSE_TIMEOUT_MS)),
         reuse: Reuse::Idle,
         buffers: &state.store_buffers,
     };
@@ -441,6 +445,9 @@
         biased;
         _ = reloads.wait_for(|reloadable| reloadable.store != store) => return Err(Error::Moved),
         called = state.connections.call(&address, request, options) => called?,
+        () = sleep(duration(timeout + MAX_TRANSFER_MS)) => {
+            return Err(connection_pool::Error::timed_out(duration(timeout + MAX_TRANSFER_MS)).into());
+        }
     };
     let known_era = state.directory.borrow().era();
     let era = (state.platform.store.decode_era)(&head.headers).unwrap_or(known_era);
--- a/filbertpaddle-gateway/src/target_call.rs
+++ b/filbertpaddle-gateway/src/target_call.rs
@@ -67,6 +67,7 @@
     };
     let options = CallOptions {
         time_limit,
+        part_limit: None,
         // Responses carry no ID of their call. On a reused connection, a late second response
         // to an earlier call would be taken for this one's, such as the handle of another copy.
         reuse: Reuse::New,
--- a/filbertpaddle-gateway/tests/connection_pool.rs
+++ b/filbertpaddle-gateway/tests/connection_pool.rs
@@ -57,6 +57,7 @@
         let buffers = BufferLimit::new();
         let options = CallOptions {
             time_limit: Duration::from_secs(5),
+            part_limit: None,
             reuse: Reuse::New,
             buffers: &buffers,
         };
--- a/filbertpaddle/tests/gateway/slow_link.rs
+++ b/filbertpaddle/tests/gateway/slow_link.rs
@@ -191,3 +191,20 @@
     cluster.wait_until_ready().await;
     cluster.close();
 }
+
+/// A read of the store counted as failed while its response was under way.
+#[tokio::test]
+async fn a_node_reads_a_large_configuration_over_a_narrow_path_to_the_store() {
+    let mut cluster = Cluster::new("narrow-store").await;
+    cluster.add_target("p1", "app", "dc-a").await;
+    let store = Proxy::start(cluster.store.address).await.unwrap();
+    let mut options = cluster.node_options("node-0", "dc-a");
+    options.store = store.address;
+    cluster.start_node(&options);
+    cluster.wait_until_ready().await;
+    make_narrow(&store);
+    let large = large_configuration(2, "first");
+    let last_path = route_prefix("first", ROUTES - 1);
+    cluster.change_routes(&large, &last_path, &[0]).await;
+    cluster.close();
+}
--- a/filbertpaddle/tests/soak/fault.rs
+++ b/filbertpaddle/tests/soak/fault.rs
@@ -5,7 +5,6 @@
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_standins::gate::Passage;
 use filbertpaddle_standins::proxy::Faults;
-use filbertpaddle_standins::proxy::Link;
 
 use crate::cluster::Cluster;
 use crate::cluster::RunningNode;
