Send followers what changed of the configuration, not all of it

Cause: each change brought the whole configuration to each follower: 22 copies of some 330 kB through a reader's link of 25 Mbit/s. Links count as broken after 0.8 s without a message; followers then linked again, and got all of it again. Class: state sent whole where a change would do. Change: both ends of a link know the configuration that was last sent; a further one goes as a change against it. A follower states what it has when it opens the link. Configurations are identified by version and digest, as a rolled back store may give a version twice. Nodes of earlier builds get whole ones.

--- a/filbertpaddle-forward/src/configuration.rs
+++ b/filbertpaddle-forward/src/configuration.rs
@@ -12,6 +12,9 @@
 pub struct Configuration {
     /// Version, which increases with each configuration.
     pub version: u64,
+    /// Hash of the text that it was decoded from.
+    #[serde(default)]
+    pub digest: u64,
     /// All routes.
     pub routes: Vec<Route>,
     /// Services by name.
@@ -22,6 +25,16 @@
     pub limits: Limits,
 }
 
+/// Identifies a configuration. After a rollback of the store, operators may give a version again,
+/// with another content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationId {
+    /// Version; 0 if no configuration is known.
+    pub version: u64,
+    /// Hash of the text that it was decoded from.
+    pub digest: u64,
+}
+
 /// How often a request may run, and the form of its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -138,6 +151,14 @@
 }
 
 impl Configuration {
+    /// Returns what identifies the configuration.
+    pub fn id(&self) -> ConfigurationId {
+        ConfigurationId {
+            version: self.version,
+            digest: self.digest,
+        }
+    }
+
     /// Returns a hash of the routes whose streams can be resumed, and of their services, that does
     /// not depend on their order.
     pub fn resumable_routes(&self) -> u64 {
--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -202,6 +202,7 @@
             age_ms,
             clock_ms,
             batch,
+            ..
         } => {
             let as_of_ms = before(clock.sent_ms(now, clock_ms), age_ms);
             state.apply("peer", as_of_ms, &batch);
--- a/filbertpaddle-gateway/src/peer_link.rs
+++ b/filbertpaddle-gateway/src/peer_link.rs
@@ -12,6 +12,10 @@
 use filbertpaddle_core::suspect::CrashRecord;
 use filbertpaddle_core::suspect::NumberedRecord;
 use filbertpaddle_forward::change::Batch;
+use filbertpaddle_forward::configuration::ConfigurationId;
+use filbertpaddle_forward::configuration_change::Mismatch;
+use filbertpaddle_forward::linked_configuration::LinkedConfiguration;
+use filbertpaddle_forward::linked_configuration::SentChange;
 use filbertpaddle_forward::load_table;
 use filbertpaddle_forward::load_table::LoadByTarget;
 use filbertpaddle_forward::load_table::LoadChanges;
@@ -76,6 +80,10 @@
         node: Name,
         /// Whether it reads the store itself and wants only the load of the other's group.
         is_reader: bool,
+        /// Configuration that it has. Absent if it takes no changes of configurations, as nodes
+        /// of earlier builds.
+        #[serde(default)]
+        configuration: Option<ConfigurationId>,
     },
     /// First message on a link that becomes a tunnel.
     Open(OpenRequest),
@@ -107,6 +115,9 @@
         clock_ms: Option<Millis>,
         /// The changes.
         batch: Batch,
+        /// A further change, which leads from the last configuration on this link to the next.
+        #[serde(default)]
+        configuration_change: Option<SentChange>,
     },
     /// Age of the sender's data.
     Ages(Ages),
@@ -174,6 +185,9 @@
     /// A message cannot be encoded or decoded, or is not the expected one.
     #[error("invalid message between nodes: {0}")]
     Unreadable(String),
+    /// A change of the configuration does not fit.
+    #[error(transparent)]
+    Mismatch(#[from] Mismatch),
     /// The followed node's data is too old.
     #[error("data of the followed node is too old")]
     TooOld,
@@ -188,6 +202,7 @@
 /// A link to another node.
 pub struct PeerLink {
     socket: WebSocketStream<TcpStream>,
+    configuration: LinkedConfiguration,
     published_load: LoadByTarget,
     /// Sequence number of the last change of the suspects that was sent.
     suspects_published: u64,
@@ -212,10 +227,17 @@
     ///
     /// Returns an error if the link cannot be opened in time.
     pub async fn dial(state: &State, address: SocketAddr, is_reader: bool) -> Result<Self, Error> {
-        let node = state.settings.node.clone();
+        let known = state.directory.borrow().configuration().cloned();
+        let configuration = LinkedConfiguration::receiving(known);
+        let first = Message::Hello {
+            node: state.settings.node.clone(),
+            is_reader,
+            configuration: Some(configuration.id()),
+        };
         let connecting = TcpStream::connect(address);
-        let first = Message::Hello { node, is_reader };
-        Self::open(connecting, address, &first, MAX_TABLE_BYTES).await
+        let mut link = Self::open(connecting, address, &first, MAX_TABLE_BYTES).await?;
+        link.configuration = configuration;
+        Ok(link)
     }
 
     /// Opens a link that becomes a tunnel, from this node's address `own`, by which the other node
@@ -279,6 +301,28 @@
         Ok((link, first))
     }
 
+    /// Records the configuration that the node that opened the link has stated.
+    pub fn set_stated_configuration(&mut self, state: &State, stated: Option<ConfigurationId>) {
+        let own = state.directory.borrow().configuration().cloned();
+        self.configuration = LinkedConfiguration::sending(stated, own);
+    }
+
+    /// Sends changes of a table: of the configuration only what the other end lacks.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the link has ended.
+    pub async fn send_table(&mut self, state: &State, mut batch: Batch) -> Result<(), Error> {
+        let configuration_change = self.configuration.shorten(&mut batch);
+        let table = Message::Table {
+            age_ms: state.data_age_ms(batch.table),
+            clock_ms: Some(state.clock.now()),
+            batch,
+            configuration_change,
+        };
+        self.send(&table).await
+    }
+
     /// Returns the connection of a link that becomes a tunnel.
     pub fn into_socket(self) -> WebSocketStream<TcpStream> {
         self.socket
@@ -308,13 +352,27 @@
     pub async fn receive(&mut self) -> Result<Message, Error> {
         loop {
             match self.socket.next().await.ok_or(Error::Closed)?? {
-                Frame::Binary(bytes) => return decode(&bytes),
+                Frame::Binary(bytes) => return self.restore(decode(&bytes)?),
                 Frame::Close(_) => return Err(Error::Closed),
                 _ => {}
             }
         }
     }
 
+    /// Completes the changes of a table with the configuration, if only its change was sent.
+    fn restore(&mut self, mut message: Message) -> Result<Message, Error> {
+        if let Message::Table {
+            batch,
+            configuration_change,
+            ..
+        } = &mut message
+        {
+            let change = configuration_change.take();
+            self.configuration.restore(batch, change)?;
+        }
+        Ok(message)
+    }
+
     /// Returns the load that was last published on this link.
     pub fn published_load(&self) -> &LoadByTarget {
         &self.published_load
@@ -423,6 +481,7 @@
     fn new(socket: WebSocketStream<TcpStream>) -> Self {
         Self {
             socket,
+            configuration: LinkedConfiguration::default(),
             published_load: LoadByTarget::new(),
             suspects_published: 0,
             leaving_published: 0,
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -62,7 +62,14 @@
 async fn serve_peer(state: &State, stream: TcpStream, from: IpAddr) -> Result<(), Error> {
     let (mut link, first) = PeerLink::accept(stream).await?;
     let (node, is_reader) = match first {
-        Message::Hello { node, is_reader } => (node, is_reader),
+        Message::Hello {
+            node,
+            is_reader,
+            configuration,
+        } => {
+            link.set_stated_configuration(state, configuration);
+            (node, is_reader)
+        }
         Message::Open(request) => return tunnel_server::serve(state, link, from, request).await,
         _ => return Err(Error::Unreadable("unexpected first message".to_owned())),
     };
@@ -181,14 +188,7 @@
     };
     for batch in batches {
         if !batch.revision.is_zero() && !batch.changes.is_empty() {
-            let age_ms = state.data_age_ms(batch.table);
-            let clock_ms = Some(state.clock.now());
-            let table = Message::Table {
-                age_ms,
-                clock_ms,
-                batch,
-            };
-            link.send(&table).await?;
+            link.send_table(state, batch).await?;
         }
     }
     published.sequence = sequence;
--- a/filbertpaddle-gateway/tests/odd_messages.rs
+++ b/filbertpaddle-gateway/tests/odd_messages.rs
@@ -62,6 +62,7 @@
     let change = |entry| Change { revision, entry };
     let message = Message::Table {
         clock_ms: None,
+        configuration_change: None,
         age_ms: Millis(u64::MAX),
         batch: Batch {
             table: Table::Targets,
