--- a/filbertpaddle-forward/src/configuration.rs
+++ b/filbertpaddle-forward/src/configuration.rs
@@ -28,7 +28,7 @@
 /// Identifies a configuration. After a rollback of the store, operators may give a version again,
 /// with another content.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConfigurationId {
+pub struct Identity {
     /// Version; 0 if no configuration is known.
     pub version: u64,
     /// Hash of the text that it was decoded from.
@@ -152,8 +152,8 @@
 
 impl Configuration {
     /// Returns what identifies the configuration.
-    pub fn id(&self) -> ConfigurationId {
-        ConfigurationId {
+    pub fn id(&self) -> Identity {
+        Identity {
             version: self.version,
             digest: self.digest,
         }
--- a/filbertpaddle-forward/src/configuration_change.rs
+++ b/filbertpaddle-forward/src/configuration_change.rs
@@ -9,8 +9,8 @@
 use serde::Serialize;
 
 use crate::configuration::Configuration;
-use crate::configuration::ConfigurationId;
 use crate::configuration::Customer;
+use crate::configuration::Identity;
 use crate::configuration::Limits;
 use crate::configuration::Route;
 use crate::configuration::Service;
@@ -21,8 +21,8 @@
 /// What leads from one configuration to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ConfigurationChange {
-    base: ConfigurationId,
-    new: ConfigurationId,
+    base: Identity,
+    new: Identity,
     routes: Vec<Part<Route>>,
     services: IndexMap<Name, Service>,
     customers: Option<Vec<Part<KeyedCustomer>>>,
@@ -43,9 +43,9 @@
 #[error("change from configuration {} does not fit configuration {}", .base.version, .known.version)]
 pub struct Mismatch {
     /// Configuration that the change starts from.
-    pub base: ConfigurationId,
+    pub base: Identity,
     /// Configuration that it was applied to.
-    pub known: ConfigurationId,
+    pub known: Identity,
 }
 
 impl ConfigurationChange {
--- a/filbertpaddle-forward/src/linked_configuration.rs
+++ b/filbertpaddle-forward/src/linked_configuration.rs
@@ -10,7 +10,7 @@
 use crate::change::Change;
 use crate::change::Entry;
 use crate::configuration::Configuration;
-use crate::configuration::ConfigurationId;
+use crate::configuration::Identity;
 use crate::configuration_change::ConfigurationChange;
 use crate::configuration_change::Mismatch;
 use crate::revision::Revision;
@@ -45,7 +45,7 @@
     ///
     /// `stated` is the configuration that the other end has in force; `None` if it cannot apply
     /// changes. `own` is the one in force at this end.
-    pub fn sending(stated: Option<ConfigurationId>, own: Option<Arc<Configuration>>) -> Self {
+    pub fn sending(stated: Option<Identity>, own: Option<Arc<Configuration>>) -> Self {
         Self {
             takes_changes: stated.is_some(),
             known: own.filter(|own| stated == Some(own.id())),
@@ -53,9 +53,9 @@
     }
 
     /// Returns the configuration to state to the other end.
-    pub fn id(&self) -> ConfigurationId {
+    pub fn id(&self) -> Identity {
         let known = self.known.as_ref();
-        known.map_or_else(ConfigurationId::default, |known| known.id())
+        known.map_or_else(Identity::default, |known| known.id())
     }
 
     /// Takes the configuration out of a batch that is to be sent if the other end knows it, or an
--- a/filbertpaddle-forward/tests/configuration_change.rs
+++ b/filbertpaddle-forward/tests/configuration_change.rs
@@ -1,7 +1,5 @@
 //! Changes between configurations, against the configurations themselves.
 
-#![expect(clippy::unwrap_used, reason = "a panic fails the test")]
-
 use filbertpaddle_core::clock::Millis;
 use filbertpaddle_core::name::Name;
 use filbertpaddle_forward::configuration::Configuration;
--- a/filbertpaddle-forward/tests/linked_configuration.rs
+++ b/filbertpaddle-forward/tests/linked_configuration.rs
@@ -1,7 +1,5 @@
 //! What two ends of a link know of the configuration, whatever either knew before.
 
-#![expect(clippy::unwrap_used, reason = "a panic fails the test")]
-
 use std::sync::Arc;
 
 use filbertpaddle_forward::change::Batch;
@@ -9,7 +7,7 @@
 use filbertpaddle_forward::change::Entry;
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::configuration::Configuration;
-use filbertpaddle_forward::configuration::ConfigurationId;
+use filbertpaddle_forward::configuration::Identity;
 use filbertpaddle_forward::linked_configuration::LinkedConfiguration;
 use filbertpaddle_forward::revision::Revision;
 
@@ -44,7 +42,7 @@
 #[test]
 fn only_the_first_configuration_is_sent_whole() {
     let mut sender =
-        LinkedConfiguration::sending(Some(ConfigurationId::default()), Some(configuration(3)));
+        LinkedConfiguration::sending(Some(Identity::default()), Some(configuration(3)));
     let mut receiver = LinkedConfiguration::receiving(None);
     for version in 3..6 {
         let mut sent = batch(version);
--- a/filbertpaddle-gateway/src/lib.rs
+++ b/filbertpaddle-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`platform_api::PlatformApi`].
 
 pub mod acceptor;
+mod applied_changes;
 pub mod buffered;
 pub mod caller_input;
 pub mod caller_stream;
@@ -35,6 +36,7 @@
 pub mod page_limit;
 pub mod peer_follower;
 pub mod peer_link;
+pub mod peer_message;
 pub mod peer_publisher;
 pub mod platform_api;
 pub mod reader_probe;
--- a/filbertpaddle-gateway/src/load_exchange.rs
+++ b/filbertpaddle-gateway/src/load_exchange.rs
@@ -21,11 +21,11 @@
 use crate::clock::duration;
 use crate::nodes::Nodes;
 use crate::peer_link::Error;
-use crate::peer_link::Message;
 use crate::peer_link::PUBLISH_INTERVAL;
 use crate::peer_link::PeerLink;
 use crate::peer_link::SILENCE_TIMEOUT;
 use crate::peer_link::merge_findings;
+use crate::peer_message::Message;
 use crate::state::State;
 
 /// Number of nodes whose entries are stale that a node links to if it knows no live one.
--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -28,11 +28,11 @@
 
 use crate::load_exchange::update_other_load;
 use crate::peer_link::Error;
-use crate::peer_link::Message;
 use crate::peer_link::PUBLISH_INTERVAL;
 use crate::peer_link::PeerLink;
 use crate::peer_link::SILENCE_TIMEOUT;
 use crate::peer_link::merge_findings;
+use crate::peer_message::Message;
 use crate::state::State;
 use crate::store_sync::REGISTRATION_CHECK_INTERVAL;
 
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -19,12 +19,12 @@
 use tokio::time::interval;
 
 use crate::acceptor::Acceptor;
-use crate::peer_link::Ages;
 use crate::peer_link::Error;
-use crate::peer_link::Message;
 use crate::peer_link::PUBLISH_INTERVAL;
 use crate::peer_link::PeerLink;
 use crate::peer_link::merge_findings;
+use crate::peer_message::Ages;
+use crate::peer_message::Message;
 use crate::state::State;
 use crate::tunnel_server;
 
--- a/filbertpaddle-gateway/src/reader_probe.rs
+++ b/filbertpaddle-gateway/src/reader_probe.rs
@@ -16,9 +16,9 @@
 
 use crate::clock::duration;
 use crate::peer_link::Error;
-use crate::peer_link::Message;
 use crate::peer_link::PeerLink;
 use crate::peer_link::SILENCE_TIMEOUT;
+use crate::peer_message::Message;
 use crate::state::State;
 
 /// Pause between two rounds of probes; random, so that not all followers probe a reader at
--- a/filbertpaddle-gateway/src/relay.rs
+++ b/filbertpaddle-gateway/src/relay.rs
@@ -14,8 +14,8 @@
 
 use crate::connection_pool::Error;
 use crate::peer_link;
-use crate::peer_link::Message;
 use crate::peer_link::PeerLink;
+use crate::peer_message::Message;
 use crate::state::State;
 use crate::tunnel::OpenRequest;
 use crate::tunnel::Purpose;
--- a/filbertpaddle-gateway/src/rollout_exchange.rs
+++ b/filbertpaddle-gateway/src/rollout_exchange.rs
@@ -11,8 +11,8 @@
 use serde::Serialize;
 
 use crate::peer_link::Error;
-use crate::peer_link::Message;
 use crate::peer_link::PeerLink;
+use crate::peer_message::Message;
 use crate::rollouts::RecordReading;
 use crate::state::State;
 
--- a/filbertpaddle-gateway/src/tunnel_server.rs
+++ b/filbertpaddle-gateway/src/tunnel_server.rs
@@ -21,8 +21,8 @@
 
 use crate::connection_pool;
 use crate::peer_link::Error;
-use crate::peer_link::Message;
 use crate::peer_link::PeerLink;
+use crate::peer_message::Message;
 use crate::state::State;
 use crate::target_connection;
 use crate::tunnel::MAX_FRAME_BYTES;
--- a/filbertpaddle-gateway/tests/odd_messages.rs
+++ b/filbertpaddle-gateway/tests/odd_messages.rs
@@ -7,8 +7,8 @@
 use filbertpaddle_forward::change::Table;
 use filbertpaddle_forward::revision::Revision;
 use filbertpaddle_forward::target::Target;
-use filbertpaddle_gateway::peer_link;
-use filbertpaddle_gateway::peer_link::Message;
+use filbertpaddle_gateway::peer_message;
+use filbertpaddle_gateway::peer_message::Message;
 use filbertpaddle_gateway::version_exchange::Datagram;
 
 const DEPTH: usize = 100_000;
@@ -35,7 +35,7 @@
 fn odd_bytes_are_refused_as_messages() {
     for bytes in odd_messages() {
         let start = &bytes[..bytes.len().min(20)];
-        assert!(peer_link::decode(&bytes).is_err(), "{start:x?}");
+        assert!(peer_message::decode(&bytes).is_err(), "{start:x?}");
         assert!(
             ciborium::from_reader::<Datagram, _>(bytes.as_slice()).is_err(),
             "{start:x?}"
@@ -73,5 +73,5 @@
     };
     let mut bytes = Vec::new();
     ciborium::into_writer(&message, &mut bytes).unwrap();
-    assert_eq!(peer_link::decode(&bytes).unwrap(), message);
+    assert_eq!(peer_message::decode(&bytes).unwrap(), message);
 }
