State ages when a table was read instead of at the next heartbeat

Cause: with the ages that followers receive on each read of a table, the heartbeats between came on top: about twice the bytes to each follower. Change: a stated age restarts the heartbeat's interval, and the clock is asked for each second, as its bound only improves.

--- a/filbertpaddle-gateway/src/peer_follower.rs
+++ b/filbertpaddle-gateway/src/peer_follower.rs
@@ -38,7 +38,7 @@
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the followed node is asked for its clock.
-const CLOCK_INTERVAL: Duration = Duration::from_millis(300);
+const CLOCK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Follows another node whenever this one needs to, for as long as it runs.
 pub async fn run(state: Rc<State>) {
--- a/filbertpaddle-gateway/src/peer_publisher.rs
+++ b/filbertpaddle-gateway/src/peer_publisher.rs
@@ -137,6 +137,7 @@
         if is_store_lost || published.current_at_ms != current_at_ms(state) {
             // Followers read the store themselves from now on, or rely on this node for longer.
             send_ages(state, link, &mut published).await?;
+            heartbeat.reset();
         }
         tokio::select! {
             _ = changes.changed() => {}
