--- a/review/standins-2/src/engines.rs
+++ b/review/standins-2/src/engines.rs
@@ -96,6 +96,36 @@
         Ok(())
     }
 
+    /// Starts further engines with another pace, which go on with requests whose connection was
+    /// closed.
+    pub async fn add_slow(
+        &mut self,
+        fleet: &Fleet,
+        numbers: Range<usize>,
+        event_ms: u64,
+    ) -> Result<(), Error> {
+        let usual_ms = std::mem::replace(&mut self.event_ms, event_ms);
+        let former = self.engines.len();
+        let added = self.add(fleet, numbers, FIRST_VERSION).await;
+        self.event_ms = usual_ms;
+        self.engines[former..].iter().for_each(Target::keep_closed);
+        added
+    }
+
+    /// Returns the targets and attempts of the generations that are running.
+    pub fn running(&self) -> Vec<(String, String)> {
+        let all = self
+            .engines
+            .iter()
+            .map(|engine| (engine.options.id.clone(), engine.running()));
+        all.flat_map(|(id, running)| {
+            running
+                .into_keys()
+                .map(move |attempt| (id.clone(), attempt))
+        })
+        .collect()
+    }
+
     /// Returns the number of those that serve.
     pub fn serving(&self) -> usize {
         let engines = self.engines.iter();
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod engines;
 mod fleet;
 mod large_bodies;
+mod late_first_event;
 mod mixed_versions;
 mod record;
 mod resumed_streams;
@@ -88,6 +89,7 @@
 async fn run(case: &str, is_troubled: bool, record: &Record) -> Result<Outcome, Error> {
     match case {
         "large-bodies" => large_bodies::run(is_troubled, record).await,
+        "late-first-event" => late_first_event::run(is_troubled, record).await,
         "mixed-versions" => mixed_versions::run(is_troubled, record).await,
         "resumed-after-route" => resumed_streams::run(Work::AddedRoute, is_troubled, record).await,
         "resumed-in-release" => resumed_streams::run(Work::Release, is_troubled, record).await,
