Review: send more requests in cases 6 and 10

Cause: case 6 had four to five streams where two are allowed, and case 10 five or six crashes where it needs five before the kill.

--- a/review/standins-2/src/crashing_part.rs
+++ b/review/standins-2/src/crashing_part.rs
@@ -23,7 +23,7 @@
 /// Time until killed processes are started again.
 const KILLED_TIME: Duration = Duration::from_millis(1_400);
 /// Requests per second, to all nodes together.
-const BAD_PER_SEC: u32 = 4;
+const BAD_PER_SEC: u32 = 5;
 const SOUND_PER_SEC: u32 = 8;
 /// Time before and after the kill in which requests come.
 const PHASE_TIME: Duration = Duration::from_secs(14);
--- a/review/standins-2/src/mixed_versions.rs
+++ b/review/standins-2/src/mixed_versions.rs
@@ -28,7 +28,7 @@
 const OUTPUT_TOKENS: u32 = 240;
 const EVENTS: usize = 60;
 /// Time between two streams.
-const STREAM_INTERVAL: Duration = Duration::from_millis(200);
+const STREAM_INTERVAL: Duration = Duration::from_millis(125);
 /// Time for which streams begin before, and in all.
 const BEFORE_TIME: Duration = Duration::from_secs(4);
 const AFTER_TIME: Duration = Duration::from_secs(8);
