Show that a new template is locked out by one more crash

Cause: a part of the prompt counts as sound only if other parts account for all of its crashes, and one that was never answered waits for 300 s.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# During a release all nodes are killed, and clients take their streams up.
+# Two requests with a new template hold a part that crashes runners, and one runner crashes by itself.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
-# disruption out.
+# runner's own crash out.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-3/all_killed
+program=target/review-3/new_template
 [ -x "$program" ] || { echo "$program is missing: run review/build-3.sh first"; exit 2; }
-exec "$program" review/15/record.txt release
+exec "$program" review/15/record.txt
--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -11,6 +11,8 @@
 
 /// Output tokens of an event.
 const STRIDE: u64 = 4;
+/// Part of a prompt that crashes each engine that begins to write an answer on it.
+pub const BAD_PART: &str = "badbad00";
 /// Interval at which a running request looks whether it has to stop.
 const LOOK_MS: u64 = 10;
 
@@ -68,7 +70,10 @@
     handles: AtomicUsize,
     /// Spoils each stream whose number, counted from 10, is a multiple of this; 0 for none.
     spoils_each: AtomicUsize,
+    spoils_heads: AtomicBool,
     arrivals: AtomicUsize,
+    /// Whether a request has made it crash.
+    has_to_crash: AtomicBool,
 }
 
 /// A running engine.
@@ -97,7 +102,9 @@
             is_down: AtomicBool::new(false),
             handles: AtomicUsize::new(0),
             spoils_each: AtomicUsize::new(0),
+            spoils_heads: AtomicBool::new(false),
             arrivals: AtomicUsize::new(0),
+            has_to_crash: AtomicBool::new(false),
         });
         let own = Arc::clone(&shared);
         let server = Server::start(address, move |request, out| own.answer(request, out));
@@ -126,11 +133,24 @@
         store.put("servers", &options.id, &entry.text());
     }
 
-    /// Lets it send bytes that are no answer in the middle of one of so many streams.
-    pub fn spoil_each(&self, streams: usize) {
+    /// Lets it send bytes that are no answer in one of so many streams: in the place of the head, or
+    /// of the third event.
+    pub fn spoil_each(&self, streams: usize, spoils_heads: bool) {
+        self.shared
+            .spoils_heads
+            .store(spoils_heads, Ordering::SeqCst);
         self.shared.spoils_each.store(streams, Ordering::SeqCst);
     }
 
+    /// Returns whether a request has made it crash; the caller ends it.
+    pub fn has_to_crash(&self) -> bool {
+        self.shared.has_to_crash.load(Ordering::SeqCst)
+    }
+
+    pub fn id(&self) -> &str {
+        &self.shared.options.id
+    }
+
     pub fn arrivals(&self) -> usize {
         self.shared.arrivals.load(Ordering::SeqCst)
     }
@@ -295,7 +315,11 @@
             self.options.version,
             if is_copy { ", from a copy" } else { "" }
         ));
-        let result = self.generate(number, &attempt, (first, last), is_spoilt, out);
+        let result = {
+            let parts = request.header("filbertpaddle-prompt-prefix").unwrap_or("");
+            let is_bad = parts.contains(BAD_PART);
+            self.generate(number, &attempt, (first, last), (is_spoilt, is_bad), out)
+        };
         let ended_ms = self.record.ms();
         let mut runs = lock(&self.runs);
         runs[number].ended_ms = Some(ended_ms);
@@ -313,12 +337,16 @@
         number: usize,
         attempt: &str,
         (first, last): (u64, u64),
-        spoils: bool,
+        (spoils, is_bad): (bool, bool),
         out: &mut TcpStream,
     ) -> io::Result<&'static str> {
         let id = &self.options.id;
         let mut is_open = true;
         let mut is_spoilt = false;
+        let spoilt_event = match self.spoils_heads.load(Ordering::SeqCst) {
+            true => first,
+            false => first + 2,
+        };
         for event in first..=last {
             let wait_ms = if event == first {
                 self.options.first_ms
@@ -343,18 +371,18 @@
                     }
                 }
             }
+            if is_bad {
+                self.has_to_crash.store(true, Ordering::SeqCst);
+                while !self.is_down.load(Ordering::SeqCst) {
+                    sleep_ms(1);
+                }
+                return Ok("crashed by the request");
+            }
             lock(&self.runs)[number].events = event;
             if !is_open || is_spoilt {
                 continue;
             }
-            if event == first {
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\nFilbertpaddle-Attempt-Id: {attempt}\r\nFilbertpaddle-Response-Seal: {id}.{attempt}\r\n\
-                     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                );
-                out.write_all(head.as_bytes())?;
-            }
-            if spoils && event == first + 2 {
+            if spoils && event == spoilt_event {
                 self.record.add(&format!(
                     "{id}: {attempt}: sends bytes that are no answer, and works on"
                 ));
@@ -362,6 +390,13 @@
                 is_spoilt = true;
                 continue;
             }
+            if event == first {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nFilbertpaddle-Attempt-Id: {attempt}\r\nFilbertpaddle-Response-Seal: {id}.{attempt}\r\n\
+                     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                out.write_all(head.as_bytes())?;
+            }
             let text = format!(
                 "id: {}\ndata: {} {attempt}\n\n",
                 event * self.options.id_step,
