--- a/review/standins-3/spoilt_streams.rs
+++ b/review/standins-3/spoilt_streams.rs
@@ -1,4 +1,5 @@
-//! A faulty runner sends bytes that are no answer in the middle of some streams, and works on.
+//! A faulty runner sends bytes that are no answer in the middle of some streams, and works on. With
+//! the argument `head`, it sends them in the place of the head of its answer.
 
 mod engine;
 mod lab;
@@ -52,9 +53,9 @@
     ];
     let nodes = lab::start_nodes(&machines, &store, &record);
     if lab::has_trouble() {
-        engines[..FAULTY]
-            .iter()
-            .for_each(|engine| engine.spoil_each(SPOILS_EACH));
+        let spoils_heads = std::env::args().nth(2).as_deref() == Some("head");
+        let faulty = engines[..FAULTY].iter();
+        faulty.for_each(|engine| engine.spoil_each(SPOILS_EACH, spoils_heads));
     }
     let answers = Arc::new(Mutex::new(Vec::new()));
     let mut clients = Vec::new();
--- a/review/standins-3/upgraded_runner.rs
+++ b/review/standins-3/upgraded_runner.rs
@@ -1,5 +1,6 @@
 //! A runner starts again under its ID with another version of its software, and goes down once
-//! more. Clients take their streams up again.
+//! more. Clients take their streams up again. With the argument `early`, it goes down before its first
+//! check-in.
 
 mod engine;
 mod lab;
@@ -21,7 +22,11 @@
 const CHECK_IN_MS: u64 = 1_200;
 /// Time from its check-in until it goes down again.
 const UP_MS: u64 = 1_500;
+/// One of six goes down: 0.167 of them, where the site allows 0.17.
+const RUNNERS: usize = 6;
 const EVENTS: u32 = 100;
+/// Time from its start until it goes down again, if that comes before its check-in.
+const EARLY_MS: u64 = 1_150;
 /// Streams that may hold events of two versions.
 const ALLOWED: usize = 2;
 
@@ -40,7 +45,7 @@
         drops_closed: true,
     };
     let mut engines = Vec::new();
-    for number in 0..4 {
+    for number in 0..RUNNERS {
         let address = (lab::next_host(), 0).into();
         let engine = Engine::start(address, options(number, "v1"), &copies, &runs, &record);
         engine.check_in(&store, 1);
@@ -75,10 +80,15 @@
             };
             let engine = Engine::start(address, new, &copies, &runs, &record);
             record.add("engine-0: started again as v2");
-            sleep_ms(CHECK_IN_MS);
-            engine.check_in(&store, 1);
-            record.add("engine-0: checks in as v2");
-            sleep_ms(UP_MS);
+            if std::env::args().nth(2).as_deref() == Some("early") {
+                // It goes down before its first check-in.
+                sleep_ms(EARLY_MS);
+            } else {
+                sleep_ms(CHECK_IN_MS);
+                engine.check_in(&store, 1);
+                record.add("engine-0: checks in as v2");
+                sleep_ms(UP_MS);
+            }
             engine.crash();
             *lock(&upgraded) = Some(engine);
         })
