--- a/review/standins-3/all_killed.rs
+++ b/review/standins-3/all_killed.rs
@@ -143,6 +143,7 @@
         return (0, false);
     };
     let headers = lab::generation(500, 16);
+    record.add(&format!("client: {attempt} is sent, 6000 ms, to {front}"));
     if connection
         .send("POST", "/short/x", &attempt, 6_000, &headers, b"prompt")
         .is_err()
@@ -171,6 +172,7 @@
         return;
     };
     let headers = lab::generation(500, EVENTS * 4);
+    record.add(&format!("client: {began} is sent, 39000 ms, to {front}"));
     if connection
         .send("POST", "/short/x", &began, 39_000, &headers, b"prompt")
         .is_err()
@@ -206,6 +208,7 @@
             continue;
         };
         let headers = format!("{headers}Last-Event-Id: {last}\r\nResumes: {began}\r\n");
+        record.add(&format!("client: {attempt} is sent, 20000 ms, to {front}"));
         if connection
             .send("POST", "/short/x", &attempt, 20_000, &headers, b"prompt")
             .is_err()
--- a/review/standins-3/id_steps.rs
+++ b/review/standins-3/id_steps.rs
@@ -108,6 +108,7 @@
         return false;
     };
     let headers = lab::generation(500, 16);
+    record.add(&format!("client: {attempt} is sent, 6000 ms, to {front}"));
     if connection
         .send("POST", "/short/x", &attempt, 6_000, &headers, b"prompt")
         .is_err()
@@ -129,6 +130,10 @@
         return;
     };
     let headers = lab::generation(500, EVENTS * 4);
+    record.add(&format!(
+        "client: {began} is sent, 39000 ms, to {}",
+        fronts[0]
+    ));
     if connection
         .send("POST", "/short/x", &began, 39_000, &headers, b"prompt")
         .is_err()
@@ -156,6 +161,10 @@
             continue;
         };
         let headers = format!("{headers}Last-Event-Id: {last}\r\nResumes: {began}\r\n");
+        record.add(&format!(
+            "client: {attempt} is sent, 20000 ms, to {}",
+            fronts[1 + tries % 2]
+        ));
         if connection
             .send("POST", "/short/x", &attempt, 20_000, &headers, b"prompt")
             .is_err()
--- a/review/standins-3/large_bodies.rs
+++ b/review/standins-3/large_bodies.rs
@@ -126,6 +126,10 @@
         let (record, results, body) = (record.clone(), Arc::clone(&results), Arc::clone(&body));
         clients.push(thread::spawn(move || {
             let attempt = format!("a{:015x}", lab::unique());
+            record.add(&format!(
+                "client: {attempt} is sent, 39000 ms, {} bytes, to {front}",
+                body.len()
+            ));
             let outcome = send(front, &attempt, &body);
             record.add(&format!("client: {attempt} {outcome}"));
             lock(&results).push((attempt, outcome));
--- a/review/standins-3/new_template.rs
+++ b/review/standins-3/new_template.rs
@@ -98,6 +98,7 @@
                 return false;
             };
             let body = format!("prompt {own}");
+            record.add(&format!("client: {own} is sent, 6000 ms, to {front}"));
             if connection
                 .send("POST", "/short/x", &own, 6_000, &headers, body.as_bytes())
                 .is_err()
--- a/review/standins-3/spoilt_streams.rs
+++ b/review/standins-3/spoilt_streams.rs
@@ -68,6 +68,7 @@
                 return;
             };
             let headers = lab::generation(500, 240);
+            record.add(&format!("client: {attempt} is sent, 20000 ms, to {front}"));
             if connection
                 .send("POST", "/short/x", &attempt, 20_000, &headers, b"prompt")
                 .is_err()
--- a/review/standins-3/upgraded_runner.rs
+++ b/review/standins-3/upgraded_runner.rs
@@ -139,6 +139,7 @@
         let Ok(mut connection) = Connection::open(front) else {
             continue;
         };
+        record.add(&format!("client: {attempt} is sent, 20000 ms, to {front}"));
         if connection
             .send("POST", "/short/x", &attempt, 20_000, &headers, b"prompt")
             .is_err()
